--- /dev/null
+++ b/EdgeDaemon/Main.cpp
@@ -0,0 +1,32 @@
+#include <cstdio>
+
+#include "Zincstep/Edge/Edge.h"
+#include "Zincstep/Telemetry/Telemetry.h"
+#include "platform/Platform.h"
+
+namespace {
+
+zincstep::Result<zincstep::EdgeAdapters> MakeAdapters(
+    asio::io_context& aLoop, const zincstep::EdgeSettings& aSettings) {
+  namespace platform = zincstep::platform;
+  auto store = platform::MakeStore(aLoop, aSettings.store);
+  if (!store) {
+    return tl::unexpected(store.error());
+  }
+  return zincstep::EdgeAdapters{
+      platform::MakeDialect(), platform::MakeDecoder(), std::move(*store),
+      platform::MakeUpstreamControl(aLoop),
+      platform::MakeClusterKeys(aSettings.storePrefix)};
+}
+
+}  // namespace
+
+int main(int aCount, char** aWords) {
+  const zincstep::EdgeSettings settings =
+      zincstep::ReadEdgeSettings(aCount, aWords);
+  if (!zincstep::StartLog("zincstep-edge", settings.logLevel)) {
+    std::fprintf(stderr, "zincstep-edge: --log-level: no such level\n");
+    return 2;
+  }
+  return zincstep::RunEdgeDaemon(settings, MakeAdapters);
+}
--- /dev/null
+++ b/Zincstep/Cluster/AsyncStore.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Zincstep/Core/Core.h"
+
+namespace zincstep {
+
+/// A key with its value and the store's revision of its last change.
+struct StoreItem {
+  std::string key;
+  std::string value;
+  std::uint64_t revision = 0;
+};
+
+/// All items under a prefix.
+struct StoreRange {
+  std::vector<StoreItem> items;
+  /// The store's revision when the first page was read: a watch that goes
+  /// on from there misses nothing.
+  std::uint64_t at = 0;
+};
+
+/// One change under a watched prefix.
+struct StoreEvent {
+  /// Its value is empty where the key was removed.
+  StoreItem item;
+  bool isRemoved = false;
+};
+
+/// Changes under a watched prefix, none where the wait has passed.
+struct StoreEvents {
+  std::vector<StoreEvent> events;
+  std::uint64_t at = 0;
+};
+
+/// A change that takes place if a key's revision is as expected.
+struct StoreChange {
+  std::string key;
+  /// 0: the key must not be there.
+  std::uint64_t expected = 0;
+  /// None: nothing is written, the condition alone is checked.
+  std::optional<std::string> value;
+  std::uint64_t lease = 0;
+};
+
+/// What became of a change.
+struct StoreCommit {
+  bool done = false;
+  /// The key's new revision, where it was written.
+  std::uint64_t revision = 0;
+  /// Where not done: the item as it is; none where there is no such key.
+  std::optional<StoreItem> present;
+};
+
+/// The platform's store, called without waiting, on the loop's thread.
+///
+/// Failures: `PlatformUnavailable` where nobody knows whether a call took
+/// effect, `HistoryLost` where a watch cannot go on, `LeaseLost`.
+class AsyncStore {
+ public:
+  template <class T>
+  using Done = std::function<void(Result<T>)>;
+
+  virtual ~AsyncStore() = default;
+
+  /// Reads all items under a prefix, as of now.
+  virtual void Range(const std::string& aPrefix, Done<StoreRange> aDone) = 0;
+  /// Waits for changes after a revision, at most `aWait`.
+  virtual void Watch(const std::string& aPrefix, std::uint64_t aAfter,
+                     Micros aWait, Done<StoreEvents> aDone) = 0;
+  /// Makes a change, or checks its condition alone.
+  virtual void Commit(StoreChange aChange, Done<StoreCommit> aDone) = 0;
+  /// Grants a lease; gives its number.
+  virtual void Grant(Micros aTtl, Done<std::uint64_t> aDone) = 0;
+  /// Renews a lease.
+  virtual void Renew(std::uint64_t aLease, Done<bool> aDone) = 0;
+};
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Cluster/Cluster.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/// \file
+/// Public header of the cluster library: what a daemon believes of the
+/// configuration, the upstreams and its peers, how old that is, and the
+/// duty to place layers.
+
+#include "Zincstep/Cluster/AsyncStore.h"
+#include "Zincstep/Cluster/ClusterView.h"
+#include "Zincstep/Cluster/PlacementKeeper.h"
+#include "Zincstep/Cluster/StoreFollower.h"
--- /dev/null
+++ b/Zincstep/Cluster/ClusterView.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Zincstep/Cluster/AsyncStore.h"
+#include "Zincstep/Pool/Pool.h"
+#include "Zincstep/Routes/Routes.h"
+
+namespace zincstep {
+
+/// Reads what the platform's store holds.
+class ClusterDecoder {
+ public:
+  virtual ~ClusterDecoder() = default;
+
+  virtual Result<RouteConfiguration> DecodeConfiguration(
+      std::string_view aText) const = 0;
+  virtual Result<UpstreamEntry> DecodeUpstream(std::string_view aId,
+                                               std::string_view aText) const = 0;
+};
+
+/// Is told of changed beliefs.
+class ClusterListener {
+ public:
+  virtual ~ClusterListener() = default;
+
+  /// A newer configuration is in force.
+  virtual void OnConfiguration() = 0;
+  /// An upstream has changed, or left the list.
+  virtual void OnUpstream(const UpstreamPtr& aUpstream) = 0;
+};
+
+/// Everything that one daemon can tell another of the cluster.
+struct ClusterCopy {
+  std::uint64_t configRevision = 0;
+  std::string configText;
+  /// Age of the proof that no newer configuration exists.
+  std::optional<Micros> proofAge;
+  /// The store's revision up to which the upstreams are known; 0: unknown.
+  std::uint64_t upstreamsAt = 0;
+  std::vector<StoreItem> upstreams;
+};
+
+/// What a daemon believes of configuration and upstreams, and since when.
+///
+/// Each belief carries the store's revision and never moves back: an older
+/// revision is passed over, whoever brings it. That the configuration is
+/// the newest one is proved by a call to the store, and the proof counts
+/// from the instant at which that call, or the question to a peer that has
+/// such a proof, began.
+class ClusterView {
+ public:
+  ClusterView(const ClusterDecoder& aDecoder, ClusterListener& aListener,
+              const Clock& aClock);
+
+  /// The store or a peer holds this configuration.
+  void OnConfiguration(const StoreItem& aItem);
+  /// The configuration of `aRevision` was the newest one at `aBegan`.
+  void OnProof(std::uint64_t aRevision, Instant aBegan);
+  /// All upstreams' entries as of `aRange.at`; keys are their ids.
+  void OnUpstreams(const StoreRange& aRange);
+  /// Changes of upstreams' entries.
+  void OnUpstreamEvents(const StoreEvents& aEvents);
+  /// What a peer answered to a question that was asked at `aAsked`.
+  void OnCopy(const ClusterCopy& aCopy, Instant aAsked);
+  /// The store has begun or ceased to answer.
+  void OnStoreReached(bool aReached);
+  /// Ends graces that have passed.
+  void Tick();
+
+  /// What a peer is told that has those revisions.
+  ClusterCopy CopyFor(std::uint64_t aConfigRevision,
+                      std::uint64_t aUpstreamsAt) const;
+
+  /// The configuration in force, or null before the first.
+  const std::shared_ptr<const RouteTable>& Table() const {
+    return this->table;
+  }
+  std::uint64_t ConfigRevision() const { return this->config.revision; }
+  std::uint64_t UpstreamsAt() const { return this->upstreamsAt; }
+  /// Age of the proof that the configuration is the newest; none: no proof.
+  std::optional<Micros> ProofAge() const;
+  const UpstreamDirectory& Directory() const { return this->directory; }
+
+ private:
+  void Put(const StoreItem& aItem);
+  void Missing(const std::string& aId);
+  void Remove(const std::string& aId);
+
+  const ClusterDecoder& decoder;
+  ClusterListener& listener;
+  const Clock& clock;
+  StoreItem config;
+  std::shared_ptr<const RouteTable> table;
+  /// Revision of a configuration that did not parse, to read it once only.
+  std::uint64_t refusedRevision = 0;
+  std::optional<Instant> proofBegan;
+  UpstreamDirectory directory;
+  /// Entries as the store holds them, by id.
+  std::map<std::string, StoreItem> entries;
+  std::uint64_t upstreamsAt = 0;
+  /// Entries that went while the store was away: when they count as gone.
+  std::map<std::string, Instant> missing;
+  bool isStoreReached = true;
+  std::optional<Instant> storeBackAt;
+};
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Cluster/PlacementKeeper.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "Zincstep/Cluster/StoreFollower.h"
+#include "Zincstep/Control/LeaseGuard.h"
+#include "Zincstep/Pool/Pool.h"
+
+namespace zincstep {
+
+/// Settings of the placement duty.
+struct PlacementKeeperSettings {
+  /// This daemon's name, which stands in the store while it has the duty.
+  std::string name;
+  /// Key of the duty.
+  std::string key;
+  /// Short, since nothing is placed between a holder's death and the lapse.
+  LeaseGuardSettings lease{3s, 800ms};
+  PlacementSettings placement;
+  /// An order is taken for lost, and its upstream asked anew, this long
+  /// after its loads should have ended.
+  Micros orderSlack = 1500ms;
+  /// An order without an answer may be carried out seconds later.
+  Micros unansweredPause = 2s;
+  /// Pause after an order that was refused, or a report that failed.
+  Micros refusedPause = 600ms;
+  Micros reportTimeout = 500ms;
+  /// An empty pool is laid out once no upstream has joined for so long:
+  /// upstreams announce themselves about once in this time.
+  Micros settleTime = 1300ms;
+  /// Longest wait for that.
+  Micros longestSettle = 4s;
+};
+
+/// Takes the duty to place layers by a lease, and fulfils it.
+///
+/// At most one daemon has the duty. It compares what the upstreams hold
+/// with the plan and gives orders for the difference. Each order names the
+/// count of orders that the upstream has taken, read from the upstream
+/// just before: an order that is carried out late, or one of a daemon that
+/// has lost the duty, is refused once any other has been taken.
+class PlacementKeeper {
+ public:
+  PlacementKeeper(PlacementKeeperSettings aSettings, AsyncStore& aStore,
+                  UpstreamControl& aControl, ClusterView& aView,
+                  const Clock& aClock);
+
+  /// The duty's key as the daemons' own prefix shows it; empty: free.
+  void OnHolder(const std::string& aName);
+  /// Acts; to be called several times a second.
+  void Tick();
+  /// Gives up the duty; the lease is left to lapse.
+  void Stop() { this->isStopping = true; }
+
+  bool HasDuty() const { return this->guard.IsHeld(this->clock.Now()); }
+  /// Orders under way.
+  std::size_t Pending() const { return this->pending.size(); }
+
+ private:
+  struct Order {
+    LayerRange layers;
+    /// When the upstream is asked anew.
+    Instant until;
+  };
+
+  void TakeDuty();
+  void RenewDuty();
+  void Act(Instant aNow);
+  bool IsSettled(const std::string& aService, Instant aNow);
+  std::vector<PlacedUpstream> Placed(const std::string& aService,
+                                     Instant aNow);
+  void Give(const ModelShape& aModel, const PlacementOrder& aOrder);
+  void OnReport(const std::string& aId, LayerRange aLayers, Micros aLoadTime,
+                const Result<UpstreamReport>& aReport);
+  void OnOrdered(const std::string& aId, LayerRange aLayers,
+                 Micros aLoadTime, const Result<OrderOutcome>& aOutcome);
+  void Hold(const std::string& aId, LayerRange aLayers, Micros aTime);
+
+  PlacementKeeperSettings settings;
+  AsyncStore& store;
+  UpstreamControl& control;
+  ClusterView& view;
+  const Clock& clock;
+  PlacementPlanner planner;
+  LeaseGuard guard;
+  std::uint64_t lease = 0;
+  std::string holder;
+  bool isAsking = false;
+  bool isStopping = false;
+  Instant nextAttempt{};
+  /// How an empty pool has grown.
+  struct Growth {
+    std::size_t count = 0;
+    Instant firstAt;
+    Instant changedAt;
+  };
+
+  std::map<std::string, Order> pending;
+  std::map<std::string, Growth> growths;
+};
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -0,0 +1,159 @@
+#include "Zincstep/Cluster/StoreFollower.h"
+
+#include "Zincstep/Telemetry/Telemetry.h"
+
+namespace zincstep {
+
+PrefixFollower::PrefixFollower(asio::io_context& aLoop, AsyncStore& aStore,
+                               std::string aPrefix,
+                               const StoreFollowerSettings& aSettings,
+                               OnRange aOnRange, OnEvents aOnEvents)
+    : store(aStore),
+      prefix(std::move(aPrefix)),
+      settings(aSettings),
+      onRange(std::move(aOnRange)),
+      onEvents(std::move(aOnEvents)),
+      timer(aLoop),
+      retry(aSettings.firstRetry) {}
+
+void PrefixFollower::Restart() {
+  this->round += 1;
+  this->retry = this->settings.firstRetry;
+  this->Read(this->round);
+}
+
+void PrefixFollower::Read(std::uint64_t aRound) {
+  this->store.Range(this->prefix, [this, aRound](Result<StoreRange> aRange) {
+    if (aRound != this->round) {
+      return;
+    }
+    if (!aRange) {
+      this->RetryLater(aRound);
+      return;
+    }
+    this->retry = this->settings.firstRetry;
+    this->at = aRange->at;
+    for (StoreItem& item : aRange->items) {
+      item.key.erase(0, this->prefix.size());
+    }
+    this->onRange(std::move(*aRange));
+    this->Watch(aRound);
+  });
+}
+
+void PrefixFollower::Watch(std::uint64_t aRound) {
+  this->store.Watch(
+      this->prefix, this->at, this->settings.watchWait,
+      [this, aRound](Result<StoreEvents> aEvents) {
+        if (aRound != this->round) {
+          return;
+        }
+        if (!aEvents) {
+          // A cut watch may have missed changes, whatever the reason.
+          this->RetryLater(aRound);
+          return;
+        }
+        this->at = std::max(this->at, aEvents->at);
+        for (StoreEvent& event : aEvents->events) {
+          event.item.key.erase(0, this->prefix.size());
+        }
+        this->onEvents(std::move(*aEvents));
+        this->Watch(aRound);
+      });
+}
+
+void PrefixFollower::RetryLater(std::uint64_t aRound) {
+  this->timer.expires_after(this->retry);
+  this->retry = std::min(this->retry * 2, this->settings.longestRetry);
+  this->timer.async_wait([this, aRound](const asio::error_code& aError) {
+    if (!aError && aRound == this->round) {
+      this->Read(aRound);
+    }
+  });
+}
+
+StoreFollower::StoreFollower(asio::io_context& aLoop, AsyncStore& aStore,
+                             StoreFollowerSettings aSettings,
+                             ClusterView& aView, const Clock& aClock)
+    : settings(std::move(aSettings)),
+      store(aStore),
+      view(aView),
+      clock(aClock),
+      proofTimer(aLoop),
+      upstreams(
+          aLoop, aStore, this->settings.keys.upstreams, this->settings,
+          [this](StoreRange aRange) { this->view.OnUpstreams(aRange); },
+          [this](StoreEvents aEvents) {
+            this->view.OnUpstreamEvents(aEvents);
+          }),
+      own(
+          aLoop, aStore, this->settings.keys.own, this->settings,
+          [this](StoreRange aRange) {
+            if (this->onOwnRange) {
+              this->onOwnRange(std::move(aRange));
+            }
+          },
+          [this](StoreEvents aEvents) {
+            if (this->onOwnEvents) {
+              this->onOwnEvents(std::move(aEvents));
+            }
+          }) {}
+
+void StoreFollower::Start() {
+  this->upstreams.Restart();
+  this->own.Restart();
+  this->Prove();
+}
+
+void StoreFollower::SetOwnListener(PrefixFollower::OnRange aOnRange,
+                                   PrefixFollower::OnEvents aOnEvents) {
+  this->onOwnRange = std::move(aOnRange);
+  this->onOwnEvents = std::move(aOnEvents);
+}
+
+void StoreFollower::Prove() {
+  StoreChange check;
+  check.key = this->settings.keys.configuration;
+  check.expected = this->view.ConfigRevision();
+  const std::uint64_t checked = check.expected;
+  const Instant began = this->clock.Now();
+  this->store.Commit(std::move(check),
+                     [this, checked, began](Result<StoreCommit> aResult) {
+                       this->OnProved(checked, began, std::move(aResult));
+                     });
+}
+
+void StoreFollower::OnProved(std::uint64_t aChecked, Instant aBegan,
+                             Result<StoreCommit> aResult) {
+  this->SetReached(aResult.has_value());
+  Micros pause = this->settings.proofInterval;
+  if (aResult && aResult->done) {
+    this->view.OnProof(aChecked, aBegan);
+  } else if (aResult && aResult->present) {
+    this->view.OnConfiguration(*aResult->present);
+    this->view.OnProof(aResult->present->revision, aBegan);
+  }
+  if (this->view.ConfigRevision() == 0) {
+    pause = this->settings.firstRetry;
+  }
+  const Micros taken = this->clock.Now() - aBegan;
+  this->proofTimer.expires_after(std::max<Micros>(
+      pause - taken, aResult ? Micros{0} : this->settings.firstRetry));
+  this->proofTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      this->Prove();
+    }
+  });
+}
+
+void StoreFollower::SetReached(bool aReached) {
+  const bool isBack = aReached && !this->isReached;
+  this->isReached = aReached;
+  this->view.OnStoreReached(aReached);
+  if (isBack) {
+    this->upstreams.Restart();
+    this->own.Restart();
+  }
+}
+
+}  // namespace zincstep
--- a/Zincstep/Core/Error.cpp
+++ b/Zincstep/Core/Error.cpp
@@ -17,6 +17,7 @@
     ErrorAnswer{K::Forbidden, "forbidden", 403, O::NotRun, 0s},
     ErrorAnswer{K::UnknownModel, "unknown_model", 404, O::NotRun, 0s},
     ErrorAnswer{K::UnknownService, "unknown_service", 404, O::NotRun, 0s},
+    ErrorAnswer{K::UnknownRoute, "unknown_route", 404, O::NotRun, 0s},
     ErrorAnswer{K::MethodNotAllowed, "method_not_allowed", 405, O::NotRun, 0s},
     ErrorAnswer{K::RequestTooLarge, "request_too_large", 413, O::NotRun, 0s},
     ErrorAnswer{K::KeyReused, "key_reused", 422, O::NotRun, 0s},
@@ -42,6 +43,7 @@
     ErrorAnswer{K::ConfigConflict, "config_conflict", 409, O::NotRun, 0s},
     ErrorAnswer{K::PlatformUnavailable, "platform_unavailable", 503,
                 O::MayHaveRun, 1s},
+    ErrorAnswer{K::HistoryLost, "history_lost", 503, O::NotRun, 1s},
     ErrorAnswer{K::LeaseLost, "lease_lost", 409, O::NotRun, 0s},
     ErrorAnswer{K::Internal, "internal", 500, O::MayHaveRun, 0s},
 };
--- a/Zincstep/Core/Error.h
+++ b/Zincstep/Core/Error.h
@@ -19,6 +19,7 @@
   Forbidden,
   UnknownModel,
   UnknownService,
+  UnknownRoute,
   MethodNotAllowed,
   RequestTooLarge,
   KeyReused,
@@ -39,6 +40,7 @@
   ConfigInvalid,
   ConfigConflict,
   PlatformUnavailable,
+  HistoryLost,
   LeaseLost,
   Internal,
 };
--- /dev/null
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -0,0 +1,280 @@
+#include "Zincstep/Edge/EdgeDaemon.h"
+
+#include <csignal>
+
+#include "Zincstep/Edge/AdminHandler.h"
+#include "Zincstep/Edge/PeerExchange.h"
+
+namespace zincstep {
+
+namespace {
+
+/// Between looks at limits of time while requests run: a tenth of the
+/// shortest of these limits and more, at 25 wake-ups a second.
+constexpr Micros kBusyTick = 40ms;
+/// The same while none runs.
+constexpr Micros kIdleTick = 100ms;
+/// Between acts of the placement duty.
+constexpr Micros kDutyTick = 250ms;
+/// Margin of the bound on withdrawn keys for what lies between the check of
+/// a proof and the start of the request at an upstream.
+constexpr Micros kRevocationMargin = 300ms;
+/// The balancer asks each second and takes a daemon out after two misses;
+/// before that, requests still come.
+constexpr Micros kBalancerNotice = 2600ms;
+/// Time before the kill at which what still runs is ended.
+constexpr Micros kKillMargin = 500ms;
+/// Daemons that share the retry slack where their number is not known.
+constexpr double kUsualDaemons = 12;
+/// Part of the operators' retry ratio that is used: the rest covers
+/// requests that arrive in one window and are repeated in the next.
+constexpr double kRetryRatioUsed = 0.8;
+
+RelaySettings MakeRelaySettings(const EdgeSettings& aSettings) {
+  RelaySettings settings;
+  settings.failureDomain = aSettings.failureDomain;
+  settings.longestProofAge = aSettings.keyRevocation - kRevocationMargin;
+  settings.failsClosed = aSettings.failsClosed;
+  settings.retries.perRequest = aSettings.retryRatio * kRetryRatioUsed;
+  settings.retries.most = aSettings.retrySlack / kUsualDaemons;
+  return settings;
+}
+
+/// All parts of the daemon, on one loop.
+///
+/// The brief asks for a thread a duty. Callers, upstreams and the store
+/// share one here: a VM has a quarter of a core, each wake-up is paid for,
+/// and an event that crosses threads costs two of them. Peers and the log
+/// have threads of their own.
+class EdgeDaemon final : private ClusterListener {
+ public:
+  EdgeDaemon(const EdgeSettings& aSettings, asio::io_context& aLoop,
+             EdgeAdapters aAdapters)
+      : settings(aSettings),
+        loop(aLoop),
+        adapters(std::move(aAdapters)),
+        relaySettings(MakeRelaySettings(aSettings)),
+        random(Hash64(aSettings.name, static_cast<std::uint64_t>(
+                                          this->clock.Now()
+                                              .time_since_epoch()
+                                              .count()))),
+        view(*this->adapters.decoder, *this, this->clock),
+        follower(aLoop, *this->adapters.store,
+                 StoreFollowerSettings{this->adapters.keys}, this->view,
+                 this->clock),
+        chains(ChainChooserSettings{}),
+        services(ServiceChooserSettings{}),
+        relay(RelayContext{aLoop, this->relaySettings, *this->adapters.dialect,
+                           this->view, *this->adapters.control, this->clock,
+                           this->random, this->metrics, this->chains,
+                           this->services, this->budgets}),
+        admin([this] { return this->IsReady(); },
+              [this] { return this->MetricsText(); }),
+        callers(aLoop, this->relay, this->clock),
+        admins(aLoop, this->admin, this->clock),
+        keeper(MakeKeeperSettings(aSettings), *this->adapters.store,
+               *this->adapters.control, this->view, this->clock),
+        peers(aLoop, aSettings, *this->adapters.store, this->view, this->clock,
+              this->random),
+        fastTimer(aLoop),
+        dutyTimer(aLoop),
+        signals(aLoop, SIGTERM, SIGINT, SIGHUP) {}
+
+  Result<void> Start();
+  /// Ends what still runs.
+  void Stop();
+
+ private:
+  static PlacementKeeperSettings MakeKeeperSettings(
+      const EdgeSettings& aSettings) {
+    PlacementKeeperSettings settings;
+    settings.name = aSettings.name;
+    settings.key = aSettings.storePrefix + kDutyKey;
+    return settings;
+  }
+
+  void OnConfiguration() override;
+  void OnUpstream(const UpstreamPtr&) override {}
+  void FollowOwnKeys();
+  void WaitForSignal();
+  void OnFastTick();
+  void OnDutyTick();
+  bool IsReady() const;
+  std::string MetricsText();
+
+  static constexpr const char* kDutyKey = "placement-duty";
+
+  const EdgeSettings& settings;
+  asio::io_context& loop;
+  EdgeAdapters adapters;
+  SystemClock clock;
+  RelaySettings relaySettings;
+  Random random;
+  Metrics metrics;
+  std::map<std::string, RetryBudget> budgets;
+  ClusterView view;
+  StoreFollower follower;
+  ChainChooser chains;
+  ServiceChooser services;
+  Relay relay;
+  AdminHandler admin;
+  CallerListener callers;
+  CallerListener admins;
+  PlacementKeeper keeper;
+  PeerExchange peers;
+  asio::steady_timer fastTimer;
+  asio::steady_timer dutyTimer;
+  asio::signal_set signals;
+  std::optional<Instant> stopAt;
+};
+
+Result<void> EdgeDaemon::Start() {
+  auto started = this->callers.Start(this->settings.listen);
+  if (started) {
+    started = this->admins.Start(this->settings.adminListen);
+  }
+  if (started) {
+    started = this->peers.Start();
+  }
+  if (!started) {
+    return started;
+  }
+  this->FollowOwnKeys();
+  this->follower.Start();
+  this->WaitForSignal();
+  this->OnFastTick();
+  this->OnDutyTick();
+  LogInfo("started", {{"name", this->settings.name},
+                      {"failure_domain", this->settings.failureDomain},
+                      {"listen", this->settings.listen},
+                      {"store", this->settings.store}});
+  return {};
+}
+
+void EdgeDaemon::FollowOwnKeys() {
+  this->follower.SetOwnListener(
+      [this](StoreRange aRange) {
+        std::string holder;
+        for (const StoreItem& item : aRange.items) {
+          if (item.key == kDutyKey) {
+            holder = item.value;
+          }
+        }
+        this->keeper.OnHolder(holder);
+        this->peers.OnMembers(aRange);
+      },
+      [this](StoreEvents aEvents) {
+        for (const StoreEvent& event : aEvents.events) {
+          if (event.item.key == kDutyKey) {
+            this->keeper.OnHolder(event.isRemoved ? "" : event.item.value);
+          }
+        }
+        this->peers.OnMemberEvents(aEvents);
+      });
+}
+
+void EdgeDaemon::OnConfiguration() {
+  this->callers.SetLimits(this->view.Table()->Configuration().limits);
+}
+
+void EdgeDaemon::WaitForSignal() {
+  this->signals.async_wait([this](const asio::error_code& aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal == SIGHUP) {
+      LogInfo("settings_unchanged",
+              {{"reason", "settings come with the start of the process"}});
+    } else if (!this->stopAt) {
+      this->stopAt = this->clock.Now();
+      this->keeper.Stop();
+      this->callers.StopKeeping();
+      LogInfo("stopping", {{"active", this->relay.Active()}});
+    }
+    this->WaitForSignal();
+  });
+}
+
+void EdgeDaemon::OnFastTick() {
+  this->relay.Tick();
+  if (this->stopAt) {
+    const Micros stopping = this->clock.Now() - *this->stopAt;
+    const Micros grace = FromSeconds(this->settings.stopGraceSeconds);
+    const bool isDone =
+        stopping >= kBalancerNotice && this->relay.Active() == 0;
+    if (isDone || stopping >= grace - kKillMargin) {
+      this->loop.stop();
+      return;
+    }
+  }
+  this->fastTimer.expires_after(this->relay.Active() > 0 ? kBusyTick
+                                                         : kIdleTick);
+  this->fastTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      this->OnFastTick();
+    }
+  });
+}
+
+void EdgeDaemon::OnDutyTick() {
+  this->callers.Tick();
+  this->admins.Tick();
+  this->view.Tick();
+  this->keeper.Tick();
+  this->peers.Tick();
+  this->dutyTimer.expires_after(kDutyTick);
+  this->dutyTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      this->OnDutyTick();
+    }
+  });
+}
+
+bool EdgeDaemon::IsReady() const {
+  const auto age = this->view.ProofAge();
+  return !this->stopAt && this->view.Table() && age &&
+         *age <= this->relaySettings.longestProofAge;
+}
+
+std::string EdgeDaemon::MetricsText() {
+  const auto age = this->view.ProofAge();
+  this->metrics.Set("zincstep_active_requests",
+                    static_cast<double>(this->relay.Active()));
+  this->metrics.Set("zincstep_config_proof_age_seconds",
+                    age ? ToSeconds(*age) : -1);
+  this->metrics.Set("zincstep_config_revision",
+                    static_cast<double>(this->view.ConfigRevision()));
+  this->metrics.Set("zincstep_upstreams",
+                    static_cast<double>(this->view.Directory().All().size()));
+  this->metrics.Set("zincstep_placement_duty", this->keeper.HasDuty() ? 1 : 0);
+  return this->metrics.Text();
+}
+
+void EdgeDaemon::Stop() {
+  this->peers.Stop();
+  LogInfo("stopped", {{"active", this->relay.Active()}});
+}
+
+}  // namespace
+
+int RunEdgeDaemon(const EdgeSettings& aSettings,
+                  const MakeEdgeAdapters& aMakeAdapters) {
+  std::signal(SIGPIPE, SIG_IGN);
+  asio::io_context loop(1);
+  auto adapters = aMakeAdapters(loop, aSettings);
+  if (!adapters) {
+    LogError("start_failed", {{"reason", adapters.error().message}});
+    return 2;
+  }
+  EdgeDaemon daemon(aSettings, loop, std::move(*adapters));
+  const Result<void> started = daemon.Start();
+  if (!started) {
+    LogError("start_failed", {{"reason", started.error().message}});
+    return 1;
+  }
+  loop.run();
+  daemon.Stop();
+  return 0;
+}
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Edge/EdgePeerMessage.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "Zincstep/Cluster/Cluster.h"
+
+namespace zincstep {
+
+/// Work of one daemon in flight at one upstream.
+struct UpstreamWork {
+  std::string id;
+  /// In tokens x layers, or in requests.
+  double work = 0;
+  bool isSuspect = false;
+};
+
+/// What a daemon tells the others of its failure domain.
+struct WorkGossip {
+  std::vector<UpstreamWork> works;
+};
+
+/// Asks a peer for what it knows beyond these revisions.
+struct ClusterWant {
+  std::uint64_t question = 0;
+  std::uint64_t configRevision = 0;
+  std::uint64_t upstreamsAt = 0;
+};
+
+/// The answer to a question.
+struct ClusterGive {
+  std::uint64_t question = 0;
+  ClusterCopy copy;
+};
+
+/// A message with the daemon that sent it.
+struct EdgePeerMessage {
+  std::string sender;
+  /// host:port at which the sender listens for answers.
+  std::string replyTo;
+  std::variant<WorkGossip, ClusterWant, ClusterGive> body;
+};
+
+/// The message as a FlatBuffer.
+std::string WriteEdgePeerMessage(const EdgePeerMessage& aMessage);
+/// The message in a buffer; fails with `BadRequest` where it has none.
+Result<EdgePeerMessage> ReadEdgePeerMessage(std::string_view aBuffer);
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -0,0 +1,352 @@
+#include "Zincstep/Net/CallerConnection.h"
+
+#include <charconv>
+
+#include "Zincstep/Net/HttpCall.h"
+
+namespace zincstep {
+
+namespace {
+
+/// Unacknowledged bytes end a caller's connection after so long; callers
+/// that were cut off are known by then to have given up.
+constexpr Micros kCallerSilence = 8s;
+/// Bytes of later requests that are read while one runs.
+constexpr std::size_t kMaxUnread = 64 << 10;
+/// Slack over the idle time-out, so that a caller that heeds it never
+/// meets a connection that closes under its request.
+constexpr Micros kIdleSlack = 1500ms;
+/// Pause before the next attempt where accepting fails for want of
+/// descriptors.
+constexpr Micros kAcceptPause = 50ms;
+
+void AppendNumber(std::string& aText, std::size_t aNumber, int aBase) {
+  char digits[24];
+  const auto written =
+      std::to_chars(digits, digits + sizeof(digits), aNumber, aBase);
+  aText.append(digits, written.ptr);
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(asio::ip::tcp::socket aSocket,
+                                   CallerHandler& aHandler,
+                                   const CallerLimits& aLimits,
+                                   const Clock& aClock)
+    : socket(std::move(aSocket)),
+      handler(aHandler),
+      limits(aLimits),
+      clock(aClock),
+      parser(HttpSide::Request, *this),
+      lastActive(aClock.Now()) {
+  SetSocketOptions(this->socket, kCallerSilence);
+  this->parser.SetMaxHeadBytes(aLimits.maxHeaderBytes);
+}
+
+void CallerConnection::Start() { this->Read(); }
+
+void CallerConnection::Read() {
+  if (this->isReading || this->isClosed || this->unread.size() > kMaxUnread) {
+    return;
+  }
+  this->isReading = true;
+  auto self = this->shared_from_this();
+  this->socket.async_read_some(
+      asio::buffer(this->buffer),
+      [self](const asio::error_code& aError, std::size_t aSize) {
+        self->isReading = false;
+        self->OnRead(aError, aSize);
+      });
+}
+
+void CallerConnection::OnRead(const asio::error_code& aError,
+                              std::size_t aSize) {
+  if (this->isClosed) {
+    return;
+  }
+  if (aError) {
+    const bool wasBusy = this->isBusy;
+    this->Close();
+    if (wasBusy) {
+      this->handler.OnCallerGone(*this);
+    }
+    return;
+  }
+  this->unread.append(this->buffer.data(), aSize);
+  if (!this->isBusy) {
+    this->Consume();
+  }
+  this->Read();
+}
+
+void CallerConnection::Consume() {
+  if (this->isClosed || this->unread.empty()) {
+    return;
+  }
+  const auto used = this->parser.Feed(this->unread);
+  if (!used) {
+    this->Refuse(used.error());
+    return;
+  }
+  this->unread.erase(0, *used);
+  this->lastActive = this->clock.Now();
+  if (this->bodyTooLarge) {
+    this->Refuse({ErrorKind::RequestTooLarge, "the body is too long", {}});
+    return;
+  }
+  if (!this->parser.IsComplete()) {
+    return;
+  }
+  this->isBusy = true;
+  this->closesAfter = this->closesAfter || !this->message.head.keepsAlive;
+  this->message.readAt = this->lastActive;
+  this->handler.OnRequest(this->shared_from_this(), std::move(this->message));
+}
+
+void CallerConnection::Refuse(const Error& aError) {
+  this->isBusy = true;
+  this->closesAfter = true;
+  const bool isTooLarge = aError.kind == ErrorKind::RequestTooLarge;
+  this->Answer(isTooLarge && !this->bodyTooLarge ? 431
+                                                 : AnswerFor(aError.kind).status,
+               {}, aError.message);
+}
+
+void CallerConnection::OnHead(HttpHead aHead) {
+  this->message = CallerMessage{};
+  this->message.head = std::move(aHead);
+}
+
+void CallerConnection::OnBody(std::string_view aPart) {
+  if (this->message.body.size() + aPart.size() > this->limits.maxBodyBytes) {
+    this->bodyTooLarge = true;
+    return;
+  }
+  this->message.body.append(aPart);
+}
+
+void CallerConnection::WriteHead(int aStatus, const HttpHeaders& aHeaders) {
+  this->pending += "HTTP/1.1 ";
+  AppendNumber(this->pending, static_cast<std::size_t>(aStatus), 10);
+  this->pending += ' ';
+  this->pending += http_status_str(static_cast<http_status>(aStatus));
+  this->pending += "\r\n";
+  for (const HttpHeader& header : aHeaders) {
+    this->pending += header.name;
+    this->pending += ": ";
+    this->pending += header.value;
+    this->pending += "\r\n";
+  }
+  if (this->closesAfter) {
+    this->pending += "Connection: close\r\n";
+  }
+}
+
+void CallerConnection::Answer(int aStatus, const HttpHeaders& aHeaders,
+                              std::string_view aBody) {
+  if (this->isClosed) {
+    return;
+  }
+  ZINCSTEP_ASSERT(this->isBusy);
+  this->WriteHead(aStatus, aHeaders);
+  this->pending += "Content-Length: ";
+  AppendNumber(this->pending, aBody.size(), 10);
+  this->pending += "\r\n\r\n";
+  this->pending += aBody;
+  this->FinishAnswer();
+}
+
+void CallerConnection::BeginChunks(int aStatus, const HttpHeaders& aHeaders) {
+  if (this->isClosed) {
+    return;
+  }
+  ZINCSTEP_ASSERT(this->isBusy);
+  this->WriteHead(aStatus, aHeaders);
+  this->pending += "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+void CallerConnection::AppendChunk(std::string_view aPart) {
+  if (this->isClosed || aPart.empty()) {
+    return;
+  }
+  AppendNumber(this->pending, aPart.size(), 16);
+  this->pending += "\r\n";
+  this->pending += aPart;
+  this->pending += "\r\n";
+  this->Flush();
+}
+
+void CallerConnection::EndChunks() {
+  if (this->isClosed) {
+    return;
+  }
+  this->pending += "0\r\n\r\n";
+  this->FinishAnswer();
+}
+
+void CallerConnection::FinishAnswer() {
+  this->isBusy = false;
+  this->lastActive = this->clock.Now();
+  this->parser.Reset();
+  this->Flush();
+  if (!this->closesAfter && !this->unread.empty()) {
+    // Not now: the handler is still inside the call that answered.
+    asio::post(this->socket.get_executor(),
+               [self = this->shared_from_this()] {
+                 if (!self->isBusy) {
+                   self->Consume();
+                   self->Read();
+                 }
+               });
+  }
+}
+
+void CallerConnection::Flush() {
+  if (this->isWriting || this->isClosed || this->pending.empty()) {
+    return;
+  }
+  this->isWriting = true;
+  std::swap(this->writing, this->pending);
+  this->pending.clear();
+  auto self = this->shared_from_this();
+  asio::async_write(this->socket, asio::buffer(this->writing),
+                    [self](const asio::error_code& aError, std::size_t) {
+                      self->isWriting = false;
+                      self->OnWritten(aError);
+                    });
+}
+
+void CallerConnection::OnWritten(const asio::error_code& aError) {
+  if (this->isClosed) {
+    return;
+  }
+  if (aError) {
+    return;  // Reading tells of the broken connection.
+  }
+  this->lastActive = this->clock.Now();
+  this->Flush();
+  if (!this->isWriting && !this->isBusy && this->closesAfter) {
+    this->Close();
+  }
+}
+
+void CallerConnection::Abort() { this->Close(); }
+
+void CallerConnection::CloseWhenDone() {
+  this->closesAfter = true;
+  if (!this->isBusy && !this->isWriting && !this->parser.HasBegun()) {
+    this->Close();
+  }
+}
+
+void CallerConnection::CheckTimeouts(Instant aNow) {
+  if (this->isClosed || this->isBusy || this->isWriting) {
+    return;
+  }
+  const bool midRequest = this->parser.HasBegun();
+  const Micros limit = midRequest ? this->limits.headerTimeout
+                                  : this->limits.idleTimeout + kIdleSlack;
+  if (aNow - this->lastActive <= limit) {
+    return;
+  }
+  if (midRequest) {
+    this->isBusy = true;
+    this->closesAfter = true;
+    this->Answer(408, {}, "the request did not come whole in time");
+  } else {
+    this->Close();
+  }
+}
+
+std::size_t CallerConnection::PendingBytes() const {
+  return this->pending.size() + this->writing.size() * this->isWriting;
+}
+
+void CallerConnection::Close() {
+  this->isClosed = true;
+  asio::error_code ignored;  // Closing is all that is left to do.
+  this->socket.close(ignored);
+}
+
+CallerListener::CallerListener(asio::io_context& aLoop, CallerHandler& aHandler,
+                               const Clock& aClock)
+    : loop(aLoop), handler(aHandler), clock(aClock), acceptor(aLoop) {}
+
+Result<void> CallerListener::Start(const std::string& aAddress) {
+  const auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    return tl::unexpected(endpoint.error());
+  }
+  asio::error_code error;
+  this->acceptor.open(endpoint->protocol(), error);
+  this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true),
+                            error);
+  this->acceptor.bind(*endpoint, error);
+  if (!error) {
+    this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Fail(ErrorKind::Internal, aAddress + ": " + error.message());
+  }
+  this->Accept();
+  return {};
+}
+
+void CallerListener::Accept() {
+  this->acceptor.async_accept([this](const asio::error_code& aError,
+                                     asio::ip::tcp::socket aSocket) {
+    if (aError == asio::error::operation_aborted) {
+      return;
+    }
+    if (aError) {
+      auto pause = std::make_shared<asio::steady_timer>(this->loop);
+      pause->expires_after(kAcceptPause);
+      pause->async_wait(
+          [this, pause](const asio::error_code&) { this->Accept(); });
+      return;
+    }
+    auto connection = std::make_shared<CallerConnection>(
+        std::move(aSocket), this->handler, this->limits, this->clock);
+    if (!this->keeps) {
+      connection->StopKeeping();
+    }
+    this->connections.insert(connection);
+    connection->Start();
+    this->Accept();
+  });
+}
+
+void CallerListener::CloseResting() {
+  for (const auto& connection : this->connections) {
+    connection->CloseWhenDone();
+  }
+}
+
+void CallerListener::StopKeeping() {
+  this->keeps = false;
+  for (const auto& connection : this->connections) {
+    connection->StopKeeping();
+  }
+}
+
+void CallerListener::Tick() {
+  const Instant now = this->clock.Now();
+  std::erase_if(this->connections, [now](const auto& aConnection) {
+    aConnection->CheckTimeouts(now);
+    return aConnection->IsClosed();
+  });
+}
+
+std::size_t CallerListener::Busy() const {
+  std::size_t busy = 0;
+  for (const auto& connection : this->connections) {
+    busy += connection->IsBusy() ? 1 : 0;
+  }
+  return busy;
+}
+
+std::uint16_t CallerListener::Port() const {
+  return this->acceptor.local_endpoint().port();
+}
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Net/HttpCall.cpp
@@ -0,0 +1,242 @@
+#include "Zincstep/Net/HttpCall.h"
+
+#include <netinet/tcp.h>
+
+#include <charconv>
+
+namespace zincstep {
+
+namespace {
+
+/// Unanswered bytes end a connection to an upstream after so long; a bound
+/// for sockets only, the relay's own detection is much quicker.
+constexpr Micros kUpstreamSilence = 4s;
+/// Longest answer of a call that is taken whole, in bytes.
+constexpr std::size_t kMaxWholeAnswer = 16 << 20;
+/// Longest wait for the connection of a call that is taken whole.
+constexpr Micros kWholeConnectTimeout = 700ms;
+
+/// Collects a whole answer.
+class WholeCall final : public HttpCallListener,
+                        public std::enable_shared_from_this<WholeCall> {
+ public:
+  WholeCall(asio::io_context& aLoop,
+            std::function<void(Result<HttpAnswer>)> aDone)
+      : call(std::make_shared<HttpCall>(aLoop, *this)),
+        timer(aLoop),
+        done(std::move(aDone)) {}
+
+  void Start(const HttpCall::Endpoint& aEndpoint, std::string aRequest,
+             Micros aTimeout) {
+    this->self = this->shared_from_this();
+    this->timer.expires_after(aTimeout);
+    this->timer.async_wait(
+        [held = this->shared_from_this()](const asio::error_code& aError) {
+          if (!aError && held->self) {
+            held->call->Cancel();
+            held->Finish(Fail(held->call->HasSent()
+                                  ? ErrorKind::AnswerIncomplete
+                                  : ErrorKind::UpstreamUnreachable,
+                              "no answer in time"));
+          }
+        });
+    this->call->Start(aEndpoint, std::move(aRequest),
+                      std::min(aTimeout, kWholeConnectTimeout));
+  }
+
+  void OnAnswerHead(HttpHead aHead) override {
+    this->answer.status = aHead.status;
+    this->answer.headers = std::move(aHead.headers);
+  }
+
+  void OnAnswerBody(std::string_view aPart) override {
+    if (this->answer.body.size() + aPart.size() <= kMaxWholeAnswer) {
+      this->answer.body.append(aPart);
+    }
+  }
+
+  void OnCallEnd(CallEnd aEnd) override {
+    if (aEnd == CallEnd::Complete) {
+      this->Finish(std::move(this->answer));
+      return;
+    }
+    this->Finish(Fail(aEnd == CallEnd::NotConnected
+                          ? ErrorKind::UpstreamUnreachable
+                          : ErrorKind::AnswerIncomplete,
+                      std::string(NameIn(kCallEndNames, aEnd))));
+  }
+
+ private:
+  void Finish(Result<HttpAnswer> aResult) {
+    const auto held = std::move(this->self);
+    this->timer.cancel();
+    if (held) {
+      this->done(std::move(aResult));
+    }
+  }
+
+  std::shared_ptr<HttpCall> call;
+  asio::steady_timer timer;
+  std::function<void(Result<HttpAnswer>)> done;
+  std::shared_ptr<WholeCall> self;
+  HttpAnswer answer;
+};
+
+}  // namespace
+
+void SetSocketOptions(asio::ip::tcp::socket& aSocket, Micros aSilence) {
+  asio::error_code ignored;  // A socket that is closed fails on its next use.
+  aSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  const int millis = static_cast<int>(aSilence / 1ms);
+  ::setsockopt(aSocket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis,
+               sizeof(millis));
+}
+
+Result<HttpCall::Endpoint> ParseEndpoint(std::string_view aAddress) {
+  const std::size_t colon = aAddress.rfind(':');
+  if (colon == std::string_view::npos) {
+    return Fail(ErrorKind::BadRequest,
+                "no port in address: " + std::string(aAddress));
+  }
+  asio::error_code error;
+  const auto host =
+      asio::ip::make_address(std::string(aAddress.substr(0, colon)), error);
+  const std::string_view digits = aAddress.substr(colon + 1);
+  std::uint16_t port = 0;
+  const auto read =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (error || read.ec != std::errc{}) {
+    return Fail(ErrorKind::BadRequest,
+                "not an IP number and port: " + std::string(aAddress));
+  }
+  return HttpCall::Endpoint(host, port);
+}
+
+HttpCall::HttpCall(asio::io_context& aLoop, HttpCallListener& aListener)
+    : socket(aLoop),
+      connectTimer(aLoop),
+      listener(&aListener),
+      parser(HttpSide::Answer, *this) {}
+
+void HttpCall::Start(const Endpoint& aEndpoint, std::string aRequest,
+                     Micros aConnectTimeout) {
+  this->request = std::move(aRequest);
+  auto self = this->shared_from_this();
+  this->connectTimer.expires_after(aConnectTimeout);
+  this->connectTimer.async_wait([self](const asio::error_code& aError) {
+    if (!aError && !self->hasSent) {
+      self->End(CallEnd::NotConnected);
+    }
+  });
+  this->socket.async_connect(
+      aEndpoint,
+      [self](const asio::error_code& aError) { self->OnConnect(aError); });
+}
+
+void HttpCall::OnConnect(const asio::error_code& aError) {
+  if (this->listener == nullptr) {
+    return;
+  }
+  this->connectTimer.cancel();
+  if (aError) {
+    this->End(CallEnd::NotConnected);
+    return;
+  }
+  SetSocketOptions(this->socket, kUpstreamSilence);
+  this->hasSent = true;
+  this->Write();
+  this->Read();
+}
+
+void HttpCall::Write() {
+  auto self = this->shared_from_this();
+  asio::async_write(this->socket, asio::buffer(this->request),
+                    [self](const asio::error_code&, std::size_t) {
+                      // A broken connection shows on reading, where an
+                      // answer may still lie.
+                    });
+}
+
+void HttpCall::Read() {
+  if (this->isReading || !this->mayRead || this->listener == nullptr) {
+    return;
+  }
+  this->isReading = true;
+  auto self = this->shared_from_this();
+  this->socket.async_read_some(
+      asio::buffer(this->buffer),
+      [self](const asio::error_code& aError, std::size_t aSize) {
+        self->isReading = false;
+        self->OnRead(aError, aSize);
+      });
+}
+
+void HttpCall::OnRead(const asio::error_code& aError, std::size_t aSize) {
+  if (this->listener == nullptr) {
+    return;
+  }
+  if (aError) {
+    const bool ended = aError == asio::error::eof && this->parser.FeedEnd();
+    this->End(ended ? CallEnd::Complete : CallEnd::Broken);
+    return;
+  }
+  const auto used = this->parser.Feed({this->buffer.data(), aSize});
+  if (this->listener == nullptr) {
+    return;
+  }
+  this->listener->OnAnswerPause();
+  if (this->listener == nullptr) {
+    return;
+  }
+  if (!used) {
+    this->End(CallEnd::BadAnswer);
+  } else if (this->parser.IsComplete()) {
+    this->End(CallEnd::Complete);
+  } else {
+    this->Read();
+  }
+}
+
+void HttpCall::OnHead(HttpHead aHead) {
+  if (this->listener != nullptr) {
+    this->listener->OnAnswerHead(std::move(aHead));
+  }
+}
+
+void HttpCall::OnBody(std::string_view aPart) {
+  if (this->listener != nullptr) {
+    this->listener->OnAnswerBody(aPart);
+  }
+}
+
+void HttpCall::SetReading(bool aReads) {
+  this->mayRead = aReads;
+  if (aReads && this->hasSent) {
+    this->Read();
+  }
+}
+
+void HttpCall::Cancel() {
+  this->listener = nullptr;
+  this->connectTimer.cancel();
+  asio::error_code ignored;  // Closing is all that is left to do.
+  this->socket.close(ignored);
+}
+
+void HttpCall::End(CallEnd aEnd) {
+  HttpCallListener* told = this->listener;
+  if (told == nullptr) {
+    return;
+  }
+  this->Cancel();
+  told->OnCallEnd(aEnd);
+}
+
+void FetchWhole(asio::io_context& aLoop, const HttpCall::Endpoint& aEndpoint,
+                std::string aRequest, Micros aTimeout,
+                std::function<void(Result<HttpAnswer>)> aDone) {
+  std::make_shared<WholeCall>(aLoop, std::move(aDone))
+      ->Start(aEndpoint, std::move(aRequest), aTimeout);
+}
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Net/HttpCall.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <array>
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Zincstep/Net/HttpParser.h"
+
+namespace zincstep {
+
+/// How a call ended.
+enum class CallEnd {
+  /// The answer came whole.
+  Complete,
+  /// No connection: not a byte of the request was sent.
+  NotConnected,
+  /// The connection broke, or ended before the answer did.
+  Broken,
+  /// What came is no answer in the protocol.
+  BadAnswer,
+};
+
+inline constexpr NameTable<CallEnd, 4> kCallEndNames{{
+    {CallEnd::Complete, "complete"},
+    {CallEnd::NotConnected, "not_connected"},
+    {CallEnd::Broken, "broken"},
+    {CallEnd::BadAnswer, "bad_answer"},
+}};
+
+/// Is told of a call's answer, on the loop's thread.
+class HttpCallListener {
+ public:
+  virtual ~HttpCallListener() = default;
+
+  /// The head of the answer has come.
+  virtual void OnAnswerHead(HttpHead aHead) = 0;
+  /// A part of its body has come.
+  virtual void OnAnswerBody(std::string_view aPart) = 0;
+  /// All bytes that lay ready have been told: a time to pass them on.
+  virtual void OnAnswerPause() {}
+  /// The call has ended; the last that is told.
+  virtual void OnCallEnd(CallEnd aEnd) = 0;
+};
+
+/// One request and its answer on a connection of their own.
+///
+/// A connection carries one call only: a surplus answer cannot be taken
+/// for another call's, and a request is never lost to a connection that
+/// the other side has just closed. A handshake costs a millisecond.
+///
+/// RESTinio has no client, and libcurl sends a request again by itself
+/// where a kept connection closes without an answer, which a request that
+/// may run once must not meet; so calls are made by Asio and http_parser.
+class HttpCall final : public std::enable_shared_from_this<HttpCall>,
+                       private HttpParserListener {
+ public:
+  using Endpoint = asio::ip::tcp::endpoint;
+
+  HttpCall(asio::io_context& aLoop, HttpCallListener& aListener);
+
+  /// Connects within `aConnectTimeout` and sends `aRequest`.
+  void Start(const Endpoint& aEndpoint, std::string aRequest,
+             Micros aConnectTimeout);
+  /// Closes the connection at once; nothing more is told.
+  void Cancel();
+  /// Stops or resumes reading, so that a slow reader holds up the writer.
+  void SetReading(bool aReads);
+
+  /// Whether bytes of the request may have left.
+  bool HasSent() const { return this->hasSent; }
+
+ private:
+  void OnConnect(const asio::error_code& aError);
+  void Write();
+  void Read();
+  void OnRead(const asio::error_code& aError, std::size_t aSize);
+  void End(CallEnd aEnd);
+  void OnHead(HttpHead aHead) override;
+  void OnBody(std::string_view aPart) override;
+  void OnMessageEnd() override {}
+
+  asio::ip::tcp::socket socket;
+  asio::steady_timer connectTimer;
+  HttpCallListener* listener;
+  HttpParser parser;
+  std::string request;
+  std::array<char, 8 << 10> buffer{};
+  bool hasSent = false;
+  bool isReading = false;
+  bool mayRead = true;
+};
+
+/// The `host:port` text as an endpoint; fails with `BadRequest`.
+Result<HttpCall::Endpoint> ParseEndpoint(std::string_view aAddress);
+
+/// Makes a call and gives its whole answer, or how it failed.
+///
+/// `aTimeout` bounds the whole call. Fails with `UpstreamUnreachable`
+/// where nothing was sent, else with `AnswerIncomplete`.
+void FetchWhole(asio::io_context& aLoop, const HttpCall::Endpoint& aEndpoint,
+                std::string aRequest, Micros aTimeout,
+                std::function<void(Result<HttpAnswer>)> aDone);
+
+/// Sets what each connection of the system needs: no delay of small
+/// packets, and an end to connections whose other side is silent.
+void SetSocketOptions(asio::ip::tcp::socket& aSocket, Micros aSilence);
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Net/HttpParser.cpp
@@ -0,0 +1,151 @@
+#include "Zincstep/Net/HttpParser.h"
+
+namespace zincstep {
+
+namespace {
+
+/// Statuses below it are interim answers: the real one follows.
+constexpr int kFirstFinalStatus = 200;
+
+}  // namespace
+
+HttpParser::HttpParser(HttpSide aSide, HttpParserListener& aListener)
+    : listener(aListener), side(aSide) {
+  this->Reset();
+}
+
+void HttpParser::Reset() {
+  http_parser_init(&this->parser, this->side == HttpSide::Request
+                                      ? HTTP_REQUEST
+                                      : HTTP_RESPONSE);
+  this->parser.data = this;
+  this->head = HttpHead{};
+  this->headBytes = 0;
+  this->lastWasValue = true;
+  this->hasBegun = false;
+  this->hasHead = false;
+  this->isComplete = false;
+}
+
+HttpParser& HttpParser::Of(http_parser* aParser) {
+  return *static_cast<HttpParser*>(aParser->data);
+}
+
+const http_parser_settings& HttpParser::Callbacks() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings made;
+    http_parser_settings_init(&made);
+    made.on_url = [](http_parser* aParser, const char* aAt, std::size_t aSize) {
+      Of(aParser).head.target.append(aAt, aSize);
+      return Of(aParser).CountHeadBytes(aSize) ? 0 : 1;
+    };
+    made.on_header_field = [](http_parser* aParser, const char* aAt,
+                              std::size_t aSize) {
+      return Of(aParser).OnName({aAt, aSize});
+    };
+    made.on_header_value = [](http_parser* aParser, const char* aAt,
+                              std::size_t aSize) {
+      return Of(aParser).OnValue({aAt, aSize});
+    };
+    made.on_headers_complete = [](http_parser* aParser) {
+      return Of(aParser).OnHeadersComplete();
+    };
+    made.on_body = [](http_parser* aParser, const char* aAt,
+                      std::size_t aSize) {
+      Of(aParser).listener.OnBody({aAt, aSize});
+      return 0;
+    };
+    made.on_message_complete = [](http_parser* aParser) {
+      return Of(aParser).OnComplete();
+    };
+    return made;
+  }();
+  return settings;
+}
+
+bool HttpParser::CountHeadBytes(std::size_t aBytes) {
+  this->headBytes += aBytes;
+  return this->headBytes <= this->maxHeadBytes;
+}
+
+int HttpParser::OnName(std::string_view aPart) {
+  if (this->hasHead) {
+    return 0;  // A trailer; none is passed on.
+  }
+  if (this->lastWasValue) {
+    this->head.headers.emplace_back();
+    this->lastWasValue = false;
+  }
+  this->head.headers.back().name.append(aPart);
+  return this->CountHeadBytes(aPart.size()) ? 0 : 1;
+}
+
+int HttpParser::OnValue(std::string_view aPart) {
+  this->lastWasValue = true;
+  if (this->hasHead || this->head.headers.empty()) {
+    return 0;
+  }
+  this->head.headers.back().value.append(aPart);
+  return this->CountHeadBytes(aPart.size()) ? 0 : 1;
+}
+
+int HttpParser::OnHeadersComplete() {
+  this->hasHead = true;
+  this->head.keepsAlive = http_should_keep_alive(&this->parser) != 0;
+  if (this->side == HttpSide::Request) {
+    this->head.method =
+        http_method_str(static_cast<http_method>(this->parser.method));
+  } else {
+    this->head.status = static_cast<int>(this->parser.status_code);
+    if (this->head.status < kFirstFinalStatus) {
+      return 0;
+    }
+  }
+  this->listener.OnHead(std::move(this->head));
+  return 0;
+}
+
+int HttpParser::OnComplete() {
+  const bool isInterim = this->side == HttpSide::Answer &&
+                         this->parser.status_code < kFirstFinalStatus;
+  if (isInterim) {
+    this->head = HttpHead{};
+    this->hasHead = false;
+    this->lastWasValue = true;
+    return 0;
+  }
+  this->isComplete = true;
+  http_parser_pause(&this->parser, 1);
+  this->listener.OnMessageEnd();
+  return 0;
+}
+
+Result<std::size_t> HttpParser::Feed(std::string_view aBytes) {
+  if (aBytes.empty()) {
+    return std::size_t{0};
+  }
+  this->hasBegun = true;
+  const std::size_t used = http_parser_execute(
+      &this->parser, &Callbacks(), aBytes.data(), aBytes.size());
+  const auto error = HTTP_PARSER_ERRNO(&this->parser);
+  if (error == HPE_OK || error == HPE_PAUSED || this->isComplete) {
+    return used;
+  }
+  if (this->headBytes > this->maxHeadBytes || error == HPE_HEADER_OVERFLOW) {
+    return Fail(ErrorKind::RequestTooLarge, "the head is too long");
+  }
+  return Fail(ErrorKind::BadRequest, http_errno_description(error));
+}
+
+bool HttpParser::FeedEnd() {
+  if (this->isComplete) {
+    return true;
+  }
+  if (!this->hasHead) {
+    return false;
+  }
+  http_parser_execute(&this->parser, &Callbacks(), nullptr, 0);
+  return this->isComplete;
+}
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Pool/LiveUpstream.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "Zincstep/Config/Config.h"
+#include "Zincstep/Routes/Routes.h"
+
+namespace zincstep {
+
+/// What an upstream tells of itself.
+enum class Availability { Ready, Draining };
+
+inline constexpr NameTable<Availability, 2> kAvailabilityNames{{
+    {Availability::Ready, "ready"},
+    {Availability::Draining, "draining"},
+}};
+
+/// One incarnation of an upstream as it announces itself.
+struct UpstreamEntry {
+  /// Of this incarnation alone; a restart brings a new one.
+  std::string id;
+  std::string service;
+  /// host:port; may go to another service once this incarnation has ended.
+  std::string address;
+  std::string failureDomain;
+  Availability state = Availability::Ready;
+  /// Requests that it works on at once.
+  int slots = 1;
+  /// Layers that it holds; empty where it holds none.
+  LayerRange layers;
+  /// Kind of its accelerator; empty for plain services.
+  std::string kind;
+};
+
+/// One incarnation with what this daemon knows of it beyond its entry.
+class LiveUpstream {
+ public:
+  explicit LiveUpstream(UpstreamEntry aEntry) : entry(std::move(aEntry)) {}
+
+  const UpstreamEntry& Entry() const { return this->entry; }
+  void SetEntry(UpstreamEntry aEntry) { this->entry = std::move(aEntry); }
+
+  /// There is evidence that it does not answer; it gets no new work for
+  /// a time that doubles with each suspicion in a row.
+  void Suspect(Instant aNow);
+  /// It has refused work; no more is given to it until then.
+  void PassOver(Instant aUntil) {
+    this->passedOverUntil = std::max(this->passedOverUntil, aUntil);
+  }
+  bool IsSuspect(Instant aNow) const { return aNow < this->suspectUntil; }
+
+  /// It has left the list; what runs there may still end.
+  void SetGone() { this->isGone = true; }
+  bool IsGone() const { return this->isGone; }
+  /// Whether new work may be given to it.
+  bool IsUsable(Instant aNow) const {
+    return !this->isGone && this->entry.state == Availability::Ready &&
+           !this->IsSuspect(aNow) && aNow >= this->passedOverUntil;
+  }
+  /// Whether it lives, as far as is known, and will take orders.
+  bool IsSound(Instant aNow) const {
+    return !this->isGone && this->entry.state == Availability::Ready &&
+           !this->IsSuspect(aNow);
+  }
+
+  /// Something came through it, which proves that it lives.
+  void OnAnswer(Instant aNow);
+  /// When it was last proved to live.
+  Instant AnsweredAt() const { return this->answeredAt; }
+
+  /// Work of this daemon in flight, in tokens x layers or in requests.
+  double own = 0;
+  /// The same of the other daemons, as they last told.
+  std::map<std::string, double> others;
+  /// All work in flight that is known of.
+  double Work() const;
+  /// Time of an answer of a plain service, averaged, in seconds.
+  double answerSeconds = 0;
+  /// Requests that waited there when it last told; set back as time passes.
+  double queued = 0;
+  Instant queuedAt;
+
+ private:
+  UpstreamEntry entry;
+  Instant suspectUntil{};
+  Instant answeredAt{};
+  Instant passedOverUntil{};
+  Instant suspectedAt{};
+  int suspicions = 0;
+  bool isGone = false;
+};
+
+using UpstreamPtr = std::shared_ptr<LiveUpstream>;
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Pool/Pool.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/// \file
+/// Public header of the pool library: the upstreams of services, which of
+/// a model's layers each one holds or should hold, and the chains that
+/// requests take through them.
+
+#include "Zincstep/Pool/ChainChooser.h"
+#include "Zincstep/Pool/PlacementPlanner.h"
+#include "Zincstep/Pool/ServiceChooser.h"
+#include "Zincstep/Pool/LiveUpstream.h"
+#include "Zincstep/Pool/UpstreamControl.h"
+#include "Zincstep/Pool/UpstreamDirectory.h"
--- /dev/null
+++ b/Zincstep/Pool/UpstreamControl.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "Zincstep/Pool/ChainChooser.h"
+
+namespace zincstep {
+
+/// A request that stands still at an upstream, and on whom it waits.
+struct StalledRequest {
+  std::string requestId;
+  /// Address of the upstream that does not answer.
+  std::string waitsFor;
+};
+
+/// What an upstream reports of itself; some hundred milliseconds old.
+struct UpstreamReport {
+  LayerRange layers;
+  /// Whether an order is under way.
+  bool isBusy = false;
+  /// Orders that it has taken since its start.
+  std::uint64_t sequence = 0;
+  std::vector<StalledRequest> stalled;
+};
+
+/// What an upstream says to an order.
+enum class OrderAnswer {
+  /// Begun, or holds already.
+  Taken,
+  /// Does not fit what it holds or has done.
+  Refused,
+  /// It does not know the request that the order is about.
+  UnknownRequest,
+};
+
+/// An answer with the address that an upstream blames, if any.
+struct OrderOutcome {
+  OrderAnswer answer = OrderAnswer::Refused;
+  std::string atFault;
+};
+
+/// Calls to upstreams beside requests, on the loop's thread.
+///
+/// Failures: `UpstreamUnreachable` where nothing was sent, else
+/// `AnswerIncomplete`: an order may have been taken, or may still be.
+class UpstreamControl {
+ public:
+  template <class T>
+  using Done = std::function<void(Result<T>)>;
+
+  virtual ~UpstreamControl() = default;
+
+  /// Asks how an upstream is.
+  virtual void Report(const UpstreamEntry& aUpstream, Micros aTimeout,
+                      Done<UpstreamReport> aDone) = 0;
+  /// Orders an upstream to hold `aLayers` if it has taken
+  /// `aExpectedSequence` orders: a late or repeated order does nothing.
+  virtual void Place(const UpstreamEntry& aUpstream, LayerRange aLayers,
+                     std::uint64_t aExpectedSequence,
+                     Done<OrderOutcome> aDone) = 0;
+  /// Orders a running request on to another chain with the same first hop.
+  virtual void Repath(const std::string& aRequestId, const PoolChain& aChain,
+                      Done<OrderOutcome> aDone) = 0;
+};
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Pool/UpstreamDirectory.cpp
@@ -0,0 +1,60 @@
+#include "Zincstep/Pool/UpstreamDirectory.h"
+
+namespace zincstep {
+
+void UpstreamDirectory::Put(UpstreamEntry aEntry) {
+  const auto found = this->all.find(aEntry.id);
+  if (found != this->all.end()) {
+    if (found->second->Entry().service == aEntry.service) {
+      found->second->SetEntry(std::move(aEntry));
+      return;
+    }
+    this->Remove(aEntry.id);
+  }
+  auto upstream = std::make_shared<LiveUpstream>(std::move(aEntry));
+  this->all.emplace(upstream->Entry().id, upstream);
+  this->byService[upstream->Entry().service].push_back(std::move(upstream));
+}
+
+UpstreamPtr UpstreamDirectory::Remove(const std::string& aId) {
+  const auto found = this->all.find(aId);
+  if (found == this->all.end()) {
+    return nullptr;
+  }
+  UpstreamPtr upstream = found->second;
+  this->all.erase(found);
+  this->Unlist(upstream);
+  upstream->SetGone();
+  return upstream;
+}
+
+void UpstreamDirectory::Unlist(const UpstreamPtr& aUpstream) {
+  const auto listed = this->byService.find(aUpstream->Entry().service);
+  if (listed != this->byService.end()) {
+    std::erase(listed->second, aUpstream);
+  }
+}
+
+UpstreamPtr UpstreamDirectory::Find(const std::string& aId) const {
+  const auto found = this->all.find(aId);
+  return found == this->all.end() ? nullptr : found->second;
+}
+
+UpstreamPtr UpstreamDirectory::FindByAddress(
+    const std::string& aAddress) const {
+  for (const auto& [id, upstream] : this->all) {
+    if (upstream->Entry().address == aAddress) {
+      return upstream;
+    }
+  }
+  return nullptr;
+}
+
+const std::vector<UpstreamPtr>& UpstreamDirectory::OfService(
+    const std::string& aService) const {
+  static const std::vector<UpstreamPtr> none;
+  const auto found = this->byService.find(aService);
+  return found == this->byService.end() ? none : found->second;
+}
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Relay/Exchange.cpp
@@ -0,0 +1,145 @@
+#include "Zincstep/Relay/Exchange.h"
+
+#include <array>
+#include <cstdio>
+
+namespace zincstep {
+
+namespace {
+
+/// Fields that concern one connection, or that the connection writes.
+constexpr std::array<std::string_view, 9> kHopFields{
+    "Connection",          "Keep-Alive", "Proxy-Authenticate",
+    "Proxy-Authorization", "TE",         "Trailer",
+    "Transfer-Encoding",   "Upgrade",    "Content-Length"};
+constexpr int kFirstFailureStatus = 300;
+constexpr int kFirstSuccessStatus = 200;
+
+std::string SecondsText(Micros aSpan) {
+  std::array<char, 32> text{};
+  const int size = std::snprintf(text.data(), text.size(), "%.3f",
+                                 ToSeconds(aSpan));
+  return {text.data(), static_cast<std::size_t>(size)};
+}
+
+}  // namespace
+
+Exchange::Exchange(RelayContext& aContext, AdmittedRequest aRequest)
+    : context(aContext), request(std::move(aRequest)) {}
+
+void Exchange::OnCallerGone() {
+  this->CancelCall();
+  this->Finish("caller_gone", "the caller has left");
+}
+
+Micros Exchange::ComeBackAfter(ErrorKind aKind) const {
+  const Micros usual = AnswerFor(aKind).retryAfter;
+  return std::min(usual, this->context.settings.busyRetryAfter);
+}
+
+void Exchange::Refuse(ErrorKind aKind, const char* aReason) {
+  this->CancelCall();
+  const ErrorAnswer& answer = AnswerFor(aKind);
+  ZINCSTEP_ASSERT(answer.outcome != Outcome::NotRun || !this->hasBegun);
+  HttpHeaders headers = this->context.dialect.OwnAnswer(this->request.facts.id);
+  if (answer.outcome == Outcome::NotRun) {
+    headers.push_back({"Retry-After", SecondsText(this->ComeBackAfter(aKind))});
+  }
+  this->context.metrics.Count("zincstep_refusals_total",
+                              {{"kind", std::string(answer.name)}});
+  this->request.connection->Answer(answer.status, headers, answer.name);
+  this->Finish(answer.name.data(), aReason);
+}
+
+void Exchange::PassOn(const HttpHead& aHead, const std::string& aBody) {
+  this->request.connection->Answer(aHead.status, PassedHeaders(aHead), aBody);
+  this->Finish("answered", aHead.status < kFirstFailureStatus
+                               ? "success"
+                               : "the upstream's failure");
+}
+
+HttpHeaders Exchange::PassedHeaders(const HttpHead& aHead) {
+  HttpHeaders passed;
+  for (const HttpHeader& header : aHead.headers) {
+    const bool isHop =
+        std::any_of(kHopFields.begin(), kHopFields.end(),
+                    [&](std::string_view aName) {
+                      return SameHeaderName(aName, header.name);
+                    });
+    if (!isHop) {
+      passed.push_back(header);
+    }
+  }
+  return passed;
+}
+
+void Exchange::Finish(const char* aOutcome, const char* aReason) {
+  if (this->isDone) {
+    return;
+  }
+  this->isDone = true;
+  const Micros taken = this->Now() - this->request.message.readAt;
+  this->context.metrics.Count("zincstep_requests_total",
+                              {{"outcome", aOutcome}});
+  this->context.metrics.Observe("zincstep_request_seconds", ToSeconds(taken));
+  LogInfo("request_ended",
+          {{"request", this->request.facts.id},
+           {"route", this->request.route->name},
+           {"organisation", this->request.organisation},
+           {"outcome", aOutcome},
+           {"reason", aReason},
+           {"upstream", this->upstream ? this->upstream->Entry().id : ""},
+           {"sends", this->sends},
+           {"runs", this->runs},
+           {"taken_ms", taken / 1ms}});
+}
+
+void Exchange::Send(const UpstreamPtr& aUpstream, const PoolChain* aChain,
+                    std::optional<std::uint64_t> aLastEventId) {
+  this->upstream = aUpstream;
+  this->sends += 1;
+  this->sentAt = this->Now();
+  const auto endpoint = ParseEndpoint(aUpstream->Entry().address);
+  if (!endpoint) {
+    LogWarning("upstream_address", {{"upstream", aUpstream->Entry().id},
+                                    {"reason", endpoint.error().message}});
+    aUpstream->Suspect(this->sentAt);
+    return;
+  }
+  const ForwardedRequest forwarded{this->request.message,
+                                   aUpstream->Entry().id,
+                                   this->request.end - this->sentAt,
+                                   this->request.organisation,
+                                   aLastEventId,
+                                   this->request.priority,
+                                   aChain};
+  this->call = std::make_shared<HttpCall>(this->context.loop, *this);
+  this->call->Start(*endpoint, this->context.dialect.WriteRequest(forwarded),
+                    this->context.settings.connectTimeout);
+}
+
+void Exchange::CancelCall() {
+  if (this->call) {
+    if (this->call->HasSent()) {
+      this->hasBegun = true;
+    }
+    this->call->Cancel();
+    this->call.reset();
+  }
+}
+
+bool Exchange::TakeRetry() {
+  return this->sends < this->context.settings.mostSends &&
+         this->Now() < this->request.end &&
+         this->context.BudgetOf(this->request.service->name).TakeRetry();
+}
+
+bool Exchange::IsForeign(const HttpHead& aHead,
+                         const AnswerFacts& aFacts) const {
+  const bool isSuccess = aHead.status >= kFirstSuccessStatus &&
+                         aHead.status < kFirstFailureStatus;
+  return aFacts.requestId != this->request.facts.id || aFacts.isEncoded ||
+         (isSuccess && !aFacts.isSealed);
+}
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Relay/Exchange.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "Zincstep/Net/HttpCall.h"
+#include "Zincstep/Relay/RelayContext.h"
+
+namespace zincstep {
+
+/// A request that was found proper: route, service, owner and times.
+struct AdmittedRequest {
+  std::shared_ptr<CallerConnection> connection;
+  CallerMessage message;
+  RelayRequest facts;
+  /// Keeps what the pointers below point into.
+  std::shared_ptr<const RouteTable> table;
+  const Route* route = nullptr;
+  const RoutedService* service = nullptr;
+  std::string organisation;
+  int priority = 0;
+  /// When it must have its final answer.
+  Instant end;
+};
+
+/// One request from its admission to its final answer.
+///
+/// Knows at each moment what may be said of the request: it is sent to
+/// upstreams by the subclasses, and `hasBegun` tells whether any of them
+/// may have run it. Every end goes through `Finish`.
+class Exchange : public HttpCallListener,
+                 public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(RelayContext& aContext, AdmittedRequest aRequest);
+
+  /// Sends the request, or refuses it.
+  virtual void Start() = 0;
+  /// Looks at limits of time; to be called several times a second.
+  virtual void OnTick(Instant aNow) = 0;
+  /// The caller has left: all work for it ends.
+  virtual void OnCallerGone();
+  /// An upstream has reported on the requests that stand still there.
+  virtual void OnReport(const UpstreamPtr&, const Result<UpstreamReport>&) {}
+  /// An upstream whose report is wanted, or null.
+  virtual UpstreamPtr WantsReport(Instant) { return nullptr; }
+
+  bool IsDone() const { return this->isDone; }
+  const AdmittedRequest& Request() const { return this->request; }
+
+ protected:
+  /// Answers with an error of our own; ends the exchange.
+  void Refuse(ErrorKind aKind, const char* aReason);
+  /// Passes an upstream's whole answer on; ends the exchange.
+  void PassOn(const HttpHead& aHead, const std::string& aBody);
+  /// Ends the exchange; nothing is sent.
+  void Finish(const char* aOutcome, const char* aReason);
+  /// Connects and sends; `aUpstream` is where it goes.
+  void Send(const UpstreamPtr& aUpstream, const PoolChain* aChain,
+            std::optional<std::uint64_t> aLastEventId);
+  /// Ends the present call, if any.
+  void CancelCall();
+  /// Whether another send is allowed by count and budget.
+  bool TakeRetry();
+  /// Whether an answer of that kind can only be some other request's, or
+  /// was changed on its way.
+  bool IsForeign(const HttpHead& aHead, const AnswerFacts& aFacts) const;
+  /// Fields of an answer that are the caller's too.
+  static HttpHeaders PassedHeaders(const HttpHead& aHead);
+  /// When the caller should come back: less than it will wait.
+  Micros ComeBackAfter(ErrorKind aKind) const;
+  Instant Now() const { return this->context.clock.Now(); }
+
+  RelayContext& context;
+  AdmittedRequest request;
+  std::shared_ptr<HttpCall> call;
+  /// Upstream of the present or last call.
+  UpstreamPtr upstream;
+  /// An upstream may have run the request.
+  bool hasBegun = false;
+  /// Upstreams that may have run it.
+  int runs = 0;
+  int sends = 0;
+  Instant sentAt;
+
+ private:
+  bool isDone = false;
+};
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Relay/Relay.cpp
@@ -0,0 +1,174 @@
+#include "Zincstep/Relay/Relay.h"
+
+#include <array>
+#include <cstdio>
+#include <vector>
+
+#include "Zincstep/Relay/ServiceExchange.h"
+#include "Zincstep/Relay/StreamExchange.h"
+
+namespace zincstep {
+
+namespace {
+
+/// With an older proof than this, a route or a key that is unknown here may
+/// be one that has just been added; so the caller is sent elsewhere.
+constexpr Micros kSureRefusalAge = 2s;
+/// Time that a request gets whose caller does not say how long it waits.
+constexpr Micros kDefaultPatience = 30s;
+
+}  // namespace
+
+Result<void> Relay::CheckKey(AdmittedRequest& aRequest) const {
+  const RouteTable& table = *aRequest.table;
+  const auto age = this->context.view.ProofAge();
+  const bool isSure = age && *age <= kSureRefusalAge;
+  const RoutedOrganisation* organisation =
+      table.FindOrganisation(aRequest.facts.apiKey);
+  if (organisation != nullptr) {
+    aRequest.organisation = organisation->name;
+    aRequest.priority = organisation->priority.value_or(aRequest.priority);
+  }
+  if (aRequest.route->isPublic || !table.HasOrganisations()) {
+    return {};
+  }
+  if (organisation == nullptr) {
+    return isSure || aRequest.facts.apiKey.empty()
+               ? Fail(ErrorKind::Unauthenticated, "no such key")
+               : Fail(ErrorKind::NotReady, "unknown key, old configuration");
+  }
+  const bool isFresh =
+      age && *age <= this->context.settings.longestProofAge;
+  if (this->context.settings.failsClosed && !isFresh) {
+    return Fail(ErrorKind::NotReady, "no proof that the key still holds");
+  }
+  return {};
+}
+
+Result<AdmittedRequest> Relay::Admit(
+    const std::shared_ptr<CallerConnection>& aConnection,
+    CallerMessage aMessage) const {
+  AdmittedRequest request;
+  request.connection = aConnection;
+  request.facts = this->context.dialect.ReadRequest(aMessage.head);
+  request.message = std::move(aMessage);
+  request.table = this->context.view.Table();
+  if (!request.table) {
+    return Fail(ErrorKind::NotReady, "no configuration yet");
+  }
+  request.route = request.table->FindRoute(request.facts.host,
+                                           request.message.head.target);
+  if (request.route == nullptr) {
+    const auto age = this->context.view.ProofAge();
+    return age && *age <= kSureRefusalAge
+               ? Fail(ErrorKind::UnknownRoute, "no route")
+               : Fail(ErrorKind::NotReady, "no route, old configuration");
+  }
+  request.priority = request.route->priority;
+  const Result<void> key = this->CheckKey(request);
+  if (!key) {
+    return tl::unexpected(key.error());
+  }
+  request.service =
+      request.table->Choose(*request.route, this->context.random.Unit());
+  if (request.service == nullptr) {
+    return Fail(ErrorKind::NoCapacity, "the route's service is not declared");
+  }
+  const Micros patience = request.facts.patience.value_or(kDefaultPatience);
+  request.end = request.message.readAt +
+                std::min(patience, request.route->timeout);
+  return request;
+}
+
+void Relay::OnRequest(const std::shared_ptr<CallerConnection>& aConnection,
+                      CallerMessage aMessage) {
+  const std::string id =
+      this->context.dialect.ReadRequest(aMessage.head).id;
+  auto admitted = this->Admit(aConnection, std::move(aMessage));
+  if (!admitted) {
+    this->RefuseAtOnce(*aConnection, id, admitted.error());
+    return;
+  }
+  std::shared_ptr<Exchange> exchange;
+  const bool isStream = admitted->route->kind == RouteKind::Streaming &&
+                        admitted->service->model.has_value();
+  if (isStream) {
+    exchange = std::make_shared<StreamExchange>(this->context,
+                                                std::move(*admitted));
+  } else {
+    exchange = std::make_shared<ServiceExchange>(this->context,
+                                                 std::move(*admitted));
+  }
+  this->exchanges[aConnection.get()] = exchange;
+  exchange->Start();
+}
+
+void Relay::RefuseAtOnce(CallerConnection& aConnection, const std::string& aId,
+                         const Error& aError) {
+  const ErrorAnswer& answer = AnswerFor(aError.kind);
+  HttpHeaders headers = this->context.dialect.OwnAnswer(aId);
+  const Micros after = std::min(aError.RetryAfter(),
+                                this->context.settings.busyRetryAfter);
+  if (after > Micros{0}) {
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.3f", ToSeconds(after));
+    headers.push_back({"Retry-After", text.data()});
+  }
+  const auto age = this->context.view.ProofAge();
+  LogInfo("request_refused",
+          {{"request", aId},
+           {"kind", answer.name},
+           {"reason", aError.message},
+           {"config_revision", this->context.view.ConfigRevision()},
+           {"proof_age_ms", age ? *age / 1ms : -1}});
+  this->context.metrics.Count("zincstep_refusals_total",
+                              {{"kind", std::string(answer.name)}});
+  aConnection.Answer(answer.status, headers, answer.name);
+}
+
+void Relay::OnCallerGone(CallerConnection& aConnection) {
+  const auto found = this->exchanges.find(&aConnection);
+  if (found != this->exchanges.end()) {
+    found->second->OnCallerGone();
+    this->exchanges.erase(found);
+  }
+}
+
+void Relay::Tick() {
+  const Instant now = this->context.clock.Now();
+  // A step may end its exchange; it is erased only after all have stepped.
+  for (auto& [connection, exchange] : this->exchanges) {
+    exchange->OnTick(now);
+  }
+  this->AskReports(now);
+  std::erase_if(this->exchanges, [](const auto& aEntry) {
+    return aEntry.second->IsDone();
+  });
+}
+
+void Relay::AskReports(Instant aNow) {
+  for (auto& [connection, exchange] : this->exchanges) {
+    const UpstreamPtr upstream = exchange->WantsReport(aNow);
+    if (!upstream) {
+      continue;
+    }
+    Instant& last = this->asked[upstream->Entry().id];
+    if (aNow - last < this->context.settings.stallQuestionPause) {
+      continue;
+    }
+    last = aNow;
+    this->context.control.Report(
+        upstream->Entry(), this->context.settings.reportTimeout,
+        [this, upstream](Result<UpstreamReport> aReport) {
+          std::vector<std::shared_ptr<Exchange>> all;
+          for (auto& [key, one] : this->exchanges) {
+            all.push_back(one);
+          }
+          for (const auto& one : all) {
+            one->OnReport(upstream, aReport);
+          }
+        });
+  }
+}
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Relay/Relay.h
@@ -0,0 +1,46 @@
+#pragma once
+
+/// \file
+/// Public header of the relay library: callers' requests on their way to
+/// upstreams, and the answers on their way back.
+
+#include <memory>
+#include <unordered_map>
+
+#include "Zincstep/Relay/EventSplitter.h"
+#include "Zincstep/Relay/Exchange.h"
+#include "Zincstep/Relay/RelayContext.h"
+#include "Zincstep/Relay/RelayDialect.h"
+
+namespace zincstep {
+
+/// Admits requests and carries them to their final answers.
+class Relay final : public CallerHandler {
+ public:
+  explicit Relay(RelayContext aContext) : context(aContext) {}
+
+  void OnRequest(const std::shared_ptr<CallerConnection>& aConnection,
+                 CallerMessage aMessage) override;
+  void OnCallerGone(CallerConnection& aConnection) override;
+  /// Looks at all limits of time; to be called many times a second.
+  void Tick();
+
+  /// Exchanges that are not done.
+  std::size_t Active() const { return this->exchanges.size(); }
+
+ private:
+  Result<AdmittedRequest> Admit(
+      const std::shared_ptr<CallerConnection>& aConnection,
+      CallerMessage aMessage) const;
+  Result<void> CheckKey(AdmittedRequest& aRequest) const;
+  void RefuseAtOnce(CallerConnection& aConnection, const std::string& aId,
+                    const Error& aError);
+  void AskReports(Instant aNow);
+
+  RelayContext context;
+  std::unordered_map<CallerConnection*, std::shared_ptr<Exchange>> exchanges;
+  /// When an upstream was last asked for its stalled requests, by id.
+  std::unordered_map<std::string, Instant> asked;
+};
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Relay/RelayContext.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <asio.hpp>
+#include <map>
+
+#include "Zincstep/Admission/RetryBudget.h"
+#include "Zincstep/Cluster/Cluster.h"
+#include "Zincstep/Relay/RelayDialect.h"
+#include "Zincstep/Telemetry/Telemetry.h"
+
+namespace zincstep {
+
+/// Settings of the relay.
+struct RelaySettings {
+  std::string failureDomain;
+  /// Longest age of the proof that keys have not changed; the operators'
+  /// bound less a margin for what is decided between proof and use.
+  Micros longestProofAge = 4800ms;
+  /// Whether a key is refused without such a proof.
+  bool failsClosed = true;
+  /// Retries of all daemons together, as a share of requests, and beyond.
+  RetryBudgetSettings retries;
+  /// A connection that is not up by then counts as an upstream's failure:
+  /// round trips take under two milliseconds here, a lost opening packet
+  /// comes again after a second.
+  Micros connectTimeout = 250ms;
+  /// Time for which a request may wait for a chain: it must be refused
+  /// within a quarter of its objective, or pays for the wait.
+  double longestWaitShare = 0.2;
+  /// A stream without its first event for so long is asked after: several
+  /// times the usual time of reading a prompt.
+  Micros firstEventSilence = 450ms;
+  /// The same between events: ten times the usual pause.
+  Micros eventSilence = 250ms;
+  /// Pause between questions to one upstream about its stalled requests.
+  Micros stallQuestionPause = 200ms;
+  Micros reportTimeout = 300ms;
+  /// Pause between attempts to repair one stream.
+  Micros repairPause = 200ms;
+  /// When those should come back that were refused for want of room.
+  Micros busyRetryAfter = 400ms;
+  /// Times that one request may be sent, rejections included.
+  int mostSends = 4;
+  /// Bytes that a slow caller may leave untaken before reading stops.
+  std::size_t mostPending = 256 << 10;
+};
+
+/// What all exchanges of a daemon share.
+struct RelayContext {
+  asio::io_context& loop;
+  const RelaySettings& settings;
+  const RelayDialect& dialect;
+  ClusterView& view;
+  UpstreamControl& control;
+  const Clock& clock;
+  Random& random;
+  Metrics& metrics;
+  ChainChooser& chains;
+  ServiceChooser& services;
+  /// By service.
+  std::map<std::string, RetryBudget>& budgets;
+
+  RetryBudget& BudgetOf(const std::string& aService) {
+    return this->budgets.try_emplace(aService, this->settings.retries)
+        .first->second;
+  }
+};
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -0,0 +1,132 @@
+#include "Zincstep/Relay/ServiceExchange.h"
+
+namespace zincstep {
+
+namespace {
+
+constexpr int kFirstServerError = 500;
+
+}  // namespace
+
+void ServiceExchange::Start() {
+  this->context.BudgetOf(this->request.service->name).OnRequest();
+  this->TrySend();
+}
+
+void ServiceExchange::TrySend() {
+  const auto& upstreams = this->context.view.Directory().OfService(
+      this->request.service->name);
+  const UpstreamPtr chosen = this->context.services.Choose(
+      upstreams, this->context.settings.failureDomain, this->tried,
+      this->Now(), this->context.random);
+  if (!chosen) {
+    this->hasBegun
+        ? this->Refuse(ErrorKind::UpstreamFailed, "no other upstream is left")
+        : this->Refuse(ErrorKind::NoCapacity, "no upstream is usable");
+    return;
+  }
+  this->tried.push_back(chosen);
+  this->head = HttpHead{};
+  this->facts = AnswerFacts{};
+  this->body.clear();
+  chosen->own += 1;
+  this->Send(chosen, nullptr, std::nullopt);
+  if (!this->call) {
+    this->EndCall();
+    this->OnNotRun("the address is not one");
+  }
+}
+
+void ServiceExchange::EndCall() {
+  if (this->upstream) {
+    this->upstream->own -= 1;
+  }
+}
+
+void ServiceExchange::OnTick(Instant aNow) {
+  if (this->IsDone() || aNow < this->request.end) {
+    return;
+  }
+  const bool mayRun = this->hasBegun || (this->call && this->call->HasSent());
+  this->EndCall();
+  this->Refuse(mayRun ? ErrorKind::DeadlineDuringRun : ErrorKind::NoCapacity,
+               "no answer in time");
+}
+
+void ServiceExchange::OnCallerGone() {
+  if (!this->IsDone()) {
+    this->EndCall();
+  }
+  Exchange::OnCallerGone();
+}
+
+void ServiceExchange::OnAnswerHead(HttpHead aHead) {
+  this->head = std::move(aHead);
+  this->facts = this->context.dialect.ReadAnswer(this->head);
+}
+
+void ServiceExchange::OnAnswerBody(std::string_view aPart) {
+  this->body.append(aPart);
+}
+
+bool ServiceExchange::MayRunAgain() const {
+  return this->request.route->kind == RouteKind::Safe &&
+         this->runs < this->request.route->maxAttempts;
+}
+
+void ServiceExchange::OnCallEnd(CallEnd aEnd) {
+  const Instant now = this->Now();
+  this->EndCall();
+  this->call.reset();
+  if (aEnd == CallEnd::NotConnected) {
+    this->upstream->Suspect(now);
+    this->OnNotRun("no connection");
+    return;
+  }
+  if (aEnd != CallEnd::Complete ||
+      this->IsForeign(this->head, this->facts)) {
+    this->hasBegun = true;
+    this->runs += 1;
+    this->OnFailure(aEnd == CallEnd::Complete ? "not its own answer"
+                                              : "the answer broke off");
+    return;
+  }
+  this->upstream->OnAnswer(now);
+  if (this->facts.waiting) {
+    this->upstream->queued = *this->facts.waiting;
+    this->upstream->queuedAt = now;
+  }
+  if (this->facts.isNotRun) {
+    this->OnNotRun("the upstream refused");
+    return;
+  }
+  this->hasBegun = true;
+  this->runs += 1;
+  this->context.services.OnAnswer(*this->upstream, now - this->sentAt);
+  if (this->head.status >= kFirstServerError && this->MayRunAgain() &&
+      this->TakeRetry()) {
+    this->TrySend();
+    return;
+  }
+  this->PassOn(this->head, this->body);
+}
+
+void ServiceExchange::OnNotRun(const char* aReason) {
+  if (this->TakeRetry()) {
+    this->TrySend();
+    return;
+  }
+  this->Refuse(this->hasBegun ? ErrorKind::UpstreamFailed
+                              : ErrorKind::Overloaded,
+               aReason);
+}
+
+void ServiceExchange::OnFailure(const char* aReason) {
+  if (this->MayRunAgain() && this->TakeRetry()) {
+    this->TrySend();
+    return;
+  }
+  this->Refuse(ErrorKind::AnswerIncomplete, aReason);
+}
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Relay/ServiceExchange.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <vector>
+
+#include "Zincstep/Relay/Exchange.h"
+
+namespace zincstep {
+
+/// A request to a plain service, answered whole.
+///
+/// The answer is taken whole before it is passed on, so that one that
+/// breaks off can be had from another upstream where that is allowed.
+class ServiceExchange final : public Exchange {
+ public:
+  using Exchange::Exchange;
+
+  void Start() override;
+  void OnTick(Instant aNow) override;
+  void OnCallerGone() override;
+
+  void OnAnswerHead(HttpHead aHead) override;
+  void OnAnswerBody(std::string_view aPart) override;
+  void OnCallEnd(CallEnd aEnd) override;
+
+ private:
+  void TrySend();
+  void EndCall();
+  void OnFailure(const char* aReason);
+  void OnNotRun(const char* aReason);
+  bool MayRunAgain() const;
+
+  std::vector<UpstreamPtr> tried;
+  HttpHead head;
+  AnswerFacts facts;
+  std::string body;
+};
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -0,0 +1,390 @@
+#include "Zincstep/Relay/StreamExchange.h"
+
+#include <algorithm>
+
+namespace zincstep {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kFirstServerError = 500;
+/// A guess of the answer's length is right in the median only; memory is
+/// promised for this much more.
+constexpr double kGuessSlack = 1.3;
+/// A member under suspicion is left once the stream has stood still for a
+/// few of its usual pauses: a wrong suspicion then does no harm.
+constexpr Micros kMemberSilence = 100ms;
+/// An upstream that refused is passed over for so long: it may be short of
+/// memory, or hold other layers than its entry tells.
+constexpr Micros kRefusalPause = 300ms;
+/// Callers give a silent stream up after this time at the earliest.
+constexpr Micros kCallerPatience = 2s;
+
+}  // namespace
+
+StreamExchange::StreamExchange(RelayContext& aContext,
+                               AdmittedRequest aRequest)
+    : Exchange(aContext, std::move(aRequest)),
+      splitter(this->request.facts.lastEventId) {
+  const TokenUse& use = this->request.facts.tokens;
+  const ModelShape& model = *this->request.service->model;
+  const double guess = use.guessedOut > 0 ? use.guessedOut * kGuessSlack
+                                          : model.usualAnswer * kGuessSlack;
+  const double most = use.mostOut > 0 ? use.mostOut : guess;
+  this->tokens = (use.prompt > 0 ? use.prompt : model.usualPrompt) +
+                 std::min(guess, most);
+}
+
+StreamExchange::~StreamExchange() { this->Release(); }
+
+void StreamExchange::Start() {
+  this->lastProgress = this->Now();
+  this->context.BudgetOf(this->request.service->name).OnRequest();
+  this->TryChain();
+}
+
+void StreamExchange::Reserve(const PoolChain& aChain) {
+  this->Release();
+  for (const PoolHop& hop : aChain) {
+    const double amount = this->tokens * hop.layers.Size();
+    hop.upstream->own += amount;
+    this->reserved.emplace_back(hop.upstream, amount);
+  }
+}
+
+void StreamExchange::Release() {
+  for (const auto& [holder, amount] : this->reserved) {
+    holder->own -= amount;
+  }
+  this->reserved.clear();
+}
+
+void StreamExchange::TryChain() {
+  const Instant now = this->Now();
+  auto chosen = this->context.chains.Choose(
+      *this->request.service->model,
+      this->context.view.Directory().OfService(this->request.service->name),
+      this->context.settings.failureDomain, this->tokens, now,
+      this->context.random);
+  if (!chosen) {
+    this->WaitForChain();
+    return;
+  }
+  this->isWaiting = false;
+  this->chain = std::move(*chosen);
+  this->Reserve(this->chain);
+  this->head = HttpHead{};
+  this->facts = AnswerFacts{};
+  this->body.clear();
+  this->isForeign = false;
+  this->lastProgress = now;
+  this->Send(this->chain.front().upstream, &this->chain,
+             this->splitter.LastId());
+  if (!this->call) {
+    this->WaitForChain();
+  }
+}
+
+void StreamExchange::WaitForChain() {
+  const Instant now = this->Now();
+  if (!this->isWaiting) {
+    this->isWaiting = true;
+    this->waitingSince = now;
+  }
+  const Micros objective = this->request.route->latencyObjective;
+  const Micros longest =
+      this->headSent
+          ? kCallerPatience
+          : FromSeconds(ToSeconds(objective) *
+                        this->context.settings.longestWaitShare);
+  if (now - this->waitingSince >= longest) {
+    this->Fail("no chain covers all layers with room for the request");
+  }
+}
+
+void StreamExchange::Fail(const char* aReason) {
+  this->CancelCall();
+  this->Release();
+  if (this->headSent) {
+    this->request.connection->Abort();
+    this->Finish("cut", aReason);
+    return;
+  }
+  this->Refuse(
+      this->hasBegun ? ErrorKind::UpstreamFailed : ErrorKind::NoCapacity,
+      aReason);
+}
+
+void StreamExchange::OnCallerGone() {
+  this->Release();
+  Exchange::OnCallerGone();
+}
+
+bool StreamExchange::IsStream() const { return this->head.status == kOk; }
+
+void StreamExchange::OnAnswerHead(HttpHead aHead) {
+  this->facts = this->context.dialect.ReadAnswer(aHead);
+  this->isForeign = this->IsForeign(aHead, this->facts);
+  this->head = std::move(aHead);
+}
+
+void StreamExchange::OnAnswerBody(std::string_view aPart) {
+  if (this->isForeign) {
+    return;
+  }
+  if (!this->IsStream()) {
+    this->body.append(aPart);
+    return;
+  }
+  this->ready += this->splitter.Append(aPart);
+}
+
+void StreamExchange::OnAnswerPause() {
+  if (this->ready.empty()) {
+    return;
+  }
+  CallerConnection& connection = *this->request.connection;
+  if (!this->headSent) {
+    this->headSent = true;
+    this->context.metrics.Observe(
+        "zincstep_first_event_seconds",
+        ToSeconds(this->Now() - this->request.message.readAt));
+    connection.BeginChunks(this->head.status, PassedHeaders(this->head));
+  }
+  connection.AppendChunk(this->ready);
+  this->ready.clear();
+  this->lastProgress = this->Now();
+  if (connection.PendingBytes() > this->context.settings.mostPending) {
+    this->isHeldUp = true;
+    this->call->SetReading(false);
+  }
+}
+
+void StreamExchange::OnCallEnd(CallEnd aEnd) {
+  const Instant now = this->Now();
+  this->call.reset();
+  if (aEnd == CallEnd::NotConnected) {
+    this->upstream->Suspect(now);
+    this->OnNotRun();
+    return;
+  }
+  const bool isWhole = aEnd == CallEnd::Complete && !this->isForeign;
+  if (isWhole && this->facts.isNotRun) {
+    this->upstream->OnAnswer(now);
+    this->Distrust(this->facts.atFault.empty()
+                       ? this->upstream->Entry().address
+                       : this->facts.atFault,
+                   now, false);
+    this->OnNotRun();
+    return;
+  }
+  this->hasBegun = true;
+  this->runs += 1;
+  if (isWhole && this->IsStream()) {
+    this->EndStream();
+  } else if (isWhole && !this->headSent &&
+             this->head.status < kFirstServerError) {
+    this->Release();
+    this->PassOn(this->head, this->body);
+  } else {
+    this->OnLost("the stream broke off");
+  }
+}
+
+void StreamExchange::EndStream() {
+  if (this->splitter.HasGap() || this->splitter.HasPartial() ||
+      !this->splitter.HasPassed()) {
+    this->OnLost("the stream ended inside an event");
+    return;
+  }
+  this->Release();
+  this->request.connection->EndChunks();
+  this->Finish("answered", this->repairs > 0 ? "repaired" : "success");
+}
+
+void StreamExchange::Distrust(const std::string& aAddress, Instant aNow,
+                              bool aIsDead) {
+  for (const PoolHop& hop : this->chain) {
+    if (hop.upstream->Entry().address == aAddress) {
+      aIsDead ? hop.upstream->Suspect(aNow)
+              : hop.upstream->PassOver(aNow + kRefusalPause);
+    }
+  }
+}
+
+void StreamExchange::OnNotRun() {
+  if (this->TakeRetry()) {
+    this->TryChain();
+    return;
+  }
+  this->Fail("refused by upstreams");
+}
+
+void StreamExchange::OnLost(const char* aReason) {
+  this->upstream->PassOver(this->Now() + kRefusalPause);
+  this->Resume(aReason);
+}
+
+void StreamExchange::Resume(const char* aReason) {
+  const bool mayResume = this->request.route->isResumable;
+  if (this->call) {
+    this->runs += 1;
+  }
+  this->CancelCall();
+  this->Release();
+  this->ready.clear();
+  if (!mayResume || this->splitter.HasGap() || !this->TakeRetry()) {
+    this->Fail(aReason);
+    return;
+  }
+  LogInfo("stream_resumed",
+          {{"request", this->request.facts.id},
+           {"reason", aReason},
+           {"left", this->upstream->Entry().id},
+           {"after_event", this->splitter.LastId().value_or(0)}});
+  this->context.metrics.Count("zincstep_streams_resumed_total");
+  this->splitter.BeginRun();
+  this->TryChain();
+}
+
+void StreamExchange::OnTick(Instant aNow) {
+  if (this->IsDone()) {
+    return;
+  }
+  if (aNow >= this->request.end) {
+    this->Release();
+    if (this->headSent) {
+      this->Fail("no end in time");
+      return;
+    }
+    const bool mayRun =
+        this->hasBegun || (this->call && this->call->HasSent());
+    this->Refuse(mayRun ? ErrorKind::DeadlineDuringRun : ErrorKind::NoCapacity,
+                 "no answer in time");
+    return;
+  }
+  if (this->isWaiting) {
+    this->TryChain();
+    return;
+  }
+  if (this->isHeldUp && this->request.connection->PendingBytes() <
+                            this->context.settings.mostPending / 2) {
+    this->isHeldUp = false;
+    this->lastProgress = aNow;
+    this->call->SetReading(true);
+  }
+  this->CheckMembers(aNow);
+}
+
+void StreamExchange::CheckMembers(Instant aNow) {
+  if (!this->call || this->isHeldUp) {
+    return;
+  }
+  if (this->Silence(aNow) < kMemberSilence) {
+    for (const PoolHop& hop : this->chain) {
+      hop.upstream->OnAnswer(this->lastProgress);
+    }
+    return;
+  }
+  if (this->upstream->IsSuspect(aNow)) {
+    this->Resume("the first upstream is lost");
+    return;
+  }
+  const bool hasLost = std::any_of(
+      this->chain.begin() + 1, this->chain.end(), [&](const PoolHop& aHop) {
+        return aHop.upstream->IsSuspect(aNow) || aHop.upstream->IsGone();
+      });
+  if (hasLost) {
+    this->Repair(aNow);
+  }
+}
+
+UpstreamPtr StreamExchange::WantsReport(Instant aNow) {
+  if (this->IsDone() || !this->call || !this->call->HasSent() ||
+      this->isRepairing || this->isHeldUp) {
+    return nullptr;
+  }
+  const Micros limit = this->headSent
+                           ? this->context.settings.eventSilence
+                           : this->context.settings.firstEventSilence;
+  return this->Silence(aNow) >= limit ? this->upstream : nullptr;
+}
+
+void StreamExchange::OnReport(const UpstreamPtr& aUpstream,
+                              const Result<UpstreamReport>& aReport) {
+  const Instant now = this->Now();
+  if (this->IsDone() || !this->call || aUpstream != this->upstream ||
+      this->Silence(now) < kMemberSilence) {
+    return;
+  }
+  if (!aReport) {
+    aUpstream->Suspect(now);
+    this->Resume("the first upstream does not answer");
+    return;
+  }
+  for (const StalledRequest& stalled : aReport->stalled) {
+    if (stalled.requestId == this->request.facts.id) {
+      LogInfo("stream_stalled", {{"request", stalled.requestId},
+                                 {"waits_for", stalled.waitsFor}});
+      this->Distrust(stalled.waitsFor, now, true);
+      this->Repair(now);
+      return;
+    }
+  }
+}
+
+void StreamExchange::Repair(Instant aNow) {
+  if (this->isRepairing || aNow < this->nextRepair) {
+    return;
+  }
+  this->nextRepair = aNow + this->context.settings.repairPause;
+  auto repaired = this->context.chains.Repair(
+      *this->request.service->model,
+      this->context.view.Directory().OfService(this->request.service->name),
+      this->chain, this->tokens, aNow, this->context.random);
+  if (!repaired) {
+    return;
+  }
+  this->isRepairing = true;
+  const PoolChain wanted = *repaired;
+  this->context.control.Repath(
+      this->request.facts.id, wanted,
+      [self = std::static_pointer_cast<StreamExchange>(
+           this->shared_from_this()),
+       wanted](Result<OrderOutcome> aOutcome) {
+        self->OnRepaired(wanted, aOutcome);
+      });
+}
+
+void StreamExchange::OnRepaired(PoolChain aChain,
+                                const Result<OrderOutcome>& aOutcome) {
+  this->isRepairing = false;
+  if (this->IsDone() || !this->call) {
+    return;
+  }
+  const Instant now = this->Now();
+  const bool isTaken =
+      aOutcome && aOutcome->answer == OrderAnswer::Taken;
+  LogInfo("stream_repaired",
+          {{"request", this->request.facts.id},
+           {"taken", isTaken},
+           {"at_fault", aOutcome ? aOutcome->atFault : ""},
+           {"silent_ms", this->Silence(now) / 1ms}});
+  if (isTaken) {
+    this->repairs += 1;
+    this->context.metrics.Count("zincstep_streams_repaired_total");
+    this->chain = std::move(aChain);
+    this->Reserve(this->chain);
+    this->lastProgress = now;
+    return;
+  }
+  if (aOutcome && !aOutcome->atFault.empty()) {
+    for (const PoolHop& hop : aChain) {
+      if (hop.upstream->Entry().address == aOutcome->atFault) {
+        hop.upstream->PassOver(now + kRefusalPause);
+      }
+    }
+  }
+}
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Relay/StreamExchange.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <utility>
+#include <vector>
+
+#include "Zincstep/Relay/EventSplitter.h"
+#include "Zincstep/Relay/Exchange.h"
+
+namespace zincstep {
+
+/// A request to a split model, answered by a stream of events.
+///
+/// Whole events are passed on as they come. When an upstream behind the
+/// first one is lost, the first is ordered on to another chain; when the
+/// first is lost, a new run goes on behind the last event passed on.
+class StreamExchange final : public Exchange {
+ public:
+  StreamExchange(RelayContext& aContext, AdmittedRequest aRequest);
+  ~StreamExchange() override;
+
+  void Start() override;
+  void OnTick(Instant aNow) override;
+  void OnCallerGone() override;
+  void OnReport(const UpstreamPtr& aUpstream,
+                const Result<UpstreamReport>& aReport) override;
+  UpstreamPtr WantsReport(Instant aNow) override;
+
+  void OnAnswerHead(HttpHead aHead) override;
+  void OnAnswerBody(std::string_view aPart) override;
+  void OnAnswerPause() override;
+  void OnCallEnd(CallEnd aEnd) override;
+
+ private:
+  void TryChain();
+  void WaitForChain();
+  void Reserve(const PoolChain& aChain);
+  void Release();
+  void EndStream();
+  void OnNotRun();
+  void OnLost(const char* aReason);
+  void Resume(const char* aReason);
+  void Fail(const char* aReason);
+  void CheckMembers(Instant aNow);
+  void Repair(Instant aNow);
+  void OnRepaired(PoolChain aChain, const Result<OrderOutcome>& aOutcome);
+  void Distrust(const std::string& aAddress, Instant aNow, bool aIsDead);
+  bool IsStream() const;
+  Micros Silence(Instant aNow) const { return aNow - this->lastProgress; }
+
+  double tokens = 0;
+  EventSplitter splitter;
+  PoolChain chain;
+  std::vector<std::pair<UpstreamPtr, double>> reserved;
+  HttpHead head;
+  AnswerFacts facts;
+  /// Whole events that wait to be passed on together.
+  std::string ready;
+  /// Body of an answer that is no stream.
+  std::string body;
+  bool isForeign = false;
+  bool headSent = false;
+  bool isWaiting = false;
+  bool isRepairing = false;
+  bool isHeldUp = false;
+  Instant waitingSince;
+  Instant lastProgress;
+  Instant nextRepair;
+  /// Repairs of this stream so far, for its closing log line.
+  int repairs = 0;
+};
+
+}  // namespace zincstep
--- a/Zincstep/Telemetry/Log.cpp
+++ b/Zincstep/Telemetry/Log.cpp
@@ -26,7 +26,7 @@
 bool StartLog(const std::string& aProgram, const std::string& aLevel) {
   const auto level = spdlog::level::from_str(aLevel);
   const bool known = level != spdlog::level::off || aLevel == "off";
-  auto logger = spdlog::stderr_logger_mt(aProgram);
+  auto logger = spdlog::stdout_logger_mt(aProgram);
   logger->set_pattern(
       "{\"time\":\"%Y-%m-%dT%H:%M:%S.%eZ\",\"level\":\"%l\","
       "\"program\":\"%n\",\"pid\":%P,%v",
--- a/Zincstep/Telemetry/Log.h
+++ b/Zincstep/Telemetry/Log.h
@@ -5,7 +5,7 @@
 
 namespace zincstep {
 
-/// Starts the log: JSON lines on stderr from `aLevel` on.
+/// Starts the log: JSON lines on stdout from `aLevel` on.
 ///
 /// Levels are trace, debug, info, warn, error and off; false for others.
 bool StartLog(const std::string& aProgram, const std::string& aLevel);
