--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -57,11 +57,21 @@
         for (StoreEvent& event : aEvents->events) {
           event.item.key.erase(0, this->prefix.size());
         }
+        const bool hadNews = !aEvents->events.empty();
         this->onEvents(std::move(*aEvents));
-        this->Watch(aRound);
+        hadNews ? this->WatchLater(aRound) : this->Watch(aRound);
       });
 }
 
+void PrefixFollower::WatchLater(std::uint64_t aRound) {
+  this->timer.expires_after(this->settings.gatherPause);
+  this->timer.async_wait([this, aRound](const asio::error_code& aError) {
+    if (!aError && aRound == this->round) {
+      this->Watch(aRound);
+    }
+  });
+}
+
 void PrefixFollower::RetryLater(std::uint64_t aRound) {
   this->timer.expires_after(this->retry);
   this->retry = std::min(this->retry * 2, this->settings.longestRetry);
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -23,10 +23,13 @@
   ClusterKeys keys;
   /// Time between proofs that the configuration is the newest one: well
   /// under the time within which one must be in force everywhere.
-  Micros proofInterval = 700ms;
+  Micros proofInterval = 900ms;
   /// Longest wait of one watch: a call each, so long; an answer that was
   /// lost goes unnoticed for that long, so not longer.
   Micros watchWait = 6s;
+  /// Pause before the next watch after one that told of changes: a call is
+  /// paid for, and changes often come in series.
+  Micros gatherPause = 200ms;
   /// A proof that has no answer by then: the store is away.
   Micros proofTimeout = 1s;
   Micros firstRetry = 150ms;
@@ -50,6 +53,7 @@
   void Read(std::uint64_t aRound);
   void Watch(std::uint64_t aRound);
   void RetryLater(std::uint64_t aRound);
+  void WatchLater(std::uint64_t aRound);
 
   AsyncStore& store;
   std::string prefix;
