--- /dev/null
+++ b/UnitTests/PoolTest.cpp
@@ -0,0 +1,309 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+
+#include "Zincstep/Pool/Pool.h"
+
+namespace zincstep {
+namespace {
+
+/// The kinds and the model of both users' deployments.
+ModelShape UsersModel() {
+  ModelShape model;
+  model.layers = 80;
+  model.layerMb = 1750;
+  model.tokenMb = 0.59;
+  model.stepTime = 850us;
+  model.usualPrompt = 772;
+  model.usualAnswer = 172;
+  model.loadTime = 14s;
+  model.loadsAtOnce = 6;
+  model.kinds = {{"h100", 72'000, 1.4, 1},
+                 {"a100s", 36'000, 3.1, 3.2},
+                 {"l4", 21'600, 16, 8.2},
+                 {"t4", 14'400, 15, 15}};
+  return model;
+}
+
+/// One failure domain of the users' deployments.
+std::vector<PlacedUpstream> Hall(const std::string& aName, int aH100,
+                                 int aA100, int aL4, int aT4) {
+  std::vector<PlacedUpstream> upstreams;
+  const auto add = [&](const std::string& aKind, int aCount) {
+    for (int i = 0; i < aCount; ++i) {
+      upstreams.push_back(
+          {aName + aKind + std::to_string(i), aName, aKind, {}, true});
+    }
+  };
+  add("h100", aH100);
+  add("a100s", aA100);
+  add("l4", aL4);
+  add("t4", aT4);
+  return upstreams;
+}
+
+std::vector<PlacedUpstream> UsersPool() {
+  std::vector<PlacedUpstream> pool = Hall("a", 0, 2, 4, 7);
+  for (const auto& more : {Hall("b", 1, 1, 5, 7), Hall("c", 0, 1, 8, 3)}) {
+    pool.insert(pool.end(), more.begin(), more.end());
+  }
+  return pool;
+}
+
+void Carry(std::vector<PlacedUpstream>& aPool,
+           const std::vector<PlacementOrder>& aOrders) {
+  for (const PlacementOrder& order : aOrders) {
+    for (PlacedUpstream& upstream : aPool) {
+      if (upstream.id == order.id) {
+        upstream.layers = order.layers;
+      }
+    }
+  }
+}
+
+/// Layers of a failure domain that nobody holds.
+int Uncovered(const std::vector<PlacedUpstream>& aPool,
+              const std::string& aDomain, int aLayers) {
+  int missing = 0;
+  for (int layer = 0; layer < aLayers; ++layer) {
+    missing += std::none_of(aPool.begin(), aPool.end(),
+                            [&](const PlacedUpstream& aOne) {
+                              return aOne.failureDomain == aDomain &&
+                                     aOne.layers.first <= layer &&
+                                     layer < aOne.layers.last;
+                            })
+                   ? 1
+                   : 0;
+  }
+  return missing;
+}
+
+class PlacementTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlacementTest);
+  CPPUNIT_TEST(Plan_EmptyPool_CoversEachDomain);
+  CPPUNIT_TEST(Plan_EmptyPool_LeavesMemoryForRequests);
+  CPPUNIT_TEST(Plan_CoveredPool_OrdersNothing);
+  CPPUNIT_TEST(Plan_AnyLostUpstream_CoversAgain);
+  CPPUNIT_TEST(Plan_LostUpstream_MovesFew);
+  CPPUNIT_TEST(Plan_OrderUnderWay_GetsNoOther);
+  CPPUNIT_TEST(Plan_TooFewUpstreams_KeepsLessMemory);
+  CPPUNIT_TEST_SUITE_END();
+
+  ModelShape model = UsersModel();
+  PlacementPlanner planner{PlacementSettings{}};
+  std::vector<PlacedUpstream> pool = UsersPool();
+
+ public:
+  void Plan_EmptyPool_CoversEachDomain() {
+    Carry(pool, planner.Plan(model, pool));
+    for (const char* domain : {"a", "b", "c"}) {
+      CPPUNIT_ASSERT_EQUAL(0, Uncovered(pool, domain, model.layers));
+    }
+  }
+
+  void Plan_EmptyPool_LeavesMemoryForRequests() {
+    for (const PlacementOrder& order : planner.Plan(model, pool)) {
+      const auto placed =
+          std::find_if(pool.begin(), pool.end(),
+                       [&](const auto& aOne) { return aOne.id == order.id; });
+      const PoolKind& kind = *model.FindKind(placed->kind);
+      const double free = kind.memoryMb - order.layers.Size() * model.layerMb;
+      const double tokens =
+          free / (model.tokenMb / model.layers * order.layers.Size());
+      CPPUNIT_ASSERT(tokens >= PlacementSettings{}.tokensKept);
+    }
+  }
+
+  void Plan_CoveredPool_OrdersNothing() {
+    Carry(pool, planner.Plan(model, pool));
+    CPPUNIT_ASSERT(planner.Plan(model, pool).empty());
+  }
+
+  void Plan_AnyLostUpstream_CoversAgain() {
+    Carry(pool, planner.Plan(model, pool));
+    for (std::size_t lost = 0; lost < pool.size(); ++lost) {
+      auto rest = pool;
+      const std::string domain = rest[lost].failureDomain;
+      rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(lost));
+      Carry(rest, planner.Plan(model, rest));
+      CPPUNIT_ASSERT_EQUAL(0, Uncovered(rest, domain, model.layers));
+    }
+  }
+
+  void Plan_LostUpstream_MovesFew() {
+    Carry(pool, planner.Plan(model, pool));
+    for (std::size_t lost = 0; lost < pool.size(); ++lost) {
+      auto rest = pool;
+      rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(lost));
+      CPPUNIT_ASSERT(planner.Plan(model, rest).size() <= 4);
+    }
+  }
+
+  void Plan_OrderUnderWay_GetsNoOther() {
+    for (PlacedUpstream& upstream : pool) {
+      upstream.takesOrders = false;
+    }
+    CPPUNIT_ASSERT(planner.Plan(model, pool).empty());
+  }
+
+  void Plan_TooFewUpstreams_KeepsLessMemory() {
+    auto small = Hall("a", 1, 1, 2, 1);
+    Carry(small, planner.Plan(model, small));
+    CPPUNIT_ASSERT_EQUAL(0, Uncovered(small, "a", model.layers));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
+
+class ChainTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ChainTest);
+  CPPUNIT_TEST(Choose_CoveredPool_RunsEachLayerOnceInOrder);
+  CPPUNIT_TEST(Choose_CoveredDomain_StaysInside);
+  CPPUNIT_TEST(Choose_GapInTheDomain_CrossesForIt);
+  CPPUNIT_TEST(Choose_FullUpstream_IsPassedOver);
+  CPPUNIT_TEST(Choose_NoUpstreamTwice);
+  CPPUNIT_TEST(Repair_LostHop_KeepsTheFirstAndTheOthers);
+  CPPUNIT_TEST(Repair_NobodyElse_IsNone);
+  CPPUNIT_TEST_SUITE_END();
+
+  ModelShape model = UsersModel();
+  ChainChooser chooser{ChainChooserSettings{}};
+  Random random{7};
+  Instant now{Micros{50s}};
+  std::vector<UpstreamPtr> upstreams;
+
+  void Add(const std::string& aId, const std::string& aDomain,
+           const std::string& aKind, LayerRange aLayers) {
+    UpstreamEntry entry;
+    entry.id = aId;
+    entry.address = aId;
+    entry.failureDomain = aDomain;
+    entry.kind = aKind;
+    entry.layers = aLayers;
+    this->upstreams.push_back(std::make_shared<LiveUpstream>(entry));
+  }
+
+  void AddPlanned() {
+    std::vector<PlacedUpstream> pool = UsersPool();
+    Carry(pool, PlacementPlanner(PlacementSettings{}).Plan(model, pool));
+    for (const PlacedUpstream& one : pool) {
+      this->Add(one.id, one.failureDomain, one.kind, one.layers);
+    }
+  }
+
+  std::optional<PoolChain> Choose(const std::string& aDomain) {
+    return chooser.Choose(model, upstreams, aDomain, 900, now, random);
+  }
+
+  void AssertCovers(const PoolChain& aChain) const {
+    int next = 0;
+    for (const PoolHop& hop : aChain) {
+      CPPUNIT_ASSERT_EQUAL(next, hop.layers.first);
+      CPPUNIT_ASSERT(hop.layers.Size() > 0);
+      CPPUNIT_ASSERT(hop.upstream->Entry().layers.Covers(hop.layers));
+      next = hop.layers.last;
+    }
+    CPPUNIT_ASSERT_EQUAL(model.layers, next);
+  }
+
+ public:
+  void Choose_CoveredPool_RunsEachLayerOnceInOrder() {
+    this->AddPlanned();
+    for (int i = 0; i < 200; ++i) {
+      const auto chain = this->Choose("a");
+      CPPUNIT_ASSERT(chain.has_value());
+      this->AssertCovers(*chain);
+    }
+  }
+
+  void Choose_CoveredDomain_StaysInside() {
+    this->AddPlanned();
+    const auto chain = this->Choose("b");
+    CPPUNIT_ASSERT(chain.has_value());
+    for (const PoolHop& hop : *chain) {
+      CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                           hop.upstream->Entry().failureDomain);
+    }
+  }
+
+  void Choose_GapInTheDomain_CrossesForIt() {
+    this->Add("a1", "a", "h100", {0, 30});
+    this->Add("b1", "b", "h100", {30, 50});
+    this->Add("a2", "a", "h100", {50, 80});
+    const auto chain = this->Choose("a");
+    CPPUNIT_ASSERT(chain.has_value());
+    this->AssertCovers(*chain);
+  }
+
+  void Choose_FullUpstream_IsPassedOver() {
+    this->Add("full", "a", "h100", {0, 30});
+    this->Add("free", "a", "h100", {0, 30});
+    this->Add("rest", "a", "h100", {30, 80});
+    this->upstreams[0]->own =
+        ChainChooser::Capacity(model, this->upstreams[0]->Entry());
+    // 50 layers of the rest leave no memory; give it room.
+    this->upstreams.erase(this->upstreams.begin() + 2);
+    this->Add("r1", "a", "h100", {30, 55});
+    this->Add("r2", "a", "h100", {55, 80});
+    const auto chain = this->Choose("a");
+    CPPUNIT_ASSERT(chain.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("free"),
+                         chain->front().upstream->Entry().id);
+  }
+
+  void Choose_NoUpstreamTwice() {
+    // A far cheaper upstream lies inside the range of another.
+    this->Add("wide", "a", "t4", {0, 7});
+    this->Add("cheap", "a", "h100", {2, 4});
+    this->Add("rest1", "a", "h100", {7, 40});
+    this->Add("rest2", "a", "h100", {40, 73});
+    this->Add("rest3", "a", "t4", {73, 80});
+    for (int i = 0; i < 50; ++i) {
+      const auto chain = this->Choose("a");
+      CPPUNIT_ASSERT(chain.has_value());
+      this->AssertCovers(*chain);
+      std::map<std::string, int> uses;
+      for (const PoolHop& hop : *chain) {
+        uses[hop.upstream->Entry().id] += 1;
+      }
+      for (const auto& [id, count] : uses) {
+        CPPUNIT_ASSERT_EQUAL(1, count);
+      }
+    }
+  }
+
+  void Repair_LostHop_KeepsTheFirstAndTheOthers() {
+    this->Add("first", "a", "h100", {0, 30});
+    this->Add("lost", "a", "l4", {30, 40});
+    this->Add("spare", "a", "l4", {30, 40});
+    this->Add("last1", "a", "h100", {40, 60});
+    this->Add("last2", "a", "h100", {60, 80});
+    PoolChain chain{{upstreams[0], {0, 30}},
+                    {upstreams[1], {30, 40}},
+                    {upstreams[3], {40, 60}},
+                    {upstreams[4], {60, 80}}};
+    upstreams[1]->Suspect(now);
+    const auto repaired =
+        chooser.Repair(model, upstreams, chain, 900, now, random);
+    CPPUNIT_ASSERT(repaired.has_value());
+    this->AssertCovers(*repaired);
+    CPPUNIT_ASSERT(repaired->at(0).upstream == upstreams[0]);
+    CPPUNIT_ASSERT(repaired->at(1).upstream == upstreams[2]);
+    CPPUNIT_ASSERT(repaired->at(2).upstream == upstreams[3]);
+  }
+
+  void Repair_NobodyElse_IsNone() {
+    this->Add("first", "a", "h100", {0, 40});
+    this->Add("lost", "a", "h100", {40, 80});
+    PoolChain chain{{upstreams[0], {0, 40}}, {upstreams[1], {40, 80}}};
+    upstreams[1]->Suspect(now);
+    CPPUNIT_ASSERT(
+        !chooser.Repair(model, upstreams, chain, 900, now, random));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ChainTest);
+
+}  // namespace
+}  // namespace zincstep
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -19,11 +19,6 @@
 /// Margin of the bound on withdrawn keys for what lies between the check of
 /// a proof and the start of the request at an upstream.
 constexpr Micros kRevocationMargin = 300ms;
-/// The balancer asks each second and takes a daemon out after two misses;
-/// before that, requests still come.
-constexpr Micros kBalancerNotice = 2600ms;
-/// Time before the kill at which what still runs is ended.
-constexpr Micros kKillMargin = 500ms;
 /// Daemons that share the retry slack where their number is not known.
 constexpr double kUsualDaemons = 12;
 /// Part of the operators' retry ratio that is used: the rest covers
@@ -64,10 +59,11 @@
                  this->clock),
         chains(ChainChooserSettings{}),
         services(ServiceChooserSettings{}),
+        stop(MakeStopSettings(aSettings)),
         relay(RelayContext{aLoop, this->relaySettings, *this->adapters.dialect,
                            this->view, *this->adapters.control, this->clock,
                            this->random, this->metrics, this->chains,
-                           this->services, this->budgets}),
+                           this->services, this->budgets, this->stop}),
         admin([this] { return this->IsReady(); },
               [this] { return this->MetricsText(); }),
         callers(aLoop, this->relay, this->clock),
@@ -93,6 +89,12 @@
     return settings;
   }
 
+  static StopPolicySettings MakeStopSettings(const EdgeSettings& aSettings) {
+    StopPolicySettings settings;
+    settings.grace = FromSeconds(aSettings.stopGraceSeconds);
+    return settings;
+  }
+
   void OnConfiguration() override;
   void OnUpstream(const UpstreamPtr&) override {}
   void FollowOwnKeys();
@@ -116,6 +118,7 @@
   StoreFollower follower;
   ChainChooser chains;
   ServiceChooser services;
+  StopPolicy stop;
   Relay relay;
   AdminHandler admin;
   CallerListener callers;
@@ -125,7 +128,6 @@
   asio::steady_timer fastTimer;
   asio::steady_timer dutyTimer;
   asio::signal_set signals;
-  std::optional<Instant> stopAt;
 };
 
 Result<void> EdgeDaemon::Start() {
@@ -185,8 +187,8 @@
     if (aSignal == SIGHUP) {
       LogInfo("settings_unchanged",
               {{"reason", "settings come with the start of the process"}});
-    } else if (!this->stopAt) {
-      this->stopAt = this->clock.Now();
+    } else if (!this->stop.IsStopping()) {
+      this->stop.Begin(this->clock.Now());
       this->keeper.Stop();
       this->callers.StopKeeping();
       LogInfo("stopping", {{"active", this->relay.Active()}});
@@ -197,15 +199,9 @@
 
 void EdgeDaemon::OnFastTick() {
   this->relay.Tick();
-  if (this->stopAt) {
-    const Micros stopping = this->clock.Now() - *this->stopAt;
-    const Micros grace = FromSeconds(this->settings.stopGraceSeconds);
-    const bool isDone =
-        stopping >= kBalancerNotice && this->relay.Active() == 0;
-    if (isDone || stopping >= grace - kKillMargin) {
-      this->loop.stop();
-      return;
-    }
+  if (this->stop.MayEnd(this->relay.Active(), this->clock.Now())) {
+    this->loop.stop();
+    return;
   }
   this->fastTimer.expires_after(this->relay.Active() > 0 ? kBusyTick
                                                          : kIdleTick);
@@ -217,6 +213,9 @@
 }
 
 void EdgeDaemon::OnDutyTick() {
+  if (this->stop.ClosesResting(this->clock.Now())) {
+    this->callers.CloseResting();
+  }
   this->callers.Tick();
   this->admins.Tick();
   this->view.Tick();
@@ -232,7 +231,7 @@
 
 bool EdgeDaemon::IsReady() const {
   const auto age = this->view.ProofAge();
-  return !this->stopAt && this->view.Table() && age &&
+  return !this->stop.IsStopping() && this->view.Table() && age &&
          *age <= this->relaySettings.longestProofAge;
 }
 
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -74,6 +74,10 @@
   if (request.service == nullptr) {
     return Fail(ErrorKind::NoCapacity, "the route's service is not declared");
   }
+  const bool isStream = request.service->model.has_value();
+  if (!this->context.stop.Takes(isStream, request.message.readAt)) {
+    return Fail(ErrorKind::Stopping, "the request could not end in time");
+  }
   const Micros patience = request.facts.patience.value_or(kDefaultPatience);
   request.end = request.message.readAt +
                 std::min(patience, request.route->timeout);
--- a/Zincstep/Relay/RelayContext.h
+++ b/Zincstep/Relay/RelayContext.h
@@ -6,6 +6,7 @@
 #include "Zincstep/Admission/RetryBudget.h"
 #include "Zincstep/Cluster/Cluster.h"
 #include "Zincstep/Relay/RelayDialect.h"
+#include "Zincstep/Relay/StopPolicy.h"
 #include "Zincstep/Telemetry/Telemetry.h"
 
 namespace zincstep {
@@ -59,6 +60,8 @@
   ServiceChooser& services;
   /// By service.
   std::map<std::string, RetryBudget>& budgets;
+  /// Whether new work is taken while the daemon stops.
+  const StopPolicy& stop;
 
   RetryBudget& BudgetOf(const std::string& aService) {
     return this->budgets.try_emplace(aService, this->settings.retries)
--- /dev/null
+++ b/Zincstep/Relay/StopPolicy.cpp
@@ -0,0 +1,32 @@
+#include "Zincstep/Relay/StopPolicy.h"
+
+namespace zincstep {
+
+bool StopPolicy::Takes(bool aIsStream, Instant aNow) const {
+  if (!this->begunAt) {
+    return true;
+  }
+  const Micros needed = aIsStream ? this->settings.longestStream
+                                  : this->settings.longestService;
+  const Instant end =
+      *this->begunAt + this->settings.grace - this->settings.killMargin;
+  return aNow + needed <= end;
+}
+
+bool StopPolicy::ClosesResting(Instant aNow) const {
+  return this->begunAt &&
+         aNow - *this->begunAt >= this->settings.balancerNotice;
+}
+
+bool StopPolicy::MayEnd(std::size_t aActive, Instant aNow) const {
+  if (!this->begunAt) {
+    return false;
+  }
+  const Micros stopping = aNow - *this->begunAt;
+  if (stopping >= this->settings.grace - this->settings.killMargin) {
+    return true;
+  }
+  return aActive == 0 && stopping >= this->settings.balancerNotice;
+}
+
+}  // namespace zincstep
