--- a/UnitTests/PoolTest.cpp
+++ b/UnitTests/PoolTest.cpp
@@ -83,6 +83,7 @@
   CPPUNIT_TEST_SUITE(PlacementTest);
   CPPUNIT_TEST(Plan_EmptyPool_CoversEachDomain);
   CPPUNIT_TEST(Plan_EmptyPool_LeavesMemoryForRequests);
+  CPPUNIT_TEST(Plan_EmptyPool_DoublesWhatIsLarge);
   CPPUNIT_TEST(Plan_CoveredPool_OrdersNothing);
   CPPUNIT_TEST(Plan_AnyLostUpstream_CoversAgain);
   CPPUNIT_TEST(Plan_LostUpstream_MovesFew);
@@ -103,16 +104,47 @@
   }
 
   void Plan_EmptyPool_LeavesMemoryForRequests() {
-    for (const PlacementOrder& order : planner.Plan(model, pool)) {
-      const auto placed =
-          std::find_if(pool.begin(), pool.end(),
-                       [&](const auto& aOne) { return aOne.id == order.id; });
-      const PoolKind& kind = *model.FindKind(placed->kind);
-      const double free = kind.memoryMb - order.layers.Size() * model.layerMb;
-      const double tokens =
-          free / (model.tokenMb / model.layers * order.layers.Size());
-      CPPUNIT_ASSERT(tokens >= PlacementSettings{}.tokensKept);
+    Carry(pool, planner.Plan(model, pool));
+    for (const char* domain : {"a", "b", "c"}) {
+      for (int layer = 0; layer < model.layers; ++layer) {
+        CPPUNIT_ASSERT(this->TokensAt(domain, layer) >=
+                       PlacementSettings{}.tokensKept * 0.9);
+      }
+    }
+  }
+
+  void Plan_EmptyPool_DoublesWhatIsLarge() {
+    Carry(pool, planner.Plan(model, pool));
+    for (const char* domain : {"a", "b", "c"}) {
+      int doubled = 0;
+      for (int layer = 0; layer < model.layers; ++layer) {
+        doubled += this->HoldersAt(domain, layer) > 1 ? 1 : 0;
+      }
+      CPPUNIT_ASSERT(doubled >= 25);
+      CPPUNIT_ASSERT(this->HoldersAt(domain, 0) > 1);
+    }
+  }
+
+  int HoldersAt(const std::string& aDomain, int aLayer) const {
+    return static_cast<int>(
+        std::count_if(pool.begin(), pool.end(), [&](const auto& aOne) {
+          return aOne.failureDomain == aDomain &&
+                 aOne.layers.first <= aLayer && aLayer < aOne.layers.last;
+        }));
+  }
+
+  /// Tokens that the holders of a layer have memory for.
+  double TokensAt(const std::string& aDomain, int aLayer) const {
+    double sum = 0;
+    for (const PlacedUpstream& one : pool) {
+      if (one.failureDomain == aDomain && one.layers.first <= aLayer &&
+          aLayer < one.layers.last) {
+        const double free = model.FindKind(one.kind)->memoryMb -
+                            one.layers.Size() * model.layerMb;
+        sum += free / (model.tokenMb / model.layers * one.layers.Size());
+      }
     }
+    return sum;
   }
 
   void Plan_CoveredPool_OrdersNothing() {
@@ -160,7 +192,8 @@
   CPPUNIT_TEST_SUITE(ChainTest);
   CPPUNIT_TEST(Choose_CoveredPool_RunsEachLayerOnceInOrder);
   CPPUNIT_TEST(Choose_CoveredDomain_StaysInside);
-  CPPUNIT_TEST(Choose_GapInTheDomain_CrossesForIt);
+  CPPUNIT_TEST(Choose_GapInTheDomain_LiesInAnother);
+  CPPUNIT_TEST(Choose_BusyDomain_LiesInAnother);
   CPPUNIT_TEST(Choose_FullUpstream_IsPassedOver);
   CPPUNIT_TEST(Choose_NoUpstreamTwice);
   CPPUNIT_TEST(Repair_LostHop_KeepsTheFirstAndTheOthers);
@@ -227,13 +260,42 @@
     }
   }
 
-  void Choose_GapInTheDomain_CrossesForIt() {
+  // tavua-orders, scale-1: chains that left their domain for one range
+  // filled the pipe, and requests held memory everywhere while they waited.
+  void Choose_GapInTheDomain_LiesInAnother() {
     this->Add("a1", "a", "h100", {0, 30});
-    this->Add("b1", "b", "h100", {30, 50});
     this->Add("a2", "a", "h100", {50, 80});
+    this->Add("b1", "b", "h100", {0, 30});
+    this->Add("b2", "b", "h100", {30, 50});
+    this->Add("b3", "b", "h100", {50, 80});
     const auto chain = this->Choose("a");
     CPPUNIT_ASSERT(chain.has_value());
     this->AssertCovers(*chain);
+    for (const PoolHop& hop : *chain) {
+      CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                           hop.upstream->Entry().failureDomain);
+    }
+  }
+
+  void Choose_BusyDomain_LiesInAnother() {
+    for (const char* domain : {"a", "b"}) {
+      const std::string name = domain;
+      this->Add(name + "1", domain, "h100", {0, 30});
+      this->Add(name + "2", domain, "h100", {30, 60});
+      this->Add(name + "3", domain, "h100", {60, 80});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), this->Choose("a")->at(0)
+                                               .upstream->Entry()
+                                               .failureDomain);
+    for (int i = 0; i < 3; ++i) {
+      upstreams[static_cast<std::size_t>(i)]->own =
+          ChainChooser::Capacity(
+              model, upstreams[static_cast<std::size_t>(i)]->Entry()) *
+          0.9;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), this->Choose("a")->at(0)
+                                               .upstream->Entry()
+                                               .failureDomain);
   }
 
   void Choose_FullUpstream_IsPassedOver() {
--- a/Zincstep/Cluster/AsyncStore.h
+++ b/Zincstep/Cluster/AsyncStore.h
@@ -79,6 +79,8 @@
   virtual void Grant(Micros aTtl, Done<std::uint64_t> aDone) = 0;
   /// Renews a lease.
   virtual void Renew(std::uint64_t aLease, Done<bool> aDone) = 0;
+  /// Ends a lease; its keys go with it.
+  virtual void End(std::uint64_t aLease, Done<bool> aDone) = 0;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Cluster/PlacementKeeper.cpp
+++ b/Zincstep/Cluster/PlacementKeeper.cpp
@@ -44,6 +44,17 @@
   }
 }
 
+void PlacementKeeper::Stop() {
+  this->isStopping = true;
+  if (!this->guard.IsHeld(this->clock.Now())) {
+    return;
+  }
+  this->guard.OnLost();
+  this->store.End(this->lease, [](const Result<bool>& aEnded) {
+    LogInfo("placement_duty_given_up", {{"told", aEnded.has_value()}});
+  });
+}
+
 void PlacementKeeper::TakeDuty() {
   const Instant sentAt = this->clock.Now();
   if (this->isAsking || sentAt < this->nextAttempt) {
@@ -100,7 +111,11 @@
   for (const UpstreamPtr& upstream :
        this->view.Directory().OfService(aService)) {
     const UpstreamEntry& entry = upstream->Entry();
-    if (!upstream->IsSound(aNow)) {
+    const auto rejoined = this->rejoinedAt.find(entry.failureDomain);
+    const bool isRejoining =
+        rejoined != this->rejoinedAt.end() &&
+        aNow - rejoined->second < this->settings.rejoinTime;
+    if (!upstream->IsSound(aNow) || isRejoining) {
       continue;
     }
     PlacedUpstream one{entry.id, entry.failureDomain, entry.kind, entry.layers,
@@ -129,6 +144,7 @@
     if (!service.model || !this->IsSettled(service.name, aNow)) {
       continue;
     }
+    this->NoteRejoins(service.name, aNow);
     const auto placed = this->Placed(service.name, aNow);
     for (const PlacementOrder& order :
          this->planner.Plan(*service.model, placed)) {
@@ -157,6 +173,21 @@
           aNow - growth.firstAt >= this->settings.longestSettle);
 }
 
+void PlacementKeeper::NoteRejoins(const std::string& aService, Instant aNow) {
+  const bool isFirst = this->listed.empty();
+  std::set<std::string> present;
+  for (const UpstreamPtr& upstream :
+       this->view.Directory().OfService(aService)) {
+    const UpstreamEntry& entry = upstream->Entry();
+    present.insert(entry.id);
+    const bool isNew = !this->listed.contains(entry.id);
+    if (isNew && !isFirst && entry.layers.Size() > 0) {
+      this->rejoinedAt[entry.failureDomain] = aNow;
+    }
+  }
+  this->listed = std::move(present);
+}
+
 void PlacementKeeper::Give(const ModelShape& aModel,
                            const PlacementOrder& aOrder) {
   const UpstreamPtr upstream = this->view.Directory().Find(aOrder.id);
@@ -194,6 +225,13 @@
   }
   upstream->OnAnswer(now);
   if (aReport->isBusy) {
+    LogInfo("placement_busy", {{"upstream", aId},
+                               {"first_layer", aReport->layers.first},
+                               {"last_layer", aReport->layers.last},
+                               {"running", aReport->running},
+                               {"queued", aReport->queued},
+                               {"memory_used", aReport->memoryUsed},
+                               {"pace", aReport->pace}});
     this->Hold(aId, aLayers, this->settings.refusedPause);
     return;
   }
--- a/Zincstep/Cluster/PlacementKeeper.h
+++ b/Zincstep/Cluster/PlacementKeeper.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "Zincstep/Cluster/StoreFollower.h"
@@ -17,7 +18,7 @@
   /// Key of the duty.
   std::string key;
   /// Short, since nothing is placed between a holder's death and the lapse.
-  LeaseGuardSettings lease{3s, 800ms};
+  LeaseGuardSettings lease{2s, 500ms};
   PlacementSettings placement;
   /// An order is taken for lost, and its upstream asked anew, this long
   /// after its loads should have ended.
@@ -30,6 +31,9 @@
   /// An empty pool is laid out once no upstream has joined for so long:
   /// upstreams announce themselves about once in this time.
   Micros settleTime = 1300ms;
+  /// Upstreams that were cut off join again with what they hold, one after
+  /// the other; their failure domain is planned once all had this long.
+  Micros rejoinTime = 1500ms;
   /// Longest wait for that.
   Micros longestSettle = 4s;
 };
@@ -51,8 +55,8 @@
   void OnHolder(const std::string& aName);
   /// Acts; to be called several times a second.
   void Tick();
-  /// Gives up the duty; the lease is left to lapse.
-  void Stop() { this->isStopping = true; }
+  /// Gives up the duty, so that another daemon takes it at once.
+  void Stop();
 
   bool HasDuty() const { return this->guard.IsHeld(this->clock.Now()); }
   /// Orders under way.
@@ -68,6 +72,7 @@
   void TakeDuty();
   void RenewDuty();
   void Act(Instant aNow);
+  void NoteRejoins(const std::string& aService, Instant aNow);
   bool IsSettled(const std::string& aService, Instant aNow);
   std::vector<PlacedUpstream> Placed(const std::string& aService,
                                      Instant aNow);
@@ -99,6 +104,10 @@
 
   std::map<std::string, Order> pending;
   std::map<std::string, Growth> growths;
+  /// Upstreams that were listed, and when one last joined each failure
+  /// domain with layers that no order of ours gave it.
+  std::set<std::string> listed;
+  std::map<std::string, Instant> rejoinedAt;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Edge/EdgePeerMessage.h
+++ b/Zincstep/Edge/EdgePeerMessage.h
@@ -16,6 +16,8 @@
   /// In tokens x layers, or in requests.
   double work = 0;
   bool isSuspect = false;
+  /// It has refused requests although it should have room.
+  bool isRefusing = false;
 };
 
 /// What a daemon tells the others of its failure domain.
--- a/Zincstep/Edge/Generated/EdgePeer_generated.h
+++ b/Zincstep/Edge/Generated/EdgePeer_generated.h
@@ -94,7 +94,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_WORK = 6,
-    VT_SUSPECT = 8
+    VT_SUSPECT = 8,
+    VT_REFUSING = 10
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -105,12 +106,16 @@
   bool suspect() const {
     return GetField<uint8_t>(VT_SUSPECT, 0) != 0;
   }
+  bool refusing() const {
+    return GetField<uint8_t>(VT_REFUSING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
            verifier.VerifyString(id()) &&
            VerifyField<float>(verifier, VT_WORK, 4) &&
            VerifyField<uint8_t>(verifier, VT_SUSPECT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_REFUSING, 1) &&
            verifier.EndTable();
   }
 };
@@ -128,6 +133,9 @@
   void add_suspect(bool suspect) {
     fbb_.AddElement<uint8_t>(UpstreamWork::VT_SUSPECT, static_cast<uint8_t>(suspect), 0);
   }
+  void add_refusing(bool refusing) {
+    fbb_.AddElement<uint8_t>(UpstreamWork::VT_REFUSING, static_cast<uint8_t>(refusing), 0);
+  }
   explicit UpstreamWorkBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -143,10 +151,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> id = 0,
     float work = 0.0f,
-    bool suspect = false) {
+    bool suspect = false,
+    bool refusing = false) {
   UpstreamWorkBuilder builder_(_fbb);
   builder_.add_work(work);
   builder_.add_id(id);
+  builder_.add_refusing(refusing);
   builder_.add_suspect(suspect);
   return builder_.Finish();
 }
@@ -155,13 +165,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *id = nullptr,
     float work = 0.0f,
-    bool suspect = false) {
+    bool suspect = false,
+    bool refusing = false) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   return zincstep::edgewire::CreateUpstreamWork(
       _fbb,
       id__,
       work,
-      suspect);
+      suspect,
+      refusing);
 }
 
 struct WorkGossip FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -24,6 +24,9 @@
 constexpr Micros kQuestionPause = 400ms;
 /// Peers that are asked at once.
 constexpr std::size_t kAskedAtOnce = 2;
+/// Up to so many members all are told of each other's work; beyond, those
+/// of the own failure domain, whose upstreams they share most.
+constexpr std::size_t kFewMembers = 16;
 /// A question that was not answered by then is forgotten.
 constexpr Micros kQuestionLife = 5s;
 /// A peer's suspicion counts where nothing came through that upstream for
@@ -97,15 +100,16 @@
                             const WorkGossip& aGossip) {
   const Instant now = this->clock.Now();
   for (const auto& [id, upstream] : this->view.Directory().All()) {
-    upstream->others.erase(aSender);
+    upstream->SetOthers(aSender, 0, now);
   }
   for (const UpstreamWork& work : aGossip.works) {
     const UpstreamPtr upstream = this->view.Directory().Find(work.id);
     if (!upstream) {
       continue;
     }
-    if (work.work > 0) {
-      upstream->others[aSender] = work.work;
+    upstream->SetOthers(aSender, work.work, now);
+    if (work.isRefusing) {
+      upstream->OnRefusal(now);
     }
     if (work.isSuspect && now - upstream->AnsweredAt() > kOwnEvidence &&
         !upstream->IsSuspect(now)) {
@@ -233,8 +237,9 @@
   WorkGossip gossip;
   for (const auto& [id, upstream] : this->view.Directory().All()) {
     const bool isSuspect = upstream->IsSuspect(now);
-    if (upstream->own > 0 || isSuspect) {
-      gossip.works.push_back({id, upstream->own, isSuspect});
+    const bool isRefusing = upstream->IsRefusing(now);
+    if (upstream->own > 0 || isSuspect || isRefusing) {
+      gossip.works.push_back({id, upstream->own, isSuspect, isRefusing});
     }
   }
   // An empty message is sent once, to take back what was told before.
@@ -242,8 +247,9 @@
     return;
   }
   this->toldWork = !gossip.works.empty();
+  const bool tellsAll = this->members.size() <= kFewMembers;
   for (const auto& [name, member] : this->members) {
-    if (member.failureDomain == this->settings.failureDomain) {
+    if (tellsAll || member.failureDomain == this->settings.failureDomain) {
       this->Send(member.address, gossip);
     }
   }
--- a/Zincstep/Pool/ChainChooser.cpp
+++ b/Zincstep/Pool/ChainChooser.cpp
@@ -1,6 +1,7 @@
 #include "Zincstep/Pool/ChainChooser.h"
 
 #include <algorithm>
+#include <set>
 
 namespace zincstep {
 
@@ -42,16 +43,6 @@
   return std::max(0.0, freeMb / (aModel.tokenMb / aModel.layers));
 }
 
-int ChainChooser::DomainOf(const std::string& aName) {
-  const auto found =
-      std::find(this->domains.begin(), this->domains.end(), aName);
-  if (found != this->domains.end()) {
-    return static_cast<int>(found - this->domains.begin());
-  }
-  this->domains.push_back(aName);
-  return static_cast<int>(this->domains.size()) - 1;
-}
-
 void ChainChooser::Prepare(const ModelShape& aModel,
                            const std::vector<UpstreamPtr>& aUpstreams,
                            double aTokens, Instant aNow, Random& aRandom) {
@@ -61,10 +52,9 @@
     const UpstreamEntry& entry = upstream->Entry();
     const PoolKind* kind = aModel.FindKind(entry.kind);
     const double capacity = Capacity(aModel, entry) * settings.memoryLimit;
-    const double wanted = upstream->Work() + aTokens * entry.layers.Size();
+    const double wanted = upstream->Work(aNow) + aTokens * entry.layers.Size();
     SearchItem item;
     item.layers = entry.layers;
-    item.domain = this->DomainOf(entry.failureDomain);
     item.usable = kind != nullptr && entry.layers.Size() > 0 &&
                   upstream->IsUsable(aNow) && wanted <= capacity;
     if (item.usable) {
@@ -79,30 +69,29 @@
   }
 }
 
-void ChainChooser::SetLinkCosts() {
-  const int count = static_cast<int>(this->domains.size());
-  this->search.Reset(this->items, count);
-  auto& costs = this->search.LinkCosts();
-  for (int from = 0; from < count; ++from) {
-    for (int to = 0; to < count; ++to) {
-      costs[static_cast<std::size_t>(from * count + to)] =
-          from == to ? 0 : this->settings.crossCost;
+std::optional<PoolChain> ChainChooser::FindIn(
+    const std::vector<UpstreamPtr>& aUpstreams, const std::string& aDomain,
+    LayerRange aRange) {
+  this->domainItems.clear();
+  this->domainUpstreams.clear();
+  for (std::size_t i = 0; i < aUpstreams.size(); ++i) {
+    if (this->items[i].usable &&
+        aUpstreams[i]->Entry().failureDomain == aDomain) {
+      this->domainItems.push_back(this->items[i]);
+      this->domainUpstreams.push_back(i);
     }
   }
-}
-
-std::optional<PoolChain> ChainChooser::Find(
-    const std::vector<UpstreamPtr>& aUpstreams, LayerRange aRange,
-    int aFrom) {
-  this->SetLinkCosts();
-  if (!this->search.Find(this->items, aRange, aFrom)) {
+  this->search.Reset(this->domainItems, 1);
+  if (!this->search.Find(this->domainItems, aRange, -1)) {
     return std::nullopt;
   }
   PoolChain chain;
   for (const SearchHop& hop : this->search.Hops()) {
-    chain.push_back(
-        {aUpstreams[static_cast<std::size_t>(hop.item)], hop.layers});
+    const std::size_t upstream =
+        this->domainUpstreams[static_cast<std::size_t>(hop.item)];
+    chain.push_back({aUpstreams[upstream], hop.layers});
   }
+  MergeRepeated(chain);
   return chain;
 }
 
@@ -110,13 +99,24 @@
     const ModelShape& aModel, const std::vector<UpstreamPtr>& aUpstreams,
     const std::string& aOwnDomain, double aTokens, Instant aNow,
     Random& aRandom) {
-  const int own = this->DomainOf(aOwnDomain);
   this->Prepare(aModel, aUpstreams, aTokens, aNow, aRandom);
-  auto chain = this->Find(aUpstreams, LayerRange{0, aModel.layers}, own);
-  if (chain) {
-    MergeRepeated(*chain);
+  std::set<std::string_view> domains;
+  for (const UpstreamPtr& upstream : aUpstreams) {
+    domains.insert(upstream->Entry().failureDomain);
   }
-  return chain;
+  std::optional<PoolChain> best;
+  double bestCost = 0;
+  for (const std::string_view domain : domains) {
+    auto chain = this->FindIn(aUpstreams, std::string(domain),
+                              LayerRange{0, aModel.layers});
+    const double cost = this->search.Cost() +
+                        (domain == aOwnDomain ? 0 : this->settings.awayCost);
+    if (chain && (!best || cost < bestCost)) {
+      best = std::move(chain);
+      bestCost = cost;
+    }
+  }
+  return best;
 }
 
 std::optional<PoolChain> ChainChooser::Repair(
@@ -141,12 +141,11 @@
   const LayerRange rest{first.layers.last, aModel.layers};
   PoolChain chain{first};
   if (rest.Size() > 0) {
-    const int domain = this->DomainOf(first.upstream->Entry().failureDomain);
-    auto found = this->Find(aUpstreams, rest, domain);
+    auto found =
+        this->FindIn(aUpstreams, first.upstream->Entry().failureDomain, rest);
     if (!found) {
       return std::nullopt;
     }
-    MergeRepeated(*found);
     chain.insert(chain.end(), found->begin(), found->end());
   }
   return chain;
--- a/Zincstep/Pool/ChainChooser.h
+++ b/Zincstep/Pool/ChainChooser.h
@@ -31,15 +31,18 @@
   /// Share by which costs are varied, so that daemons with the same lagging
   /// view do not all choose the same chain.
   double jitter = 0.15;
-  /// Cost of leaving a failure domain: more than any chain inside costs,
-  /// since a prompt's activations fill the pipe between two of them.
-  double crossCost = 1000;
+  /// Cost of a chain that lies in another failure domain, in milliseconds a
+  /// token: only tokens travel then, and a chain in the own domain that has
+  /// more room is worth as much.
+  double awayCost = 3;
 };
 
 /// Chooses the chain of a request through a pool.
 ///
 /// A shortest path over layer boundaries (`LayeredSearch`), with costs that
-/// rise with the memory promised to requests in flight.
+/// rise with the memory promised to requests in flight. A chain lies inside
+/// one failure domain, since a prompt's activations fill the pipe between
+/// two of them; it need not be the domain of the caller.
 class ChainChooser {
  public:
   explicit ChainChooser(ChainChooserSettings aSettings)
@@ -53,7 +56,7 @@
                                   Random& aRandom);
 
   /// A chain that keeps the first hop of `aChain` and whatever else of it
-  /// is still usable; none where the rest cannot be covered.
+  /// is still usable; none where its domain cannot cover the rest.
   std::optional<PoolChain> Repair(const ModelShape& aModel,
                                   const std::vector<UpstreamPtr>& aUpstreams,
                                   const PoolChain& aChain, double aTokens,
@@ -64,18 +67,21 @@
                          const UpstreamEntry& aEntry);
 
  private:
-  int DomainOf(const std::string& aName);
   void Prepare(const ModelShape& aModel,
                const std::vector<UpstreamPtr>& aUpstreams, double aTokens,
                Instant aNow, Random& aRandom);
-  void SetLinkCosts();
-  std::optional<PoolChain> Find(const std::vector<UpstreamPtr>& aUpstreams,
-                                LayerRange aRange, int aFrom);
+  /// The cheapest chain inside `aDomain` of the prepared items.
+  std::optional<PoolChain> FindIn(const std::vector<UpstreamPtr>& aUpstreams,
+                                  const std::string& aDomain,
+                                  LayerRange aRange);
 
   ChainChooserSettings settings;
   LayeredSearch search;
+  /// One for each upstream, whatever its domain.
   std::vector<SearchItem> items;
-  std::vector<std::string> domains;
+  /// Those of one domain, and which upstream each one is.
+  std::vector<SearchItem> domainItems;
+  std::vector<std::size_t> domainUpstreams;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Pool/LiveUpstream.cpp
+++ b/Zincstep/Pool/LiveUpstream.cpp
@@ -11,6 +11,14 @@
 constexpr Micros kFirstSuspicion = 2s;
 constexpr Micros kLongestSuspicion = 16s;
 constexpr int kMostDoublings = 3;
+/// Refusals in a row that are no accident: memory may run short once.
+constexpr int kRefusalsInARow = 3;
+/// An upstream that refuses is tried again after this; one that leaves is
+/// off the list by then.
+constexpr Micros kRefusingTime = 1500ms;
+/// Daemons with work in flight tell it several times in this time; one that
+/// does not has ended or is cut off.
+constexpr Micros kToldLife = 1500ms;
 
 }  // namespace
 
@@ -33,10 +41,28 @@
   }
 }
 
-double LiveUpstream::Work() const {
+void LiveUpstream::OnRefusal(Instant aNow) {
+  this->refusals += 1;
+  if (this->refusals >= kRefusalsInARow) {
+    this->refusingUntil = aNow + kRefusingTime;
+  }
+}
+
+void LiveUpstream::SetOthers(const std::string& aDaemon, double aWork,
+                             Instant aNow) {
+  if (aWork > 0) {
+    this->others[aDaemon] = {aWork, aNow};
+  } else {
+    this->others.erase(aDaemon);
+  }
+}
+
+double LiveUpstream::Work(Instant aNow) const {
   double sum = this->own;
-  for (const auto& [peer, work] : this->others) {
-    sum += work;
+  for (const auto& [daemon, told] : this->others) {
+    if (aNow - told.at < kToldLife) {
+      sum += told.work;
+    }
   }
   return sum;
 }
--- a/Zincstep/Pool/LiveUpstream.h
+++ b/Zincstep/Pool/LiveUpstream.h
@@ -58,12 +58,13 @@
   /// Whether new work may be given to it.
   bool IsUsable(Instant aNow) const {
     return !this->isGone && this->entry.state == Availability::Ready &&
-           !this->IsSuspect(aNow) && aNow >= this->passedOverUntil;
+           !this->IsSuspect(aNow) && !this->IsRefusing(aNow) &&
+           aNow >= this->passedOverUntil;
   }
   /// Whether it lives, as far as is known, and will take orders.
   bool IsSound(Instant aNow) const {
     return !this->isGone && this->entry.state == Availability::Ready &&
-           !this->IsSuspect(aNow);
+           !this->IsSuspect(aNow) && !this->IsRefusing(aNow);
   }
 
   /// Something came through it, which proves that it lives.
@@ -71,12 +72,20 @@
   /// When it was last proved to live.
   Instant AnsweredAt() const { return this->answeredAt; }
 
+  /// It has refused a request although it should have room: evidence that
+  /// it leaves or lacks what it tells, once it comes twice in a row.
+  void OnRefusal(Instant aNow);
+  /// It has accepted a request.
+  void OnAccepted() { this->refusals = 0; }
+  /// Whether it is taken to refuse all new work.
+  bool IsRefusing(Instant aNow) const { return aNow < this->refusingUntil; }
+
   /// Work of this daemon in flight, in tokens x layers or in requests.
   double own = 0;
-  /// The same of the other daemons, as they last told.
-  std::map<std::string, double> others;
+  /// Another daemon tells its work in flight; zero takes it back.
+  void SetOthers(const std::string& aDaemon, double aWork, Instant aNow);
   /// All work in flight that is known of.
-  double Work() const;
+  double Work(Instant aNow) const;
   /// Time of an answer of a plain service, averaged, in seconds.
   double answerSeconds = 0;
   /// Requests that waited there when it last told; set back as time passes.
@@ -84,7 +93,16 @@
   Instant queuedAt;
 
  private:
+  /// What another daemon told of its work, and when.
+  struct Told {
+    double work = 0;
+    Instant at;
+  };
+
   UpstreamEntry entry;
+  std::map<std::string, Told> others;
+  Instant refusingUntil{};
+  int refusals = 0;
   Instant suspectUntil{};
   Instant answeredAt{};
   Instant passedOverUntil{};
--- a/Zincstep/Pool/PlacementPlanner.cpp
+++ b/Zincstep/Pool/PlacementPlanner.cpp
@@ -10,25 +10,33 @@
 /// Share by which the memory kept is lowered until a domain holds a copy.
 constexpr double kKeptStep = 0.9;
 
+/// What a layer without a holder is worth, beside memory for requests.
+constexpr double kUncoveredWorth = 100;
+
 /// Plans one failure domain.
 class DomainPlan {
  public:
   DomainPlan(const ModelShape& aModel, const PlacementSettings& aSettings,
              std::vector<PlacedUpstream> aUpstreams)
-      : model(aModel), upstreams(std::move(aUpstreams)) {
+      : model(aModel), settings(aSettings), upstreams(std::move(aUpstreams)) {
     this->tokensKept = aSettings.tokensKept;
     while (this->tokensKept > aSettings.fewestTokensKept &&
            this->Room() < this->model.layers) {
       this->tokensKept *= kKeptStep;
     }
-    this->cover.assign(static_cast<std::size_t>(this->model.layers), 0);
+    const auto layers = static_cast<std::size_t>(this->model.layers);
+    this->cover.assign(layers, 0);
+    this->tokens.assign(layers, 0);
     for (const PlacedUpstream& upstream : this->upstreams) {
-      this->AddCover(upstream.layers, 1);
+      this->Count(upstream, 1);
     }
   }
 
   std::vector<PlacementOrder> Make() {
     this->SortBySize();
+    if (this->IsEmpty()) {
+      this->LayOut();
+    }
     this->PlaceEmpty();
     this->FillGaps();
     this->ExtendIntoGaps();
@@ -36,36 +44,71 @@
   }
 
  private:
-  int SizeOf(const PlacedUpstream& aUpstream) const {
+  /// Layers that an upstream holds beside memory for `aTokens` tokens.
+  int SizeBeside(const PlacedUpstream& aUpstream, double aTokens) const {
+    const PoolKind* kind = this->model.FindKind(aUpstream.kind);
+    return kind == nullptr
+               ? 0
+               : std::min(this->model.layers,
+                          PlacementPlanner::LayersBeside(this->model, *kind,
+                                                         aTokens));
+  }
+
+  /// Layers of an upstream that holds them alone.
+  int SizeAlone(const PlacedUpstream& aUpstream) const {
+    return this->SizeBeside(aUpstream, this->tokensKept);
+  }
+
+  /// Layers of an upstream that shares the requests with another holder.
+  int SizeShared(const PlacedUpstream& aUpstream) const {
+    return this->SizeBeside(
+        aUpstream,
+        std::max(this->tokensKept / 2, this->settings.fewestTokensKept));
+  }
+
+  /// Tokens of requests that an upstream has memory for beside `aSize`.
+  double TokensBeside(const PlacedUpstream& aUpstream, int aSize) const {
     const PoolKind* kind = this->model.FindKind(aUpstream.kind);
-    return kind == nullptr ? 0
-                           : std::min(this->model.layers,
-                                      PlacementPlanner::LayersBeside(
-                                          this->model, *kind,
-                                          this->tokensKept));
+    if (kind == nullptr || aSize <= 0) {
+      return 0;
+    }
+    const double free = kind->memoryMb - aSize * this->model.layerMb;
+    return std::max(0.0, free / (this->model.tokenMb / this->model.layers) /
+                             aSize);
   }
 
   int Room() const {
     int sum = 0;
     for (const PlacedUpstream& upstream : this->upstreams) {
-      sum += this->SizeOf(upstream);
+      sum += this->SizeAlone(upstream);
     }
     return sum;
   }
 
+  bool IsEmpty() const {
+    return std::all_of(this->upstreams.begin(), this->upstreams.end(),
+                       [](const PlacedUpstream& aUpstream) {
+                         return aUpstream.layers.Size() == 0 &&
+                                aUpstream.takesOrders;
+                       });
+  }
+
   void SortBySize() {
     std::stable_sort(
         this->upstreams.begin(), this->upstreams.end(),
         [this](const PlacedUpstream& aLeft, const PlacedUpstream& aRight) {
-          const int left = this->SizeOf(aLeft);
-          const int right = this->SizeOf(aRight);
+          const int left = this->SizeAlone(aLeft);
+          const int right = this->SizeAlone(aRight);
           return left != right ? left > right : aLeft.id < aRight.id;
         });
   }
 
-  void AddCover(LayerRange aRange, int aChange) {
-    for (int layer = aRange.first; layer < aRange.last; ++layer) {
+  void Count(const PlacedUpstream& aUpstream, int aChange) {
+    const double held = this->TokensBeside(aUpstream, aUpstream.layers.Size());
+    for (int layer = aUpstream.layers.first; layer < aUpstream.layers.last;
+         ++layer) {
       this->cover[static_cast<std::size_t>(layer)] += aChange;
+      this->tokens[static_cast<std::size_t>(layer)] += aChange * held;
     }
   }
 
@@ -74,53 +117,102 @@
   }
 
   void Order(PlacedUpstream& aUpstream, LayerRange aRange) {
-    this->AddCover(aUpstream.layers, -1);
-    this->AddCover(aRange, 1);
+    this->Count(aUpstream, -1);
     aUpstream.layers = aRange;
+    this->Count(aUpstream, 1);
     aUpstream.takesOrders = false;
     this->orders.push_back({aUpstream.id, aRange});
   }
 
-  /// The range of `aSize` layers with the fewest holders; the first of
-  /// equal ones, so that ranges join without overlap.
-  LayerRange LeastCovered(int aSize) const {
-    LayerRange best{0, aSize};
-    long bestSum = -1;
-    for (int first = 0; first + aSize <= this->model.layers; ++first) {
-      long sum = 0;
-      for (int layer = first; layer < first + aSize; ++layer) {
-        const long holders = this->CoverOf(layer);
-        sum += holders * holders;
+  /// Ranges for an empty domain in which the first `aDoubled` layers have
+  /// two holders; empty where the upstreams do not suffice.
+  std::vector<LayerRange> RangesWith(int aDoubled) const {
+    std::vector<LayerRange> ranges;
+    int next = 0;
+    bool isSecondCopy = false;
+    for (const PlacedUpstream& upstream : this->upstreams) {
+      if (isSecondCopy && next >= aDoubled) {
+        break;
       }
-      if (bestSum < 0 || sum < bestSum) {
-        bestSum = sum;
-        best = {first, first + aSize};
+      // An upstream across the seam holds some of its layers alone.
+      const int alone = this->SizeAlone(upstream);
+      const int shared =
+          std::min(this->SizeShared(upstream), aDoubled - next);
+      const int end = isSecondCopy ? aDoubled : this->model.layers;
+      const int last = std::min(next + std::max(alone, shared), end);
+      ranges.push_back({next, last});
+      next = last;
+      if (!isSecondCopy && next == this->model.layers) {
+        isSecondCopy = true;
+        next = 0;
       }
     }
-    return best;
+    const bool isWhole = isSecondCopy && next >= aDoubled;
+    return isWhole ? ranges : std::vector<LayerRange>{};
   }
 
-  /// Gives each empty upstream the layers with the fewest holders.
-  void PlaceEmpty() {
-    for (PlacedUpstream& upstream : this->upstreams) {
-      const int size = this->SizeOf(upstream);
-      if (!upstream.takesOrders || upstream.layers.Size() > 0 || size == 0) {
+  /// Lays an empty domain out with as many layers doubled as possible.
+  void LayOut() {
+    for (int doubled = this->model.layers; doubled >= 0; --doubled) {
+      const std::vector<LayerRange> ranges = this->RangesWith(doubled);
+      if (ranges.empty()) {
         continue;
       }
-      this->Order(upstream, this->TrimToGap(this->LeastCovered(size)));
+      for (std::size_t i = 0; i < ranges.size(); ++i) {
+        if (ranges[i].Size() > 0) {
+          this->Order(this->upstreams[i], ranges[i]);
+        }
+      }
+      return;
+    }
+  }
+
+  /// What holding a range would add: holders where there is none or one,
+  /// and memory for requests where there is too little.
+  double WorthOf(const PlacedUpstream& aUpstream, LayerRange aRange) const {
+    const double added = this->TokensBeside(aUpstream, aRange.Size());
+    double worth = 0;
+    for (int layer = aRange.first; layer < aRange.last; ++layer) {
+      const double held = this->tokens[static_cast<std::size_t>(layer)];
+      worth += std::min(added, std::max(0.0, this->tokensKept - held));
+      if (this->CoverOf(layer) == 0) {
+        worth += kUncoveredWorth * this->tokensKept;
+      } else if (this->CoverOf(layer) == 1) {
+        worth += this->settings.secondHolderShare * this->tokensKept;
+      }
     }
+    return worth;
   }
 
-  /// Shortens a range that reaches over the end of a gap into covered
-  /// layers, where it holds the gap's end: less to load, more memory.
-  LayerRange TrimToGap(LayerRange aRange) const {
-    if (this->CoverOf(aRange.first) != 0) {
-      while (aRange.Size() > 1 && this->CoverOf(aRange.first) > 0 &&
-             this->CoverOf(aRange.last - 1) == 0) {
-        ++aRange.first;
+  /// The range of an upstream that is worth most; the first of equal ones.
+  LayerRange BestRange(const PlacedUpstream& aUpstream) const {
+    LayerRange best;
+    double bestWorth = 0;
+    const int most = this->SizeShared(aUpstream);
+    for (int size = 1; size <= most; ++size) {
+      for (int first = 0; first + size <= this->model.layers; ++first) {
+        const LayerRange range{first, first + size};
+        const double worth = this->WorthOf(aUpstream, range);
+        if (worth > bestWorth) {
+          best = range;
+          bestWorth = worth;
+        }
+      }
+    }
+    return best;
+  }
+
+  /// Gives each empty upstream the range that is worth most.
+  void PlaceEmpty() {
+    for (PlacedUpstream& upstream : this->upstreams) {
+      if (!upstream.takesOrders || upstream.layers.Size() > 0) {
+        continue;
+      }
+      const LayerRange range = this->BestRange(upstream);
+      if (range.Size() > 0) {
+        this->Order(upstream, range);
       }
     }
-    return aRange;
   }
 
   /// First range without a holder, or an empty one.
@@ -156,7 +248,7 @@
     PlacedUpstream* best = nullptr;
     int bestSize = 0;
     for (PlacedUpstream& upstream : this->upstreams) {
-      const int size = std::min(this->SizeOf(upstream), aGap.Size());
+      const int size = std::min(this->SizeShared(upstream), aGap.Size());
       if (upstream.takesOrders && upstream.layers.Size() > 0 &&
           this->IsSpare(upstream) && size >= bestSize && size > 0) {
         best = &upstream;
@@ -179,7 +271,7 @@
         from = gap.last;
         continue;
       }
-      const int size = std::min(this->SizeOf(*spare), gap.Size());
+      const int size = std::min(this->SizeShared(*spare), gap.Size());
       this->Order(*spare, {gap.first, gap.first + size});
     }
   }
@@ -193,7 +285,7 @@
         continue;
       }
       const int most = PlacementPlanner::LayersBeside(
-          this->model, *kind, PlacementSettings{}.fewestTokensKept);
+          this->model, *kind, this->settings.fewestTokensKept);
       LayerRange grown = upstream.layers;
       while (grown.Size() < most && grown.last < this->model.layers &&
              this->CoverOf(grown.last) == 0) {
@@ -210,10 +302,13 @@
   }
 
   const ModelShape& model;
+  const PlacementSettings& settings;
   std::vector<PlacedUpstream> upstreams;
   double tokensKept = 0;
   /// Holders of each layer.
   std::vector<int> cover;
+  /// Tokens of requests that the holders of each layer have memory for.
+  std::vector<double> tokens;
   std::vector<PlacementOrder> orders;
 };
 
--- a/Zincstep/Pool/PlacementPlanner.h
+++ b/Zincstep/Pool/PlacementPlanner.h
@@ -27,21 +27,26 @@
 
 /// Settings of placement.
 struct PlacementSettings {
-  /// Tokens of requests that each upstream keeps memory for, in every
-  /// layer it holds: a failure domain's usual peak (docs/design/platform.md).
-  double tokensKept = 55'000;
-  /// The same where a failure domain is short of upstreams.
+  /// Tokens of requests that the holders of each layer have memory for
+  /// together: a failure domain's usual peak, and half of that again for
+  /// when another domain's callers come (docs/design/platform.md).
+  double tokensKept = 85'000;
+  /// The least that one holder keeps where a domain is short of upstreams.
   double fewestTokensKept = 20'000;
+  /// Worth of a second holder of a layer, as a share of `tokensKept`.
+  double secondHolderShare = 0.6;
 };
 
 /// Decides which upstream of a pool holds which layers.
 ///
 /// Each failure domain is planned by itself, since a chain that leaves it
-/// fills the pipes. Layers are laid out from the first on, by the largest
-/// upstreams first, and again from the first layer with those that remain:
-/// so what a large upstream holds, whose loss would take longest to load
-/// again, is the first to get a second holder. After that the plan changes
-/// only where layers have lost their last holder, or an upstream is empty.
+/// fills the pipes. Memory that layers leave free holds requests, and the
+/// layer with the least of it bounds the domain; so layers with one holder
+/// leave it more memory than those with two, who share the requests. An
+/// empty domain is laid out with as many layers doubled as that allows,
+/// the largest upstreams' first: their loss would take longest to load
+/// again. Later the plan changes only where layers have lost their last
+/// holder, or an upstream is empty.
 class PlacementPlanner {
  public:
   explicit PlacementPlanner(PlacementSettings aSettings)
--- a/Zincstep/Pool/UpstreamControl.h
+++ b/Zincstep/Pool/UpstreamControl.h
@@ -23,6 +23,14 @@
   bool isBusy = false;
   /// Orders that it has taken since its start.
   std::uint64_t sequence = 0;
+  /// Requests that run and that wait there.
+  int running = 0;
+  int queued = 0;
+  /// Above 1 it is slower than its kind.
+  double pace = 1;
+  /// Memory for requests that is in use, and all of it, in tokens x layers.
+  double memoryUsed = 0;
+  double memoryTotal = 0;
   std::vector<StalledRequest> stalled;
 };
 
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -8,15 +8,17 @@
 
 constexpr int kOk = 200;
 constexpr int kFirstServerError = 500;
-/// A guess of the answer's length is right in the median only; memory is
-/// promised for this much more.
-constexpr double kGuessSlack = 1.3;
+/// A guess of the answer's length is right in the median only, the mean is
+/// above it; but a running answer has on average half its length so far.
+constexpr double kGuessSlack = 1.1;
 /// A member under suspicion is left once the stream has stood still for a
 /// few of its usual pauses: a wrong suspicion then does no harm.
 constexpr Micros kMemberSilence = 100ms;
 /// An upstream that refused is passed over for so long: it may be short of
 /// memory, or hold other layers than its entry tells.
 constexpr Micros kRefusalPause = 300ms;
+/// An upstream with less of its memory promised than this has room.
+constexpr double kRoomyShare = 0.35;
 /// Callers give a silent stream up after this time at the earliest.
 constexpr Micros kCallerPatience = 2s;
 
@@ -150,6 +152,9 @@
         "zincstep_first_event_seconds",
         ToSeconds(this->Now() - this->request.message.readAt));
     connection.BeginChunks(this->head.status, PassedHeaders(this->head));
+    for (const PoolHop& hop : this->chain) {
+      hop.upstream->OnAccepted();
+    }
   }
   connection.AppendChunk(this->ready);
   this->ready.clear();
@@ -171,6 +176,11 @@
   const bool isWhole = aEnd == CallEnd::Complete && !this->isForeign;
   if (isWhole && this->facts.isNotRun) {
     this->upstream->OnAnswer(now);
+    LogInfo("upstream_refused",
+            {{"request", this->request.facts.id},
+             {"upstream", this->upstream->Entry().id},
+             {"status", this->head.status},
+             {"at_fault", this->facts.atFault}});
     this->Distrust(this->facts.atFault.empty()
                        ? this->upstream->Entry().address
                        : this->facts.atFault,
@@ -205,9 +215,18 @@
 void StreamExchange::Distrust(const std::string& aAddress, Instant aNow,
                               bool aIsDead) {
   for (const PoolHop& hop : this->chain) {
-    if (hop.upstream->Entry().address == aAddress) {
-      aIsDead ? hop.upstream->Suspect(aNow)
-              : hop.upstream->PassOver(aNow + kRefusalPause);
+    if (hop.upstream->Entry().address != aAddress) {
+      continue;
+    }
+    if (aIsDead) {
+      hop.upstream->Suspect(aNow);
+      continue;
+    }
+    hop.upstream->PassOver(aNow + kRefusalPause);
+    const double capacity = ChainChooser::Capacity(
+        *this->request.service->model, hop.upstream->Entry());
+    if (hop.upstream->Work(aNow) < capacity * kRoomyShare) {
+      hop.upstream->OnRefusal(aNow);
     }
   }
 }
@@ -343,6 +362,8 @@
       this->context.view.Directory().OfService(this->request.service->name),
       this->chain, this->tokens, aNow, this->context.random);
   if (!repaired) {
+    // Nobody in its domain holds what was lost: a chain elsewhere does.
+    this->Resume("no other holder of the lost layers");
     return;
   }
   this->isRepairing = true;
