Lost layers found sooner, streams moved off members that give layers up

Ruled out: loads slowing each other (two at most at a time). Change: streams leave members that give up layers or leave (a leaving member of a broken chain is kept where there is no other); the spare with the least work moves; silence is asked after at 150 ms; suspicions are told at once.

--- a/Zincstep/Cluster/ClusterView.cpp
+++ b/Zincstep/Cluster/ClusterView.cpp
@@ -86,7 +86,7 @@
            {"first_layer", decoded->layers.first},
            {"last_layer", decoded->layers.last},
            {"revision", aItem.revision}});
-  this->directory.Put(std::move(*decoded));
+  this->directory.Put(std::move(*decoded), this->clock.Now());
   if (const UpstreamPtr upstream = this->directory.Find(aItem.key)) {
     this->listener.OnUpstream(upstream);
   }
@@ -104,7 +104,7 @@
 void ClusterView::Remove(const std::string& aId) {
   this->entries.erase(aId);
   this->missing.erase(aId);
-  if (const UpstreamPtr upstream = this->directory.Remove(aId)) {
+  if (const UpstreamPtr upstream = this->directory.Remove(aId, this->clock.Now())) {
     LogInfo("upstream_gone", {{"upstream", aId},
                               {"address", upstream->Entry().address},
                               {"at", this->upstreamsAt}});
--- a/Zincstep/Cluster/PlacementKeeper.cpp
+++ b/Zincstep/Cluster/PlacementKeeper.cpp
@@ -118,8 +118,8 @@
     if (!upstream->IsSound(aNow) || isRejoining) {
       continue;
     }
-    PlacedUpstream one{entry.id, entry.failureDomain, entry.kind, entry.layers,
-                       true};
+    PlacedUpstream one{entry.id,     entry.failureDomain, entry.kind,
+                       entry.layers, true,                upstream->Work(aNow)};
     const auto order = this->pending.find(entry.id);
     if (order != this->pending.end()) {
       const bool isDone = order->second.layers == entry.layers;
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -63,7 +63,8 @@
         relay(RelayContext{aLoop, this->relaySettings, *this->adapters.dialect,
                            this->view, *this->adapters.control, this->clock,
                            this->random, this->metrics, this->chains,
-                           this->services, this->budgets, this->stop}),
+                           this->services, this->budgets, this->stop,
+                           [this] { this->OnSuspicion(); }}),
         admin([this] { return this->IsReady(); },
               [this] { return this->MetricsText(); }),
         callers(aLoop, this->relay, this->clock),
@@ -71,7 +72,7 @@
         keeper(MakeKeeperSettings(aSettings), *this->adapters.store,
                *this->adapters.control, this->view, this->clock),
         peers(aLoop, aSettings, *this->adapters.store, this->view, this->clock,
-              this->random),
+              this->random, [this] { this->keeper.Tick(); }),
         fastTimer(aLoop),
         dutyTimer(aLoop),
         signals(aLoop, SIGTERM, SIGINT, SIGHUP) {}
@@ -97,6 +98,7 @@
 
   void OnConfiguration() override;
   void OnUpstream(const UpstreamPtr&) override {}
+  void OnSuspicion();
   void FollowOwnKeys();
   void WaitForSignal();
   void OnFastTick();
@@ -179,6 +181,12 @@
   this->callers.SetLimits(this->view.Table()->Configuration().limits);
 }
 
+void EdgeDaemon::OnSuspicion() {
+  // Whoever has the duty is to know at once: each tenth of a second counts.
+  this->peers.GossipSoon();
+  this->keeper.Tick();
+}
+
 void EdgeDaemon::WaitForSignal() {
   this->signals.async_wait([this](const asio::error_code& aError, int aSignal) {
     if (aError) {
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -53,13 +53,15 @@
 PeerExchange::PeerExchange(asio::io_context& aLoop,
                            const EdgeSettings& aSettings, AsyncStore& aStore,
                            ClusterView& aView, const Clock& aClock,
-                           Random& aRandom)
+                           Random& aRandom,
+                           std::function<void()> aOnSuspicion)
     : loop(aLoop),
       settings(aSettings),
       store(aStore),
       view(aView),
       clock(aClock),
       random(aRandom),
+      onSuspicion(std::move(aOnSuspicion)),
       seeds(SeedPeers(aSettings)) {
   PeerHubSettings hubSettings;
   hubSettings.listen = aSettings.peerListen;
@@ -99,6 +101,7 @@
 void PeerExchange::OnGossip(const std::string& aSender,
                             const WorkGossip& aGossip) {
   const Instant now = this->clock.Now();
+  bool isNews = false;
   for (const auto& [id, upstream] : this->view.Directory().All()) {
     upstream->SetOthers(aSender, 0, now);
   }
@@ -116,8 +119,24 @@
       LogInfo("upstream_suspected",
               {{"upstream", work.id}, {"by", aSender}});
       upstream->Suspect(now);
+      isNews = true;
     }
   }
+  if (isNews) {
+    this->onSuspicion();
+  }
+}
+
+void PeerExchange::GossipSoon() {
+  if (this->isGossipDue) {
+    return;
+  }
+  // One message for all that is found in this turn of the loop.
+  this->isGossipDue = true;
+  asio::post(this->loop, [this] {
+    this->isGossipDue = false;
+    this->Gossip();
+  });
 }
 
 void PeerExchange::OnGive(const ClusterGive& aGive) {
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <asio.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,12 +23,14 @@
  public:
   PeerExchange(asio::io_context& aLoop, const EdgeSettings& aSettings,
                AsyncStore& aStore, ClusterView& aView, const Clock& aClock,
-               Random& aRandom);
+               Random& aRandom, std::function<void()> aOnSuspicion);
 
   Result<void> Start();
   void Stop();
   /// Tells and asks where it is time; to be called several times a second.
   void Tick();
+  /// Tells this daemon's work and suspicions at once.
+  void GossipSoon();
   /// Items under the daemons' own prefix, as they are.
   void OnMembers(const StoreRange& aRange);
   /// Changes under the daemons' own prefix.
@@ -58,6 +61,8 @@
   ClusterView& view;
   const Clock& clock;
   Random& random;
+  /// Called when a peer has told of a new suspicion.
+  std::function<void()> onSuspicion;
   std::unique_ptr<PeerHub> hub;
   std::map<std::string, Member> members;
   std::vector<std::string> seeds;
@@ -69,6 +74,7 @@
   Instant nextGossip{};
   Instant nextQuestion{};
   bool isWriting = false;
+  bool isGossipDue = false;
   bool toldWork = false;
 };
 
--- a/Zincstep/Pool/ChainChooser.cpp
+++ b/Zincstep/Pool/ChainChooser.cpp
@@ -9,9 +9,10 @@
 
 /// Costs are in milliseconds.
 constexpr double kMillisASecond = 1000;
-/// A hop of a broken chain that still works costs this share: its cache of
-/// the request stays, another upstream would have to build one.
-constexpr double kKeptShare = 0.1;
+/// A hop of a broken chain that works but leaves costs more than any other:
+/// one that works and stays costs nothing, since its cache of the request
+/// stays too.
+constexpr double kLeavingHopCost = 1000;
 
 /// Keeps one part of an upstream that a cover uses twice.
 ///
@@ -133,10 +134,12 @@
     if (kept == aChain.end()) {
       continue;
     }
-    item.usable = kept != aChain.begin() && aUpstreams[i]->IsUsable(aNow);
+    // A kept hop that leaves serves on for a while: better than none.
+    item.usable = kept != aChain.begin() && !aUpstreams[i]->IsSuspect(aNow) &&
+                  aUpstreams[i]->Entry().layers.Covers(kept->layers);
     item.layers = kept->layers;
-    item.layerCost *= kKeptShare;
-    item.fixedCost = 0;
+    item.layerCost = 0;
+    item.fixedCost = aUpstreams[i]->IsUsable(aNow) ? 0 : kLeavingHopCost;
   }
   const LayerRange rest{first.layers.last, aModel.layers};
   PoolChain chain{first};
--- a/Zincstep/Pool/LiveUpstream.cpp
+++ b/Zincstep/Pool/LiveUpstream.cpp
@@ -22,6 +22,18 @@
 
 }  // namespace
 
+void LiveUpstream::SetEntry(UpstreamEntry aEntry, Instant aNow) {
+  this->entry = std::move(aEntry);
+  if (this->entry.state == Availability::Draining && !this->leavingSince) {
+    this->leavingSince = aNow;
+  }
+}
+
+void LiveUpstream::SetGone(Instant aNow) {
+  this->isGone = true;
+  this->leavingSince = this->leavingSince.value_or(aNow);
+}
+
 void LiveUpstream::Suspect(Instant aNow) {
   if (this->IsSuspect(aNow)) {
     return;
--- a/Zincstep/Pool/LiveUpstream.h
+++ b/Zincstep/Pool/LiveUpstream.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "Zincstep/Config/Config.h"
@@ -41,7 +42,7 @@
   explicit LiveUpstream(UpstreamEntry aEntry) : entry(std::move(aEntry)) {}
 
   const UpstreamEntry& Entry() const { return this->entry; }
-  void SetEntry(UpstreamEntry aEntry) { this->entry = std::move(aEntry); }
+  void SetEntry(UpstreamEntry aEntry, Instant aNow);
 
   /// There is evidence that it does not answer; it gets no new work for
   /// a time that doubles with each suspicion in a row.
@@ -53,8 +54,12 @@
   bool IsSuspect(Instant aNow) const { return aNow < this->suspectUntil; }
 
   /// It has left the list; what runs there may still end.
-  void SetGone() { this->isGone = true; }
+  void SetGone(Instant aNow);
   bool IsGone() const { return this->isGone; }
+  /// Whether it has been leaving for so long.
+  bool IsLeaving(Instant aNow, Micros aFor) const {
+    return this->leavingSince && aNow - *this->leavingSince >= aFor;
+  }
   /// Whether new work may be given to it.
   bool IsUsable(Instant aNow) const {
     return !this->isGone && this->entry.state == Availability::Ready &&
@@ -102,6 +107,7 @@
   UpstreamEntry entry;
   std::map<std::string, Told> others;
   Instant refusingUntil{};
+  std::optional<Instant> leavingSince;
   int refusals = 0;
   Instant suspectUntil{};
   Instant answeredAt{};
--- a/Zincstep/Pool/PlacementPlanner.cpp
+++ b/Zincstep/Pool/PlacementPlanner.cpp
@@ -243,14 +243,18 @@
     return true;
   }
 
-  /// The spare upstream that covers most of a gap, or null.
+  /// The spare upstream that covers most of a gap, or null; of equal ones
+  /// the one with the least work to end before.
   PlacedUpstream* BestSpare(LayerRange aGap) {
     PlacedUpstream* best = nullptr;
     int bestSize = 0;
     for (PlacedUpstream& upstream : this->upstreams) {
       const int size = std::min(this->SizeShared(upstream), aGap.Size());
-      if (upstream.takesOrders && upstream.layers.Size() > 0 &&
-          this->IsSpare(upstream) && size >= bestSize && size > 0) {
+      const bool isBetter =
+          best == nullptr || size > bestSize ||
+          (size == bestSize && upstream.work < best->work);
+      if (upstream.takesOrders && upstream.layers.Size() > 0 && size > 0 &&
+          isBetter && this->IsSpare(upstream)) {
         best = &upstream;
         bestSize = size;
       }
--- a/Zincstep/Pool/PlacementPlanner.h
+++ b/Zincstep/Pool/PlacementPlanner.h
@@ -17,6 +17,9 @@
   LayerRange layers;
   /// Whether it gets orders: ready, answering, no order under way.
   bool takesOrders = true;
+  /// Requests in flight there, in tokens x layers: it gives its layers up
+  /// only once they have ended.
+  double work = 0;
 };
 
 /// An order: the upstream is to hold these layers instead of its own.
--- a/Zincstep/Pool/UpstreamDirectory.cpp
+++ b/Zincstep/Pool/UpstreamDirectory.cpp
@@ -2,21 +2,21 @@
 
 namespace zincstep {
 
-void UpstreamDirectory::Put(UpstreamEntry aEntry) {
+void UpstreamDirectory::Put(UpstreamEntry aEntry, Instant aNow) {
   const auto found = this->all.find(aEntry.id);
   if (found != this->all.end()) {
     if (found->second->Entry().service == aEntry.service) {
-      found->second->SetEntry(std::move(aEntry));
+      found->second->SetEntry(std::move(aEntry), aNow);
       return;
     }
-    this->Remove(aEntry.id);
+    this->Remove(aEntry.id, aNow);
   }
   auto upstream = std::make_shared<LiveUpstream>(std::move(aEntry));
   this->all.emplace(upstream->Entry().id, upstream);
   this->byService[upstream->Entry().service].push_back(std::move(upstream));
 }
 
-UpstreamPtr UpstreamDirectory::Remove(const std::string& aId) {
+UpstreamPtr UpstreamDirectory::Remove(const std::string& aId, Instant aNow) {
   const auto found = this->all.find(aId);
   if (found == this->all.end()) {
     return nullptr;
@@ -24,7 +24,7 @@
   UpstreamPtr upstream = found->second;
   this->all.erase(found);
   this->Unlist(upstream);
-  upstream->SetGone();
+  upstream->SetGone(aNow);
   return upstream;
 }
 
--- a/Zincstep/Pool/UpstreamDirectory.h
+++ b/Zincstep/Pool/UpstreamDirectory.h
@@ -12,9 +12,9 @@
 class UpstreamDirectory {
  public:
   /// An entry is new or has changed.
-  void Put(UpstreamEntry aEntry);
+  void Put(UpstreamEntry aEntry, Instant aNow);
   /// An entry is gone; gives the upstream, or null where it was unknown.
-  UpstreamPtr Remove(const std::string& aId);
+  UpstreamPtr Remove(const std::string& aId, Instant aNow);
 
   /// The upstream of that id, or null.
   UpstreamPtr Find(const std::string& aId) const;
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -103,7 +103,7 @@
   if (!endpoint) {
     LogWarning("upstream_address", {{"upstream", aUpstream->Entry().id},
                                     {"reason", endpoint.error().message}});
-    aUpstream->Suspect(this->sentAt);
+    this->Suspect(*aUpstream);
     return;
   }
   const ForwardedRequest forwarded{this->request.message,
@@ -128,6 +128,19 @@
   }
 }
 
+void Exchange::Suspect(LiveUpstream& aUpstream) {
+  const Instant now = this->Now();
+  if (aUpstream.IsSuspect(now)) {
+    return;
+  }
+  aUpstream.Suspect(now);
+  LogInfo("upstream_suspected", {{"upstream", aUpstream.Entry().id},
+                                 {"request", this->request.facts.id}});
+  if (this->context.onSuspicion) {
+    this->context.onSuspicion();
+  }
+}
+
 bool Exchange::TakeRetry() {
   return this->sends < this->context.settings.mostSends &&
          this->Now() < this->request.end &&
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -59,6 +59,8 @@
             std::optional<std::uint64_t> aLastEventId);
   /// Ends the present call, if any.
   void CancelCall();
+  /// There is evidence that an upstream does not answer.
+  void Suspect(LiveUpstream& aUpstream);
   /// Whether another send is allowed by count and budget.
   bool TakeRetry();
   /// Whether an answer of that kind can only be some other request's, or
--- a/Zincstep/Relay/RelayContext.h
+++ b/Zincstep/Relay/RelayContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <asio.hpp>
+#include <functional>
 #include <map>
 
 #include "Zincstep/Admission/RetryBudget.h"
@@ -30,11 +31,11 @@
   double longestWaitShare = 0.2;
   /// A stream without its first event for so long is asked after: several
   /// times the usual time of reading a prompt.
-  Micros firstEventSilence = 450ms;
-  /// The same between events: ten times the usual pause.
-  Micros eventSilence = 250ms;
+  Micros firstEventSilence = 400ms;
+  /// The same between events: six times the usual pause.
+  Micros eventSilence = 150ms;
   /// Pause between questions to one upstream about its stalled requests.
-  Micros stallQuestionPause = 200ms;
+  Micros stallQuestionPause = 150ms;
   Micros reportTimeout = 300ms;
   /// Pause between attempts to repair one stream.
   Micros repairPause = 200ms;
@@ -62,6 +63,8 @@
   std::map<std::string, RetryBudget>& budgets;
   /// Whether new work is taken while the daemon stops.
   const StopPolicy& stop;
+  /// Called when an upstream has come under suspicion here.
+  std::function<void()> onSuspicion;
 
   RetryBudget& BudgetOf(const std::string& aService) {
     return this->budgets.try_emplace(aService, this->settings.retries)
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -79,7 +79,7 @@
   this->EndCall();
   this->call.reset();
   if (aEnd == CallEnd::NotConnected) {
-    this->upstream->Suspect(now);
+    this->Suspect(*this->upstream);
     this->OnNotRun("no connection");
     return;
   }
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -19,6 +19,9 @@
 constexpr Micros kRefusalPause = 300ms;
 /// An upstream with less of its memory promised than this has room.
 constexpr double kRoomyShare = 0.35;
+/// A member that leaves serves on for about two seconds; a stream that is
+/// still running there after this is moved on to another.
+constexpr Micros kLeavingTime = 1s;
 /// Callers give a silent stream up after this time at the earliest.
 constexpr Micros kCallerPatience = 2s;
 
@@ -169,7 +172,7 @@
   const Instant now = this->Now();
   this->call.reset();
   if (aEnd == CallEnd::NotConnected) {
-    this->upstream->Suspect(now);
+    this->Suspect(*this->upstream);
     this->OnNotRun();
     return;
   }
@@ -219,7 +222,7 @@
       continue;
     }
     if (aIsDead) {
-      hop.upstream->Suspect(aNow);
+      this->Suspect(*hop.upstream);
       continue;
     }
     hop.upstream->PassOver(aNow + kRefusalPause);
@@ -300,8 +303,13 @@
     return;
   }
   if (this->Silence(aNow) < kMemberSilence) {
+    bool isToLeave = false;
     for (const PoolHop& hop : this->chain) {
       hop.upstream->OnAnswer(this->lastProgress);
+      isToLeave = isToLeave || this->IsLeft(hop, aNow);
+    }
+    if (isToLeave && this->headSent) {
+      this->MoveOn(aNow);
     }
     return;
   }
@@ -318,6 +326,28 @@
   }
 }
 
+bool StreamExchange::IsLeft(const PoolHop& aHop, Instant aNow) const {
+  if (aHop.upstream == this->upstream) {
+    return false;
+  }
+  const bool givesUp = !aHop.upstream->Entry().layers.Covers(aHop.layers);
+  return givesUp || aHop.upstream->IsLeaving(aNow, kLeavingTime);
+}
+
+void StreamExchange::MoveOn(Instant aNow) {
+  if (this->isRepairing || aNow < this->nextRepair) {
+    return;
+  }
+  this->nextRepair = aNow + this->context.settings.repairPause;
+  const auto chain = this->context.chains.Repair(
+      *this->request.service->model,
+      this->context.view.Directory().OfService(this->request.service->name),
+      this->chain, this->tokens, aNow, this->context.random);
+  if (chain) {
+    this->Repath(*chain);
+  }
+}
+
 UpstreamPtr StreamExchange::WantsReport(Instant aNow) {
   if (this->IsDone() || !this->call || !this->call->HasSent() ||
       this->isRepairing || this->isHeldUp) {
@@ -337,7 +367,7 @@
     return;
   }
   if (!aReport) {
-    aUpstream->Suspect(now);
+    this->Suspect(*aUpstream);
     this->Resume("the first upstream does not answer");
     return;
   }
@@ -366,14 +396,17 @@
     this->Resume("no other holder of the lost layers");
     return;
   }
+  this->Repath(*repaired);
+}
+
+void StreamExchange::Repath(const PoolChain& aChain) {
   this->isRepairing = true;
-  const PoolChain wanted = *repaired;
   this->context.control.Repath(
-      this->request.facts.id, wanted,
+      this->request.facts.id, aChain,
       [self = std::static_pointer_cast<StreamExchange>(
            this->shared_from_this()),
-       wanted](Result<OrderOutcome> aOutcome) {
-        self->OnRepaired(wanted, aOutcome);
+       aChain](Result<OrderOutcome> aOutcome) {
+        self->OnRepaired(aChain, aOutcome);
       });
 }
 
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -42,6 +42,10 @@
   void Fail(const char* aReason);
   void CheckMembers(Instant aNow);
   void Repair(Instant aNow);
+  /// Moves a running stream off members that leave or give layers up.
+  void MoveOn(Instant aNow);
+  void Repath(const PoolChain& aChain);
+  bool IsLeft(const PoolHop& aHop, Instant aNow) const;
   void OnRepaired(PoolChain aChain, const Result<OrderOutcome>& aOutcome);
   void Distrust(const std::string& aAddress, Instant aNow, bool aIsDead);
   bool IsStream() const;
