--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -8,9 +8,9 @@
 
 constexpr int kOk = 200;
 constexpr int kFirstServerError = 500;
-/// A guess of the answer's length is right in the median only, the mean is
-/// above it; but a running answer has on average half its length so far.
-constexpr double kGuessSlack = 1.1;
+/// A running answer has on average half its length so far, and the mean
+/// length is some way above the callers' guess, which is a median.
+constexpr double kGuessShare = 0.6;
 /// A member under suspicion is left once the stream has stood still for a
 /// few of its usual pauses: a wrong suspicion then does no harm.
 constexpr Micros kMemberSilence = 100ms;
@@ -33,8 +33,8 @@
       splitter(this->request.facts.lastEventId) {
   const TokenUse& use = this->request.facts.tokens;
   const ModelShape& model = *this->request.service->model;
-  const double guess = use.guessedOut > 0 ? use.guessedOut * kGuessSlack
-                                          : model.usualAnswer * kGuessSlack;
+  const double guess = use.guessedOut > 0 ? use.guessedOut * kGuessShare
+                                          : model.usualAnswer * kGuessShare;
   const double most = use.mostOut > 0 ? use.mostOut : guess;
   this->tokens = (use.prompt > 0 ? use.prompt : model.usualPrompt) +
                  std::min(guess, most);
