--- /dev/null
+++ b/UnitTests/ClusterViewTest.cpp
@@ -0,0 +1,140 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Zincstep/Cluster/Cluster.h"
+#include "platform/Platform.h"
+
+namespace zincstep {
+namespace {
+
+std::string ConfigText(int aVersion) {
+  return R"({"configVersion":)" + std::to_string(aVersion) +
+         R"(,"routes":[],"services":[]})";
+}
+
+std::string EntryText(const std::string& aState) {
+  return R"({"backend":"s","address":"10.0.0.1:80","zone":"a","slots":4,)"
+         R"("state":")" +
+         aState + R"("})";
+}
+
+class ClusterViewTest : public CppUnit::TestFixture, private ClusterListener {
+  CPPUNIT_TEST_SUITE(ClusterViewTest);
+  CPPUNIT_TEST(Configuration_OlderRevision_IsPassedOver);
+  CPPUNIT_TEST(Configuration_ThatDoesNotParse_KeepsTheLast);
+  CPPUNIT_TEST(Configuration_Newer_NeedsAProofOfItsOwn);
+  CPPUNIT_TEST(Proof_OfAnotherRevision_CountsNothing);
+  CPPUNIT_TEST(Proof_CountsFromWhenTheCallBegan);
+  CPPUNIT_TEST(Copy_ProofOfAPeer_CountsFromTheQuestion);
+  CPPUNIT_TEST(Copy_OlderUpstreams_ArePassedOver);
+  CPPUNIT_TEST(Upstream_Draining_GetsNoWork);
+  CPPUNIT_TEST(Upstream_Removed_IsGoneAtOnce);
+  CPPUNIT_TEST(Upstream_MissingAfterAnOutage_HasAGrace);
+  CPPUNIT_TEST(Upstream_LateEvent_DoesNotRemoveANewerEntry);
+  CPPUNIT_TEST_SUITE_END();
+
+  void OnConfiguration() override { this->configurations += 1; }
+  void OnUpstream(const UpstreamPtr&) override {}
+
+  std::unique_ptr<ClusterDecoder> decoder = platform::MakeDecoder();
+  FakeClock clock;
+  ClusterView view{*decoder, *this, clock};
+  int configurations = 0;
+
+ public:
+  void Configuration_OlderRevision_IsPassedOver() {
+    view.OnConfiguration({"", ConfigText(9), 20});
+    view.OnConfiguration({"", ConfigText(8), 10});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9},
+                         view.Table()->Configuration().version);
+    CPPUNIT_ASSERT_EQUAL(1, configurations);
+  }
+
+  void Configuration_ThatDoesNotParse_KeepsTheLast() {
+    view.OnConfiguration({"", ConfigText(9), 20});
+    view.OnConfiguration({"", R"({"configVersion":10,"routes":[{}]})", 30});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9},
+                         view.Table()->Configuration().version);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, view.ConfigRevision());
+  }
+
+  void Configuration_Newer_NeedsAProofOfItsOwn() {
+    view.OnConfiguration({"", ConfigText(9), 20});
+    view.OnProof(20, clock.Now());
+    view.OnConfiguration({"", ConfigText(10), 30});
+    CPPUNIT_ASSERT(!view.ProofAge());
+  }
+
+  void Proof_OfAnotherRevision_CountsNothing() {
+    view.OnConfiguration({"", ConfigText(9), 20});
+    view.OnProof(19, clock.Now());
+    CPPUNIT_ASSERT(!view.ProofAge());
+  }
+
+  void Proof_CountsFromWhenTheCallBegan() {
+    view.OnConfiguration({"", ConfigText(9), 20});
+    const Instant began = clock.Now();
+    clock.Advance(700ms);
+    view.OnProof(20, began);
+    CPPUNIT_ASSERT(*view.ProofAge() == 700ms);
+    view.OnProof(20, began - 1s);
+    CPPUNIT_ASSERT(*view.ProofAge() == 700ms);
+  }
+
+  void Copy_ProofOfAPeer_CountsFromTheQuestion() {
+    view.OnConfiguration({"", ConfigText(9), 20});
+    const Instant asked = clock.Now();
+    clock.Advance(3s);
+    ClusterCopy copy;
+    copy.configRevision = 20;
+    copy.proofAge = 500ms;
+    view.OnCopy(copy, asked);
+    CPPUNIT_ASSERT(*view.ProofAge() == 3500ms);
+  }
+
+  void Copy_OlderUpstreams_ArePassedOver() {
+    view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
+    ClusterCopy copy;
+    copy.upstreamsAt = 40;
+    view.OnCopy(copy, clock.Now());
+    CPPUNIT_ASSERT(view.Directory().Find("i1") != nullptr);
+  }
+
+  void Upstream_Draining_GetsNoWork() {
+    view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
+    const UpstreamPtr upstream = view.Directory().Find("i1");
+    CPPUNIT_ASSERT(upstream->IsUsable(clock.Now()));
+    view.OnUpstreamEvents({{{{"i1", EntryText("draining"), 60}, false}}, 60});
+    CPPUNIT_ASSERT(!upstream->IsUsable(clock.Now()));
+  }
+
+  void Upstream_Removed_IsGoneAtOnce() {
+    view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
+    const UpstreamPtr upstream = view.Directory().Find("i1");
+    view.OnUpstreamEvents({{{{"i1", "", 60}, true}}, 60});
+    CPPUNIT_ASSERT(view.Directory().Find("i1") == nullptr);
+    CPPUNIT_ASSERT(!upstream->IsUsable(clock.Now()));
+  }
+
+  void Upstream_MissingAfterAnOutage_HasAGrace() {
+    view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
+    view.OnStoreReached(false);
+    clock.Advance(5s);
+    view.OnStoreReached(true);
+    view.OnUpstreams({{}, 60});
+    CPPUNIT_ASSERT(view.Directory().Find("i1") != nullptr);
+    clock.Advance(3s);
+    view.Tick();
+    CPPUNIT_ASSERT(view.Directory().Find("i1") == nullptr);
+  }
+
+  void Upstream_LateEvent_DoesNotRemoveANewerEntry() {
+    view.OnUpstreams({{{"i1", EntryText("ready"), 70}}, 80});
+    view.OnUpstreamEvents({{{{"i1", "", 60}, true}}, 60});
+    CPPUNIT_ASSERT(view.Directory().Find("i1") != nullptr);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClusterViewTest);
+
+}  // namespace
+}  // namespace zincstep
--- a/Zincstep/Admission/RetryBudget.h
+++ b/Zincstep/Admission/RetryBudget.h
@@ -28,6 +28,9 @@
   void OnRequest();
   /// Takes one retry out of the budget; false where there is none.
   bool TakeRetry();
+  /// Sets how many retries may be saved up, as a share of a common bound
+  /// changes with the number of those who share it.
+  void SetMost(double aMost);
   /// Pause before retry number `aRetry`, from 1: full jitter.
   Micros Pause(int aRetry, Random& aRandom) const;
 
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -121,7 +121,17 @@
   this->onOwnEvents = std::move(aOnEvents);
 }
 
+bool StoreFollower::Relies() const {
+  const auto age = this->view.ProofAge();
+  return this->mayRely && this->mayRely() && age &&
+         *age <= this->settings.longestReliance;
+}
+
 void StoreFollower::Prove() {
+  if (this->Relies()) {
+    this->ProveAfter(this->settings.reliancePause);
+    return;
+  }
   StoreChange check;
   check.key = this->settings.keys.configuration;
   check.expected = this->view.ConfigRevision();
@@ -147,8 +157,12 @@
     pause = this->settings.firstRetry;
   }
   const Micros taken = this->clock.Now() - aBegan;
-  this->proofTimer.expires_after(std::max<Micros>(
+  this->ProveAfter(std::max<Micros>(
       pause - taken, aResult ? Micros{0} : this->settings.firstRetry));
+}
+
+void StoreFollower::ProveAfter(Micros aPause) {
+  this->proofTimer.expires_after(aPause);
   this->proofTimer.async_wait([this](const asio::error_code& aError) {
     if (!aError) {
       this->Prove();
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <asio.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -24,6 +25,11 @@
   /// Time between proofs that the configuration is the newest one: well
   /// under the time within which one must be in force everywhere.
   Micros proofInterval = 900ms;
+  /// While a peer proves for this daemon, it looks this often whether that
+  /// goes on, and proves by itself once the newest proof is older than
+  /// `longestReliance`: one proof and its way are overdue then.
+  Micros reliancePause = 250ms;
+  Micros longestReliance = 1700ms;
   /// Longest wait of one watch: a call each, so long; an answer that was
   /// lost goes unnoticed for that long, so not longer.
   Micros watchWait = 6s;
@@ -79,11 +85,18 @@
   void SetOwnListener(PrefixFollower::OnRange aOnRange,
                       PrefixFollower::OnEvents aOnEvents);
 
+  /// Says whether a peer proves that the configuration is the newest.
+  void SetMayRely(std::function<bool()> aMayRely) {
+    this->mayRely = std::move(aMayRely);
+  }
+
   /// Whether the store has answered the last proof.
   bool IsReached() const { return this->isReached; }
 
  private:
   void Prove();
+  bool Relies() const;
+  void ProveAfter(Micros aPause);
   void OnProved(std::uint64_t aChecked, Instant aBegan,
                 Result<StoreCommit> aResult);
   void SetReached(bool aReached);
@@ -93,6 +106,7 @@
   ClusterView& view;
   const Clock& clock;
   asio::steady_timer proofTimer;
+  std::function<bool()> mayRely;
   PrefixFollower::OnRange onOwnRange;
   PrefixFollower::OnEvents onOwnEvents;
   PrefixFollower upstreams;
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -144,6 +144,7 @@
     return started;
   }
   this->FollowOwnKeys();
+  this->follower.SetMayRely([this] { return this->peers.MayRely(); });
   this->follower.Start();
   this->WaitForSignal();
   this->OnFastTick();
@@ -179,6 +180,7 @@
 
 void EdgeDaemon::OnConfiguration() {
   this->callers.SetLimits(this->view.Table()->Configuration().limits);
+  this->peers.OnConfiguration();
 }
 
 void EdgeDaemon::OnSuspicion() {
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -27,6 +27,12 @@
 /// Up to so many members all are told of each other's work; beyond, those
 /// of the own failure domain, whose upstreams they share most.
 constexpr std::size_t kFewMembers = 16;
+/// The domain's first daemon is asked for its proof this often: together
+/// with the time between its proofs this stays well under the bound within
+/// which a configuration must be in force.
+constexpr Micros kReliancePause = 600ms;
+/// Number of no question: what comes with it was not asked for.
+constexpr std::uint64_t kUnasked = 0;
 /// A question that was not answered by then is forgotten.
 constexpr Micros kQuestionLife = 5s;
 /// A peer's suspicion counts where nothing came through that upstream for
@@ -140,6 +146,13 @@
 }
 
 void PeerExchange::OnGive(const ClusterGive& aGive) {
+  if (aGive.question == kUnasked) {
+    // How long this was under way is not known: it proves nothing.
+    ClusterCopy copy = aGive.copy;
+    copy.proofAge.reset();
+    this->view.OnCopy(copy, this->clock.Now());
+    return;
+  }
   const auto asked = this->questions.find(aGive.question);
   if (asked == this->questions.end()) {
     return;
@@ -186,6 +199,11 @@
     this->nextGossip = now + kGossipPause;
     this->Gossip();
   }
+  const Member* first = this->FirstPeer();
+  if (first != nullptr && now >= this->nextReliance) {
+    this->nextReliance = now + kReliancePause;
+    this->Ask(first->address, now);
+  }
   const auto age = this->view.ProofAge();
   if ((!age || *age > kOwnProofAge) && now >= this->nextQuestion) {
     this->nextQuestion = now + kQuestionPause;
@@ -284,18 +302,46 @@
   return known;
 }
 
-void PeerExchange::AskPeers(Instant aNow) {
+const PeerExchange::Member* PeerExchange::FirstPeer() const {
+  for (const auto& [name, member] : this->members) {
+    if (name >= this->settings.name) {
+      return nullptr;
+    }
+    if (member.failureDomain == this->settings.failureDomain) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+void PeerExchange::OnConfiguration() {
+  if (this->FirstPeer() != nullptr) {
+    return;
+  }
+  for (const auto& [name, member] : this->members) {
+    if (member.failureDomain == this->settings.failureDomain) {
+      this->Send(member.address,
+                 ClusterGive{kUnasked, this->view.CopyFor(
+                                           0, this->view.UpstreamsAt())});
+    }
+  }
+}
+
+void PeerExchange::Ask(const std::string& aAddress, Instant aNow) {
   std::erase_if(this->questions, [aNow](const auto& aQuestion) {
     return aNow - aQuestion.second > kQuestionLife;
   });
+  const std::uint64_t question = ++this->lastQuestion;
+  this->questions[question] = aNow;
+  this->Send(aAddress, ClusterWant{question, this->view.ConfigRevision(),
+                                   this->view.UpstreamsAt()});
+}
+
+void PeerExchange::AskPeers(Instant aNow) {
   std::vector<std::string> known = this->KnownAddresses();
   for (std::size_t i = 0; i < kAskedAtOnce && !known.empty(); ++i) {
     const std::size_t pick = this->random.Below(known.size());
-    const std::uint64_t question = ++this->lastQuestion;
-    this->questions[question] = aNow;
-    this->Send(known[pick],
-               ClusterWant{question, this->view.ConfigRevision(),
-                           this->view.UpstreamsAt()});
+    this->Ask(known[pick], aNow);
     known.erase(known.begin() + static_cast<std::ptrdiff_t>(pick));
   }
 }
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -29,6 +29,12 @@
   void Stop();
   /// Tells and asks where it is time; to be called several times a second.
   void Tick();
+  /// Whether another daemon proves for this failure domain: the one whose
+  /// name is the first. The others ask it, so that the store does not have
+  /// to answer all.
+  bool MayRely() const { return this->FirstPeer() != nullptr; }
+  /// A newer configuration is in force here: peers are told at once.
+  void OnConfiguration();
   /// Tells this daemon's work and suspicions at once.
   void GossipSoon();
   /// Items under the daemons' own prefix, as they are.
@@ -52,6 +58,9 @@
   void Gossip();
   void AskPeers(Instant aNow);
   std::vector<std::string> KnownAddresses() const;
+  /// The domain's member of the first name; null where it is this one.
+  const Member* FirstPeer() const;
+  void Ask(const std::string& aAddress, Instant aNow);
   void Send(const std::string& aAddress,
             std::variant<WorkGossip, ClusterWant, ClusterGive> aBody);
 
@@ -73,6 +82,7 @@
   Instant nextKeep{};
   Instant nextGossip{};
   Instant nextQuestion{};
+  Instant nextReliance{};
   bool isWriting = false;
   bool isGossipDue = false;
   bool toldWork = false;
--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -225,13 +225,21 @@
   }
   this->lastActive = this->clock.Now();
   this->Flush();
-  if (!this->isWriting && !this->isBusy && this->closesAfter) {
+  const bool isAnswered = !this->isBusy && this->closesAfter;
+  if (!this->isWriting && (isAnswered || this->closesWhenSent)) {
     this->Close();
   }
 }
 
 void CallerConnection::Abort() { this->Close(); }
 
+void CallerConnection::CloseWhenSent() {
+  this->closesWhenSent = true;
+  if (!this->isWriting) {
+    this->Close();
+  }
+}
+
 void CallerConnection::CloseWhenDone() {
   this->closesAfter = true;
   if (!this->isBusy && !this->isWriting && !this->parser.HasBegun()) {
--- a/Zincstep/Net/CallerConnection.h
+++ b/Zincstep/Net/CallerConnection.h
@@ -59,6 +59,8 @@
   void EndChunks();
   /// Closes at once, so that an answer that has begun looks cut short.
   void Abort();
+  /// Closes once all bytes so far are out: an answer in chunks looks cut.
+  void CloseWhenSent();
   /// Closes once the present answer is out, or now where none is due.
   void CloseWhenDone();
   /// The next answer is the connection's last.
@@ -103,6 +105,7 @@
   bool isBusy = false;
   bool isClosed = false;
   bool closesAfter = false;
+  bool closesWhenSent = false;
   bool bodyTooLarge = false;
 };
 
