--- a/UnitTests/PoolTest.cpp
+++ b/UnitTests/PoolTest.cpp
@@ -89,6 +89,7 @@
   CPPUNIT_TEST(Plan_LostUpstream_MovesFew);
   CPPUNIT_TEST(Plan_OrderUnderWay_GetsNoOther);
   CPPUNIT_TEST(Plan_TooFewUpstreams_KeepsLessMemory);
+  CPPUNIT_TEST(Plan_ManyUpstreams_UsesThemAll);
   CPPUNIT_TEST_SUITE_END();
 
   ModelShape model = UsersModel();
@@ -179,6 +180,15 @@
     CPPUNIT_ASSERT(planner.Plan(model, pool).empty());
   }
 
+  // tavua-orders-grown, quiet-1: 37 of 98 upstreams were given layers.
+  void Plan_ManyUpstreams_UsesThemAll() {
+    auto large = Hall("a", 1, 4, 11, 18);
+    Carry(large, planner.Plan(model, large));
+    for (const PlacedUpstream& one : large) {
+      CPPUNIT_ASSERT(one.layers.Size() > 0);
+    }
+  }
+
   void Plan_TooFewUpstreams_KeepsLessMemory() {
     auto small = Hall("a", 1, 1, 2, 1);
     Carry(small, planner.Plan(model, small));
--- a/Zincstep/Admission/RetryBudget.cpp
+++ b/Zincstep/Admission/RetryBudget.cpp
@@ -23,6 +23,11 @@
   return true;
 }
 
+void RetryBudget::SetMost(double aMost) {
+  this->settings.most = aMost;
+  this->saved = std::min(this->saved, aMost);
+}
+
 Micros RetryBudget::Pause(int aRetry, Random& aRandom) const {
   const int doublings = std::clamp(aRetry - 1, 0, kMaxDoublings);
   const Micros most = std::min(this->settings.firstPause * (1 << doublings),
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -6,22 +6,29 @@
 
 PrefixFollower::PrefixFollower(asio::io_context& aLoop, AsyncStore& aStore,
                                std::string aPrefix,
-                               const StoreFollowerSettings& aSettings,
+                               PrefixPauses aPauses,
                                OnRange aOnRange, OnEvents aOnEvents)
     : store(aStore),
       prefix(std::move(aPrefix)),
-      settings(aSettings),
+      pauses(aPauses),
       onRange(std::move(aOnRange)),
       onEvents(std::move(aOnEvents)),
       timer(aLoop),
-      retry(aSettings.firstRetry) {}
+      retry(aPauses.firstRetry) {}
 
 void PrefixFollower::Restart() {
   this->round += 1;
-  this->retry = this->settings.firstRetry;
+  this->isPaused = false;
+  this->retry = this->pauses.firstRetry;
   this->Read(this->round);
 }
 
+void PrefixFollower::Pause() {
+  this->round += 1;
+  this->isPaused = true;
+  this->timer.cancel();
+}
+
 void PrefixFollower::Read(std::uint64_t aRound) {
   this->store.Range(this->prefix, [this, aRound](Result<StoreRange> aRange) {
     if (aRound != this->round) {
@@ -31,7 +38,7 @@
       this->RetryLater(aRound);
       return;
     }
-    this->retry = this->settings.firstRetry;
+    this->retry = this->pauses.firstRetry;
     this->at = aRange->at;
     for (StoreItem& item : aRange->items) {
       item.key.erase(0, this->prefix.size());
@@ -43,7 +50,7 @@
 
 void PrefixFollower::Watch(std::uint64_t aRound) {
   this->store.Watch(
-      this->prefix, this->at, this->settings.watchWait,
+      this->prefix, this->at, this->pauses.watchWait,
       [this, aRound](Result<StoreEvents> aEvents) {
         if (aRound != this->round) {
           return;
@@ -64,7 +71,7 @@
 }
 
 void PrefixFollower::WatchLater(std::uint64_t aRound) {
-  this->timer.expires_after(this->settings.gatherPause);
+  this->timer.expires_after(this->pauses.gather);
   this->timer.async_wait([this, aRound](const asio::error_code& aError) {
     if (!aError && aRound == this->round) {
       this->Watch(aRound);
@@ -74,7 +81,7 @@
 
 void PrefixFollower::RetryLater(std::uint64_t aRound) {
   this->timer.expires_after(this->retry);
-  this->retry = std::min(this->retry * 2, this->settings.longestRetry);
+  this->retry = std::min(this->retry * 2, this->pauses.longestRetry);
   this->timer.async_wait([this, aRound](const asio::error_code& aError) {
     if (!aError && aRound == this->round) {
       this->Read(aRound);
@@ -91,13 +98,14 @@
       clock(aClock),
       proofTimer(aLoop),
       upstreams(
-          aLoop, aStore, this->settings.keys.upstreams, this->settings,
+          aLoop, aStore, this->settings.keys.upstreams,
+          this->settings.upstreamPauses,
           [this](StoreRange aRange) { this->view.OnUpstreams(aRange); },
           [this](StoreEvents aEvents) {
             this->view.OnUpstreamEvents(aEvents);
           }),
       own(
-          aLoop, aStore, this->settings.keys.own, this->settings,
+          aLoop, aStore, this->settings.keys.own, this->settings.ownPauses,
           [this](StoreRange aRange) {
             if (this->onOwnRange) {
               this->onOwnRange(std::move(aRange));
@@ -127,8 +135,18 @@
          *age <= this->settings.longestReliance;
 }
 
+void StoreFollower::FollowUpstreams(bool aRelies) {
+  if (aRelies && !this->upstreams.IsPaused()) {
+    this->upstreams.Pause();
+  } else if (!aRelies && this->upstreams.IsPaused()) {
+    this->upstreams.Restart();
+  }
+}
+
 void StoreFollower::Prove() {
-  if (this->Relies()) {
+  const bool relies = this->Relies();
+  this->FollowUpstreams(relies);
+  if (relies) {
     this->ProveAfter(this->settings.reliancePause);
     return;
   }
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -19,6 +19,16 @@
   std::string own;
 };
 
+/// How long the follower of a prefix waits for what.
+struct PrefixPauses {
+  /// Longest wait of one watch.
+  Micros watchWait = 6s;
+  /// Pause before the next watch after one that told of changes.
+  Micros gather = 200ms;
+  Micros firstRetry = 150ms;
+  Micros longestRetry = 1s;
+};
+
 /// Settings of a store follower.
 struct StoreFollowerSettings {
   ClusterKeys keys;
@@ -30,16 +40,15 @@
   /// `longestReliance`: one proof and its way are overdue then.
   Micros reliancePause = 250ms;
   Micros longestReliance = 1700ms;
-  /// Longest wait of one watch: a call each, so long; an answer that was
-  /// lost goes unnoticed for that long, so not longer.
-  Micros watchWait = 6s;
-  /// Pause before the next watch after one that told of changes: a call is
-  /// paid for, and changes often come in series.
-  Micros gatherPause = 200ms;
+  /// Upstreams' entries: each wait is a call, and an answer that was lost
+  /// goes unnoticed for as long; changes often come in series.
+  PrefixPauses upstreamPauses{6s, 200ms, 150ms, 1s};
+  /// The daemons' own entries change seldom, and late news of them costs
+  /// little.
+  PrefixPauses ownPauses{15s, 1s, 150ms, 1s};
   /// A proof that has no answer by then: the store is away.
   Micros proofTimeout = 1s;
   Micros firstRetry = 150ms;
-  Micros longestRetry = 1s;
 };
 
 /// Follows all items under one prefix: reads them, then watches.
@@ -49,11 +58,14 @@
   using OnEvents = std::function<void(StoreEvents)>;
 
   PrefixFollower(asio::io_context& aLoop, AsyncStore& aStore,
-                 std::string aPrefix, const StoreFollowerSettings& aSettings,
+                 std::string aPrefix, PrefixPauses aPauses,
                  OnRange aOnRange, OnEvents aOnEvents);
 
   /// Reads all anew; answers to earlier calls are passed over.
   void Restart();
+  /// Makes no calls until the next restart.
+  void Pause();
+  bool IsPaused() const { return this->isPaused; }
 
  private:
   void Read(std::uint64_t aRound);
@@ -63,7 +75,7 @@
 
   AsyncStore& store;
   std::string prefix;
-  const StoreFollowerSettings& settings;
+  PrefixPauses pauses;
   OnRange onRange;
   OnEvents onEvents;
   asio::steady_timer timer;
@@ -71,6 +83,7 @@
   std::uint64_t round = 0;
   std::uint64_t at = 0;
   Micros retry;
+  bool isPaused = false;
 };
 
 /// Keeps a view up to the store: watches, and proofs of freshness.
@@ -96,6 +109,9 @@
  private:
   void Prove();
   bool Relies() const;
+  /// Leaves the upstreams' entries to the peer that is relied on, or reads
+  /// them again.
+  void FollowUpstreams(bool aRelies);
   void ProveAfter(Micros aPause);
   void OnProved(std::uint64_t aChecked, Instant aBegan,
                 Result<StoreCommit> aResult);
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -19,19 +19,29 @@
 /// Margin of the bound on withdrawn keys for what lies between the check of
 /// a proof and the start of the request at an upstream.
 constexpr Micros kRevocationMargin = 300ms;
-/// Daemons that share the retry slack where their number is not known.
-constexpr double kUsualDaemons = 12;
+/// Fewest daemons that the retry slack is divided by: one that knows of no
+/// other may be cut off from them.
+constexpr std::size_t kFewestDaemons = 8;
+/// Part of the operators' slack that is used, as daemons may not know of
+/// each newcomer yet.
+constexpr double kRetrySlackUsed = 0.8;
 /// Part of the operators' retry ratio that is used: the rest covers
 /// requests that arrive in one window and are repeated in the next.
 constexpr double kRetryRatioUsed = 0.8;
 
+/// Retries that one of so many daemons may save up.
+double RetryShare(double aSlack, std::size_t aDaemons) {
+  return aSlack * kRetrySlackUsed /
+         static_cast<double>(std::max(aDaemons, kFewestDaemons));
+}
+
 RelaySettings MakeRelaySettings(const EdgeSettings& aSettings) {
   RelaySettings settings;
   settings.failureDomain = aSettings.failureDomain;
   settings.longestProofAge = aSettings.keyRevocation - kRevocationMargin;
   settings.failsClosed = aSettings.failsClosed;
   settings.retries.perRequest = aSettings.retryRatio * kRetryRatioUsed;
-  settings.retries.most = aSettings.retrySlack / kUsualDaemons;
+  settings.retries.most = RetryShare(aSettings.retrySlack, 0);
   return settings;
 }
 
@@ -231,6 +241,11 @@
   this->view.Tick();
   this->keeper.Tick();
   this->peers.Tick();
+  this->relaySettings.retries.most =
+      RetryShare(this->settings.retrySlack, this->peers.Daemons());
+  for (auto& [service, budget] : this->budgets) {
+    budget.SetMost(this->relaySettings.retries.most);
+  }
   this->dutyTimer.expires_after(kDutyTick);
   this->dutyTimer.async_wait([this](const asio::error_code& aError) {
     if (!aError) {
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -33,6 +33,8 @@
   /// name is the first. The others ask it, so that the store does not have
   /// to answer all.
   bool MayRely() const { return this->FirstPeer() != nullptr; }
+  /// Daemons that are known, this one included.
+  std::size_t Daemons() const { return this->members.size() + 1; }
   /// A newer configuration is in force here: peers are told at once.
   void OnConfiguration();
   /// Tells this daemon's work and suspicions at once.
--- a/Zincstep/Pool/PlacementPlanner.cpp
+++ b/Zincstep/Pool/PlacementPlanner.cpp
@@ -202,16 +202,34 @@
     return best;
   }
 
-  /// Gives each empty upstream the range that is worth most.
+  /// The range of `aSize` layers with the least memory for requests.
+  LayerRange ScarcestRange(int aSize) const {
+    LayerRange best;
+    double least = 0;
+    for (int first = 0; first + aSize <= this->model.layers; ++first) {
+      double sum = 0;
+      for (int layer = first; layer < first + aSize; ++layer) {
+        sum += this->tokens[static_cast<std::size_t>(layer)];
+      }
+      if (best.Size() == 0 || sum < least) {
+        best = {first, first + aSize};
+        least = sum;
+      }
+    }
+    return best;
+  }
+
+  /// Gives each empty upstream the range that is worth most; where nothing
+  /// is short any more, it adds to what is scarcest.
   void PlaceEmpty() {
     for (PlacedUpstream& upstream : this->upstreams) {
-      if (!upstream.takesOrders || upstream.layers.Size() > 0) {
+      const int size = this->SizeAlone(upstream);
+      if (!upstream.takesOrders || upstream.layers.Size() > 0 || size == 0) {
         continue;
       }
-      const LayerRange range = this->BestRange(upstream);
-      if (range.Size() > 0) {
-        this->Order(upstream, range);
-      }
+      const LayerRange needed = this->BestRange(upstream);
+      this->Order(upstream,
+                  needed.Size() > 0 ? needed : this->ScarcestRange(size));
     }
   }
 
