Chains drawn in proportion to free memory; a copy without upstreams removes none

Found on the way: a copy that left out the upstreams which the asker had was taken for an empty list (test first: Copy_WithoutUpstreams_RemovesNone).

--- a/UnitTests/ClusterViewTest.cpp
+++ b/UnitTests/ClusterViewTest.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(Proof_CountsFromWhenTheCallBegan);
   CPPUNIT_TEST(Copy_ProofOfAPeer_CountsFromTheQuestion);
   CPPUNIT_TEST(Copy_OlderUpstreams_ArePassedOver);
+  CPPUNIT_TEST(Copy_WithoutUpstreams_RemovesNone);
   CPPUNIT_TEST(Upstream_Draining_GetsNoWork);
   CPPUNIT_TEST(Upstream_Removed_IsGoneAtOnce);
   CPPUNIT_TEST(Upstream_MissingAfterAnOutage_HasAGrace);
@@ -94,11 +95,21 @@
   void Copy_OlderUpstreams_ArePassedOver() {
     view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
     ClusterCopy copy;
-    copy.upstreamsAt = 40;
+    copy.upstreams = StoreRange{{}, 40};
     view.OnCopy(copy, clock.Now());
     CPPUNIT_ASSERT(view.Directory().Find("i1") != nullptr);
   }
 
+  // tavua-orders, scale-1: a copy that left the upstreams out, for an asker
+  // that had them, was taken for an empty list.
+  void Copy_WithoutUpstreams_RemovesNone() {
+    view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
+    ClusterView newer{*decoder, *this, clock};
+    newer.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 60});
+    view.OnCopy(newer.CopyFor(0, 60), clock.Now());
+    CPPUNIT_ASSERT(view.Directory().Find("i1") != nullptr);
+  }
+
   void Upstream_Draining_GetsNoWork() {
     view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
     const UpstreamPtr upstream = view.Directory().Find("i1");
--- a/UnitTests/PoolTest.cpp
+++ b/UnitTests/PoolTest.cpp
@@ -208,6 +208,7 @@
   CPPUNIT_TEST(Choose_NoUpstreamTwice);
   CPPUNIT_TEST(Repair_LostHop_KeepsTheFirstAndTheOthers);
   CPPUNIT_TEST(Repair_NobodyElse_IsNone);
+  CPPUNIT_TEST(Repair_MemberOffTheList_IsKeptWhereNobodyElseIs);
   CPPUNIT_TEST_SUITE_END();
 
   ModelShape model = UsersModel();
@@ -365,6 +366,28 @@
     CPPUNIT_ASSERT(repaired->at(2).upstream == upstreams[3]);
   }
 
+  // tavua-orders, scale-1: streams could not leave a member that gave its
+  // layers up, since another one of their chain had left the list.
+  void Repair_MemberOffTheList_IsKeptWhereNobodyElseIs() {
+    this->Add("first", "a", "h100", {0, 30});
+    this->Add("giving", "a", "h100", {30, 50});
+    this->Add("other", "a", "h100", {30, 50});
+    this->Add("leaving", "a", "h100", {50, 80});
+    PoolChain chain{{upstreams[0], {0, 30}},
+                    {upstreams[1], {30, 50}},
+                    {upstreams[3], {50, 80}}};
+    UpstreamEntry empty = upstreams[1]->Entry();
+    empty.layers = {};
+    upstreams[1]->SetEntry(empty, now);
+    upstreams[3]->SetGone(now);
+    upstreams.pop_back();
+    const auto repaired =
+        chooser.Repair(model, upstreams, chain, 900, now, random);
+    CPPUNIT_ASSERT(repaired.has_value());
+    this->AssertCovers(*repaired);
+    CPPUNIT_ASSERT(repaired->at(1).upstream == upstreams[2]);
+  }
+
   void Repair_NobodyElse_IsNone() {
     this->Add("first", "a", "h100", {0, 40});
     this->Add("lost", "a", "h100", {40, 80});
--- a/Zincstep/Cluster/ClusterView.cpp
+++ b/Zincstep/Cluster/ClusterView.cpp
@@ -153,8 +153,8 @@
   if (aCopy.proofAge) {
     this->OnProof(aCopy.configRevision, aAsked - *aCopy.proofAge);
   }
-  if (aCopy.upstreamsAt > this->upstreamsAt) {
-    this->OnUpstreams({aCopy.upstreams, aCopy.upstreamsAt});
+  if (aCopy.upstreams && aCopy.upstreams->at > this->upstreamsAt) {
+    this->OnUpstreams(*aCopy.upstreams);
   }
 }
 
@@ -192,10 +192,10 @@
   if (aConfigRevision < this->config.revision) {
     copy.configText = this->config.value;
   }
-  copy.upstreamsAt = this->upstreamsAt;
   if (aUpstreamsAt < this->upstreamsAt) {
+    copy.upstreams = StoreRange{{}, this->upstreamsAt};
     for (const auto& [id, item] : this->entries) {
-      copy.upstreams.push_back(item);
+      copy.upstreams->items.push_back(item);
     }
   }
   return copy;
--- a/Zincstep/Cluster/ClusterView.h
+++ b/Zincstep/Cluster/ClusterView.h
@@ -40,9 +40,8 @@
   std::string configText;
   /// Age of the proof that no newer configuration exists.
   std::optional<Micros> proofAge;
-  /// The store's revision up to which the upstreams are known; 0: unknown.
-  std::uint64_t upstreamsAt = 0;
-  std::vector<StoreItem> upstreams;
+  /// All upstreams' entries; none where the asker has them as they are.
+  std::optional<StoreRange> upstreams;
 };
 
 /// What a daemon believes of configuration and upstreams, and since when.
--- a/Zincstep/Edge/EdgePeerMessage.cpp
+++ b/Zincstep/Edge/EdgePeerMessage.cpp
@@ -38,7 +38,9 @@
   fb::Offset<void> operator()(const ClusterGive& aGive) {
     const ClusterCopy& copy = aGive.copy;
     std::vector<fb::Offset<edgewire::Entry>> entries;
-    for (const StoreItem& item : copy.upstreams) {
+    const StoreRange none;
+    const StoreRange& range = copy.upstreams ? *copy.upstreams : none;
+    for (const StoreItem& item : range.items) {
       const auto id = this->builder.CreateString(item.key);
       const auto value = this->builder.CreateString(item.value);
       entries.push_back(
@@ -49,7 +51,7 @@
     return edgewire::CreateClusterGive(
                this->builder, aGive.question, copy.configRevision, config,
                copy.proofAge ? copy.proofAge->count() : kNoProof,
-               copy.upstreamsAt, list)
+               range.at, list)
         .Union();
   }
 
@@ -84,10 +86,13 @@
   if (aTable.proof_age_us() >= 0) {
     give.copy.proofAge = Micros{aTable.proof_age_us()};
   }
-  give.copy.upstreamsAt = aTable.upstreams_at();
+  if (aTable.upstreams_at() == 0) {
+    return give;
+  }
+  give.copy.upstreams = StoreRange{{}, aTable.upstreams_at()};
   if (aTable.upstreams() != nullptr) {
     for (const edgewire::Entry* entry : *aTable.upstreams()) {
-      give.copy.upstreams.push_back(
+      give.copy.upstreams->items.push_back(
           {TextOf(entry->id()), TextOf(entry->value()), entry->revision()});
     }
   }
--- a/Zincstep/Pool/ChainChooser.cpp
+++ b/Zincstep/Pool/ChainChooser.cpp
@@ -1,7 +1,9 @@
 #include "Zincstep/Pool/ChainChooser.h"
 
 #include <algorithm>
-#include <set>
+#include <cmath>
+#include <limits>
+#include <map>
 
 namespace zincstep {
 
@@ -48,6 +50,7 @@
                            const std::vector<UpstreamPtr>& aUpstreams,
                            double aTokens, Instant aNow, Random& aRandom) {
   this->items.clear();
+  this->freeTokens.clear();
   const double stepMs = ToSeconds(aModel.stepTime) * kMillisASecond;
   for (const UpstreamPtr& upstream : aUpstreams) {
     const UpstreamEntry& entry = upstream->Entry();
@@ -58,15 +61,16 @@
     item.layers = entry.layers;
     item.usable = kind != nullptr && entry.layers.Size() > 0 &&
                   upstream->IsUsable(aNow) && wanted <= capacity;
+    double freeTokens = 0;
     if (item.usable) {
-      const double full = wanted / capacity;
-      const double varied =
-          1 + this->settings.jitter * (2 * aRandom.Unit() - 1);
-      item.layerCost = stepMs / aModel.layers * kind->stepFactor * varied *
-                       (1 + this->settings.loadFactor * full * full);
+      freeTokens = std::max(1.0, (capacity - wanted) / entry.layers.Size());
+      const double drawn = -std::log(1 - aRandom.Unit());
+      item.layerCost = stepMs / aModel.layers * kind->stepFactor +
+                       drawn * this->settings.scarcityCost / freeTokens;
       item.fixedCost = this->settings.hopCost;
     }
     this->items.push_back(item);
+    this->freeTokens.push_back(freeTokens);
   }
 }
 
@@ -101,51 +105,85 @@
     const std::string& aOwnDomain, double aTokens, Instant aNow,
     Random& aRandom) {
   this->Prepare(aModel, aUpstreams, aTokens, aNow, aRandom);
-  std::set<std::string_view> domains;
-  for (const UpstreamPtr& upstream : aUpstreams) {
-    domains.insert(upstream->Entry().failureDomain);
+  for (const std::string& domain :
+       this->RankDomains(aModel, aUpstreams, aOwnDomain, aRandom)) {
+    auto chain =
+        this->FindIn(aUpstreams, domain, LayerRange{0, aModel.layers});
+    if (chain) {
+      return chain;
+    }
   }
-  std::optional<PoolChain> best;
-  double bestCost = 0;
-  for (const std::string_view domain : domains) {
-    auto chain = this->FindIn(aUpstreams, std::string(domain),
-                              LayerRange{0, aModel.layers});
-    const double cost = this->search.Cost() +
-                        (domain == aOwnDomain ? 0 : this->settings.awayCost);
-    if (chain && (!best || cost < bestCost)) {
-      best = std::move(chain);
-      bestCost = cost;
+  return std::nullopt;
+}
+
+std::vector<std::string> ChainChooser::RankDomains(
+    const ModelShape& aModel, const std::vector<UpstreamPtr>& aUpstreams,
+    const std::string& aOwnDomain, Random& aRandom) const {
+  std::map<std::string, std::vector<double>> roomByDomain;
+  for (std::size_t i = 0; i < aUpstreams.size(); ++i) {
+    const UpstreamEntry& entry = aUpstreams[i]->Entry();
+    auto& room = roomByDomain[entry.failureDomain];
+    room.resize(static_cast<std::size_t>(aModel.layers));
+    for (int layer = entry.layers.first;
+         layer < std::min(entry.layers.last, aModel.layers); ++layer) {
+      room[static_cast<std::size_t>(layer)] += this->freeTokens[i];
     }
   }
-  return best;
+  std::vector<std::pair<double, std::string>> ranked;
+  for (const auto& [domain, room] : roomByDomain) {
+    double cost = domain == aOwnDomain ? 0 : this->settings.awayCost;
+    for (const double tokens : room) {
+      cost += tokens > 0 ? this->settings.scarcityCost / tokens
+                         : std::numeric_limits<double>::infinity();
+    }
+    const double varied =
+        1 + this->settings.domainJitter * (2 * aRandom.Unit() - 1);
+    if (std::isfinite(cost)) {
+      ranked.emplace_back(cost * varied, domain);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<std::string> domains;
+  for (auto& [cost, domain] : ranked) {
+    domains.push_back(std::move(domain));
+  }
+  return domains;
 }
 
 std::optional<PoolChain> ChainChooser::Repair(
     const ModelShape& aModel, const std::vector<UpstreamPtr>& aUpstreams,
     const PoolChain& aChain, double aTokens, Instant aNow, Random& aRandom) {
   const PoolHop& first = aChain.front();
-  this->Prepare(aModel, aUpstreams, aTokens, aNow, aRandom);
+  // Members that have left the list may still serve what they run.
+  std::vector<UpstreamPtr> upstreams = aUpstreams;
+  for (const PoolHop& hop : aChain) {
+    if (std::find(upstreams.begin(), upstreams.end(), hop.upstream) ==
+        upstreams.end()) {
+      upstreams.push_back(hop.upstream);
+    }
+  }
+  this->Prepare(aModel, upstreams, aTokens, aNow, aRandom);
   for (std::size_t i = 0; i < this->items.size(); ++i) {
     SearchItem& item = this->items[i];
     const auto kept =
         std::find_if(aChain.begin(), aChain.end(), [&](const PoolHop& aHop) {
-          return aHop.upstream == aUpstreams[i];
+          return aHop.upstream == upstreams[i];
         });
     if (kept == aChain.end()) {
       continue;
     }
     // A kept hop that leaves serves on for a while: better than none.
-    item.usable = kept != aChain.begin() && !aUpstreams[i]->IsSuspect(aNow) &&
-                  aUpstreams[i]->Entry().layers.Covers(kept->layers);
+    item.usable = kept != aChain.begin() && !upstreams[i]->IsSuspect(aNow) &&
+                  upstreams[i]->Entry().layers.Covers(kept->layers);
     item.layers = kept->layers;
     item.layerCost = 0;
-    item.fixedCost = aUpstreams[i]->IsUsable(aNow) ? 0 : kLeavingHopCost;
+    item.fixedCost = upstreams[i]->IsUsable(aNow) ? 0 : kLeavingHopCost;
   }
   const LayerRange rest{first.layers.last, aModel.layers};
   PoolChain chain{first};
   if (rest.Size() > 0) {
     auto found =
-        this->FindIn(aUpstreams, first.upstream->Entry().failureDomain, rest);
+        this->FindIn(upstreams, first.upstream->Entry().failureDomain, rest);
     if (!found) {
       return std::nullopt;
     }
--- a/Zincstep/Pool/ChainChooser.h
+++ b/Zincstep/Pool/ChainChooser.h
@@ -26,21 +26,25 @@
   /// Cost of each hop, in milliseconds a token: a wait for the upstream's
   /// pass and the way between two VMs.
   double hopCost = 0.6;
-  /// How much a full upstream costs more than an empty one.
-  double loadFactor = 3;
-  /// Share by which costs are varied, so that daemons with the same lagging
-  /// view do not all choose the same chain.
-  double jitter = 0.15;
-  /// Cost of a chain that lies in another failure domain, in milliseconds a
-  /// token: only tokens travel then, and a chain in the own domain that has
-  /// more room is worth as much.
-  double awayCost = 3;
+  /// Cost of a layer whose holder has memory for one token left; the
+  /// cost falls with each token more, and is drawn at random around that.
+  double scarcityCost = 60'000;
+  /// Cost of a chain that lies in another failure domain: that of an idle
+  /// domain's scarcity once more, so that work leaves a domain that is more
+  /// than half full for one that is idle.
+  double awayCost = 40;
+  /// Share by which a domain's cost is varied.
+  double domainJitter = 0.1;
 };
 
 /// Chooses the chain of a request through a pool.
 ///
-/// A shortest path over layer boundaries (`LayeredSearch`), with costs that
-/// rise with the memory promised to requests in flight. A chain lies inside
+/// A shortest path over layer boundaries (`LayeredSearch`). An upstream's
+/// cost is drawn from an exponential distribution with a mean that falls
+/// with its free memory: of several holders each is the cheapest with a
+/// probability in proportion to what it has free. So many daemons with the
+/// same lagging view spread over the holders, where the cheapest alone
+/// would be flooded between two reports. A chain lies inside
 /// one failure domain, since a prompt's activations fill the pipe between
 /// two of them; it need not be the domain of the caller.
 class ChainChooser {
@@ -70,6 +74,10 @@
   void Prepare(const ModelShape& aModel,
                const std::vector<UpstreamPtr>& aUpstreams, double aTokens,
                Instant aNow, Random& aRandom);
+  /// The domains that hold all layers with room, the best one first.
+  std::vector<std::string> RankDomains(
+      const ModelShape& aModel, const std::vector<UpstreamPtr>& aUpstreams,
+      const std::string& aOwnDomain, Random& aRandom) const;
   /// The cheapest chain inside `aDomain` of the prepared items.
   std::optional<PoolChain> FindIn(const std::vector<UpstreamPtr>& aUpstreams,
                                   const std::string& aDomain,
@@ -77,8 +85,10 @@
 
   ChainChooserSettings settings;
   LayeredSearch search;
-  /// One for each upstream, whatever its domain.
+  /// One for each upstream, whatever its domain, and the tokens that it has
+  /// room for beside the request.
   std::vector<SearchItem> items;
+  std::vector<double> freeTokens;
   /// Those of one domain, and which upstream each one is.
   std::vector<SearchItem> domainItems;
   std::vector<std::size_t> domainUpstreams;
--- a/Zincstep/Pool/PlacementPlanner.cpp
+++ b/Zincstep/Pool/PlacementPlanner.cpp
@@ -261,20 +261,37 @@
     return true;
   }
 
-  /// The spare upstream that covers most of a gap, or null; of equal ones
-  /// the one with the least work to end before.
+  /// Whether one spare upstream suits a gap better than another.
+  ///
+  /// It should cover the gap; then its streams should be able to leave it,
+  /// which they cannot where it is the first of their chains; then it
+  /// should have little work to end before.
+  bool SuitsBetter(const PlacedUpstream& aOne, const PlacedUpstream& aOther,
+                   LayerRange aGap) const {
+    const int one = std::min(this->SizeShared(aOne), aGap.Size());
+    const int other = std::min(this->SizeShared(aOther), aGap.Size());
+    if (one != other) {
+      return one > other;
+    }
+    const bool oneIsFirst = aOne.layers.first == 0;
+    const bool otherIsFirst = aOther.layers.first == 0;
+    if (oneIsFirst != otherIsFirst) {
+      return otherIsFirst;
+    }
+    return aOne.work < aOther.work;
+  }
+
+  /// The spare upstream that suits a gap best, or null.
   PlacedUpstream* BestSpare(LayerRange aGap) {
     PlacedUpstream* best = nullptr;
-    int bestSize = 0;
     for (PlacedUpstream& upstream : this->upstreams) {
-      const int size = std::min(this->SizeShared(upstream), aGap.Size());
-      const bool isBetter =
-          best == nullptr || size > bestSize ||
-          (size == bestSize && upstream.work < best->work);
-      if (upstream.takesOrders && upstream.layers.Size() > 0 && size > 0 &&
-          isBetter && this->IsSpare(upstream)) {
+      const bool isSpare = upstream.takesOrders &&
+                           upstream.layers.Size() > 0 &&
+                           this->SizeShared(upstream) > 0 &&
+                           this->IsSpare(upstream);
+      if (isSpare &&
+          (best == nullptr || this->SuitsBetter(upstream, *best, aGap))) {
         best = &upstream;
-        bestSize = size;
       }
     }
     return best;
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -371,6 +371,18 @@
     this->Resume("the first upstream does not answer");
     return;
   }
+  LogInfo("stream_silent", {{"request", this->request.facts.id},
+                            {"upstream", aUpstream->Entry().id},
+                            {"silent_ms", this->Silence(now) / 1ms},
+                            {"running", aReport->running},
+                            {"queued", aReport->queued},
+                            {"memory_used", aReport->memoryUsed},
+                            {"memory_total", aReport->memoryTotal},
+                            {"own_view", aUpstream->Work(now)},
+                            {"pace", aReport->pace},
+                            {"first", this->chain.front().layers.last},
+                            {"hops", this->chain.size()},
+                            {"stalled", aReport->stalled.size()}});
   for (const StalledRequest& stalled : aReport->stalled) {
     if (stalled.requestId == this->request.facts.id) {
       LogInfo("stream_stalled", {{"request", stalled.requestId},
