--- a/Zincstep/Pool/ChainChooser.cpp
+++ b/Zincstep/Pool/ChainChooser.cpp
@@ -11,6 +11,9 @@
 
 /// Costs are in milliseconds.
 constexpr double kMillisASecond = 1000;
+/// A standby holds no more layers than this: the large upstreams are the
+/// quick ones, and hold the memory of several small ones.
+constexpr int kLargestStandby = 12;
 /// A hop of a broken chain that works but leaves costs more than any other:
 /// one that works and stays costs nothing, since its cache of the request
 /// stays too.
@@ -74,6 +77,51 @@
   }
 }
 
+std::vector<std::size_t> ChainChooser::Standbys(
+    const ModelShape& aModel, const std::vector<UpstreamPtr>& aUpstreams,
+    Instant aNow) {
+  std::map<std::string, std::vector<int>> holders;
+  for (const UpstreamPtr& upstream : aUpstreams) {
+    auto& counts = holders[upstream->Entry().failureDomain];
+    counts.resize(static_cast<std::size_t>(aModel.layers));
+    const LayerRange layers = upstream->Entry().layers;
+    for (int layer = layers.first;
+         upstream->IsSound(aNow) && layer < std::min(layers.last, aModel.layers);
+         ++layer) {
+      counts[static_cast<std::size_t>(layer)] += 1;
+    }
+  }
+  std::map<std::string, std::size_t> chosen;
+  for (std::size_t i = 0; i < aUpstreams.size(); ++i) {
+    const UpstreamEntry& entry = aUpstreams[i]->Entry();
+    const auto& counts = holders[entry.failureDomain];
+    const bool isSpare =
+        aUpstreams[i]->IsSound(aNow) && entry.layers.Size() > 0 &&
+        entry.layers.Size() <= kLargestStandby &&
+        std::all_of(counts.begin() + entry.layers.first,
+                    counts.begin() + std::min(entry.layers.last, aModel.layers),
+                    [](int aCount) { return aCount > 1; });
+    if (!isSpare) {
+      continue;
+    }
+    const auto known = chosen.find(entry.failureDomain);
+    if (known == chosen.end()) {
+      chosen.emplace(entry.failureDomain, i);
+      continue;
+    }
+    const UpstreamEntry& other = aUpstreams[known->second]->Entry();
+    const int more = entry.layers.Size() - other.layers.Size();
+    if (more > 0 || (more == 0 && entry.id < other.id)) {
+      known->second = i;
+    }
+  }
+  std::vector<std::size_t> standbys;
+  for (const auto& [domain, index] : chosen) {
+    standbys.push_back(index);
+  }
+  return standbys;
+}
+
 std::optional<PoolChain> ChainChooser::FindIn(
     const std::vector<UpstreamPtr>& aUpstreams, const std::string& aDomain,
     LayerRange aRange) {
@@ -105,6 +153,9 @@
     const std::string& aOwnDomain, double aTokens, Instant aNow,
     Random& aRandom) {
   this->Prepare(aModel, aUpstreams, aTokens, aNow, aRandom);
+  for (const std::size_t standby : Standbys(aModel, aUpstreams, aNow)) {
+    this->items[standby].layerCost *= this->settings.standbyFactor;
+  }
   for (const std::string& domain :
        this->RankDomains(aModel, aUpstreams, aOwnDomain, aRandom)) {
     auto chain =
--- a/Zincstep/Pool/PlacementPlanner.cpp
+++ b/Zincstep/Pool/PlacementPlanner.cpp
@@ -263,9 +263,7 @@
 
   /// Whether one spare upstream suits a gap better than another.
   ///
-  /// It should cover the gap; then its streams should be able to leave it,
-  /// which they cannot where it is the first of their chains; then it
-  /// should have little work to end before.
+  /// It should cover the gap, and have little work to end before.
   bool SuitsBetter(const PlacedUpstream& aOne, const PlacedUpstream& aOther,
                    LayerRange aGap) const {
     const int one = std::min(this->SizeShared(aOne), aGap.Size());
@@ -273,11 +271,6 @@
     if (one != other) {
       return one > other;
     }
-    const bool oneIsFirst = aOne.layers.first == 0;
-    const bool otherIsFirst = aOther.layers.first == 0;
-    if (oneIsFirst != otherIsFirst) {
-      return otherIsFirst;
-    }
     return aOne.work < aOther.work;
   }
 
