Layers move at once: requests at a spare are cut and go on elsewhere

Cause: reports lag 200 ms, so that a spare that looked idle had 17 requests by the time of its order and kept its domain waiting for 6 s. Ruled out: choosing wait or cut by the report (no order was seen as busy).

--- a/Zincstep/Cluster/PlacementKeeper.cpp
+++ b/Zincstep/Cluster/PlacementKeeper.cpp
@@ -238,10 +238,13 @@
   LogInfo("placement_ordered", {{"upstream", aId},
                                 {"first_layer", aLayers.first},
                                 {"last_layer", aLayers.last},
+                                {"memory_used", aReport->memoryUsed},
+                                {"memory_total", aReport->memoryTotal},
                                 {"expected_sequence", aReport->sequence}});
   this->Hold(aId, aLayers, aLoadTime + this->settings.orderSlack);
   this->control.Place(
       upstream->Entry(), aLayers, aReport->sequence,
+      this->settings.giveUp,
       [this, aId, aLayers, aLoadTime](Result<OrderOutcome> aOutcome) {
         this->OnOrdered(aId, aLayers, aLoadTime, aOutcome);
       });
--- a/Zincstep/Cluster/PlacementKeeper.h
+++ b/Zincstep/Cluster/PlacementKeeper.h
@@ -28,6 +28,11 @@
   /// Pause after an order that was refused, or a report that failed.
   Micros refusedPause = 600ms;
   Micros reportTimeout = 500ms;
+  /// Layers move only where others are missing. Requests of an upstream
+  /// that gives layers up live for some seconds, and while they are waited
+  /// for the whole failure domain lacks the layers; so they are cut, and go
+  /// on elsewhere.
+  GiveUp giveUp = GiveUp::CutRequests;
   /// An empty pool is laid out once no upstream has joined for so long:
   /// upstreams announce themselves about once in this time.
   Micros settleTime = 1300ms;
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -154,7 +154,9 @@
     return started;
   }
   this->FollowOwnKeys();
-  this->follower.SetMayRely([this] { return this->peers.MayRely(); });
+  // Whoever places layers hears of lost upstreams from the store itself.
+  this->follower.SetMayRely(
+      [this] { return this->peers.MayRely() && !this->keeper.HasDuty(); });
   this->follower.Start();
   this->WaitForSignal();
   this->OnFastTick();
--- a/Zincstep/Pool/UpstreamControl.h
+++ b/Zincstep/Pool/UpstreamControl.h
@@ -50,6 +50,14 @@
   std::string atFault;
 };
 
+/// What becomes of requests at an upstream that gives layers up.
+enum class GiveUp {
+  /// They end first; the new layers are loaded after that.
+  WaitForRequests,
+  /// They are cut off, and go on elsewhere.
+  CutRequests,
+};
+
 /// Calls to upstreams beside requests, on the loop's thread.
 ///
 /// Failures: `UpstreamUnreachable` where nothing was sent, else
@@ -67,7 +75,7 @@
   /// Orders an upstream to hold `aLayers` if it has taken
   /// `aExpectedSequence` orders: a late or repeated order does nothing.
   virtual void Place(const UpstreamEntry& aUpstream, LayerRange aLayers,
-                     std::uint64_t aExpectedSequence,
+                     std::uint64_t aExpectedSequence, GiveUp aGiveUp,
                      Done<OrderOutcome> aDone) = 0;
   /// Orders a running request on to another chain with the same first hop.
   virtual void Repath(const std::string& aRequestId, const PoolChain& aChain,
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -221,6 +221,9 @@
     if (hop.upstream->Entry().address != aAddress) {
       continue;
     }
+    if (aIsDead && !hop.upstream->Entry().layers.Covers(hop.layers)) {
+      continue;  // It lives, and holds other layers by now.
+    }
     if (aIsDead) {
       this->Suspect(*hop.upstream);
       continue;
@@ -319,7 +322,8 @@
   }
   const bool hasLost = std::any_of(
       this->chain.begin() + 1, this->chain.end(), [&](const PoolHop& aHop) {
-        return aHop.upstream->IsSuspect(aNow) || aHop.upstream->IsGone();
+        return aHop.upstream->IsSuspect(aNow) || aHop.upstream->IsGone() ||
+               !aHop.upstream->Entry().layers.Covers(aHop.layers);
       });
   if (hasLost) {
     this->Repair(aNow);
@@ -451,6 +455,10 @@
       }
     }
   }
+  if (this->Silence(now) >= kMemberSilence) {
+    // It stands still, and its domain cannot take it on.
+    this->Resume("the first upstream refuses another chain");
+  }
 }
 
 }  // namespace zincstep
