--- a/EdgeDaemon/Main.cpp
+++ b/EdgeDaemon/Main.cpp
@@ -28,5 +28,7 @@
     std::fprintf(stderr, "zincstep-edge: --log-level: no such level\n");
     return 2;
   }
-  return zincstep::RunEdgeDaemon(settings, MakeAdapters);
+  const int status = zincstep::RunEdgeDaemon(settings, MakeAdapters);
+  zincstep::StopLog();
+  return status;
 }
--- a/EntryDaemon/Main.cpp
+++ b/EntryDaemon/Main.cpp
@@ -10,5 +10,7 @@
     std::fprintf(stderr, "zincstep-entry: --log-level: no such level\n");
     return 2;
   }
-  return zincstep::RunEntryDaemon(settings);
+  const int status = zincstep::RunEntryDaemon(settings);
+  zincstep::StopLog();
+  return status;
 }
--- a/UnitTests/HttpParserTest.cpp
+++ b/UnitTests/HttpParserTest.cpp
@@ -46,8 +46,9 @@
 
   void Feed_ChunkedBody_IsJoined() {
     HttpParser parser(HttpSide::Request, heard);
-    CPPUNIT_ASSERT(parser.Feed("POST / HTTP/1.1\r\nTransfer-Encoding: "
-                               "chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
+    CPPUNIT_ASSERT(parser
+                       .Feed("POST / HTTP/1.1\r\nTransfer-Encoding: "
+                             "chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
                        .has_value());
     CPPUNIT_ASSERT_EQUAL(std::string("abc"), heard.body);
     CPPUNIT_ASSERT(parser.IsComplete());
@@ -55,23 +56,25 @@
 
   void Feed_LengthAndChunks_IsRefused() {
     HttpParser parser(HttpSide::Request, heard);
-    CPPUNIT_ASSERT(!parser.Feed("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
-                                "Transfer-Encoding: chunked\r\n\r\n"));
+    CPPUNIT_ASSERT(
+        !parser.Feed("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n"));
   }
 
   void Feed_LongHead_IsTooLarge() {
     HttpParser parser(HttpSide::Request, heard);
     parser.SetMaxHeadBytes(64);
-    const auto fed = parser.Feed("GET / HTTP/1.1\r\nX: " +
-                                 std::string(100, 'x') + "\r\n\r\n");
+    const auto fed = parser.Feed(
+        "GET / HTTP/1.1\r\nX: " + std::string(100, 'x') + "\r\n\r\n");
     CPPUNIT_ASSERT(!fed);
     CPPUNIT_ASSERT(fed.error().kind == ErrorKind::RequestTooLarge);
   }
 
   void Feed_InterimAnswer_IsPassedOver() {
     HttpParser parser(HttpSide::Answer, heard);
-    CPPUNIT_ASSERT(parser.Feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK"
-                               "\r\nContent-Length: 2\r\n\r\nok")
+    CPPUNIT_ASSERT(parser
+                       .Feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK"
+                             "\r\nContent-Length: 2\r\n\r\nok")
                        .has_value());
     CPPUNIT_ASSERT_EQUAL(200, heard.head.status);
     CPPUNIT_ASSERT_EQUAL(std::string("ok"), heard.body);
@@ -96,8 +99,9 @@
 
   void FeedEnd_ChunksWithoutEnd_IsNotComplete() {
     HttpParser parser(HttpSide::Answer, heard);
-    CPPUNIT_ASSERT(parser.Feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
-                               "\r\n\r\n2\r\nab\r\n")
+    CPPUNIT_ASSERT(parser
+                       .Feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                             "\r\n\r\n2\r\nab\r\n")
                        .has_value());
     CPPUNIT_ASSERT(!parser.FeedEnd());
   }
--- a/UnitTests/PoolTest.cpp
+++ b/UnitTests/PoolTest.cpp
@@ -27,8 +27,8 @@
 }
 
 /// One failure domain of the users' deployments.
-std::vector<PlacedUpstream> Hall(const std::string& aName, int aH100,
-                                 int aA100, int aL4, int aT4) {
+std::vector<PlacedUpstream> Hall(const std::string& aName, int aH100, int aA100,
+                                 int aL4, int aT4) {
   std::vector<PlacedUpstream> upstreams;
   const auto add = [&](const std::string& aKind, int aCount) {
     for (int i = 0; i < aCount; ++i) {
@@ -129,8 +129,8 @@
   int HoldersAt(const std::string& aDomain, int aLayer) const {
     return static_cast<int>(
         std::count_if(pool.begin(), pool.end(), [&](const auto& aOne) {
-          return aOne.failureDomain == aDomain &&
-                 aOne.layers.first <= aLayer && aLayer < aOne.layers.last;
+          return aOne.failureDomain == aDomain && aOne.layers.first <= aLayer &&
+                 aLayer < aOne.layers.last;
         }));
   }
 
@@ -295,18 +295,18 @@
       this->Add(name + "2", domain, "h100", {30, 60});
       this->Add(name + "3", domain, "h100", {60, 80});
     }
-    CPPUNIT_ASSERT_EQUAL(std::string("a"), this->Choose("a")->at(0)
-                                               .upstream->Entry()
-                                               .failureDomain);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("a"),
+        this->Choose("a")->at(0).upstream->Entry().failureDomain);
     for (int i = 0; i < 3; ++i) {
       upstreams[static_cast<std::size_t>(i)]->own =
           ChainChooser::Capacity(
               model, upstreams[static_cast<std::size_t>(i)]->Entry()) *
           0.9;
     }
-    CPPUNIT_ASSERT_EQUAL(std::string("b"), this->Choose("a")->at(0)
-                                               .upstream->Entry()
-                                               .failureDomain);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("b"),
+        this->Choose("a")->at(0).upstream->Entry().failureDomain);
   }
 
   void Choose_FullUpstream_IsPassedOver() {
@@ -393,8 +393,7 @@
     this->Add("lost", "a", "h100", {40, 80});
     PoolChain chain{{upstreams[0], {0, 40}}, {upstreams[1], {40, 80}}};
     upstreams[1]->Suspect(now);
-    CPPUNIT_ASSERT(
-        !chooser.Repair(model, upstreams, chain, 900, now, random));
+    CPPUNIT_ASSERT(!chooser.Repair(model, upstreams, chain, 900, now, random));
   }
 };
 
--- a/UnitTests/RelayTest.cpp
+++ b/UnitTests/RelayTest.cpp
@@ -14,7 +14,8 @@
 /// An upstream whose answers are scripted by the test.
 class ScriptedUpstream final : public CallerHandler {
  public:
-  using Script = std::function<void(const ConnectionPtr&, const CallerMessage&)>;
+  using Script =
+      std::function<void(const ConnectionPtr&, const CallerMessage&)>;
 
   ScriptedUpstream(asio::io_context& aLoop, const Clock& aClock, Script aScript)
       : listener(aLoop, *this, aClock), script(std::move(aScript)) {
@@ -104,8 +105,8 @@
 
   ScriptedUpstream& AddUpstream(const std::string& aService,
                                 ScriptedUpstream::Script aScript) {
-    upstreams.push_back(std::make_unique<ScriptedUpstream>(
-        loop, clock, std::move(aScript)));
+    upstreams.push_back(
+        std::make_unique<ScriptedUpstream>(loop, clock, std::move(aScript)));
     this->List(aService, upstreams.back()->Address());
     return *upstreams.back();
   }
@@ -133,8 +134,7 @@
   /// Sends a request and runs the loop until its answer is there.
   Result<HttpAnswer> Ask(const std::string& aRequest) {
     std::optional<Result<HttpAnswer>> answer;
-    FetchWhole(loop,
-               {asio::ip::address_v4::loopback(), this->listener->Port()},
+    FetchWhole(loop, {asio::ip::address_v4::loopback(), this->listener->Port()},
                aRequest, 10s, [&](Result<HttpAnswer> aAnswer) {
                  answer = std::move(aAnswer);
                });
@@ -162,9 +162,9 @@
 
  public:
   void setUp() override {
-    relay = std::make_unique<Relay>(RelayContext{
-        loop, settings, *dialect, view, *control, clock, random, metrics,
-        chains, services, budgets, stop, [] {}});
+    relay = std::make_unique<Relay>(
+        RelayContext{loop, settings, *dialect, view, *control, clock, random,
+                     metrics, chains, services, budgets, stop, [] {}});
     listener = std::make_unique<CallerListener>(loop, *relay, clock);
     CPPUNIT_ASSERT(listener->Start("127.0.0.1:0").has_value());
     this->Configure(kConfig);
@@ -179,9 +179,8 @@
     const auto answer = this->Ask(this->Request("/unsafe/x?q=1"));
     CPPUNIT_ASSERT_EQUAL(201, answer->status);
     CPPUNIT_ASSERT_EQUAL(std::string("body hi"), answer->body);
-    CPPUNIT_ASSERT_EQUAL(
-        std::string("kept"),
-        std::string(FindHeader(answer->headers, "X-Other")));
+    CPPUNIT_ASSERT_EQUAL(std::string("kept"),
+                         std::string(FindHeader(answer->headers, "X-Other")));
     CPPUNIT_ASSERT_EQUAL(std::string("/unsafe/x?q=1"),
                          upstreams[0]->seen[0].target);
   }
@@ -204,8 +203,8 @@
                         [](const auto& aTo, const auto&) { aTo->Abort(); });
     }
     CPPUNIT_ASSERT_EQUAL(502, this->Ask(this->Request("/unsafe/"))->status);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, upstreams[0]->seen.size() +
-                                             upstreams[1]->seen.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         upstreams[0]->seen.size() + upstreams[1]->seen.size());
   }
 
   void Service_SafeThatBreaks_RunsElsewhere() {
@@ -249,13 +248,12 @@
   }
 
   void Key_Unknown_IsUnauthenticated() {
-    CPPUNIT_ASSERT_EQUAL(
-        401, this->Ask(this->Request("/unsafe/", "other"))->status);
+    CPPUNIT_ASSERT_EQUAL(401,
+                         this->Ask(this->Request("/unsafe/", "other"))->status);
   }
 
   void Key_WithoutProof_IsRefusedAsNotRun() {
-    view.OnConfiguration(
-        {"", std::string(kConfig).replace(17, 1, "2"), 20});
+    view.OnConfiguration({"", std::string(kConfig).replace(17, 1, "2"), 20});
     const auto answer = this->Ask(this->Request("/unsafe/"));
     CPPUNIT_ASSERT_EQUAL(503, answer->status);
     CPPUNIT_ASSERT(!FindHeader(answer->headers, "Retry-After").empty());
--- a/Zincstep/Cluster/ClusterView.cpp
+++ b/Zincstep/Cluster/ClusterView.cpp
@@ -104,7 +104,8 @@
 void ClusterView::Remove(const std::string& aId) {
   this->entries.erase(aId);
   this->missing.erase(aId);
-  if (const UpstreamPtr upstream = this->directory.Remove(aId, this->clock.Now())) {
+  if (const UpstreamPtr upstream =
+          this->directory.Remove(aId, this->clock.Now())) {
     LogInfo("upstream_gone", {{"upstream", aId},
                               {"address", upstream->Entry().address},
                               {"at", this->upstreamsAt}});
--- a/Zincstep/Cluster/ClusterView.h
+++ b/Zincstep/Cluster/ClusterView.h
@@ -19,8 +19,8 @@
 
   virtual Result<RouteConfiguration> DecodeConfiguration(
       std::string_view aText) const = 0;
-  virtual Result<UpstreamEntry> DecodeUpstream(std::string_view aId,
-                                               std::string_view aText) const = 0;
+  virtual Result<UpstreamEntry> DecodeUpstream(
+      std::string_view aId, std::string_view aText) const = 0;
 };
 
 /// Is told of changed beliefs.
@@ -76,9 +76,7 @@
                       std::uint64_t aUpstreamsAt) const;
 
   /// The configuration in force, or null before the first.
-  const std::shared_ptr<const RouteTable>& Table() const {
-    return this->table;
-  }
+  const std::shared_ptr<const RouteTable>& Table() const { return this->table; }
   std::uint64_t ConfigRevision() const { return this->config.revision; }
   std::uint64_t UpstreamsAt() const { return this->upstreamsAt; }
   /// Age of the proof that the configuration is the newest; none: no proof.
--- a/Zincstep/Cluster/PlacementKeeper.cpp
+++ b/Zincstep/Cluster/PlacementKeeper.cpp
@@ -62,29 +62,28 @@
   }
   this->isAsking = true;
   this->nextAttempt = sentAt + kAttemptPause;
-  this->store.Grant(this->settings.lease.ttl, [this, sentAt](
-                                                  Result<std::uint64_t>
-                                                      aLease) {
-    if (!aLease) {
-      this->isAsking = false;
-      return;
-    }
-    this->lease = *aLease;
-    StoreChange take;
-    take.key = this->settings.key;
-    take.value = this->settings.name;
-    take.lease = this->lease;
-    this->store.Commit(take, [this, sentAt](Result<StoreCommit> aTaken) {
-      this->isAsking = false;
-      if (aTaken && aTaken->done) {
-        this->guard.OnTaken(aTaken->revision, sentAt);
-        this->pending.clear();
-        LogInfo("placement_duty_taken", {{"fence", aTaken->revision}});
-      } else if (aTaken && aTaken->present) {
-        this->holder = aTaken->present->value;
-      }
-    });
-  });
+  this->store.Grant(
+      this->settings.lease.ttl, [this, sentAt](Result<std::uint64_t> aLease) {
+        if (!aLease) {
+          this->isAsking = false;
+          return;
+        }
+        this->lease = *aLease;
+        StoreChange take;
+        take.key = this->settings.key;
+        take.value = this->settings.name;
+        take.lease = this->lease;
+        this->store.Commit(take, [this, sentAt](Result<StoreCommit> aTaken) {
+          this->isAsking = false;
+          if (aTaken && aTaken->done) {
+            this->guard.OnTaken(aTaken->revision, sentAt);
+            this->pending.clear();
+            LogInfo("placement_duty_taken", {{"fence", aTaken->revision}});
+          } else if (aTaken && aTaken->present) {
+            this->holder = aTaken->present->value;
+          }
+        });
+      });
 }
 
 void PlacementKeeper::RenewDuty() {
@@ -105,8 +104,8 @@
   });
 }
 
-std::vector<PlacedUpstream> PlacementKeeper::Placed(
-    const std::string& aService, Instant aNow) {
+std::vector<PlacedUpstream> PlacementKeeper::Placed(const std::string& aService,
+                                                    Instant aNow) {
   std::vector<PlacedUpstream> placed;
   for (const UpstreamPtr& upstream :
        this->view.Directory().OfService(aService)) {
@@ -118,8 +117,8 @@
     if (!upstream->IsSound(aNow) || isRejoining) {
       continue;
     }
-    PlacedUpstream one{entry.id,     entry.failureDomain, entry.kind,
-                       entry.layers, true,                upstream->Work(aNow)};
+    PlacedUpstream one{entry.id, entry.failureDomain, entry.kind, entry.layers,
+                       true,     upstream->Work(aNow)};
     const auto order = this->pending.find(entry.id);
     if (order != this->pending.end()) {
       const bool isDone = order->second.layers == entry.layers;
@@ -197,12 +196,11 @@
   const Micros loadTime =
       aModel.loadTime * aOrder.layers.Size() / aModel.layers;
   this->Hold(aOrder.id, aOrder.layers, this->settings.reportTimeout * 2);
-  this->control.Report(
-      upstream->Entry(), this->settings.reportTimeout,
-      [this, id = aOrder.id, layers = aOrder.layers,
-       loadTime](Result<UpstreamReport> aReport) {
-        this->OnReport(id, layers, loadTime, aReport);
-      });
+  this->control.Report(upstream->Entry(), this->settings.reportTimeout,
+                       [this, id = aOrder.id, layers = aOrder.layers,
+                        loadTime](Result<UpstreamReport> aReport) {
+                         this->OnReport(id, layers, loadTime, aReport);
+                       });
 }
 
 void PlacementKeeper::Hold(const std::string& aId, LayerRange aLayers,
@@ -243,8 +241,7 @@
                                 {"expected_sequence", aReport->sequence}});
   this->Hold(aId, aLayers, aLoadTime + this->settings.orderSlack);
   this->control.Place(
-      upstream->Entry(), aLayers, aReport->sequence,
-      this->settings.giveUp,
+      upstream->Entry(), aLayers, aReport->sequence, this->settings.giveUp,
       [this, aId, aLayers, aLoadTime](Result<OrderOutcome> aOutcome) {
         this->OnOrdered(aId, aLayers, aLoadTime, aOutcome);
       });
--- a/Zincstep/Cluster/PlacementKeeper.h
+++ b/Zincstep/Cluster/PlacementKeeper.h
@@ -79,13 +79,12 @@
   void Act(Instant aNow);
   void NoteRejoins(const std::string& aService, Instant aNow);
   bool IsSettled(const std::string& aService, Instant aNow);
-  std::vector<PlacedUpstream> Placed(const std::string& aService,
-                                     Instant aNow);
+  std::vector<PlacedUpstream> Placed(const std::string& aService, Instant aNow);
   void Give(const ModelShape& aModel, const PlacementOrder& aOrder);
   void OnReport(const std::string& aId, LayerRange aLayers, Micros aLoadTime,
                 const Result<UpstreamReport>& aReport);
-  void OnOrdered(const std::string& aId, LayerRange aLayers,
-                 Micros aLoadTime, const Result<OrderOutcome>& aOutcome);
+  void OnOrdered(const std::string& aId, LayerRange aLayers, Micros aLoadTime,
+                 const Result<OrderOutcome>& aOutcome);
   void Hold(const std::string& aId, LayerRange aLayers, Micros aTime);
 
   PlacementKeeperSettings settings;
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -5,8 +5,7 @@
 namespace zincstep {
 
 PrefixFollower::PrefixFollower(asio::io_context& aLoop, AsyncStore& aStore,
-                               std::string aPrefix,
-                               PrefixPauses aPauses,
+                               std::string aPrefix, PrefixPauses aPauses,
                                OnRange aOnRange, OnEvents aOnEvents)
     : store(aStore),
       prefix(std::move(aPrefix)),
@@ -49,25 +48,25 @@
 }
 
 void PrefixFollower::Watch(std::uint64_t aRound) {
-  this->store.Watch(
-      this->prefix, this->at, this->pauses.watchWait,
-      [this, aRound](Result<StoreEvents> aEvents) {
-        if (aRound != this->round) {
-          return;
-        }
-        if (!aEvents) {
-          // A cut watch may have missed changes, whatever the reason.
-          this->RetryLater(aRound);
-          return;
-        }
-        this->at = std::max(this->at, aEvents->at);
-        for (StoreEvent& event : aEvents->events) {
-          event.item.key.erase(0, this->prefix.size());
-        }
-        const bool hadNews = !aEvents->events.empty();
-        this->onEvents(std::move(*aEvents));
-        hadNews ? this->WatchLater(aRound) : this->Watch(aRound);
-      });
+  this->store.Watch(this->prefix, this->at, this->pauses.watchWait,
+                    [this, aRound](Result<StoreEvents> aEvents) {
+                      if (aRound != this->round) {
+                        return;
+                      }
+                      if (!aEvents) {
+                        // A cut watch may have missed changes, whatever the
+                        // reason.
+                        this->RetryLater(aRound);
+                        return;
+                      }
+                      this->at = std::max(this->at, aEvents->at);
+                      for (StoreEvent& event : aEvents->events) {
+                        event.item.key.erase(0, this->prefix.size());
+                      }
+                      const bool hadNews = !aEvents->events.empty();
+                      this->onEvents(std::move(*aEvents));
+                      hadNews ? this->WatchLater(aRound) : this->Watch(aRound);
+                    });
 }
 
 void PrefixFollower::WatchLater(std::uint64_t aRound) {
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -58,8 +58,8 @@
   using OnEvents = std::function<void(StoreEvents)>;
 
   PrefixFollower(asio::io_context& aLoop, AsyncStore& aStore,
-                 std::string aPrefix, PrefixPauses aPauses,
-                 OnRange aOnRange, OnEvents aOnEvents);
+                 std::string aPrefix, PrefixPauses aPauses, OnRange aOnRange,
+                 OnEvents aOnEvents);
 
   /// Reads all anew; answers to earlier calls are passed over.
   void Restart();
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -59,10 +59,9 @@
         loop(aLoop),
         adapters(std::move(aAdapters)),
         relaySettings(MakeRelaySettings(aSettings)),
-        random(Hash64(aSettings.name, static_cast<std::uint64_t>(
-                                          this->clock.Now()
-                                              .time_since_epoch()
-                                              .count()))),
+        random(Hash64(aSettings.name,
+                      static_cast<std::uint64_t>(
+                          this->clock.Now().time_since_epoch().count()))),
         view(*this->adapters.decoder, *this, this->clock),
         follower(aLoop, *this->adapters.store,
                  StoreFollowerSettings{this->adapters.keys}, this->view,
--- a/Zincstep/Edge/EdgePeerMessage.cpp
+++ b/Zincstep/Edge/EdgePeerMessage.cpp
@@ -50,8 +50,8 @@
     const auto list = this->builder.CreateVector(entries);
     return edgewire::CreateClusterGive(
                this->builder, aGive.question, copy.configRevision, config,
-               copy.proofAge ? copy.proofAge->count() : kNoProof,
-               range.at, list)
+               copy.proofAge ? copy.proofAge->count() : kNoProof, range.at,
+               list)
         .Union();
   }
 
@@ -70,9 +70,8 @@
   WorkGossip gossip;
   if (aTable.works() != nullptr) {
     for (const edgewire::UpstreamWork* work : *aTable.works()) {
-      gossip.works.push_back(
-          {TextOf(work->id()), work->work(), work->suspect(),
-           work->refusing()});
+      gossip.works.push_back({TextOf(work->id()), work->work(), work->suspect(),
+                              work->refusing()});
     }
   }
   return gossip;
@@ -119,8 +118,8 @@
     return Fail(ErrorKind::BadRequest, "not a message");
   }
   const edgewire::Message* table = edgewire::GetMessage(aBuffer.data());
-  EdgePeerMessage message{TextOf(table->sender()), TextOf(table->reply_to()),
-                          {}};
+  EdgePeerMessage message{
+      TextOf(table->sender()), TextOf(table->reply_to()), {}};
   if (const auto* gossip = table->body_as_WorkGossip()) {
     message.body = ReadGossip(*gossip);
   } else if (const auto* want = table->body_as_ClusterWant()) {
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -59,8 +59,7 @@
 PeerExchange::PeerExchange(asio::io_context& aLoop,
                            const EdgeSettings& aSettings, AsyncStore& aStore,
                            ClusterView& aView, const Clock& aClock,
-                           Random& aRandom,
-                           std::function<void()> aOnSuspicion)
+                           Random& aRandom, std::function<void()> aOnSuspicion)
     : loop(aLoop),
       settings(aSettings),
       store(aStore),
@@ -95,10 +94,10 @@
   if (const auto* gossip = std::get_if<WorkGossip>(&aMessage.body)) {
     this->OnGossip(aMessage.sender, *gossip);
   } else if (const auto* want = std::get_if<ClusterWant>(&aMessage.body)) {
-    this->Send(aMessage.replyTo,
-               ClusterGive{want->question,
-                           this->view.CopyFor(want->configRevision,
-                                              want->upstreamsAt)});
+    this->Send(
+        aMessage.replyTo,
+        ClusterGive{want->question, this->view.CopyFor(want->configRevision,
+                                                       want->upstreamsAt)});
   } else if (const auto* give = std::get_if<ClusterGive>(&aMessage.body)) {
     this->OnGive(*give);
   }
@@ -122,8 +121,7 @@
     }
     if (work.isSuspect && now - upstream->AnsweredAt() > kOwnEvidence &&
         !upstream->IsSuspect(now)) {
-      LogInfo("upstream_suspected",
-              {{"upstream", work.id}, {"by", aSender}});
+      LogInfo("upstream_suspected", {{"upstream", work.id}, {"by", aSender}});
       upstream->Suspect(now);
       isNews = true;
     }
@@ -242,9 +240,10 @@
   StoreChange change;
   change.key =
       this->settings.storePrefix + kMembersPrefix + this->settings.name;
-  change.value = nlohmann::json{{"peer", this->settings.peerListen},
-                                {"failure_domain", this->settings.failureDomain}}
-                     .dump();
+  change.value =
+      nlohmann::json{{"peer", this->settings.peerListen},
+                     {"failure_domain", this->settings.failureDomain}}
+          .dump();
   change.lease = this->lease;
   this->isWriting = true;
   this->store.Commit(change, [this, change](Result<StoreCommit> aDone) {
@@ -321,8 +320,8 @@
   for (const auto& [name, member] : this->members) {
     if (member.failureDomain == this->settings.failureDomain) {
       this->Send(member.address,
-                 ClusterGive{kUnasked, this->view.CopyFor(
-                                           0, this->view.UpstreamsAt())});
+                 ClusterGive{kUnasked,
+                             this->view.CopyFor(0, this->view.UpstreamsAt())});
     }
   }
 }
@@ -349,10 +348,9 @@
 void PeerExchange::Send(
     const std::string& aAddress,
     std::variant<WorkGossip, ClusterWant, ClusterGive> aBody) {
-  this->hub->Send(aAddress,
-                  WriteEdgePeerMessage({this->settings.name,
-                                        this->settings.peerListen,
-                                        std::move(aBody)}));
+  this->hub->Send(aAddress, WriteEdgePeerMessage({this->settings.name,
+                                                  this->settings.peerListen,
+                                                  std::move(aBody)}));
 }
 
 }  // namespace zincstep
--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -107,9 +107,9 @@
   this->isBusy = true;
   this->closesAfter = true;
   const bool isTooLarge = aError.kind == ErrorKind::RequestTooLarge;
-  this->Answer(isTooLarge && !this->bodyTooLarge ? 431
-                                                 : AnswerFor(aError.kind).status,
-               {}, aError.message);
+  this->Answer(
+      isTooLarge && !this->bodyTooLarge ? 431 : AnswerFor(aError.kind).status,
+      {}, aError.message);
 }
 
 void CallerConnection::OnHead(HttpHead aHead) {
@@ -191,13 +191,12 @@
   this->Flush();
   if (!this->closesAfter && !this->unread.empty()) {
     // Not now: the handler is still inside the call that answered.
-    asio::post(this->socket.get_executor(),
-               [self = this->shared_from_this()] {
-                 if (!self->isBusy) {
-                   self->Consume();
-                   self->Read();
-                 }
-               });
+    asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+      if (!self->isBusy) {
+        self->Consume();
+        self->Read();
+      }
+    });
   }
 }
 
@@ -301,27 +300,27 @@
 }
 
 void CallerListener::Accept() {
-  this->acceptor.async_accept([this](const asio::error_code& aError,
-                                     asio::ip::tcp::socket aSocket) {
-    if (aError == asio::error::operation_aborted) {
-      return;
-    }
-    if (aError) {
-      auto pause = std::make_shared<asio::steady_timer>(this->loop);
-      pause->expires_after(kAcceptPause);
-      pause->async_wait(
-          [this, pause](const asio::error_code&) { this->Accept(); });
-      return;
-    }
-    auto connection = std::make_shared<CallerConnection>(
-        std::move(aSocket), this->handler, this->limits, this->clock);
-    if (!this->keeps) {
-      connection->StopKeeping();
-    }
-    this->connections.insert(connection);
-    connection->Start();
-    this->Accept();
-  });
+  this->acceptor.async_accept(
+      [this](const asio::error_code& aError, asio::ip::tcp::socket aSocket) {
+        if (aError == asio::error::operation_aborted) {
+          return;
+        }
+        if (aError) {
+          auto pause = std::make_shared<asio::steady_timer>(this->loop);
+          pause->expires_after(kAcceptPause);
+          pause->async_wait(
+              [this, pause](const asio::error_code&) { this->Accept(); });
+          return;
+        }
+        auto connection = std::make_shared<CallerConnection>(
+            std::move(aSocket), this->handler, this->limits, this->clock);
+        if (!this->keeps) {
+          connection->StopKeeping();
+        }
+        this->connections.insert(connection);
+        connection->Start();
+        this->Accept();
+      });
 }
 
 void CallerListener::CloseResting() {
--- a/Zincstep/Net/CallerConnection.h
+++ b/Zincstep/Net/CallerConnection.h
@@ -49,8 +49,7 @@
   /// Begins to read.
   void Start();
   /// Answers the present request whole.
-  void Answer(int aStatus, const HttpHeaders& aHeaders,
-              std::string_view aBody);
+  void Answer(int aStatus, const HttpHeaders& aHeaders, std::string_view aBody);
   /// Begins an answer of unknown length, in chunks.
   void BeginChunks(int aStatus, const HttpHeaders& aHeaders);
   /// Appends a part to an answer in chunks.
--- a/Zincstep/Net/HttpCall.cpp
+++ b/Zincstep/Net/HttpCall.cpp
@@ -128,9 +128,9 @@
       self->End(CallEnd::NotConnected);
     }
   });
-  this->socket.async_connect(
-      aEndpoint,
-      [self](const asio::error_code& aError) { self->OnConnect(aError); });
+  this->socket.async_connect(aEndpoint, [self](const asio::error_code& aError) {
+    self->OnConnect(aError);
+  });
 }
 
 void HttpCall::OnConnect(const asio::error_code& aError) {
--- a/Zincstep/Net/HttpParser.cpp
+++ b/Zincstep/Net/HttpParser.cpp
@@ -125,8 +125,8 @@
     return std::size_t{0};
   }
   this->hasBegun = true;
-  const std::size_t used = http_parser_execute(
-      &this->parser, &Callbacks(), aBytes.data(), aBytes.size());
+  const std::size_t used = http_parser_execute(&this->parser, &Callbacks(),
+                                               aBytes.data(), aBytes.size());
   const auto error = HTTP_PARSER_ERRNO(&this->parser);
   if (error == HPE_OK || error == HPE_PAUSED || this->isComplete) {
     return used;
--- a/Zincstep/Pool/ChainChooser.cpp
+++ b/Zincstep/Pool/ChainChooser.cpp
@@ -44,8 +44,7 @@
   if (kind == nullptr || aModel.tokenMb <= 0) {
     return 0;
   }
-  const double freeMb =
-      kind->memoryMb - aEntry.layers.Size() * aModel.layerMb;
+  const double freeMb = kind->memoryMb - aEntry.layers.Size() * aModel.layerMb;
   return std::max(0.0, freeMb / (aModel.tokenMb / aModel.layers));
 }
 
@@ -85,8 +84,8 @@
     auto& counts = holders[upstream->Entry().failureDomain];
     counts.resize(static_cast<std::size_t>(aModel.layers));
     const LayerRange layers = upstream->Entry().layers;
-    for (int layer = layers.first;
-         upstream->IsSound(aNow) && layer < std::min(layers.last, aModel.layers);
+    for (int layer = layers.first; upstream->IsSound(aNow) &&
+                                   layer < std::min(layers.last, aModel.layers);
          ++layer) {
       counts[static_cast<std::size_t>(layer)] += 1;
     }
@@ -158,8 +157,7 @@
   }
   for (const std::string& domain :
        this->RankDomains(aModel, aUpstreams, aOwnDomain, aRandom)) {
-    auto chain =
-        this->FindIn(aUpstreams, domain, LayerRange{0, aModel.layers});
+    auto chain = this->FindIn(aUpstreams, domain, LayerRange{0, aModel.layers});
     if (chain) {
       return chain;
     }
@@ -216,10 +214,9 @@
   this->Prepare(aModel, upstreams, aTokens, aNow, aRandom);
   for (std::size_t i = 0; i < this->items.size(); ++i) {
     SearchItem& item = this->items[i];
-    const auto kept =
-        std::find_if(aChain.begin(), aChain.end(), [&](const PoolHop& aHop) {
-          return aHop.upstream == upstreams[i];
-        });
+    const auto kept = std::find_if(
+        aChain.begin(), aChain.end(),
+        [&](const PoolHop& aHop) { return aHop.upstream == upstreams[i]; });
     if (kept == aChain.end()) {
       continue;
     }
--- a/Zincstep/Pool/ChainChooser.h
+++ b/Zincstep/Pool/ChainChooser.h
@@ -52,15 +52,13 @@
 /// two of them; it need not be the domain of the caller.
 class ChainChooser {
  public:
-  explicit ChainChooser(ChainChooserSettings aSettings)
-      : settings(aSettings) {}
+  explicit ChainChooser(ChainChooserSettings aSettings) : settings(aSettings) {}
 
   /// A chain for a request of `aTokens` tokens in and out, if there is one.
   std::optional<PoolChain> Choose(const ModelShape& aModel,
                                   const std::vector<UpstreamPtr>& aUpstreams,
-                                  const std::string& aOwnDomain,
-                                  double aTokens, Instant aNow,
-                                  Random& aRandom);
+                                  const std::string& aOwnDomain, double aTokens,
+                                  Instant aNow, Random& aRandom);
 
   /// A chain that keeps the first hop of `aChain` and whatever else of it
   /// is still usable; none where its domain cannot cover the rest.
@@ -77,8 +75,7 @@
       Instant aNow);
 
   /// Tokens x layers that an upstream can hold for requests.
-  static double Capacity(const ModelShape& aModel,
-                         const UpstreamEntry& aEntry);
+  static double Capacity(const ModelShape& aModel, const UpstreamEntry& aEntry);
 
  private:
   void Prepare(const ModelShape& aModel,
--- a/Zincstep/Pool/PlacementPlanner.cpp
+++ b/Zincstep/Pool/PlacementPlanner.cpp
@@ -49,9 +49,8 @@
     const PoolKind* kind = this->model.FindKind(aUpstream.kind);
     return kind == nullptr
                ? 0
-               : std::min(this->model.layers,
-                          PlacementPlanner::LayersBeside(this->model, *kind,
-                                                         aTokens));
+               : std::min(this->model.layers, PlacementPlanner::LayersBeside(
+                                                  this->model, *kind, aTokens));
   }
 
   /// Layers of an upstream that holds them alone.
@@ -73,8 +72,8 @@
       return 0;
     }
     const double free = kind->memoryMb - aSize * this->model.layerMb;
-    return std::max(0.0, free / (this->model.tokenMb / this->model.layers) /
-                             aSize);
+    return std::max(0.0,
+                    free / (this->model.tokenMb / this->model.layers) / aSize);
   }
 
   int Room() const {
@@ -136,8 +135,7 @@
       }
       // An upstream across the seam holds some of its layers alone.
       const int alone = this->SizeAlone(upstream);
-      const int shared =
-          std::min(this->SizeShared(upstream), aDoubled - next);
+      const int shared = std::min(this->SizeShared(upstream), aDoubled - next);
       const int end = isSecondCopy ? aDoubled : this->model.layers;
       const int last = std::min(next + std::max(alone, shared), end);
       ranges.push_back({next, last});
@@ -278,8 +276,7 @@
   PlacedUpstream* BestSpare(LayerRange aGap) {
     PlacedUpstream* best = nullptr;
     for (PlacedUpstream& upstream : this->upstreams) {
-      const bool isSpare = upstream.takesOrders &&
-                           upstream.layers.Size() > 0 &&
+      const bool isSpare = upstream.takesOrders && upstream.layers.Size() > 0 &&
                            this->SizeShared(upstream) > 0 &&
                            this->IsSpare(upstream);
       if (isSpare &&
--- a/Zincstep/Pool/Pool.h
+++ b/Zincstep/Pool/Pool.h
@@ -6,8 +6,8 @@
 /// requests take through them.
 
 #include "Zincstep/Pool/ChainChooser.h"
+#include "Zincstep/Pool/LiveUpstream.h"
 #include "Zincstep/Pool/PlacementPlanner.h"
 #include "Zincstep/Pool/ServiceChooser.h"
-#include "Zincstep/Pool/LiveUpstream.h"
 #include "Zincstep/Pool/UpstreamControl.h"
 #include "Zincstep/Pool/UpstreamDirectory.h"
--- a/Zincstep/Pool/ServiceChooser.cpp
+++ b/Zincstep/Pool/ServiceChooser.cpp
@@ -18,8 +18,7 @@
   const double answer = aUpstream.answerSeconds > 0
                             ? aUpstream.answerSeconds
                             : this->settings.firstAnswerSeconds;
-  const bool remembers =
-      aNow - aUpstream.queuedAt < this->settings.queueMemory;
+  const bool remembers = aNow - aUpstream.queuedAt < this->settings.queueMemory;
   const double waiting =
       std::max(remembers ? aUpstream.queued : 0,
                std::max(0.0, aUpstream.Work(aNow) + 1 - slots));
@@ -37,14 +36,13 @@
   UpstreamPtr best;
   double bestSeconds = 0;
   for (const UpstreamPtr& upstream : aUpstreams) {
-    const bool tried = std::find(aTried.begin(), aTried.end(), upstream) !=
-                       aTried.end();
+    const bool tried =
+        std::find(aTried.begin(), aTried.end(), upstream) != aTried.end();
     if (tried || !upstream->IsUsable(aNow)) {
       continue;
     }
-    const double seconds =
-        this->ExpectedSeconds(*upstream, aOwnDomain, aNow) *
-        (1 + kJitter * aRandom.Unit());
+    const double seconds = this->ExpectedSeconds(*upstream, aOwnDomain, aNow) *
+                           (1 + kJitter * aRandom.Unit());
     if (!best || seconds < bestSeconds) {
       best = upstream;
       bestSeconds = seconds;
@@ -55,8 +53,7 @@
 
 void ServiceChooser::OnAnswer(LiveUpstream& aUpstream, Micros aTaken) const {
   const double taken = ToSeconds(aTaken);
-  const double share =
-      aUpstream.answerSeconds > 0 ? this->settings.average : 1;
+  const double share = aUpstream.answerSeconds > 0 ? this->settings.average : 1;
   aUpstream.answerSeconds += share * (taken - aUpstream.answerSeconds);
 }
 
--- a/Zincstep/Relay/EventSplitter.cpp
+++ b/Zincstep/Relay/EventSplitter.cpp
@@ -25,8 +25,8 @@
 
 /// End of the first event in `aBytes`, searched from `aFrom`; npos: none.
 std::size_t EndOfEvent(std::string_view aBytes, std::size_t aFrom) {
-  for (std::size_t at = aBytes.find('\n', aFrom);
-       at != std::string_view::npos; at = aBytes.find('\n', at + 1)) {
+  for (std::size_t at = aBytes.find('\n', aFrom); at != std::string_view::npos;
+       at = aBytes.find('\n', at + 1)) {
     const std::string_view rest = aBytes.substr(at + 1);
     if (rest.starts_with('\n')) {
       return at + 2;
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -17,8 +17,8 @@
 
 std::string SecondsText(Micros aSpan) {
   std::array<char, 32> text{};
-  const int size = std::snprintf(text.data(), text.size(), "%.3f",
-                                 ToSeconds(aSpan));
+  const int size =
+      std::snprintf(text.data(), text.size(), "%.3f", ToSeconds(aSpan));
   return {text.data(), static_cast<std::size_t>(size)};
 }
 
@@ -61,11 +61,10 @@
 HttpHeaders Exchange::PassedHeaders(const HttpHead& aHead) {
   HttpHeaders passed;
   for (const HttpHeader& header : aHead.headers) {
-    const bool isHop =
-        std::any_of(kHopFields.begin(), kHopFields.end(),
-                    [&](std::string_view aName) {
-                      return SameHeaderName(aName, header.name);
-                    });
+    const bool isHop = std::any_of(kHopFields.begin(), kHopFields.end(),
+                                   [&](std::string_view aName) {
+                                     return SameHeaderName(aName, header.name);
+                                   });
     if (!isHop) {
       passed.push_back(header);
     }
@@ -149,8 +148,8 @@
 
 bool Exchange::IsForeign(const HttpHead& aHead,
                          const AnswerFacts& aFacts) const {
-  const bool isSuccess = aHead.status >= kFirstSuccessStatus &&
-                         aHead.status < kFirstFailureStatus;
+  const bool isSuccess =
+      aHead.status >= kFirstSuccessStatus && aHead.status < kFirstFailureStatus;
   return aFacts.requestId != this->request.facts.id || aFacts.isEncoded ||
          (isSuccess && !aFacts.isSealed);
 }
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -37,8 +37,7 @@
                ? Fail(ErrorKind::Unauthenticated, "no such key")
                : Fail(ErrorKind::NotReady, "unknown key, old configuration");
   }
-  const bool isFresh =
-      age && *age <= this->context.settings.longestProofAge;
+  const bool isFresh = age && *age <= this->context.settings.longestProofAge;
   if (this->context.settings.failsClosed && !isFresh) {
     return Fail(ErrorKind::NotReady, "no proof that the key still holds");
   }
@@ -56,8 +55,8 @@
   if (!request.table) {
     return Fail(ErrorKind::NotReady, "no configuration yet");
   }
-  request.route = request.table->FindRoute(request.facts.host,
-                                           request.message.head.target);
+  request.route =
+      request.table->FindRoute(request.facts.host, request.message.head.target);
   if (request.route == nullptr) {
     const auto age = this->context.view.ProofAge();
     return age && *age <= kSureRefusalAge
@@ -79,15 +78,14 @@
     return Fail(ErrorKind::Stopping, "the request could not end in time");
   }
   const Micros patience = request.facts.patience.value_or(kDefaultPatience);
-  request.end = request.message.readAt +
-                std::min(patience, request.route->timeout);
+  request.end =
+      request.message.readAt + std::min(patience, request.route->timeout);
   return request;
 }
 
 void Relay::OnRequest(const std::shared_ptr<CallerConnection>& aConnection,
                       CallerMessage aMessage) {
-  const std::string id =
-      this->context.dialect.ReadRequest(aMessage.head).id;
+  const std::string id = this->context.dialect.ReadRequest(aMessage.head).id;
   auto admitted = this->Admit(aConnection, std::move(aMessage));
   if (!admitted) {
     this->RefuseAtOnce(*aConnection, id, admitted.error());
@@ -97,11 +95,11 @@
   const bool isStream = admitted->route->kind == RouteKind::Streaming &&
                         admitted->service->model.has_value();
   if (isStream) {
-    exchange = std::make_shared<StreamExchange>(this->context,
-                                                std::move(*admitted));
+    exchange =
+        std::make_shared<StreamExchange>(this->context, std::move(*admitted));
   } else {
-    exchange = std::make_shared<ServiceExchange>(this->context,
-                                                 std::move(*admitted));
+    exchange =
+        std::make_shared<ServiceExchange>(this->context, std::move(*admitted));
   }
   this->exchanges[aConnection.get()] = exchange;
   exchange->Start();
@@ -111,8 +109,8 @@
                          const Error& aError) {
   const ErrorAnswer& answer = AnswerFor(aError.kind);
   HttpHeaders headers = this->context.dialect.OwnAnswer(aId);
-  const Micros after = std::min(aError.RetryAfter(),
-                                this->context.settings.busyRetryAfter);
+  const Micros after =
+      std::min(aError.RetryAfter(), this->context.settings.busyRetryAfter);
   if (after > Micros{0}) {
     std::array<char, 32> text{};
     std::snprintf(text.data(), text.size(), "%.3f", ToSeconds(after));
@@ -145,9 +143,8 @@
     exchange->OnTick(now);
   }
   this->AskReports(now);
-  std::erase_if(this->exchanges, [](const auto& aEntry) {
-    return aEntry.second->IsDone();
-  });
+  std::erase_if(this->exchanges,
+                [](const auto& aEntry) { return aEntry.second->IsDone(); });
 }
 
 void Relay::AskReports(Instant aNow) {
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -14,11 +14,11 @@
 }
 
 void ServiceExchange::TrySend() {
-  const auto& upstreams = this->context.view.Directory().OfService(
-      this->request.service->name);
+  const auto& upstreams =
+      this->context.view.Directory().OfService(this->request.service->name);
   const UpstreamPtr chosen = this->context.services.Choose(
-      upstreams, this->context.settings.failureDomain, this->tried,
-      this->Now(), this->context.random);
+      upstreams, this->context.settings.failureDomain, this->tried, this->Now(),
+      this->context.random);
   if (!chosen) {
     this->hasBegun
         ? this->Refuse(ErrorKind::UpstreamFailed, "no other upstream is left")
@@ -83,8 +83,7 @@
     this->OnNotRun("no connection");
     return;
   }
-  if (aEnd != CallEnd::Complete ||
-      this->IsForeign(this->head, this->facts)) {
+  if (aEnd != CallEnd::Complete || this->IsForeign(this->head, this->facts)) {
     this->hasBegun = true;
     this->runs += 1;
     this->OnFailure(aEnd == CallEnd::Complete ? "not its own answer"
@@ -116,9 +115,9 @@
     this->TrySend();
     return;
   }
-  this->Refuse(this->hasBegun ? ErrorKind::UpstreamFailed
-                              : ErrorKind::Overloaded,
-               aReason);
+  this->Refuse(
+      this->hasBegun ? ErrorKind::UpstreamFailed : ErrorKind::Overloaded,
+      aReason);
 }
 
 void ServiceExchange::OnFailure(const char* aReason) {
--- a/Zincstep/Relay/StopPolicy.cpp
+++ b/Zincstep/Relay/StopPolicy.cpp
@@ -6,8 +6,8 @@
   if (!this->begunAt) {
     return true;
   }
-  const Micros needed = aIsStream ? this->settings.longestStream
-                                  : this->settings.longestService;
+  const Micros needed =
+      aIsStream ? this->settings.longestStream : this->settings.longestService;
   const Instant end =
       *this->begunAt + this->settings.grace - this->settings.killMargin;
   return aNow + needed <= end;
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -27,8 +27,7 @@
 
 }  // namespace
 
-StreamExchange::StreamExchange(RelayContext& aContext,
-                               AdmittedRequest aRequest)
+StreamExchange::StreamExchange(RelayContext& aContext, AdmittedRequest aRequest)
     : Exchange(aContext, std::move(aRequest)),
       splitter(this->request.facts.lastEventId) {
   const TokenUse& use = this->request.facts.tokens;
@@ -36,8 +35,8 @@
   const double guess = use.guessedOut > 0 ? use.guessedOut * kGuessShare
                                           : model.usualAnswer * kGuessShare;
   const double most = use.mostOut > 0 ? use.mostOut : guess;
-  this->tokens = (use.prompt > 0 ? use.prompt : model.usualPrompt) +
-                 std::min(guess, most);
+  this->tokens =
+      (use.prompt > 0 ? use.prompt : model.usualPrompt) + std::min(guess, most);
 }
 
 StreamExchange::~StreamExchange() { this->Release(); }
@@ -98,10 +97,9 @@
   }
   const Micros objective = this->request.route->latencyObjective;
   const Micros longest =
-      this->headSent
-          ? kCallerPatience
-          : FromSeconds(ToSeconds(objective) *
-                        this->context.settings.longestWaitShare);
+      this->headSent ? kCallerPatience
+                     : FromSeconds(ToSeconds(objective) *
+                                   this->context.settings.longestWaitShare);
   if (now - this->waitingSince >= longest) {
     this->Fail("no chain covers all layers with room for the request");
   }
@@ -179,14 +177,12 @@
   const bool isWhole = aEnd == CallEnd::Complete && !this->isForeign;
   if (isWhole && this->facts.isNotRun) {
     this->upstream->OnAnswer(now);
-    LogInfo("upstream_refused",
-            {{"request", this->request.facts.id},
-             {"upstream", this->upstream->Entry().id},
-             {"status", this->head.status},
-             {"at_fault", this->facts.atFault}});
-    this->Distrust(this->facts.atFault.empty()
-                       ? this->upstream->Entry().address
-                       : this->facts.atFault,
+    LogInfo("upstream_refused", {{"request", this->request.facts.id},
+                                 {"upstream", this->upstream->Entry().id},
+                                 {"status", this->head.status},
+                                 {"at_fault", this->facts.atFault}});
+    this->Distrust(this->facts.atFault.empty() ? this->upstream->Entry().address
+                                               : this->facts.atFault,
                    now, false);
     this->OnNotRun();
     return;
@@ -282,8 +278,7 @@
       this->Fail("no end in time");
       return;
     }
-    const bool mayRun =
-        this->hasBegun || (this->call && this->call->HasSent());
+    const bool mayRun = this->hasBegun || (this->call && this->call->HasSent());
     this->Refuse(mayRun ? ErrorKind::DeadlineDuringRun : ErrorKind::NoCapacity,
                  "no answer in time");
     return;
@@ -417,13 +412,12 @@
 
 void StreamExchange::Repath(const PoolChain& aChain) {
   this->isRepairing = true;
-  this->context.control.Repath(
-      this->request.facts.id, aChain,
-      [self = std::static_pointer_cast<StreamExchange>(
-           this->shared_from_this()),
-       aChain](Result<OrderOutcome> aOutcome) {
-        self->OnRepaired(aChain, aOutcome);
-      });
+  this->context.control.Repath(this->request.facts.id, aChain,
+                               [self = std::static_pointer_cast<StreamExchange>(
+                                    this->shared_from_this()),
+                                aChain](Result<OrderOutcome> aOutcome) {
+                                 self->OnRepaired(aChain, aOutcome);
+                               });
 }
 
 void StreamExchange::OnRepaired(PoolChain aChain,
@@ -433,13 +427,11 @@
     return;
   }
   const Instant now = this->Now();
-  const bool isTaken =
-      aOutcome && aOutcome->answer == OrderAnswer::Taken;
-  LogInfo("stream_repaired",
-          {{"request", this->request.facts.id},
-           {"taken", isTaken},
-           {"at_fault", aOutcome ? aOutcome->atFault : ""},
-           {"silent_ms", this->Silence(now) / 1ms}});
+  const bool isTaken = aOutcome && aOutcome->answer == OrderAnswer::Taken;
+  LogInfo("stream_repaired", {{"request", this->request.facts.id},
+                              {"taken", isTaken},
+                              {"at_fault", aOutcome ? aOutcome->atFault : ""},
+                              {"silent_ms", this->Silence(now) / 1ms}});
   if (isTaken) {
     this->repairs += 1;
     this->context.metrics.Count("zincstep_streams_repaired_total");
--- a/Zincstep/Telemetry/Log.cpp
+++ b/Zincstep/Telemetry/Log.cpp
@@ -1,5 +1,6 @@
 #include "Zincstep/Telemetry/Log.h"
 
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -7,6 +8,9 @@
 
 namespace {
 
+/// Lines that wait for a slow reader of the log; past them the oldest go.
+constexpr std::size_t kQueuedLines = 4096;
+
 void Write(spdlog::level::level_enum aLevel, const char* aEvent,
            const nlohmann::json& aFields) {
   if (!spdlog::should_log(aLevel)) {
@@ -26,7 +30,10 @@
 bool StartLog(const std::string& aProgram, const std::string& aLevel) {
   const auto level = spdlog::level::from_str(aLevel);
   const bool known = level != spdlog::level::off || aLevel == "off";
-  auto logger = spdlog::stdout_logger_mt(aProgram);
+  spdlog::init_thread_pool(kQueuedLines, 1);
+  auto logger = std::make_shared<spdlog::async_logger>(
+      aProgram, std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+      spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
   logger->set_pattern(
       "{\"time\":\"%Y-%m-%dT%H:%M:%S.%eZ\",\"level\":\"%l\","
       "\"program\":\"%n\",\"pid\":%P,%v",
@@ -37,6 +44,8 @@
   return known;
 }
 
+void StopLog() { spdlog::shutdown(); }
+
 void LogInfo(const char* aEvent, const nlohmann::json& aFields) {
   Write(spdlog::level::info, aEvent, aFields);
 }
