--- a/Zincstep/Cluster/PlacementKeeper.cpp
+++ b/Zincstep/Cluster/PlacementKeeper.cpp
@@ -198,7 +198,7 @@
   this->Hold(aOrder.id, aOrder.layers, this->settings.reportTimeout * 2);
   this->control.Report(upstream->Entry(), this->settings.reportTimeout,
                        [this, id = aOrder.id, layers = aOrder.layers,
-                        loadTime](Result<UpstreamReport> aReport) {
+                        loadTime](const Result<UpstreamReport>& aReport) {
                          this->OnReport(id, layers, loadTime, aReport);
                        });
 }
@@ -242,7 +242,7 @@
   this->Hold(aId, aLayers, aLoadTime + this->settings.orderSlack);
   this->control.Place(
       upstream->Entry(), aLayers, aReport->sequence, this->settings.giveUp,
-      [this, aId, aLayers, aLoadTime](Result<OrderOutcome> aOutcome) {
+      [this, aId, aLayers, aLoadTime](const Result<OrderOutcome>& aOutcome) {
         this->OnOrdered(aId, aLayers, aLoadTime, aOutcome);
       });
 }
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -99,8 +99,8 @@
       upstreams(
           aLoop, aStore, this->settings.keys.upstreams,
           this->settings.upstreamPauses,
-          [this](StoreRange aRange) { this->view.OnUpstreams(aRange); },
-          [this](StoreEvents aEvents) {
+          [this](const StoreRange& aRange) { this->view.OnUpstreams(aRange); },
+          [this](const StoreEvents& aEvents) {
             this->view.OnUpstreamEvents(aEvents);
           }),
       own(
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -169,7 +169,7 @@
 
 void EdgeDaemon::FollowOwnKeys() {
   this->follower.SetOwnListener(
-      [this](StoreRange aRange) {
+      [this](const StoreRange& aRange) {
         std::string holder;
         for (const StoreItem& item : aRange.items) {
           if (item.key == kDutyKey) {
@@ -179,7 +179,7 @@
         this->keeper.OnHolder(holder);
         this->peers.OnMembers(aRange);
       },
-      [this](StoreEvents aEvents) {
+      [this](const StoreEvents& aEvents) {
         for (const StoreEvent& event : aEvents.events) {
           if (event.item.key == kDutyKey) {
             this->keeper.OnHolder(event.isRemoved ? "" : event.item.value);
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -160,7 +160,7 @@
     last = aNow;
     this->context.control.Report(
         upstream->Entry(), this->context.settings.reportTimeout,
-        [this, upstream](Result<UpstreamReport> aReport) {
+        [this, upstream](const Result<UpstreamReport>& aReport) {
           std::vector<std::shared_ptr<Exchange>> all;
           for (auto& [key, one] : this->exchanges) {
             all.push_back(one);
--- a/Zincstep/Relay/Relay.h
+++ b/Zincstep/Relay/Relay.h
@@ -17,7 +17,7 @@
 /// Admits requests and carries them to their final answers.
 class Relay final : public CallerHandler {
  public:
-  explicit Relay(RelayContext aContext) : context(aContext) {}
+  explicit Relay(RelayContext aContext) : context(std::move(aContext)) {}
 
   void OnRequest(const std::shared_ptr<CallerConnection>& aConnection,
                  CallerMessage aMessage) override;
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -22,6 +22,9 @@
 /// A member that leaves serves on for about two seconds; a stream that is
 /// still running there after this is moved on to another.
 constexpr Micros kLeavingTime = 1s;
+/// After a refused chain the same would be refused again for a while, and
+/// each order is paid for.
+constexpr Micros kRefusedRepairPause = 800ms;
 /// Callers give a silent stream up after this time at the earliest.
 constexpr Micros kCallerPatience = 2s;
 
@@ -415,7 +418,7 @@
   this->context.control.Repath(this->request.facts.id, aChain,
                                [self = std::static_pointer_cast<StreamExchange>(
                                     this->shared_from_this()),
-                                aChain](Result<OrderOutcome> aOutcome) {
+                                aChain](const Result<OrderOutcome>& aOutcome) {
                                  self->OnRepaired(aChain, aOutcome);
                                });
 }
@@ -440,6 +443,7 @@
     this->lastProgress = now;
     return;
   }
+  this->nextRepair = now + kRefusedRepairPause;
   if (aOutcome && !aOutcome->atFault.empty()) {
     for (const PoolHop& hop : aChain) {
       if (hop.upstream->Entry().address == aOutcome->atFault) {
