No more runs than a route allows; a live stream is not cut for want of budget

Change: a new run only while the route allows one more; a call that is still open goes on where no new run is allowed; members off the list are left after 400 ms of silence, not 100. Test: Stream_BrokenAgain_RunsNoMoreThanItsAttempts (not run against the old code).

--- a/UnitTests/RelayTest.cpp
+++ b/UnitTests/RelayTest.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(Key_WithoutProof_IsRefusedAsNotRun);
   CPPUNIT_TEST(Route_Unknown_IsNotFound);
   CPPUNIT_TEST(Stream_BrokenMidway_GoesOnBehindTheLastEvent);
+  CPPUNIT_TEST(Stream_BrokenAgain_RunsNoMoreThanItsAttempts);
   CPPUNIT_TEST(Stream_BrokenAndNotResumable_LooksCut);
   CPPUNIT_TEST(Caller_ThatLeaves_EndsTheWork);
   CPPUNIT_TEST_SUITE_END();
@@ -287,6 +288,22 @@
                          answer->body);
   }
 
+  // tavua-orders, mix seed 557285768698, BUDGET: a stream whose upstreams
+  // broke off one after the other ran on three of the two allowed.
+  void Stream_BrokenAgain_RunsNoMoreThanItsAttempts() {
+    std::size_t runs = 0;
+    for (int i = 0; i < 4; ++i) {
+      this->AddUpstream("model", [&](const auto& aTo, const auto& aMessage) {
+        runs += 1;
+        aTo->BeginChunks(200, SealedHeaders(aMessage));
+        aTo->AppendChunk("id: " + std::to_string(runs) + "\ndata: a\n\n");
+        asio::post(loop, [aTo] { aTo->CloseWhenSent(); });
+      });
+    }
+    CPPUNIT_ASSERT(!this->Ask(this->Request("/llm/")).has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, runs);
+  }
+
   void Stream_BrokenAndNotResumable_LooksCut() {
     std::string config = kConfig;
     config.replace(config.find("\"resumable\":true"), 16,
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -14,6 +14,9 @@
 /// A member under suspicion is left once the stream has stood still for a
 /// few of its usual pauses: a wrong suspicion then does no harm.
 constexpr Micros kMemberSilence = 100ms;
+/// A member that is off the list, or gives its layers up, may still serve
+/// what it runs; it is left only after a longer silence.
+constexpr Micros kLeftSilence = 400ms;
 /// An upstream that refused is passed over for so long: it may be short of
 /// memory, or hold other layers than its entry tells.
 constexpr Micros kRefusalPause = 300ms;
@@ -249,15 +252,23 @@
   this->Resume(aReason);
 }
 
+bool StreamExchange::MayResume() const {
+  return this->request.route->isResumable && !this->splitter.HasGap() &&
+         this->runs + (this->call ? 1 : 0) < this->request.route->maxAttempts;
+}
+
 void StreamExchange::Resume(const char* aReason) {
-  const bool mayResume = this->request.route->isResumable;
+  const bool mayResume = this->MayResume() && this->TakeRetry();
+  if (this->call && !mayResume) {
+    return;  // What stands still may go on by itself.
+  }
   if (this->call) {
     this->runs += 1;
   }
   this->CancelCall();
   this->Release();
   this->ready.clear();
-  if (!mayResume || this->splitter.HasGap() || !this->TakeRetry()) {
+  if (!mayResume) {
     this->Fail(aReason);
     return;
   }
@@ -318,10 +329,12 @@
     this->Resume("the first upstream is lost");
     return;
   }
+  const bool isLong = this->Silence(aNow) >= kLeftSilence;
   const bool hasLost = std::any_of(
       this->chain.begin() + 1, this->chain.end(), [&](const PoolHop& aHop) {
-        return aHop.upstream->IsSuspect(aNow) || aHop.upstream->IsGone() ||
-               !aHop.upstream->Entry().layers.Covers(aHop.layers);
+        const bool isLeft = aHop.upstream->IsGone() ||
+                            !aHop.upstream->Entry().layers.Covers(aHop.layers);
+        return aHop.upstream->IsSuspect(aNow) || (isLong && isLeft);
       });
   if (hasLost) {
     this->Repair(aNow);
@@ -451,7 +464,7 @@
       }
     }
   }
-  if (this->Silence(now) >= kMemberSilence) {
+  if (this->Silence(now) >= kLeftSilence) {
     // It stands still, and its domain cannot take it on.
     this->Resume("the first upstream refuses another chain");
   }
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -38,6 +38,10 @@
   void EndStream();
   void OnNotRun();
   void OnLost(const char* aReason);
+  /// Whether another upstream may run the rest.
+  bool MayResume() const;
+  /// Goes on with a new run, or ends; a call that is still open stays as it
+  /// is where no new run is allowed.
   void Resume(const char* aReason);
   void Fail(const char* aReason);
   void CheckMembers(Instant aNow);
