Streams that have begun wait for the retry budget; one object an incarnation

Change: half of the budget is kept for streams that have begun, and these wait for it up to the caller's patience. Found on the way: an upstream that left the list and came back stood twice in a chain (Upstream_ThatComesBack_IsTheSame).

--- a/UnitTests/ClusterViewTest.cpp
+++ b/UnitTests/ClusterViewTest.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(Upstream_Draining_GetsNoWork);
   CPPUNIT_TEST(Upstream_Removed_IsGoneAtOnce);
   CPPUNIT_TEST(Upstream_MissingAfterAnOutage_HasAGrace);
+  CPPUNIT_TEST(Upstream_ThatComesBack_IsTheSame);
   CPPUNIT_TEST(Upstream_LateEvent_DoesNotRemoveANewerEntry);
   CPPUNIT_TEST_SUITE_END();
 
@@ -138,6 +139,18 @@
     CPPUNIT_ASSERT(view.Directory().Find("i1") == nullptr);
   }
 
+  // darovna-ops-grown, hunt a779173e: a chain named one address twice, once
+  // as the incarnation before a cut and once as the one after.
+  void Upstream_ThatComesBack_IsTheSame() {
+    view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
+    const UpstreamPtr upstream = view.Directory().Find("i1");
+    view.OnUpstreams({{}, 60});
+    CPPUNIT_ASSERT(upstream->IsGone());
+    view.OnUpstreams({{{"i1", EntryText("ready"), 70}}, 80});
+    CPPUNIT_ASSERT(view.Directory().Find("i1") == upstream);
+    CPPUNIT_ASSERT(upstream->IsUsable(clock.Now()));
+  }
+
   void Upstream_LateEvent_DoesNotRemoveANewerEntry() {
     view.OnUpstreams({{{"i1", EntryText("ready"), 70}}, 80});
     view.OnUpstreamEvents({{{{"i1", "", 60}, true}}, 60});
--- a/UnitTests/RelayTest.cpp
+++ b/UnitTests/RelayTest.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(Key_WithoutProof_IsRefusedAsNotRun);
   CPPUNIT_TEST(Route_Unknown_IsNotFound);
   CPPUNIT_TEST(Stream_BrokenMidway_GoesOnBehindTheLastEvent);
+  CPPUNIT_TEST(Stream_BrokenWithoutBudget_WaitsForIt);
   CPPUNIT_TEST(Stream_BrokenAgain_RunsNoMoreThanItsAttempts);
   CPPUNIT_TEST(Stream_BrokenAndNotResumable_LooksCut);
   CPPUNIT_TEST(Caller_ThatLeaves_EndsTheWork);
@@ -288,6 +289,38 @@
                          answer->body);
   }
 
+  // darovna-ops, mix seed 390029498869, LOST: streams that had begun were
+  // cut at once where the retry budget was spent.
+  void Stream_BrokenWithoutBudget_WaitsForIt() {
+    RetryBudgetSettings spent;
+    spent.most = 0.5;
+    budgets.emplace("model", spent);
+    int runs = 0;
+    asio::steady_timer refill(loop);
+    for (int i = 0; i < 2; ++i) {
+      this->AddUpstream("model", [&](const auto& aTo, const auto& aMessage) {
+        runs += 1;
+        aTo->BeginChunks(200, SealedHeaders(aMessage));
+        aTo->AppendChunk("id: " + std::to_string(runs) + "\ndata: a\n\n");
+        if (runs == 2) {
+          aTo->EndChunks();
+          return;
+        }
+        asio::post(loop, [aTo] { aTo->CloseWhenSent(); });
+        refill.expires_after(200ms);
+        refill.async_wait([&](const asio::error_code&) {
+          RetryBudget& budget = budgets.at("model");
+          budget.SetMost(10);
+          for (int request = 0; request < 100; ++request) {
+            budget.OnRequest();
+          }
+        });
+      });
+    }
+    CPPUNIT_ASSERT(this->Ask(this->Request("/llm/")).has_value());
+    CPPUNIT_ASSERT_EQUAL(2, runs);
+  }
+
   // tavua-orders, mix seed 557285768698, BUDGET: a stream whose upstreams
   // broke off one after the other ran on three of the two allowed.
   void Stream_BrokenAgain_RunsNoMoreThanItsAttempts() {
--- a/Zincstep/Admission/RetryBudget.cpp
+++ b/Zincstep/Admission/RetryBudget.cpp
@@ -15,8 +15,8 @@
       std::min(this->settings.most, this->saved + this->settings.perRequest);
 }
 
-bool RetryBudget::TakeRetry() {
-  if (this->saved < 1) {
+bool RetryBudget::TakeRetry(double aKept) {
+  if (this->saved < 1 + aKept * this->settings.most) {
     return false;
   }
   this->saved -= 1;
--- a/Zincstep/Admission/RetryBudget.h
+++ b/Zincstep/Admission/RetryBudget.h
@@ -26,8 +26,9 @@
 
   /// A request is tried for the first time.
   void OnRequest();
-  /// Takes one retry out of the budget; false where there is none.
-  bool TakeRetry();
+  /// Takes one retry out of the budget; false where there is none beyond
+  /// `aKept`, a share of the most, which is left for work that matters more.
+  bool TakeRetry(double aKept = 0);
   /// Sets how many retries may be saved up, as a share of a common bound
   /// changes with the number of those who share it.
   void SetMost(double aMost);
--- a/Zincstep/Pool/LiveUpstream.h
+++ b/Zincstep/Pool/LiveUpstream.h
@@ -55,6 +55,11 @@
 
   /// It has left the list; what runs there may still end.
   void SetGone(Instant aNow);
+  /// It is on the list again: it was cut off, not ended.
+  void SetBack() {
+    this->isGone = false;
+    this->leavingSince.reset();
+  }
   bool IsGone() const { return this->isGone; }
   /// Whether it has been leaving for so long.
   bool IsLeaving(Instant aNow, Micros aFor) const {
--- a/Zincstep/Pool/UpstreamDirectory.cpp
+++ b/Zincstep/Pool/UpstreamDirectory.cpp
@@ -11,7 +11,14 @@
     }
     this->Remove(aEntry.id, aNow);
   }
-  auto upstream = std::make_shared<LiveUpstream>(std::move(aEntry));
+  UpstreamPtr upstream = this->departed[aEntry.id].lock();
+  this->departed.erase(aEntry.id);
+  if (upstream && upstream->Entry().service == aEntry.service) {
+    upstream->SetBack();
+    upstream->SetEntry(std::move(aEntry), aNow);
+  } else {
+    upstream = std::make_shared<LiveUpstream>(std::move(aEntry));
+  }
   this->all.emplace(upstream->Entry().id, upstream);
   this->byService[upstream->Entry().service].push_back(std::move(upstream));
 }
@@ -25,6 +32,9 @@
   this->all.erase(found);
   this->Unlist(upstream);
   upstream->SetGone(aNow);
+  std::erase_if(this->departed,
+                [](const auto& aEntry) { return aEntry.second.expired(); });
+  this->departed[aId] = upstream;
   return upstream;
 }
 
--- a/Zincstep/Pool/UpstreamDirectory.h
+++ b/Zincstep/Pool/UpstreamDirectory.h
@@ -30,6 +30,9 @@
 
   std::map<std::string, UpstreamPtr> all;
   std::map<std::string, std::vector<UpstreamPtr>> byService;
+  /// Incarnations off the list that requests still run on: one that comes
+  /// back is the same, so that no chain names it twice.
+  std::map<std::string, std::weak_ptr<LiveUpstream>> departed;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -140,10 +140,10 @@
   }
 }
 
-bool Exchange::TakeRetry() {
+bool Exchange::TakeRetry(double aKept) {
   return this->sends < this->context.settings.mostSends &&
          this->Now() < this->request.end &&
-         this->context.BudgetOf(this->request.service->name).TakeRetry();
+         this->context.BudgetOf(this->request.service->name).TakeRetry(aKept);
 }
 
 bool Exchange::IsForeign(const HttpHead& aHead,
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -61,8 +61,9 @@
   void CancelCall();
   /// There is evidence that an upstream does not answer.
   void Suspect(LiveUpstream& aUpstream);
-  /// Whether another send is allowed by count and budget.
-  bool TakeRetry();
+  /// Whether another send is allowed by count and budget; `aKept` is the
+  /// share of the budget that it may not use.
+  bool TakeRetry(double aKept);
   /// Whether an answer of that kind can only be some other request's, or
   /// was changed on its way.
   bool IsForeign(const HttpHead& aHead, const AnswerFacts& aFacts) const;
--- a/Zincstep/Relay/RelayContext.h
+++ b/Zincstep/Relay/RelayContext.h
@@ -42,7 +42,10 @@
   /// When those should come back that were refused for want of room.
   Micros busyRetryAfter = 400ms;
   /// Times that one request may be sent, rejections included.
-  int mostSends = 4;
+  int mostSends = 6;
+  /// Share of the retry budget that is kept for streams that have begun: a
+  /// request that has not can come again, a stream cannot.
+  double keptForStreams = 0.5;
   /// Bytes that a slow caller may leave untaken before reading stops.
   std::size_t mostPending = 256 << 10;
 };
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -103,7 +103,7 @@
   this->runs += 1;
   this->context.services.OnAnswer(*this->upstream, now - this->sentAt);
   if (this->head.status >= kFirstServerError && this->MayRunAgain() &&
-      this->TakeRetry()) {
+      this->TakeRetry(this->context.settings.keptForStreams)) {
     this->TrySend();
     return;
   }
@@ -111,7 +111,7 @@
 }
 
 void ServiceExchange::OnNotRun(const char* aReason) {
-  if (this->TakeRetry()) {
+  if (this->TakeRetry(this->context.settings.keptForStreams)) {
     this->TrySend();
     return;
   }
@@ -121,7 +121,8 @@
 }
 
 void ServiceExchange::OnFailure(const char* aReason) {
-  if (this->MayRunAgain() && this->TakeRetry()) {
+  if (this->MayRunAgain() &&
+      this->TakeRetry(this->context.settings.keptForStreams)) {
     this->TrySend();
     return;
   }
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -240,11 +240,23 @@
 }
 
 void StreamExchange::OnNotRun() {
-  if (this->TakeRetry()) {
+  if (this->TakeRetry(this->KeptBudget())) {
     this->TryChain();
-    return;
+  } else if (this->headSent) {
+    this->WaitForRetry();
+  } else {
+    this->Fail("refused by upstreams");
   }
-  this->Fail("refused by upstreams");
+}
+
+double StreamExchange::KeptBudget() const {
+  return this->headSent ? 0 : this->context.settings.keptForStreams;
+}
+
+void StreamExchange::WaitForRetry() {
+  this->Release();
+  this->needsRetry = true;
+  this->WaitForChain();
 }
 
 void StreamExchange::OnLost(const char* aReason) {
@@ -258,8 +270,9 @@
 }
 
 void StreamExchange::Resume(const char* aReason) {
-  const bool mayResume = this->MayResume() && this->TakeRetry();
-  if (this->call && !mayResume) {
+  const bool mayResume = this->MayResume();
+  const bool hasRetry = mayResume && this->TakeRetry(this->KeptBudget());
+  if (this->call && !hasRetry) {
     return;  // What stands still may go on by itself.
   }
   if (this->call) {
@@ -268,7 +281,7 @@
   this->CancelCall();
   this->Release();
   this->ready.clear();
-  if (!mayResume) {
+  if (!mayResume || (!hasRetry && !this->headSent)) {
     this->Fail(aReason);
     return;
   }
@@ -279,7 +292,7 @@
            {"after_event", this->splitter.LastId().value_or(0)}});
   this->context.metrics.Count("zincstep_streams_resumed_total");
   this->splitter.BeginRun();
-  this->TryChain();
+  hasRetry ? this->TryChain() : this->WaitForRetry();
 }
 
 void StreamExchange::OnTick(Instant aNow) {
@@ -298,7 +311,8 @@
     return;
   }
   if (this->isWaiting) {
-    this->TryChain();
+    this->needsRetry = this->needsRetry && !this->TakeRetry(this->KeptBudget());
+    this->needsRetry ? this->WaitForChain() : this->TryChain();
     return;
   }
   if (this->isHeldUp && this->request.connection->PendingBytes() <
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -33,6 +33,10 @@
  private:
   void TryChain();
   void WaitForChain();
+  /// A stream that has begun waits for the budget rather than end.
+  void WaitForRetry();
+  /// Share of the retry budget that this request may not use.
+  double KeptBudget() const;
   void Reserve(const PoolChain& aChain);
   void Release();
   void EndStream();
@@ -68,6 +72,8 @@
   bool isForeign = false;
   bool headSent = false;
   bool isWaiting = false;
+  /// It waits for the retry budget, not only for a chain.
+  bool needsRetry = false;
   bool isRepairing = false;
   bool isHeldUp = false;
   Instant waitingSince;
