One text for when to come back, one search for a repaired chain; dead code out

Cause: read back as a newcomer: Relay and Exchange each wrote the field that says when to come back, MoveOn and Repair were twins, and five members had no reader (FindByAddress, Pending, proofTimeout, IsReached, isOtherIncarnation). Left: AsioPeerHub and Net each read an address (ParseEndpoint); Peer does not link Net.

--- a/Zincstep/Cluster/PlacementKeeper.h
+++ b/Zincstep/Cluster/PlacementKeeper.h
@@ -64,8 +64,6 @@
   void Stop();
 
   bool HasDuty() const { return this->guard.IsHeld(this->clock.Now()); }
-  /// Orders under way.
-  std::size_t Pending() const { return this->pending.size(); }
 
  private:
   struct Order {
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -46,8 +46,6 @@
   /// The daemons' own entries change seldom, and late news of them costs
   /// little.
   PrefixPauses ownPauses{15s, 1s, 150ms, 1s};
-  /// A proof that has no answer by then: the store is away.
-  Micros proofTimeout = 1s;
   Micros firstRetry = 150ms;
 };
 
@@ -103,9 +101,6 @@
     this->mayRely = std::move(aMayRely);
   }
 
-  /// Whether the store has answered the last proof.
-  bool IsReached() const { return this->isReached; }
-
  private:
   void Prove();
   bool Relies() const;
--- a/Zincstep/Pool/UpstreamDirectory.cpp
+++ b/Zincstep/Pool/UpstreamDirectory.cpp
@@ -50,16 +50,6 @@
   return found == this->all.end() ? nullptr : found->second;
 }
 
-UpstreamPtr UpstreamDirectory::FindByAddress(
-    const std::string& aAddress) const {
-  for (const auto& [id, upstream] : this->all) {
-    if (upstream->Entry().address == aAddress) {
-      return upstream;
-    }
-  }
-  return nullptr;
-}
-
 const std::vector<UpstreamPtr>& UpstreamDirectory::OfService(
     const std::string& aService) const {
   static const std::vector<UpstreamPtr> none;
--- a/Zincstep/Pool/UpstreamDirectory.h
+++ b/Zincstep/Pool/UpstreamDirectory.h
@@ -18,8 +18,6 @@
 
   /// The upstream of that id, or null.
   UpstreamPtr Find(const std::string& aId) const;
-  /// The present upstream at that address, or null.
-  UpstreamPtr FindByAddress(const std::string& aAddress) const;
   /// The upstreams of a service.
   const std::vector<UpstreamPtr>& OfService(const std::string& aService) const;
   /// All of them.
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -15,15 +15,15 @@
 constexpr int kFirstFailureStatus = 300;
 constexpr int kFirstSuccessStatus = 200;
 
-std::string SecondsText(Micros aSpan) {
+}  // namespace
+
+HttpHeader RetryAfterHeader(Micros aSpan) {
   std::array<char, 32> text{};
   const int size =
       std::snprintf(text.data(), text.size(), "%.3f", ToSeconds(aSpan));
-  return {text.data(), static_cast<std::size_t>(size)};
+  return {"Retry-After", {text.data(), static_cast<std::size_t>(size)}};
 }
 
-}  // namespace
-
 Exchange::Exchange(RelayContext& aContext, AdmittedRequest aRequest)
     : context(aContext), request(std::move(aRequest)) {}
 
@@ -43,7 +43,7 @@
   ZINCSTEP_ASSERT(answer.outcome != Outcome::NotRun || !this->hasBegun);
   HttpHeaders headers = this->context.dialect.OwnAnswer(this->request.facts.id);
   if (answer.outcome == Outcome::NotRun) {
-    headers.push_back({"Retry-After", SecondsText(this->ComeBackAfter(aKind))});
+    headers.push_back(RetryAfterHeader(this->ComeBackAfter(aKind)));
   }
   this->context.metrics.Count("zincstep_refusals_total",
                               {{"kind", std::string(answer.name)}});
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -1,7 +1,5 @@
 #include "Zincstep/Relay/Relay.h"
 
-#include <array>
-#include <cstdio>
 #include <vector>
 
 #include "Zincstep/Relay/ServiceExchange.h"
@@ -112,9 +110,7 @@
   const Micros after =
       std::min(aError.RetryAfter(), this->context.settings.busyRetryAfter);
   if (after > Micros{0}) {
-    std::array<char, 32> text{};
-    std::snprintf(text.data(), text.size(), "%.3f", ToSeconds(after));
-    headers.push_back({"Retry-After", text.data()});
+    headers.push_back(RetryAfterHeader(after));
   }
   const auto age = this->context.view.ProofAge();
   LogInfo("request_refused",
--- a/Zincstep/Relay/RelayContext.h
+++ b/Zincstep/Relay/RelayContext.h
@@ -50,6 +50,9 @@
   std::size_t mostPending = 256 << 10;
 };
 
+/// The field that tells a caller when to come back.
+HttpHeader RetryAfterHeader(Micros aSpan);
+
 /// What all exchanges of a daemon share.
 struct RelayContext {
   asio::io_context& loop;
--- a/Zincstep/Relay/RelayDialect.h
+++ b/Zincstep/Relay/RelayDialect.h
@@ -54,8 +54,6 @@
   std::string requestId;
   /// The upstream promises that it has not run the request.
   bool isNotRun = false;
-  /// Another incarnation has the address now.
-  bool isOtherIncarnation = false;
   /// Carries the mark that shows the bytes to be the upstream's own.
   bool isSealed = false;
   /// Its body is coded in a way that was not asked for.
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -363,16 +363,26 @@
   return givesUp || aHop.upstream->IsLeaving(aNow, kLeavingTime);
 }
 
-void StreamExchange::MoveOn(Instant aNow) {
+bool StreamExchange::MayRepair(Instant aNow) {
   if (this->isRepairing || aNow < this->nextRepair) {
-    return;
+    return false;
   }
   this->nextRepair = aNow + this->context.settings.repairPause;
-  const auto chain = this->context.chains.Repair(
+  return true;
+}
+
+std::optional<PoolChain> StreamExchange::RepairedChain(Instant aNow) {
+  return this->context.chains.Repair(
       *this->request.service->model,
       this->context.view.Directory().OfService(this->request.service->name),
       this->chain, this->tokens, aNow, this->context.random);
-  if (chain) {
+}
+
+void StreamExchange::MoveOn(Instant aNow) {
+  if (!this->MayRepair(aNow)) {
+    return;
+  }
+  if (const auto chain = this->RepairedChain(aNow)) {
     this->Repath(*chain);
   }
 }
@@ -424,14 +434,10 @@
 }
 
 void StreamExchange::Repair(Instant aNow) {
-  if (this->isRepairing || aNow < this->nextRepair) {
+  if (!this->MayRepair(aNow)) {
     return;
   }
-  this->nextRepair = aNow + this->context.settings.repairPause;
-  auto repaired = this->context.chains.Repair(
-      *this->request.service->model,
-      this->context.view.Directory().OfService(this->request.service->name),
-      this->chain, this->tokens, aNow, this->context.random);
+  const auto repaired = this->RepairedChain(aNow);
   if (!repaired) {
     // Nobody in its domain holds what was lost: a chain elsewhere does.
     this->Resume("no other holder of the lost layers");
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -50,6 +50,10 @@
   void Fail(const char* aReason);
   void CheckMembers(Instant aNow);
   void Repair(Instant aNow);
+  /// Whether it is time for another attempt; that time begins anew.
+  bool MayRepair(Instant aNow);
+  /// The chain with its lost or leaving members replaced, if there is one.
+  std::optional<PoolChain> RepairedChain(Instant aNow);
   /// Moves a running stream off members that leave or give layers up.
   void MoveOn(Instant aNow);
   void Repath(const PoolChain& aChain);
