Two copies of the model in a domain; memory beyond that is for requests

The planner kept memory for 85,000 tokens a layer and spent the rest on third and fourth holders, while a hall has some 100,000 tokens in flight. Ruled out: processor (1.0% of a core), pace, pipes.

The line that ends a request tells its first event and its longest pause.

Tests: three failed on the old planner and chooser, pass now.

--- a/UnitTests/PoolTest.cpp
+++ b/UnitTests/PoolTest.cpp
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(Plan_OrderUnderWay_GetsNoOther);
   CPPUNIT_TEST(Plan_TooFewUpstreams_KeepsLessMemory);
   CPPUNIT_TEST(Plan_ManyUpstreams_UsesThemAll);
+  CPPUNIT_TEST(Plan_RoomForTwoCopies_LeavesTheRestToRequests);
   CPPUNIT_TEST_SUITE_END();
 
   ModelShape model = UsersModel();
@@ -189,6 +190,18 @@
     }
   }
 
+  // darovna-ops-grown, quiet-1: layers with three holders beside others with
+  // memory for 86,000 tokens in all, of 230,000 that fit; 1,530 of 7,199
+  // arrivals were refused for want of memory.
+  void Plan_RoomForTwoCopies_LeavesTheRestToRequests() {
+    pool = Hall("a", 0, 3, 9, 13);
+    Carry(pool, planner.Plan(model, pool));
+    for (int layer = 0; layer < model.layers; ++layer) {
+      CPPUNIT_ASSERT(this->HoldersAt("a", layer) >= 2);
+      CPPUNIT_ASSERT(this->TokensAt("a", layer) >= 200'000);
+    }
+  }
+
   void Plan_TooFewUpstreams_KeepsLessMemory() {
     auto small = Hall("a", 1, 1, 2, 1);
     Carry(small, planner.Plan(model, small));
@@ -206,6 +219,9 @@
   CPPUNIT_TEST(Choose_BusyDomain_LiesInAnother);
   CPPUNIT_TEST(Choose_FullUpstream_IsPassedOver);
   CPPUNIT_TEST(Choose_NoUpstreamTwice);
+  CPPUNIT_TEST(Standbys_DoubledDomain_HasNone);
+  CPPUNIT_TEST(Standbys_FewSecondHolders_AreOne);
+  CPPUNIT_TEST(Capacity_FirstLayers_IsBoundBySlots);
   CPPUNIT_TEST(Repair_LostHop_KeepsTheFirstAndTheOthers);
   CPPUNIT_TEST(Repair_NobodyElse_IsNone);
   CPPUNIT_TEST(Repair_MemberOffTheList_IsKeptWhereNobodyElseIs);
@@ -225,6 +241,7 @@
     entry.failureDomain = aDomain;
     entry.kind = aKind;
     entry.layers = aLayers;
+    entry.slots = 192;
     this->upstreams.push_back(std::make_shared<LiveUpstream>(entry));
   }
 
@@ -346,6 +363,40 @@
     }
   }
 
+  // tavua-orders-grown, quiet-1: a quick upstream with few layers was kept as
+  // the standby, and its only partner got each request of the domain.
+  void Standbys_DoubledDomain_HasNone() {
+    this->Add("a1", "a", "a100s", {0, 10});
+    this->Add("a2", "a", "h100", {0, 40});
+    this->Add("a3", "a", "h100", {10, 45});
+    this->Add("a4", "a", "h100", {40, 80});
+    this->Add("a5", "a", "h100", {45, 80});
+    CPPUNIT_ASSERT(ChainChooser::Standbys(model, upstreams, now).empty());
+  }
+
+  void Standbys_FewSecondHolders_AreOne() {
+    this->Add("a1", "a", "a100s", {0, 10});
+    this->Add("a2", "a", "h100", {0, 40});
+    this->Add("a3", "a", "h100", {40, 80});
+    const auto standbys = ChainChooser::Standbys(model, upstreams, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, standbys.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, standbys.front());
+  }
+
+  // The same day: 192 requests ran at the first upstream and others waited,
+  // while it had memory for three times as many.
+  void Capacity_FirstLayers_IsBoundBySlots() {
+    UpstreamEntry entry;
+    entry.kind = "a100s";
+    entry.layers = {0, 10};
+    entry.slots = 10;
+    const double usual = model.usualPrompt + model.usualAnswer;
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(10 * 10 * usual,
+                                 ChainChooser::Capacity(model, entry), 1);
+    entry.layers = {10, 20};
+    CPPUNIT_ASSERT(ChainChooser::Capacity(model, entry) > 20 * 10 * usual);
+  }
+
   void Repair_LostHop_KeepsTheFirstAndTheOthers() {
     this->Add("first", "a", "h100", {0, 30});
     this->Add("lost", "a", "l4", {30, 40});
--- a/Zincstep/Pool/ChainChooser.cpp
+++ b/Zincstep/Pool/ChainChooser.cpp
@@ -14,6 +14,10 @@
 /// A standby holds no more layers than this: the large upstreams are the
 /// quick ones, and hold the memory of several small ones.
 constexpr int kLargestStandby = 12;
+/// A domain of which this share of the layers has a second holder needs no
+/// standby: the next loss hardly leaves a gap, and the standby's share of the
+/// requests would be its partners' to carry.
+constexpr double kDoubledShare = 0.8;
 /// A hop of a broken chain that works but leaves costs more than any other:
 /// one that works and stays costs nothing, since its cache of the request
 /// stays too.
@@ -36,6 +40,14 @@
   }
 }
 
+/// Whether nearly every layer has a second holder.
+bool IsDoubled(const std::vector<int>& aHolders) {
+  const auto doubled = std::count_if(aHolders.begin(), aHolders.end(),
+                                     [](int aCount) { return aCount > 1; });
+  return static_cast<double>(doubled) >=
+         kDoubledShare * static_cast<double>(aHolders.size());
+}
+
 }  // namespace
 
 double ChainChooser::Capacity(const ModelShape& aModel,
@@ -45,7 +57,14 @@
     return 0;
   }
   const double freeMb = kind->memoryMb - aEntry.layers.Size() * aModel.layerMb;
-  return std::max(0.0, freeMb / (aModel.tokenMb / aModel.layers));
+  const double memory = freeMb / (aModel.tokenMb / aModel.layers);
+  if (aEntry.layers.first > 0) {
+    return std::max(0.0, memory);
+  }
+  // Chains begin here: its slots bound the requests, whatever their length.
+  const double usual = aModel.usualPrompt + aModel.usualAnswer;
+  return std::max(
+      0.0, std::min(memory, aEntry.slots * usual * aEntry.layers.Size()));
 }
 
 void ChainChooser::Prepare(const ModelShape& aModel,
@@ -95,8 +114,8 @@
     const UpstreamEntry& entry = aUpstreams[i]->Entry();
     const auto& counts = holders[entry.failureDomain];
     const bool isSpare =
-        aUpstreams[i]->IsSound(aNow) && entry.layers.Size() > 0 &&
-        entry.layers.Size() <= kLargestStandby &&
+        !IsDoubled(counts) && aUpstreams[i]->IsSound(aNow) &&
+        entry.layers.Size() > 0 && entry.layers.Size() <= kLargestStandby &&
         std::all_of(counts.begin() + entry.layers.first,
                     counts.begin() + std::min(entry.layers.last, aModel.layers),
                     [](int aCount) { return aCount > 1; });
--- a/Zincstep/Pool/PlacementPlanner.cpp
+++ b/Zincstep/Pool/PlacementPlanner.cpp
@@ -9,6 +9,8 @@
 
 /// Share by which the memory kept is lowered until a domain holds a copy.
 constexpr double kKeptStep = 0.9;
+/// Factor by which it is raised where a domain has room for more.
+constexpr double kKeptRise = 1.05;
 
 /// What a layer without a holder is worth, beside memory for requests.
 constexpr double kUncoveredWorth = 100;
@@ -24,6 +26,8 @@
            this->Room() < this->model.layers) {
       this->tokensKept *= kKeptStep;
     }
+    this->SortBySize();
+    this->KeepMoreWhereDoubled();
     const auto layers = static_cast<std::size_t>(this->model.layers);
     this->cover.assign(layers, 0);
     this->tokens.assign(layers, 0);
@@ -33,7 +37,6 @@
   }
 
   std::vector<PlacementOrder> Make() {
-    this->SortBySize();
     if (this->IsEmpty()) {
       this->LayOut();
     }
@@ -84,6 +87,16 @@
     return sum;
   }
 
+  /// Raises the memory kept while two copies of the model fit beside it.
+  void KeepMoreWhereDoubled() {
+    double fitting = this->tokensKept;
+    while (!this->RangesWith(this->model.layers).empty()) {
+      fitting = this->tokensKept;
+      this->tokensKept *= kKeptRise;
+    }
+    this->tokensKept = fitting;
+  }
+
   bool IsEmpty() const {
     return std::all_of(this->upstreams.begin(), this->upstreams.end(),
                        [](const PlacedUpstream& aUpstream) {
--- a/Zincstep/Pool/PlacementPlanner.h
+++ b/Zincstep/Pool/PlacementPlanner.h
@@ -48,8 +48,10 @@
 /// leave it more memory than those with two, who share the requests. An
 /// empty domain is laid out with as many layers doubled as that allows,
 /// the largest upstreams' first: their loss would take longest to load
-/// again. Later the plan changes only where layers have lost their last
-/// holder, or an upstream is empty.
+/// again. A domain with memory for more than two copies of the model leaves
+/// the rest to requests: a third holder would take it from them. Later the plan
+/// changes only where layers have lost their last holder, or an upstream is
+/// empty.
 class PlacementPlanner {
  public:
   explicit PlacementPlanner(PlacementSettings aSettings)
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -90,6 +90,8 @@
            {"upstream", this->upstream ? this->upstream->Entry().id : ""},
            {"sends", this->sends},
            {"runs", this->runs},
+           {"first_event_ms", this->firstEventAfter / 1ms},
+           {"longest_pause_ms", this->longestPause / 1ms},
            {"taken_ms", taken / 1ms}});
 }
 
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -84,6 +84,10 @@
   int runs = 0;
   int sends = 0;
   Instant sentAt;
+  /// Time from the request's reading to the first event that was passed on,
+  /// and the longest pause between two since: what makes an answer late.
+  Micros firstEventAfter{0};
+  Micros longestPause{0};
 
  private:
   bool isDone = false;
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -152,12 +152,15 @@
   if (this->ready.empty()) {
     return;
   }
+  const Instant now = this->Now();
   CallerConnection& connection = *this->request.connection;
-  if (!this->headSent) {
+  if (this->headSent) {
+    this->longestPause = std::max(this->longestPause, now - this->passedAt);
+  } else {
     this->headSent = true;
-    this->context.metrics.Observe(
-        "zincstep_first_event_seconds",
-        ToSeconds(this->Now() - this->request.message.readAt));
+    this->firstEventAfter = now - this->request.message.readAt;
+    this->context.metrics.Observe("zincstep_first_event_seconds",
+                                  ToSeconds(this->firstEventAfter));
     connection.BeginChunks(this->head.status, PassedHeaders(this->head));
     for (const PoolHop& hop : this->chain) {
       hop.upstream->OnAccepted();
@@ -165,7 +168,8 @@
   }
   connection.AppendChunk(this->ready);
   this->ready.clear();
-  this->lastProgress = this->Now();
+  this->passedAt = now;
+  this->lastProgress = now;
   if (connection.PendingBytes() > this->context.settings.mostPending) {
     this->isHeldUp = true;
     this->call->SetReading(false);
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -82,6 +82,8 @@
   bool isHeldUp = false;
   Instant waitingSince;
   Instant lastProgress;
+  /// When events were last passed on.
+  Instant passedAt;
   Instant nextRepair;
   /// Repairs of this stream so far, for its closing log line.
   int repairs = 0;
