--- a/UnitTests/ClusterViewTest.cpp
+++ b/UnitTests/ClusterViewTest.cpp
@@ -27,6 +27,11 @@
   CPPUNIT_TEST(Copy_ProofOfAPeer_CountsFromTheQuestion);
   CPPUNIT_TEST(Copy_OlderUpstreams_ArePassedOver);
   CPPUNIT_TEST(Copy_WithoutUpstreams_RemovesNone);
+  CPPUNIT_TEST(Copy_UnchangedEntries_KeepTheirValues);
+  CPPUNIT_TEST(Copy_ProofOfConfiguration_ProvesNoLists);
+  CPPUNIT_TEST(Copy_ProofOfLists_CountsFromTheQuestion);
+  CPPUNIT_TEST(Daemons_OlderList_IsPassedOver);
+  CPPUNIT_TEST(Daemons_LateRemoval_KeepsANewerEntry);
   CPPUNIT_TEST(Upstream_Draining_GetsNoWork);
   CPPUNIT_TEST(Upstream_Removed_IsGoneAtOnce);
   CPPUNIT_TEST(Upstream_MissingAfterAnOutage_HasAGrace);
@@ -36,11 +41,13 @@
 
   void OnConfiguration() override { this->configurations += 1; }
   void OnUpstream(const UpstreamPtr&) override {}
+  void OnDaemonEntries() override { this->daemonChanges += 1; }
 
   std::unique_ptr<ClusterDecoder> decoder = platform::MakeDecoder();
   FakeClock clock;
   ClusterView view{*decoder, *this, clock};
   int configurations = 0;
+  int daemonChanges = 0;
 
  public:
   void Configuration_OlderRevision_IsPassedOver() {
@@ -107,10 +114,71 @@
     view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
     ClusterView newer{*decoder, *this, clock};
     newer.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 60});
-    view.OnCopy(newer.CopyFor(0, 60), clock.Now());
+    view.OnCopy(newer.CopyFor({0, 60, 0}), clock.Now());
     CPPUNIT_ASSERT(view.Directory().Find("i1") != nullptr);
   }
 
+  void Copy_UnchangedEntries_KeepTheirValues() {
+    view.OnUpstreams(
+        {{{"i1", EntryText("ready"), 5}, {"i2", EntryText("ready"), 6}}, 50});
+    ClusterView newer{*decoder, *this, clock};
+    newer.OnUpstreams(
+        {{{"i1", EntryText("ready"), 5}, {"i3", EntryText("ready"), 55}}, 60});
+    const ClusterCopy copy = newer.CopyFor(view.Revisions());
+    CPPUNIT_ASSERT(copy.upstreams->items.front().value.empty());
+    view.OnCopy(copy, clock.Now());
+    CPPUNIT_ASSERT(view.Directory().Find("i1")->IsUsable(clock.Now()));
+    CPPUNIT_ASSERT(view.Directory().Find("i2") == nullptr);
+    CPPUNIT_ASSERT(view.Directory().Find("i3") != nullptr);
+    // What was kept can be told on.
+    const ClusterCopy told = view.CopyFor({});
+    CPPUNIT_ASSERT(!told.upstreams->items.front().value.empty());
+  }
+
+  // tavua-orders-grown, trouble-1 seed 649340125919: a daemon whose teller had
+  // been killed got proofs of the configuration from others, took its list of
+  // upstreams for fresh, and sent to one 3.2 s after it had begun to drain.
+  void Copy_ProofOfConfiguration_ProvesNoLists() {
+    view.OnConfiguration({"", ConfigText(9), 20});
+    view.OnListsProven(clock.Now());
+    clock.Advance(3s);
+    ClusterCopy copy;
+    copy.configRevision = 20;
+    copy.proofAge = 100ms;
+    view.OnCopy(copy, clock.Now());
+    CPPUNIT_ASSERT(*view.ProofAge() == 100ms);
+    CPPUNIT_ASSERT(*view.ListsAge() == 3s);
+  }
+
+  void Copy_ProofOfLists_CountsFromTheQuestion() {
+    const Instant asked = clock.Now();
+    clock.Advance(200ms);
+    ClusterCopy copy;
+    copy.listsAge = 500ms;
+    view.OnCopy(copy, asked);
+    CPPUNIT_ASSERT(*view.ListsAge() == 700ms);
+    copy.listsAge = 5s;
+    view.OnCopy(copy, clock.Now());
+    CPPUNIT_ASSERT(*view.ListsAge() == 700ms);
+  }
+
+  void Daemons_OlderList_IsPassedOver() {
+    view.OnDaemons({{{"members/a", "{}", 5}}, 50});
+    ClusterCopy copy;
+    copy.daemons = StoreRange{{}, 40};
+    view.OnCopy(copy, clock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::string("{}"),
+                         view.Daemons().ValueOf("members/a"));
+    CPPUNIT_ASSERT_EQUAL(1, daemonChanges);
+  }
+
+  void Daemons_LateRemoval_KeepsANewerEntry() {
+    view.OnDaemons({{{"members/a", "{}", 70}}, 80});
+    view.OnDaemonEvents({{{{"members/a", "", 60}, true}}, 60});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, view.Daemons().Items().size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{80}, view.Daemons().At());
+  }
+
   void Upstream_Draining_GetsNoWork() {
     view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
     const UpstreamPtr upstream = view.Directory().Find("i1");
--- a/UnitTests/RelayTest.cpp
+++ b/UnitTests/RelayTest.cpp
@@ -81,6 +81,7 @@
 
   void OnConfiguration() override {}
   void OnUpstream(const UpstreamPtr&) override {}
+  void OnDaemonEntries() override {}
 
   asio::io_context loop{1};
   SystemClock clock;
@@ -114,7 +115,7 @@
   }
 
   void List(const std::string& aService, const std::string& aAddress) {
-    const std::uint64_t revision = view.UpstreamsAt() + 1;
+    const std::uint64_t revision = view.Revisions().upstreams + 1;
     view.OnUpstreamEvents(
         {{{{"i" + std::to_string(revision),
             R"({"backend":")" + aService + R"(","address":")" + aAddress +
--- a/Zincstep/Cluster/Cluster.h
+++ b/Zincstep/Cluster/Cluster.h
@@ -8,4 +8,5 @@
 #include "Zincstep/Cluster/AsyncStore.h"
 #include "Zincstep/Cluster/ClusterView.h"
 #include "Zincstep/Cluster/PlacementKeeper.h"
+#include "Zincstep/Cluster/PrefixMirror.h"
 #include "Zincstep/Cluster/StoreFollower.h"
--- a/Zincstep/Cluster/ClusterView.cpp
+++ b/Zincstep/Cluster/ClusterView.cpp
@@ -65,6 +65,9 @@
     return;
   }
   this->missing.erase(aItem.key);
+  if (aItem.value.empty()) {
+    return;  // A peer knows that it stands here as it is.
+  }
   const bool isNews = aItem.revision > known.revision;
   known = aItem;
   if (!isNews) {
@@ -157,6 +160,41 @@
   if (aCopy.upstreams && aCopy.upstreams->at > this->upstreamsAt) {
     this->OnUpstreams(*aCopy.upstreams);
   }
+  if (aCopy.daemons && aCopy.daemons->at > this->daemons.At()) {
+    this->OnDaemons(*aCopy.daemons);
+  }
+  if (aCopy.listsAge) {
+    this->OnListsProven(aAsked - *aCopy.listsAge);
+  }
+}
+
+void ClusterView::OnDaemons(const StoreRange& aRange) {
+  this->daemons.OnRange(aRange);
+  this->listener.OnDaemonEntries();
+}
+
+void ClusterView::OnDaemonEvents(const StoreEvents& aEvents) {
+  this->daemons.OnEvents(aEvents);
+  if (!aEvents.events.empty()) {
+    this->listener.OnDaemonEntries();
+  }
+}
+
+void ClusterView::OnListsProven(Instant aAt) {
+  if (!this->listsProvenAt || *this->listsProvenAt < aAt) {
+    this->listsProvenAt = aAt;
+  }
+}
+
+std::optional<Micros> ClusterView::ListsAge() const {
+  if (!this->listsProvenAt) {
+    return std::nullopt;
+  }
+  return this->clock.Now() - *this->listsProvenAt;
+}
+
+KnownRevisions ClusterView::Revisions() const {
+  return {this->config.revision, this->upstreamsAt, this->daemons.At()};
 }
 
 void ClusterView::OnStoreReached(bool aReached) {
@@ -185,19 +223,21 @@
   }
 }
 
-ClusterCopy ClusterView::CopyFor(std::uint64_t aConfigRevision,
-                                 std::uint64_t aUpstreamsAt) const {
+ClusterCopy ClusterView::CopyFor(const KnownRevisions& aKnown) const {
   ClusterCopy copy;
   copy.configRevision = this->config.revision;
   copy.proofAge = this->ProofAge();
-  if (aConfigRevision < this->config.revision) {
+  copy.listsAge = this->ListsAge();
+  if (aKnown.config < this->config.revision) {
     copy.configText = this->config.value;
   }
-  if (aUpstreamsAt < this->upstreamsAt) {
-    copy.upstreams = StoreRange{{}, this->upstreamsAt};
-    for (const auto& [id, item] : this->entries) {
-      copy.upstreams->items.push_back(item);
-    }
+  if (aKnown.upstreams < this->upstreamsAt) {
+    copy.upstreams =
+        RangeSince(this->entries, this->upstreamsAt, aKnown.upstreams);
+  }
+  if (aKnown.daemons < this->daemons.At()) {
+    copy.daemons =
+        RangeSince(this->daemons.Items(), this->daemons.At(), aKnown.daemons);
   }
   return copy;
 }
--- a/Zincstep/Cluster/ClusterView.h
+++ b/Zincstep/Cluster/ClusterView.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "Zincstep/Cluster/AsyncStore.h"
+#include "Zincstep/Cluster/PrefixMirror.h"
 #include "Zincstep/Pool/Pool.h"
 #include "Zincstep/Routes/Routes.h"
 
@@ -32,6 +32,8 @@
   virtual void OnConfiguration() = 0;
   /// An upstream has changed, or left the list.
   virtual void OnUpstream(const UpstreamPtr& aUpstream) = 0;
+  /// The daemons' own entries have changed.
+  virtual void OnDaemonEntries() = 0;
 };
 
 /// Everything that one daemon can tell another of the cluster.
@@ -40,17 +42,32 @@
   std::string configText;
   /// Age of the proof that no newer configuration exists.
   std::optional<Micros> proofAge;
-  /// All upstreams' entries; none where the asker has them as they are.
+  /// All upstreams' entries; none where the asker has them as they are. An
+  /// empty value stands for the one that the asker has.
   std::optional<StoreRange> upstreams;
+  /// The same for the daemons' own entries.
+  std::optional<StoreRange> daemons;
+  /// Age of the proof that both lists were up to the store.
+  std::optional<Micros> listsAge;
 };
 
-/// What a daemon believes of configuration and upstreams, and since when.
+/// What an asker of a copy has already, by the store's revisions.
+struct KnownRevisions {
+  std::uint64_t config = 0;
+  std::uint64_t upstreams = 0;
+  std::uint64_t daemons = 0;
+};
+
+/// What a daemon believes of configuration, upstreams and other daemons, and
+/// since when.
 ///
 /// Each belief carries the store's revision and never moves back: an older
 /// revision is passed over, whoever brings it. That the configuration is
 /// the newest one is proved by a call to the store, and the proof counts
 /// from the instant at which that call, or the question to a peer that has
-/// such a proof, began.
+/// such a proof, began. That the lists of upstreams and daemons are up to the
+/// store is proved apart: a peer that has a fresh proof of the configuration
+/// may have lost whoever told it of the lists.
 class ClusterView {
  public:
   ClusterView(const ClusterDecoder& aDecoder, ClusterListener& aListener,
@@ -64,6 +81,12 @@
   void OnUpstreams(const StoreRange& aRange);
   /// Changes of upstreams' entries.
   void OnUpstreamEvents(const StoreEvents& aEvents);
+  /// All of the daemons' own entries.
+  void OnDaemons(const StoreRange& aRange);
+  /// Changes of the daemons' own entries.
+  void OnDaemonEvents(const StoreEvents& aEvents);
+  /// Both lists showed all that the store had at `aAt`.
+  void OnListsProven(Instant aAt);
   /// What a peer answered to a question that was asked at `aAsked`.
   void OnCopy(const ClusterCopy& aCopy, Instant aAsked);
   /// The store has begun or ceased to answer.
@@ -72,16 +95,20 @@
   void Tick();
 
   /// What a peer is told that has those revisions.
-  ClusterCopy CopyFor(std::uint64_t aConfigRevision,
-                      std::uint64_t aUpstreamsAt) const;
+  ClusterCopy CopyFor(const KnownRevisions& aKnown) const;
+  /// What a peer need not tell.
+  KnownRevisions Revisions() const;
 
   /// The configuration in force, or null before the first.
   const std::shared_ptr<const RouteTable>& Table() const { return this->table; }
   std::uint64_t ConfigRevision() const { return this->config.revision; }
-  std::uint64_t UpstreamsAt() const { return this->upstreamsAt; }
   /// Age of the proof that the configuration is the newest; none: no proof.
   std::optional<Micros> ProofAge() const;
+  /// Age of the proof that the lists are up to the store; none: no proof.
+  std::optional<Micros> ListsAge() const;
   const UpstreamDirectory& Directory() const { return this->directory; }
+  /// The daemons' own entries.
+  const PrefixMirror& Daemons() const { return this->daemons; }
 
  private:
   void Put(const StoreItem& aItem);
@@ -98,8 +125,10 @@
   std::optional<Instant> proofBegan;
   UpstreamDirectory directory;
   /// Entries as the store holds them, by id.
-  std::map<std::string, StoreItem> entries;
+  StoreItems entries;
   std::uint64_t upstreamsAt = 0;
+  PrefixMirror daemons;
+  std::optional<Instant> listsProvenAt;
   /// Entries that went while the store was away: when they count as gone.
   std::map<std::string, Instant> missing;
   bool isStoreReached = true;
--- a/Zincstep/Cluster/PlacementKeeper.cpp
+++ b/Zincstep/Cluster/PlacementKeeper.cpp
@@ -57,7 +57,8 @@
 
 void PlacementKeeper::TakeDuty() {
   const Instant sentAt = this->clock.Now();
-  if (this->isAsking || sentAt < this->nextAttempt) {
+  const bool isBarred = this->mayTake && !this->mayTake();
+  if (this->isAsking || isBarred || sentAt < this->nextAttempt) {
     return;
   }
   this->isAsking = true;
--- a/Zincstep/Cluster/PlacementKeeper.h
+++ b/Zincstep/Cluster/PlacementKeeper.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -58,6 +59,11 @@
 
   /// The duty's key as the daemons' own prefix shows it; empty: free.
   void OnHolder(const std::string& aName);
+  /// Says whether this daemon hears from the store itself, and so may take
+  /// the duty: of many daemons that find it free a few ask for it.
+  void SetMayTake(std::function<bool()> aMayTake) {
+    this->mayTake = std::move(aMayTake);
+  }
   /// Acts; to be called several times a second.
   void Tick();
   /// Gives up the duty, so that another daemon takes it at once.
@@ -96,6 +102,7 @@
   std::string holder;
   bool isAsking = false;
   bool isStopping = false;
+  std::function<bool()> mayTake;
   Instant nextAttempt{};
   /// How an empty pool has grown.
   struct Growth {
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -18,6 +18,7 @@
 void PrefixFollower::Restart() {
   this->round += 1;
   this->isPaused = false;
+  this->isWatching = false;
   this->retry = this->pauses.firstRetry;
   this->Read(this->round);
 }
@@ -25,6 +26,7 @@
 void PrefixFollower::Pause() {
   this->round += 1;
   this->isPaused = true;
+  this->isWatching = false;
   this->timer.cancel();
 }
 
@@ -43,6 +45,7 @@
       item.key.erase(0, this->prefix.size());
     }
     this->onRange(std::move(*aRange));
+    this->isWatching = true;
     this->Watch(aRound);
   });
 }
@@ -79,6 +82,7 @@
 }
 
 void PrefixFollower::RetryLater(std::uint64_t aRound) {
+  this->isWatching = false;
   this->timer.expires_after(this->retry);
   this->retry = std::min(this->retry * 2, this->pauses.longestRetry);
   this->timer.async_wait([this, aRound](const asio::error_code& aError) {
@@ -105,46 +109,55 @@
           }),
       own(
           aLoop, aStore, this->settings.keys.own, this->settings.ownPauses,
-          [this](StoreRange aRange) {
-            if (this->onOwnRange) {
-              this->onOwnRange(std::move(aRange));
-            }
-          },
-          [this](StoreEvents aEvents) {
-            if (this->onOwnEvents) {
-              this->onOwnEvents(std::move(aEvents));
-            }
-          }) {}
-
-void StoreFollower::Start() {
-  this->upstreams.Restart();
-  this->own.Restart();
+          [this](const StoreRange& aRange) { this->view.OnDaemons(aRange); },
+          [this](const StoreEvents& aEvents) {
+            this->view.OnDaemonEvents(aEvents);
+          }) {
+  this->upstreams.Pause();
+  this->own.Pause();
+}
+
+void StoreFollower::Start(bool aPeersFirst) {
+  if (aPeersFirst) {
+    this->peersFirstSince = this->clock.Now();
+  }
   this->Prove();
 }
 
-void StoreFollower::SetOwnListener(PrefixFollower::OnRange aOnRange,
-                                   PrefixFollower::OnEvents aOnEvents) {
-  this->onOwnRange = std::move(aOnRange);
-  this->onOwnEvents = std::move(aOnEvents);
+bool StoreFollower::WaitsForPeers() const {
+  if (!this->peersFirstSince) {
+    return false;
+  }
+  const Micros waited = this->clock.Now() - *this->peersFirstSince;
+  return waited < (this->IsFresh() ? this->settings.longestStart
+                                   : this->settings.startPatience);
+}
+
+bool StoreFollower::IsFresh() const {
+  const auto proof = this->view.ProofAge();
+  const auto lists = this->view.ListsAge();
+  // Right after a new configuration there is no proof of it yet.
+  return lists && *lists <= this->settings.longestReliance &&
+         (!proof || *proof <= this->settings.longestReliance);
 }
 
 bool StoreFollower::Relies() const {
-  const auto age = this->view.ProofAge();
-  return this->mayRely && this->mayRely() && age &&
-         *age <= this->settings.longestReliance;
+  return this->mayRely && this->mayRely() && this->IsFresh();
 }
 
-void StoreFollower::FollowUpstreams(bool aRelies) {
-  if (aRelies && !this->upstreams.IsPaused()) {
-    this->upstreams.Pause();
-  } else if (!aRelies && this->upstreams.IsPaused()) {
-    this->upstreams.Restart();
+void StoreFollower::FollowLists(bool aRelies) {
+  for (PrefixFollower* follower : {&this->upstreams, &this->own}) {
+    if (aRelies && !follower->IsPaused()) {
+      follower->Pause();
+    } else if (!aRelies && follower->IsPaused()) {
+      follower->Restart();
+    }
   }
 }
 
 void StoreFollower::Prove() {
   const bool relies = this->Relies();
-  this->FollowUpstreams(relies);
+  this->FollowLists(relies || this->WaitsForPeers());
   if (relies) {
     this->ProveAfter(this->settings.reliancePause);
     return;
@@ -163,6 +176,10 @@
 void StoreFollower::OnProved(std::uint64_t aChecked, Instant aBegan,
                              Result<StoreCommit> aResult) {
   this->SetReached(aResult.has_value());
+  if (aResult && this->upstreams.IsWatching() && this->own.IsWatching()) {
+    // The store answers, and nothing has cut the watches.
+    this->view.OnListsProven(aBegan);
+  }
   Micros pause = this->settings.proofInterval;
   if (aResult && aResult->done) {
     this->view.OnProof(aChecked, aBegan);
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -35,11 +35,17 @@
   /// Time between proofs that the configuration is the newest one: well
   /// under the time within which one must be in force everywhere.
   Micros proofInterval = 900ms;
-  /// While a peer proves for this daemon, it looks this often whether that
-  /// goes on, and proves by itself once the newest proof is older than
-  /// `longestReliance`: one proof and its way are overdue then.
-  Micros reliancePause = 250ms;
+  /// While a peer proves for this daemon and tells it the lists, it looks
+  /// this often whether that goes on, and asks the store by itself once
+  /// either is older than `longestReliance`: one proof and its way are overdue
+  /// then, and a draining upstream must be known within two seconds.
+  Micros reliancePause = 150ms;
   Micros longestReliance = 1700ms;
+  /// A daemon that starts asks its peers for the lists. One that has had no
+  /// answer by then reads them itself: the first of all daemons have to.
+  Micros startPatience = 400ms;
+  /// The same where peers do answer, but not yet the one to rely on.
+  Micros longestStart = 3s;
   /// Upstreams' entries: each wait is a call, and an answer that was lost
   /// goes unnoticed for as long; changes often come in series.
   PrefixPauses upstreamPauses{6s, 200ms, 150ms, 1s};
@@ -64,6 +70,8 @@
   /// Makes no calls until the next restart.
   void Pause();
   bool IsPaused() const { return this->isPaused; }
+  /// Whether all is read and a watch tells of changes, or soon will.
+  bool IsWatching() const { return this->isWatching; }
 
  private:
   void Read(std::uint64_t aRound);
@@ -82,6 +90,7 @@
   std::uint64_t at = 0;
   Micros retry;
   bool isPaused = false;
+  bool isWatching = false;
 };
 
 /// Keeps a view up to the store: watches, and proofs of freshness.
@@ -91,22 +100,25 @@
                 StoreFollowerSettings aSettings, ClusterView& aView,
                 const Clock& aClock);
 
-  void Start();
-  /// Items under the daemons' own prefix are told here.
-  void SetOwnListener(PrefixFollower::OnRange aOnRange,
-                      PrefixFollower::OnEvents aOnEvents);
+  /// Begins; `aPeersFirst`: there may be peers that know the lists already.
+  void Start(bool aPeersFirst);
 
-  /// Says whether a peer proves that the configuration is the newest.
+  /// Says whether a peer asks the store for this daemon too.
   void SetMayRely(std::function<bool()> aMayRely) {
     this->mayRely = std::move(aMayRely);
   }
+  /// Whether this daemon asks the store itself.
+  bool IsDirect() const { return !this->own.IsPaused(); }
 
  private:
   void Prove();
   bool Relies() const;
-  /// Leaves the upstreams' entries to the peer that is relied on, or reads
-  /// them again.
-  void FollowUpstreams(bool aRelies);
+  /// Whether what it knows is new enough to leave the store to a peer.
+  bool IsFresh() const;
+  /// Whether this daemon has just started and waits for its peers' answers.
+  bool WaitsForPeers() const;
+  /// Leaves the lists to the peer that is relied on, or reads them again.
+  void FollowLists(bool aRelies);
   void ProveAfter(Micros aPause);
   void OnProved(std::uint64_t aChecked, Instant aBegan,
                 Result<StoreCommit> aResult);
@@ -118,11 +130,11 @@
   const Clock& clock;
   asio::steady_timer proofTimer;
   std::function<bool()> mayRely;
-  PrefixFollower::OnRange onOwnRange;
-  PrefixFollower::OnEvents onOwnEvents;
   PrefixFollower upstreams;
   PrefixFollower own;
   bool isReached = true;
+  /// When it began to wait for the peers' lists; none: it does not.
+  std::optional<Instant> peersFirstSince;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -107,8 +107,8 @@
 
   void OnConfiguration() override;
   void OnUpstream(const UpstreamPtr&) override {}
+  void OnDaemonEntries() override;
   void OnSuspicion();
-  void FollowOwnKeys();
   void WaitForSignal();
   void OnFastTick();
   void OnDutyTick();
@@ -152,11 +152,11 @@
   if (!started) {
     return started;
   }
-  this->FollowOwnKeys();
   // Whoever places layers hears of lost upstreams from the store itself.
   this->follower.SetMayRely(
       [this] { return this->peers.MayRely() && !this->keeper.HasDuty(); });
-  this->follower.Start();
+  this->keeper.SetMayTake([this] { return this->follower.IsDirect(); });
+  this->follower.Start(!this->peers.IsSeed());
   this->WaitForSignal();
   this->OnFastTick();
   this->OnDutyTick();
@@ -167,26 +167,9 @@
   return {};
 }
 
-void EdgeDaemon::FollowOwnKeys() {
-  this->follower.SetOwnListener(
-      [this](const StoreRange& aRange) {
-        std::string holder;
-        for (const StoreItem& item : aRange.items) {
-          if (item.key == kDutyKey) {
-            holder = item.value;
-          }
-        }
-        this->keeper.OnHolder(holder);
-        this->peers.OnMembers(aRange);
-      },
-      [this](const StoreEvents& aEvents) {
-        for (const StoreEvent& event : aEvents.events) {
-          if (event.item.key == kDutyKey) {
-            this->keeper.OnHolder(event.isRemoved ? "" : event.item.value);
-          }
-        }
-        this->peers.OnMemberEvents(aEvents);
-      });
+void EdgeDaemon::OnDaemonEntries() {
+  this->keeper.OnHolder(this->view.Daemons().ValueOf(kDutyKey));
+  this->peers.OnDaemonEntries();
 }
 
 void EdgeDaemon::OnConfiguration() {
--- a/Zincstep/Edge/EdgePeerMessage.cpp
+++ b/Zincstep/Edge/EdgePeerMessage.cpp
@@ -30,32 +30,47 @@
   }
 
   fb::Offset<void> operator()(const ClusterWant& aWant) {
-    return edgewire::CreateClusterWant(this->builder, aWant.question,
-                                       aWant.configRevision, aWant.upstreamsAt)
+    return edgewire::CreateClusterWant(
+               this->builder, aWant.question, aWant.known.config,
+               aWant.known.upstreams, aWant.known.daemons)
         .Union();
   }
 
   fb::Offset<void> operator()(const ClusterGive& aGive) {
     const ClusterCopy& copy = aGive.copy;
+    const auto config = this->builder.CreateString(copy.configText);
+    const auto upstreams = this->WriteList(copy.upstreams);
+    const auto daemons = this->WriteList(copy.daemons);
+    return edgewire::CreateClusterGive(
+               this->builder, aGive.question, copy.configRevision, config,
+               AgeOrNone(copy.proofAge), RevisionOf(copy.upstreams), upstreams,
+               RevisionOf(copy.daemons), daemons, AgeOrNone(copy.listsAge))
+        .Union();
+  }
+
+ private:
+  using Entries = fb::Vector<fb::Offset<edgewire::Entry>>;
+
+  static std::int64_t AgeOrNone(std::optional<Micros> aAge) {
+    return aAge ? aAge->count() : kNoProof;
+  }
+
+  static std::uint64_t RevisionOf(const std::optional<StoreRange>& aRange) {
+    return aRange ? aRange->at : 0;
+  }
+
+  fb::Offset<Entries> WriteList(const std::optional<StoreRange>& aRange) {
     std::vector<fb::Offset<edgewire::Entry>> entries;
     const StoreRange none;
-    const StoreRange& range = copy.upstreams ? *copy.upstreams : none;
-    for (const StoreItem& item : range.items) {
+    for (const StoreItem& item : (aRange ? *aRange : none).items) {
       const auto id = this->builder.CreateString(item.key);
       const auto value = this->builder.CreateString(item.value);
       entries.push_back(
           edgewire::CreateEntry(this->builder, id, value, item.revision));
     }
-    const auto config = this->builder.CreateString(copy.configText);
-    const auto list = this->builder.CreateVector(entries);
-    return edgewire::CreateClusterGive(
-               this->builder, aGive.question, copy.configRevision, config,
-               copy.proofAge ? copy.proofAge->count() : kNoProof, range.at,
-               list)
-        .Union();
+    return this->builder.CreateVector(entries);
   }
 
- private:
   fb::FlatBufferBuilder& builder;
 };
 
@@ -77,24 +92,35 @@
   return gossip;
 }
 
+std::optional<Micros> ReadAge(std::int64_t aAge) {
+  return aAge >= 0 ? std::optional<Micros>(aAge) : std::nullopt;
+}
+
+/// A list; none where its revision is 0.
+std::optional<StoreRange> ReadList(
+    std::uint64_t aAt, const fb::Vector<fb::Offset<edgewire::Entry>>* aList) {
+  if (aAt == 0) {
+    return std::nullopt;
+  }
+  StoreRange range{{}, aAt};
+  if (aList != nullptr) {
+    for (const edgewire::Entry* entry : *aList) {
+      range.items.push_back(
+          {TextOf(entry->id()), TextOf(entry->value()), entry->revision()});
+    }
+  }
+  return range;
+}
+
 ClusterGive ReadGive(const edgewire::ClusterGive& aTable) {
   ClusterGive give;
   give.question = aTable.question();
   give.copy.configRevision = aTable.config_revision();
   give.copy.configText = TextOf(aTable.config());
-  if (aTable.proof_age_us() >= 0) {
-    give.copy.proofAge = Micros{aTable.proof_age_us()};
-  }
-  if (aTable.upstreams_at() == 0) {
-    return give;
-  }
-  give.copy.upstreams = StoreRange{{}, aTable.upstreams_at()};
-  if (aTable.upstreams() != nullptr) {
-    for (const edgewire::Entry* entry : *aTable.upstreams()) {
-      give.copy.upstreams->items.push_back(
-          {TextOf(entry->id()), TextOf(entry->value()), entry->revision()});
-    }
-  }
+  give.copy.proofAge = ReadAge(aTable.proof_age_us());
+  give.copy.upstreams = ReadList(aTable.upstreams_at(), aTable.upstreams());
+  give.copy.daemons = ReadList(aTable.daemons_at(), aTable.daemons());
+  give.copy.listsAge = ReadAge(aTable.lists_age_us());
   return give;
 }
 
@@ -123,8 +149,9 @@
   if (const auto* gossip = table->body_as_WorkGossip()) {
     message.body = ReadGossip(*gossip);
   } else if (const auto* want = table->body_as_ClusterWant()) {
-    message.body = ClusterWant{want->question(), want->config_revision(),
-                               want->upstreams_at()};
+    message.body = ClusterWant{
+        want->question(),
+        {want->config_revision(), want->upstreams_at(), want->daemons_at()}};
   } else if (const auto* give = table->body_as_ClusterGive()) {
     message.body = ReadGive(*give);
   } else {
--- a/Zincstep/Edge/EdgePeerMessage.h
+++ b/Zincstep/Edge/EdgePeerMessage.h
@@ -28,8 +28,7 @@
 /// Asks a peer for what it knows beyond these revisions.
 struct ClusterWant {
   std::uint64_t question = 0;
-  std::uint64_t configRevision = 0;
-  std::uint64_t upstreamsAt = 0;
+  KnownRevisions known;
 };
 
 /// The answer to a question.
--- a/Zincstep/Edge/Generated/EdgePeer_generated.h
+++ b/Zincstep/Edge/Generated/EdgePeer_generated.h
@@ -233,7 +233,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_QUESTION = 4,
     VT_CONFIG_REVISION = 6,
-    VT_UPSTREAMS_AT = 8
+    VT_UPSTREAMS_AT = 8,
+    VT_DAEMONS_AT = 10
   };
   uint64_t question() const {
     return GetField<uint64_t>(VT_QUESTION, 0);
@@ -244,11 +245,15 @@
   uint64_t upstreams_at() const {
     return GetField<uint64_t>(VT_UPSTREAMS_AT, 0);
   }
+  uint64_t daemons_at() const {
+    return GetField<uint64_t>(VT_DAEMONS_AT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_QUESTION, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_UPSTREAMS_AT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_DAEMONS_AT, 8) &&
            verifier.EndTable();
   }
 };
@@ -266,6 +271,9 @@
   void add_upstreams_at(uint64_t upstreams_at) {
     fbb_.AddElement<uint64_t>(ClusterWant::VT_UPSTREAMS_AT, upstreams_at, 0);
   }
+  void add_daemons_at(uint64_t daemons_at) {
+    fbb_.AddElement<uint64_t>(ClusterWant::VT_DAEMONS_AT, daemons_at, 0);
+  }
   explicit ClusterWantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -281,8 +289,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t question = 0,
     uint64_t config_revision = 0,
-    uint64_t upstreams_at = 0) {
+    uint64_t upstreams_at = 0,
+    uint64_t daemons_at = 0) {
   ClusterWantBuilder builder_(_fbb);
+  builder_.add_daemons_at(daemons_at);
   builder_.add_upstreams_at(upstreams_at);
   builder_.add_config_revision(config_revision);
   builder_.add_question(question);
@@ -374,7 +384,10 @@
     VT_CONFIG = 8,
     VT_PROOF_AGE_US = 10,
     VT_UPSTREAMS_AT = 12,
-    VT_UPSTREAMS = 14
+    VT_UPSTREAMS = 14,
+    VT_DAEMONS_AT = 16,
+    VT_DAEMONS = 18,
+    VT_LISTS_AGE_US = 20
   };
   uint64_t question() const {
     return GetField<uint64_t>(VT_QUESTION, 0);
@@ -394,6 +407,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>> *upstreams() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>> *>(VT_UPSTREAMS);
   }
+  uint64_t daemons_at() const {
+    return GetField<uint64_t>(VT_DAEMONS_AT, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>> *daemons() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>> *>(VT_DAEMONS);
+  }
+  int64_t lists_age_us() const {
+    return GetField<int64_t>(VT_LISTS_AGE_US, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_QUESTION, 8) &&
@@ -405,6 +427,11 @@
            VerifyOffset(verifier, VT_UPSTREAMS) &&
            verifier.VerifyVector(upstreams()) &&
            verifier.VerifyVectorOfTables(upstreams()) &&
+           VerifyField<uint64_t>(verifier, VT_DAEMONS_AT, 8) &&
+           VerifyOffset(verifier, VT_DAEMONS) &&
+           verifier.VerifyVector(daemons()) &&
+           verifier.VerifyVectorOfTables(daemons()) &&
+           VerifyField<int64_t>(verifier, VT_LISTS_AGE_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -431,6 +458,15 @@
   void add_upstreams(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>>> upstreams) {
     fbb_.AddOffset(ClusterGive::VT_UPSTREAMS, upstreams);
   }
+  void add_daemons_at(uint64_t daemons_at) {
+    fbb_.AddElement<uint64_t>(ClusterGive::VT_DAEMONS_AT, daemons_at, 0);
+  }
+  void add_daemons(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>>> daemons) {
+    fbb_.AddOffset(ClusterGive::VT_DAEMONS, daemons);
+  }
+  void add_lists_age_us(int64_t lists_age_us) {
+    fbb_.AddElement<int64_t>(ClusterGive::VT_LISTS_AGE_US, lists_age_us, -1LL);
+  }
   explicit ClusterGiveBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -449,12 +485,18 @@
     flatbuffers::Offset<flatbuffers::String> config = 0,
     int64_t proof_age_us = -1LL,
     uint64_t upstreams_at = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>>> upstreams = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>>> upstreams = 0,
+    uint64_t daemons_at = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>>> daemons = 0,
+    int64_t lists_age_us = -1LL) {
   ClusterGiveBuilder builder_(_fbb);
+  builder_.add_lists_age_us(lists_age_us);
+  builder_.add_daemons_at(daemons_at);
   builder_.add_upstreams_at(upstreams_at);
   builder_.add_proof_age_us(proof_age_us);
   builder_.add_config_revision(config_revision);
   builder_.add_question(question);
+  builder_.add_daemons(daemons);
   builder_.add_upstreams(upstreams);
   builder_.add_config(config);
   return builder_.Finish();
@@ -467,9 +509,13 @@
     const char *config = nullptr,
     int64_t proof_age_us = -1LL,
     uint64_t upstreams_at = 0,
-    const std::vector<flatbuffers::Offset<zincstep::edgewire::Entry>> *upstreams = nullptr) {
+    const std::vector<flatbuffers::Offset<zincstep::edgewire::Entry>> *upstreams = nullptr,
+    uint64_t daemons_at = 0,
+    const std::vector<flatbuffers::Offset<zincstep::edgewire::Entry>> *daemons = nullptr,
+    int64_t lists_age_us = -1LL) {
   auto config__ = config ? _fbb.CreateString(config) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<zincstep::edgewire::Entry>>(*upstreams) : 0;
+  auto daemons__ = daemons ? _fbb.CreateVector<flatbuffers::Offset<zincstep::edgewire::Entry>>(*daemons) : 0;
   return zincstep::edgewire::CreateClusterGive(
       _fbb,
       question,
@@ -477,7 +523,10 @@
       config__,
       proof_age_us,
       upstreams_at,
-      upstreams__);
+      upstreams__,
+      daemons_at,
+      daemons__,
+      lists_age_us);
 }
 
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -1,5 +1,6 @@
 #include "Zincstep/Edge/PeerExchange.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -22,6 +23,14 @@
 /// should have come have not.
 constexpr Micros kOwnProofAge = 1500ms;
 constexpr Micros kQuestionPause = 400ms;
+/// The same for a daemon that has just started and knows nothing yet.
+constexpr Micros kFirstQuestionPause = 100ms;
+/// A daemon that has just started has the configuration from the store, which
+/// is closer than a peer of another failure domain, unless that takes longer
+/// than this.
+constexpr Micros kStorePatience = 400ms;
+/// Stands for any revision: it is not to be told.
+constexpr std::uint64_t kNotWanted = std::numeric_limits<std::uint64_t>::max();
 /// Peers that are asked at once.
 constexpr std::size_t kAskedAtOnce = 2;
 /// Up to so many members all are told of each other's work; beyond, those
@@ -30,9 +39,22 @@
 /// The domain's first daemon is asked for its proof this often: together
 /// with the time between its proofs this stays well under the bound within
 /// which a configuration must be in force.
-constexpr Micros kReliancePause = 600ms;
+constexpr Micros kReliancePause = 500ms;
+/// So many questions in a row without an answer: it has ended or is cut off,
+/// and the next member by name is asked.
+constexpr int kMostUnanswered = 2;
+/// After this it is asked again.
+constexpr Micros kSilentTime = 4s;
+/// Lists that are older when they are told come from a peer that does not
+/// reach the store itself.
+constexpr Micros kFreshLists = 1500ms;
+/// A peer that has told none for so long is not relied on.
+constexpr Micros kRelianceLife = 1700ms;
 /// Number of no question: what comes with it was not asked for.
 constexpr std::uint64_t kUnasked = 0;
+/// Longest pause before a peer is connected to again: half the age at which
+/// a proof that comes through it would be missed.
+constexpr Micros kLongestReconnect = 800ms;
 /// A question that was not answered by then is forgotten.
 constexpr Micros kQuestionLife = 5s;
 /// A peer's suspicion counts where nothing came through that upstream for
@@ -67,10 +89,16 @@
       clock(aClock),
       random(aRandom),
       onSuspicion(std::move(aOnSuspicion)),
-      seeds(SeedPeers(aSettings)) {
+      seeds(SeedPeers(aSettings)),
+      startedAt(aClock.Now()) {
+  const std::string host =
+      aSettings.peerListen.substr(0, aSettings.peerListen.rfind(':') + 1);
+  this->isSeed = this->seeds.empty() ||
+                 ("," + aSettings.seeds).find("," + host) != std::string::npos;
   PeerHubSettings hubSettings;
   hubSettings.listen = aSettings.peerListen;
   hubSettings.seed = Hash64(aSettings.name);
+  hubSettings.longestReconnect = kLongestReconnect;
   this->hub = MakePeerHub(hubSettings, *this);
 }
 
@@ -94,10 +122,8 @@
   if (const auto* gossip = std::get_if<WorkGossip>(&aMessage.body)) {
     this->OnGossip(aMessage.sender, *gossip);
   } else if (const auto* want = std::get_if<ClusterWant>(&aMessage.body)) {
-    this->Send(
-        aMessage.replyTo,
-        ClusterGive{want->question, this->view.CopyFor(want->configRevision,
-                                                       want->upstreamsAt)});
+    this->Send(aMessage.replyTo,
+               ClusterGive{want->question, this->view.CopyFor(want->known)});
   } else if (const auto* give = std::get_if<ClusterGive>(&aMessage.body)) {
     this->OnGive(*give);
   }
@@ -148,6 +174,7 @@
     // How long this was under way is not known: it proves nothing.
     ClusterCopy copy = aGive.copy;
     copy.proofAge.reset();
+    copy.listsAge.reset();
     this->view.OnCopy(copy, this->clock.Now());
     return;
   }
@@ -155,41 +182,57 @@
   if (asked == this->questions.end()) {
     return;
   }
-  const Instant askedAt = asked->second;
+  const Question question = asked->second;
   this->questions.erase(asked);
-  this->view.OnCopy(aGive.copy, askedAt);
+  this->NoteAnswer(question, aGive.copy);
+  this->view.OnCopy(aGive.copy, question.askedAt);
 }
 
-void PeerExchange::PutMember(const StoreItem& aItem) {
-  if (!aItem.key.starts_with(kMembersPrefix)) {
+void PeerExchange::NoteAnswer(const Question& aQuestion,
+                              const ClusterCopy& aCopy) {
+  Member* member = this->FindMember(aQuestion.address);
+  if (member == nullptr) {
     return;
   }
-  const std::string name = aItem.key.substr(std::strlen(kMembersPrefix));
-  const auto json = nlohmann::json::parse(aItem.value, nullptr, false);
-  if (!json.is_object() || name == this->settings.name) {
-    return;
+  member->unanswered = 0;
+  if (aCopy.listsAge && *aCopy.listsAge <= kFreshLists) {
+    member->toldFreshAt = this->clock.Now();
   }
-  this->members[name] = {json.value("peer", ""),
-                         json.value("failure_domain", "")};
 }
 
-void PeerExchange::OnMembers(const StoreRange& aRange) {
-  this->members.clear();
-  for (const StoreItem& item : aRange.items) {
-    this->PutMember(item);
+PeerExchange::Member* PeerExchange::FindMember(const std::string& aAddress) {
+  for (auto& [name, member] : this->members) {
+    if (member.address == aAddress) {
+      return &member;
+    }
   }
+  return nullptr;
 }
 
-void PeerExchange::OnMemberEvents(const StoreEvents& aEvents) {
-  for (const StoreEvent& event : aEvents.events) {
-    if (event.isRemoved && event.item.key.starts_with(kMembersPrefix)) {
-      this->members.erase(event.item.key.substr(std::strlen(kMembersPrefix)));
-    } else if (!event.isRemoved) {
-      this->PutMember(event.item);
+void PeerExchange::OnDaemonEntries() {
+  std::map<std::string, Member> known;
+  known.swap(this->members);
+  for (const auto& [key, item] : this->view.Daemons().Items()) {
+    if (!key.starts_with(kMembersPrefix)) {
+      continue;
     }
+    const std::string name = key.substr(std::strlen(kMembersPrefix));
+    const auto json = nlohmann::json::parse(item.value, nullptr, false);
+    if (!json.is_object() || name == this->settings.name) {
+      continue;
+    }
+    Member& member = this->members[name] = known[name];
+    const std::string address = json.value("peer", "");
+    if (member.address != address) {
+      member = Member{};  // Another process, whatever the last one did.
+    }
+    member.address = address;
+    member.failureDomain = json.value("failure_domain", "");
   }
 }
 
+bool PeerExchange::IsNew() const { return !this->view.ListsAge(); }
+
 void PeerExchange::Tick() {
   const Instant now = this->clock.Now();
   this->KeepEntry(now);
@@ -197,14 +240,17 @@
     this->nextGossip = now + kGossipPause;
     this->Gossip();
   }
-  const Member* first = this->FirstPeer();
-  if (first != nullptr && now >= this->nextReliance) {
-    this->nextReliance = now + kReliancePause;
-    this->Ask(first->address, now);
+  if (now >= this->nextReliance) {
+    this->AskFirst(now);
   }
-  const auto age = this->view.ProofAge();
-  if ((!age || *age > kOwnProofAge) && now >= this->nextQuestion) {
-    this->nextQuestion = now + kQuestionPause;
+  const auto isOld = [](std::optional<Micros> aAge) {
+    return !aAge || *aAge > kOwnProofAge;
+  };
+  const bool wantsPeers =
+      isOld(this->view.ProofAge()) || isOld(this->view.ListsAge());
+  if (wantsPeers && now >= this->nextQuestion) {
+    this->nextQuestion =
+        now + (this->IsNew() ? kFirstQuestionPause : kQuestionPause);
     this->AskPeers(now);
   }
 }
@@ -306,34 +352,63 @@
     if (name >= this->settings.name) {
       return nullptr;
     }
-    if (member.failureDomain == this->settings.failureDomain) {
+    if (member.failureDomain == this->settings.failureDomain &&
+        this->clock.Now() >= member.silentUntil) {
       return &member;
     }
   }
   return nullptr;
 }
 
+bool PeerExchange::MayRely() const {
+  const Member* first = this->FirstPeer();
+  return first != nullptr &&
+         this->clock.Now() - first->toldFreshAt <= kRelianceLife;
+}
+
+void PeerExchange::AskFirst(Instant aNow) {
+  this->nextReliance = aNow + kReliancePause;
+  while (const Member* first = this->FirstPeer()) {
+    Member& member = *this->FindMember(first->address);
+    if (member.unanswered < kMostUnanswered) {
+      member.unanswered += 1;
+      this->Ask(member.address, aNow);
+      return;
+    }
+    LogInfo("peer_silent",
+            {{"peer", member.address}, {"unanswered", member.unanswered}});
+    member.unanswered = 0;
+    member.silentUntil = aNow + kSilentTime;
+  }
+}
+
 void PeerExchange::OnConfiguration() {
   if (this->FirstPeer() != nullptr) {
+    // It was told without a proof, and keys need one.
+    this->AskFirst(this->clock.Now());
     return;
   }
   for (const auto& [name, member] : this->members) {
     if (member.failureDomain == this->settings.failureDomain) {
+      KnownRevisions known = this->view.Revisions();
+      known.config = 0;
       this->Send(member.address,
-                 ClusterGive{kUnasked,
-                             this->view.CopyFor(0, this->view.UpstreamsAt())});
+                 ClusterGive{kUnasked, this->view.CopyFor(known)});
     }
   }
 }
 
 void PeerExchange::Ask(const std::string& aAddress, Instant aNow) {
   std::erase_if(this->questions, [aNow](const auto& aQuestion) {
-    return aNow - aQuestion.second > kQuestionLife;
+    return aNow - aQuestion.second.askedAt > kQuestionLife;
   });
   const std::uint64_t question = ++this->lastQuestion;
-  this->questions[question] = aNow;
-  this->Send(aAddress, ClusterWant{question, this->view.ConfigRevision(),
-                                   this->view.UpstreamsAt()});
+  this->questions[question] = {aAddress, aNow};
+  KnownRevisions known = this->view.Revisions();
+  if (known.config == 0 && aNow - this->startedAt < kStorePatience) {
+    known.config = kNotWanted;
+  }
+  this->Send(aAddress, ClusterWant{question, known});
 }
 
 void PeerExchange::AskPeers(Instant aNow) {
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -30,38 +30,54 @@
   /// Tells and asks where it is time; to be called several times a second.
   void Tick();
   /// Whether another daemon proves for this failure domain: the one whose
-  /// name is the first. The others ask it, so that the store does not have
-  /// to answer all.
-  bool MayRely() const { return this->FirstPeer() != nullptr; }
+  /// name is the first. The others ask it for all that the store tells, so
+  /// that the store does not have to answer all.
+  bool MayRely() const;
   /// Daemons that are known, this one included.
   std::size_t Daemons() const { return this->members.size() + 1; }
   /// A newer configuration is in force here: peers are told at once.
   void OnConfiguration();
   /// Tells this daemon's work and suspicions at once.
   void GossipSoon();
-  /// Items under the daemons' own prefix, as they are.
-  void OnMembers(const StoreRange& aRange);
-  /// Changes under the daemons' own prefix.
-  void OnMemberEvents(const StoreEvents& aEvents);
+  /// The view's entries of daemons have changed.
+  void OnDaemonEntries();
+  /// Whether this daemon is one of those that others ask when they start.
+  bool IsSeed() const { return this->isSeed; }
 
  private:
   struct Member {
     std::string address;
     std::string failureDomain;
+    /// Questions in a row that it has not answered.
+    int unanswered = 0;
+    /// It is passed over until then.
+    Instant silentUntil{};
+    /// When it last told lists that were up to the store.
+    Instant toldFreshAt{};
+  };
+  struct Question {
+    std::string address;
+    Instant askedAt;
   };
 
   void OnPeerData(std::string aMessage) override;
   void OnMessage(const EdgePeerMessage& aMessage);
   void OnGossip(const std::string& aSender, const WorkGossip& aGossip);
   void OnGive(const ClusterGive& aGive);
-  void PutMember(const StoreItem& aItem);
+  /// Whether peers have not told what this daemon needs to begin.
+  bool IsNew() const;
   void KeepEntry(Instant aNow);
   void WriteEntry();
   void Gossip();
   void AskPeers(Instant aNow);
   std::vector<std::string> KnownAddresses() const;
-  /// The domain's member of the first name; null where it is this one.
+  /// The domain's member of the first name among those that answer; null
+  /// where it is this one.
   const Member* FirstPeer() const;
+  Member* FindMember(const std::string& aAddress);
+  /// Asks the first peer; passes it over where it has been silent.
+  void AskFirst(Instant aNow);
+  void NoteAnswer(const Question& aQuestion, const ClusterCopy& aCopy);
   void Ask(const std::string& aAddress, Instant aNow);
   void Send(const std::string& aAddress,
             std::variant<WorkGossip, ClusterWant, ClusterGive> aBody);
@@ -77,8 +93,11 @@
   std::unique_ptr<PeerHub> hub;
   std::map<std::string, Member> members;
   std::vector<std::string> seeds;
-  /// When each open question was asked.
-  std::map<std::uint64_t, Instant> questions;
+  bool isSeed = true;
+  /// When this daemon began; the store is asked for the configuration first.
+  Instant startedAt;
+  /// Open questions by their numbers.
+  std::map<std::uint64_t, Question> questions;
   std::uint64_t lastQuestion = 0;
   std::uint64_t lease = 0;
   Instant nextKeep{};
--- a/Zincstep/Net/HttpCall.h
+++ b/Zincstep/Net/HttpCall.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "Zincstep/Net/HttpParser.h"
+#include "Zincstep/Net/TcpSocket.h"
 
 namespace zincstep {
 
@@ -56,7 +57,7 @@
 class HttpCall final : public std::enable_shared_from_this<HttpCall>,
                        private HttpParserListener {
  public:
-  using Endpoint = asio::ip::tcp::endpoint;
+  using Endpoint = TcpEndpoint;
 
   HttpCall(asio::io_context& aLoop, HttpCallListener& aListener);
 
@@ -92,9 +93,6 @@
   bool mayRead = true;
 };
 
-/// The `host:port` text as an endpoint; fails with `BadRequest`.
-Result<HttpCall::Endpoint> ParseEndpoint(std::string_view aAddress);
-
 /// Makes a call and gives its whole answer, or how it failed.
 ///
 /// `aTimeout` bounds the whole call. Fails with `UpstreamUnreachable`
@@ -103,8 +101,4 @@
                 std::string aRequest, Micros aTimeout,
                 std::function<void(Result<HttpAnswer>)> aDone);
 
-/// Sets what each connection of the system needs: no delay of small
-/// packets, and an end to connections whose other side is silent.
-void SetSocketOptions(asio::ip::tcp::socket& aSocket, Micros aSilence);
-
 }  // namespace zincstep
--- a/Zincstep/Peer/AsioPeerHub.cpp
+++ b/Zincstep/Peer/AsioPeerHub.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 #include <unordered_map>
 
+#include "Zincstep/Net/TcpSocket.h"
 #include "Zincstep/Peer/PeerHub.h"
 
 namespace zincstep {
@@ -29,18 +30,6 @@
          static_cast<std::size_t>(aBytes[3]) << 24;
 }
 
-Result<Tcp::endpoint> ParseEndpoint(const std::string& aAddress) {
-  const std::size_t colon = aAddress.rfind(':');
-  asio::error_code error;
-  const auto host = asio::ip::make_address(aAddress.substr(0, colon), error);
-  if (error || colon == std::string::npos) {
-    return Fail(ErrorKind::BadRequest,
-                "not an IP number and port: " + aAddress);
-  }
-  const int port = std::atoi(aAddress.c_str() + colon + 1);
-  return Tcp::endpoint(host, static_cast<std::uint16_t>(port));
-}
-
 /// Counters that several threads read.
 struct SharedTraffic {
   std::atomic<std::uint64_t> bytesOut{0};
@@ -161,19 +150,27 @@
     auto self = this->shared_from_this();
     this->socket.async_connect(this->peer,
                                [self](const asio::error_code& aError) {
+                                 self->timer.cancel();
                                  if (aError) {
                                    self->Pause();
                                    return;
                                  }
                                  self->OnOpen();
                                });
+    this->timer.expires_after(this->settings.connectTimeout);
+    this->timer.async_wait([self](const asio::error_code& aError) {
+      asio::error_code ignored;
+      if (!aError && self->state == State::Connecting) {
+        self->socket.close(ignored);  // Ends the attempt with an error.
+      }
+    });
   }
 
   void OnOpen() {
     this->state = State::Open;
     this->pause = this->settings.firstReconnect;
     asio::error_code ignored;
-    this->socket.set_option(Tcp::no_delay(true), ignored);
+    SetSocketOptions(this->socket, this->settings.unacknowledged);
     this->WatchClose();
     if (!this->queue.empty()) {
       this->Write();
--- a/Zincstep/Peer/PeerHub.h
+++ b/Zincstep/Peer/PeerHub.h
@@ -27,6 +27,13 @@
   std::size_t maxQueuedBytes = 16 << 20;
   Micros firstReconnect = 100ms;
   Micros longestReconnect = 5s;
+  /// A connection that is not up by then is given up: an opening packet that
+  /// was lost to a VM without power comes again after a second at the
+  /// earliest, and each time later.
+  Micros connectTimeout = 300ms;
+  /// A connection whose bytes were not taken for so long is broken: a cut says
+  /// nothing, and what waits behind it is out of date.
+  Micros unacknowledged = 1s;
   /// A connection that carried nothing for so long is closed.
   Micros idleTimeout = 30s;
   std::uint64_t seed = 1;
