Members of a silent stream are probed; slow ones get less new work

Ruled out: refusals, memory.

Change: after three of its usual pauses (70 ms at least) a stream's members are asked for a report, twice within 25 ms each; no answer is evidence, and streams are looked at in the same turn of the loop. A suspicion is confirmed by one more question before layers are placed anew. The pace that a report tells weighs in the choice of chains. What was only told by a peer is not told on: two daemons kept a suspicion alive between them. Probes are bounded (12 a second, 40 at once).

--- a/UnitTests/RelayTest.cpp
+++ b/UnitTests/RelayTest.cpp
@@ -93,6 +93,7 @@
   RelaySettings settings;
   Random random{3};
   Metrics metrics;
+  MemberProbe probe{MemberProbeSettings{}, *control, clock, [] {}};
   ChainChooser chains{ChainChooserSettings{}};
   ServiceChooser services{ServiceChooserSettings{}};
   std::map<std::string, RetryBudget> budgets;
@@ -167,7 +168,7 @@
   void setUp() override {
     relay = std::make_unique<Relay>(
         RelayContext{loop, settings, *dialect, view, *control, clock, random,
-                     metrics, chains, services, budgets, stop, [] {}});
+                     metrics, probe, chains, services, budgets, stop, [] {}});
     listener = std::make_unique<CallerListener>(loop, *relay, clock);
     CPPUNIT_ASSERT(listener->Start("127.0.0.1:0").has_value());
     this->Configure(kConfig);
--- a/Zincstep/Cluster/PlacementKeeper.cpp
+++ b/Zincstep/Cluster/PlacementKeeper.cpp
@@ -115,7 +115,9 @@
     const bool isRejoining =
         rejoined != this->rejoinedAt.end() &&
         aNow - rejoined->second < this->settings.rejoinTime;
-    if (!upstream->IsSound(aNow) || isRejoining) {
+    const bool counts =
+        upstream->IsSound(aNow) || upstream->IsNewlySuspect(aNow);
+    if (!counts || isRejoining) {
       continue;
     }
     PlacedUpstream one{entry.id, entry.failureDomain, entry.kind, entry.layers,
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -69,11 +69,13 @@
         chains(ChainChooserSettings{}),
         services(ServiceChooserSettings{}),
         stop(MakeStopSettings(aSettings)),
+        probe(MemberProbeSettings{}, *this->adapters.control, this->clock,
+              [this] { this->OnSuspicion(); }),
         relay(RelayContext{aLoop, this->relaySettings, *this->adapters.dialect,
                            this->view, *this->adapters.control, this->clock,
-                           this->random, this->metrics, this->chains,
-                           this->services, this->budgets, this->stop,
-                           [this] { this->OnSuspicion(); }}),
+                           this->random, this->metrics, this->probe,
+                           this->chains, this->services, this->budgets,
+                           this->stop, [this] { this->OnSuspicion(); }}),
         admin([this] { return this->IsReady(); },
               [this] { return this->MetricsText(); }),
         callers(aLoop, this->relay, this->clock),
@@ -130,6 +132,7 @@
   ChainChooser chains;
   ServiceChooser services;
   StopPolicy stop;
+  MemberProbe probe;
   Relay relay;
   AdminHandler admin;
   CallerListener callers;
@@ -181,6 +184,7 @@
   // Whoever has the duty is to know at once: each tenth of a second counts.
   this->peers.GossipSoon();
   this->keeper.Tick();
+  this->relay.TickSoon();
 }
 
 void EdgeDaemon::WaitForSignal() {
--- a/Zincstep/Edge/EdgePeerMessage.cpp
+++ b/Zincstep/Edge/EdgePeerMessage.cpp
@@ -24,7 +24,7 @@
     for (const UpstreamWork& work : aGossip.works) {
       works.push_back(edgewire::CreateUpstreamWorkDirect(
           this->builder, work.id.c_str(), static_cast<float>(work.work),
-          work.isSuspect, work.isRefusing));
+          work.isSuspect, work.isRefusing, static_cast<float>(work.pace)));
     }
     return edgewire::CreateWorkGossipDirect(this->builder, &works).Union();
   }
@@ -86,7 +86,7 @@
   if (aTable.works() != nullptr) {
     for (const edgewire::UpstreamWork* work : *aTable.works()) {
       gossip.works.push_back({TextOf(work->id()), work->work(), work->suspect(),
-                              work->refusing()});
+                              work->refusing(), work->pace()});
     }
   }
   return gossip;
--- a/Zincstep/Edge/EdgePeerMessage.h
+++ b/Zincstep/Edge/EdgePeerMessage.h
@@ -18,6 +18,8 @@
   bool isSuspect = false;
   /// It has refused requests although it should have room.
   bool isRefusing = false;
+  /// Above 1 it is slower than its kind, as it told the daemon.
+  double pace = 1;
 };
 
 /// What a daemon tells the others of its failure domain.
--- a/Zincstep/Edge/Generated/EdgePeer_generated.h
+++ b/Zincstep/Edge/Generated/EdgePeer_generated.h
@@ -95,7 +95,8 @@
     VT_ID = 4,
     VT_WORK = 6,
     VT_SUSPECT = 8,
-    VT_REFUSING = 10
+    VT_REFUSING = 10,
+    VT_PACE = 12
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -109,6 +110,9 @@
   bool refusing() const {
     return GetField<uint8_t>(VT_REFUSING, 0) != 0;
   }
+  float pace() const {
+    return GetField<float>(VT_PACE, 1.0f);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -116,6 +120,7 @@
            VerifyField<float>(verifier, VT_WORK, 4) &&
            VerifyField<uint8_t>(verifier, VT_SUSPECT, 1) &&
            VerifyField<uint8_t>(verifier, VT_REFUSING, 1) &&
+           VerifyField<float>(verifier, VT_PACE, 4) &&
            verifier.EndTable();
   }
 };
@@ -136,6 +141,9 @@
   void add_refusing(bool refusing) {
     fbb_.AddElement<uint8_t>(UpstreamWork::VT_REFUSING, static_cast<uint8_t>(refusing), 0);
   }
+  void add_pace(float pace) {
+    fbb_.AddElement<float>(UpstreamWork::VT_PACE, pace, 1.0f);
+  }
   explicit UpstreamWorkBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -152,8 +160,10 @@
     flatbuffers::Offset<flatbuffers::String> id = 0,
     float work = 0.0f,
     bool suspect = false,
-    bool refusing = false) {
+    bool refusing = false,
+    float pace = 1.0f) {
   UpstreamWorkBuilder builder_(_fbb);
+  builder_.add_pace(pace);
   builder_.add_work(work);
   builder_.add_id(id);
   builder_.add_refusing(refusing);
@@ -166,14 +176,16 @@
     const char *id = nullptr,
     float work = 0.0f,
     bool suspect = false,
-    bool refusing = false) {
+    bool refusing = false,
+    float pace = 1.0f) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   return zincstep::edgewire::CreateUpstreamWork(
       _fbb,
       id__,
       work,
       suspect,
-      refusing);
+      refusing,
+      pace);
 }
 
 struct WorkGossip FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -145,10 +145,13 @@
     if (work.isRefusing) {
       upstream->OnRefusal(now);
     }
+    if (work.pace > 1 && upstream->Pace(now) <= 1) {
+      upstream->SetPace(work.pace, now, Evidence::Told);
+    }
     if (work.isSuspect && now - upstream->AnsweredAt() > kOwnEvidence &&
         !upstream->IsSuspect(now)) {
       LogInfo("upstream_suspected", {{"upstream", work.id}, {"by", aSender}});
-      upstream->Suspect(now);
+      upstream->Suspect(now, Evidence::Told);
       isNews = true;
     }
   }
@@ -318,10 +321,11 @@
   const Instant now = this->clock.Now();
   WorkGossip gossip;
   for (const auto& [id, upstream] : this->view.Directory().All()) {
-    const bool isSuspect = upstream->IsSuspect(now);
+    const bool isSuspect = upstream->IsFoundSuspect(now);
     const bool isRefusing = upstream->IsRefusing(now);
-    if (upstream->own > 0 || isSuspect || isRefusing) {
-      gossip.works.push_back({id, upstream->own, isSuspect, isRefusing});
+    const double pace = upstream->FoundPace(now);
+    if (upstream->own > 0 || isSuspect || isRefusing || pace > 1) {
+      gossip.works.push_back({id, upstream->own, isSuspect, isRefusing, pace});
     }
   }
   // An empty message is sent once, to take back what was told before.
--- a/Zincstep/Pool/ChainChooser.cpp
+++ b/Zincstep/Pool/ChainChooser.cpp
@@ -86,8 +86,9 @@
     if (item.usable) {
       freeTokens = std::max(1.0, (capacity - wanted) / entry.layers.Size());
       const double drawn = -std::log(1 - aRandom.Unit());
-      item.layerCost = stepMs / aModel.layers * kind->stepFactor +
-                       drawn * this->settings.scarcityCost / freeTokens;
+      item.layerCost =
+          stepMs / aModel.layers * kind->stepFactor * upstream->Pace(aNow) +
+          drawn * this->settings.scarcityCost / freeTokens;
       item.fixedCost = this->settings.hopCost;
     }
     this->items.push_back(item);
--- a/Zincstep/Pool/LiveUpstream.cpp
+++ b/Zincstep/Pool/LiveUpstream.cpp
@@ -19,6 +19,15 @@
 /// Daemons with work in flight tell it several times in this time; one that
 /// does not has ended or is cut off.
 constexpr Micros kToldLife = 1500ms;
+/// What an upstream told of its pace counts for so long; while it is slow it
+/// is asked each second.
+constexpr Micros kPaceLife = 2500ms;
+/// From this pace on an upstream is slow: work that doubles its time is worth
+/// reading a prompt again elsewhere.
+constexpr double kSlowPace = 2;
+/// Time for a suspected upstream to prove that it lives, before its layers
+/// are placed elsewhere.
+constexpr Micros kSuspicionConfirmed = 160ms;
 
 }  // namespace
 
@@ -34,10 +43,11 @@
   this->leavingSince = this->leavingSince.value_or(aNow);
 }
 
-void LiveUpstream::Suspect(Instant aNow) {
+void LiveUpstream::Suspect(Instant aNow, Evidence aEvidence) {
   if (this->IsSuspect(aNow)) {
     return;
   }
+  this->suspectEvidence = aEvidence;
   const int doublings = std::min(this->suspicions, kMostDoublings);
   this->suspectUntil =
       aNow + std::min(kFirstSuspicion * (1 << doublings), kLongestSuspicion);
@@ -53,6 +63,19 @@
   }
 }
 
+bool LiveUpstream::IsNewlySuspect(Instant aNow) const {
+  return this->IsSuspect(aNow) &&
+         aNow - this->suspectedAt < kSuspicionConfirmed;
+}
+
+double LiveUpstream::Pace(Instant aNow) const {
+  return aNow - this->paceAt < kPaceLife ? this->pace : 1;
+}
+
+bool LiveUpstream::IsSlow(Instant aNow) const {
+  return this->Pace(aNow) >= kSlowPace;
+}
+
 void LiveUpstream::OnRefusal(Instant aNow) {
   this->refusals += 1;
   if (this->refusals >= kRefusalsInARow) {
--- a/Zincstep/Pool/LiveUpstream.h
+++ b/Zincstep/Pool/LiveUpstream.h
@@ -19,6 +19,12 @@
     {Availability::Draining, "draining"},
 }};
 
+/// How a daemon came to know something of an upstream.
+///
+/// What was told is not told on: two daemons would keep it alive between
+/// them after whoever found it has seen that it is over.
+enum class Evidence { Found, Told };
+
 /// One incarnation of an upstream as it announces itself.
 struct UpstreamEntry {
   /// Of this incarnation alone; a restart brings a new one.
@@ -46,12 +52,18 @@
 
   /// There is evidence that it does not answer; it gets no new work for
   /// a time that doubles with each suspicion in a row.
-  void Suspect(Instant aNow);
+  void Suspect(Instant aNow, Evidence aEvidence = Evidence::Found);
   /// It has refused work; no more is given to it until then.
   void PassOver(Instant aUntil) {
     this->passedOverUntil = std::max(this->passedOverUntil, aUntil);
   }
   bool IsSuspect(Instant aNow) const { return aNow < this->suspectUntil; }
+  /// Whether this daemon itself has the evidence.
+  bool IsFoundSuspect(Instant aNow) const {
+    return this->IsSuspect(aNow) && this->suspectEvidence == Evidence::Found;
+  }
+  /// Whether the suspicion has just come up and may yet prove to be wrong.
+  bool IsNewlySuspect(Instant aNow) const;
 
   /// It has left the list; what runs there may still end.
   void SetGone(Instant aNow);
@@ -82,6 +94,22 @@
   /// When it was last proved to live.
   Instant AnsweredAt() const { return this->answeredAt; }
 
+  /// It has told how quick it is; above 1 it is slower than its kind.
+  void SetPace(double aPace, Instant aNow,
+               Evidence aEvidence = Evidence::Found) {
+    this->pace = aPace;
+    this->paceAt = aNow;
+    this->paceEvidence = aEvidence;
+  }
+  /// What it last told of that, unless it is out of date: then 1.
+  double Pace(Instant aNow) const;
+  /// The same if it told this daemon, else 1.
+  double FoundPace(Instant aNow) const {
+    return this->paceEvidence == Evidence::Found ? this->Pace(aNow) : 1;
+  }
+  /// Whether it takes so much longer that requests should go elsewhere.
+  bool IsSlow(Instant aNow) const;
+
   /// It has refused a request although it should have room: evidence that
   /// it leaves or lacks what it tells, once it comes twice in a row.
   void OnRefusal(Instant aNow);
@@ -119,6 +147,10 @@
   Instant passedOverUntil{};
   Instant suspectedAt{};
   int suspicions = 0;
+  double pace = 1;
+  Instant paceAt{};
+  Evidence paceEvidence = Evidence::Told;
+  Evidence suspectEvidence = Evidence::Told;
   bool isGone = false;
 };
 
--- /dev/null
+++ b/Zincstep/Relay/MemberProbe.cpp
@@ -0,0 +1,113 @@
+#include "Zincstep/Relay/MemberProbe.h"
+
+#include "Zincstep/Telemetry/Telemetry.h"
+
+namespace zincstep {
+
+MemberProbe::MemberProbe(MemberProbeSettings aSettings,
+                         UpstreamControl& aControl, const Clock& aClock,
+                         std::function<void()> aOnSuspicion)
+    : settings(aSettings),
+      control(aControl),
+      clock(aClock),
+      onSuspicion(std::move(aOnSuspicion)),
+      tokens(aSettings.mostAtOnce) {}
+
+bool MemberProbe::TakeToken(Instant aNow) {
+  this->tokens = std::min(this->settings.mostAtOnce,
+                          this->tokens + ToSeconds(aNow - this->tokensAt) *
+                                             this->settings.mostPerSecond);
+  this->tokensAt = aNow;
+  if (this->tokens < 1) {
+    return false;
+  }
+  this->tokens -= 1;
+  return true;
+}
+
+void MemberProbe::Ask(const UpstreamPtr& aUpstream) {
+  const Instant now = this->clock.Now();
+  Record& record = this->records[aUpstream->Entry().id];
+  if (record.isOpen || now < record.nextAt || !this->TakeToken(now)) {
+    return;
+  }
+  const bool isFirst = now - record.askedAt > 3 * this->settings.longestPause;
+  record.pause = isFirst
+                     ? this->settings.firstPause
+                     : std::min(2 * record.pause, this->settings.longestPause);
+  record.upstream = aUpstream;
+  record.askedAt = now;
+  record.nextAt = now + record.pause;
+  record.isOpen = true;
+  this->Send(aUpstream, this->settings.tries);
+}
+
+void MemberProbe::Send(const UpstreamPtr& aUpstream, int aTriesLeft) {
+  this->control.Report(
+      aUpstream->Entry(), this->settings.timeout,
+      [this, aUpstream, aTriesLeft](const Result<UpstreamReport>& aReport) {
+        if (aReport) {
+          this->OnAnswer(aUpstream, *aReport);
+        } else if (aTriesLeft > 1) {
+          this->Send(aUpstream, aTriesLeft - 1);
+        } else {
+          this->OnSilence(aUpstream);
+        }
+      });
+}
+
+void MemberProbe::OnAnswer(const UpstreamPtr& aUpstream,
+                           const UpstreamReport& aReport) {
+  const Instant now = this->clock.Now();
+  this->Close(aUpstream);
+  if (aReport.pace != aUpstream->Pace(now)) {
+    LogInfo("upstream_pace",
+            {{"upstream", aUpstream->Entry().id}, {"pace", aReport.pace}});
+  }
+  aUpstream->OnAnswer(now);
+  aUpstream->SetPace(aReport.pace, now);
+}
+
+void MemberProbe::OnSilence(const UpstreamPtr& aUpstream) {
+  const Instant now = this->clock.Now();
+  if (!aUpstream->IsSuspect(now)) {
+    aUpstream->Suspect(now);
+    LogInfo("upstream_suspected", {{"upstream", aUpstream->Entry().id},
+                                   {"reason", "no answer to a probe"}});
+    this->onSuspicion();
+  }
+  this->Confirm(aUpstream);
+}
+
+void MemberProbe::Confirm(const UpstreamPtr& aUpstream) {
+  this->control.Report(
+      aUpstream->Entry(), this->settings.confirmTimeout,
+      [this, aUpstream](const Result<UpstreamReport>& aReport) {
+        aReport ? this->OnAnswer(aUpstream, *aReport) : this->Close(aUpstream);
+      });
+}
+
+void MemberProbe::Close(const UpstreamPtr& aUpstream) {
+  this->records[aUpstream->Entry().id].isOpen = false;
+}
+
+void MemberProbe::Tick() {
+  const Instant now = this->clock.Now();
+  std::erase_if(this->records, [&](const auto& aRecord) {
+    return !aRecord.second.isOpen &&
+           now - aRecord.second.askedAt > 3 * this->settings.longestPause;
+  });
+  std::vector<UpstreamPtr> slow;
+  for (auto& [id, record] : this->records) {
+    const bool isDue = now - record.askedAt >= this->settings.slowPause;
+    if (isDue && record.upstream && record.upstream->FoundPace(now) > 1) {
+      record.nextAt = now;
+      slow.push_back(record.upstream);
+    }
+  }
+  for (const UpstreamPtr& upstream : slow) {
+    this->Ask(upstream);
+  }
+}
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Relay/MemberProbe.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+#include "Zincstep/Pool/Pool.h"
+
+namespace zincstep {
+
+/// Settings of probes.
+struct MemberProbeSettings {
+  /// An upstream that lives reports within two milliseconds, from another
+  /// failure domain too; one that is dark says nothing.
+  Micros timeout = 25ms;
+  /// A lost packet comes again later than that, so one more is asked for.
+  int tries = 2;
+  /// Time for the report of one that has just come under suspicion: it may
+  /// only be slow.
+  Micros confirmTimeout = 150ms;
+  /// Pause before one that answered is asked again; it doubles while it
+  /// answers, up to the longest, and begins anew after three of these.
+  Micros firstPause = 200ms;
+  Micros longestPause = 1600ms;
+  /// One that reported to be slow is asked again after this.
+  Micros slowPause = 1s;
+  /// Probes of this daemon, a second; each is paid for, and costs processor
+  /// time where the daemon itself may be what is slow.
+  double mostPerSecond = 12;
+  /// Probes that may be asked at once: the members of three chains.
+  double mostAtOnce = 40;
+};
+
+/// Asks upstreams whether they live, and how quick they are.
+///
+/// A stream that stands still tells that one of its members is lost, not
+/// which. The report of its first upstream tells, yet is some hundred
+/// milliseconds old; a dead member refuses the connection at once.
+class MemberProbe {
+ public:
+  MemberProbe(MemberProbeSettings aSettings, UpstreamControl& aControl,
+              const Clock& aClock, std::function<void()> aOnSuspicion);
+
+  /// Asks an upstream unless it was asked a moment ago. It comes under
+  /// suspicion where it does not answer.
+  void Ask(const UpstreamPtr& aUpstream);
+  /// Asks anew those that reported to be slow.
+  void Tick();
+
+ private:
+  /// One upstream's probes.
+  struct Record {
+    UpstreamPtr upstream;
+    Instant askedAt{};
+    Instant nextAt{};
+    Micros pause{0};
+    bool isOpen = false;
+  };
+
+  bool TakeToken(Instant aNow);
+  void Send(const UpstreamPtr& aUpstream, int aTriesLeft);
+  void OnAnswer(const UpstreamPtr& aUpstream, const UpstreamReport& aReport);
+  void OnSilence(const UpstreamPtr& aUpstream);
+  void Confirm(const UpstreamPtr& aUpstream);
+  void Close(const UpstreamPtr& aUpstream);
+
+  MemberProbeSettings settings;
+  UpstreamControl& control;
+  const Clock& clock;
+  std::function<void()> onSuspicion;
+  std::unordered_map<std::string, Record> records;
+  double tokens = 0;
+  Instant tokensAt{};
+};
+
+}  // namespace zincstep
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -139,10 +139,22 @@
     exchange->OnTick(now);
   }
   this->AskReports(now);
+  this->context.probe.Tick();
   std::erase_if(this->exchanges,
                 [](const auto& aEntry) { return aEntry.second->IsDone(); });
 }
 
+void Relay::TickSoon() {
+  if (this->isTickDue) {
+    return;
+  }
+  this->isTickDue = true;
+  asio::post(this->context.loop, [this] {
+    this->isTickDue = false;
+    this->Tick();
+  });
+}
+
 void Relay::AskReports(Instant aNow) {
   for (auto& [connection, exchange] : this->exchanges) {
     const UpstreamPtr upstream = exchange->WantsReport(aNow);
--- a/Zincstep/Relay/Relay.h
+++ b/Zincstep/Relay/Relay.h
@@ -25,6 +25,8 @@
   /// Looks at all limits of time; to be called many times a second.
   void Tick();
 
+  /// Looks at them in the next turn of the loop: a belief has changed.
+  void TickSoon();
   /// Exchanges that are not done.
   std::size_t Active() const { return this->exchanges.size(); }
 
@@ -38,6 +40,7 @@
   void AskReports(Instant aNow);
 
   RelayContext context;
+  bool isTickDue = false;
   std::unordered_map<CallerConnection*, std::shared_ptr<Exchange>> exchanges;
   /// When an upstream was last asked for its stalled requests, by id.
   std::unordered_map<std::string, Instant> asked;
--- a/Zincstep/Relay/RelayContext.h
+++ b/Zincstep/Relay/RelayContext.h
@@ -6,6 +6,7 @@
 
 #include "Zincstep/Admission/RetryBudget.h"
 #include "Zincstep/Cluster/Cluster.h"
+#include "Zincstep/Relay/MemberProbe.h"
 #include "Zincstep/Relay/RelayDialect.h"
 #include "Zincstep/Relay/StopPolicy.h"
 #include "Zincstep/Telemetry/Telemetry.h"
@@ -63,6 +64,7 @@
   const Clock& clock;
   Random& random;
   Metrics& metrics;
+  MemberProbe& probe;
   ChainChooser& chains;
   ServiceChooser& services;
   /// By service.
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -13,7 +13,14 @@
 constexpr double kGuessShare = 0.6;
 /// A member under suspicion is left once the stream has stood still for a
 /// few of its usual pauses: a wrong suspicion then does no harm.
-constexpr Micros kMemberSilence = 100ms;
+constexpr Micros kMemberSilence = 80ms;
+/// Members are asked whether they live after a silence of so many of the
+/// stream's own pauses, and of this at the least: what stands still must go on
+/// within some 200 ms to be in time, and each question is paid for.
+constexpr double kProbePauses = 3;
+constexpr Micros kProbeSilence = 70ms;
+/// Share of the newest pause in a stream's average.
+constexpr double kPauseShare = 0.1;
 /// A member that is off the list, or gives its layers up, may still serve
 /// what it runs; it is left only after a longer silence.
 constexpr Micros kLeftSilence = 400ms;
@@ -31,6 +38,14 @@
 /// Callers give a silent stream up after this time at the earliest.
 constexpr Micros kCallerPatience = 2s;
 
+bool SameMembers(const PoolChain& aOne, const PoolChain& aOther) {
+  return std::equal(aOne.begin(), aOne.end(), aOther.begin(), aOther.end(),
+                    [](const PoolHop& aLeft, const PoolHop& aRight) {
+                      return aLeft.upstream == aRight.upstream &&
+                             aLeft.layers == aRight.layers;
+                    });
+}
+
 }  // namespace
 
 StreamExchange::StreamExchange(RelayContext& aContext, AdmittedRequest aRequest)
@@ -155,7 +170,9 @@
   const Instant now = this->Now();
   CallerConnection& connection = *this->request.connection;
   if (this->headSent) {
-    this->longestPause = std::max(this->longestPause, now - this->passedAt);
+    const Micros pause = now - this->passedAt;
+    this->longestPause = std::max(this->longestPause, pause);
+    this->usualPause += kPauseShare * (ToSeconds(pause) - this->usualPause);
   } else {
     this->headSent = true;
     this->firstEventAfter = now - this->request.message.readAt;
@@ -332,6 +349,9 @@
   if (!this->call || this->isHeldUp) {
     return;
   }
+  if (this->headSent && this->Silence(aNow) >= this->ProbeSilence()) {
+    this->AskMembers(aNow);
+  }
   if (this->Silence(aNow) < kMemberSilence) {
     bool isToLeave = false;
     for (const PoolHop& hop : this->chain) {
@@ -359,6 +379,18 @@
   }
 }
 
+Micros StreamExchange::ProbeSilence() const {
+  return std::max(kProbeSilence, FromSeconds(kProbePauses * this->usualPause));
+}
+
+void StreamExchange::AskMembers(Instant aNow) {
+  for (const PoolHop& hop : this->chain) {
+    if (aNow - hop.upstream->AnsweredAt() >= kProbeSilence) {
+      this->context.probe.Ask(hop.upstream);
+    }
+  }
+}
+
 bool StreamExchange::IsLeft(const PoolHop& aHop, Instant aNow) const {
   if (aHop.upstream == this->upstream) {
     return false;
@@ -386,7 +418,8 @@
   if (!this->MayRepair(aNow)) {
     return;
   }
-  if (const auto chain = this->RepairedChain(aNow)) {
+  const auto chain = this->RepairedChain(aNow);
+  if (chain && !SameMembers(*chain, this->chain)) {
     this->Repath(*chain);
   }
 }
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -49,6 +49,10 @@
   void Resume(const char* aReason);
   void Fail(const char* aReason);
   void CheckMembers(Instant aNow);
+  /// Silence after which members are asked whether they live.
+  Micros ProbeSilence() const;
+  /// Asks members whether they live that have given no sign of it lately.
+  void AskMembers(Instant aNow);
   void Repair(Instant aNow);
   /// Whether it is time for another attempt; that time begins anew.
   bool MayRepair(Instant aNow);
@@ -84,6 +88,8 @@
   Instant lastProgress;
   /// When events were last passed on.
   Instant passedAt;
+  /// The average pause, in seconds.
+  double usualPause = 0;
   Instant nextRepair;
   /// Repairs of this stream so far, for its closing log line.
   int repairs = 0;
