Leaving members stay out of changed chains; suspicions are verified; two first holders

Change: a changed chain names no member that leaves, and leaves out whom a refusal names, at once; a peer's suspicion is verified by a probe, a time-out noticed late proves nothing; a doubled domain gets a second holder of its first layer, and three quarters of a first upstream's slots are used; lists are proven each 0.7 s, asked for each 0.25 s and relied on for 1.35 s.

--- a/UnitTests/MemberProbeTest.cpp
+++ b/UnitTests/MemberProbeTest.cpp
@@ -50,7 +50,8 @@
   CPPUNIT_TEST(Ask_ManyUpstreams_IsBounded);
   CPPUNIT_TEST(Tick_SlowUpstream_IsAskedUntilItIsQuick);
   CPPUNIT_TEST(Pace_OutOfDate_IsOne);
-  CPPUNIT_TEST(Suspicion_ThatWasTold_IsNotToldOn);
+  CPPUNIT_TEST(Ask_TimeoutNoticedLate_ProvesNothing);
+  CPPUNIT_TEST(Verify_UpstreamThatAnswers_IsNotSuspected);
   CPPUNIT_TEST_SUITE_END();
 
   FakeClock clock;
@@ -76,7 +77,6 @@
     CPPUNIT_ASSERT(!upstream->IsSuspect(clock.Now()));
     control.StaySilent();
     CPPUNIT_ASSERT(upstream->IsSuspect(clock.Now()));
-    CPPUNIT_ASSERT(upstream->IsFoundSuspect(clock.Now()));
     CPPUNIT_ASSERT_EQUAL(1, suspicions);
   }
 
@@ -152,12 +152,28 @@
     CPPUNIT_ASSERT_EQUAL(1.0, upstream->Pace(clock.Now()));
   }
 
-  // Two daemons that tell each other what they were told would keep a
-  // suspicion alive that nobody has evidence for.
-  void Suspicion_ThatWasTold_IsNotToldOn() {
-    upstream->Suspect(clock.Now(), Evidence::Told);
+  // tavua-orders-grown, trouble-3: daemons that were slow themselves took
+  // all upstreams of their domain for lost.
+  void Ask_TimeoutNoticedLate_ProvesNothing() {
+    probe.Ask(upstream);
+    clock.Advance(settings.timeout + settings.latestTimeout + 1ms);
+    control.StaySilent();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, control.asked.size());
+    CPPUNIT_ASSERT(!upstream->IsSuspect(clock.Now()));
+    CPPUNIT_ASSERT_EQUAL(0, suspicions);
+  }
+
+  // The same day: their peers believed them, and the domain's layers were
+  // placed anew.
+  void Verify_UpstreamThatAnswers_IsNotSuspected() {
+    probe.Verify(upstream);
+    control.Answer(1);
+    CPPUNIT_ASSERT(!upstream->IsSuspect(clock.Now()));
+    clock.Advance(settings.firstPause);
+    probe.Verify(upstream);
+    control.StaySilent();
+    control.StaySilent();
     CPPUNIT_ASSERT(upstream->IsSuspect(clock.Now()));
-    CPPUNIT_ASSERT(!upstream->IsFoundSuspect(clock.Now()));
   }
 };
 
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -34,13 +34,15 @@
   ClusterKeys keys;
   /// Time between proofs that the configuration is the newest one: well
   /// under the time within which one must be in force everywhere.
-  Micros proofInterval = 900ms;
+  Micros proofInterval = 700ms;
   /// While a peer proves for this daemon and tells it the lists, it looks
   /// this often whether that goes on, and asks the store by itself once
-  /// either is older than `longestReliance`: one proof and its way are overdue
-  /// then, and a draining upstream must be known within two seconds.
+  /// either is older than `longestReliance`: one proof and its way (up to 1.2 s
+  /// with the pauses between questions) are overdue then. The pause, a call of
+  /// a slow store (0.25 s) and the way to the upstream come on top, and a
+  /// draining upstream must get no more within two seconds.
   Micros reliancePause = 150ms;
-  Micros longestReliance = 1700ms;
+  Micros longestReliance = 1350ms;
   /// A daemon that starts asks its peers for the lists. One that has had no
   /// answer by then reads them itself: the first of all daemons have to.
   Micros startPatience = 400ms;
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -83,7 +83,10 @@
         keeper(MakeKeeperSettings(aSettings), *this->adapters.store,
                *this->adapters.control, this->view, this->clock),
         peers(aLoop, aSettings, *this->adapters.store, this->view, this->clock,
-              this->random, [this] { this->keeper.Tick(); }),
+              this->random,
+              [this](const UpstreamPtr& aUpstream) {
+                this->probe.Verify(aUpstream);
+              }),
         fastTimer(aLoop),
         dutyTimer(aLoop),
         signals(aLoop, SIGTERM, SIGINT, SIGHUP) {}
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -21,7 +21,7 @@
 constexpr Micros kGossipPause = 400ms;
 /// Peers are asked once the own proof is older than this: two proofs that
 /// should have come have not.
-constexpr Micros kOwnProofAge = 1500ms;
+constexpr Micros kOwnProofAge = 1300ms;
 constexpr Micros kQuestionPause = 400ms;
 /// The same for a daemon that has just started and knows nothing yet.
 constexpr Micros kFirstQuestionPause = 100ms;
@@ -36,20 +36,20 @@
 /// Up to so many members all are told of each other's work; beyond, those
 /// of the own failure domain, whose upstreams they share most.
 constexpr std::size_t kFewMembers = 16;
-/// The domain's first daemon is asked for its proof this often: together
-/// with the time between its proofs this stays well under the bound within
-/// which a configuration must be in force.
-constexpr Micros kReliancePause = 500ms;
+/// The domain's first daemon is asked for its proofs this often: with the
+/// time between its proofs and one answer that is lost, what it tells stays
+/// under the age at which it is not relied on any more.
+constexpr Micros kReliancePause = 250ms;
 /// So many questions in a row without an answer: it has ended or is cut off,
 /// and the next member by name is asked.
-constexpr int kMostUnanswered = 2;
+constexpr int kMostUnanswered = 4;
 /// After this it is asked again.
 constexpr Micros kSilentTime = 4s;
 /// Lists that are older when they are told come from a peer that does not
 /// reach the store itself.
-constexpr Micros kFreshLists = 1500ms;
+constexpr Micros kFreshLists = 1100ms;
 /// A peer that has told none for so long is not relied on.
-constexpr Micros kRelianceLife = 1700ms;
+constexpr Micros kRelianceLife = 1350ms;
 /// Number of no question: what comes with it was not asked for.
 constexpr std::uint64_t kUnasked = 0;
 /// Longest pause before a peer is connected to again: half the age at which
@@ -57,9 +57,6 @@
 constexpr Micros kLongestReconnect = 800ms;
 /// A question that was not answered by then is forgotten.
 constexpr Micros kQuestionLife = 5s;
-/// A peer's suspicion counts where nothing came through that upstream for
-/// so long.
-constexpr Micros kOwnEvidence = 300ms;
 
 /// The seeds' hosts with the port on which daemons speak here.
 std::vector<std::string> SeedPeers(const EdgeSettings& aSettings) {
@@ -81,7 +78,7 @@
 PeerExchange::PeerExchange(asio::io_context& aLoop,
                            const EdgeSettings& aSettings, AsyncStore& aStore,
                            ClusterView& aView, const Clock& aClock,
-                           Random& aRandom, std::function<void()> aOnSuspicion)
+                           Random& aRandom, OnToldSuspicion aOnSuspicion)
     : loop(aLoop),
       settings(aSettings),
       store(aStore),
@@ -132,7 +129,6 @@
 void PeerExchange::OnGossip(const std::string& aSender,
                             const WorkGossip& aGossip) {
   const Instant now = this->clock.Now();
-  bool isNews = false;
   for (const auto& [id, upstream] : this->view.Directory().All()) {
     upstream->SetOthers(aSender, 0, now);
   }
@@ -148,16 +144,10 @@
     if (work.pace > 1 && upstream->Pace(now) <= 1) {
       upstream->SetPace(work.pace, now, Evidence::Told);
     }
-    if (work.isSuspect && now - upstream->AnsweredAt() > kOwnEvidence &&
-        !upstream->IsSuspect(now)) {
-      LogInfo("upstream_suspected", {{"upstream", work.id}, {"by", aSender}});
-      upstream->Suspect(now, Evidence::Told);
-      isNews = true;
+    if (work.isSuspect && !upstream->IsSuspect(now)) {
+      this->onSuspicion(upstream);
     }
   }
-  if (isNews) {
-    this->onSuspicion();
-  }
 }
 
 void PeerExchange::GossipSoon() {
@@ -321,7 +311,7 @@
   const Instant now = this->clock.Now();
   WorkGossip gossip;
   for (const auto& [id, upstream] : this->view.Directory().All()) {
-    const bool isSuspect = upstream->IsFoundSuspect(now);
+    const bool isSuspect = upstream->IsSuspect(now);
     const bool isRefusing = upstream->IsRefusing(now);
     const double pace = upstream->FoundPace(now);
     if (upstream->own > 0 || isSuspect || isRefusing || pace > 1) {
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -21,9 +21,12 @@
 /// find each other by entries in the store, and by the seeds.
 class PeerExchange final : private PeerListener {
  public:
+  /// Called with an upstream that a peer suspects and this daemon does not.
+  using OnToldSuspicion = std::function<void(const UpstreamPtr&)>;
+
   PeerExchange(asio::io_context& aLoop, const EdgeSettings& aSettings,
                AsyncStore& aStore, ClusterView& aView, const Clock& aClock,
-               Random& aRandom, std::function<void()> aOnSuspicion);
+               Random& aRandom, OnToldSuspicion aOnSuspicion);
 
   Result<void> Start();
   void Stop();
@@ -88,8 +91,7 @@
   ClusterView& view;
   const Clock& clock;
   Random& random;
-  /// Called when a peer has told of a new suspicion.
-  std::function<void()> onSuspicion;
+  OnToldSuspicion onSuspicion;
   std::unique_ptr<PeerHub> hub;
   std::map<std::string, Member> members;
   std::vector<std::string> seeds;
--- a/Zincstep/Pool/ChainChooser.cpp
+++ b/Zincstep/Pool/ChainChooser.cpp
@@ -18,10 +18,6 @@
 /// standby: the next loss hardly leaves a gap, and the standby's share of the
 /// requests would be its partners' to carry.
 constexpr double kDoubledShare = 0.8;
-/// A hop of a broken chain that works but leaves costs more than any other:
-/// one that works and stays costs nothing, since its cache of the request
-/// stays too.
-constexpr double kLeavingHopCost = 1000;
 
 /// Keeps one part of an upstream that a cover uses twice.
 ///
@@ -40,6 +36,11 @@
   }
 }
 
+/// Share of a first upstream's slots that is used: others' requests that were
+/// not heard of yet come on top, and one beyond the slots waits until another
+/// has ended.
+constexpr double kSlotsUsed = 0.75;
+
 /// Whether nearly every layer has a second holder.
 bool IsDoubled(const std::vector<int>& aHolders) {
   const auto doubled = std::count_if(aHolders.begin(), aHolders.end(),
@@ -63,8 +64,8 @@
   }
   // Chains begin here: its slots bound the requests, whatever their length.
   const double usual = aModel.usualPrompt + aModel.usualAnswer;
-  return std::max(
-      0.0, std::min(memory, aEntry.slots * usual * aEntry.layers.Size()));
+  return std::max(0.0, std::min(memory, kSlotsUsed * aEntry.slots * usual *
+                                            aEntry.layers.Size()));
 }
 
 void ChainChooser::Prepare(const ModelShape& aModel,
@@ -221,37 +222,36 @@
 
 std::optional<PoolChain> ChainChooser::Repair(
     const ModelShape& aModel, const std::vector<UpstreamPtr>& aUpstreams,
-    const PoolChain& aChain, double aTokens, Instant aNow, Random& aRandom) {
+    const PoolChain& aChain, const std::vector<UpstreamPtr>& aBlamed,
+    double aTokens, Instant aNow, Random& aRandom) {
   const PoolHop& first = aChain.front();
-  // Members that have left the list may still serve what they run.
-  std::vector<UpstreamPtr> upstreams = aUpstreams;
-  for (const PoolHop& hop : aChain) {
-    if (std::find(upstreams.begin(), upstreams.end(), hop.upstream) ==
-        upstreams.end()) {
-      upstreams.push_back(hop.upstream);
-    }
-  }
-  this->Prepare(aModel, upstreams, aTokens, aNow, aRandom);
+  this->Prepare(aModel, aUpstreams, aTokens, aNow, aRandom);
   for (std::size_t i = 0; i < this->items.size(); ++i) {
     SearchItem& item = this->items[i];
     const auto kept = std::find_if(
         aChain.begin(), aChain.end(),
-        [&](const PoolHop& aHop) { return aHop.upstream == upstreams[i]; });
+        [&](const PoolHop& aHop) { return aHop.upstream == aUpstreams[i]; });
+    const bool isBlamed = std::find(aBlamed.begin(), aBlamed.end(),
+                                    aUpstreams[i]) != aBlamed.end();
     if (kept == aChain.end()) {
+      item.usable = item.usable && !isBlamed;
       continue;
     }
-    // A kept hop that leaves serves on for a while: better than none.
-    item.usable = kept != aChain.begin() && !upstreams[i]->IsSuspect(aNow) &&
-                  upstreams[i]->Entry().layers.Covers(kept->layers);
+    const UpstreamEntry& entry = aUpstreams[i]->Entry();
+    item.usable = kept != aChain.begin() && !isBlamed &&
+                  entry.state == Availability::Ready &&
+                  !aUpstreams[i]->IsSuspect(aNow) &&
+                  entry.layers.Covers(kept->layers);
+    // One that stays costs nothing: its cache of the request stays too.
     item.layers = kept->layers;
     item.layerCost = 0;
-    item.fixedCost = upstreams[i]->IsUsable(aNow) ? 0 : kLeavingHopCost;
+    item.fixedCost = 0;
   }
   const LayerRange rest{first.layers.last, aModel.layers};
   PoolChain chain{first};
   if (rest.Size() > 0) {
     auto found =
-        this->FindIn(upstreams, first.upstream->Entry().failureDomain, rest);
+        this->FindIn(aUpstreams, first.upstream->Entry().failureDomain, rest);
     if (!found) {
       return std::nullopt;
     }
--- a/Zincstep/Pool/ChainChooser.h
+++ b/Zincstep/Pool/ChainChooser.h
@@ -61,11 +61,15 @@
                                   Instant aNow, Random& aRandom);
 
   /// A chain that keeps the first hop of `aChain` and whatever else of it
-  /// is still usable; none where its domain cannot cover the rest.
+  /// stays and is not among `aBlamed`; none where its domain cannot cover the
+  /// rest. An upstream refuses a chain with a member that leaves, also where
+  /// that runs the request already.
   std::optional<PoolChain> Repair(const ModelShape& aModel,
                                   const std::vector<UpstreamPtr>& aUpstreams,
-                                  const PoolChain& aChain, double aTokens,
-                                  Instant aNow, Random& aRandom);
+                                  const PoolChain& aChain,
+                                  const std::vector<UpstreamPtr>& aBlamed,
+                                  double aTokens, Instant aNow,
+                                  Random& aRandom);
 
   /// The upstreams, one of each domain at most, whose layers others hold as
   /// well and which take over lost layers: the one with most layers, and of
--- a/Zincstep/Pool/LiveUpstream.cpp
+++ b/Zincstep/Pool/LiveUpstream.cpp
@@ -43,11 +43,10 @@
   this->leavingSince = this->leavingSince.value_or(aNow);
 }
 
-void LiveUpstream::Suspect(Instant aNow, Evidence aEvidence) {
+void LiveUpstream::Suspect(Instant aNow) {
   if (this->IsSuspect(aNow)) {
     return;
   }
-  this->suspectEvidence = aEvidence;
   const int doublings = std::min(this->suspicions, kMostDoublings);
   this->suspectUntil =
       aNow + std::min(kFirstSuspicion * (1 << doublings), kLongestSuspicion);
--- a/Zincstep/Pool/LiveUpstream.h
+++ b/Zincstep/Pool/LiveUpstream.h
@@ -52,16 +52,12 @@
 
   /// There is evidence that it does not answer; it gets no new work for
   /// a time that doubles with each suspicion in a row.
-  void Suspect(Instant aNow, Evidence aEvidence = Evidence::Found);
+  void Suspect(Instant aNow);
   /// It has refused work; no more is given to it until then.
   void PassOver(Instant aUntil) {
     this->passedOverUntil = std::max(this->passedOverUntil, aUntil);
   }
   bool IsSuspect(Instant aNow) const { return aNow < this->suspectUntil; }
-  /// Whether this daemon itself has the evidence.
-  bool IsFoundSuspect(Instant aNow) const {
-    return this->IsSuspect(aNow) && this->suspectEvidence == Evidence::Found;
-  }
   /// Whether the suspicion has just come up and may yet prove to be wrong.
   bool IsNewlySuspect(Instant aNow) const;
 
@@ -150,7 +146,6 @@
   double pace = 1;
   Instant paceAt{};
   Evidence paceEvidence = Evidence::Told;
-  Evidence suspectEvidence = Evidence::Told;
   bool isGone = false;
 };
 
--- a/Zincstep/Pool/PlacementPlanner.cpp
+++ b/Zincstep/Pool/PlacementPlanner.cpp
@@ -12,6 +12,9 @@
 /// Factor by which it is raised where a domain has room for more.
 constexpr double kKeptRise = 1.05;
 
+/// From this share of layers with a second holder on, a domain is doubled.
+constexpr double kDoubledShare = 0.8;
+
 /// What a layer without a holder is worth, beside memory for requests.
 constexpr double kUncoveredWorth = 100;
 
@@ -43,6 +46,7 @@
     this->PlaceEmpty();
     this->FillGaps();
     this->ExtendIntoGaps();
+    this->DoubleFirstLayer();
     return std::move(this->orders);
   }
 
@@ -318,6 +322,28 @@
     }
   }
 
+  /// Whether nearly every layer has a second holder.
+  bool IsDoubled() const {
+    const auto doubled =
+        std::count_if(this->cover.begin(), this->cover.end(),
+                      [](int aHolders) { return aHolders > 1; });
+    return static_cast<double>(doubled) >=
+           kDoubledShare * static_cast<double>(this->cover.size());
+  }
+
+  /// Moves one upstream to the first layers where a domain that holds the
+  /// others twice has a single upstream there: its slots bound the requests
+  /// of the whole domain, which those of later members do not.
+  void DoubleFirstLayer() {
+    if (this->CoverOf(0) != 1 || !this->IsDoubled()) {
+      return;
+    }
+    PlacedUpstream* spare = this->BestSpare({0, this->model.layers});
+    if (spare != nullptr) {
+      this->Order(*spare, {0, this->SizeShared(*spare)});
+    }
+  }
+
   /// Grows upstreams beside a gap into it where their memory allows.
   void ExtendIntoGaps() {
     for (PlacedUpstream& upstream : this->upstreams) {
--- a/Zincstep/Relay/MemberProbe.cpp
+++ b/Zincstep/Relay/MemberProbe.cpp
@@ -35,25 +35,43 @@
   record.pause = isFirst
                      ? this->settings.firstPause
                      : std::min(2 * record.pause, this->settings.longestPause);
-  record.upstream = aUpstream;
-  record.askedAt = now;
-  record.nextAt = now + record.pause;
-  record.isOpen = true;
+  this->Start(record, aUpstream, now);
+}
+
+void MemberProbe::Verify(const UpstreamPtr& aUpstream) {
+  const Instant now = this->clock.Now();
+  Record& record = this->records[aUpstream->Entry().id];
+  const bool isRecent = now - record.askedAt < this->settings.firstPause;
+  if (!record.isOpen && !isRecent && this->TakeToken(now)) {
+    this->Start(record, aUpstream, now);
+  }
+}
+
+void MemberProbe::Start(Record& aRecord, const UpstreamPtr& aUpstream,
+                        Instant aNow) {
+  aRecord.upstream = aUpstream;
+  aRecord.askedAt = aNow;
+  aRecord.nextAt = aNow + aRecord.pause;
+  aRecord.isOpen = true;
   this->Send(aUpstream, this->settings.tries);
 }
 
 void MemberProbe::Send(const UpstreamPtr& aUpstream, int aTriesLeft) {
-  this->control.Report(
-      aUpstream->Entry(), this->settings.timeout,
-      [this, aUpstream, aTriesLeft](const Result<UpstreamReport>& aReport) {
-        if (aReport) {
-          this->OnAnswer(aUpstream, *aReport);
-        } else if (aTriesLeft > 1) {
-          this->Send(aUpstream, aTriesLeft - 1);
-        } else {
-          this->OnSilence(aUpstream);
-        }
-      });
+  const Instant latest =
+      this->clock.Now() + this->settings.timeout + this->settings.latestTimeout;
+  this->control.Report(aUpstream->Entry(), this->settings.timeout,
+                       [this, aUpstream, aTriesLeft,
+                        latest](const Result<UpstreamReport>& aReport) {
+                         if (aReport) {
+                           this->OnAnswer(aUpstream, *aReport);
+                         } else if (this->clock.Now() > latest) {
+                           this->Close(aUpstream);
+                         } else if (aTriesLeft > 1) {
+                           this->Send(aUpstream, aTriesLeft - 1);
+                         } else {
+                           this->OnSilence(aUpstream);
+                         }
+                       });
 }
 
 void MemberProbe::OnAnswer(const UpstreamPtr& aUpstream,
--- a/Zincstep/Relay/MemberProbe.h
+++ b/Zincstep/Relay/MemberProbe.h
@@ -15,6 +15,9 @@
   Micros timeout = 25ms;
   /// A lost packet comes again later than that, so one more is asked for.
   int tries = 2;
+  /// A time-out that is noticed this much too late tells more of this
+  /// daemon, which was slow, than of the upstream.
+  Micros latestTimeout = 15ms;
   /// Time for the report of one that has just come under suspicion: it may
   /// only be slow.
   Micros confirmTimeout = 150ms;
@@ -44,6 +47,10 @@
   /// Asks an upstream unless it was asked a moment ago. It comes under
   /// suspicion where it does not answer.
   void Ask(const UpstreamPtr& aUpstream);
+  /// Asks an upstream that somebody else suspects, even if it answered a moment
+  /// ago. Whoever suspects many may be slow or cut off itself, so that nobody
+  /// takes its word for it.
+  void Verify(const UpstreamPtr& aUpstream);
   /// Asks anew those that reported to be slow.
   void Tick();
 
@@ -58,6 +65,7 @@
   };
 
   bool TakeToken(Instant aNow);
+  void Start(Record& aRecord, const UpstreamPtr& aUpstream, Instant aNow);
   void Send(const UpstreamPtr& aUpstream, int aTriesLeft);
   void OnAnswer(const UpstreamPtr& aUpstream, const UpstreamReport& aReport);
   void OnSilence(const UpstreamPtr& aUpstream);
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -35,6 +35,9 @@
 /// After a refused chain the same would be refused again for a while, and
 /// each order is paid for.
 constexpr Micros kRefusedRepairPause = 800ms;
+/// Chains that are tried at once when the first upstream names who is at
+/// fault.
+constexpr std::size_t kMostBlamed = 4;
 /// Callers give a silent stream up after this time at the earliest.
 constexpr Micros kCallerPatience = 2s;
 
@@ -411,7 +414,7 @@
   return this->context.chains.Repair(
       *this->request.service->model,
       this->context.view.Directory().OfService(this->request.service->name),
-      this->chain, this->tokens, aNow, this->context.random);
+      this->chain, this->blamed, this->tokens, aNow, this->context.random);
 }
 
 void StreamExchange::MoveOn(Instant aNow) {
@@ -493,6 +496,21 @@
                                });
 }
 
+bool StreamExchange::Blame(const PoolChain& aChain,
+                           const std::string& aAddress) {
+  for (const PoolHop& hop : aChain) {
+    if (hop.upstream->Entry().address != aAddress ||
+        hop.upstream == this->upstream) {
+      continue;
+    }
+    hop.upstream->PassOver(this->Now() + kRefusalPause);
+    this->context.probe.Ask(hop.upstream);
+    this->blamed.push_back(hop.upstream);
+    return this->blamed.size() <= kMostBlamed;
+  }
+  return false;
+}
+
 void StreamExchange::OnRepaired(PoolChain aChain,
                                 const Result<OrderOutcome>& aOutcome) {
   this->isRepairing = false;
@@ -511,15 +529,18 @@
     this->chain = std::move(aChain);
     this->Reserve(this->chain);
     this->lastProgress = now;
+    this->blamed.clear();
     return;
   }
-  this->nextRepair = now + kRefusedRepairPause;
-  if (aOutcome && !aOutcome->atFault.empty()) {
-    for (const PoolHop& hop : aChain) {
-      if (hop.upstream->Entry().address == aOutcome->atFault) {
-        hop.upstream->PassOver(now + kRefusalPause);
-      }
+  if (aOutcome && this->Blame(aChain, aOutcome->atFault)) {
+    // Another chain may do; several members can be lost at once.
+    this->nextRepair = now;
+    if (this->Silence(now) >= kMemberSilence) {
+      this->Repair(now);
+      return;
     }
+  } else {
+    this->nextRepair = now + kRefusedRepairPause;
   }
   if (this->Silence(now) >= kLeftSilence) {
     // It stands still, and its domain cannot take it on.
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -62,6 +62,9 @@
   void MoveOn(Instant aNow);
   void Repath(const PoolChain& aChain);
   bool IsLeft(const PoolHop& aHop, Instant aNow) const;
+  /// Leaves out a member that an upstream named; false: no other chain is to
+  /// be tried now.
+  bool Blame(const PoolChain& aChain, const std::string& aAddress);
   void OnRepaired(PoolChain aChain, const Result<OrderOutcome>& aOutcome);
   void Distrust(const std::string& aAddress, Instant aNow, bool aIsDead);
   bool IsStream() const;
@@ -71,6 +74,8 @@
   EventSplitter splitter;
   PoolChain chain;
   std::vector<std::pair<UpstreamPtr, double>> reserved;
+  /// Members at fault for refused changes of the chain.
+  std::vector<UpstreamPtr> blamed;
   HttpHead head;
   AnswerFacts facts;
   /// Whole events that wait to be passed on together.
