A randomized soak of the edge daemon under faults from outside

Daemons run as processes beside stand-ins of the store and of upstreams, by the operators' published protocol. Faults drawn from a seed overlap: daemons are killed, stopped, paused; their links to the store are silenced, cut one way, reset or slowed by a loopback proxy; upstreams crash, go dark or drain; the store is down or loses answers; configurations change and keys are withdrawn. Checked: at most one run of unsafe requests, refusals that are true, answers that are the request's own and whole, events in order, each layer once, keys and organisations, and that all daemons serve all kinds again. Not in it yet: connections that callers keep, links between daemons, clocks.

--- /dev/null
+++ b/SoakTests/DaemonProcess.cpp
@@ -0,0 +1,75 @@
+#include "SoakTests/DaemonProcess.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <vector>
+
+namespace zincstep::soak {
+
+namespace {
+
+constexpr mode_t kLogMode = 0644;
+
+}  // namespace
+
+DaemonProcess::DaemonProcess(std::string aProgram, std::string aLog,
+                             std::map<std::string, std::string> aEnvironment)
+    : program(std::move(aProgram)),
+      log(std::move(aLog)),
+      environment(std::move(aEnvironment)) {}
+
+DaemonProcess::~DaemonProcess() { this->Kill(); }
+
+bool DaemonProcess::Start() {
+  if (this->IsRunning()) {
+    return true;
+  }
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, this->log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, kLogMode);
+  posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  std::vector<std::string> lines;
+  for (const auto& [name, value] : this->environment) {
+    lines.push_back(name + "=" + value);
+  }
+  std::vector<char*> variables;
+  for (std::string& line : lines) {
+    variables.push_back(line.data());
+  }
+  variables.push_back(nullptr);
+  std::vector<char*> words{this->program.data(), nullptr};
+  const int failed = posix_spawn(&this->pid, this->program.c_str(), &files,
+                                 nullptr, words.data(), variables.data());
+  posix_spawn_file_actions_destroy(&files);
+  if (failed != 0) {
+    this->pid = -1;
+  }
+  return failed == 0;
+}
+
+void DaemonProcess::Signal(int aSignal) const {
+  if (this->pid > 0) {
+    ::kill(this->pid, aSignal);
+  }
+}
+
+bool DaemonProcess::IsRunning() {
+  if (this->pid > 0 && ::waitpid(this->pid, nullptr, WNOHANG) == this->pid) {
+    this->pid = -1;
+  }
+  return this->pid > 0;
+}
+
+void DaemonProcess::Kill() {
+  if (this->IsRunning()) {
+    this->Signal(SIGKILL);
+    ::waitpid(this->pid, nullptr, 0);
+    this->pid = -1;
+  }
+}
+
+}  // namespace zincstep::soak
--- /dev/null
+++ b/SoakTests/Ledger.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Zincstep/Core/Core.h"
+
+namespace zincstep::soak {
+
+enum class RequestKind { Safe, Unsafe, Stream };
+
+/// What a caller was finally told.
+enum class Told {
+  /// Nothing, or not whole.
+  Unknown,
+  Answered,
+  /// That the request has not run and never will.
+  NotRun,
+};
+
+/// Everything that callers and upstreams have seen, and what it breaks.
+class Ledger {
+ public:
+  /// A caller sends a request, with a key that holds until `aKeyEnds`.
+  void Sent(const std::string& aId, RequestKind aKind,
+            const std::string& aOrganisation, Instant aAt);
+  /// An upstream begins to work on it.
+  void Ran(const std::string& aId, const std::string& aOrganisation);
+  void Ended(const std::string& aId, Told aTold);
+  /// Keys of that organisation must not run when sent after this.
+  void Revoked(const std::string& aOrganisation, Instant aNotAfter) {
+    this->revoked[aOrganisation] = aNotAfter;
+  }
+  /// A promise was broken, as seen by whoever calls this.
+  void Broken(const std::string& aWhat) { this->broken.push_back(aWhat); }
+  /// All broken promises, one a line; checks what shows at the end only.
+  std::vector<std::string> Close();
+
+  std::size_t Requests() const { return this->requests.size(); }
+  std::size_t Answers() const;
+
+ private:
+  struct Record {
+    RequestKind kind = RequestKind::Safe;
+    std::string organisation;
+    Instant sentAt;
+    int runs = 0;
+    Told told = Told::Unknown;
+  };
+
+  std::map<std::string, Record> requests;
+  std::map<std::string, Instant> revoked;
+  std::vector<std::string> broken;
+};
+
+}  // namespace zincstep::soak
--- /dev/null
+++ b/SoakTests/Main.cpp
@@ -0,0 +1,87 @@
+#include <getopt.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+
+#include "SoakTests/SoakRun.h"
+
+namespace {
+
+constexpr const char* kUsage =
+    "zincstep-soak: runs edge daemons as processes under random faults\n"
+    "  --daemon PATH   program of the edge daemon (needed)\n"
+    "  --logs DIR      folder for logs, one below it for each seed (needed)\n"
+    "  --seed N        first seed (1)\n"
+    "  --seeds N       how many seeds, one after the other (1)\n"
+    "  --seconds N     time of faults in each (10)\n"
+    "  --daemons N     daemons (4)\n"
+    "Exit status: 0 all passed, 1 a promise was broken, 2 wrong use.\n";
+
+}  // namespace
+
+int main(int aCount, char** aWords) {
+  zincstep::soak::SoakSettings settings;
+  std::string logs;
+  int seeds = 1;
+  const option options[] = {{"daemon", required_argument, nullptr, 'd'},
+                            {"logs", required_argument, nullptr, 'l'},
+                            {"seed", required_argument, nullptr, 's'},
+                            {"seeds", required_argument, nullptr, 'n'},
+                            {"seconds", required_argument, nullptr, 't'},
+                            {"daemons", required_argument, nullptr, 'c'},
+                            {nullptr, 0, nullptr, 0}};
+  for (int word = 0;
+       (word = getopt_long(aCount, aWords, "", options, nullptr)) != -1;) {
+    switch (word) {
+      case 'd':
+        settings.daemon = optarg;
+        break;
+      case 'l':
+        logs = optarg;
+        break;
+      case 's':
+        settings.seed = std::strtoull(optarg, nullptr, 10);
+        break;
+      case 'n':
+        seeds = std::atoi(optarg);
+        break;
+      case 't':
+        settings.faults = zincstep::FromSeconds(std::atof(optarg));
+        break;
+      case 'c':
+        settings.daemons = std::atoi(optarg);
+        break;
+      default:
+        std::fputs(kUsage, stderr);
+        return 2;
+    }
+  }
+  if (settings.daemon.empty() || logs.empty() || settings.daemons < 1) {
+    std::fputs(kUsage, stderr);
+    return 2;
+  }
+  int failed = 0;
+  for (int i = 0; i < seeds; ++i, ++settings.seed) {
+    settings.logs = logs + "/seed-" + std::to_string(settings.seed);
+    std::filesystem::remove_all(settings.logs);
+    std::filesystem::create_directories(settings.logs);
+    const auto outcome = zincstep::soak::RunSoak(settings);
+    std::printf("seed %llu: %zu requests, %zu answered, %zu faults, %s\n",
+                static_cast<unsigned long long>(settings.seed),
+                outcome.requests, outcome.answers, outcome.faults.size(),
+                outcome.broken.empty() ? "passed" : "FAILED");
+    for (const std::string& line : outcome.broken) {
+      std::printf("  broken: %s\n", line.c_str());
+    }
+    if (!outcome.broken.empty()) {
+      failed += 1;
+      for (const std::string& line : outcome.faults) {
+        std::printf("  %s\n", line.c_str());
+      }
+    }
+    std::fflush(stdout);
+  }
+  std::printf("%d passed, %d failed\n", seeds - failed, failed);
+  return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/SoakTests/SoakRun.cpp
@@ -0,0 +1,421 @@
+#include "SoakTests/SoakRun.h"
+
+#include <signal.h>
+
+#include <functional>
+
+#include "SoakTests/DaemonProcess.h"
+#include "SoakTests/SoakUpstream.h"
+#include "Zincstep/Core/Random.h"
+#include "Zincstep/Net/HttpCall.h"
+
+namespace zincstep::soak {
+
+namespace {
+
+constexpr Micros kTick = 10ms;
+/// Between requests of all callers together.
+constexpr Micros kRequestPause = 25ms;
+constexpr Micros kShortestFaultPause = 200ms;
+constexpr Micros kFaultPauseSpread = 500ms;
+constexpr Micros kShortestFault = 300ms;
+constexpr Micros kFaultSpread = 2500ms;
+/// Longest time until all is served at the start, and again after the last
+/// fault; generous, as the machine may be busy.
+constexpr Micros kRecovery = 25s;
+/// The operators' bound on withdrawn keys, as the daemons get it.
+constexpr Micros kKeyRevocation = 5s;
+constexpr Micros kCallerPatience = 4s;
+constexpr int kOk = 200;
+/// How often an answer must have come from each daemon to count as served.
+constexpr int kFirstAddress = 10;
+
+/// The operators' configuration: two plain routes and a split model of four
+/// layers, two of which fit an upstream.
+std::string Configuration(int aVersion, bool aHasOther) {
+  const std::string other =
+      aHasOther ? R"(,{"name":"other","apiKeys":["key2"]})" : "";
+  return R"({"configVersion":)" + std::to_string(aVersion) + R"(,"routes":[
+ {"name":"s","hostname":"h","pathPrefix":"/safe/","routeType":"safe",
+  "timeoutMs":3000,"maxAttempts":2,"backend":"plain"},
+ {"name":"u","hostname":"h","pathPrefix":"/unsafe/","routeType":"unsafe",
+  "timeoutMs":3000,"maxAttempts":1,"backend":"plain"},
+ {"name":"l","hostname":"h","pathPrefix":"/llm/","routeType":"streaming",
+  "timeoutMs":20000,"maxAttempts":3,"backend":"model","resumable":true}],
+ "services":[{"name":"plain"},{"name":"model","engine":{"layers":4,
+  "layer_mb":1,"kvTokenBytes":4,"step_ms":1,"usual":{"prompt":10,"answer":20},
+  "models":[{"name":"m","load_s":0.2}],
+  "kinds":[{"name":"k","mb":2.5,"pace":1,"read_x":1}]}}],
+ "tenants":[{"name":"acme","apiKeys":["key1"]})" +
+         other + "]}";
+}
+
+std::uint16_t FreePort(asio::io_context& aLoop) {
+  const asio::ip::tcp::acceptor probe(
+      aLoop, TcpEndpoint(asio::ip::address_v4::loopback(), 0));
+  return probe.local_endpoint().port();
+}
+
+class Soak {
+ public:
+  explicit Soak(const SoakSettings& aSettings)
+      : settings(aSettings),
+        random(aSettings.seed),
+        store(this->loop, this->clock),
+        timer(this->loop) {
+    this->store.Put("op/config", Configuration(this->version, true));
+    for (const char* domain : {"a", "b"}) {
+      for (int i = 0; i < kPlainUpstreams; ++i) {
+        this->AddUpstream("plain", domain, i);
+      }
+      for (int i = 0; i < kModelUpstreams; ++i) {
+        this->AddUpstream("model", domain, i);
+      }
+    }
+    this->AddDaemons();
+  }
+
+  SoakOutcome Run();
+
+ private:
+  struct Daemon {
+    std::unique_ptr<FaultProxy> storeLink;
+    std::unique_ptr<DaemonProcess> process;
+    TcpEndpoint address;
+    /// It is started again by whoever heals the fault.
+    bool isDown = false;
+    /// Kinds that it has answered since the last `Served`.
+    std::array<bool, 3> answered{};
+  };
+  struct Heal {
+    Instant at;
+    std::function<void()> act;
+  };
+
+  void AddUpstream(const std::string& aService, const std::string& aDomain,
+                   int aNumber);
+  void AddDaemons();
+  void Tick();
+  void SendNext();
+  void Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther);
+  void OnAnswer(const std::string& aId, RequestKind aKind, Daemon& aDaemon,
+                const Result<HttpAnswer>& aAnswer);
+  void Inject();
+  void InjectAtDaemon(Daemon& aDaemon);
+  void InjectAtUpstream(SoakUpstream& aUpstream);
+  void InjectAtStore();
+  void Note(const std::string& aFault);
+  void Later(std::function<void()> aAct);
+  void HealAll();
+  /// Runs until every daemon has answered every kind; false: not in time.
+  bool WaitUntilServed();
+  Micros Draw(Micros aShortest, Micros aSpread) {
+    return aShortest + Micros{static_cast<std::int64_t>(this->random.Below(
+                           static_cast<std::size_t>(aSpread.count())))};
+  }
+
+  static constexpr int kPlainUpstreams = 2;
+  static constexpr int kModelUpstreams = 5;
+
+  SoakSettings settings;
+  asio::io_context loop{1};
+  SystemClock clock;
+  Random random;
+  SoakStore store;
+  Ledger ledger;
+  UpstreamsByAddress byAddress;
+  std::vector<std::unique_ptr<SoakUpstream>> upstreams;
+  std::vector<std::unique_ptr<Daemon>> daemons;
+  std::vector<Heal> heals;
+  asio::steady_timer timer;
+  Instant startedAt = this->clock.Now();
+  Instant nextRequest{};
+  Instant nextFault{};
+  bool injects = false;
+  int version = 1;
+  int lastRequest = 0;
+  SoakOutcome outcome;
+};
+
+void Soak::AddUpstream(const std::string& aService, const std::string& aDomain,
+                       int aNumber) {
+  this->upstreams.push_back(std::make_unique<SoakUpstream>(
+      this->loop, this->clock, this->store, this->ledger, this->byAddress,
+      aService + "-" + aDomain + std::to_string(aNumber), aService, aDomain));
+}
+
+void Soak::AddDaemons() {
+  const std::string callers = ":" + std::to_string(FreePort(this->loop));
+  const std::string admin = ":" + std::to_string(FreePort(this->loop));
+  const std::string peers = ":" + std::to_string(FreePort(this->loop));
+  for (int i = 0; i < this->settings.daemons; ++i) {
+    auto daemon = std::make_unique<Daemon>();
+    const std::string host = "127.0.0." + std::to_string(kFirstAddress + i);
+    daemon->storeLink =
+        std::make_unique<FaultProxy>(this->loop, this->store.Port());
+    daemon->address = ParseEndpoint(host + callers).value();
+    const std::string name = "d" + std::to_string(i);
+    daemon->process = std::make_unique<DaemonProcess>(
+        this->settings.daemon, this->settings.logs + "/" + name + ".log",
+        std::map<std::string, std::string>{
+            {"ZINCSTEP_NAME", name},
+            {"ZINCSTEP_FAILURE_DOMAIN", i % 2 == 0 ? "a" : "b"},
+            {"ZINCSTEP_LISTEN", host + callers},
+            {"ZINCSTEP_ADMIN_LISTEN", host + admin},
+            {"ZINCSTEP_PEER_LISTEN", host + peers},
+            {"ZINCSTEP_STORE", daemon->storeLink->Address()},
+            {"ZINCSTEP_SEEDS",
+             "127.0.0." + std::to_string(kFirstAddress) + peers},
+            {"ZINCSTEP_KEY_REVOCATION_MS",
+             std::to_string(kKeyRevocation / 1ms)},
+            {"ZINCSTEP_STOP_GRACE_S", "3"}});
+    this->daemons.push_back(std::move(daemon));
+  }
+}
+
+SoakOutcome Soak::Run() {
+  for (const auto& daemon : this->daemons) {
+    if (!daemon->process->Start()) {
+      this->ledger.Broken("a daemon could not be started");
+    }
+  }
+  this->Tick();
+  if (!this->WaitUntilServed()) {
+    this->ledger.Broken("not all was served before the first fault");
+  }
+  this->injects = true;
+  this->loop.run_for(this->settings.faults);
+  this->injects = false;
+  this->HealAll();
+  if (!this->WaitUntilServed()) {
+    this->ledger.Broken("not all was served again after the last fault");
+  }
+  // Whoever was refused must not run later either.
+  this->loop.run_for(kCallerPatience);
+  this->outcome.broken = this->ledger.Close();
+  this->outcome.requests = this->ledger.Requests();
+  this->outcome.answers = this->ledger.Answers();
+  return std::move(this->outcome);
+}
+
+bool Soak::WaitUntilServed() {
+  for (const auto& daemon : this->daemons) {
+    daemon->answered.fill(false);
+  }
+  const Instant end = this->clock.Now() + kRecovery;
+  while (this->clock.Now() < end) {
+    this->loop.run_for(100ms);
+    const bool isServed = std::all_of(
+        this->daemons.begin(), this->daemons.end(), [](const auto& aDaemon) {
+          return std::all_of(aDaemon->answered.begin(), aDaemon->answered.end(),
+                             [](bool aAnswered) { return aAnswered; });
+        });
+    if (isServed) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void Soak::Tick() {
+  const Instant now = this->clock.Now();
+  this->store.Tick();
+  for (const auto& upstream : this->upstreams) {
+    upstream->Tick();
+  }
+  std::vector<Heal> due;
+  std::erase_if(this->heals, [&](Heal& aHeal) {
+    const bool isDue = now >= aHeal.at;
+    if (isDue) {
+      due.push_back(std::move(aHeal));
+    }
+    return isDue;
+  });
+  for (const Heal& heal : due) {
+    heal.act();
+  }
+  for (const auto& daemon : this->daemons) {
+    if (!daemon->isDown && !daemon->process->IsRunning()) {
+      daemon->process->Start();
+    }
+  }
+  if (now >= this->nextRequest) {
+    this->nextRequest = now + kRequestPause;
+    this->SendNext();
+  }
+  if (this->injects && now >= this->nextFault) {
+    this->nextFault = now + this->Draw(kShortestFaultPause, kFaultPauseSpread);
+    this->Inject();
+  }
+  this->timer.expires_after(kTick);
+  this->timer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      this->Tick();
+    }
+  });
+}
+
+void Soak::SendNext() {
+  constexpr int kOtherShare = 5;
+  const std::size_t pick = this->random.Below(this->daemons.size());
+  const auto kind = static_cast<RequestKind>(this->random.Below(3));
+  this->Send(*this->daemons[pick], kind, this->random.Below(kOtherShare) == 0);
+}
+
+void Soak::Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther) {
+  constexpr std::array kPaths{"/safe/x", "/unsafe/x", "/llm/x"};
+  this->lastRequest += 1;
+  const std::string id = "r" + std::to_string(this->lastRequest);
+  this->ledger.Sent(id, aKind, aIsOther ? "other" : "acme", this->clock.Now());
+  const std::string text =
+      std::string("POST ") + kPaths[static_cast<std::size_t>(aKind)] +
+      " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id +
+      "\r\nX-Deadline-Ms: " + std::to_string(kCallerPatience / 1ms) +
+      "\r\nAuthorization: Bearer " + (aIsOther ? "key2" : "key1") +
+      "\r\nX-Token-Usage: 10,60\r\nConnection: close\r\n"
+      "Content-Length: 2\r\n\r\n{}";
+  FetchWhole(this->loop, aDaemon.address, text, kCallerPatience,
+             [this, id, aKind, &aDaemon](const Result<HttpAnswer>& aAnswer) {
+               this->OnAnswer(id, aKind, aDaemon, aAnswer);
+             });
+}
+
+void Soak::OnAnswer(const std::string& aId, RequestKind aKind, Daemon& aDaemon,
+                    const Result<HttpAnswer>& aAnswer) {
+  constexpr std::array kNotRun{408, 421, 429, 503};
+  if (!aAnswer) {
+    return;  // Broken off or late: nothing was promised.
+  }
+  if (std::find(kNotRun.begin(), kNotRun.end(), aAnswer->status) !=
+      kNotRun.end()) {
+    this->ledger.Ended(aId, Told::NotRun);
+    return;
+  }
+  if (aAnswer->status != kOk) {
+    return;
+  }
+  std::string expected = BodyFor(aId);
+  if (aKind == RequestKind::Stream) {
+    expected.clear();
+    for (int event = 1; event <= EventsFor(aId); ++event) {
+      expected += EventFor(aId, event);
+    }
+  }
+  if (aAnswer->body != expected ||
+      FindHeader(aAnswer->headers, "X-Response-Seal") != "seal-" + aId) {
+    this->ledger.Broken("request " + aId +
+                        " got a success that is not its own");
+  }
+  this->ledger.Ended(aId, Told::Answered);
+  aDaemon.answered[static_cast<std::size_t>(aKind)] = true;
+}
+
+void Soak::Note(const std::string& aFault) {
+  this->outcome.faults.push_back(
+      std::to_string(ToSeconds(this->clock.Now() - this->startedAt)) + " " +
+      aFault);
+}
+
+void Soak::Later(std::function<void()> aAct) {
+  this->heals.push_back(
+      {this->clock.Now() + this->Draw(kShortestFault, kFaultSpread),
+       std::move(aAct)});
+}
+
+void Soak::HealAll() {
+  std::vector<Heal> all;
+  all.swap(this->heals);
+  for (const Heal& heal : all) {
+    heal.act();
+  }
+}
+
+void Soak::Inject() {
+  switch (this->random.Below(4)) {
+    case 0:
+      this->InjectAtStore();
+      break;
+    case 1:
+      this->InjectAtUpstream(
+          *this->upstreams[this->random.Below(this->upstreams.size())]);
+      break;
+    default:
+      this->InjectAtDaemon(
+          *this->daemons[this->random.Below(this->daemons.size())]);
+  }
+}
+
+void Soak::InjectAtDaemon(Daemon& aDaemon) {
+  const std::string name = aDaemon.address.address().to_string();
+  constexpr std::array kLinkFaults{LinkState::Silent, LinkState::OneWay,
+                                   LinkState::Reset};
+  switch (this->random.Below(5)) {
+    case 0:
+      this->Note("kill " + name);
+      aDaemon.process->Kill();
+      aDaemon.isDown = true;
+      this->Later([&aDaemon] { aDaemon.isDown = false; });
+      break;
+    case 1:
+      this->Note("stop " + name);
+      aDaemon.process->Signal(SIGTERM);
+      break;
+    case 2:
+      this->Note("pause " + name);
+      aDaemon.process->Signal(SIGSTOP);
+      this->Later([&aDaemon] { aDaemon.process->Signal(SIGCONT); });
+      break;
+    case 3: {
+      const std::size_t pick = this->random.Below(kLinkFaults.size());
+      this->Note("store link of " + name + ", way " + std::to_string(pick));
+      aDaemon.storeLink->Set(kLinkFaults[pick]);
+      this->Later([&aDaemon] { aDaemon.storeLink->Set(LinkState::Up); });
+      break;
+    }
+    default:
+      this->Note("slow store link of " + name);
+      aDaemon.storeLink->SetDelay(this->Draw(20ms, 300ms));
+      this->Later([&aDaemon] { aDaemon.storeLink->SetDelay(Micros{0}); });
+  }
+}
+
+void Soak::InjectAtUpstream(SoakUpstream& aUpstream) {
+  if (!aUpstream.IsAlive()) {
+    return;
+  }
+  const std::size_t pick = this->random.Below(3);
+  this->Note("upstream, way " + std::to_string(pick));
+  if (pick == 0) {
+    aUpstream.Drain();
+  } else {
+    aUpstream.Kill(pick == 1);
+  }
+  this->Later([&aUpstream] { aUpstream.Restart(); });
+}
+
+void Soak::InjectAtStore() {
+  const std::size_t pick = this->random.Below(4);
+  this->Note("store, way " + std::to_string(pick));
+  if (pick == 0) {
+    this->store.SetDown(true);
+    this->Later([this] { this->store.SetDown(false); });
+  } else if (pick == 1) {
+    this->store.SetLosesAnswers(true);
+    this->Later([this] { this->store.SetLosesAnswers(false); });
+  } else {
+    const bool isRevoked = this->version > 1 || pick == 3;
+    this->version += 1;
+    this->store.Put("op/config", Configuration(this->version, !isRevoked));
+    if (isRevoked && this->version == 2) {
+      this->ledger.Revoked("other", this->clock.Now() + kKeyRevocation);
+    }
+  }
+}
+
+}  // namespace
+
+SoakOutcome RunSoak(const SoakSettings& aSettings) {
+  return Soak(aSettings).Run();
+}
+
+}  // namespace zincstep::soak
--- /dev/null
+++ b/SoakTests/SoakStore.cpp
@@ -0,0 +1,251 @@
+#include "SoakTests/SoakStore.h"
+
+#include "platform/Json.h"
+
+namespace zincstep::soak {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConditionFailed = 412;
+constexpr int kUnavailable = 503;
+
+std::string Unescape(const std::string& aText) {
+  std::string text;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    if (aText[i] == '%' && i + 2 < aText.size()) {
+      text += static_cast<char>(std::stoi(aText.substr(i + 1, 2), nullptr, 16));
+      i += 2;
+    } else {
+      text += aText[i];
+    }
+  }
+  return text;
+}
+
+std::uint64_t NumberOf(const std::string& aText) {
+  return aText.empty() ? 0 : std::stoull(aText);
+}
+
+}  // namespace
+
+SoakStore::SoakStore(asio::io_context& aLoop, const Clock& aClock)
+    : clock(aClock), listener(aLoop, *this, aClock) {
+  ZINCSTEP_ASSERT(this->listener.Start("127.0.0.1:0").has_value());
+}
+
+void SoakStore::Reply(CallerConnection& aConnection, int aStatus,
+                      const Json& aBody) {
+  aConnection.Answer(aStatus, {{"Content-Type", "application/json"}},
+                     aBody.dump());
+}
+
+void SoakStore::OnRequest(const std::shared_ptr<CallerConnection>& aConnection,
+                          CallerMessage aMessage) {
+  if (this->isDown) {
+    this->Reply(*aConnection, kUnavailable, Json::object());
+    return;
+  }
+  const std::string& target = aMessage.head.target;
+  const std::size_t mark = target.find('?');
+  const std::string path = target.substr(0, mark);
+  const std::string query =
+      mark == std::string::npos ? "" : target.substr(mark + 1);
+  const Json body = Json::parse(aMessage.body, nullptr, false);
+  if (path == "/kv-range") {
+    this->Range(*aConnection, query);
+  } else if (path == "/kv-watch") {
+    this->Watch(aConnection, query);
+  } else if (path == "/kv-txn") {
+    this->Commit(*aConnection, body);
+  } else if (path == "/kv-lease") {
+    this->Grant(*aConnection, body);
+  } else if (path.starts_with("/kv-keep/")) {
+    this->Keep(*aConnection, NumberOf(path.substr(path.rfind('/') + 1)));
+  } else if (path.starts_with("/kv-lease-end/")) {
+    this->EndLease(NumberOf(path.substr(path.rfind('/') + 1)));
+    this->Reply(*aConnection, kOk, Json::object());
+  } else {
+    this->Reply(*aConnection, kNotFound, Json::object());
+  }
+}
+
+void SoakStore::OnCallerGone(CallerConnection& aConnection) {
+  std::erase_if(this->waits, [&](const Wait& aWait) {
+    return aWait.connection.get() == &aConnection;
+  });
+}
+
+SoakStore::Json SoakStore::Show(const std::string& aKey,
+                                const Item& aItem) const {
+  return {{"privateKey", aKey},
+          {"value", platform::EncodeBase64(aItem.value)},
+          {"revision", aItem.revision},
+          {"lease", aItem.lease}};
+}
+
+void SoakStore::Range(CallerConnection& aConnection,
+                      const std::string& aQuery) {
+  const std::string prefix = Unescape(QueryValue(aQuery, "pathPrefix"));
+  Json shown = Json::array();
+  for (const auto& [key, item] : this->items) {
+    if (key.starts_with(prefix)) {
+      shown.push_back(this->Show(key, item));
+    }
+  }
+  this->Reply(aConnection, kOk,
+              {{"items", shown}, {"more", false}, {"at", this->revision}});
+}
+
+void SoakStore::Watch(const std::shared_ptr<CallerConnection>& aConnection,
+                      const std::string& aQuery) {
+  Wait wait{aConnection, Unescape(QueryValue(aQuery, "pathPrefix")),
+            NumberOf(QueryValue(aQuery, "after")),
+            this->clock.Now() +
+                Micros{1000 * static_cast<std::int64_t>(
+                                  NumberOf(QueryValue(aQuery, "waitMs")))}};
+  if (!this->Notify(wait, false)) {
+    this->waits.push_back(std::move(wait));
+  }
+}
+
+bool SoakStore::Notify(const Wait& aWait, bool aIsOver) {
+  Json events = Json::array();
+  for (const Change& change : this->history) {
+    if (change.revision <= aWait.after ||
+        !change.key.starts_with(aWait.prefix)) {
+      continue;
+    }
+    Json event{{"privateKey", change.key}, {"revision", change.revision}};
+    if (change.value) {
+      event["value"] = platform::EncodeBase64(*change.value);
+    } else {
+      event["gone"] = true;
+    }
+    events.push_back(std::move(event));
+  }
+  if (aWait.connection->IsClosed()) {
+    return true;
+  }
+  if (events.empty() && !aIsOver) {
+    return false;
+  }
+  this->Reply(*aWait.connection, kOk,
+              {{"events", events}, {"at", this->revision}});
+  return true;
+}
+
+void SoakStore::NotifyAll() {
+  const Instant now = this->clock.Now();
+  std::vector<Wait> all;
+  all.swap(this->waits);
+  for (Wait& wait : all) {
+    if (!this->Notify(wait, now >= wait.until)) {
+      this->waits.push_back(std::move(wait));
+    }
+  }
+}
+
+void SoakStore::Commit(CallerConnection& aConnection, const Json& aBody) {
+  bool holds = true;
+  Json present = Json::array();
+  for (const Json& one : aBody.at("expectedRevision")) {
+    const std::string key = one.at("privateKey");
+    const auto found = this->items.find(key);
+    const std::uint64_t revision =
+        found == this->items.end() ? 0 : found->second.revision;
+    holds = holds && revision == one.at("revision").get<std::uint64_t>();
+    if (found != this->items.end()) {
+      present.push_back(this->Show(key, found->second));
+    }
+  }
+  if (!holds) {
+    this->Reply(aConnection, kConditionFailed, {{"items", present}});
+    return;
+  }
+  for (const Json& one : aBody.at("put")) {
+    const std::uint64_t lease = one.value("lease", 0ULL);
+    if (lease != 0 && !this->leases.contains(lease)) {
+      this->Reply(aConnection, kNotFound, Json::object());
+      return;
+    }
+    this->Set(
+        one.at("privateKey"),
+        platform::DecodeBase64(one.at("value").get<std::string>()).value_or(""),
+        lease);
+  }
+  if (this->losesAnswers && !aBody.at("put").empty()) {
+    aConnection.Abort();
+  } else {
+    this->Reply(aConnection, kOk, {{"revision", this->revision}});
+  }
+  this->NotifyAll();
+}
+
+void SoakStore::Grant(CallerConnection& aConnection, const Json& aBody) {
+  const Micros ttl = Micros{1000 * aBody.at("ttl_ms").get<std::int64_t>()};
+  this->lastLease += 1;
+  this->leases[this->lastLease] = {ttl, this->clock.Now() + ttl};
+  this->Reply(aConnection, kOk,
+              {{"lease", this->lastLease}, {"ttl_ms", ttl / 1ms}});
+}
+
+void SoakStore::Keep(CallerConnection& aConnection, std::uint64_t aLease) {
+  const auto found = this->leases.find(aLease);
+  if (found == this->leases.end()) {
+    this->Reply(aConnection, kNotFound, Json::object());
+    return;
+  }
+  found->second.until = this->clock.Now() + found->second.ttl;
+  this->Reply(aConnection, kOk, Json::object());
+}
+
+void SoakStore::EndLease(std::uint64_t aLease) {
+  this->leases.erase(aLease);
+  std::vector<std::string> keys;
+  for (const auto& [key, item] : this->items) {
+    if (item.lease == aLease) {
+      keys.push_back(key);
+    }
+  }
+  for (const std::string& key : keys) {
+    this->Remove(key);
+  }
+}
+
+void SoakStore::Set(const std::string& aKey, const std::string& aValue,
+                    std::uint64_t aLease) {
+  this->revision += 1;
+  this->items[aKey] = {aValue, this->revision, aLease};
+  this->history.push_back({aKey, this->revision, aValue});
+}
+
+void SoakStore::Put(const std::string& aKey, const std::string& aValue) {
+  this->Set(aKey, aValue, 0);
+  this->NotifyAll();
+}
+
+void SoakStore::Remove(const std::string& aKey) {
+  if (this->items.erase(aKey) > 0) {
+    this->revision += 1;
+    this->history.push_back({aKey, this->revision, std::nullopt});
+    this->NotifyAll();
+  }
+}
+
+void SoakStore::Tick() {
+  const Instant now = this->clock.Now();
+  std::vector<std::uint64_t> over;
+  for (const auto& [lease, state] : this->leases) {
+    if (now >= state.until && !this->isDown) {
+      over.push_back(lease);
+    }
+  }
+  for (const std::uint64_t lease : over) {
+    this->EndLease(lease);
+  }
+  this->NotifyAll();
+}
+
+}  // namespace zincstep::soak
--- /dev/null
+++ b/SoakTests/SoakUpstream.cpp
@@ -0,0 +1,295 @@
+#include "SoakTests/SoakUpstream.h"
+
+#include <sstream>
+
+namespace zincstep::soak {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kTaken = 202;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
+constexpr Micros kLoadTime = 150ms;
+/// A chain with a lost member stands still for so long, then it is cut.
+constexpr Micros kStall = 2s;
+
+std::string HeaderOf(const CallerMessage& aMessage, std::string_view aName) {
+  return std::string(FindHeader(aMessage.head.headers, aName));
+}
+
+HttpHeaders SealedHeaders(const std::string& aId) {
+  return {{"X-Attempt-Id", aId}, {"X-Response-Seal", "seal-" + aId}};
+}
+
+/// One part of a path: ADDRESS=FIRST-LAST.
+struct PathPart {
+  std::string address;
+  LayerRange layers;
+};
+
+std::vector<PathPart> PartsOf(const std::string& aPath) {
+  std::vector<PathPart> parts;
+  std::istringstream list(aPath);
+  for (std::string text; std::getline(list, text, ',');) {
+    const std::size_t mark = text.find('=');
+    const std::size_t dash = text.find('-', mark);
+    parts.push_back({text.substr(0, mark),
+                     {std::stoi(text.substr(mark + 1, dash - mark - 1)),
+                      std::stoi(text.substr(dash + 1))}});
+  }
+  return parts;
+}
+
+}  // namespace
+
+std::string BodyFor(const std::string& aId) { return "answer to " + aId; }
+
+int EventsFor(const std::string& aId) {
+  constexpr int kFewest = 10;
+  constexpr int kSpread = 30;
+  return kFewest + static_cast<int>(Hash64(aId) % kSpread);
+}
+
+std::string EventFor(const std::string& aId, int aNumber) {
+  return "id: " + std::to_string(aNumber) + "\ndata: " + aId + "-" +
+         std::to_string(aNumber) + "\n\n";
+}
+
+SoakUpstream::SoakUpstream(asio::io_context& aLoop, const Clock& aClock,
+                           SoakStore& aStore, Ledger& aLedger,
+                           UpstreamsByAddress& aPeers, std::string aName,
+                           std::string aService, std::string aDomain)
+    : clock(aClock),
+      store(aStore),
+      ledger(aLedger),
+      peers(aPeers),
+      name(std::move(aName)),
+      service(std::move(aService)),
+      domain(std::move(aDomain)),
+      listener(aLoop, *this, aClock) {
+  ZINCSTEP_ASSERT(this->listener.Start("127.0.0.1:0").has_value());
+  this->proxy = std::make_unique<FaultProxy>(aLoop, this->listener.Port());
+  this->peers[this->proxy->Address()] = this;
+  this->Restart();
+}
+
+void SoakUpstream::Kill(bool aIsDark) {
+  if (!this->isAlive) {
+    return;
+  }
+  this->isAlive = false;
+  this->proxy->Set(LinkState::Reset);
+  if (aIsDark) {
+    this->proxy->Set(LinkState::Silent);
+  }
+  const std::vector<Stream> all = std::move(this->streams);
+  this->streams.clear();
+  for (const Stream& stream : all) {
+    stream.connection->Abort();
+  }
+  this->store.Remove("servers/" + this->id);
+}
+
+void SoakUpstream::Restart() {
+  this->Kill(false);
+  this->incarnation += 1;
+  this->id = this->name + "-" + std::to_string(this->incarnation);
+  this->sequence = 0;
+  this->layers = {};
+  this->loading.reset();
+  this->isAlive = true;
+  this->isDraining = false;
+  this->proxy->Set(LinkState::Up);
+  this->WriteEntry();
+}
+
+void SoakUpstream::Drain() {
+  if (this->isAlive && !this->isDraining) {
+    this->isDraining = true;
+    this->WriteEntry();
+  }
+}
+
+void SoakUpstream::WriteEntry() {
+  const Json entry{
+      {"backend", this->service},
+      {"address", this->proxy->Address()},
+      {"zone", this->domain},
+      {"slots", 8},
+      {"state", this->isDraining ? "draining" : "ready"},
+      {"routeType", this->service == "model" ? "k" : ""},
+      {"layers",
+       {{"from", this->layers.first}, {"targetVersion", this->layers.last}}}};
+  this->store.Put("servers/" + this->id, entry.dump());
+}
+
+bool SoakUpstream::Holds(LayerRange aLayers) const {
+  return this->isAlive && !this->loading && this->layers.Covers(aLayers);
+}
+
+std::string SoakUpstream::Missing(const std::string& aPath) const {
+  for (const PathPart& part : PartsOf(aPath)) {
+    const auto found = this->peers.find(part.address);
+    if (found == this->peers.end() || !found->second->Holds(part.layers)) {
+      return part.address;
+    }
+  }
+  return "";
+}
+
+void SoakUpstream::OnRequest(
+    const std::shared_ptr<CallerConnection>& aConnection,
+    CallerMessage aMessage) {
+  const std::string expected = HeaderOf(aMessage, "X-Expect-Instance");
+  if (!this->isAlive || (!expected.empty() && expected != this->id)) {
+    aConnection->Answer(kMisdirected, {{"X-Not-Executed", "1"}}, "");
+  } else if (aMessage.head.target == "/report") {
+    this->Report(*aConnection);
+  } else if (aMessage.head.target == "/order") {
+    this->Order(*aConnection, aMessage.body);
+  } else {
+    this->Run(aConnection, aMessage);
+  }
+}
+
+void SoakUpstream::OnCallerGone(CallerConnection& aConnection) {
+  std::erase_if(this->streams, [&](const Stream& aStream) {
+    return aStream.connection.get() == &aConnection;
+  });
+}
+
+void SoakUpstream::Run(const std::shared_ptr<CallerConnection>& aConnection,
+                       const CallerMessage& aMessage) {
+  const std::string request = HeaderOf(aMessage, "X-Attempt-Id");
+  const std::string path = HeaderOf(aMessage, "Path");
+  const std::string missing = this->Missing(path);
+  if (!missing.empty()) {
+    aConnection->Answer(kUnavailable,
+                        {{"X-Attempt-Id", request},
+                         {"X-Not-Executed", "1"},
+                         {"At-Server", missing}},
+                        "");
+    return;
+  }
+  this->ledger.Ran(request, HeaderOf(aMessage, "X-Tenant"));
+  if (this->service != "model") {
+    aConnection->Answer(kOk, SealedHeaders(request), BodyFor(request));
+    return;
+  }
+  int next = 0;
+  for (const PathPart& part : PartsOf(path)) {
+    if (part.layers.first != next) {
+      this->ledger.Broken("request " + request + " leaves layers out: " + path);
+    }
+    next = part.layers.last;
+  }
+  const std::string last = HeaderOf(aMessage, "Last-Event-Id");
+  auto headers = SealedHeaders(request);
+  headers.push_back({"Content-Type", "text/event-stream"});
+  aConnection->BeginChunks(kOk, headers);
+  this->streams.push_back({aConnection, request, path,
+                           last.empty() ? 1 : std::stoi(last) + 1,
+                           this->clock.Now()});
+}
+
+void SoakUpstream::Tick() {
+  const Instant now = this->clock.Now();
+  if (this->isAlive && this->loading && now >= this->loadedAt) {
+    this->layers = *this->loading;
+    this->loading.reset();
+    this->WriteEntry();
+  }
+  // A connection that closes here takes its stream out of the member.
+  std::vector<Stream> all;
+  all.swap(this->streams);
+  std::erase_if(all, [&](Stream& aStream) {
+    if (aStream.connection->IsClosed()) {
+      return true;
+    }
+    if (!this->Missing(aStream.path).empty()) {
+      const bool isOver = now - aStream.movedAt > kStall;
+      if (isOver) {
+        aStream.connection->Abort();
+      }
+      return isOver;
+    }
+    aStream.movedAt = now;
+    const int count = EventsFor(aStream.id);
+    if (aStream.next <= count) {
+      aStream.connection->AppendChunk(EventFor(aStream.id, aStream.next));
+      aStream.next += 1;
+      return false;
+    }
+    aStream.connection->EndChunks();
+    return true;
+  });
+  this->streams.insert(this->streams.end(), all.begin(), all.end());
+}
+
+void SoakUpstream::Report(CallerConnection& aConnection) {
+  Json stalled = Json::array();
+  for (const Stream& stream : this->streams) {
+    const std::string missing = this->Missing(stream.path);
+    if (!missing.empty()) {
+      stalled.push_back({{"id", stream.id}, {"address", missing}});
+    }
+  }
+  const Json report{
+      {"layers",
+       {{"from", this->layers.first}, {"targetVersion", this->layers.last}}},
+      {"busy", this->loading.has_value()},
+      {"sequence", this->sequence},
+      {"running", this->streams.size()},
+      {"queued", 0},
+      {"pace", 1.0},
+      {"kvUsed", 0},
+      {"kvTotal", 1000},
+      {"stalled", stalled}};
+  aConnection.Answer(kOk, {{"Content-Type", "application/json"}},
+                     report.dump());
+}
+
+void SoakUpstream::Order(CallerConnection& aConnection,
+                         const std::string& aBody) {
+  const Json body = Json::parse(aBody, nullptr, false);
+  body.value("op", "") == "place" ? this->Place(aConnection, body)
+                                  : this->Repath(aConnection, body);
+}
+
+void SoakUpstream::Place(CallerConnection& aConnection, const Json& aBody) {
+  const LayerRange wanted{aBody.value("from", 0),
+                          aBody.value("targetVersion", 0)};
+  if (this->loading || aBody.value("expectedRevision", -1) != this->sequence) {
+    aConnection.Answer(kConflict, {}, "{}");
+    return;
+  }
+  this->sequence += 1;
+  this->loading = wanted;
+  this->loadedAt = this->clock.Now() + kLoadTime;
+  aConnection.Answer(kTaken, {}, "{}");
+}
+
+void SoakUpstream::Repath(CallerConnection& aConnection, const Json& aBody) {
+  const std::string path = aBody.value("path", "");
+  const std::string missing = this->Missing(path);
+  for (Stream& stream : this->streams) {
+    if (stream.id != aBody.value("id", "")) {
+      continue;
+    }
+    if (missing.empty()) {
+      stream.path = path;
+      aConnection.Answer(kOk, {}, "{}");
+    } else {
+      aConnection.Answer(kConflict, {}, Json{{"address", missing}}.dump());
+    }
+    return;
+  }
+  aConnection.Answer(kNotFound, {}, "{}");
+}
+
+}  // namespace zincstep::soak
--- /dev/null
+++ b/SoakTests/SoakUpstream.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "SoakTests/FaultProxy.h"
+#include "SoakTests/Ledger.h"
+#include "SoakTests/SoakStore.h"
+#include "Zincstep/Config/Config.h"
+
+namespace zincstep::soak {
+
+class SoakUpstream;
+
+/// All upstreams, by the address that their entries tell.
+using UpstreamsByAddress = std::map<std::string, SoakUpstream*>;
+
+/// The body of a whole answer to a request.
+std::string BodyFor(const std::string& aId);
+/// One event of the stream that answers a request, and how many it has.
+std::string EventFor(const std::string& aId, int aNumber);
+int EventsFor(const std::string& aId);
+
+/// A stand-in of an upstream: a plain service, or a member of a split model
+/// that holds layers, takes orders and streams events as a chain's first.
+///
+/// It is reached through a proxy. What a chain's other members do is played
+/// by the first one, which stands still while one of them is down.
+class SoakUpstream final : public CallerHandler {
+ public:
+  SoakUpstream(asio::io_context& aLoop, const Clock& aClock, SoakStore& aStore,
+               Ledger& aLedger, UpstreamsByAddress& aPeers, std::string aName,
+               std::string aService, std::string aDomain);
+
+  /// Ends this incarnation; `aIsDark`: it says nothing instead of resetting.
+  void Kill(bool aIsDark);
+  /// Begins a new incarnation, without layers.
+  void Restart();
+  /// Announces that it leaves; it serves on until it is killed.
+  void Drain();
+  /// Goes on with its streams; to be called many times a second.
+  void Tick();
+  bool IsAlive() const { return this->isAlive; }
+
+  void OnRequest(const std::shared_ptr<CallerConnection>& aConnection,
+                 CallerMessage aMessage) override;
+  void OnCallerGone(CallerConnection& aConnection) override;
+
+ private:
+  struct Stream {
+    std::shared_ptr<CallerConnection> connection;
+    std::string id;
+    std::string path;
+    int next = 1;
+    Instant movedAt;
+  };
+
+  void WriteEntry();
+  void Report(CallerConnection& aConnection);
+  void Order(CallerConnection& aConnection, const std::string& aBody);
+  void Place(CallerConnection& aConnection, const nlohmann::json& aBody);
+  void Repath(CallerConnection& aConnection, const nlohmann::json& aBody);
+  void Run(const std::shared_ptr<CallerConnection>& aConnection,
+           const CallerMessage& aMessage);
+  /// The address of the first member of a path that does not hold its part;
+  /// empty where all do.
+  std::string Missing(const std::string& aPath) const;
+  bool Holds(LayerRange aLayers) const;
+
+  const Clock& clock;
+  SoakStore& store;
+  Ledger& ledger;
+  UpstreamsByAddress& peers;
+  std::string name;
+  std::string service;
+  std::string domain;
+  CallerListener listener;
+  std::unique_ptr<FaultProxy> proxy;
+  std::vector<Stream> streams;
+  std::string id;
+  int incarnation = 0;
+  int sequence = 0;
+  LayerRange layers;
+  /// What is being loaded, and until when.
+  std::optional<LayerRange> loading;
+  Instant loadedAt;
+  bool isAlive = false;
+  bool isDraining = false;
+};
+
+}  // namespace zincstep::soak
