A peer's word is relied on as long as the operators' drain bound allows

Pauses after a crash were still often just over 250 ms.

Change: the drain bound is a setting (filled by the deploy file) and the reliance follows it, less 0.65 s; members are probed after 2.2 of a stream's pauses, and requests are looked at each 25 ms.

--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -38,9 +38,7 @@
   /// While a peer proves for this daemon and tells it the lists, it looks
   /// this often whether that goes on, and asks the store by itself once
   /// either is older than `longestReliance`: one proof and its way (up to 1.2 s
-  /// with the pauses between questions) are overdue then. The pause, a call of
-  /// a slow store (0.25 s) and the way to the upstream come on top, and a
-  /// draining upstream must get no more within two seconds.
+  /// with the pauses between questions) are overdue then.
   Micros reliancePause = 150ms;
   Micros longestReliance = 1350ms;
   /// A daemon that starts asks its peers for the lists. One that has had no
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-/// Between looks at limits of time while requests run: a tenth of the
-/// shortest of these limits and more, at 25 wake-ups a second.
-constexpr Micros kBusyTick = 40ms;
+/// Between looks at limits of time while requests run: a third of the
+/// shortest of these limits, at 40 wake-ups a second.
+constexpr Micros kBusyTick = 25ms;
 /// The same while none runs.
 constexpr Micros kIdleTick = 100ms;
 /// Between acts of the placement duty.
@@ -64,8 +64,8 @@
                           this->clock.Now().time_since_epoch().count()))),
         view(*this->adapters.decoder, *this, this->clock),
         follower(aLoop, *this->adapters.store,
-                 StoreFollowerSettings{this->adapters.keys}, this->view,
-                 this->clock),
+                 MakeFollowerSettings(aSettings, this->adapters.keys),
+                 this->view, this->clock),
         chains(ChainChooserSettings{}),
         services(ServiceChooserSettings{}),
         stop(MakeStopSettings(aSettings)),
@@ -104,6 +104,14 @@
     return settings;
   }
 
+  static StoreFollowerSettings MakeFollowerSettings(
+      const EdgeSettings& aSettings, const ClusterKeys& aKeys) {
+    StoreFollowerSettings settings;
+    settings.keys = aKeys;
+    settings.longestReliance = LongestReliance(aSettings);
+    return settings;
+  }
+
   static StopPolicySettings MakeStopSettings(const EdgeSettings& aSettings) {
     StopPolicySettings settings;
     settings.grace = FromSeconds(aSettings.stopGraceSeconds);
--- a/Zincstep/Edge/EdgeSettings.cpp
+++ b/Zincstep/Edge/EdgeSettings.cpp
@@ -1,5 +1,7 @@
 #include "Zincstep/Edge/EdgeSettings.h"
 
+#include <algorithm>
+
 #include "Zincstep/Settings/Settings.h"
 
 namespace zincstep {
@@ -8,11 +10,20 @@
 
 constexpr std::int64_t kMostMillis = 600'000;
 
+/// What lies between a look at an age and the last work on its ground.
+constexpr Micros kRelianceMargin = 650ms;
+/// Less than this would pass before a peer's answer comes: the store is asked.
+constexpr Micros kShortestReliance = 1s;
+
 /// `true` or `false` as the platform writes it.
 bool IsTrue(const std::string& aText) { return aText == "true"; }
 
 }  // namespace
 
+Micros LongestReliance(const EdgeSettings& aSettings) {
+  return std::max(aSettings.drainNotice - kRelianceMargin, kShortestReliance);
+}
+
 EdgeSettings ReadEdgeSettings(int aCount, char** aWords) {
   EdgeSettings settings;
   std::string failsClosed = "true";
@@ -30,6 +41,8 @@
   reader.Text("seeds", settings.seeds, "addresses of other daemons, by commas");
   reader.Text("store-prefix", settings.storePrefix,
               "key prefix of the daemons' own entries");
+  reader.Millis("drain-notice-ms", settings.drainNotice, 1, kMostMillis,
+                "time after which a leaving upstream gets no more work");
   reader.Millis("key-revocation-ms", settings.keyRevocation, 1, kMostMillis,
                 "time after which a withdrawn key must not run");
   reader.Text("fail-closed", failsClosed,
--- a/Zincstep/Edge/EdgeSettings.h
+++ b/Zincstep/Edge/EdgeSettings.h
@@ -23,6 +23,9 @@
   std::string seeds;
   /// Key prefix of the daemons' own entries in the store.
   std::string storePrefix = "zincstep/";
+  /// Time after which an upstream that announced to leave must get no more
+  /// work.
+  Micros drainNotice = 2s;
   /// Time after which a withdrawn key must not run any more.
   Micros keyRevocation = 5s;
   /// Whether keys are refused without proof that they still hold.
@@ -36,6 +39,11 @@
   std::string logLevel = "info";
 };
 
+/// Longest age of a peer's word that a daemon acts on: the drain notice less
+/// the pause between looks at the age (0.15 s), a call of a slow store (0.25 s)
+/// and 0.25 s for the way to an upstream and a daemon that is slow.
+Micros LongestReliance(const EdgeSettings& aSettings);
+
 /// Reads them; ends the process with all faults where there are any.
 EdgeSettings ReadEdgeSettings(int aCount, char** aWords);
 
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -48,8 +48,6 @@
 /// Lists that are older when they are told come from a peer that does not
 /// reach the store itself.
 constexpr Micros kFreshLists = 1100ms;
-/// A peer that has told none for so long is not relied on.
-constexpr Micros kRelianceLife = 1350ms;
 /// Number of no question: what comes with it was not asked for.
 constexpr std::uint64_t kUnasked = 0;
 /// Longest pause before a peer is connected to again: half the age at which
@@ -356,8 +354,8 @@
 
 bool PeerExchange::MayRely() const {
   const Member* first = this->FirstPeer();
-  return first != nullptr &&
-         this->clock.Now() - first->toldFreshAt <= kRelianceLife;
+  return first != nullptr && this->clock.Now() - first->toldFreshAt <=
+                                 LongestReliance(this->settings);
 }
 
 void PeerExchange::AskFirst(Instant aNow) {
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -17,7 +17,7 @@
 /// Members are asked whether they live after a silence of so many of the
 /// stream's own pauses, and of this at the least: what stands still must go on
 /// within some 200 ms to be in time, and each question is paid for.
-constexpr double kProbePauses = 3;
+constexpr double kProbePauses = 2.2;
 constexpr Micros kProbeSilence = 70ms;
 /// Share of the newest pause in a stream's average.
 constexpr double kPauseShare = 0.1;
