--- a/Zincstep/Relay/RelayContext.h
+++ b/Zincstep/Relay/RelayContext.h
@@ -40,6 +40,9 @@
   Micros reportTimeout = 300ms;
   /// Pause between attempts to repair one stream.
   Micros repairPause = 200ms;
+  /// An upstream that refused is passed over for so long: it may be short of
+  /// memory, or hold other layers than its entry tells.
+  Micros refusalPause = 300ms;
   /// When those should come back that were refused for want of room.
   Micros busyRetryAfter = 400ms;
   /// Times that one request may be sent, rejections included.
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -11,44 +11,13 @@
 /// A running answer has on average half its length so far, and the mean
 /// length is some way above the callers' guess, which is a median.
 constexpr double kGuessShare = 0.6;
-/// A member under suspicion is left once the stream has stood still for a
-/// few of its usual pauses: a wrong suspicion then does no harm.
-constexpr Micros kMemberSilence = 80ms;
-/// Members are asked whether they live after a silence of so many of the
-/// stream's own pauses, and of this at the least: what stands still must go on
-/// within some 200 ms to be in time, and each question is paid for.
-constexpr double kProbePauses = 2.2;
-constexpr Micros kProbeSilence = 70ms;
 /// Share of the newest pause in a stream's average.
 constexpr double kPauseShare = 0.1;
-/// A member that is off the list, or gives its layers up, may still serve
-/// what it runs; it is left only after a longer silence.
-constexpr Micros kLeftSilence = 400ms;
-/// An upstream that refused is passed over for so long: it may be short of
-/// memory, or hold other layers than its entry tells.
-constexpr Micros kRefusalPause = 300ms;
 /// An upstream with less of its memory promised than this has room.
 constexpr double kRoomyShare = 0.35;
-/// A member that leaves serves on for about two seconds; a stream that is
-/// still running there after this is moved on to another.
-constexpr Micros kLeavingTime = 1s;
-/// After a refused chain the same would be refused again for a while, and
-/// each order is paid for.
-constexpr Micros kRefusedRepairPause = 800ms;
-/// Chains that are tried at once when the first upstream names who is at
-/// fault.
-constexpr std::size_t kMostBlamed = 4;
 /// Callers give a silent stream up after this time at the earliest.
 constexpr Micros kCallerPatience = 2s;
 
-bool SameMembers(const PoolChain& aOne, const PoolChain& aOther) {
-  return std::equal(aOne.begin(), aOne.end(), aOther.begin(), aOther.end(),
-                    [](const PoolHop& aLeft, const PoolHop& aRight) {
-                      return aLeft.upstream == aRight.upstream &&
-                             aLeft.layers == aRight.layers;
-                    });
-}
-
 }  // namespace
 
 StreamExchange::StreamExchange(RelayContext& aContext, AdmittedRequest aRequest)
@@ -254,7 +223,7 @@
       this->Suspect(*hop.upstream);
       continue;
     }
-    hop.upstream->PassOver(aNow + kRefusalPause);
+    hop.upstream->PassOver(aNow + this->context.settings.refusalPause);
     const double capacity = ChainChooser::Capacity(
         *this->request.service->model, hop.upstream->Entry());
     if (hop.upstream->Work(aNow) < capacity * kRoomyShare) {
@@ -284,7 +253,7 @@
 }
 
 void StreamExchange::OnLost(const char* aReason) {
-  this->upstream->PassOver(this->Now() + kRefusalPause);
+  this->upstream->PassOver(this->Now() + this->context.settings.refusalPause);
   this->Resume(aReason);
 }
 
@@ -348,204 +317,4 @@
   this->CheckMembers(aNow);
 }
 
-void StreamExchange::CheckMembers(Instant aNow) {
-  if (!this->call || this->isHeldUp) {
-    return;
-  }
-  if (this->headSent && this->Silence(aNow) >= this->ProbeSilence()) {
-    this->AskMembers(aNow);
-  }
-  if (this->Silence(aNow) < kMemberSilence) {
-    bool isToLeave = false;
-    for (const PoolHop& hop : this->chain) {
-      hop.upstream->OnAnswer(this->lastProgress);
-      isToLeave = isToLeave || this->IsLeft(hop, aNow);
-    }
-    if (isToLeave && this->headSent) {
-      this->MoveOn(aNow);
-    }
-    return;
-  }
-  if (this->upstream->IsSuspect(aNow)) {
-    this->Resume("the first upstream is lost");
-    return;
-  }
-  const bool isLong = this->Silence(aNow) >= kLeftSilence;
-  const bool hasLost = std::any_of(
-      this->chain.begin() + 1, this->chain.end(), [&](const PoolHop& aHop) {
-        const bool isLeft = aHop.upstream->IsGone() ||
-                            !aHop.upstream->Entry().layers.Covers(aHop.layers);
-        return aHop.upstream->IsSuspect(aNow) || (isLong && isLeft);
-      });
-  if (hasLost) {
-    this->Repair(aNow);
-  }
-}
-
-Micros StreamExchange::ProbeSilence() const {
-  return std::max(kProbeSilence, FromSeconds(kProbePauses * this->usualPause));
-}
-
-void StreamExchange::AskMembers(Instant aNow) {
-  for (const PoolHop& hop : this->chain) {
-    if (aNow - hop.upstream->AnsweredAt() >= kProbeSilence) {
-      this->context.probe.Ask(hop.upstream);
-    }
-  }
-}
-
-bool StreamExchange::IsLeft(const PoolHop& aHop, Instant aNow) const {
-  if (aHop.upstream == this->upstream) {
-    return false;
-  }
-  const bool givesUp = !aHop.upstream->Entry().layers.Covers(aHop.layers);
-  return givesUp || aHop.upstream->IsLeaving(aNow, kLeavingTime);
-}
-
-bool StreamExchange::MayRepair(Instant aNow) {
-  if (this->isRepairing || aNow < this->nextRepair) {
-    return false;
-  }
-  this->nextRepair = aNow + this->context.settings.repairPause;
-  return true;
-}
-
-std::optional<PoolChain> StreamExchange::RepairedChain(Instant aNow) {
-  return this->context.chains.Repair(
-      *this->request.service->model,
-      this->context.view.Directory().OfService(this->request.service->name),
-      this->chain, this->blamed, this->tokens, aNow, this->context.random);
-}
-
-void StreamExchange::MoveOn(Instant aNow) {
-  if (!this->MayRepair(aNow)) {
-    return;
-  }
-  const auto chain = this->RepairedChain(aNow);
-  if (chain && !SameMembers(*chain, this->chain)) {
-    this->Repath(*chain);
-  }
-}
-
-UpstreamPtr StreamExchange::WantsReport(Instant aNow) {
-  if (this->IsDone() || !this->call || !this->call->HasSent() ||
-      this->isRepairing || this->isHeldUp) {
-    return nullptr;
-  }
-  const Micros limit = this->headSent
-                           ? this->context.settings.eventSilence
-                           : this->context.settings.firstEventSilence;
-  return this->Silence(aNow) >= limit ? this->upstream : nullptr;
-}
-
-void StreamExchange::OnReport(const UpstreamPtr& aUpstream,
-                              const Result<UpstreamReport>& aReport) {
-  const Instant now = this->Now();
-  if (this->IsDone() || !this->call || aUpstream != this->upstream ||
-      this->Silence(now) < kMemberSilence) {
-    return;
-  }
-  if (!aReport) {
-    this->Suspect(*aUpstream);
-    this->Resume("the first upstream does not answer");
-    return;
-  }
-  LogInfo("stream_silent", {{"request", this->request.facts.id},
-                            {"upstream", aUpstream->Entry().id},
-                            {"silent_ms", this->Silence(now) / 1ms},
-                            {"running", aReport->running},
-                            {"queued", aReport->queued},
-                            {"memory_used", aReport->memoryUsed},
-                            {"memory_total", aReport->memoryTotal},
-                            {"own_view", aUpstream->Work(now)},
-                            {"pace", aReport->pace},
-                            {"first", this->chain.front().layers.last},
-                            {"hops", this->chain.size()},
-                            {"stalled", aReport->stalled.size()}});
-  for (const StalledRequest& stalled : aReport->stalled) {
-    if (stalled.requestId == this->request.facts.id) {
-      LogInfo("stream_stalled", {{"request", stalled.requestId},
-                                 {"waits_for", stalled.waitsFor}});
-      this->Distrust(stalled.waitsFor, now, true);
-      this->Repair(now);
-      return;
-    }
-  }
-}
-
-void StreamExchange::Repair(Instant aNow) {
-  if (!this->MayRepair(aNow)) {
-    return;
-  }
-  const auto repaired = this->RepairedChain(aNow);
-  if (!repaired) {
-    // Nobody in its domain holds what was lost: a chain elsewhere does.
-    this->Resume("no other holder of the lost layers");
-    return;
-  }
-  this->Repath(*repaired);
-}
-
-void StreamExchange::Repath(const PoolChain& aChain) {
-  this->isRepairing = true;
-  this->context.control.Repath(this->request.facts.id, aChain,
-                               [self = std::static_pointer_cast<StreamExchange>(
-                                    this->shared_from_this()),
-                                aChain](const Result<OrderOutcome>& aOutcome) {
-                                 self->OnRepaired(aChain, aOutcome);
-                               });
-}
-
-bool StreamExchange::Blame(const PoolChain& aChain,
-                           const std::string& aAddress) {
-  for (const PoolHop& hop : aChain) {
-    if (hop.upstream->Entry().address != aAddress ||
-        hop.upstream == this->upstream) {
-      continue;
-    }
-    hop.upstream->PassOver(this->Now() + kRefusalPause);
-    this->context.probe.Ask(hop.upstream);
-    this->blamed.push_back(hop.upstream);
-    return this->blamed.size() <= kMostBlamed;
-  }
-  return false;
-}
-
-void StreamExchange::OnRepaired(PoolChain aChain,
-                                const Result<OrderOutcome>& aOutcome) {
-  this->isRepairing = false;
-  if (this->IsDone() || !this->call) {
-    return;
-  }
-  const Instant now = this->Now();
-  const bool isTaken = aOutcome && aOutcome->answer == OrderAnswer::Taken;
-  LogInfo("stream_repaired", {{"request", this->request.facts.id},
-                              {"taken", isTaken},
-                              {"at_fault", aOutcome ? aOutcome->atFault : ""},
-                              {"silent_ms", this->Silence(now) / 1ms}});
-  if (isTaken) {
-    this->repairs += 1;
-    this->context.metrics.Count("zincstep_streams_repaired_total");
-    this->chain = std::move(aChain);
-    this->Reserve(this->chain);
-    this->lastProgress = now;
-    this->blamed.clear();
-    return;
-  }
-  if (aOutcome && this->Blame(aChain, aOutcome->atFault)) {
-    // Another chain may do; several members can be lost at once.
-    this->nextRepair = now;
-    if (this->Silence(now) >= kMemberSilence) {
-      this->Repair(now);
-      return;
-    }
-  } else {
-    this->nextRepair = now + kRefusedRepairPause;
-  }
-  if (this->Silence(now) >= kLeftSilence) {
-    // It stands still, and its domain cannot take it on.
-    this->Resume("the first upstream refuses another chain");
-  }
-}
-
 }  // namespace zincstep
