--- a/SoakTests/Ledger.h
+++ b/SoakTests/Ledger.h
@@ -23,13 +23,14 @@
 /// Everything that callers and upstreams have seen, and what it breaks.
 class Ledger {
  public:
-  /// A caller sends a request, with a key that holds until `aKeyEnds`.
+  /// A caller sends a request with a key of that organisation.
   void Sent(const std::string& aId, RequestKind aKind,
             const std::string& aOrganisation, Instant aAt);
   /// An upstream begins to work on it.
   void Ran(const std::string& aId, const std::string& aOrganisation);
   void Ended(const std::string& aId, Told aTold);
-  /// Keys of that organisation must not run when sent after this.
+  /// Requests with keys of that organisation must not run that are sent after
+  /// this.
   void Revoked(const std::string& aOrganisation, Instant aNotAfter) {
     this->revoked[aOrganisation] = aNotAfter;
   }
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -27,7 +27,8 @@
 constexpr Micros kKeyRevocation = 5s;
 constexpr Micros kCallerPatience = 4s;
 constexpr int kOk = 200;
-/// How often an answer must have come from each daemon to count as served.
+/// The daemons' addresses are 127.0.0.10 and on, so that all use the same
+/// ports, as on the platform.
 constexpr int kFirstAddress = 10;
 
 /// The operators' configuration: two plain routes and a split model of four
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -15,6 +15,8 @@
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
 constexpr Micros kLoadTime = 150ms;
+/// A plain upstream runs one request of so many and breaks its answer off.
+constexpr std::uint64_t kAnswersToOneLost = 15;
 /// A chain with a lost member stands still for so long, then it is cut.
 constexpr Micros kStall = 2s;
 
@@ -163,6 +165,10 @@
   });
 }
 
+bool SoakUpstream::LosesAnswerTo(const std::string& aRequest) const {
+  return Hash64(aRequest + this->name) % kAnswersToOneLost == 0;
+}
+
 void SoakUpstream::Run(const std::shared_ptr<CallerConnection>& aConnection,
                        const CallerMessage& aMessage) {
   const std::string request = HeaderOf(aMessage, "X-Attempt-Id");
@@ -178,7 +184,9 @@
   }
   this->ledger.Ran(request, HeaderOf(aMessage, "X-Tenant"));
   if (this->service != "model") {
-    aConnection->Answer(kOk, SealedHeaders(request), BodyFor(request));
+    this->LosesAnswerTo(request)
+        ? aConnection->Abort()
+        : aConnection->Answer(kOk, SealedHeaders(request), BodyFor(request));
     return;
   }
   int next = 0;
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -63,6 +63,8 @@
   void Repath(CallerConnection& aConnection, const nlohmann::json& aBody);
   void Run(const std::shared_ptr<CallerConnection>& aConnection,
            const CallerMessage& aMessage);
+  /// Whether the answer to a request that ran here is lost.
+  bool LosesAnswerTo(const std::string& aRequest) const;
   /// The address of the first member of a path that does not hold its part;
   /// empty where all do.
   std::string Missing(const std::string& aPath) const;
