However many upstreams there are, chains stay short

Change: no upstream is made to hold fewer than a twentieth of the layers; where all is doubled, one more joins the scarcest range of at least that size. Test: Plan_HundredsOfUpstreams_KeepsChainsShort failed before, passes now.

--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -26,6 +26,8 @@
 /// The operators' bound on withdrawn keys, as the daemons get it.
 constexpr Micros kKeyRevocation = 5s;
 constexpr Micros kCallerPatience = 4s;
+/// Longer than a withdrawn key may still run.
+constexpr Micros kLongCut = 8s;
 constexpr int kOk = 200;
 /// The daemons' addresses are 127.0.0.10 and on, so that all use the same
 /// ports, as on the platform.
@@ -105,6 +107,8 @@
   void InjectAtDaemon(Daemon& aDaemon);
   void InjectAtUpstream(SoakUpstream& aUpstream);
   void InjectAtStore();
+  /// Nobody hears that a key is withdrawn, for longer than it may still run.
+  void CutAllFromStore();
   void Note(const std::string& aFault);
   void Later(std::function<void()> aAct);
   void HealAll();
@@ -394,6 +398,18 @@
   this->Later([&aUpstream] { aUpstream.Restart(); });
 }
 
+void Soak::CutAllFromStore() {
+  this->Note("all cut from the store");
+  for (const auto& daemon : this->daemons) {
+    daemon->storeLink->Set(LinkState::Silent);
+  }
+  this->heals.push_back({this->clock.Now() + kLongCut, [this] {
+                           for (const auto& daemon : this->daemons) {
+                             daemon->storeLink->Set(LinkState::Up);
+                           }
+                         }});
+}
+
 void Soak::InjectAtStore() {
   const std::size_t pick = this->random.Below(4);
   this->Note("store, way " + std::to_string(pick));
@@ -406,6 +422,9 @@
   } else {
     const bool isRevoked = this->version > 1 || pick == 3;
     this->version += 1;
+    if (isRevoked && this->version == 2) {
+      this->CutAllFromStore();
+    }
     this->store.Put("op/config", Configuration(this->version, !isRevoked));
     if (isRevoked && this->version == 2) {
       this->ledger.Revoked("other", this->clock.Now() + kKeyRevocation);
--- a/UnitTests/PoolTest.cpp
+++ b/UnitTests/PoolTest.cpp
@@ -92,6 +92,7 @@
   CPPUNIT_TEST(Plan_ManyUpstreams_UsesThemAll);
   CPPUNIT_TEST(Plan_RoomForTwoCopies_LeavesTheRestToRequests);
   CPPUNIT_TEST(Plan_OneHolderOfTheFirstLayer_GetsAnother);
+  CPPUNIT_TEST(Plan_HundredsOfUpstreams_KeepsChainsShort);
   CPPUNIT_TEST_SUITE_END();
 
   ModelShape model = UsersModel();
@@ -222,6 +223,20 @@
     CPPUNIT_ASSERT(planner.Plan(model, pool).empty());
   }
 
+  // darovna-ops-grown, sweep at 100 machines and 1,000 upstreams: all were
+  // given one layer, and chains of 80 members were refused (served: 0.09).
+  void Plan_HundredsOfUpstreams_KeepsChainsShort() {
+    pool = Hall("a", 7, 27, 150, 150);
+    Carry(pool, planner.Plan(model, pool));
+    CPPUNIT_ASSERT_EQUAL(0, Uncovered(pool, "a", model.layers));
+    int small = 0;
+    for (const PlacedUpstream& one : pool) {
+      small += one.layers.Size() < 4 ? 1 : 0;
+    }
+    // Where a range ends at the model's last layer it may be cut short.
+    CPPUNIT_ASSERT(small <= 2);
+  }
+
   void Plan_TooFewUpstreams_KeepsLessMemory() {
     auto small = Hall("a", 1, 1, 2, 1);
     Carry(small, planner.Plan(model, small));
--- a/Zincstep/Pool/PlacementPlanner.cpp
+++ b/Zincstep/Pool/PlacementPlanner.cpp
@@ -12,6 +12,9 @@
 /// Factor by which it is raised where a domain has room for more.
 constexpr double kKeptRise = 1.05;
 
+/// Members of the longest chain that the planner makes for: each adds a wait
+/// to each token, and the platform takes 32 at most.
+constexpr int kMostHops = 20;
 /// From this share of layers with a second holder on, a domain is doubled.
 constexpr double kDoubledShare = 0.8;
 
@@ -91,10 +94,26 @@
     return sum;
   }
 
+  /// Layers that the smallest upstream holds beside another holder.
+  int SmallestShared() const {
+    int smallest = this->model.layers;
+    for (const PlacedUpstream& upstream : this->upstreams) {
+      smallest = std::min(smallest, this->SizeShared(upstream));
+    }
+    return smallest;
+  }
+
+  /// The fewest layers that an upstream should hold, however many there are:
+  /// a chain of such members is no longer than `kMostHops`.
+  int FewestLayers() const {
+    return (this->model.layers + kMostHops - 1) / kMostHops;
+  }
+
   /// Raises the memory kept while two copies of the model fit beside it.
   void KeepMoreWhereDoubled() {
     double fitting = this->tokensKept;
-    while (!this->RangesWith(this->model.layers).empty()) {
+    while (!this->RangesWith(this->model.layers).empty() &&
+           this->SmallestShared() >= this->FewestLayers()) {
       fitting = this->tokensKept;
       this->tokensKept *= kKeptRise;
     }
@@ -242,9 +261,13 @@
       if (!upstream.takesOrders || upstream.layers.Size() > 0 || size == 0) {
         continue;
       }
-      const LayerRange needed = this->BestRange(upstream);
-      this->Order(upstream,
-                  needed.Size() > 0 ? needed : this->ScarcestRange(size));
+      const LayerRange needed =
+          this->IsDoubled() ? LayerRange{} : this->BestRange(upstream);
+      this->Order(upstream, needed.Size() > 0
+                                ? needed
+                                : this->ScarcestRange(std::min(
+                                      std::max(size, this->FewestLayers()),
+                                      this->SizeShared(upstream))));
     }
   }
 
