--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -138,6 +138,8 @@
   Instant nextFault{};
   bool injects = false;
   int version = 1;
+  /// The other organisation's key has been withdrawn.
+  bool isRevoked = false;
   int lastRequest = 0;
   SoakOutcome outcome;
 };
@@ -420,13 +422,16 @@
     this->store.SetLosesAnswers(true);
     this->Later([this] { this->store.SetLosesAnswers(false); });
   } else {
-    const bool isRevoked = this->version > 1 || pick == 3;
+    const bool revokesNow =
+        !this->isRevoked && (this->version > 1 || pick == 3);
+    this->isRevoked = this->isRevoked || revokesNow;
     this->version += 1;
-    if (isRevoked && this->version == 2) {
+    if (revokesNow) {
       this->CutAllFromStore();
     }
-    this->store.Put("op/config", Configuration(this->version, !isRevoked));
-    if (isRevoked && this->version == 2) {
+    this->store.Put("op/config",
+                    Configuration(this->version, !this->isRevoked));
+    if (revokesNow) {
       this->ledger.Revoked("other", this->clock.Now() + kKeyRevocation);
     }
   }
