One test for a doubled domain, made once a domain

Cause: whether a domain is doubled stood in the planner and in the chooser of chains, each with its constant, and the chooser counted all layers again for each upstream of each request (98 upstreams x 80 layers on the grown sites). Change: IsDoubled stands once, and the chooser asks it once a domain. Behaviour is meant to stay; no figure was measured.

--- a/Zincstep/Pool/ChainChooser.cpp
+++ b/Zincstep/Pool/ChainChooser.cpp
@@ -5,6 +5,8 @@
 #include <limits>
 #include <map>
 
+#include "Zincstep/Pool/PlacementPlanner.h"
+
 namespace zincstep {
 
 namespace {
@@ -14,10 +16,6 @@
 /// A standby holds no more layers than this: the large upstreams are the
 /// quick ones, and hold the memory of several small ones.
 constexpr int kLargestStandby = 12;
-/// A domain of which this share of the layers has a second holder needs no
-/// standby: the next loss hardly leaves a gap, and the standby's share of the
-/// requests would be its partners' to carry.
-constexpr double kDoubledShare = 0.8;
 
 /// Keeps one part of an upstream that a cover uses twice.
 ///
@@ -41,14 +39,6 @@
 /// has ended.
 constexpr double kSlotsUsed = 0.75;
 
-/// Whether nearly every layer has a second holder.
-bool IsDoubled(const std::vector<int>& aHolders) {
-  const auto doubled = std::count_if(aHolders.begin(), aHolders.end(),
-                                     [](int aCount) { return aCount > 1; });
-  return static_cast<double>(doubled) >=
-         kDoubledShare * static_cast<double>(aHolders.size());
-}
-
 }  // namespace
 
 double ChainChooser::Capacity(const ModelShape& aModel,
@@ -111,28 +101,36 @@
       counts[static_cast<std::size_t>(layer)] += 1;
     }
   }
+  // A doubled domain needs no standby: the next loss hardly leaves a gap, and
+  // the standby's share of the requests would be its partners' to carry.
+  std::erase_if(holders,
+                [](const auto& aDomain) { return IsDoubled(aDomain.second); });
   std::map<std::string, std::size_t> chosen;
   for (std::size_t i = 0; i < aUpstreams.size(); ++i) {
     const UpstreamEntry& entry = aUpstreams[i]->Entry();
-    const auto& counts = holders[entry.failureDomain];
+    const auto known = holders.find(entry.failureDomain);
+    if (known == holders.end()) {
+      continue;
+    }
+    const auto& counts = known->second;
     const bool isSpare =
-        !IsDoubled(counts) && aUpstreams[i]->IsSound(aNow) &&
-        entry.layers.Size() > 0 && entry.layers.Size() <= kLargestStandby &&
+        aUpstreams[i]->IsSound(aNow) && entry.layers.Size() > 0 &&
+        entry.layers.Size() <= kLargestStandby &&
         std::all_of(counts.begin() + entry.layers.first,
                     counts.begin() + std::min(entry.layers.last, aModel.layers),
                     [](int aCount) { return aCount > 1; });
     if (!isSpare) {
       continue;
     }
-    const auto known = chosen.find(entry.failureDomain);
-    if (known == chosen.end()) {
+    const auto rival = chosen.find(entry.failureDomain);
+    if (rival == chosen.end()) {
       chosen.emplace(entry.failureDomain, i);
       continue;
     }
-    const UpstreamEntry& other = aUpstreams[known->second]->Entry();
+    const UpstreamEntry& other = aUpstreams[rival->second]->Entry();
     const int more = entry.layers.Size() - other.layers.Size();
     if (more > 0 || (more == 0 && entry.id < other.id)) {
-      known->second = i;
+      rival->second = i;
     }
   }
   std::vector<std::size_t> standbys;
--- a/Zincstep/Pool/PlacementPlanner.cpp
+++ b/Zincstep/Pool/PlacementPlanner.cpp
@@ -262,7 +262,7 @@
         continue;
       }
       const LayerRange needed =
-          this->IsDoubled() ? LayerRange{} : this->BestRange(upstream);
+          IsDoubled(this->cover) ? LayerRange{} : this->BestRange(upstream);
       this->Order(upstream, needed.Size() > 0
                                 ? needed
                                 : this->ScarcestRange(std::min(
@@ -345,20 +345,11 @@
     }
   }
 
-  /// Whether nearly every layer has a second holder.
-  bool IsDoubled() const {
-    const auto doubled =
-        std::count_if(this->cover.begin(), this->cover.end(),
-                      [](int aHolders) { return aHolders > 1; });
-    return static_cast<double>(doubled) >=
-           kDoubledShare * static_cast<double>(this->cover.size());
-  }
-
   /// Moves one upstream to the first layers where a domain that holds the
   /// others twice has a single upstream there: its slots bound the requests
   /// of the whole domain, which those of later members do not.
   void DoubleFirstLayer() {
-    if (this->CoverOf(0) != 1 || !this->IsDoubled()) {
+    if (this->CoverOf(0) != 1 || !IsDoubled(this->cover)) {
       return;
     }
     PlacedUpstream* spare = this->BestSpare({0, this->model.layers});
@@ -405,6 +396,13 @@
 
 }  // namespace
 
+bool IsDoubled(const std::vector<int>& aHolders) {
+  const auto doubled = std::count_if(aHolders.begin(), aHolders.end(),
+                                     [](int aCount) { return aCount > 1; });
+  return static_cast<double>(doubled) >=
+         kDoubledShare * static_cast<double>(aHolders.size());
+}
+
 int PlacementPlanner::LayersBeside(const ModelShape& aModel,
                                    const PoolKind& aKind, double aTokens) {
   const double tokenLayerMb = aModel.tokenMb / aModel.layers;
--- a/Zincstep/Pool/PlacementPlanner.h
+++ b/Zincstep/Pool/PlacementPlanner.h
@@ -28,6 +28,9 @@
   LayerRange layers;
 };
 
+/// Whether nearly every layer has a second holder, by the holders of each.
+bool IsDoubled(const std::vector<int>& aHolders);
+
 /// Settings of placement.
 struct PlacementSettings {
   /// Tokens of requests that the holders of each layer have memory for
