A service call that ends by time is the deadline's, whatever a clock says

The desk told a deadline from a broken call by reading the clock after the call's end. libcurl rounds the spans it compares to whole milliseconds, so that its time-out can be told up to a millisecond before the deadline; the caller then got "upstream_failed" for what was its own deadline.

Ruled out: the connection's own time limit (the answer says "may have run", so bytes had left), another clock (both are the steady one), load (6 loops at a time failed as often as 4). Kept: the answer's text, which the assertion now shows: "Timeout was reached".

Change: a call's end says that its time ran out (CallEnd::TimedOut), and the desk takes the kind of its answer from that. The test of a caller's time-out asserts the new end, which is stricter than before.

Two types were named HttpCall and two CallEnd in one namespace, one for libcurl and one for Asio; a program that linked both would have had one destructor for two types. The Asio one is SingleCall now.

--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -7,7 +7,7 @@
 #include "SoakTests/DaemonProcess.h"
 #include "SoakTests/SoakUpstream.h"
 #include "Zincstep/Core/Random.h"
-#include "Zincstep/Net/HttpCall.h"
+#include "Zincstep/Net/SingleCall.h"
 
 namespace zincstep::soak {
 
--- a/UnitTests/ModelRequestTest.cpp
+++ b/UnitTests/ModelRequestTest.cpp
@@ -175,7 +175,7 @@
     call.headers = {{"Authorization", "Bearer test-key"}};
     call.body = R"({"model":"demo","prompt":"x","max_tokens":400})";
     call.timeout = 300ms;
-    CPPUNIT_ASSERT(FetchNow(call).end == CallEnd::Unknown);
+    CPPUNIT_ASSERT(FetchNow(call).end == CallEnd::TimedOut);
     CPPUNIT_ASSERT(
         LocalDomain::Eventually([this] { return this->Busy().empty(); }));
     CPPUNIT_ASSERT(LocalDomain::Eventually([this] {
--- a/UnitTests/RelayTest.cpp
+++ b/UnitTests/RelayTest.cpp
@@ -2,7 +2,7 @@
 
 #include <functional>
 
-#include "Zincstep/Net/HttpCall.h"
+#include "Zincstep/Net/SingleCall.h"
 #include "Zincstep/Relay/Relay.h"
 #include "platform/Platform.h"
 
--- a/UnitTests/ServiceRequestTest.cpp
+++ b/UnitTests/ServiceRequestTest.cpp
@@ -134,7 +134,7 @@
     this->domain.ServiceFault(R"({"delay_ms":700})");
     const auto one =
         this->Order(*this->first, "k7", {{"zincstep-deadline-ms", "300"}});
-    CPPUNIT_ASSERT_EQUAL(504, one.status);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(one.body, 504, one.status);
     CPPUNIT_ASSERT_EQUAL(std::string("may_have_run"), OutcomeOf(one));
     CPPUNIT_ASSERT(
         LocalDomain::Eventually([this] { return this->RunsOf("k7") == 1; }));
--- a/Zincstep/Entry/ServiceDesk.cpp
+++ b/Zincstep/Entry/ServiceDesk.cpp
@@ -303,7 +303,12 @@
   }
   const std::string what =
       aRequest.service + " gave no whole answer: " + aResult.fault;
-  this->GiveUp(aRequest, {ErrorKind::UpstreamUnreachable, what, {}});
+  // A call is given what is left of the deadline, so that its end by time
+  // is the deadline's.
+  const ErrorKind kind = aResult.end == CallEnd::TimedOut
+                             ? ErrorKind::DeadlineDuringRun
+                             : ErrorKind::UpstreamUnreachable;
+  this->GiveUp(aRequest, {kind, what, {}});
 }
 
 /// Ends a request without an answer: as not run where that is certain.
@@ -312,7 +317,8 @@
     this->Refuse(aRequest, aError);
     return;
   }
-  const bool late = aRequest.facts.deadline <= this->context.clock.Now();
+  const bool late = aError.kind == ErrorKind::DeadlineDuringRun ||
+                    aRequest.facts.deadline <= this->context.clock.Now();
   const Error error{
       late ? ErrorKind::DeadlineDuringRun : ErrorKind::UpstreamFailed,
       aError.message,
--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -2,7 +2,7 @@
 
 #include <charconv>
 
-#include "Zincstep/Net/HttpCall.h"
+#include "Zincstep/Net/SingleCall.h"
 
 namespace zincstep {
 
--- a/Zincstep/Net/CurlTransfer.cpp
+++ b/Zincstep/Net/CurlTransfer.cpp
@@ -19,7 +19,11 @@
   if (aCode == CURLE_OK) {
     return CallEnd::Answered;
   }
-  return aRequestBytes == 0 ? CallEnd::NotSent : CallEnd::Unknown;
+  if (aRequestBytes == 0) {
+    return CallEnd::NotSent;
+  }
+  return aCode == CURLE_OPERATION_TIMEDOUT ? CallEnd::TimedOut
+                                           : CallEnd::Unknown;
 }
 
 }  // namespace
--- a/Zincstep/Net/HttpClient.h
+++ b/Zincstep/Net/HttpClient.h
@@ -18,6 +18,10 @@
   NotSent,
   /// The request may have been acted on, and its answer is not known.
   Unknown,
+  /// Its time ran out after bytes of the request had left: as `Unknown`,
+  /// with the cause told. A clock read afterwards cannot tell it, as
+  /// libcurl rounds spans to whole milliseconds.
+  TimedOut,
   /// It was cancelled here.
   Cancelled,
 };
--- a/Zincstep/Net/HttpCall.cpp
+++ b/Zincstep/Net/SingleCall.cpp
@@ -1,4 +1,4 @@
-#include "Zincstep/Net/HttpCall.h"
+#include "Zincstep/Net/SingleCall.h"
 
 namespace zincstep {
 
@@ -13,16 +13,16 @@
 constexpr Micros kWholeConnectTimeout = 700ms;
 
 /// Collects a whole answer.
-class WholeCall final : public HttpCallListener,
+class WholeCall final : public SingleCallListener,
                         public std::enable_shared_from_this<WholeCall> {
  public:
   WholeCall(asio::io_context& aLoop,
             std::function<void(Result<HttpAnswer>)> aDone)
-      : call(std::make_shared<HttpCall>(aLoop, *this)),
+      : call(std::make_shared<SingleCall>(aLoop, *this)),
         timer(aLoop),
         done(std::move(aDone)) {}
 
-  void Start(const HttpCall::Endpoint& aEndpoint, std::string aRequest,
+  void Start(const SingleCall::Endpoint& aEndpoint, std::string aRequest,
              Micros aTimeout) {
     this->self = this->shared_from_this();
     this->timer.expires_after(aTimeout);
@@ -51,15 +51,15 @@
     }
   }
 
-  void OnCallEnd(CallEnd aEnd) override {
-    if (aEnd == CallEnd::Complete) {
+  void OnCallEnd(SingleCallEnd aEnd) override {
+    if (aEnd == SingleCallEnd::Complete) {
       this->Finish(std::move(this->answer));
       return;
     }
-    this->Finish(Fail(aEnd == CallEnd::NotConnected
+    this->Finish(Fail(aEnd == SingleCallEnd::NotConnected
                           ? ErrorKind::UpstreamUnreachable
                           : ErrorKind::AnswerIncomplete,
-                      std::string(NameIn(kCallEndNames, aEnd))));
+                      std::string(NameIn(kSingleCallEndNames, aEnd))));
   }
 
  private:
@@ -71,7 +71,7 @@
     }
   }
 
-  std::shared_ptr<HttpCall> call;
+  std::shared_ptr<SingleCall> call;
   asio::steady_timer timer;
   std::function<void(Result<HttpAnswer>)> done;
   std::shared_ptr<WholeCall> self;
@@ -80,20 +80,20 @@
 
 }  // namespace
 
-HttpCall::HttpCall(asio::io_context& aLoop, HttpCallListener& aListener)
+SingleCall::SingleCall(asio::io_context& aLoop, SingleCallListener& aListener)
     : socket(aLoop),
       connectTimer(aLoop),
       listener(&aListener),
       parser(HttpSide::Answer, *this) {}
 
-void HttpCall::Start(const Endpoint& aEndpoint, std::string aRequest,
-                     Micros aConnectTimeout) {
+void SingleCall::Start(const Endpoint& aEndpoint, std::string aRequest,
+                       Micros aConnectTimeout) {
   this->request = std::move(aRequest);
   auto self = this->shared_from_this();
   this->connectTimer.expires_after(aConnectTimeout);
   this->connectTimer.async_wait([self](const asio::error_code& aError) {
     if (!aError && !self->hasSent) {
-      self->End(CallEnd::NotConnected);
+      self->End(SingleCallEnd::NotConnected);
     }
   });
   this->socket.async_connect(aEndpoint, [self](const asio::error_code& aError) {
@@ -101,13 +101,13 @@
   });
 }
 
-void HttpCall::OnConnect(const asio::error_code& aError) {
+void SingleCall::OnConnect(const asio::error_code& aError) {
   if (this->listener == nullptr) {
     return;
   }
   this->connectTimer.cancel();
   if (aError) {
-    this->End(CallEnd::NotConnected);
+    this->End(SingleCallEnd::NotConnected);
     return;
   }
   SetSocketOptions(this->socket, kUpstreamSilence);
@@ -116,7 +116,7 @@
   this->Read();
 }
 
-void HttpCall::Write() {
+void SingleCall::Write() {
   auto self = this->shared_from_this();
   asio::async_write(this->socket, asio::buffer(this->request),
                     [self](const asio::error_code&, std::size_t) {
@@ -125,7 +125,7 @@
                     });
 }
 
-void HttpCall::Read() {
+void SingleCall::Read() {
   if (this->isReading || !this->mayRead || this->listener == nullptr) {
     return;
   }
@@ -139,13 +139,13 @@
       });
 }
 
-void HttpCall::OnRead(const asio::error_code& aError, std::size_t aSize) {
+void SingleCall::OnRead(const asio::error_code& aError, std::size_t aSize) {
   if (this->listener == nullptr) {
     return;
   }
   if (aError) {
     const bool ended = aError == asio::error::eof && this->parser.FeedEnd();
-    this->End(ended ? CallEnd::Complete : CallEnd::Broken);
+    this->End(ended ? SingleCallEnd::Complete : SingleCallEnd::Broken);
     return;
   }
   const auto used = this->parser.Feed({this->buffer.data(), aSize});
@@ -157,42 +157,42 @@
     return;
   }
   if (!used) {
-    this->End(CallEnd::BadAnswer);
+    this->End(SingleCallEnd::BadAnswer);
   } else if (this->parser.IsComplete()) {
-    this->End(CallEnd::Complete);
+    this->End(SingleCallEnd::Complete);
   } else {
     this->Read();
   }
 }
 
-void HttpCall::OnHead(HttpHead aHead) {
+void SingleCall::OnHead(HttpHead aHead) {
   if (this->listener != nullptr) {
     this->listener->OnAnswerHead(std::move(aHead));
   }
 }
 
-void HttpCall::OnBody(std::string_view aPart) {
+void SingleCall::OnBody(std::string_view aPart) {
   if (this->listener != nullptr) {
     this->listener->OnAnswerBody(aPart);
   }
 }
 
-void HttpCall::SetReading(bool aReads) {
+void SingleCall::SetReading(bool aReads) {
   this->mayRead = aReads;
   if (aReads && this->hasSent) {
     this->Read();
   }
 }
 
-void HttpCall::Cancel() {
+void SingleCall::Cancel() {
   this->listener = nullptr;
   this->connectTimer.cancel();
   asio::error_code ignored;  // Closing is all that is left to do.
   this->socket.close(ignored);
 }
 
-void HttpCall::End(CallEnd aEnd) {
-  HttpCallListener* told = this->listener;
+void SingleCall::End(SingleCallEnd aEnd) {
+  SingleCallListener* told = this->listener;
   if (told == nullptr) {
     return;
   }
@@ -200,7 +200,7 @@
   told->OnCallEnd(aEnd);
 }
 
-void FetchWhole(asio::io_context& aLoop, const HttpCall::Endpoint& aEndpoint,
+void FetchWhole(asio::io_context& aLoop, const SingleCall::Endpoint& aEndpoint,
                 std::string aRequest, Micros aTimeout,
                 std::function<void(Result<HttpAnswer>)> aDone) {
   std::make_shared<WholeCall>(aLoop, std::move(aDone))
--- a/Zincstep/Net/HttpCall.h
+++ b/Zincstep/Net/SingleCall.h
@@ -12,7 +12,7 @@
 namespace zincstep {
 
 /// How a call ended.
-enum class CallEnd {
+enum class SingleCallEnd {
   /// The answer came whole.
   Complete,
   /// No connection: not a byte of the request was sent.
@@ -23,17 +23,17 @@
   BadAnswer,
 };
 
-inline constexpr NameTable<CallEnd, 4> kCallEndNames{{
-    {CallEnd::Complete, "complete"},
-    {CallEnd::NotConnected, "not_connected"},
-    {CallEnd::Broken, "broken"},
-    {CallEnd::BadAnswer, "bad_answer"},
+inline constexpr NameTable<SingleCallEnd, 4> kSingleCallEndNames{{
+    {SingleCallEnd::Complete, "complete"},
+    {SingleCallEnd::NotConnected, "not_connected"},
+    {SingleCallEnd::Broken, "broken"},
+    {SingleCallEnd::BadAnswer, "bad_answer"},
 }};
 
 /// Is told of a call's answer, on the loop's thread.
-class HttpCallListener {
+class SingleCallListener {
  public:
-  virtual ~HttpCallListener() = default;
+  virtual ~SingleCallListener() = default;
 
   /// The head of the answer has come.
   virtual void OnAnswerHead(HttpHead aHead) = 0;
@@ -42,7 +42,7 @@
   /// All bytes that lay ready have been told: a time to pass them on.
   virtual void OnAnswerPause() {}
   /// The call has ended; the last that is told.
-  virtual void OnCallEnd(CallEnd aEnd) = 0;
+  virtual void OnCallEnd(SingleCallEnd aEnd) = 0;
 };
 
 /// One request and its answer on a connection of their own.
@@ -54,12 +54,12 @@
 /// RESTinio has no client, and libcurl sends a request again by itself
 /// where a kept connection closes without an answer, which a request that
 /// may run once must not meet; so calls are made by Asio and http_parser.
-class HttpCall final : public std::enable_shared_from_this<HttpCall>,
-                       private HttpParserListener {
+class SingleCall final : public std::enable_shared_from_this<SingleCall>,
+                         private HttpParserListener {
  public:
   using Endpoint = TcpEndpoint;
 
-  HttpCall(asio::io_context& aLoop, HttpCallListener& aListener);
+  SingleCall(asio::io_context& aLoop, SingleCallListener& aListener);
 
   /// Connects within `aConnectTimeout` and sends `aRequest`.
   void Start(const Endpoint& aEndpoint, std::string aRequest,
@@ -77,14 +77,14 @@
   void Write();
   void Read();
   void OnRead(const asio::error_code& aError, std::size_t aSize);
-  void End(CallEnd aEnd);
+  void End(SingleCallEnd aEnd);
   void OnHead(HttpHead aHead) override;
   void OnBody(std::string_view aPart) override;
   void OnMessageEnd() override {}
 
   asio::ip::tcp::socket socket;
   asio::steady_timer connectTimer;
-  HttpCallListener* listener;
+  SingleCallListener* listener;
   HttpParser parser;
   std::string request;
   std::array<char, 8 << 10> buffer{};
@@ -97,7 +97,7 @@
 ///
 /// `aTimeout` bounds the whole call. Fails with `UpstreamUnreachable`
 /// where nothing was sent, else with `AnswerIncomplete`.
-void FetchWhole(asio::io_context& aLoop, const HttpCall::Endpoint& aEndpoint,
+void FetchWhole(asio::io_context& aLoop, const SingleCall::Endpoint& aEndpoint,
                 std::string aRequest, Micros aTimeout,
                 std::function<void(Result<HttpAnswer>)> aDone);
 
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -114,7 +114,7 @@
                                    aLastEventId,
                                    this->request.priority,
                                    aChain};
-  this->call = std::make_shared<HttpCall>(this->context.loop, *this);
+  this->call = std::make_shared<SingleCall>(this->context.loop, *this);
   this->call->Start(*endpoint, this->context.dialect.WriteRequest(forwarded),
                     this->context.settings.connectTimeout);
 }
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -3,7 +3,7 @@
 #include <memory>
 #include <string>
 
-#include "Zincstep/Net/HttpCall.h"
+#include "Zincstep/Net/SingleCall.h"
 #include "Zincstep/Relay/RelayContext.h"
 
 namespace zincstep {
@@ -28,7 +28,7 @@
 /// Knows at each moment what may be said of the request: it is sent to
 /// upstreams by the subclasses, and `hasBegun` tells whether any of them
 /// may have run it. Every end goes through `Finish`.
-class Exchange : public HttpCallListener,
+class Exchange : public SingleCallListener,
                  public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(RelayContext& aContext, AdmittedRequest aRequest);
@@ -75,7 +75,7 @@
 
   RelayContext& context;
   AdmittedRequest request;
-  std::shared_ptr<HttpCall> call;
+  std::shared_ptr<SingleCall> call;
   /// Upstream of the present or last call.
   UpstreamPtr upstream;
   /// An upstream may have run the request.
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -74,20 +74,21 @@
          this->runs < this->request.route->maxAttempts;
 }
 
-void ServiceExchange::OnCallEnd(CallEnd aEnd) {
+void ServiceExchange::OnCallEnd(SingleCallEnd aEnd) {
   const Instant now = this->Now();
   this->EndCall();
   this->call.reset();
-  if (aEnd == CallEnd::NotConnected) {
+  if (aEnd == SingleCallEnd::NotConnected) {
     this->Suspect(*this->upstream);
     this->OnNotRun("no connection");
     return;
   }
-  if (aEnd != CallEnd::Complete || this->IsForeign(this->head, this->facts)) {
+  if (aEnd != SingleCallEnd::Complete ||
+      this->IsForeign(this->head, this->facts)) {
     this->hasBegun = true;
     this->runs += 1;
-    this->OnFailure(aEnd == CallEnd::Complete ? "not its own answer"
-                                              : "the answer broke off");
+    this->OnFailure(aEnd == SingleCallEnd::Complete ? "not its own answer"
+                                                    : "the answer broke off");
     return;
   }
   this->upstream->OnAnswer(now);
--- a/Zincstep/Relay/ServiceExchange.h
+++ b/Zincstep/Relay/ServiceExchange.h
@@ -20,7 +20,7 @@
 
   void OnAnswerHead(HttpHead aHead) override;
   void OnAnswerBody(std::string_view aPart) override;
-  void OnCallEnd(CallEnd aEnd) override;
+  void OnCallEnd(SingleCallEnd aEnd) override;
 
  private:
   void TrySend();
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -165,15 +165,15 @@
   }
 }
 
-void StreamExchange::OnCallEnd(CallEnd aEnd) {
+void StreamExchange::OnCallEnd(SingleCallEnd aEnd) {
   const Instant now = this->Now();
   this->call.reset();
-  if (aEnd == CallEnd::NotConnected) {
+  if (aEnd == SingleCallEnd::NotConnected) {
     this->Suspect(*this->upstream);
     this->OnNotRun();
     return;
   }
-  const bool isWhole = aEnd == CallEnd::Complete && !this->isForeign;
+  const bool isWhole = aEnd == SingleCallEnd::Complete && !this->isForeign;
   if (isWhole && this->facts.isNotRun) {
     this->upstream->OnAnswer(now);
     LogInfo("upstream_refused", {{"request", this->request.facts.id},
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -28,7 +28,7 @@
   void OnAnswerHead(HttpHead aHead) override;
   void OnAnswerBody(std::string_view aPart) override;
   void OnAnswerPause() override;
-  void OnCallEnd(CallEnd aEnd) override;
+  void OnCallEnd(SingleCallEnd aEnd) override;
 
  private:
   void TryChain();
