--- a/UnitTests/ClusterViewTest.cpp
+++ b/UnitTests/ClusterViewTest.cpp
@@ -21,13 +21,19 @@
   CPPUNIT_TEST_SUITE(ClusterViewTest);
   CPPUNIT_TEST(Configuration_OlderRevision_IsPassedOver);
   CPPUNIT_TEST(Configuration_ThatDoesNotParse_KeepsTheLast);
-  CPPUNIT_TEST(Configuration_Newer_NeedsAProofOfItsOwn);
-  CPPUNIT_TEST(Proof_OfAnotherRevision_CountsNothing);
+  CPPUNIT_TEST(Configuration_Newer_KeepsTheAgeOfTheProof);
+  CPPUNIT_TEST(Proof_OfANewerRevision_CountsNothing);
+  CPPUNIT_TEST(Proof_OfAnOlderRevision_CountsFromItsTime);
   CPPUNIT_TEST(Proof_CountsFromWhenTheCallBegan);
   CPPUNIT_TEST(Copy_ProofOfAPeer_CountsFromTheQuestion);
   CPPUNIT_TEST(Copy_OlderUpstreams_ArePassedOver);
   CPPUNIT_TEST(Copy_WithoutUpstreams_RemovesNone);
-  CPPUNIT_TEST(Copy_UnchangedEntries_KeepTheirValues);
+  CPPUNIT_TEST(Copy_OfChanges_LeavesTheRest);
+  CPPUNIT_TEST(Copy_FromBeforeAWholeRead_IsWhole);
+  CPPUNIT_TEST(Copy_FromAnOutage_TellsTheListAsItIs);
+  CPPUNIT_TEST(Copy_OfALapsedEntry_HasTheTellersGrace);
+  CPPUNIT_TEST(Copy_ThatMissedAChange_IsAskedForWhole);
+  CPPUNIT_TEST(Copy_OfDaemons_TellsRemovals);
   CPPUNIT_TEST(Copy_ProofOfConfiguration_ProvesNoLists);
   CPPUNIT_TEST(Copy_ProofOfLists_CountsFromTheQuestion);
   CPPUNIT_TEST(Daemons_OlderList_IsPassedOver);
@@ -35,6 +41,8 @@
   CPPUNIT_TEST(Upstream_Draining_GetsNoWork);
   CPPUNIT_TEST(Upstream_Removed_IsGoneAtOnce);
   CPPUNIT_TEST(Upstream_MissingAfterAnOutage_HasAGrace);
+  CPPUNIT_TEST(Upstream_MissingFromAPeerInAnOutage_HasAGrace);
+  CPPUNIT_TEST(Upstream_ThatLeavesInAnOutage_IsGoneAtOnce);
   CPPUNIT_TEST(Upstream_ThatComesBack_IsTheSame);
   CPPUNIT_TEST(Upstream_LateEvent_DoesNotRemoveANewerEntry);
   CPPUNIT_TEST_SUITE_END();
@@ -66,19 +74,37 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, view.ConfigRevision());
   }
 
-  void Configuration_Newer_NeedsAProofOfItsOwn() {
+  // tavua-orders-grown, trouble-3: each change of the configuration had up to
+  // forty requests refused for want of a proof. At the time of the older proof
+  // nothing newer than either configuration was there.
+  void Configuration_Newer_KeepsTheAgeOfTheProof() {
     view.OnConfiguration({"", ConfigText(9), 20});
     view.OnProof(20, clock.Now());
+    clock.Advance(600ms);
     view.OnConfiguration({"", ConfigText(10), 30});
-    CPPUNIT_ASSERT(!view.ProofAge());
+    CPPUNIT_ASSERT(*view.ProofAge() == 600ms);
   }
 
-  void Proof_OfAnotherRevision_CountsNothing() {
+  // The newer one may have withdrawn a key that this one still grants.
+  void Proof_OfANewerRevision_CountsNothing() {
     view.OnConfiguration({"", ConfigText(9), 20});
-    view.OnProof(19, clock.Now());
+    view.OnProof(21, clock.Now());
+    CPPUNIT_ASSERT(!view.ProofAge());
+    view.OnProof(0, clock.Now());
     CPPUNIT_ASSERT(!view.ProofAge());
   }
 
+  void Proof_OfAnOlderRevision_CountsFromItsTime() {
+    view.OnConfiguration({"", ConfigText(9), 20});
+    const Instant began = clock.Now();
+    clock.Advance(900ms);
+    view.OnProof(19, began);
+    CPPUNIT_ASSERT(*view.ProofAge() == 900ms);
+    view.OnProof(20, clock.Now());
+    view.OnProof(19, began);
+    CPPUNIT_ASSERT(*view.ProofAge() == 0ms);
+  }
+
   void Proof_CountsFromWhenTheCallBegan() {
     view.OnConfiguration({"", ConfigText(9), 20});
     const Instant began = clock.Now();
@@ -103,7 +129,7 @@
   void Copy_OlderUpstreams_ArePassedOver() {
     view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
     ClusterCopy copy;
-    copy.upstreams = StoreRange{{}, 40};
+    copy.upstreams.emplace().at = 40;
     view.OnCopy(copy, clock.Now());
     CPPUNIT_ASSERT(view.Directory().Find("i1") != nullptr);
   }
@@ -118,21 +144,101 @@
     CPPUNIT_ASSERT(view.Directory().Find("i1") != nullptr);
   }
 
-  void Copy_UnchangedEntries_KeepTheirValues() {
+  // A hundred daemons ask the first of their domain four times a second; the
+  // ids of 3,001 upstreams in each answer were 20 MB a second.
+  void Copy_OfChanges_LeavesTheRest() {
     view.OnUpstreams(
         {{{"i1", EntryText("ready"), 5}, {"i2", EntryText("ready"), 6}}, 50});
     ClusterView newer{*decoder, *this, clock};
     newer.OnUpstreams(
-        {{{"i1", EntryText("ready"), 5}, {"i3", EntryText("ready"), 55}}, 60});
+        {{{"i1", EntryText("ready"), 5}, {"i2", EntryText("ready"), 6}}, 50});
+    newer.OnUpstreamEvents(
+        {{{{"i2", "", 55}, true}, {{"i3", EntryText("ready"), 58}, false}},
+         60});
     const ClusterCopy copy = newer.CopyFor(view.Revisions());
-    CPPUNIT_ASSERT(copy.upstreams->items.front().value.empty());
+    CPPUNIT_ASSERT(!copy.upstreams->isWhole);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, copy.upstreams->items.size());
     view.OnCopy(copy, clock.Now());
     CPPUNIT_ASSERT(view.Directory().Find("i1")->IsUsable(clock.Now()));
     CPPUNIT_ASSERT(view.Directory().Find("i2") == nullptr);
     CPPUNIT_ASSERT(view.Directory().Find("i3") != nullptr);
-    // What was kept can be told on.
-    const ClusterCopy told = view.CopyFor({});
-    CPPUNIT_ASSERT(!told.upstreams->items.front().value.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{60}, view.Revisions().upstreams);
+    // What was taken can be told on: as changes to one who knows the list as
+    // of the last whole read, whole to a newcomer.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         view.CopyFor({0, 50, 0}).upstreams->removed.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                         view.CopyFor({}).upstreams->items.size());
+  }
+
+  // What came and went before a whole read is not known here, and may be known
+  // to the asker.
+  void Copy_FromBeforeAWholeRead_IsWhole() {
+    view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
+    CPPUNIT_ASSERT(view.CopyFor({0, 40, 0}).upstreams->isWhole);
+    ClusterView asker{*decoder, *this, clock};
+    asker.OnUpstreams({{{"i9", EntryText("ready"), 39}}, 40});
+    asker.OnCopy(view.CopyFor(asker.Revisions()), clock.Now());
+    CPPUNIT_ASSERT(asker.Directory().Find("i9") == nullptr);
+    CPPUNIT_ASSERT(asker.Directory().Find("i1") != nullptr);
+  }
+
+  // tavua-orders-grown, trouble-1: a daemon whose store was back kept an entry
+  // that had lapsed, as "ready", in the list that it told the others; to those
+  // it came back from the dead, and one sent to it while it drained.
+  void Copy_FromAnOutage_TellsTheListAsItIs() {
+    view.OnUpstreams(
+        {{{"i1", EntryText("ready"), 5}, {"i2", EntryText("ready"), 6}}, 50});
+    view.OnStoreReached(false);
+    view.OnStoreReached(true);
+    view.OnUpstreams({{{"i2", EntryText("ready"), 6}}, 60});
+    CPPUNIT_ASSERT(view.Directory().Find("i1") != nullptr);
+    ClusterView newcomer{*decoder, *this, clock};
+    newcomer.OnCopy(view.CopyFor({}), clock.Now());
+    CPPUNIT_ASSERT(newcomer.Directory().Find("i1") == nullptr);
+    CPPUNIT_ASSERT(newcomer.Directory().Find("i2") != nullptr);
+  }
+
+  // Those who have it keep it as long as the teller does, and see by
+  // themselves when its grace has ended.
+  void Copy_OfALapsedEntry_HasTheTellersGrace() {
+    view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
+    ClusterView asker{*decoder, *this, clock};
+    asker.OnCopy(view.CopyFor({}), clock.Now());
+    view.OnStoreReached(false);
+    view.OnStoreReached(true);
+    view.OnUpstreamEvents({{{{"i1", "", 60}, true}}, 60});
+    clock.Advance(1s);
+    asker.OnCopy(view.CopyFor(asker.Revisions()), clock.Now());
+    CPPUNIT_ASSERT(asker.Directory().Find("i1") != nullptr);
+    clock.Advance(1300ms);
+    asker.Tick();
+    CPPUNIT_ASSERT(asker.Directory().Find("i1") == nullptr);
+  }
+
+  void Copy_ThatMissedAChange_IsAskedForWhole() {
+    view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
+    // By way of another teller: one entry too many here.
+    ClusterView asker{*decoder, *this, clock};
+    asker.OnUpstreams(
+        {{{"i1", EntryText("ready"), 5}, {"i2", EntryText("ready"), 7}}, 55});
+    view.OnUpstreamEvents({{{{"i3", EntryText("ready"), 58}, false}}, 60});
+    asker.OnCopy(view.CopyFor(asker.Revisions()), clock.Now());
+    CPPUNIT_ASSERT(asker.Directory().Find("i2") != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, asker.Revisions().upstreams);
+    asker.OnCopy(view.CopyFor(asker.Revisions()), clock.Now());
+    CPPUNIT_ASSERT(asker.Directory().Find("i2") == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{60}, asker.Revisions().upstreams);
+  }
+
+  void Copy_OfDaemons_TellsRemovals() {
+    view.OnDaemons({{{"members/a", "{}", 5}, {"members/b", "{}", 6}}, 50});
+    ClusterView asker{*decoder, *this, clock};
+    asker.OnCopy(view.CopyFor({}), clock.Now());
+    view.OnDaemonEvents({{{{"members/a", "", 60}, true}}, 60});
+    asker.OnCopy(view.CopyFor(asker.Revisions()), clock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, asker.Daemons().Items().size());
+    CPPUNIT_ASSERT_EQUAL(std::string(), asker.Daemons().ValueOf("members/a"));
   }
 
   // tavua-orders-grown, trouble-1 seed 649340125919: a daemon whose teller had
@@ -165,7 +271,7 @@
   void Daemons_OlderList_IsPassedOver() {
     view.OnDaemons({{{"members/a", "{}", 5}}, 50});
     ClusterCopy copy;
-    copy.daemons = StoreRange{{}, 40};
+    copy.daemons.emplace().at = 40;
     view.OnCopy(copy, clock.Now());
     CPPUNIT_ASSERT_EQUAL(std::string("{}"),
                          view.Daemons().ValueOf("members/a"));
@@ -207,6 +313,46 @@
     CPPUNIT_ASSERT(view.Directory().Find("i1") == nullptr);
   }
 
+  // tavua-orders-grown, trouble-3: a cut had ended, and a peer told of the
+  // lapsed entries before the store answered here; the daemon was without its
+  // own domain for two seconds.
+  void Upstream_MissingFromAPeerInAnOutage_HasAGrace() {
+    view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
+    view.OnStoreReached(false);
+    clock.Advance(5s);
+    ClusterCopy copy;
+    copy.upstreams.emplace().at = 60;
+    view.OnCopy(copy, clock.Now());
+    CPPUNIT_ASSERT(view.Directory().Find("i1") != nullptr);
+    clock.Advance(400ms);
+    view.OnStoreReached(true);
+    view.OnUpstreams({{}, 70});
+    clock.Advance(1700ms);
+    view.Tick();
+    CPPUNIT_ASSERT(view.Directory().Find("i1") != nullptr);
+    clock.Advance(200ms);
+    view.Tick();
+    CPPUNIT_ASSERT(view.Directory().Find("i1") == nullptr);
+  }
+
+  // darovna-ops-grown, scale-2 (a trial): a teller that had lost the store
+  // heard from others that an upstream was leaving; with a grace for what may
+  // have lapsed its domain sent there 3.2 s later.
+  void Upstream_ThatLeavesInAnOutage_IsGoneAtOnce() {
+    view.OnUpstreams({{{"i1", EntryText("ready"), 5},
+                       {"i2", EntryText("ready"), 6},
+                       {"i3", EntryText("ready"), 7}},
+                      50});
+    view.OnStoreReached(false);
+    ClusterCopy copy;
+    copy.upstreams.emplace().at = 60;
+    copy.upstreams->isWhole = false;
+    copy.upstreams->removed = {"i2"};
+    view.OnCopy(copy, clock.Now());
+    CPPUNIT_ASSERT(view.Directory().Find("i2") == nullptr);
+    CPPUNIT_ASSERT(view.Directory().Find("i1") != nullptr);
+  }
+
   // darovna-ops-grown, hunt a779173e: a chain named one address twice, once
   // as the incarnation before a cut and once as the one after.
   void Upstream_ThatComesBack_IsTheSame() {
--- /dev/null
+++ b/UnitTests/LostDomainsTest.cpp
@@ -0,0 +1,110 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "UnitTests/ScriptedControl.h"
+#include "Zincstep/Relay/LostDomains.h"
+
+namespace zincstep {
+namespace {
+
+class LostDomainsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LostDomainsTest);
+  CPPUNIT_TEST(Tick_CutDomainAnswers_TakesItsSuspicionsBack);
+  CPPUNIT_TEST(Tick_CutDomainIsSilent_IsAskedNowAndThen);
+  CPPUNIT_TEST(Tick_FewSuspects_AsksNobody);
+  CPPUNIT_TEST(Tick_PlainServices_AsksNobody);
+  CPPUNIT_TEST_SUITE_END();
+
+  FakeClock clock;
+  Random random{1};
+  ScriptedControl control;
+  MemberProbe probe{MemberProbeSettings{}, control, clock, [](Evidence) {}};
+  LostDomains lost{probe, clock, random};
+  UpstreamDirectory directory;
+
+  void Add(const std::string& aDomain, int aCount, const std::string& aKind) {
+    for (int i = 0; i < aCount; ++i) {
+      UpstreamEntry entry;
+      entry.id = aDomain + std::to_string(i);
+      entry.service = "s";
+      entry.failureDomain = aDomain;
+      entry.kind = aKind;
+      directory.Put(entry, clock.Now());
+    }
+  }
+
+  void Suspect(const std::string& aDomain, int aCount) {
+    for (int i = 0; i < aCount; ++i) {
+      directory.Find(aDomain + std::to_string(i))->Suspect(clock.Now());
+    }
+  }
+
+  std::size_t Suspects() {
+    std::size_t count = 0;
+    for (const auto& [id, upstream] : directory.All()) {
+      count += upstream->IsSuspect(clock.Now()) ? 1 : 0;
+    }
+    return count;
+  }
+
+  void Tick(Micros aAfter) {
+    clock.Advance(aAfter);
+    lost.Tick(directory);
+  }
+
+ public:
+  void setUp() override { clock.Advance(60s); }
+
+  // tavua-orders-grown, trouble-3: a domain's daemons had no chain for three
+  // seconds after its cut had ended, as all others were under suspicion.
+  void Tick_CutDomainAnswers_TakesItsSuspicionsBack() {
+    Add("a", 10, "t4");
+    Add("b", 10, "t4");
+    Suspect("a", 6);
+    Suspect("b", 1);
+    Tick(100ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, control.asked.size());
+    clock.Advance(2ms);
+    control.Answer(1);
+    Tick(250ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Suspects());
+    CPPUNIT_ASSERT(directory.Find("b0")->IsSuspect(clock.Now()));
+    // All that were taken back are asked, as some may be dead.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, control.asked.size());
+    clock.Advance(25ms);
+    control.StaySilent();
+    for (int i = 0; i < 4; ++i) {
+      control.Answer(1);
+    }
+    control.StaySilent();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Suspects());
+  }
+
+  void Tick_CutDomainIsSilent_IsAskedNowAndThen() {
+    Add("a", 10, "t4");
+    Suspect("a", 10);
+    for (int i = 0; i < 4; ++i) {
+      Tick(250ms);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, control.asked.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, Suspects());
+  }
+
+  void Tick_FewSuspects_AsksNobody() {
+    Add("a", 20, "t4");
+    Suspect("a", 4);
+    Tick(100ms);
+    CPPUNIT_ASSERT(control.asked.empty());
+  }
+
+  void Tick_PlainServices_AsksNobody() {
+    Add("a", 8, "");
+    Suspect("a", 8);
+    Tick(100ms);
+    CPPUNIT_ASSERT(control.asked.empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LostDomainsTest);
+
+}  // namespace
+}  // namespace zincstep
--- a/UnitTests/MemberProbeTest.cpp
+++ b/UnitTests/MemberProbeTest.cpp
@@ -1,45 +1,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <deque>
-
+#include "UnitTests/ScriptedControl.h"
 #include "Zincstep/Relay/MemberProbe.h"
 
 namespace zincstep {
 namespace {
 
-/// Upstreams whose reports a test answers.
-class ScriptedControl final : public UpstreamControl {
- public:
-  void Report(const UpstreamEntry& aUpstream, Micros,
-              Done<UpstreamReport> aDone) override {
-    this->asked.push_back(aUpstream.id);
-    this->open.push_back(std::move(aDone));
-  }
-  void Place(const UpstreamEntry&, LayerRange, std::uint64_t, GiveUp,
-             Done<OrderOutcome>) override {}
-  void Repath(const std::string&, const PoolChain&,
-              Done<OrderOutcome>) override {}
-
-  void Answer(double aPace) {
-    UpstreamReport report;
-    report.pace = aPace;
-    this->Finish(report);
-  }
-  void StaySilent() { this->Finish(Fail(ErrorKind::AnswerIncomplete, "")); }
-
-  std::vector<std::string> asked;
-
- private:
-  void Finish(Result<UpstreamReport> aReport) {
-    CPPUNIT_ASSERT(!this->open.empty());
-    const auto done = std::move(this->open.front());
-    this->open.pop_front();
-    done(std::move(aReport));
-  }
-
-  std::deque<Done<UpstreamReport>> open;
-};
-
 class MemberProbeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(MemberProbeTest);
   CPPUNIT_TEST(Ask_NoAnswerTwice_Suspects);
@@ -52,19 +18,23 @@
   CPPUNIT_TEST(Pace_OutOfDate_IsOne);
   CPPUNIT_TEST(Ask_TimeoutNoticedLate_ProvesNothing);
   CPPUNIT_TEST(Verify_UpstreamThatAnswers_IsNotSuspected);
+  CPPUNIT_TEST(Verify_UpstreamThatIsSilent_WasTold);
+  CPPUNIT_TEST(Verify_PlainService_IsNotAsked);
   CPPUNIT_TEST_SUITE_END();
 
   FakeClock clock;
   ScriptedControl control;
-  int suspicions = 0;
+  std::vector<Evidence> suspicions;
   MemberProbeSettings settings;
-  MemberProbe probe{settings, control, clock,
-                    [this] { this->suspicions += 1; }};
+  MemberProbe probe{settings, control, clock, [this](Evidence aEvidence) {
+                      this->suspicions.push_back(aEvidence);
+                    }};
   UpstreamPtr upstream = Make("i1");
 
   static UpstreamPtr Make(const std::string& aId) {
     UpstreamEntry entry;
     entry.id = aId;
+    entry.kind = "h100";
     return std::make_shared<LiveUpstream>(entry);
   }
 
@@ -77,7 +47,8 @@
     CPPUNIT_ASSERT(!upstream->IsSuspect(clock.Now()));
     control.StaySilent();
     CPPUNIT_ASSERT(upstream->IsSuspect(clock.Now()));
-    CPPUNIT_ASSERT_EQUAL(1, suspicions);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, suspicions.size());
+    CPPUNIT_ASSERT(suspicions.front() == Evidence::Found);
   }
 
   void Ask_LostOnce_DoesNotSuspect() {
@@ -160,7 +131,36 @@
     control.StaySilent();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, control.asked.size());
     CPPUNIT_ASSERT(!upstream->IsSuspect(clock.Now()));
-    CPPUNIT_ASSERT_EQUAL(0, suspicions);
+    CPPUNIT_ASSERT(suspicions.empty());
+  }
+
+  // tavua-orders-grown, trouble-3: one daemon's failed call to a plain service
+  // was proved by a probe that such a service never answers, at each daemon in
+  // turn and again and again; from second 29 on two thirds of its servers were
+  // out of use until all daemons were killed.
+  void Verify_PlainService_IsNotAsked() {
+    UpstreamEntry entry;
+    entry.id = "plain";
+    const auto plain = std::make_shared<LiveUpstream>(entry);
+    probe.Verify(plain);
+    CPPUNIT_ASSERT(control.asked.empty());
+    CPPUNIT_ASSERT(!plain->IsSuspect(clock.Now()));
+  }
+
+  // Sweep at 300 machines: each of a hundred daemons that proved what it had
+  // been told told all others at once.
+  void Verify_UpstreamThatIsSilent_WasTold() {
+    probe.Verify(upstream);
+    control.StaySilent();
+    control.StaySilent();
+    CPPUNIT_ASSERT(upstream->IsSuspect(clock.Now()));
+    CPPUNIT_ASSERT(suspicions.front() == Evidence::Told);
+    control.Answer(1);
+    clock.Advance(5s);
+    probe.Ask(upstream);
+    control.StaySilent();
+    control.StaySilent();
+    CPPUNIT_ASSERT(suspicions.back() == Evidence::Found);
   }
 
   // The same day: their peers believed them, and the domain's layers were
--- /dev/null
+++ b/UnitTests/PeerWorkTest.cpp
@@ -0,0 +1,69 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Zincstep/Pool/Pool.h"
+
+namespace zincstep {
+namespace {
+
+UpstreamPtr MakeUpstream(const std::string& aId) {
+  UpstreamEntry entry;
+  entry.id = aId;
+  return std::make_shared<LiveUpstream>(std::move(entry));
+}
+
+class PeerWorkTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerWorkTest);
+  CPPUNIT_TEST(Tell_SeveralDaemons_AddsUp);
+  CPPUNIT_TEST(Tell_Again_ReplacesWhatWasTold);
+  CPPUNIT_TEST(Tell_NoWork_LeavesNoRest);
+  CPPUNIT_TEST(Tick_SilentDaemon_IsTakenBack);
+  CPPUNIT_TEST_SUITE_END();
+
+  FakeClock clock;
+  PeerWork work;
+  UpstreamPtr one = MakeUpstream("one");
+  UpstreamPtr two = MakeUpstream("two");
+
+ public:
+  void Tell_SeveralDaemons_AddsUp() {
+    one->own = 3;
+    work.Tell("a", {{one, 10}, {two, 5}}, clock.Now());
+    work.Tell("b", {{one, 20}}, clock.Now());
+    CPPUNIT_ASSERT_EQUAL(33.0, one->Work());
+    CPPUNIT_ASSERT_EQUAL(5.0, two->Work());
+  }
+
+  void Tell_Again_ReplacesWhatWasTold() {
+    work.Tell("a", {{one, 10}}, clock.Now());
+    work.Tell("b", {{one, 20}}, clock.Now());
+    work.Tell("a", {{two, 7}}, clock.Now());
+    CPPUNIT_ASSERT_EQUAL(20.0, one->Work());
+    CPPUNIT_ASSERT_EQUAL(7.0, two->Work());
+  }
+
+  void Tell_NoWork_LeavesNoRest() {
+    for (int i = 0; i < 1000; ++i) {
+      work.Tell("a", {{one, 0.1 * i}}, clock.Now());
+      work.Tell("b", {{one, 1e7 / (i + 1)}}, clock.Now());
+    }
+    work.Tell("a", {}, clock.Now());
+    work.Tell("b", {}, clock.Now());
+    CPPUNIT_ASSERT_EQUAL(0.0, one->Work());
+  }
+
+  void Tick_SilentDaemon_IsTakenBack() {
+    work.Tell("a", {{one, 10}}, clock.Now());
+    clock.Advance(1s);
+    work.Tell("b", {{one, 20}}, clock.Now());
+    work.Tick(clock.Now(), 1500ms);
+    CPPUNIT_ASSERT_EQUAL(30.0, one->Work());
+    clock.Advance(600ms);
+    work.Tick(clock.Now(), 1500ms);
+    CPPUNIT_ASSERT_EQUAL(20.0, one->Work());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerWorkTest);
+
+}  // namespace
+}  // namespace zincstep
--- a/UnitTests/RelayTest.cpp
+++ b/UnitTests/RelayTest.cpp
@@ -93,7 +93,7 @@
   RelaySettings settings;
   Random random{3};
   Metrics metrics;
-  MemberProbe probe{MemberProbeSettings{}, *control, clock, [] {}};
+  MemberProbe probe{MemberProbeSettings{}, *control, clock, [](Evidence) {}};
   ChainChooser chains{ChainChooserSettings{}};
   ServiceChooser services{ServiceChooserSettings{}};
   std::map<std::string, RetryBudget> budgets;
--- /dev/null
+++ b/UnitTests/ScriptedControl.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "Zincstep/Pool/Pool.h"
+
+namespace zincstep {
+
+/// Upstreams whose reports a test answers.
+class ScriptedControl final : public UpstreamControl {
+ public:
+  void Report(const UpstreamEntry& aUpstream, Micros,
+              Done<UpstreamReport> aDone) override {
+    this->asked.push_back(aUpstream.id);
+    this->open.push_back(std::move(aDone));
+  }
+  void Place(const UpstreamEntry&, LayerRange, std::uint64_t, GiveUp,
+             Done<OrderOutcome>) override {}
+  void Repath(const std::string&, const PoolChain&,
+              Done<OrderOutcome>) override {}
+
+  void Answer(double aPace) {
+    UpstreamReport report;
+    report.pace = aPace;
+    this->Finish(report);
+  }
+  void StaySilent() { this->Finish(Fail(ErrorKind::AnswerIncomplete, "")); }
+
+  std::vector<std::string> asked;
+
+ private:
+  void Finish(Result<UpstreamReport> aReport) {
+    CPPUNIT_ASSERT(!this->open.empty());
+    const auto done = std::move(this->open.front());
+    this->open.pop_front();
+    done(std::move(aReport));
+  }
+
+  std::deque<Done<UpstreamReport>> open;
+};
+
+}  // namespace zincstep
--- a/Zincstep/Cluster/ClusterView.cpp
+++ b/Zincstep/Cluster/ClusterView.cpp
@@ -1,7 +1,5 @@
 #include "Zincstep/Cluster/ClusterView.h"
 
-#include <set>
-
 #include "Zincstep/Telemetry/Telemetry.h"
 
 namespace zincstep {
@@ -12,6 +10,10 @@
 /// within about two seconds of its return (letter 2); before that a missing
 /// entry says nothing.
 constexpr Micros kReturnGrace = 2200ms;
+/// Share of a failure domain's upstreams that do not all leave at once: where a
+/// peer tells that so many are missing, their entries have lapsed. Fewer may
+/// have left, and get no work from then on.
+constexpr double kLapsedShare = 0.5;
 
 }  // namespace
 
@@ -34,7 +36,6 @@
     return;
   }
   this->config = aItem;
-  this->proofBegan.reset();
   this->table = std::make_shared<const RouteTable>(std::move(*decoded));
   LogInfo("configuration_in_force",
           {{"revision", aItem.revision},
@@ -44,8 +45,8 @@
 }
 
 void ClusterView::OnProof(std::uint64_t aRevision, Instant aBegan) {
-  if (aRevision != this->config.revision || aRevision == 0) {
-    return;
+  if (aRevision > this->config.revision || aRevision == 0) {
+    return;  // That one has withdrawn what this one still grants.
   }
   if (!this->proofBegan || *this->proofBegan < aBegan) {
     this->proofBegan = aBegan;
@@ -60,17 +61,13 @@
 }
 
 void ClusterView::Put(const StoreItem& aItem) {
-  StoreItem& known = this->entries[aItem.key];
-  if (aItem.revision < known.revision) {
+  const auto known = this->entries.Items().find(aItem.key);
+  if (known != this->entries.Items().end() &&
+      aItem.revision < known->second.revision) {
     return;
   }
   this->missing.erase(aItem.key);
-  if (aItem.value.empty()) {
-    return;  // A peer knows that it stands here as it is.
-  }
-  const bool isNews = aItem.revision > known.revision;
-  known = aItem;
-  if (!isNews) {
+  if (!this->entries.Put(aItem)) {
     return;
   }
   auto decoded = this->decoder.DecodeUpstream(aItem.key, aItem.value);
@@ -95,59 +92,105 @@
   }
 }
 
-void ClusterView::Missing(const std::string& aId) {
+Instant ClusterView::GraceEnd() const {
+  return this->storeBackAt ? *this->storeBackAt + kReturnGrace
+                           : this->clock.Now();
+}
+
+void ClusterView::RemoveTold(const std::vector<std::string>& aIds,
+                             const ListCopy& aCopy) {
+  std::map<std::string, std::size_t> listed;
+  std::map<std::string, std::size_t> removed;
+  for (const auto& [id, upstream] : this->directory.All()) {
+    listed[upstream->Entry().failureDomain] += 1;
+  }
+  for (const std::string& id : aIds) {
+    if (const UpstreamPtr upstream = this->directory.Find(id)) {
+      removed[upstream->Entry().failureDomain] += 1;
+    }
+  }
   const Instant now = this->clock.Now();
-  if (this->storeBackAt && now - *this->storeBackAt < kReturnGrace) {
-    this->missing.emplace(aId, *this->storeBackAt + kReturnGrace);
+  // Where the store is away here, a peer is the first to tell of its return.
+  const Instant own =
+      this->isStoreReached ? this->GraceEnd() : now + kReturnGrace;
+  const Instant graceEnd = std::max(own, now + aCopy.grace);
+  for (const std::string& id : aIds) {
+    const UpstreamPtr upstream = this->directory.Find(id);
+    const std::string domain =
+        upstream ? upstream->Entry().failureDomain : std::string();
+    const bool isLapse = static_cast<double>(removed[domain]) >=
+                         kLapsedShare * static_cast<double>(listed[domain]);
+    this->Missing(id, aCopy.at, isLapse ? graceEnd : now);
+  }
+}
+
+void ClusterView::Missing(const std::string& aId, std::uint64_t aRevision,
+                          Instant aGraceEnd) {
+  this->entries.Remove(aId, aRevision);
+  if (aGraceEnd > this->clock.Now()) {
+    this->missing.emplace(aId, aGraceEnd);
     return;
   }
   this->Remove(aId);
 }
 
 void ClusterView::Remove(const std::string& aId) {
-  this->entries.erase(aId);
   this->missing.erase(aId);
   if (const UpstreamPtr upstream =
           this->directory.Remove(aId, this->clock.Now())) {
     LogInfo("upstream_gone", {{"upstream", aId},
                               {"address", upstream->Entry().address},
-                              {"at", this->upstreamsAt}});
+                              {"at", this->entries.At()}});
     this->listener.OnUpstream(upstream);
   }
 }
 
 void ClusterView::OnUpstreams(const StoreRange& aRange) {
-  if (aRange.at < this->upstreamsAt) {
+  if (aRange.at < this->entries.At()) {
     return;
   }
-  this->upstreamsAt = aRange.at;
-  std::set<std::string> present;
   for (const StoreItem& item : aRange.items) {
-    present.insert(item.key);
     this->Put(item);
   }
-  std::vector<std::string> absent;
-  for (const auto& [id, item] : this->entries) {
-    if (!present.contains(id) && !this->missing.contains(id)) {
-      absent.push_back(id);
-    }
+  for (const std::string& id :
+       AbsentKeys(this->entries.Items(), aRange.items)) {
+    this->Missing(id, aRange.at, this->GraceEnd());
+  }
+  this->entries.Restart(aRange.at);
+}
+
+void ClusterView::OnUpstreamCopy(const ListCopy& aCopy) {
+  if (!this->entries.IsNews(aCopy)) {
+    return;
   }
-  for (const std::string& id : absent) {
-    this->Missing(id);
+  const std::vector<std::string> removed =
+      aCopy.isWhole ? AbsentKeys(this->entries.Items(), aCopy.items)
+                    : aCopy.removed;
+  if (!removed.empty()) {
+    this->RemoveTold(removed, aCopy);
   }
+  for (const StoreItem& item : aCopy.items) {
+    this->Put(item);
+  }
+  if (aCopy.isWhole) {
+    this->entries.Restart(aCopy.at);
+  } else {
+    this->entries.Advance(aCopy.at);
+  }
+  this->entries.Verify(aCopy);
 }
 
 void ClusterView::OnUpstreamEvents(const StoreEvents& aEvents) {
   for (const StoreEvent& event : aEvents.events) {
-    const auto known = this->entries.find(event.item.key);
+    const auto known = this->entries.Items().find(event.item.key);
     if (!event.isRemoved) {
       this->Put(event.item);
-    } else if (known != this->entries.end() &&
+    } else if (known == this->entries.Items().end() ||
                known->second.revision < event.item.revision) {
-      this->Missing(event.item.key);
+      this->Missing(event.item.key, event.item.revision, this->GraceEnd());
     }
   }
-  this->upstreamsAt = std::max(this->upstreamsAt, aEvents.at);
+  this->entries.Advance(aEvents.at);
 }
 
 void ClusterView::OnCopy(const ClusterCopy& aCopy, Instant aAsked) {
@@ -157,13 +200,15 @@
   if (aCopy.proofAge) {
     this->OnProof(aCopy.configRevision, aAsked - *aCopy.proofAge);
   }
-  if (aCopy.upstreams && aCopy.upstreams->at > this->upstreamsAt) {
-    this->OnUpstreams(*aCopy.upstreams);
+  if (aCopy.upstreams) {
+    this->OnUpstreamCopy(*aCopy.upstreams);
   }
-  if (aCopy.daemons && aCopy.daemons->at > this->daemons.At()) {
-    this->OnDaemons(*aCopy.daemons);
+  if (aCopy.daemons && this->daemons.OnCopy(*aCopy.daemons)) {
+    this->listener.OnDaemonEntries();
   }
-  if (aCopy.listsAge) {
+  const bool isDoubtful =
+      this->entries.IsDoubtful() || this->daemons.List().IsDoubtful();
+  if (aCopy.listsAge && !isDoubtful) {
     this->OnListsProven(aAsked - *aCopy.listsAge);
   }
 }
@@ -194,7 +239,8 @@
 }
 
 KnownRevisions ClusterView::Revisions() const {
-  return {this->config.revision, this->upstreamsAt, this->daemons.At()};
+  return {this->config.revision, this->entries.AskSince(),
+          this->daemons.List().AskSince()};
 }
 
 void ClusterView::OnStoreReached(bool aReached) {
@@ -231,13 +277,13 @@
   if (aKnown.config < this->config.revision) {
     copy.configText = this->config.value;
   }
-  if (aKnown.upstreams < this->upstreamsAt) {
-    copy.upstreams =
-        RangeSince(this->entries, this->upstreamsAt, aKnown.upstreams);
+  if (aKnown.upstreams < this->entries.At()) {
+    copy.upstreams = this->entries.CopySince(aKnown.upstreams);
+    copy.upstreams->grace =
+        std::max(Micros{0}, this->GraceEnd() - this->clock.Now());
   }
   if (aKnown.daemons < this->daemons.At()) {
-    copy.daemons =
-        RangeSince(this->daemons.Items(), this->daemons.At(), aKnown.daemons);
+    copy.daemons = this->daemons.List().CopySince(aKnown.daemons);
   }
   return copy;
 }
--- a/Zincstep/Cluster/ClusterView.h
+++ b/Zincstep/Cluster/ClusterView.h
@@ -42,11 +42,10 @@
   std::string configText;
   /// Age of the proof that no newer configuration exists.
   std::optional<Micros> proofAge;
-  /// All upstreams' entries; none where the asker has them as they are. An
-  /// empty value stands for the one that the asker has.
-  std::optional<StoreRange> upstreams;
+  /// The upstreams' entries; none where the asker has them as they are.
+  std::optional<ListCopy> upstreams;
   /// The same for the daemons' own entries.
-  std::optional<StoreRange> daemons;
+  std::optional<ListCopy> daemons;
   /// Age of the proof that both lists were up to the store.
   std::optional<Micros> listsAge;
 };
@@ -75,7 +74,9 @@
 
   /// The store or a peer holds this configuration.
   void OnConfiguration(const StoreItem& aItem);
-  /// The configuration of `aRevision` was the newest one at `aBegan`.
+  /// The configuration of `aRevision` was the newest one at `aBegan`. That goes
+  /// on to hold for a newer one that came into force since: whatever neither of
+  /// them tells was changed after `aBegan`.
   void OnProof(std::uint64_t aRevision, Instant aBegan);
   /// All upstreams' entries as of `aRange.at`; keys are their ids.
   void OnUpstreams(const StoreRange& aRange);
@@ -111,8 +112,15 @@
   const PrefixMirror& Daemons() const { return this->daemons; }
 
  private:
+  void OnUpstreamCopy(const ListCopy& aCopy);
   void Put(const StoreItem& aItem);
-  void Missing(const std::string& aId);
+  /// Until when a missing entry says nothing; in the past where it does.
+  Instant GraceEnd() const;
+  /// The list has lost an entry; the upstream is kept until then.
+  void Missing(const std::string& aId, std::uint64_t aRevision,
+               Instant aGraceEnd);
+  /// A peer's copy lacks those.
+  void RemoveTold(const std::vector<std::string>& aIds, const ListCopy& aCopy);
   void Remove(const std::string& aId);
 
   const ClusterDecoder& decoder;
@@ -124,12 +132,12 @@
   std::uint64_t refusedRevision = 0;
   std::optional<Instant> proofBegan;
   UpstreamDirectory directory;
-  /// Entries as the store holds them, by id.
-  StoreItems entries;
-  std::uint64_t upstreamsAt = 0;
+  /// Upstreams' entries as the store holds them, by id.
+  ItemList entries;
   PrefixMirror daemons;
   std::optional<Instant> listsProvenAt;
-  /// Entries that went while the store was away: when they count as gone.
+  /// Upstreams whose entries went while the store was away: when they count as
+  /// gone. They are no more on the list, which peers are told as it is.
   std::map<std::string, Instant> missing;
   bool isStoreReached = true;
   std::optional<Instant> storeBackAt;
--- /dev/null
+++ b/Zincstep/Cluster/ItemList.cpp
@@ -0,0 +1,117 @@
+#include "Zincstep/Cluster/ItemList.h"
+
+#include <algorithm>
+
+#include "Zincstep/Telemetry/Telemetry.h"
+
+namespace zincstep {
+
+namespace {
+
+/// Removals that are remembered: a peer asks several times a second, and a
+/// third of 3,000 upstreams may go in one second with their failure domain.
+constexpr std::size_t kMostRemovals = 2048;
+
+/// An item's share of the digest; shares are added, so that their order does
+/// not matter.
+std::uint64_t DigestOf(const StoreItem& aItem) {
+  return Hash64(aItem.key, aItem.revision);
+}
+
+}  // namespace
+
+void ItemList::Forget(const StoreItem& aItem) {
+  this->digest -= DigestOf(aItem);
+  this->byRevision.erase({aItem.revision, aItem.key});
+}
+
+bool ItemList::Put(const StoreItem& aItem) {
+  const auto [place, isNew] = this->items.try_emplace(aItem.key);
+  StoreItem& known = place->second;
+  if (!isNew) {
+    if (aItem.revision <= known.revision) {
+      return false;
+    }
+    this->Forget(known);
+  }
+  known = aItem;
+  this->digest += DigestOf(known);
+  this->byRevision.emplace(known.revision, known.key);
+  return true;
+}
+
+void ItemList::Remove(const std::string& aKey, std::uint64_t aRevision) {
+  const auto found = this->items.find(aKey);
+  if (found != this->items.end()) {
+    this->Forget(found->second);
+    this->items.erase(found);
+  }
+  this->removals.emplace_back(aRevision, aKey);
+  if (this->removals.size() > kMostRemovals) {
+    this->removalsSince =
+        std::max(this->removalsSince, this->removals.front().first);
+    this->removals.pop_front();
+  }
+}
+
+void ItemList::Advance(std::uint64_t aAt) {
+  this->at = std::max(this->at, aAt);
+}
+
+void ItemList::Restart(std::uint64_t aAt) {
+  // One gap is remembered; what lies before an older one's end is given up.
+  const bool isFirst = this->at == 0;
+  this->removalsSince =
+      std::max(this->removalsSince, isFirst ? aAt : this->gapUpTo);
+  this->gapAfter = this->at;
+  this->gapUpTo = aAt;
+  this->Advance(aAt);
+  this->isDoubtful = false;
+}
+
+bool ItemList::KnowsRemovalsSince(std::uint64_t aRevision) const {
+  const bool isInGap = aRevision > this->gapAfter && aRevision < this->gapUpTo;
+  return aRevision >= this->removalsSince && !isInGap;
+}
+
+bool ItemList::IsNews(const ListCopy& aCopy) const {
+  if (this->isDoubtful) {
+    return aCopy.isWhole && aCopy.at >= this->at;
+  }
+  return aCopy.at > this->at;
+}
+
+void ItemList::Verify(const ListCopy& aCopy) {
+  if (this->digest == aCopy.digest) {
+    return;
+  }
+  LogWarning("list_differs", {{"at", this->at},
+                              {"items", this->items.size()},
+                              {"told_whole", aCopy.isWhole}});
+  this->isDoubtful = !aCopy.isWhole;
+}
+
+ListCopy ItemList::CopySince(std::uint64_t aSince) const {
+  ListCopy copy;
+  copy.at = this->at;
+  copy.digest = this->digest;
+  copy.isWhole = aSince == 0 || !this->KnowsRemovalsSince(aSince);
+  if (copy.isWhole) {
+    for (const auto& [key, item] : this->items) {
+      copy.items.push_back(item);
+    }
+    return copy;
+  }
+  for (auto changed = this->byRevision.lower_bound({aSince + 1, {}});
+       changed != this->byRevision.end(); ++changed) {
+    copy.items.push_back(this->items.at(changed->second));
+  }
+  for (const auto& [revision, key] : this->removals) {
+    if (revision > aSince && !this->items.contains(key)) {
+      copy.removed.push_back(key);
+    }
+  }
+  return copy;
+}
+
+}  // namespace zincstep
--- a/Zincstep/Cluster/PlacementKeeper.cpp
+++ b/Zincstep/Cluster/PlacementKeeper.cpp
@@ -121,7 +121,7 @@
       continue;
     }
     PlacedUpstream one{entry.id, entry.failureDomain, entry.kind, entry.layers,
-                       true,     upstream->Work(aNow)};
+                       true,     upstream->Work()};
     const auto order = this->pending.find(entry.id);
     if (order != this->pending.end()) {
       const bool isDone = order->second.layers == entry.layers;
--- a/Zincstep/Cluster/PrefixMirror.cpp
+++ b/Zincstep/Cluster/PrefixMirror.cpp
@@ -1,57 +1,70 @@
 #include "Zincstep/Cluster/PrefixMirror.h"
 
-#include <algorithm>
-
 namespace zincstep {
 
-StoreRange RangeSince(const StoreItems& aItems, std::uint64_t aAt,
-                      std::uint64_t aSince) {
-  StoreRange range{{}, aAt};
-  for (const auto& [key, item] : aItems) {
-    range.items.push_back(item);
-    if (item.revision <= aSince) {
-      range.items.back().value.clear();
+std::vector<std::string> AbsentKeys(const StoreItems& aList,
+                                    const std::vector<StoreItem>& aPresent) {
+  std::set<std::string_view> present;
+  for (const StoreItem& item : aPresent) {
+    present.insert(item.key);
+  }
+  std::vector<std::string> absent;
+  for (const auto& [key, item] : aList) {
+    if (!present.contains(key)) {
+      absent.push_back(key);
     }
   }
-  return range;
+  return absent;
 }
 
 void PrefixMirror::OnRange(const StoreRange& aRange) {
-  if (aRange.at < this->at) {
+  if (aRange.at < this->list.At()) {
     return;
   }
-  StoreItems present;
+  for (const std::string& key : AbsentKeys(this->Items(), aRange.items)) {
+    this->list.Remove(key, aRange.at);
+  }
   for (const StoreItem& item : aRange.items) {
-    const auto known = this->items.find(item.key);
-    if (!item.value.empty()) {
-      present[item.key] = item;
-    } else if (known != this->items.end()) {
-      present[item.key] = known->second;
-    }
+    this->list.Put(item);
   }
-  this->items = std::move(present);
-  this->at = aRange.at;
+  this->list.Restart(aRange.at);
 }
 
 void PrefixMirror::OnEvents(const StoreEvents& aEvents) {
   for (const StoreEvent& event : aEvents.events) {
-    const auto known = this->items.find(event.item.key);
-    if (known != this->items.end() &&
-        known->second.revision > event.item.revision) {
-      continue;
+    const auto known = this->Items().find(event.item.key);
+    if (!event.isRemoved) {
+      this->list.Put(event.item);
+    } else if (known == this->Items().end() ||
+               known->second.revision <= event.item.revision) {
+      this->list.Remove(event.item.key, event.item.revision);
+    }
+  }
+  this->list.Advance(aEvents.at);
+}
+
+bool PrefixMirror::OnCopy(const ListCopy& aCopy) {
+  if (!this->list.IsNews(aCopy)) {
+    return false;
+  }
+  if (aCopy.isWhole) {
+    this->OnRange({aCopy.items, aCopy.at});
+  } else {
+    for (const std::string& key : aCopy.removed) {
+      this->list.Remove(key, aCopy.at);
     }
-    if (event.isRemoved) {
-      this->items.erase(event.item.key);
-    } else {
-      this->items[event.item.key] = event.item;
+    for (const StoreItem& item : aCopy.items) {
+      this->list.Put(item);
     }
+    this->list.Advance(aCopy.at);
   }
-  this->at = std::max(this->at, aEvents.at);
+  this->list.Verify(aCopy);
+  return true;
 }
 
 std::string PrefixMirror::ValueOf(const std::string& aKey) const {
-  const auto found = this->items.find(aKey);
-  return found == this->items.end() ? std::string() : found->second.value;
+  const auto found = this->Items().find(aKey);
+  return found == this->Items().end() ? std::string() : found->second.value;
 }
 
 }  // namespace zincstep
--- a/Zincstep/Cluster/PrefixMirror.h
+++ b/Zincstep/Cluster/PrefixMirror.h
@@ -1,38 +1,35 @@
 #pragma once
 
-#include <map>
 #include <string>
 
-#include "Zincstep/Cluster/AsyncStore.h"
+#include "Zincstep/Cluster/ItemList.h"
 
 namespace zincstep {
 
-/// Items by their keys without the prefix.
-using StoreItems = std::map<std::string, StoreItem>;
-
-/// All of `aItems`, which are as of revision `aAt`, for somebody who has them
-/// as of `aSince`: the value is left empty where it has not changed.
-StoreRange RangeSince(const StoreItems& aItems, std::uint64_t aAt,
-                      std::uint64_t aSince);
-
 /// The items under one prefix, as of one revision of the store.
 ///
 /// An older revision is passed over, whoever brings it.
 class PrefixMirror {
  public:
-  /// All items; an empty value stands for the one that is known.
+  /// All items, from the store.
   void OnRange(const StoreRange& aRange);
-  /// Changes of some.
+  /// Changes of some, from the store.
   void OnEvents(const StoreEvents& aEvents);
+  /// What a peer tells; gives whether it was news.
+  bool OnCopy(const ListCopy& aCopy);
 
-  const StoreItems& Items() const { return this->items; }
+  const ItemList& List() const { return this->list; }
+  const StoreItems& Items() const { return this->list.Items(); }
   /// The value of a key; empty where it is not there.
   std::string ValueOf(const std::string& aKey) const;
-  std::uint64_t At() const { return this->at; }
+  std::uint64_t At() const { return this->list.At(); }
 
  private:
-  StoreItems items;
-  std::uint64_t at = 0;
+  ItemList list;
 };
 
+/// The keys of `aList` that are not in `aPresent`.
+std::vector<std::string> AbsentKeys(const StoreItems& aList,
+                                    const std::vector<StoreItem>& aPresent);
+
 }  // namespace zincstep
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -136,7 +136,7 @@
 bool StoreFollower::IsFresh() const {
   const auto proof = this->view.ProofAge();
   const auto lists = this->view.ListsAge();
-  // Right after a new configuration there is no proof of it yet.
+  // Before the first proof the lists count alone.
   return lists && *lists <= this->settings.longestReliance &&
          (!proof || *proof <= this->settings.longestReliance);
 }
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -4,6 +4,7 @@
 
 #include "Zincstep/Edge/AdminHandler.h"
 #include "Zincstep/Edge/PeerExchange.h"
+#include "Zincstep/Relay/LostDomains.h"
 
 namespace zincstep {
 
@@ -70,12 +71,13 @@
         services(ServiceChooserSettings{}),
         stop(MakeStopSettings(aSettings)),
         probe(MemberProbeSettings{}, *this->adapters.control, this->clock,
-              [this] { this->OnSuspicion(); }),
-        relay(RelayContext{aLoop, this->relaySettings, *this->adapters.dialect,
-                           this->view, *this->adapters.control, this->clock,
-                           this->random, this->metrics, this->probe,
-                           this->chains, this->services, this->budgets,
-                           this->stop, [this] { this->OnSuspicion(); }}),
+              [this](Evidence aEvidence) { this->OnSuspicion(aEvidence); }),
+        lostDomains(this->probe, this->clock, this->random),
+        relay(RelayContext{
+            aLoop, this->relaySettings, *this->adapters.dialect, this->view,
+            *this->adapters.control, this->clock, this->random, this->metrics,
+            this->probe, this->chains, this->services, this->budgets,
+            this->stop, [this] { this->OnSuspicion(Evidence::Found); }}),
         admin([this] { return this->IsReady(); },
               [this] { return this->MetricsText(); }),
         callers(aLoop, this->relay, this->clock),
@@ -121,7 +123,7 @@
   void OnConfiguration() override;
   void OnUpstream(const UpstreamPtr&) override {}
   void OnDaemonEntries() override;
-  void OnSuspicion();
+  void OnSuspicion(Evidence aEvidence);
   void WaitForSignal();
   void OnFastTick();
   void OnDutyTick();
@@ -144,6 +146,7 @@
   ServiceChooser services;
   StopPolicy stop;
   MemberProbe probe;
+  LostDomains lostDomains;
   Relay relay;
   AdminHandler admin;
   CallerListener callers;
@@ -182,8 +185,9 @@
 }
 
 void EdgeDaemon::OnDaemonEntries() {
-  this->keeper.OnHolder(this->view.Daemons().ValueOf(kDutyKey));
-  this->peers.OnDaemonEntries();
+  const std::string holder = this->view.Daemons().ValueOf(kDutyKey);
+  this->keeper.OnHolder(holder);
+  this->peers.OnDaemonEntries(holder);
 }
 
 void EdgeDaemon::OnConfiguration() {
@@ -191,9 +195,13 @@
   this->peers.OnConfiguration();
 }
 
-void EdgeDaemon::OnSuspicion() {
+void EdgeDaemon::OnSuspicion(Evidence aEvidence) {
   // Whoever has the duty is to know at once: each tenth of a second counts.
-  this->peers.GossipSoon();
+  // What another found it has told itself; a hundred daemons that tell each
+  // other so are ten thousand messages.
+  if (aEvidence == Evidence::Found) {
+    this->peers.GossipSoon();
+  }
   this->keeper.Tick();
   this->relay.TickSoon();
 }
@@ -238,6 +246,7 @@
   this->callers.Tick();
   this->admins.Tick();
   this->view.Tick();
+  this->lostDomains.Tick(this->view.Directory());
   this->keeper.Tick();
   this->peers.Tick();
   this->relaySettings.retries.most =
--- a/Zincstep/Edge/EdgePeerMessage.cpp
+++ b/Zincstep/Edge/EdgePeerMessage.cpp
@@ -20,11 +20,12 @@
   explicit BodyWriter(fb::FlatBufferBuilder& aBuilder) : builder(aBuilder) {}
 
   fb::Offset<void> operator()(const WorkGossip& aGossip) {
-    std::vector<fb::Offset<edgewire::UpstreamWork>> works;
+    std::vector<edgewire::UpstreamWork> works;
+    works.reserve(aGossip.works.size());
     for (const UpstreamWork& work : aGossip.works) {
-      works.push_back(edgewire::CreateUpstreamWorkDirect(
-          this->builder, work.id.c_str(), static_cast<float>(work.work),
-          work.isSuspect, work.isRefusing, static_cast<float>(work.pace)));
+      works.emplace_back(work.upstream, static_cast<float>(work.work),
+                         static_cast<float>(work.pace), work.isSuspect,
+                         work.isRefusing);
     }
     return edgewire::CreateWorkGossipDirect(this->builder, &works).Union();
   }
@@ -41,34 +42,36 @@
     const auto config = this->builder.CreateString(copy.configText);
     const auto upstreams = this->WriteList(copy.upstreams);
     const auto daemons = this->WriteList(copy.daemons);
-    return edgewire::CreateClusterGive(
-               this->builder, aGive.question, copy.configRevision, config,
-               AgeOrNone(copy.proofAge), RevisionOf(copy.upstreams), upstreams,
-               RevisionOf(copy.daemons), daemons, AgeOrNone(copy.listsAge))
+    return edgewire::CreateClusterGive(this->builder, aGive.question,
+                                       copy.configRevision, config,
+                                       AgeOrNone(copy.proofAge), upstreams,
+                                       daemons, AgeOrNone(copy.listsAge))
         .Union();
   }
 
  private:
-  using Entries = fb::Vector<fb::Offset<edgewire::Entry>>;
-
   static std::int64_t AgeOrNone(std::optional<Micros> aAge) {
     return aAge ? aAge->count() : kNoProof;
   }
 
-  static std::uint64_t RevisionOf(const std::optional<StoreRange>& aRange) {
-    return aRange ? aRange->at : 0;
-  }
-
-  fb::Offset<Entries> WriteList(const std::optional<StoreRange>& aRange) {
+  /// The list; a null offset where there is none.
+  fb::Offset<edgewire::EntryList> WriteList(
+      const std::optional<ListCopy>& aList) {
+    if (!aList) {
+      return 0;
+    }
     std::vector<fb::Offset<edgewire::Entry>> entries;
-    const StoreRange none;
-    for (const StoreItem& item : (aRange ? *aRange : none).items) {
+    for (const StoreItem& item : aList->items) {
       const auto id = this->builder.CreateString(item.key);
       const auto value = this->builder.CreateString(item.value);
       entries.push_back(
           edgewire::CreateEntry(this->builder, id, value, item.revision));
     }
-    return this->builder.CreateVector(entries);
+    const auto written = this->builder.CreateVector(entries);
+    const auto removed = this->builder.CreateVectorOfStrings(aList->removed);
+    return edgewire::CreateEntryList(this->builder, aList->at, aList->isWhole,
+                                     written, removed, aList->grace.count(),
+                                     aList->digest);
   }
 
   fb::FlatBufferBuilder& builder;
@@ -85,7 +88,7 @@
   WorkGossip gossip;
   if (aTable.works() != nullptr) {
     for (const edgewire::UpstreamWork* work : *aTable.works()) {
-      gossip.works.push_back({TextOf(work->id()), work->work(), work->suspect(),
+      gossip.works.push_back({work->upstream(), work->work(), work->suspect(),
                               work->refusing(), work->pace()});
     }
   }
@@ -96,20 +99,27 @@
   return aAge >= 0 ? std::optional<Micros>(aAge) : std::nullopt;
 }
 
-/// A list; none where its revision is 0.
-std::optional<StoreRange> ReadList(
-    std::uint64_t aAt, const fb::Vector<fb::Offset<edgewire::Entry>>* aList) {
-  if (aAt == 0) {
+std::optional<ListCopy> ReadList(const edgewire::EntryList* aTable) {
+  if (aTable == nullptr) {
     return std::nullopt;
   }
-  StoreRange range{{}, aAt};
-  if (aList != nullptr) {
-    for (const edgewire::Entry* entry : *aList) {
-      range.items.push_back(
+  ListCopy copy;
+  copy.at = aTable->at();
+  copy.isWhole = aTable->whole();
+  copy.grace = Micros{aTable->grace_us()};
+  copy.digest = aTable->digest();
+  if (aTable->entries() != nullptr) {
+    for (const edgewire::Entry* entry : *aTable->entries()) {
+      copy.items.push_back(
           {TextOf(entry->id()), TextOf(entry->value()), entry->revision()});
     }
   }
-  return range;
+  if (aTable->removed() != nullptr) {
+    for (const fb::String* id : *aTable->removed()) {
+      copy.removed.push_back(TextOf(id));
+    }
+  }
+  return copy;
 }
 
 ClusterGive ReadGive(const edgewire::ClusterGive& aTable) {
@@ -118,8 +128,8 @@
   give.copy.configRevision = aTable.config_revision();
   give.copy.configText = TextOf(aTable.config());
   give.copy.proofAge = ReadAge(aTable.proof_age_us());
-  give.copy.upstreams = ReadList(aTable.upstreams_at(), aTable.upstreams());
-  give.copy.daemons = ReadList(aTable.daemons_at(), aTable.daemons());
+  give.copy.upstreams = ReadList(aTable.upstreams());
+  give.copy.daemons = ReadList(aTable.daemons());
   give.copy.listsAge = ReadAge(aTable.lists_age_us());
   return give;
 }
--- a/Zincstep/Edge/EdgePeerMessage.h
+++ b/Zincstep/Edge/EdgePeerMessage.h
@@ -12,7 +12,8 @@
 
 /// Work of one daemon in flight at one upstream.
 struct UpstreamWork {
-  std::string id;
+  /// The upstream's number, as `LiveUpstream::Number`.
+  std::uint64_t upstream = 0;
   /// In tokens x layers, or in requests.
   double work = 0;
   bool isSuspect = false;
@@ -39,12 +40,14 @@
   ClusterCopy copy;
 };
 
+using EdgePeerBody = std::variant<WorkGossip, ClusterWant, ClusterGive>;
+
 /// A message with the daemon that sent it.
 struct EdgePeerMessage {
   std::string sender;
   /// host:port at which the sender listens for answers.
   std::string replyTo;
-  std::variant<WorkGossip, ClusterWant, ClusterGive> body;
+  EdgePeerBody body;
 };
 
 /// The message as a FlatBuffer.
--- a/Zincstep/Edge/Generated/EdgePeer_generated.h
+++ b/Zincstep/Edge/Generated/EdgePeer_generated.h
@@ -17,7 +17,6 @@
 namespace edgewire {
 
 struct UpstreamWork;
-struct UpstreamWorkBuilder;
 
 struct WorkGossip;
 struct WorkGossipBuilder;
@@ -28,6 +27,9 @@
 struct Entry;
 struct EntryBuilder;
 
+struct EntryList;
+struct EntryListBuilder;
+
 struct ClusterGive;
 struct ClusterGiveBuilder;
 
@@ -89,118 +91,68 @@
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<uint8_t> *types);
 
-struct UpstreamWork FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef UpstreamWorkBuilder Builder;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ID = 4,
-    VT_WORK = 6,
-    VT_SUSPECT = 8,
-    VT_REFUSING = 10,
-    VT_PACE = 12
-  };
-  const flatbuffers::String *id() const {
-    return GetPointer<const flatbuffers::String *>(VT_ID);
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamWork FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  float work_;
+  float pace_;
+  uint8_t suspect_;
+  uint8_t refusing_;
+  int16_t padding0__;  int32_t padding1__;
+
+ public:
+  UpstreamWork()
+      : upstream_(0),
+        work_(0),
+        pace_(0),
+        suspect_(0),
+        refusing_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  UpstreamWork(uint64_t _upstream, float _work, float _pace, bool _suspect, bool _refusing)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        work_(flatbuffers::EndianScalar(_work)),
+        pace_(flatbuffers::EndianScalar(_pace)),
+        suspect_(flatbuffers::EndianScalar(static_cast<uint8_t>(_suspect))),
+        refusing_(flatbuffers::EndianScalar(static_cast<uint8_t>(_refusing))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
   }
   float work() const {
-    return GetField<float>(VT_WORK, 0.0f);
-  }
-  bool suspect() const {
-    return GetField<uint8_t>(VT_SUSPECT, 0) != 0;
-  }
-  bool refusing() const {
-    return GetField<uint8_t>(VT_REFUSING, 0) != 0;
+    return flatbuffers::EndianScalar(work_);
   }
   float pace() const {
-    return GetField<float>(VT_PACE, 1.0f);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_ID) &&
-           verifier.VerifyString(id()) &&
-           VerifyField<float>(verifier, VT_WORK, 4) &&
-           VerifyField<uint8_t>(verifier, VT_SUSPECT, 1) &&
-           VerifyField<uint8_t>(verifier, VT_REFUSING, 1) &&
-           VerifyField<float>(verifier, VT_PACE, 4) &&
-           verifier.EndTable();
-  }
-};
-
-struct UpstreamWorkBuilder {
-  typedef UpstreamWork Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
-    fbb_.AddOffset(UpstreamWork::VT_ID, id);
-  }
-  void add_work(float work) {
-    fbb_.AddElement<float>(UpstreamWork::VT_WORK, work, 0.0f);
-  }
-  void add_suspect(bool suspect) {
-    fbb_.AddElement<uint8_t>(UpstreamWork::VT_SUSPECT, static_cast<uint8_t>(suspect), 0);
-  }
-  void add_refusing(bool refusing) {
-    fbb_.AddElement<uint8_t>(UpstreamWork::VT_REFUSING, static_cast<uint8_t>(refusing), 0);
+    return flatbuffers::EndianScalar(pace_);
   }
-  void add_pace(float pace) {
-    fbb_.AddElement<float>(UpstreamWork::VT_PACE, pace, 1.0f);
-  }
-  explicit UpstreamWorkBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
+  bool suspect() const {
+    return flatbuffers::EndianScalar(suspect_) != 0;
   }
-  flatbuffers::Offset<UpstreamWork> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<UpstreamWork>(end);
-    return o;
+  bool refusing() const {
+    return flatbuffers::EndianScalar(refusing_) != 0;
   }
 };
-
-inline flatbuffers::Offset<UpstreamWork> CreateUpstreamWork(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> id = 0,
-    float work = 0.0f,
-    bool suspect = false,
-    bool refusing = false,
-    float pace = 1.0f) {
-  UpstreamWorkBuilder builder_(_fbb);
-  builder_.add_pace(pace);
-  builder_.add_work(work);
-  builder_.add_id(id);
-  builder_.add_refusing(refusing);
-  builder_.add_suspect(suspect);
-  return builder_.Finish();
-}
-
-inline flatbuffers::Offset<UpstreamWork> CreateUpstreamWorkDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *id = nullptr,
-    float work = 0.0f,
-    bool suspect = false,
-    bool refusing = false,
-    float pace = 1.0f) {
-  auto id__ = id ? _fbb.CreateString(id) : 0;
-  return zincstep::edgewire::CreateUpstreamWork(
-      _fbb,
-      id__,
-      work,
-      suspect,
-      refusing,
-      pace);
-}
+FLATBUFFERS_STRUCT_END(UpstreamWork, 24);
 
 struct WorkGossip FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef WorkGossipBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_WORKS = 4
   };
-  const flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::UpstreamWork>> *works() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::UpstreamWork>> *>(VT_WORKS);
+  const flatbuffers::Vector<const zincstep::edgewire::UpstreamWork *> *works() const {
+    return GetPointer<const flatbuffers::Vector<const zincstep::edgewire::UpstreamWork *> *>(VT_WORKS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKS) &&
            verifier.VerifyVector(works()) &&
-           verifier.VerifyVectorOfTables(works()) &&
            verifier.EndTable();
   }
 };
@@ -209,7 +161,7 @@
   typedef WorkGossip Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_works(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::UpstreamWork>>> works) {
+  void add_works(flatbuffers::Offset<flatbuffers::Vector<const zincstep::edgewire::UpstreamWork *>> works) {
     fbb_.AddOffset(WorkGossip::VT_WORKS, works);
   }
   explicit WorkGossipBuilder(flatbuffers::FlatBufferBuilder &_fbb)
@@ -225,7 +177,7 @@
 
 inline flatbuffers::Offset<WorkGossip> CreateWorkGossip(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::UpstreamWork>>> works = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const zincstep::edgewire::UpstreamWork *>> works = 0) {
   WorkGossipBuilder builder_(_fbb);
   builder_.add_works(works);
   return builder_.Finish();
@@ -233,8 +185,8 @@
 
 inline flatbuffers::Offset<WorkGossip> CreateWorkGossipDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<zincstep::edgewire::UpstreamWork>> *works = nullptr) {
-  auto works__ = works ? _fbb.CreateVector<flatbuffers::Offset<zincstep::edgewire::UpstreamWork>>(*works) : 0;
+    const std::vector<zincstep::edgewire::UpstreamWork> *works = nullptr) {
+  auto works__ = works ? _fbb.CreateVectorOfStructs<zincstep::edgewire::UpstreamWork>(*works) : 0;
   return zincstep::edgewire::CreateWorkGossip(
       _fbb,
       works__);
@@ -388,6 +340,121 @@
       revision);
 }
 
+struct EntryList FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EntryListBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_AT = 4,
+    VT_WHOLE = 6,
+    VT_ENTRIES = 8,
+    VT_REMOVED = 10,
+    VT_GRACE_US = 12,
+    VT_DIGEST = 14
+  };
+  uint64_t at() const {
+    return GetField<uint64_t>(VT_AT, 0);
+  }
+  bool whole() const {
+    return GetField<uint8_t>(VT_WHOLE, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>> *>(VT_ENTRIES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *removed() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_REMOVED);
+  }
+  int64_t grace_us() const {
+    return GetField<int64_t>(VT_GRACE_US, 0);
+  }
+  uint64_t digest() const {
+    return GetField<uint64_t>(VT_DIGEST, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_AT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
+           VerifyOffset(verifier, VT_REMOVED) &&
+           verifier.VerifyVector(removed()) &&
+           verifier.VerifyVectorOfStrings(removed()) &&
+           VerifyField<int64_t>(verifier, VT_GRACE_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct EntryListBuilder {
+  typedef EntryList Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_at(uint64_t at) {
+    fbb_.AddElement<uint64_t>(EntryList::VT_AT, at, 0);
+  }
+  void add_whole(bool whole) {
+    fbb_.AddElement<uint8_t>(EntryList::VT_WHOLE, static_cast<uint8_t>(whole), 0);
+  }
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>>> entries) {
+    fbb_.AddOffset(EntryList::VT_ENTRIES, entries);
+  }
+  void add_removed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed) {
+    fbb_.AddOffset(EntryList::VT_REMOVED, removed);
+  }
+  void add_grace_us(int64_t grace_us) {
+    fbb_.AddElement<int64_t>(EntryList::VT_GRACE_US, grace_us, 0);
+  }
+  void add_digest(uint64_t digest) {
+    fbb_.AddElement<uint64_t>(EntryList::VT_DIGEST, digest, 0);
+  }
+  explicit EntryListBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EntryList> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EntryList>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EntryList> CreateEntryList(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t at = 0,
+    bool whole = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>>> entries = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed = 0,
+    int64_t grace_us = 0,
+    uint64_t digest = 0) {
+  EntryListBuilder builder_(_fbb);
+  builder_.add_digest(digest);
+  builder_.add_grace_us(grace_us);
+  builder_.add_at(at);
+  builder_.add_removed(removed);
+  builder_.add_entries(entries);
+  builder_.add_whole(whole);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<EntryList> CreateEntryListDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t at = 0,
+    bool whole = false,
+    const std::vector<flatbuffers::Offset<zincstep::edgewire::Entry>> *entries = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed = nullptr,
+    int64_t grace_us = 0,
+    uint64_t digest = 0) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<zincstep::edgewire::Entry>>(*entries) : 0;
+  auto removed__ = removed ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed) : 0;
+  return zincstep::edgewire::CreateEntryList(
+      _fbb,
+      at,
+      whole,
+      entries__,
+      removed__,
+      grace_us,
+      digest);
+}
+
 struct ClusterGive FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ClusterGiveBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -395,11 +462,9 @@
     VT_CONFIG_REVISION = 6,
     VT_CONFIG = 8,
     VT_PROOF_AGE_US = 10,
-    VT_UPSTREAMS_AT = 12,
-    VT_UPSTREAMS = 14,
-    VT_DAEMONS_AT = 16,
-    VT_DAEMONS = 18,
-    VT_LISTS_AGE_US = 20
+    VT_UPSTREAMS = 12,
+    VT_DAEMONS = 14,
+    VT_LISTS_AGE_US = 16
   };
   uint64_t question() const {
     return GetField<uint64_t>(VT_QUESTION, 0);
@@ -413,17 +478,11 @@
   int64_t proof_age_us() const {
     return GetField<int64_t>(VT_PROOF_AGE_US, -1LL);
   }
-  uint64_t upstreams_at() const {
-    return GetField<uint64_t>(VT_UPSTREAMS_AT, 0);
-  }
-  const flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>> *upstreams() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>> *>(VT_UPSTREAMS);
-  }
-  uint64_t daemons_at() const {
-    return GetField<uint64_t>(VT_DAEMONS_AT, 0);
+  const zincstep::edgewire::EntryList *upstreams() const {
+    return GetPointer<const zincstep::edgewire::EntryList *>(VT_UPSTREAMS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>> *daemons() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>> *>(VT_DAEMONS);
+  const zincstep::edgewire::EntryList *daemons() const {
+    return GetPointer<const zincstep::edgewire::EntryList *>(VT_DAEMONS);
   }
   int64_t lists_age_us() const {
     return GetField<int64_t>(VT_LISTS_AGE_US, -1LL);
@@ -435,14 +494,10 @@
            VerifyOffset(verifier, VT_CONFIG) &&
            verifier.VerifyString(config()) &&
            VerifyField<int64_t>(verifier, VT_PROOF_AGE_US, 8) &&
-           VerifyField<uint64_t>(verifier, VT_UPSTREAMS_AT, 8) &&
            VerifyOffset(verifier, VT_UPSTREAMS) &&
-           verifier.VerifyVector(upstreams()) &&
-           verifier.VerifyVectorOfTables(upstreams()) &&
-           VerifyField<uint64_t>(verifier, VT_DAEMONS_AT, 8) &&
+           verifier.VerifyTable(upstreams()) &&
            VerifyOffset(verifier, VT_DAEMONS) &&
-           verifier.VerifyVector(daemons()) &&
-           verifier.VerifyVectorOfTables(daemons()) &&
+           verifier.VerifyTable(daemons()) &&
            VerifyField<int64_t>(verifier, VT_LISTS_AGE_US, 8) &&
            verifier.EndTable();
   }
@@ -464,16 +519,10 @@
   void add_proof_age_us(int64_t proof_age_us) {
     fbb_.AddElement<int64_t>(ClusterGive::VT_PROOF_AGE_US, proof_age_us, -1LL);
   }
-  void add_upstreams_at(uint64_t upstreams_at) {
-    fbb_.AddElement<uint64_t>(ClusterGive::VT_UPSTREAMS_AT, upstreams_at, 0);
-  }
-  void add_upstreams(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>>> upstreams) {
+  void add_upstreams(flatbuffers::Offset<zincstep::edgewire::EntryList> upstreams) {
     fbb_.AddOffset(ClusterGive::VT_UPSTREAMS, upstreams);
   }
-  void add_daemons_at(uint64_t daemons_at) {
-    fbb_.AddElement<uint64_t>(ClusterGive::VT_DAEMONS_AT, daemons_at, 0);
-  }
-  void add_daemons(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>>> daemons) {
+  void add_daemons(flatbuffers::Offset<zincstep::edgewire::EntryList> daemons) {
     fbb_.AddOffset(ClusterGive::VT_DAEMONS, daemons);
   }
   void add_lists_age_us(int64_t lists_age_us) {
@@ -496,15 +545,11 @@
     uint64_t config_revision = 0,
     flatbuffers::Offset<flatbuffers::String> config = 0,
     int64_t proof_age_us = -1LL,
-    uint64_t upstreams_at = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>>> upstreams = 0,
-    uint64_t daemons_at = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Entry>>> daemons = 0,
+    flatbuffers::Offset<zincstep::edgewire::EntryList> upstreams = 0,
+    flatbuffers::Offset<zincstep::edgewire::EntryList> daemons = 0,
     int64_t lists_age_us = -1LL) {
   ClusterGiveBuilder builder_(_fbb);
   builder_.add_lists_age_us(lists_age_us);
-  builder_.add_daemons_at(daemons_at);
-  builder_.add_upstreams_at(upstreams_at);
   builder_.add_proof_age_us(proof_age_us);
   builder_.add_config_revision(config_revision);
   builder_.add_question(question);
@@ -520,24 +565,18 @@
     uint64_t config_revision = 0,
     const char *config = nullptr,
     int64_t proof_age_us = -1LL,
-    uint64_t upstreams_at = 0,
-    const std::vector<flatbuffers::Offset<zincstep::edgewire::Entry>> *upstreams = nullptr,
-    uint64_t daemons_at = 0,
-    const std::vector<flatbuffers::Offset<zincstep::edgewire::Entry>> *daemons = nullptr,
+    flatbuffers::Offset<zincstep::edgewire::EntryList> upstreams = 0,
+    flatbuffers::Offset<zincstep::edgewire::EntryList> daemons = 0,
     int64_t lists_age_us = -1LL) {
   auto config__ = config ? _fbb.CreateString(config) : 0;
-  auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<zincstep::edgewire::Entry>>(*upstreams) : 0;
-  auto daemons__ = daemons ? _fbb.CreateVector<flatbuffers::Offset<zincstep::edgewire::Entry>>(*daemons) : 0;
   return zincstep::edgewire::CreateClusterGive(
       _fbb,
       question,
       config_revision,
       config__,
       proof_age_us,
-      upstreams_at,
-      upstreams__,
-      daemons_at,
-      daemons__,
+      upstreams,
+      daemons,
       lists_age_us);
 }
 
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -19,6 +19,12 @@
 /// Work in flight lasts some seconds; told twice a second it is known to a
 /// fraction of that.
 constexpr Micros kGossipPause = 400ms;
+/// Messages of work that a daemon takes a second at most: each costs some 30 us
+/// with its way in, so this is 0.3% of a core. Where more daemons share a
+/// failure domain they tell their work less often, and each has a smaller part.
+constexpr double kWorkMessages = 100;
+/// Pauses after which a daemon that has told nothing has ended or is cut off.
+constexpr int kMissedTellings = 4;
 /// Peers are asked once the own proof is older than this: two proofs that
 /// should have come have not.
 constexpr Micros kOwnProofAge = 1300ms;
@@ -29,6 +35,18 @@
 /// is closer than a peer of another failure domain, unless that takes longer
 /// than this.
 constexpr Micros kStorePatience = 400ms;
+/// Time for the answer that tells of all upstreams; nobody else is asked for
+/// them until then. A hundred entries take some milliseconds; who has too many
+/// askers says so at once.
+constexpr Micros kAllPatience = 200ms;
+/// For so long a daemon that starts asks those of its own failure domain alone.
+constexpr Micros kNearPatience = 200ms;
+/// What is told of whole lists, a second: less than half of the smallest VM's
+/// link (20 Mbit/s, the site files), the rest of which requests need.
+constexpr double kListBytesPerSecond = 1e6;
+/// The same at once: the lists of a hundred upstreams for thirty daemons that
+/// start together, or those of 3,000 for one.
+constexpr double kListBytesAtOnce = 1e6;
 /// Stands for any revision: it is not to be told.
 constexpr std::uint64_t kNotWanted = std::numeric_limits<std::uint64_t>::max();
 /// Peers that are asked at once.
@@ -41,15 +59,20 @@
 /// under the age at which it is not relied on any more.
 constexpr Micros kReliancePause = 250ms;
 /// So many questions in a row without an answer: it has ended or is cut off,
-/// and the next member by name is asked.
-constexpr int kMostUnanswered = 4;
-/// After this it is asked again.
-constexpr Micros kSilentTime = 4s;
+/// and the next member by name is asked. An answer with old lists counts as one
+/// more, so that the next has read the store before anybody's lists are too
+/// old.
+constexpr int kMostUnanswered = 3;
+/// Between questions to one that was passed over.
+constexpr Micros kPassedOverPause = 2s;
 /// Lists that are older when they are told come from a peer that does not
 /// reach the store itself.
 constexpr Micros kFreshLists = 1100ms;
-/// Number of no question: what comes with it was not asked for.
+/// Number of no question: what comes with it is a hint of a newer
+/// configuration, without its text.
 constexpr std::uint64_t kUnasked = 0;
+/// Between hints that are followed up: several may come of one configuration.
+constexpr Micros kHintPause = 100ms;
 /// Longest pause before a peer is connected to again: half the age at which
 /// a proof that comes through it would be missed.
 constexpr Micros kLongestReconnect = 800ms;
@@ -117,25 +140,27 @@
   if (const auto* gossip = std::get_if<WorkGossip>(&aMessage.body)) {
     this->OnGossip(aMessage.sender, *gossip);
   } else if (const auto* want = std::get_if<ClusterWant>(&aMessage.body)) {
-    this->Send(aMessage.replyTo,
-               ClusterGive{want->question, this->view.CopyFor(want->known)});
+    this->OnWant(aMessage.replyTo, *want);
   } else if (const auto* give = std::get_if<ClusterGive>(&aMessage.body)) {
-    this->OnGive(*give);
+    give->question == kUnasked ? this->OnHint(aMessage.replyTo, give->copy)
+                               : this->OnGive(*give);
   }
 }
 
 void PeerExchange::OnGossip(const std::string& aSender,
                             const WorkGossip& aGossip) {
   const Instant now = this->clock.Now();
-  for (const auto& [id, upstream] : this->view.Directory().All()) {
-    upstream->SetOthers(aSender, 0, now);
-  }
+  std::vector<PeerShare> shares;
+  shares.reserve(aGossip.works.size());
   for (const UpstreamWork& work : aGossip.works) {
-    const UpstreamPtr upstream = this->view.Directory().Find(work.id);
+    const UpstreamPtr upstream =
+        this->view.Directory().FindNumber(work.upstream);
     if (!upstream) {
       continue;
     }
-    upstream->SetOthers(aSender, work.work, now);
+    if (work.work > 0) {
+      shares.push_back({upstream, work.work});
+    }
     if (work.isRefusing) {
       upstream->OnRefusal(now);
     }
@@ -146,6 +171,36 @@
       this->onSuspicion(upstream);
     }
   }
+  this->work.Tell(aSender, std::move(shares), now);
+}
+
+void PeerExchange::OnWant(const std::string& aAddress,
+                          const ClusterWant& aWant) {
+  ClusterCopy copy = this->view.CopyFor(aWant.known);
+  const Instant now = this->clock.Now();
+  this->listBytes = std::min(
+      kListBytesAtOnce, this->listBytes + ToSeconds(now - this->listBytesAt) *
+                                              kListBytesPerSecond);
+  this->listBytesAt = now;
+  const bool isPaused = this->listBytes <= 0;
+  bool tellsWhole = false;
+  for (std::optional<ListCopy>* list : {&copy.upstreams, &copy.daemons}) {
+    if (!*list || !(*list)->isWhole) {
+      continue;
+    }
+    if (isPaused) {
+      // The asker has others to ask, and the store.
+      list->reset();
+      copy.listsAge.reset();
+    } else {
+      tellsWhole = true;
+    }
+  }
+  const std::string message = this->Write(ClusterGive{aWant.question, copy});
+  if (tellsWhole) {
+    this->listBytes -= static_cast<double>(message.size());
+  }
+  this->hub->Send(aAddress, message);
 }
 
 void PeerExchange::GossipSoon() {
@@ -161,14 +216,6 @@
 }
 
 void PeerExchange::OnGive(const ClusterGive& aGive) {
-  if (aGive.question == kUnasked) {
-    // How long this was under way is not known: it proves nothing.
-    ClusterCopy copy = aGive.copy;
-    copy.proofAge.reset();
-    copy.listsAge.reset();
-    this->view.OnCopy(copy, this->clock.Now());
-    return;
-  }
   const auto asked = this->questions.find(aGive.question);
   if (asked == this->questions.end()) {
     return;
@@ -176,7 +223,25 @@
   const Question question = asked->second;
   this->questions.erase(asked);
   this->NoteAnswer(question, aGive.copy);
-  this->view.OnCopy(aGive.copy, question.askedAt);
+  ClusterCopy copy = aGive.copy;
+  if (!question.wantsUpstreams) {
+    copy.listsAge.reset();
+  }
+  const bool knewNobody = this->members.empty();
+  this->view.OnCopy(copy, question.askedAt);
+  if (knewNobody && !this->members.empty() && this->IsNew()) {
+    this->AskPeers(this->clock.Now());
+  }
+}
+
+void PeerExchange::OnHint(const std::string& aAddress,
+                          const ClusterCopy& aCopy) {
+  const Instant now = this->clock.Now();
+  const bool isNews = aCopy.configRevision > this->view.ConfigRevision();
+  if (isNews && now >= this->nextHintTaken) {
+    this->nextHintTaken = now + kHintPause;
+    this->Ask(aAddress, now, Wanted::Configuration);
+  }
 }
 
 void PeerExchange::NoteAnswer(const Question& aQuestion,
@@ -186,6 +251,7 @@
     return;
   }
   member->unanswered = 0;
+  member->isPassedOver = false;
   if (aCopy.listsAge && *aCopy.listsAge <= kFreshLists) {
     member->toldFreshAt = this->clock.Now();
   }
@@ -200,7 +266,8 @@
   return nullptr;
 }
 
-void PeerExchange::OnDaemonEntries() {
+void PeerExchange::OnDaemonEntries(const std::string& aDutyHolder) {
+  this->dutyHolder = aDutyHolder;
   std::map<std::string, Member> known;
   known.swap(this->members);
   for (const auto& [key, item] : this->view.Daemons().Items()) {
@@ -226,13 +293,14 @@
 
 void PeerExchange::Tick() {
   const Instant now = this->clock.Now();
+  this->work.Tick(now, kMissedTellings * this->GossipPause());
   this->KeepEntry(now);
   if (now >= this->nextGossip) {
-    this->nextGossip = now + kGossipPause;
+    this->nextGossip = now + this->GossipPause();
     this->Gossip();
   }
   if (now >= this->nextReliance) {
-    this->AskFirst(now);
+    this->AskTeller(now);
   }
   const auto isOld = [](std::optional<Micros> aAge) {
     return !aAge || *aAge > kOwnProofAge;
@@ -305,15 +373,27 @@
   });
 }
 
+Micros PeerExchange::GossipPause() const {
+  const auto tellers = std::count_if(
+      this->members.begin(), this->members.end(), [this](const auto& aMember) {
+        return aMember.second.failureDomain == this->settings.failureDomain;
+      });
+  return std::max(kGossipPause,
+                  FromSeconds(static_cast<double>(tellers) / kWorkMessages));
+}
+
 void PeerExchange::Gossip() {
   const Instant now = this->clock.Now();
   WorkGossip gossip;
+  bool hasSuspects = false;
   for (const auto& [id, upstream] : this->view.Directory().All()) {
     const bool isSuspect = upstream->IsSuspect(now);
+    hasSuspects = hasSuspects || isSuspect;
     const bool isRefusing = upstream->IsRefusing(now);
     const double pace = upstream->FoundPace(now);
     if (upstream->own > 0 || isSuspect || isRefusing || pace > 1) {
-      gossip.works.push_back({id, upstream->own, isSuspect, isRefusing, pace});
+      gossip.works.push_back(
+          {upstream->Number(), upstream->own, isSuspect, isRefusing, pace});
     }
   }
   // An empty message is sent once, to take back what was told before.
@@ -321,10 +401,13 @@
     return;
   }
   this->toldWork = !gossip.works.empty();
+  const std::string message = this->Write(std::move(gossip));
   const bool tellsAll = this->members.size() <= kFewMembers;
   for (const auto& [name, member] : this->members) {
-    if (tellsAll || member.failureDomain == this->settings.failureDomain) {
-      this->Send(member.address, gossip);
+    const bool shares = member.failureDomain == this->settings.failureDomain;
+    const bool places = hasSuspects && name == this->dutyHolder;
+    if (tellsAll || shares || places) {
+      this->hub->Send(member.address, message);
     }
   }
 }
@@ -339,72 +422,125 @@
   return known;
 }
 
-const PeerExchange::Member* PeerExchange::FirstPeer() const {
-  for (const auto& [name, member] : this->members) {
-    if (name >= this->settings.name) {
-      return nullptr;
-    }
-    if (member.failureDomain == this->settings.failureDomain &&
-        this->clock.Now() >= member.silentUntil) {
-      return &member;
-    }
-  }
-  return nullptr;
+bool PeerExchange::IsBefore(const std::string& aName,
+                            const Member& aMember) const {
+  return aName < this->settings.name &&
+         aMember.failureDomain == this->settings.failureDomain;
+}
+
+bool PeerExchange::HasTeller() const {
+  return std::any_of(this->members.begin(), this->members.end(),
+                     [this](const auto& aEntry) {
+                       return this->IsBefore(aEntry.first, aEntry.second) &&
+                              !aEntry.second.isPassedOver;
+                     });
 }
 
 bool PeerExchange::MayRely() const {
-  const Member* first = this->FirstPeer();
-  return first != nullptr && this->clock.Now() - first->toldFreshAt <=
-                                 LongestReliance(this->settings);
+  const Instant now = this->clock.Now();
+  const Micros longest = LongestReliance(this->settings);
+  // Whoever told last holds until the next one has read the store.
+  return this->HasTeller() &&
+         std::any_of(this->members.begin(), this->members.end(),
+                     [&](const auto& aEntry) {
+                       return this->IsBefore(aEntry.first, aEntry.second) &&
+                              now - aEntry.second.toldFreshAt <= longest;
+                     });
 }
 
-void PeerExchange::AskFirst(Instant aNow) {
+void PeerExchange::AskTeller(Instant aNow) {
   this->nextReliance = aNow + kReliancePause;
-  while (const Member* first = this->FirstPeer()) {
-    Member& member = *this->FindMember(first->address);
-    if (member.unanswered < kMostUnanswered) {
+  for (auto& [name, member] : this->members) {
+    if (!this->IsBefore(name, member)) {
+      continue;
+    }
+    if (!member.isPassedOver && member.unanswered >= kMostUnanswered) {
+      LogInfo("peer_passed_over",
+              {{"peer", member.address}, {"unanswered", member.unanswered}});
+      member.isPassedOver = true;
+      member.askAgainAt = aNow + kPassedOverPause;
+    }
+    if (!member.isPassedOver) {
       member.unanswered += 1;
       this->Ask(member.address, aNow);
       return;
     }
-    LogInfo("peer_silent",
-            {{"peer", member.address}, {"unanswered", member.unanswered}});
-    member.unanswered = 0;
-    member.silentUntil = aNow + kSilentTime;
+    if (aNow >= member.askAgainAt) {
+      member.askAgainAt = aNow + kPassedOverPause;
+      this->Ask(member.address, aNow);
+    }
   }
 }
 
 void PeerExchange::OnConfiguration() {
-  if (this->FirstPeer() != nullptr) {
-    // It was told without a proof, and keys need one.
-    this->AskFirst(this->clock.Now());
-    return;
+  if (this->HasTeller()) {
+    return;  // Who told it has told the others.
   }
-  for (const auto& [name, member] : this->members) {
-    if (member.failureDomain == this->settings.failureDomain) {
-      KnownRevisions known = this->view.Revisions();
-      known.config = 0;
-      this->Send(member.address,
-                 ClusterGive{kUnasked, this->view.CopyFor(known)});
-    }
+  // The text is large, and after an outage everybody has it from the store:
+  // those that lack it ask for it.
+  const std::string hint = this->Write(
+      ClusterGive{kUnasked, this->view.CopyFor(this->view.Revisions())});
+  for (const std::string& address : this->Neighbours()) {
+    this->hub->Send(address, hint);
   }
 }
 
-void PeerExchange::Ask(const std::string& aAddress, Instant aNow) {
+void PeerExchange::Ask(const std::string& aAddress, Instant aNow,
+                       Wanted aWanted) {
   std::erase_if(this->questions, [aNow](const auto& aQuestion) {
     return aNow - aQuestion.second.askedAt > kQuestionLife;
   });
-  const std::uint64_t question = ++this->lastQuestion;
-  this->questions[question] = {aAddress, aNow};
+  const std::uint64_t number = ++this->lastQuestion;
+  Question& question = this->questions[number] = {aAddress, aNow};
   KnownRevisions known = this->view.Revisions();
-  if (known.config == 0 && aNow - this->startedAt < kStorePatience) {
+  if (known.config == 0 && aWanted == Wanted::News &&
+      aNow - this->startedAt < kStorePatience) {
     known.config = kNotWanted;
   }
-  this->Send(aAddress, ClusterWant{question, known});
+  if (known.upstreams == 0) {
+    question.wantsUpstreams = this->MayAskForAll(aAddress, aNow);
+    known.upstreams = question.wantsUpstreams ? 0 : kNotWanted;
+    if (question.wantsUpstreams) {
+      this->questionForAll = number;
+    }
+  }
+  this->Send(aAddress, ClusterWant{number, known});
+}
+
+bool PeerExchange::MayAskForAll(const std::string& aAddress,
+                                Instant aNow) const {
+  const auto open = this->questions.find(this->questionForAll);
+  if (open != this->questions.end() &&
+      aNow - open->second.askedAt < kAllPatience) {
+    return false;
+  }
+  const std::vector<std::string> near = this->Neighbours();
+  return near.empty() || !this->AsksNearOnly(aNow) ||
+         std::find(near.begin(), near.end(), aAddress) != near.end();
+}
+
+bool PeerExchange::AsksNearOnly(Instant aNow) const {
+  // Where those that are near have all begun anew too, anybody is asked.
+  return this->IsNew() && aNow - this->startedAt < kNearPatience;
+}
+
+std::vector<std::string> PeerExchange::Neighbours() const {
+  std::vector<std::string> near;
+  for (const auto& [name, member] : this->members) {
+    if (member.failureDomain == this->settings.failureDomain) {
+      near.push_back(member.address);
+    }
+  }
+  return near;
 }
 
 void PeerExchange::AskPeers(Instant aNow) {
-  std::vector<std::string> known = this->KnownAddresses();
+  std::vector<std::string> known = this->AsksNearOnly(aNow)
+                                       ? this->Neighbours()
+                                       : std::vector<std::string>{};
+  if (known.empty()) {
+    known = this->KnownAddresses();
+  }
   for (std::size_t i = 0; i < kAskedAtOnce && !known.empty(); ++i) {
     const std::size_t pick = this->random.Below(known.size());
     this->Ask(known[pick], aNow);
@@ -412,12 +548,13 @@
   }
 }
 
-void PeerExchange::Send(
-    const std::string& aAddress,
-    std::variant<WorkGossip, ClusterWant, ClusterGive> aBody) {
-  this->hub->Send(aAddress, WriteEdgePeerMessage({this->settings.name,
-                                                  this->settings.peerListen,
-                                                  std::move(aBody)}));
+std::string PeerExchange::Write(EdgePeerBody aBody) const {
+  return WriteEdgePeerMessage(
+      {this->settings.name, this->settings.peerListen, std::move(aBody)});
+}
+
+void PeerExchange::Send(const std::string& aAddress, EdgePeerBody aBody) {
+  this->hub->Send(aAddress, this->Write(std::move(aBody)));
 }
 
 }  // namespace zincstep
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -42,8 +42,9 @@
   void OnConfiguration();
   /// Tells this daemon's work and suspicions at once.
   void GossipSoon();
-  /// The view's entries of daemons have changed.
-  void OnDaemonEntries();
+  /// The view's entries of daemons have changed; `aDutyHolder` places layers
+  /// and is told of suspicions wherever it is.
+  void OnDaemonEntries(const std::string& aDutyHolder);
   /// Whether this daemon is one of those that others ask when they start.
   bool IsSeed() const { return this->isSeed; }
 
@@ -53,37 +54,58 @@
     std::string failureDomain;
     /// Questions in a row that it has not answered.
     int unanswered = 0;
-    /// It is passed over until then.
-    Instant silentUntil{};
+    /// It does not answer: the next by name tells instead.
+    bool isPassedOver = false;
+    Instant askAgainAt{};
     /// When it last told lists that were up to the store.
     Instant toldFreshAt{};
   };
+  /// What a question is for: all that is new, or at any rate the
+  /// configuration, though a daemon that starts has it from the store.
+  enum class Wanted { News, Configuration };
   struct Question {
     std::string address;
     Instant askedAt;
+    /// Whether the answer tells of upstreams, so that it can prove the lists.
+    bool wantsUpstreams = true;
   };
 
   void OnPeerData(std::string aMessage) override;
   void OnMessage(const EdgePeerMessage& aMessage);
+  void OnWant(const std::string& aAddress, const ClusterWant& aWant);
   void OnGossip(const std::string& aSender, const WorkGossip& aGossip);
   void OnGive(const ClusterGive& aGive);
+  /// A peer has a configuration that may be newer.
+  void OnHint(const std::string& aAddress, const ClusterCopy& aCopy);
   /// Whether peers have not told what this daemon needs to begin.
   bool IsNew() const;
   void KeepEntry(Instant aNow);
   void WriteEntry();
   void Gossip();
+  /// Between two tellings of this daemon's work.
+  Micros GossipPause() const;
   void AskPeers(Instant aNow);
   std::vector<std::string> KnownAddresses() const;
-  /// The domain's member of the first name among those that answer; null
-  /// where it is this one.
-  const Member* FirstPeer() const;
+  /// Whether a member is of this failure domain and comes before this one.
+  bool IsBefore(const std::string& aName, const Member& aMember) const;
+  /// Whether another member tells this one what the store holds: the domain's
+  /// first by name that answers. Where there is none, this one does.
+  bool HasTeller() const;
   Member* FindMember(const std::string& aAddress);
-  /// Asks the first peer; passes it over where it has been silent.
-  void AskFirst(Instant aNow);
+  /// Asks the teller; passes it over where it has been silent.
+  void AskTeller(Instant aNow);
   void NoteAnswer(const Question& aQuestion, const ClusterCopy& aCopy);
-  void Ask(const std::string& aAddress, Instant aNow);
-  void Send(const std::string& aAddress,
-            std::variant<WorkGossip, ClusterWant, ClusterGive> aBody);
+  void Ask(const std::string& aAddress, Instant aNow,
+           Wanted aWanted = Wanted::News);
+  /// Whether that peer may be asked for all upstreams at once: the entries of
+  /// thousands are a megabyte.
+  bool MayAskForAll(const std::string& aAddress, Instant aNow) const;
+  /// Whether only members of the own failure domain are asked for all.
+  bool AsksNearOnly(Instant aNow) const;
+  /// Addresses of the own failure domain's other members.
+  std::vector<std::string> Neighbours() const;
+  std::string Write(EdgePeerBody aBody) const;
+  void Send(const std::string& aAddress, EdgePeerBody aBody);
 
   asio::io_context& loop;
   const EdgeSettings& settings;
@@ -93,7 +115,9 @@
   Random& random;
   OnToldSuspicion onSuspicion;
   std::unique_ptr<PeerHub> hub;
+  PeerWork work;
   std::map<std::string, Member> members;
+  std::string dutyHolder;
   std::vector<std::string> seeds;
   bool isSeed = true;
   /// When this daemon began; the store is asked for the configuration first.
@@ -101,11 +125,18 @@
   /// Open questions by their numbers.
   std::map<std::uint64_t, Question> questions;
   std::uint64_t lastQuestion = 0;
+  /// The last question for all upstreams at once.
+  std::uint64_t questionForAll = 0;
   std::uint64_t lease = 0;
   Instant nextKeep{};
   Instant nextGossip{};
   Instant nextQuestion{};
   Instant nextReliance{};
+  /// Hints are followed up again from then on.
+  Instant nextHintTaken{};
+  /// Bytes of whole lists that may be told; none are while it is negative.
+  double listBytes = 0;
+  Instant listBytesAt{};
   bool isWriting = false;
   bool isGossipDue = false;
   bool toldWork = false;
--- a/Zincstep/Pool/ChainChooser.cpp
+++ b/Zincstep/Pool/ChainChooser.cpp
@@ -68,7 +68,7 @@
     const UpstreamEntry& entry = upstream->Entry();
     const PoolKind* kind = aModel.FindKind(entry.kind);
     const double capacity = Capacity(aModel, entry) * settings.memoryLimit;
-    const double wanted = upstream->Work(aNow) + aTokens * entry.layers.Size();
+    const double wanted = upstream->Work() + aTokens * entry.layers.Size();
     SearchItem item;
     item.layers = entry.layers;
     item.usable = kind != nullptr && entry.layers.Size() > 0 &&
--- a/Zincstep/Pool/LiveUpstream.cpp
+++ b/Zincstep/Pool/LiveUpstream.cpp
@@ -16,9 +16,6 @@
 /// An upstream that refuses is tried again after this; one that leaves is
 /// off the list by then.
 constexpr Micros kRefusingTime = 1500ms;
-/// Daemons with work in flight tell it several times in this time; one that
-/// does not has ended or is cut off.
-constexpr Micros kToldLife = 1500ms;
 /// What an upstream told of its pace counts for so long; while it is slow it
 /// is asked each second.
 constexpr Micros kPaceLife = 2500ms;
@@ -57,8 +54,7 @@
 void LiveUpstream::OnAnswer(Instant aNow) {
   this->answeredAt = std::max(this->answeredAt, aNow);
   if (aNow > this->suspectedAt) {
-    this->suspectUntil = Instant{};
-    this->suspicions = 0;
+    this->TakeSuspicionBack();
   }
 }
 
@@ -82,23 +78,17 @@
   }
 }
 
-void LiveUpstream::SetOthers(const std::string& aDaemon, double aWork,
-                             Instant aNow) {
-  if (aWork > 0) {
-    this->others[aDaemon] = {aWork, aNow};
-  } else {
-    this->others.erase(aDaemon);
-  }
+void LiveUpstream::AddOthers(double aWork) {
+  this->others += aWork;
+  this->othersCount += 1;
 }
 
-double LiveUpstream::Work(Instant aNow) const {
-  double sum = this->own;
-  for (const auto& [daemon, told] : this->others) {
-    if (aNow - told.at < kToldLife) {
-      sum += told.work;
-    }
-  }
-  return sum;
+void LiveUpstream::RemoveOthers(double aWork) {
+  ZINCSTEP_ASSERT(this->othersCount > 0);
+  this->othersCount -= 1;
+  // Sums of fractions leave a rest: where nobody has work there is none.
+  this->others =
+      this->othersCount == 0 ? 0 : std::max(0.0, this->others - aWork);
 }
 
 }  // namespace zincstep
--- a/Zincstep/Pool/LiveUpstream.h
+++ b/Zincstep/Pool/LiveUpstream.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <algorithm>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -45,14 +44,23 @@
 /// One incarnation with what this daemon knows of it beyond its entry.
 class LiveUpstream {
  public:
-  explicit LiveUpstream(UpstreamEntry aEntry) : entry(std::move(aEntry)) {}
+  explicit LiveUpstream(UpstreamEntry aEntry)
+      : entry(std::move(aEntry)), number(Hash64(this->entry.id)) {}
 
   const UpstreamEntry& Entry() const { return this->entry; }
+  /// Stands for the id where daemons tell each other of upstreams.
+  std::uint64_t Number() const { return this->number; }
   void SetEntry(UpstreamEntry aEntry, Instant aNow);
 
   /// There is evidence that it does not answer; it gets no new work for
   /// a time that doubles with each suspicion in a row.
   void Suspect(Instant aNow);
+  /// The evidence is out of date: it may be given work again, and the next
+  /// suspicion is as short as the first.
+  void TakeSuspicionBack() {
+    this->suspectUntil = Instant{};
+    this->suspicions = 0;
+  }
   /// It has refused work; no more is given to it until then.
   void PassOver(Instant aUntil) {
     this->passedOverUntil = std::max(this->passedOverUntil, aUntil);
@@ -116,10 +124,12 @@
 
   /// Work of this daemon in flight, in tokens x layers or in requests.
   double own = 0;
-  /// Another daemon tells its work in flight; zero takes it back.
-  void SetOthers(const std::string& aDaemon, double aWork, Instant aNow);
+  /// Another daemon has that much work in flight; see `PeerWork`.
+  void AddOthers(double aWork);
+  /// Takes back what was added before.
+  void RemoveOthers(double aWork);
   /// All work in flight that is known of.
-  double Work(Instant aNow) const;
+  double Work() const { return this->own + this->others; }
   /// Time of an answer of a plain service, averaged, in seconds.
   double answerSeconds = 0;
   /// Requests that waited there when it last told; set back as time passes.
@@ -127,14 +137,11 @@
   Instant queuedAt;
 
  private:
-  /// What another daemon told of its work, and when.
-  struct Told {
-    double work = 0;
-    Instant at;
-  };
-
   UpstreamEntry entry;
-  std::map<std::string, Told> others;
+  std::uint64_t number;
+  /// Work of all other daemons, and how many of them have some.
+  double others = 0;
+  int othersCount = 0;
   Instant refusingUntil{};
   std::optional<Instant> leavingSince;
   int refusals = 0;
--- a/Zincstep/Pool/Pool.h
+++ b/Zincstep/Pool/Pool.h
@@ -7,6 +7,7 @@
 
 #include "Zincstep/Pool/ChainChooser.h"
 #include "Zincstep/Pool/LiveUpstream.h"
+#include "Zincstep/Pool/PeerWork.h"
 #include "Zincstep/Pool/PlacementPlanner.h"
 #include "Zincstep/Pool/ServiceChooser.h"
 #include "Zincstep/Pool/UpstreamControl.h"
--- a/Zincstep/Pool/ServiceChooser.cpp
+++ b/Zincstep/Pool/ServiceChooser.cpp
@@ -19,14 +19,13 @@
                             ? aUpstream.answerSeconds
                             : this->settings.firstAnswerSeconds;
   const bool remembers = aNow - aUpstream.queuedAt < this->settings.queueMemory;
-  const double waiting =
-      std::max(remembers ? aUpstream.queued : 0,
-               std::max(0.0, aUpstream.Work(aNow) + 1 - slots));
+  const double waiting = std::max(remembers ? aUpstream.queued : 0,
+                                  std::max(0.0, aUpstream.Work() + 1 - slots));
   const double away = aUpstream.Entry().failureDomain == aOwnDomain
                           ? 0
                           : this->settings.otherDomainSeconds;
   return answer * (1 + waiting / slots) +
-         answer * aUpstream.Work(aNow) / slots / 2 + away;
+         answer * aUpstream.Work() / slots / 2 + away;
 }
 
 UpstreamPtr ServiceChooser::Choose(const std::vector<UpstreamPtr>& aUpstreams,
--- a/Zincstep/Pool/UpstreamDirectory.cpp
+++ b/Zincstep/Pool/UpstreamDirectory.cpp
@@ -20,6 +20,10 @@
     upstream = std::make_shared<LiveUpstream>(std::move(aEntry));
   }
   this->all.emplace(upstream->Entry().id, upstream);
+  this->byNumber[upstream->Number()] = upstream;
+  if (!upstream->Entry().kind.empty()) {
+    this->modelsByDomain[upstream->Entry().failureDomain].push_back(upstream);
+  }
   this->byService[upstream->Entry().service].push_back(std::move(upstream));
 }
 
@@ -30,6 +34,7 @@
   }
   UpstreamPtr upstream = found->second;
   this->all.erase(found);
+  this->byNumber.erase(upstream->Number());
   this->Unlist(upstream);
   upstream->SetGone(aNow);
   std::erase_if(this->departed,
@@ -43,6 +48,10 @@
   if (listed != this->byService.end()) {
     std::erase(listed->second, aUpstream);
   }
+  const auto near = this->modelsByDomain.find(aUpstream->Entry().failureDomain);
+  if (near != this->modelsByDomain.end()) {
+    std::erase(near->second, aUpstream);
+  }
 }
 
 UpstreamPtr UpstreamDirectory::Find(const std::string& aId) const {
@@ -50,6 +59,11 @@
   return found == this->all.end() ? nullptr : found->second;
 }
 
+UpstreamPtr UpstreamDirectory::FindNumber(std::uint64_t aNumber) const {
+  const auto found = this->byNumber.find(aNumber);
+  return found == this->byNumber.end() ? nullptr : found->second;
+}
+
 const std::vector<UpstreamPtr>& UpstreamDirectory::OfService(
     const std::string& aService) const {
   static const std::vector<UpstreamPtr> none;
--- a/Zincstep/Pool/UpstreamDirectory.h
+++ b/Zincstep/Pool/UpstreamDirectory.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "Zincstep/Pool/LiveUpstream.h"
@@ -18,8 +19,15 @@
 
   /// The upstream of that id, or null.
   UpstreamPtr Find(const std::string& aId) const;
+  /// The upstream of that number, or null.
+  UpstreamPtr FindNumber(std::uint64_t aNumber) const;
   /// The upstreams of a service.
   const std::vector<UpstreamPtr>& OfService(const std::string& aService) const;
+  /// The upstreams of models by their failure domains.
+  const std::map<std::string, std::vector<UpstreamPtr>>& ModelsByDomain()
+      const {
+    return this->modelsByDomain;
+  }
   /// All of them.
   const std::map<std::string, UpstreamPtr>& All() const { return this->all; }
 
@@ -27,7 +35,9 @@
   void Unlist(const UpstreamPtr& aUpstream);
 
   std::map<std::string, UpstreamPtr> all;
+  std::unordered_map<std::uint64_t, UpstreamPtr> byNumber;
   std::map<std::string, std::vector<UpstreamPtr>> byService;
+  std::map<std::string, std::vector<UpstreamPtr>> modelsByDomain;
   /// Incarnations off the list that requests still run on: one that comes
   /// back is the same, so that no chain names it twice.
   std::map<std::string, std::weak_ptr<LiveUpstream>> departed;
--- a/Zincstep/Relay/MemberProbe.cpp
+++ b/Zincstep/Relay/MemberProbe.cpp
@@ -6,7 +6,7 @@
 
 MemberProbe::MemberProbe(MemberProbeSettings aSettings,
                          UpstreamControl& aControl, const Clock& aClock,
-                         std::function<void()> aOnSuspicion)
+                         OnSuspicion aOnSuspicion)
     : settings(aSettings),
       control(aControl),
       clock(aClock),
@@ -35,14 +35,19 @@
   record.pause = isFirst
                      ? this->settings.firstPause
                      : std::min(2 * record.pause, this->settings.longestPause);
+  record.evidence = Evidence::Found;
   this->Start(record, aUpstream, now);
 }
 
 void MemberProbe::Verify(const UpstreamPtr& aUpstream) {
+  if (aUpstream->Entry().kind.empty()) {
+    return;
+  }
   const Instant now = this->clock.Now();
   Record& record = this->records[aUpstream->Entry().id];
   const bool isRecent = now - record.askedAt < this->settings.firstPause;
   if (!record.isOpen && !isRecent && this->TakeToken(now)) {
+    record.evidence = Evidence::Told;
     this->Start(record, aUpstream, now);
   }
 }
@@ -92,7 +97,7 @@
     aUpstream->Suspect(now);
     LogInfo("upstream_suspected", {{"upstream", aUpstream->Entry().id},
                                    {"reason", "no answer to a probe"}});
-    this->onSuspicion();
+    this->onSuspicion(this->records[aUpstream->Entry().id].evidence);
   }
   this->Confirm(aUpstream);
 }
--- a/Zincstep/Relay/MemberProbe.h
+++ b/Zincstep/Relay/MemberProbe.h
@@ -41,15 +41,20 @@
 /// milliseconds old; a dead member refuses the connection at once.
 class MemberProbe {
  public:
+  /// Called when an upstream comes under suspicion: found here, or told by
+  /// another daemon and proved here.
+  using OnSuspicion = std::function<void(Evidence)>;
+
   MemberProbe(MemberProbeSettings aSettings, UpstreamControl& aControl,
-              const Clock& aClock, std::function<void()> aOnSuspicion);
+              const Clock& aClock, OnSuspicion aOnSuspicion);
 
   /// Asks an upstream unless it was asked a moment ago. It comes under
   /// suspicion where it does not answer.
   void Ask(const UpstreamPtr& aUpstream);
   /// Asks an upstream that somebody else suspects, even if it answered a moment
   /// ago. Whoever suspects many may be slow or cut off itself, so that nobody
-  /// takes its word for it.
+  /// takes its word for it. Plain services answer no probes: nobody is believed
+  /// there, and each daemon finds out by its own calls.
   void Verify(const UpstreamPtr& aUpstream);
   /// Asks anew those that reported to be slow.
   void Tick();
@@ -62,6 +67,8 @@
     Instant nextAt{};
     Micros pause{0};
     bool isOpen = false;
+    /// Who suspected it first.
+    Evidence evidence = Evidence::Found;
   };
 
   bool TakeToken(Instant aNow);
@@ -75,7 +82,7 @@
   MemberProbeSettings settings;
   UpstreamControl& control;
   const Clock& clock;
-  std::function<void()> onSuspicion;
+  OnSuspicion onSuspicion;
   std::unordered_map<std::string, Record> records;
   double tokens = 0;
   Instant tokensAt{};
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -226,7 +226,7 @@
     hop.upstream->PassOver(aNow + this->context.settings.refusalPause);
     const double capacity = ChainChooser::Capacity(
         *this->request.service->model, hop.upstream->Entry());
-    if (hop.upstream->Work(aNow) < capacity * kRoomyShare) {
+    if (hop.upstream->Work() < capacity * kRoomyShare) {
       hop.upstream->OnRefusal(aNow);
     }
   }
