--- /dev/null
+++ b/Zincstep/Edge/DaemonEntry.cpp
@@ -0,0 +1,76 @@
+#include "Zincstep/Edge/DaemonEntry.h"
+
+#include <nlohmann/json.hpp>
+
+namespace zincstep {
+
+namespace {
+
+/// Life of a daemon's entry; a dead peer costs a message that is lost.
+constexpr Micros kEntryLife = 12s;
+/// Renewals come three to a life.
+constexpr Micros kEntryKeep = 4s;
+constexpr Micros kEntryRetry = 1s;
+
+}  // namespace
+
+void DaemonEntry::Keep() {
+  const Instant now = this->clock.Now();
+  if (this->isWriting || now < this->nextKeep) {
+    return;
+  }
+  this->isWriting = true;
+  this->nextKeep = now + kEntryKeep;
+  if (this->lease == 0) {
+    this->store.Grant(kEntryLife, [this](Result<std::uint64_t> aLease) {
+      this->isWriting = false;
+      if (!aLease) {
+        this->nextKeep = this->clock.Now() + kEntryRetry;
+        return;
+      }
+      this->lease = *aLease;
+      this->Write();
+    });
+    return;
+  }
+  this->store.Renew(this->lease, [this](Result<bool> aRenewed) {
+    this->isWriting = false;
+    if (!aRenewed && aRenewed.error().kind == ErrorKind::LeaseLost) {
+      this->lease = 0;
+      this->nextKeep = this->clock.Now();
+    }
+  });
+}
+
+void DaemonEntry::Write() {
+  StoreChange change;
+  change.key = this->settings.storePrefix + kPrefix + this->settings.name;
+  change.value =
+      nlohmann::json{{"peer", this->settings.peerListen},
+                     {"failure_domain", this->settings.failureDomain}}
+          .dump();
+  change.lease = this->lease;
+  this->isWriting = true;
+  this->store.Commit(change, [this, change](Result<StoreCommit> aDone) {
+    if (aDone && aDone->present) {
+      // An entry of this VM's earlier process: it is replaced.
+      StoreChange again = change;
+      again.expected = aDone->present->revision;
+      this->store.Commit(again, [this](Result<StoreCommit> aAgain) {
+        this->isWriting = false;
+        if (!aAgain || !aAgain->done) {
+          this->lease = 0;
+          this->nextKeep = this->clock.Now() + kEntryRetry;
+        }
+      });
+      return;
+    }
+    this->isWriting = false;
+    if (!aDone) {
+      this->lease = 0;
+      this->nextKeep = this->clock.Now() + kEntryRetry;
+    }
+  });
+}
+
+}  // namespace zincstep
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -10,12 +10,6 @@
 
 namespace {
 
-constexpr const char* kMembersPrefix = "members/";
-/// Life of a daemon's entry; a dead peer costs a message that is lost.
-constexpr Micros kEntryLife = 12s;
-/// Renewals come three to a life.
-constexpr Micros kEntryKeep = 4s;
-constexpr Micros kEntryRetry = 1s;
 /// Work in flight lasts some seconds; told twice a second it is known to a
 /// fraction of that.
 constexpr Micros kGossipPause = 400ms;
@@ -102,11 +96,11 @@
                            Random& aRandom, OnToldSuspicion aOnSuspicion)
     : loop(aLoop),
       settings(aSettings),
-      store(aStore),
       view(aView),
       clock(aClock),
       random(aRandom),
       onSuspicion(std::move(aOnSuspicion)),
+      entry(aSettings, aStore, aClock),
       seeds(SeedPeers(aSettings)),
       startedAt(aClock.Now()) {
   const std::string host =
@@ -271,10 +265,10 @@
   std::map<std::string, Member> known;
   known.swap(this->members);
   for (const auto& [key, item] : this->view.Daemons().Items()) {
-    if (!key.starts_with(kMembersPrefix)) {
+    if (!key.starts_with(DaemonEntry::kPrefix)) {
       continue;
     }
-    const std::string name = key.substr(std::strlen(kMembersPrefix));
+    const std::string name = key.substr(std::strlen(DaemonEntry::kPrefix));
     const auto json = nlohmann::json::parse(item.value, nullptr, false);
     if (!json.is_object() || name == this->settings.name) {
       continue;
@@ -294,7 +288,7 @@
 void PeerExchange::Tick() {
   const Instant now = this->clock.Now();
   this->work.Tick(now, kMissedTellings * this->GossipPause());
-  this->KeepEntry(now);
+  this->entry.Keep();
   if (now >= this->nextGossip) {
     this->nextGossip = now + this->GossipPause();
     this->Gossip();
@@ -314,65 +308,6 @@
   }
 }
 
-void PeerExchange::KeepEntry(Instant aNow) {
-  if (this->isWriting || aNow < this->nextKeep) {
-    return;
-  }
-  this->isWriting = true;
-  this->nextKeep = aNow + kEntryKeep;
-  if (this->lease == 0) {
-    this->store.Grant(kEntryLife, [this](Result<std::uint64_t> aLease) {
-      this->isWriting = false;
-      if (!aLease) {
-        this->nextKeep = this->clock.Now() + kEntryRetry;
-        return;
-      }
-      this->lease = *aLease;
-      this->WriteEntry();
-    });
-    return;
-  }
-  this->store.Renew(this->lease, [this](Result<bool> aRenewed) {
-    this->isWriting = false;
-    if (!aRenewed && aRenewed.error().kind == ErrorKind::LeaseLost) {
-      this->lease = 0;
-      this->nextKeep = this->clock.Now();
-    }
-  });
-}
-
-void PeerExchange::WriteEntry() {
-  StoreChange change;
-  change.key =
-      this->settings.storePrefix + kMembersPrefix + this->settings.name;
-  change.value =
-      nlohmann::json{{"peer", this->settings.peerListen},
-                     {"failure_domain", this->settings.failureDomain}}
-          .dump();
-  change.lease = this->lease;
-  this->isWriting = true;
-  this->store.Commit(change, [this, change](Result<StoreCommit> aDone) {
-    if (aDone && aDone->present) {
-      // An entry of this VM's earlier process: it is replaced.
-      StoreChange again = change;
-      again.expected = aDone->present->revision;
-      this->store.Commit(again, [this](Result<StoreCommit> aAgain) {
-        this->isWriting = false;
-        if (!aAgain || !aAgain->done) {
-          this->lease = 0;
-          this->nextKeep = this->clock.Now() + kEntryRetry;
-        }
-      });
-      return;
-    }
-    this->isWriting = false;
-    if (!aDone) {
-      this->lease = 0;
-      this->nextKeep = this->clock.Now() + kEntryRetry;
-    }
-  });
-}
-
 Micros PeerExchange::GossipPause() const {
   const auto tellers = std::count_if(
       this->members.begin(), this->members.end(), [this](const auto& aMember) {
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Zincstep/Cluster/Cluster.h"
+#include "Zincstep/Edge/DaemonEntry.h"
 #include "Zincstep/Edge/EdgePeerMessage.h"
 #include "Zincstep/Edge/EdgeSettings.h"
 #include "Zincstep/Peer/Peer.h"
@@ -79,8 +80,6 @@
   void OnHint(const std::string& aAddress, const ClusterCopy& aCopy);
   /// Whether peers have not told what this daemon needs to begin.
   bool IsNew() const;
-  void KeepEntry(Instant aNow);
-  void WriteEntry();
   void Gossip();
   /// Between two tellings of this daemon's work.
   Micros GossipPause() const;
@@ -109,11 +108,11 @@
 
   asio::io_context& loop;
   const EdgeSettings& settings;
-  AsyncStore& store;
   ClusterView& view;
   const Clock& clock;
   Random& random;
   OnToldSuspicion onSuspicion;
+  DaemonEntry entry;
   std::unique_ptr<PeerHub> hub;
   PeerWork work;
   std::map<std::string, Member> members;
@@ -127,8 +126,6 @@
   std::uint64_t lastQuestion = 0;
   /// The last question for all upstreams at once.
   std::uint64_t questionForAll = 0;
-  std::uint64_t lease = 0;
-  Instant nextKeep{};
   Instant nextGossip{};
   Instant nextQuestion{};
   Instant nextReliance{};
@@ -137,7 +134,6 @@
   /// Bytes of whole lists that may be told; none are while it is negative.
   double listBytes = 0;
   Instant listBytesAt{};
-  bool isWriting = false;
   bool isGossipDue = false;
   bool toldWork = false;
 };
