--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -1,5 +1,6 @@
 #include "Zincstep/Edge/PeerExchange.h"
 
+#include <cstring>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -53,9 +54,8 @@
 /// under the age at which it is not relied on any more.
 constexpr Micros kReliancePause = 250ms;
 /// So many questions in a row without an answer: it has ended or is cut off,
-/// and the next member by name is asked. An answer with old lists counts as one
-/// more, so that the next has read the store before anybody's lists are too
-/// old.
+/// and the next member by name is asked. One that answers with old lists is not
+/// passed over: whoever then relies on nobody reads the store itself.
 constexpr int kMostUnanswered = 3;
 /// Between questions to one that was passed over.
 constexpr Micros kPassedOverPause = 2s;
