One way to take a peer's copy, one token bucket, one word for upstreams of models

Cause (reading the whole change again): taking a copy stood in ClusterView and in PrefixMirror; whether a later revision is known was checked by hand in four places, in ClusterView::Put to no effect (a key on the list is never among the missing). OnWant wrote MemberProbe's token bucket again. "Not a plain service" was kind.empty() in two places, "same failure domain" one comparison in four.

Change: ItemList tells what a copy takes away (TakenBy), completes it (Complete) and knows whether something newer is known (HasNewer); Core/TokenBucket serves both; UpstreamEntry::IsOfModel; PeerExchange::IsNear. Lapsed domains are counted only while there is a grace: else each removal that a peer told walked all upstreams. No behaviour meant; a removal event of an entry's own revision, which a store does not send, is now treated alike for both lists.

--- a/Zincstep/Cluster/ClusterView.cpp
+++ b/Zincstep/Cluster/ClusterView.cpp
@@ -61,15 +61,10 @@
 }
 
 void ClusterView::Put(const StoreItem& aItem) {
-  const auto known = this->entries.Items().find(aItem.key);
-  if (known != this->entries.Items().end() &&
-      aItem.revision < known->second.revision) {
-    return;
-  }
-  this->missing.erase(aItem.key);
   if (!this->entries.Put(aItem)) {
     return;
   }
+  this->missing.erase(aItem.key);
   auto decoded = this->decoder.DecodeUpstream(aItem.key, aItem.value);
   if (!decoded) {
     LogWarning("upstream_refused", {{"upstream", aItem.key},
@@ -99,6 +94,26 @@
 
 void ClusterView::RemoveTold(const std::vector<std::string>& aIds,
                              const ListCopy& aCopy) {
+  if (aIds.empty()) {
+    return;
+  }
+  const Instant now = this->clock.Now();
+  // Where the store is away here, a peer is the first to tell of its return.
+  const Instant own =
+      this->isStoreReached ? this->GraceEnd() : now + kReturnGrace;
+  const Instant graceEnd = std::max(own, now + aCopy.grace);
+  const std::set<std::string> lapsed =
+      graceEnd > now ? this->LapsedDomains(aIds) : std::set<std::string>();
+  for (const std::string& id : aIds) {
+    const UpstreamPtr upstream = this->directory.Find(id);
+    const bool isLapse =
+        upstream && lapsed.contains(upstream->Entry().failureDomain);
+    this->Missing(id, aCopy.at, isLapse ? graceEnd : now);
+  }
+}
+
+std::set<std::string> ClusterView::LapsedDomains(
+    const std::vector<std::string>& aIds) const {
   std::map<std::string, std::size_t> listed;
   std::map<std::string, std::size_t> removed;
   for (const auto& [id, upstream] : this->directory.All()) {
@@ -109,19 +124,14 @@
       removed[upstream->Entry().failureDomain] += 1;
     }
   }
-  const Instant now = this->clock.Now();
-  // Where the store is away here, a peer is the first to tell of its return.
-  const Instant own =
-      this->isStoreReached ? this->GraceEnd() : now + kReturnGrace;
-  const Instant graceEnd = std::max(own, now + aCopy.grace);
-  for (const std::string& id : aIds) {
-    const UpstreamPtr upstream = this->directory.Find(id);
-    const std::string domain =
-        upstream ? upstream->Entry().failureDomain : std::string();
-    const bool isLapse = static_cast<double>(removed[domain]) >=
-                         kLapsedShare * static_cast<double>(listed[domain]);
-    this->Missing(id, aCopy.at, isLapse ? graceEnd : now);
+  std::set<std::string> lapsed;
+  for (const auto& [domain, count] : removed) {
+    if (static_cast<double>(count) >=
+        kLapsedShare * static_cast<double>(listed[domain])) {
+      lapsed.insert(domain);
+    }
   }
+  return lapsed;
 }
 
 void ClusterView::Missing(const std::string& aId, std::uint64_t aRevision,
@@ -152,8 +162,7 @@
   for (const StoreItem& item : aRange.items) {
     this->Put(item);
   }
-  for (const std::string& id :
-       AbsentKeys(this->entries.Items(), aRange.items)) {
+  for (const std::string& id : this->entries.AbsentFrom(aRange.items)) {
     this->Missing(id, aRange.at, this->GraceEnd());
   }
   this->entries.Restart(aRange.at);
@@ -163,30 +172,18 @@
   if (!this->entries.IsNews(aCopy)) {
     return;
   }
-  const std::vector<std::string> removed =
-      aCopy.isWhole ? AbsentKeys(this->entries.Items(), aCopy.items)
-                    : aCopy.removed;
-  if (!removed.empty()) {
-    this->RemoveTold(removed, aCopy);
-  }
+  this->RemoveTold(this->entries.TakenBy(aCopy), aCopy);
   for (const StoreItem& item : aCopy.items) {
     this->Put(item);
   }
-  if (aCopy.isWhole) {
-    this->entries.Restart(aCopy.at);
-  } else {
-    this->entries.Advance(aCopy.at);
-  }
-  this->entries.Verify(aCopy);
+  this->entries.Complete(aCopy);
 }
 
 void ClusterView::OnUpstreamEvents(const StoreEvents& aEvents) {
   for (const StoreEvent& event : aEvents.events) {
-    const auto known = this->entries.Items().find(event.item.key);
     if (!event.isRemoved) {
       this->Put(event.item);
-    } else if (known == this->entries.Items().end() ||
-               known->second.revision < event.item.revision) {
+    } else if (!this->entries.HasNewer(event.item.key, event.item.revision)) {
       this->Missing(event.item.key, event.item.revision, this->GraceEnd());
     }
   }
--- a/Zincstep/Cluster/ClusterView.h
+++ b/Zincstep/Cluster/ClusterView.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -121,6 +122,10 @@
                Instant aGraceEnd);
   /// A peer's copy lacks those.
   void RemoveTold(const std::vector<std::string>& aIds, const ListCopy& aCopy);
+  /// Domains that would lose so many of their upstreams with those that their
+  /// entries have lapsed.
+  std::set<std::string> LapsedDomains(
+      const std::vector<std::string>& aIds) const;
   void Remove(const std::string& aId);
 
   const ClusterDecoder& decoder;
--- a/Zincstep/Cluster/ItemList.cpp
+++ b/Zincstep/Cluster/ItemList.cpp
@@ -81,7 +81,37 @@
   return aCopy.at > this->at;
 }
 
-void ItemList::Verify(const ListCopy& aCopy) {
+bool ItemList::HasNewer(const std::string& aKey,
+                        std::uint64_t aRevision) const {
+  const auto found = this->items.find(aKey);
+  return found != this->items.end() && found->second.revision > aRevision;
+}
+
+std::vector<std::string> ItemList::AbsentFrom(
+    const std::vector<StoreItem>& aPresent) const {
+  std::set<std::string_view> present;
+  for (const StoreItem& item : aPresent) {
+    present.insert(item.key);
+  }
+  std::vector<std::string> absent;
+  for (const auto& [key, item] : this->items) {
+    if (!present.contains(key)) {
+      absent.push_back(key);
+    }
+  }
+  return absent;
+}
+
+std::vector<std::string> ItemList::TakenBy(const ListCopy& aCopy) const {
+  return aCopy.isWhole ? this->AbsentFrom(aCopy.items) : aCopy.removed;
+}
+
+void ItemList::Complete(const ListCopy& aCopy) {
+  if (aCopy.isWhole) {
+    this->Restart(aCopy.at);
+  } else {
+    this->Advance(aCopy.at);
+  }
   if (this->digest == aCopy.digest) {
     return;
   }
--- a/Zincstep/Cluster/ItemList.h
+++ b/Zincstep/Cluster/ItemList.h
@@ -52,11 +52,19 @@
   /// Whether the list is known to lack something.
   bool IsDoubtful() const { return this->isDoubtful; }
 
+  /// Whether an item is known of a later revision.
+  bool HasNewer(const std::string& aKey, std::uint64_t aRevision) const;
+  /// Keys that are not among `aPresent`.
+  std::vector<std::string> AbsentFrom(
+      const std::vector<StoreItem>& aPresent) const;
+
   /// Whether a peer's copy tells more than is known.
   bool IsNews(const ListCopy& aCopy) const;
+  /// Keys that a peer's copy takes away.
+  std::vector<std::string> TakenBy(const ListCopy& aCopy) const;
   /// To be called when a peer's copy has been taken: where the list then
   /// differs from the peer's, the whole list is asked for next.
-  void Verify(const ListCopy& aCopy);
+  void Complete(const ListCopy& aCopy);
   /// What a peer is told that has the list as of `aSince`.
   ListCopy CopySince(std::uint64_t aSince) const;
 
--- a/Zincstep/Cluster/PrefixMirror.cpp
+++ b/Zincstep/Cluster/PrefixMirror.cpp
@@ -2,26 +2,11 @@
 
 namespace zincstep {
 
-std::vector<std::string> AbsentKeys(const StoreItems& aList,
-                                    const std::vector<StoreItem>& aPresent) {
-  std::set<std::string_view> present;
-  for (const StoreItem& item : aPresent) {
-    present.insert(item.key);
-  }
-  std::vector<std::string> absent;
-  for (const auto& [key, item] : aList) {
-    if (!present.contains(key)) {
-      absent.push_back(key);
-    }
-  }
-  return absent;
-}
-
 void PrefixMirror::OnRange(const StoreRange& aRange) {
   if (aRange.at < this->list.At()) {
     return;
   }
-  for (const std::string& key : AbsentKeys(this->Items(), aRange.items)) {
+  for (const std::string& key : this->list.AbsentFrom(aRange.items)) {
     this->list.Remove(key, aRange.at);
   }
   for (const StoreItem& item : aRange.items) {
@@ -32,11 +17,9 @@
 
 void PrefixMirror::OnEvents(const StoreEvents& aEvents) {
   for (const StoreEvent& event : aEvents.events) {
-    const auto known = this->Items().find(event.item.key);
     if (!event.isRemoved) {
       this->list.Put(event.item);
-    } else if (known == this->Items().end() ||
-               known->second.revision <= event.item.revision) {
+    } else if (!this->list.HasNewer(event.item.key, event.item.revision)) {
       this->list.Remove(event.item.key, event.item.revision);
     }
   }
@@ -47,18 +30,13 @@
   if (!this->list.IsNews(aCopy)) {
     return false;
   }
-  if (aCopy.isWhole) {
-    this->OnRange({aCopy.items, aCopy.at});
-  } else {
-    for (const std::string& key : aCopy.removed) {
-      this->list.Remove(key, aCopy.at);
-    }
-    for (const StoreItem& item : aCopy.items) {
-      this->list.Put(item);
-    }
-    this->list.Advance(aCopy.at);
+  for (const std::string& key : this->list.TakenBy(aCopy)) {
+    this->list.Remove(key, aCopy.at);
+  }
+  for (const StoreItem& item : aCopy.items) {
+    this->list.Put(item);
   }
-  this->list.Verify(aCopy);
+  this->list.Complete(aCopy);
   return true;
 }
 
--- a/Zincstep/Cluster/PrefixMirror.h
+++ b/Zincstep/Cluster/PrefixMirror.h
@@ -28,8 +28,4 @@
   ItemList list;
 };
 
-/// The keys of `aList` that are not in `aPresent`.
-std::vector<std::string> AbsentKeys(const StoreItems& aList,
-                                    const std::vector<StoreItem>& aPresent);
-
 }  // namespace zincstep
--- a/Zincstep/Core/Core.h
+++ b/Zincstep/Core/Core.h
@@ -10,3 +10,4 @@
 #include "Zincstep/Core/NameTable.h"
 #include "Zincstep/Core/Random.h"
 #include "Zincstep/Core/Time.h"
+#include "Zincstep/Core/TokenBucket.h"
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -101,6 +101,7 @@
       random(aRandom),
       onSuspicion(std::move(aOnSuspicion)),
       entry(aSettings, aStore, aClock),
+      listBytes(kListBytesPerSecond, kListBytesAtOnce),
       seeds(SeedPeers(aSettings)),
       startedAt(aClock.Now()) {
   const std::string host =
@@ -171,12 +172,7 @@
 void PeerExchange::OnWant(const std::string& aAddress,
                           const ClusterWant& aWant) {
   ClusterCopy copy = this->view.CopyFor(aWant.known);
-  const Instant now = this->clock.Now();
-  this->listBytes = std::min(
-      kListBytesAtOnce, this->listBytes + ToSeconds(now - this->listBytesAt) *
-                                              kListBytesPerSecond);
-  this->listBytesAt = now;
-  const bool isPaused = this->listBytes <= 0;
+  const bool isPaused = this->listBytes.At(this->clock.Now()) <= 0;
   bool tellsWhole = false;
   for (std::optional<ListCopy>* list : {&copy.upstreams, &copy.daemons}) {
     if (!*list || !(*list)->isWhole) {
@@ -192,7 +188,7 @@
   }
   const std::string message = this->Write(ClusterGive{aWant.question, copy});
   if (tellsWhole) {
-    this->listBytes -= static_cast<double>(message.size());
+    this->listBytes.Spend(static_cast<double>(message.size()));
   }
   this->hub->Send(aAddress, message);
 }
@@ -310,9 +306,8 @@
 
 Micros PeerExchange::GossipPause() const {
   const auto tellers = std::count_if(
-      this->members.begin(), this->members.end(), [this](const auto& aMember) {
-        return aMember.second.failureDomain == this->settings.failureDomain;
-      });
+      this->members.begin(), this->members.end(),
+      [this](const auto& aMember) { return this->IsNear(aMember.second); });
   return std::max(kGossipPause,
                   FromSeconds(static_cast<double>(tellers) / kWorkMessages));
 }
@@ -339,7 +334,7 @@
   const std::string message = this->Write(std::move(gossip));
   const bool tellsAll = this->members.size() <= kFewMembers;
   for (const auto& [name, member] : this->members) {
-    const bool shares = member.failureDomain == this->settings.failureDomain;
+    const bool shares = this->IsNear(member);
     const bool places = hasSuspects && name == this->dutyHolder;
     if (tellsAll || shares || places) {
       this->hub->Send(member.address, message);
@@ -357,10 +352,13 @@
   return known;
 }
 
+bool PeerExchange::IsNear(const Member& aMember) const {
+  return aMember.failureDomain == this->settings.failureDomain;
+}
+
 bool PeerExchange::IsBefore(const std::string& aName,
                             const Member& aMember) const {
-  return aName < this->settings.name &&
-         aMember.failureDomain == this->settings.failureDomain;
+  return aName < this->settings.name && this->IsNear(aMember);
 }
 
 bool PeerExchange::HasTeller() const {
@@ -462,7 +460,7 @@
 std::vector<std::string> PeerExchange::Neighbours() const {
   std::vector<std::string> near;
   for (const auto& [name, member] : this->members) {
-    if (member.failureDomain == this->settings.failureDomain) {
+    if (this->IsNear(member)) {
       near.push_back(member.address);
     }
   }
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -85,6 +85,8 @@
   Micros GossipPause() const;
   void AskPeers(Instant aNow);
   std::vector<std::string> KnownAddresses() const;
+  /// Whether a member is of this failure domain.
+  bool IsNear(const Member& aMember) const;
   /// Whether a member is of this failure domain and comes before this one.
   bool IsBefore(const std::string& aName, const Member& aMember) const;
   /// Whether another member tells this one what the store holds: the domain's
@@ -113,6 +115,8 @@
   Random& random;
   OnToldSuspicion onSuspicion;
   DaemonEntry entry;
+  /// Bytes of whole lists that may be told; none are while it is below zero.
+  TokenBucket listBytes;
   std::unique_ptr<PeerHub> hub;
   PeerWork work;
   std::map<std::string, Member> members;
@@ -131,9 +135,6 @@
   Instant nextReliance{};
   /// Hints are followed up again from then on.
   Instant nextHintTaken{};
-  /// Bytes of whole lists that may be told; none are while it is negative.
-  double listBytes = 0;
-  Instant listBytesAt{};
   bool isGossipDue = false;
   bool toldWork = false;
 };
--- a/Zincstep/Pool/LiveUpstream.h
+++ b/Zincstep/Pool/LiveUpstream.h
@@ -39,6 +39,10 @@
   LayerRange layers;
   /// Kind of its accelerator; empty for plain services.
   std::string kind;
+
+  /// Whether it holds layers of a model and answers probes; else it is of a
+  /// plain service.
+  bool IsOfModel() const { return !this->kind.empty(); }
 };
 
 /// One incarnation with what this daemon knows of it beyond its entry.
--- a/Zincstep/Pool/UpstreamDirectory.cpp
+++ b/Zincstep/Pool/UpstreamDirectory.cpp
@@ -21,7 +21,7 @@
   }
   this->all.emplace(upstream->Entry().id, upstream);
   this->byNumber[upstream->Number()] = upstream;
-  if (!upstream->Entry().kind.empty()) {
+  if (upstream->Entry().IsOfModel()) {
     this->modelsByDomain[upstream->Entry().failureDomain].push_back(upstream);
   }
   this->byService[upstream->Entry().service].push_back(std::move(upstream));
--- a/Zincstep/Relay/MemberProbe.cpp
+++ b/Zincstep/Relay/MemberProbe.cpp
@@ -11,17 +11,13 @@
       control(aControl),
       clock(aClock),
       onSuspicion(std::move(aOnSuspicion)),
-      tokens(aSettings.mostAtOnce) {}
+      tokens(aSettings.mostPerSecond, aSettings.mostAtOnce) {}
 
 bool MemberProbe::TakeToken(Instant aNow) {
-  this->tokens = std::min(this->settings.mostAtOnce,
-                          this->tokens + ToSeconds(aNow - this->tokensAt) *
-                                             this->settings.mostPerSecond);
-  this->tokensAt = aNow;
-  if (this->tokens < 1) {
+  if (this->tokens.At(aNow) < 1) {
     return false;
   }
-  this->tokens -= 1;
+  this->tokens.Spend(1);
   return true;
 }
 
@@ -40,7 +36,7 @@
 }
 
 void MemberProbe::Verify(const UpstreamPtr& aUpstream) {
-  if (aUpstream->Entry().kind.empty()) {
+  if (!aUpstream->Entry().IsOfModel()) {
     return;
   }
   const Instant now = this->clock.Now();
--- a/Zincstep/Relay/MemberProbe.h
+++ b/Zincstep/Relay/MemberProbe.h
@@ -84,8 +84,7 @@
   const Clock& clock;
   OnSuspicion onSuspicion;
   std::unordered_map<std::string, Record> records;
-  double tokens = 0;
-  Instant tokensAt{};
+  TokenBucket tokens;
 };
 
 }  // namespace zincstep
