Log lines of store watches, daemons' links and kept connections that are given up

Cause: logs could not tell the hypotheses of the incident apart. Change: four log lines and a metric; no decision is changed. EdgeTests pass.

--- a/Zincstep/Cluster/PlacementKeeper.cpp
+++ b/Zincstep/Cluster/PlacementKeeper.cpp
@@ -278,6 +278,9 @@
     return;
   }
   if (!aReport) {
+    LogInfo("upstream_suspected", {{"upstream", id},
+                                   {"reason", "no report before an order"},
+                                   {"error", aReport.error().message}});
     upstream->Suspect(now);
     this->pending.erase(id);
     return;
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -5,9 +5,11 @@
 namespace zincstep {
 
 PrefixFollower::PrefixFollower(asio::io_context& aLoop, AsyncStore& aStore,
-                               std::string aPrefix, PrefixPauses aPauses,
-                               OnRange aOnRange, OnEvents aOnEvents)
+                               const Clock& aClock, std::string aPrefix,
+                               PrefixPauses aPauses, OnRange aOnRange,
+                               OnEvents aOnEvents)
     : store(aStore),
+      clock(aClock),
       prefix(std::move(aPrefix)),
       pauses(aPauses),
       onRange(std::move(aOnRange)),
@@ -51,12 +53,19 @@
 }
 
 void PrefixFollower::Watch(std::uint64_t aRound) {
+  const Instant began = this->clock.Now();
   this->store.Watch(this->prefix, this->at, this->pauses.watchWait,
-                    [this, aRound](Result<StoreEvents> aEvents) {
+                    [this, aRound, began](Result<StoreEvents> aEvents) {
                       if (aRound != this->round) {
                         return;
                       }
                       if (!aEvents) {
+                        LogInfo("store_watch_lost",
+                                {{"prefix", this->prefix},
+                                 {"waited_ms",
+                                  (this->clock.Now() - began) / 1ms},
+                                 {"at", this->at},
+                                 {"reason", aEvents.error().message}});
                         // A cut watch may have missed changes, whatever the
                         // reason.
                         this->RetryLater(aRound);
@@ -101,14 +110,15 @@
       clock(aClock),
       proofTimer(aLoop),
       upstreams(
-          aLoop, aStore, this->settings.keys.upstreams,
+          aLoop, aStore, aClock, this->settings.keys.upstreams,
           this->settings.upstreamPauses,
           [this](const StoreRange& aRange) { this->view.OnUpstreams(aRange); },
           [this](const StoreEvents& aEvents) {
             this->view.OnUpstreamEvents(aEvents);
           }),
       own(
-          aLoop, aStore, this->settings.keys.own, this->settings.ownPauses,
+          aLoop, aStore, aClock, this->settings.keys.own,
+          this->settings.ownPauses,
           [this](const StoreRange& aRange) { this->view.OnDaemons(aRange); },
           [this](const StoreEvents& aEvents) {
             this->view.OnDaemonEvents(aEvents);
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -66,8 +66,8 @@
   using OnEvents = std::function<void(StoreEvents)>;
 
   PrefixFollower(asio::io_context& aLoop, AsyncStore& aStore,
-                 std::string aPrefix, PrefixPauses aPauses, OnRange aOnRange,
-                 OnEvents aOnEvents);
+                 const Clock& aClock, std::string aPrefix, PrefixPauses aPauses,
+                 OnRange aOnRange, OnEvents aOnEvents);
 
   /// Reads all anew; answers to earlier calls are passed over.
   void Restart();
@@ -84,6 +84,7 @@
   void WatchLater(std::uint64_t aRound);
 
   AsyncStore& store;
+  const Clock& clock;
   std::string prefix;
   PrefixPauses pauses;
   OnRange onRange;
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -282,6 +282,9 @@
                     static_cast<double>(this->relay.Active()));
   this->metrics.Set("zincstep_config_proof_age_seconds",
                     age ? ToSeconds(*age) : -1);
+  const auto listsAge = this->view.ListsAge();
+  this->metrics.Set("zincstep_lists_proof_age_seconds",
+                    listsAge ? ToSeconds(*listsAge) : -1);
   this->metrics.Set("zincstep_config_revision",
                     static_cast<double>(this->view.ConfigRevision()));
   this->metrics.Set("zincstep_upstreams",
--- a/Zincstep/Net/SingleCall.cpp
+++ b/Zincstep/Net/SingleCall.cpp
@@ -1,5 +1,7 @@
 #include "Zincstep/Net/SingleCall.h"
 
+#include "Zincstep/Telemetry/Telemetry.h"
+
 namespace zincstep {
 
 namespace {
@@ -59,6 +61,7 @@
       return;
     }
     if (this->call->IsReusedAndUnanswered()) {
+      this->NoteUnfit("broken");
       this->kept->pool->Distrust(this->kept->upstream);
       this->Send(std::nullopt);
       return;
@@ -76,8 +79,16 @@
                       std::move(aKept));
   }
 
+  void NoteUnfit(const char* aReason) const {
+    LogInfo("kept_connection_unfit",
+            {{"upstream", this->kept->upstream}, {"reason", aReason}});
+  }
+
   void OnTimeout() {
     if (this->kept) {
+      if (this->call->IsReusedAndUnanswered()) {
+        this->NoteUnfit("silent");
+      }
       this->kept->pool->Distrust(this->kept->upstream);
     }
     this->call->Cancel();
--- a/Zincstep/Peer/AsioPeerHub.cpp
+++ b/Zincstep/Peer/AsioPeerHub.cpp
@@ -7,6 +7,7 @@
 
 #include "Zincstep/Net/TcpSocket.h"
 #include "Zincstep/Peer/PeerHub.h"
+#include "Zincstep/Telemetry/Telemetry.h"
 
 namespace zincstep {
 
@@ -30,6 +31,11 @@
          static_cast<std::size_t>(aBytes[3]) << 24;
 }
 
+std::string TextOf(const Tcp::endpoint& aEndpoint) {
+  return aEndpoint.address().to_string() + ":" +
+         std::to_string(aEndpoint.port());
+}
+
 /// Counters that several threads read.
 struct SharedTraffic {
   std::atomic<std::uint64_t> bytesOut{0};
@@ -186,7 +192,7 @@
           if (!aError) {
             self->WatchClose();
           } else if (aError != asio::error::operation_aborted) {
-            self->OnBroken();
+            self->OnBroken(aError);
           }
         });
   }
@@ -202,7 +208,7 @@
         [self](const asio::error_code& aError, std::size_t aBytes) {
           self->writing = false;
           if (aError) {
-            self->OnBroken();
+            self->OnBroken(aError);
             return;
           }
           self->traffic.bytesOut += aBytes;
@@ -219,10 +225,13 @@
     this->queue.pop_front();
   }
 
-  void OnBroken() {
+  void OnBroken(const asio::error_code& aError) {
     if (this->state != State::Open || this->writing) {
       return;
     }
+    LogInfo("peer_connection_lost", {{"peer", TextOf(this->peer)},
+                                     {"unsent", this->queue.size()},
+                                     {"reason", aError.message()}});
     asio::error_code ignored;
     this->socket.close(ignored);
     this->state = State::Closed;
