--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -60,12 +60,12 @@
                         return;
                       }
                       if (!aEvents) {
-                        LogInfo("store_watch_lost",
-                                {{"prefix", this->prefix},
-                                 {"waited_ms",
-                                  (this->clock.Now() - began) / 1ms},
-                                 {"at", this->at},
-                                 {"reason", aEvents.error().message}});
+                        LogInfo(
+                            "store_watch_lost",
+                            {{"prefix", this->prefix},
+                             {"waited_ms", (this->clock.Now() - began) / 1ms},
+                             {"at", this->at},
+                             {"reason", aEvents.error().message}});
                         // A cut watch may have missed changes, whatever the
                         // reason.
                         this->RetryLater(aRound);
