Lists are proven by the store's revision, not by a watch that may be silent

Cause: a proof of the configuration came back on a connection of its own, and the lists were called fresh for it as long as no watch had failed. A watch on a connection that fell silent tells nothing for 6.7 s (the daemons' own entries: 15.7 s), so the holder of the placement duty and all who relied on it held lost upstreams for sound and restored nothing. Class: what one connection shows was taken to prove what hangs on another. Change: each proof tells the store's revision. The lists are proven once both prefixes are known up to it; a prefix that is behind is asked for on a connection of its own, and a watch that should have told is replaced. A proof that finds a newer configuration, and so tells no revision, is made again at once. Ruled out: shorter waits of watches (1.8 more calls a second for each daemon that follows the store, and still 1.7 s late); keep-alive of the connections (a second at the least, and unseen where something in between acknowledges).

--- a/Zincstep/Cluster/AsyncStore.h
+++ b/Zincstep/Cluster/AsyncStore.h
@@ -51,7 +51,8 @@
 /// What became of a change.
 struct StoreCommit {
   bool done = false;
-  /// The key's new revision, where it was written.
+  /// The revision of the store that it left; where nothing was written, the one
+  /// that the store has.
   std::uint64_t revision = 0;
   /// Where not done: the item as it is; none where there is no such key.
   std::optional<StoreItem> present;
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -4,31 +4,45 @@
 
 namespace zincstep {
 
+namespace {
+
+/// Wait of a watch that asks for what is new by now, the shortest there is.
+constexpr Micros kNoWait = 1ms;
+
+}  // namespace
+
 PrefixFollower::PrefixFollower(asio::io_context& aLoop, AsyncStore& aStore,
                                const Clock& aClock, std::string aPrefix,
                                PrefixPauses aPauses, OnRange aOnRange,
-                               OnEvents aOnEvents)
+                               OnEvents aOnEvents, OnCaughtUp aOnCaughtUp)
     : store(aStore),
       clock(aClock),
       prefix(std::move(aPrefix)),
       pauses(aPauses),
       onRange(std::move(aOnRange)),
       onEvents(std::move(aOnEvents)),
+      onCaughtUp(std::move(aOnCaughtUp)),
       timer(aLoop),
       retry(aPauses.firstRetry) {}
 
-void PrefixFollower::Restart() {
+void PrefixFollower::Begin() {
+  // What earlier calls answer is passed over from now on.
   this->round += 1;
-  this->isPaused = false;
   this->isWatching = false;
+  this->isWaiting = false;
+  this->isCatchingUp = false;
+}
+
+void PrefixFollower::Restart() {
+  this->Begin();
+  this->isPaused = false;
   this->retry = this->pauses.firstRetry;
   this->Read(this->round);
 }
 
 void PrefixFollower::Pause() {
-  this->round += 1;
+  this->Begin();
   this->isPaused = true;
-  this->isWatching = false;
   this->timer.cancel();
 }
 
@@ -48,37 +62,83 @@
     }
     this->onRange(std::move(*aRange));
     this->isWatching = true;
+    this->onCaughtUp();
     this->Watch(aRound);
   });
 }
 
 void PrefixFollower::Watch(std::uint64_t aRound) {
-  const Instant began = this->clock.Now();
-  this->store.Watch(this->prefix, this->at, this->pauses.watchWait,
-                    [this, aRound, began](Result<StoreEvents> aEvents) {
-                      if (aRound != this->round) {
-                        return;
-                      }
-                      if (!aEvents) {
-                        LogInfo(
-                            "store_watch_lost",
-                            {{"prefix", this->prefix},
-                             {"waited_ms", (this->clock.Now() - began) / 1ms},
-                             {"at", this->at},
-                             {"reason", aEvents.error().message}});
-                        // A cut watch may have missed changes, whatever the
-                        // reason.
-                        this->RetryLater(aRound);
-                        return;
-                      }
-                      this->at = std::max(this->at, aEvents->at);
-                      for (StoreEvent& event : aEvents->events) {
-                        event.item.key.erase(0, this->prefix.size());
-                      }
-                      const bool hadNews = !aEvents->events.empty();
-                      this->onEvents(std::move(*aEvents));
-                      hadNews ? this->WatchLater(aRound) : this->Watch(aRound);
-                    });
+  this->isWaiting = true;
+  this->store.Watch(
+      this->prefix, this->at, this->pauses.watchWait,
+      [this, aRound, began = this->clock.Now()](Result<StoreEvents> aEvents) {
+        if (aRound == this->round) {
+          this->OnWatched(aRound, began, std::move(aEvents));
+        }
+      });
+}
+
+void PrefixFollower::OnWatched(std::uint64_t aRound, Instant aBegan,
+                               Result<StoreEvents> aEvents) {
+  this->isWaiting = false;
+  if (!aEvents) {
+    // A cut watch may have missed changes, whatever the reason.
+    LogInfo("store_watch_lost",
+            {{"prefix", this->prefix},
+             {"waited_ms", (this->clock.Now() - aBegan) / 1ms},
+             {"at", this->at},
+             {"reason", aEvents.error().message}});
+    this->RetryLater(aRound);
+    return;
+  }
+  const bool hadNews = !aEvents->events.empty();
+  this->Take(std::move(*aEvents));
+  hadNews ? this->WatchLater(aRound) : this->Watch(aRound);
+}
+
+void PrefixFollower::Take(StoreEvents aEvents) {
+  this->at = std::max(this->at, aEvents.at);
+  for (StoreEvent& event : aEvents.events) {
+    event.item.key.erase(0, this->prefix.size());
+  }
+  this->onEvents(std::move(aEvents));
+  this->onCaughtUp();
+}
+
+void PrefixFollower::CatchUp(std::uint64_t aRevision) {
+  if (!this->isWatching || this->at >= aRevision || this->isCatchingUp) {
+    return;
+  }
+  this->isCatchingUp = true;
+  this->store.Watch(
+      this->prefix, this->at, kNoWait,
+      [this, aRound = this->round, aRevision](Result<StoreEvents> aEvents) {
+        if (aRound == this->round) {
+          this->OnMissed(aRound, aRevision, std::move(aEvents));
+        }
+      });
+}
+
+void PrefixFollower::OnMissed(std::uint64_t aRound, std::uint64_t aRevision,
+                              Result<StoreEvents> aEvents) {
+  this->isCatchingUp = false;
+  if (!aEvents) {
+    if (aEvents.error().kind == ErrorKind::HistoryLost) {
+      this->RetryLater(aRound);
+    }
+    return;  // The next proof asks again.
+  }
+  const bool isNews = !aEvents->events.empty() && aEvents->at > this->at;
+  const std::uint64_t before = this->at;
+  this->at = std::max(this->at, aRevision);
+  this->Take(std::move(*aEvents));
+  if (isNews && this->isWaiting) {
+    LogInfo("store_watch_replaced",
+            {{"prefix", this->prefix}, {"watch_at", before}, {"at", this->at}});
+    this->Begin();
+    this->isWatching = true;
+    this->Watch(this->round);
+  }
 }
 
 void PrefixFollower::WatchLater(std::uint64_t aRound) {
@@ -115,14 +175,16 @@
           [this](const StoreRange& aRange) { this->view.OnUpstreams(aRange); },
           [this](const StoreEvents& aEvents) {
             this->view.OnUpstreamEvents(aEvents);
-          }),
+          },
+          [this] { this->ProveLists(); }),
       own(
           aLoop, aStore, aClock, this->settings.keys.own,
           this->settings.ownPauses,
           [this](const StoreRange& aRange) { this->view.OnDaemons(aRange); },
           [this](const StoreEvents& aEvents) {
             this->view.OnDaemonEvents(aEvents);
-          }) {
+          },
+          [this] { this->ProveLists(); }) {
   this->upstreams.Pause();
   this->own.Pause();
 }
@@ -189,17 +251,17 @@
 void StoreFollower::OnProved(std::uint64_t aChecked, Instant aBegan,
                              Result<StoreCommit> aResult) {
   this->SetReached(aResult.has_value());
-  if (aResult && this->upstreams.IsWatching() && this->own.IsWatching()) {
-    // The store answers, and nothing has cut the watches.
-    this->view.OnListsProven(aBegan);
-  }
   Micros pause =
       aResult ? this->settings.proofInterval : this->PauseWhileAway();
   if (aResult && aResult->done) {
     this->view.OnProof(aChecked, aBegan);
+    this->OnStoreState({aResult->revision, aBegan});
   } else if (aResult && aResult->present) {
     this->view.OnConfiguration(*aResult->present);
     this->view.OnProof(aResult->present->revision, aBegan);
+    if (this->view.ConfigRevision() > aChecked) {
+      pause = Micros{0};  // This proof has not told the store's revision.
+    }
   }
   if (this->view.ConfigRevision() == 0) {
     pause = this->settings.firstRetry;
@@ -209,6 +271,23 @@
       pause - taken, aResult ? Micros{0} : this->settings.firstRetry));
 }
 
+void StoreFollower::OnStoreState(StoreState aState) {
+  this->lastState = aState;
+  this->ProveLists();
+  this->upstreams.CatchUp(aState.revision);
+  this->own.CatchUp(aState.revision);
+}
+
+void StoreFollower::ProveLists() {
+  // That the store answers does not show that the watches do: on a connection
+  // that had fallen silent one told nothing for 6.7 s, and lists that were
+  // called fresh all along held four upstreams that were gone.
+  if (this->lastState && this->upstreams.Knows(this->lastState->revision) &&
+      this->own.Knows(this->lastState->revision)) {
+    this->view.OnListsProven(this->lastState->at);
+  }
+}
+
 Micros StoreFollower::PauseWhileAway() {
   const bool hasOther = this->hasTeller && this->hasTeller();
   this->awayPause =
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -46,8 +46,9 @@
   Micros startPatience = 400ms;
   /// The same where peers do answer, but not yet the one to rely on.
   Micros longestStart = 3s;
-  /// Upstreams' entries: each wait is a call, and an answer that was lost
-  /// goes unnoticed for as long; changes often come in series.
+  /// Upstreams' entries: each wait is a call; changes often come in series.
+  /// That an answer is lost shows in the next proof, not at the end of the
+  /// wait.
   PrefixPauses upstreamPauses{6s, 200ms, 150ms, 1s};
   /// The daemons' own entries change seldom, and late news of them costs
   /// little.
@@ -60,26 +61,43 @@
 };
 
 /// Follows all items under one prefix: reads them, then watches.
+///
+/// The connection of a watch may fall silent for good. Whoever hears in another
+/// way that the store has changed calls `CatchUp`.
 class PrefixFollower {
  public:
   using OnRange = std::function<void(StoreRange)>;
   using OnEvents = std::function<void(StoreEvents)>;
+  /// More of the store's changes are known than before.
+  using OnCaughtUp = std::function<void()>;
 
   PrefixFollower(asio::io_context& aLoop, AsyncStore& aStore,
                  const Clock& aClock, std::string aPrefix, PrefixPauses aPauses,
-                 OnRange aOnRange, OnEvents aOnEvents);
+                 OnRange aOnRange, OnEvents aOnEvents, OnCaughtUp aOnCaughtUp);
 
   /// Reads all anew; answers to earlier calls are passed over.
   void Restart();
   /// Makes no calls until the next restart.
   void Pause();
   bool IsPaused() const { return this->isPaused; }
-  /// Whether all is read and a watch tells of changes, or soon will.
-  bool IsWatching() const { return this->isWatching; }
+  /// The store has reached a revision: where the watch has not told up to
+  /// there, asks on a connection of its own for what is missing. A watch that
+  /// should have told it is replaced.
+  void CatchUp(std::uint64_t aRevision);
+  /// Whether all changes up to a revision of the store are known.
+  bool Knows(std::uint64_t aRevision) const {
+    return this->isWatching && this->at >= aRevision;
+  }
 
  private:
+  void Begin();
   void Read(std::uint64_t aRound);
   void Watch(std::uint64_t aRound);
+  void OnWatched(std::uint64_t aRound, Instant aBegan,
+                 Result<StoreEvents> aEvents);
+  void OnMissed(std::uint64_t aRound, std::uint64_t aRevision,
+                Result<StoreEvents> aEvents);
+  void Take(StoreEvents aEvents);
   void RetryLater(std::uint64_t aRound);
   void WatchLater(std::uint64_t aRound);
 
@@ -89,13 +107,19 @@
   PrefixPauses pauses;
   OnRange onRange;
   OnEvents onEvents;
+  OnCaughtUp onCaughtUp;
   asio::steady_timer timer;
   /// Rises with each restart; tells late answers from wanted ones.
   std::uint64_t round = 0;
+  /// All changes up to this revision of the store are known.
   std::uint64_t at = 0;
   Micros retry;
   bool isPaused = false;
+  /// All is read, and a watch tells of changes, or soon will.
   bool isWatching = false;
+  /// A call of a watch is waiting for its answer.
+  bool isWaiting = false;
+  bool isCatchingUp = false;
 };
 
 /// Keeps a view up to the store: watches, and proofs of freshness.
@@ -120,6 +144,12 @@
   bool IsDirect() const { return !this->own.IsPaused(); }
 
  private:
+  /// The revision that the store had at some time.
+  struct StoreState {
+    std::uint64_t revision = 0;
+    Instant at;
+  };
+
   void Prove();
   bool Relies() const;
   /// Whether what it knows is new enough to leave the store to a peer.
@@ -133,6 +163,10 @@
   Micros PauseWhileAway();
   void OnProved(std::uint64_t aChecked, Instant aBegan,
                 Result<StoreCommit> aResult);
+  void OnStoreState(StoreState aState);
+  /// Takes the lists as proven if they hold all that the store held at the
+  /// last proof.
+  void ProveLists();
   void SetReached(bool aReached);
 
   StoreFollowerSettings settings;
@@ -144,6 +178,8 @@
   std::function<bool()> hasTeller;
   PrefixFollower upstreams;
   PrefixFollower own;
+  /// What the last proof told of the store.
+  std::optional<StoreState> lastState;
   bool isReached = true;
   /// The last pause while the store did not answer.
   Micros awayPause{0};
