--- /dev/null
+++ b/UnitTests/RelayFixture.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+
+#include "Zincstep/Net/SingleCall.h"
+#include "Zincstep/Relay/Relay.h"
+#include "platform/Platform.h"
+
+namespace zincstep {
+
+using ConnectionPtr = std::shared_ptr<CallerConnection>;
+
+/// An upstream whose answers are scripted by the test.
+class ScriptedUpstream final : public CallerHandler {
+ public:
+  using Script =
+      std::function<void(const ConnectionPtr&, const CallerMessage&)>;
+
+  ScriptedUpstream(asio::io_context& aLoop, const Clock& aClock, Script aScript)
+      : listener(aLoop, *this, aClock), script(std::move(aScript)) {
+    CPPUNIT_ASSERT(this->listener.Start("127.0.0.1:0").has_value());
+  }
+
+  void OnRequest(const ConnectionPtr& aConnection,
+                 CallerMessage aMessage) override {
+    this->seen.push_back(aMessage.head);
+    this->script(aConnection, aMessage);
+  }
+  void OnCallerGone(CallerConnection&) override { this->gone += 1; }
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(this->listener.Port());
+  }
+
+  std::vector<HttpHead> seen;
+  int gone = 0;
+
+ private:
+  CallerListener listener;
+  Script script;
+};
+
+inline HttpHeaders SealedHeaders(const CallerMessage& aMessage) {
+  return {{"X-Attempt-Id",
+           std::string(FindHeader(aMessage.head.headers, "X-Attempt-Id"))},
+          {"X-Response-Seal", "seal"}};
+}
+
+/// A configuration with a safe, an unsafe and a streaming route.
+inline constexpr const char* kRelayConfig = R"({"configVersion":1,"routes":[
+ {"name":"s","hostname":"h","pathPrefix":"/safe/","routeType":"safe",
+  "timeoutMs":2000,"maxAttempts":2,"backend":"plain"},
+ {"name":"u","hostname":"h","pathPrefix":"/unsafe/","routeType":"unsafe",
+  "timeoutMs":2000,"maxAttempts":1,"backend":"plain"},
+ {"name":"l","hostname":"h","pathPrefix":"/llm/","routeType":"streaming",
+  "timeoutMs":20000,"maxAttempts":2,"backend":"model","resumable":true}],
+ "services":[{"name":"plain"},{"name":"model","engine":{"layers":2,
+  "layer_mb":1,"kvTokenBytes":1000,"step_ms":1,"models":[{"name":"m"}],
+  "kinds":[{"name":"k","mb":1000,"pace":1,"read_x":1}]}}],
+ "tenants":[{"name":"acme","apiKeys":["key1"]}]})";
+
+/// A relay in this process with callers and scripted upstreams on loopback.
+class RelayFixture : public CppUnit::TestFixture, private ClusterListener {
+ public:
+  void setUp() override {
+    relay = std::make_unique<Relay>(RelayContext{
+        loop, settings, *dialect, view, *control, clock, random, metrics, probe,
+        kept, chains, services, demand, budgets, stop, [] {}});
+    listener = std::make_unique<CallerListener>(loop, *relay, clock);
+    CPPUNIT_ASSERT(listener->Start("127.0.0.1:0").has_value());
+    this->Configure(kRelayConfig);
+  }
+
+ protected:
+  asio::io_context loop{1};
+  SystemClock clock;
+  std::unique_ptr<RelayDialect> dialect = platform::MakeDialect();
+  std::unique_ptr<ClusterDecoder> decoder = platform::MakeDecoder();
+  std::unique_ptr<UpstreamControl> control =
+      platform::MakeUpstreamControl(loop);
+  ClusterView view{*decoder, *this, clock};
+  RelaySettings settings;
+  Random random{3};
+  Metrics metrics;
+  MemberProbe probe{MemberProbeSettings{}, *control, clock, [](Evidence) {}};
+  ChainChooser chains{ChainChooserSettings{}};
+  ServiceChooser services{ServiceChooserSettings{}};
+  DemandMeter demand;
+  ConnectionPool kept{ConnectionPoolSettings{}, clock};
+  std::map<std::string, RetryBudget> budgets;
+  StopPolicy stop{StopPolicySettings{}};
+  std::unique_ptr<Relay> relay;
+  std::unique_ptr<CallerListener> listener;
+  std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
+
+  void Configure(const std::string& aText) {
+    view.OnConfiguration({"", aText, 10});
+    view.OnProof(10, clock.Now());
+  }
+
+  ScriptedUpstream& AddUpstream(const std::string& aService,
+                                ScriptedUpstream::Script aScript) {
+    upstreams.push_back(
+        std::make_unique<ScriptedUpstream>(loop, clock, std::move(aScript)));
+    this->List(aService, upstreams.back()->Address());
+    return *upstreams.back();
+  }
+
+  void List(const std::string& aService, const std::string& aAddress) {
+    const std::uint64_t revision = view.Revisions().upstreams + 1;
+    view.OnUpstreamEvents(
+        {{{{"i" + std::to_string(revision),
+            R"({"backend":")" + aService + R"(","address":")" + aAddress +
+                R"(","state":"ready","slots":4,"routeType":"k",)" +
+                R"("layers":{"from":0,"targetVersion":2}})",
+            revision},
+           false}},
+         revision});
+  }
+
+  std::string Request(const std::string& aPath,
+                      const std::string& aKey = "key1") {
+    return "POST " + aPath +
+           " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r1\r\n"
+           "X-Deadline-Ms: 3000\r\nAuthorization: Bearer " +
+           aKey + "\r\nContent-Length: 2\r\n\r\nhi";
+  }
+
+  /// Sends a request and runs the loop until its answer is there.
+  Result<HttpAnswer> Ask(const std::string& aRequest) {
+    std::optional<Result<HttpAnswer>> answer;
+    FetchWhole(loop, {asio::ip::address_v4::loopback(), this->listener->Port()},
+               aRequest, 10s, [&](Result<HttpAnswer> aAnswer) {
+                 answer = std::move(aAnswer);
+               });
+    this->RunUntil([&] { return answer.has_value(); });
+    return *answer;
+  }
+
+  void RunUntil(const std::function<bool()>& aDone) {
+    asio::steady_timer tick(loop);
+    std::function<void()> step = [&] {
+      relay->Tick();
+      tick.expires_after(10ms);
+      tick.async_wait([&](const asio::error_code& aError) {
+        if (!aError) {
+          step();
+        }
+      });
+    };
+    step();
+    while (!aDone()) {
+      loop.run_one();
+    }
+    tick.cancel();
+  }
+
+ private:
+  void OnConfiguration() override {}
+  void OnUpstream(const UpstreamPtr&) override {}
+  void OnDaemonEntries() override {}
+};
+
+}  // namespace zincstep
