Soak: all open connections fall silent at once, also beside a lost upstream

Change: FaultProxy::SilenceOpen; drawn in series from a random source of its own, so that a seed's other faults stay what they were; a last phase with streams that run when all connections fall silent, an upstream lost at that instant and one that leaves. Links between daemons are not behind a proxy: they tell their own address to each other.

--- a/SoakTests/FaultProxy.cpp
+++ b/SoakTests/FaultProxy.cpp
@@ -43,6 +43,8 @@
     }
   }
 
+  void Silence() { this->isSilent = true; }
+
   /// The proxy ends; it takes all pairs out itself.
   void Detach() { this->proxy = nullptr; }
 
@@ -67,6 +69,9 @@
     this->From(aToTarget).async_read_some(
         asio::buffer(this->Of(aToTarget).buffer),
         [self, aToTarget](const asio::error_code& aError, std::size_t aSize) {
+          if (self->isSilent && self->proxy != nullptr) {
+            return;  // The other side hears of nothing, not of the end either.
+          }
           if (aError || self->proxy == nullptr) {
             self->OnEnd(aToTarget, aError);
             return;
@@ -91,6 +96,9 @@
   }
 
   void Hold(bool aToTarget, Micros aFor) {
+    if (this->isSilent) {
+      return;
+    }
     if (aFor == Micros{0} && this->proxy->Passes(aToTarget)) {
       this->Forward(aToTarget);
       return;
@@ -126,6 +134,7 @@
   Direction forward;
   Direction backward;
   bool hasEnded = false;
+  bool isSilent = false;
 };
 
 FaultProxy::FaultProxy(asio::io_context& aLoop, std::uint16_t aTarget)
@@ -153,6 +162,12 @@
   }
 }
 
+void FaultProxy::SilenceOpen() {
+  for (const auto& pair : this->pairs) {
+    pair->Silence();
+  }
+}
+
 std::uint16_t FaultProxy::Port() const {
   return this->acceptor.local_endpoint().port();
 }
--- a/SoakTests/FaultProxy.h
+++ b/SoakTests/FaultProxy.h
@@ -27,6 +27,9 @@
   ~FaultProxy();
 
   void Set(LinkState aState);
+  /// All connections that are open now fall silent for good, and neither side
+  /// is told; new ones work.
+  void SilenceOpen();
   void SetDelay(Micros aDelay) { this->delay = aDelay; }
   std::uint16_t Port() const;
   std::string Address() const {
--- a/SoakTests/Ledger.h
+++ b/SoakTests/Ledger.h
@@ -41,6 +41,9 @@
 
   std::size_t Requests() const { return this->requests.size(); }
   std::size_t Answers() const;
+  bool IsAnswered(const std::string& aId) const {
+    return this->requests.at(aId).told == Told::Answered;
+  }
 
  private:
   struct Record {
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -26,6 +26,19 @@
 /// The operators' bound on withdrawn keys, as the daemons get it.
 constexpr Micros kKeyRevocation = 5s;
 constexpr Micros kCallerPatience = 4s;
+/// The same where a stream has to be finished; generous, as above.
+constexpr Micros kLongPatience = 15s;
+/// Between two instants at which open connections fall silent.
+constexpr Micros kShortestSilencePause = 2s;
+constexpr Micros kSilencePauseSpread = 4s;
+/// Streams that each daemon has open when its connections fall silent, and the
+/// time that they have run by then.
+constexpr int kStreamsAtOnce = 3;
+constexpr Micros kStreamsRun = 80ms;
+/// An upstream that leaves gets no new work after "a few seconds".
+constexpr Micros kDrainNotice = 4s;
+/// For so long its requests are looked at from then on.
+constexpr Micros kDrainWatch = 2s;
 /// Longer than a withdrawn key may still run.
 constexpr Micros kLongCut = 8s;
 constexpr int kOk = 200;
@@ -64,6 +77,7 @@
   explicit Soak(const SoakSettings& aSettings)
       : settings(aSettings),
         random(aSettings.seed),
+        silenceRandom(Hash64("silence", aSettings.seed)),
         store(this->loop, this->clock),
         timer(this->loop) {
     this->store.Put("op/config", Configuration(this->version, true));
@@ -100,13 +114,21 @@
   void AddDaemons();
   void Tick();
   void SendNext();
-  void Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther);
+  std::string Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther,
+                   Micros aPatience = kCallerPatience);
   void OnAnswer(const std::string& aId, RequestKind aKind, Daemon& aDaemon,
                 const Result<HttpAnswer>& aAnswer);
   void Inject();
   void InjectAtDaemon(Daemon& aDaemon);
   void InjectAtUpstream(SoakUpstream& aUpstream);
   void InjectAtStore();
+  /// All open connections to the store and to upstreams fall silent at once.
+  void SilenceOpenConnections();
+  /// Kills an upstream of the model that lives; false: none does.
+  bool LoseModelUpstream();
+  /// Streams that run when all connections fall silent, and an upstream is
+  /// lost, are finished; one that then announces its end is left alone soon.
+  void CheckSilence();
   /// Nobody hears that a key is withdrawn, for longer than it may still run.
   void CutAllFromStore();
   void Note(const std::string& aFault);
@@ -126,6 +148,8 @@
   asio::io_context loop{1};
   SystemClock clock;
   Random random;
+  /// Of its own, so that a seed's other faults stay what they were.
+  Random silenceRandom;
   SoakStore store;
   Ledger ledger;
   UpstreamsByAddress byAddress;
@@ -136,6 +160,7 @@
   Instant startedAt = this->clock.Now();
   Instant nextRequest{};
   Instant nextFault{};
+  Instant nextSilence{};
   bool injects = false;
   int version = 1;
   /// The other organisation's key has been withdrawn.
@@ -197,6 +222,7 @@
   if (!this->WaitUntilServed()) {
     this->ledger.Broken("not all was served again after the last fault");
   }
+  this->CheckSilence();
   // Whoever was refused must not run later either.
   this->loop.run_for(kCallerPatience);
   this->outcome.broken = this->ledger.Close();
@@ -254,6 +280,16 @@
     this->nextFault = now + this->Draw(kShortestFaultPause, kFaultPauseSpread);
     this->Inject();
   }
+  if (this->injects && now >= this->nextSilence) {
+    const bool isFirst = this->nextSilence == Instant{};
+    this->nextSilence =
+        now + kShortestSilencePause +
+        Micros{static_cast<std::int64_t>(this->silenceRandom.Below(
+            static_cast<std::size_t>(kSilencePauseSpread.count())))};
+    if (!isFirst) {
+      this->SilenceOpenConnections();
+    }
+  }
   this->timer.expires_after(kTick);
   this->timer.async_wait([this](const asio::error_code& aError) {
     if (!aError) {
@@ -269,7 +305,8 @@
   this->Send(*this->daemons[pick], kind, this->random.Below(kOtherShare) == 0);
 }
 
-void Soak::Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther) {
+std::string Soak::Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther,
+                       Micros aPatience) {
   constexpr std::array kPaths{"/safe/x", "/unsafe/x", "/llm/x"};
   this->lastRequest += 1;
   const std::string id = "r" + std::to_string(this->lastRequest);
@@ -277,14 +314,15 @@
   const std::string text =
       std::string("POST ") + kPaths[static_cast<std::size_t>(aKind)] +
       " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id +
-      "\r\nX-Deadline-Ms: " + std::to_string(kCallerPatience / 1ms) +
+      "\r\nX-Deadline-Ms: " + std::to_string(aPatience / 1ms) +
       "\r\nAuthorization: Bearer " + (aIsOther ? "key2" : "key1") +
       "\r\nX-Token-Usage: 10,60\r\nConnection: close\r\n"
       "Content-Length: 2\r\n\r\n{}";
-  FetchWhole(this->loop, aDaemon.address, text, kCallerPatience,
+  FetchWhole(this->loop, aDaemon.address, text, aPatience,
              [this, id, aKind, &aDaemon](const Result<HttpAnswer>& aAnswer) {
                this->OnAnswer(id, aKind, aDaemon, aAnswer);
              });
+  return id;
 }
 
 void Soak::OnAnswer(const std::string& aId, RequestKind aKind, Daemon& aDaemon,
@@ -386,6 +424,76 @@
   }
 }
 
+void Soak::SilenceOpenConnections() {
+  this->Note("all open connections fall silent");
+  for (const auto& daemon : this->daemons) {
+    daemon->storeLink->SilenceOpen();
+  }
+  for (const auto& upstream : this->upstreams) {
+    upstream->SilenceConnections();
+  }
+}
+
+bool Soak::LoseModelUpstream() {
+  std::vector<SoakUpstream*> alive;
+  for (const auto& upstream : this->upstreams) {
+    if (upstream->IsOfModel() && upstream->IsAlive()) {
+      alive.push_back(upstream.get());
+    }
+  }
+  if (alive.empty()) {
+    return false;
+  }
+  this->Note("an upstream of the model is lost");
+  alive[this->silenceRandom.Below(alive.size())]->Kill(true);
+  return true;
+}
+
+void Soak::CheckSilence() {
+  std::vector<std::string> streams;
+  for (const auto& daemon : this->daemons) {
+    for (int i = 0; i < kStreamsAtOnce; ++i) {
+      streams.push_back(
+          this->Send(*daemon, RequestKind::Stream, false, kLongPatience));
+    }
+  }
+  this->loop.run_for(kStreamsRun);
+  this->SilenceOpenConnections();
+  if (!this->LoseModelUpstream()) {
+    this->ledger.Broken("no upstream of the model lives");
+    return;
+  }
+  SoakUpstream* leaving = nullptr;
+  for (const auto& upstream : this->upstreams) {
+    if (upstream->IsOfModel() && upstream->IsAlive()) {
+      leaving = upstream.get();
+    }
+  }
+  this->Note("an upstream of the model leaves");
+  leaving->Drain();
+  this->loop.run_for(kDrainNotice);
+  leaving->EndDrainNotice();
+  this->loop.run_for(kDrainWatch);
+  leaving->Restart();
+  const auto isOpen = [this](const std::string& aId) {
+    return !this->ledger.IsAnswered(aId);
+  };
+  const Instant end = this->clock.Now() + kLongPatience;
+  while (std::any_of(streams.begin(), streams.end(), isOpen) &&
+         this->clock.Now() < end) {
+    this->loop.run_for(100ms);
+  }
+  for (const std::string& id : streams) {
+    if (isOpen(id)) {
+      this->ledger.Broken("stream " + id +
+                          " was not finished after connections fell silent");
+    }
+  }
+  if (!this->WaitUntilServed()) {
+    this->ledger.Broken("not all was served after connections fell silent");
+  }
+}
+
 void Soak::InjectAtUpstream(SoakUpstream& aUpstream) {
   if (!aUpstream.IsAlive()) {
     return;
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -106,6 +106,7 @@
   this->loading.reset();
   this->isAlive = true;
   this->isDraining = false;
+  this->isNoticeOver = false;
   this->proxy->Set(LinkState::Up);
   this->WriteEntry();
 }
@@ -183,6 +184,10 @@
     return;
   }
   this->ledger.Ran(request, HeaderOf(aMessage, "X-Tenant"));
+  if (this->isNoticeOver) {
+    this->ledger.Broken("request " + request + " reached " + this->id +
+                        " long after it announced that it leaves");
+  }
   if (this->service != "model") {
     this->LosesAnswerTo(request)
         ? aConnection->Abort()
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -39,9 +39,14 @@
   void Restart();
   /// Announces that it leaves; it serves on until it is killed.
   void Drain();
+  /// From now on each request that comes is too late.
+  void EndDrainNotice() { this->isNoticeOver = this->isDraining; }
+  /// Open connections to it fall silent for good; new ones work.
+  void SilenceConnections() { this->proxy->SilenceOpen(); }
   /// Goes on with its streams; to be called many times a second.
   void Tick();
   bool IsAlive() const { return this->isAlive; }
+  bool IsOfModel() const { return this->service == "model"; }
 
   void OnRequest(const std::shared_ptr<CallerConnection>& aConnection,
                  CallerMessage aMessage) override;
@@ -89,6 +94,7 @@
   Instant loadedAt;
   bool isAlive = false;
   bool isDraining = false;
+  bool isNoticeOver = false;
 };
 
 }  // namespace zincstep::soak
