Soak: callers keep connections, a planned stop cuts nothing, many daemons

Cause: the soak's callers closed each connection, so that no daemon was stopped while they used open ones, and with a hundred daemons its checks asked for more requests than it sent. Change: SoakCaller; half of the requests go on kept connections and are never sent again; a phase that stops one daemon with requests in flight and finds those that ran and were cut; requests in proportion to daemons.

--- a/SoakTests/Ledger.cpp
+++ b/SoakTests/Ledger.cpp
@@ -40,6 +40,14 @@
       [](const auto& aOne) { return aOne.second.told == Told::Answered; }));
 }
 
+void Ledger::CheckCuts(const std::string& aBy) {
+  for (const std::string& id : this->cut) {
+    if (this->requests.at(id).runs > 0) {
+      this->Broken("request " + id + " ran and was cut off " + aBy);
+    }
+  }
+}
+
 std::vector<std::string> Ledger::Close() {
   for (const auto& [id, record] : this->requests) {
     const bool mayNotRepeat = record.kind == RequestKind::Unsafe;
--- a/SoakTests/Ledger.h
+++ b/SoakTests/Ledger.h
@@ -29,6 +29,11 @@
   /// An upstream begins to work on it.
   void Ran(const std::string& aId, const std::string& aOrganisation);
   void Ended(const std::string& aId, Told aTold);
+  /// Its caller's connection broke before the answer was whole.
+  void Cut(const std::string& aId) { this->cut.push_back(aId); }
+  void ForgetCuts() { this->cut.clear(); }
+  /// No request that ran was cut since; `aBy` says what should not cut them.
+  void CheckCuts(const std::string& aBy);
   /// Requests with keys of that organisation must not run that are sent after
   /// this.
   void Revoked(const std::string& aOrganisation, Instant aNotAfter) {
@@ -55,6 +60,7 @@
   };
 
   std::map<std::string, Record> requests;
+  std::vector<std::string> cut;
   std::map<std::string, Instant> revoked;
   std::vector<std::string> broken;
 };
--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 
 #include "SoakTests/SoakRun.h"
+#include "Zincstep/Telemetry/Telemetry.h"
 
 namespace {
 
@@ -61,6 +62,8 @@
     std::fputs(kUsage, stderr);
     return 2;
   }
+  // What the soak's own connections meet is part of the faults.
+  zincstep::StartLog("zincstep-soak", "error");
   int failed = 0;
   for (int i = 0; i < seeds; ++i, ++settings.seed) {
     settings.logs = logs + "/seed-" + std::to_string(settings.seed);
@@ -82,6 +85,7 @@
     }
     std::fflush(stdout);
   }
+  zincstep::StopLog();
   std::printf("%d passed, %d failed\n", seeds - failed, failed);
   return failed == 0 ? 0 : 1;
 }
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -5,17 +5,20 @@
 #include <functional>
 
 #include "SoakTests/DaemonProcess.h"
+#include "SoakTests/SoakCaller.h"
 #include "SoakTests/SoakUpstream.h"
 #include "Zincstep/Core/Random.h"
-#include "Zincstep/Net/SingleCall.h"
 
 namespace zincstep::soak {
 
 namespace {
 
 constexpr Micros kTick = 10ms;
-/// Between requests of all callers together.
+/// Between requests of all callers together, for up to so many daemons; with
+/// more of them it is shorter, and this at the least, which the upstreams bear.
 constexpr Micros kRequestPause = 25ms;
+constexpr int kFewDaemons = 4;
+constexpr Micros kShortestRequestPause = 5ms;
 constexpr Micros kShortestFaultPause = 200ms;
 constexpr Micros kFaultPauseSpread = 500ms;
 constexpr Micros kShortestFault = 300ms;
@@ -31,10 +34,12 @@
 /// Between two instants at which open connections fall silent.
 constexpr Micros kShortestSilencePause = 2s;
 constexpr Micros kSilencePauseSpread = 4s;
-/// Streams that each daemon has open when its connections fall silent, and the
-/// time that they have run by then.
+/// Streams that each of the first few daemons has open when its connections
+/// fall silent, and the time that they have run by then.
 constexpr int kStreamsAtOnce = 3;
 constexpr Micros kStreamsRun = 80ms;
+/// A daemon ends within its grace (3 s); generous, as above.
+constexpr Micros kLongestStop = 12s;
 /// Lists of upstreams are known to all daemons by then: three proofs.
 constexpr Micros kSettled = 2100ms;
 /// An upstream that leaves gets no new work after "a few seconds".
@@ -81,6 +86,7 @@
         random(aSettings.seed),
         silenceRandom(Hash64("silence", aSettings.seed)),
         store(this->loop, this->clock),
+        callers(this->loop, this->clock),
         timer(this->loop) {
     this->store.Put("op/config", Configuration(this->version, true));
     for (const char* domain : {"a", "b"}) {
@@ -115,6 +121,8 @@
                    int aNumber);
   void AddDaemons();
   void Tick();
+  /// Sends as many requests as it is time for.
+  void SendDue(Instant aNow);
   void SendNext();
   std::string Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther,
                    Micros aPatience = kCallerPatience);
@@ -128,6 +136,10 @@
   void SilenceOpenConnections();
   /// Kills an upstream of the model that lives; false: none does.
   bool LoseModelUpstream();
+  /// Streams at each daemon that have run for a moment.
+  std::vector<std::string> StartStreams();
+  /// A daemon that is stopped cuts off nothing that an upstream has begun.
+  void CheckPlannedStop();
   /// Streams that run when all connections fall silent are finished.
   void CheckSilentStreams();
   /// When an upstream is lost at that instant all is served again, and one that
@@ -155,6 +167,7 @@
   /// Of its own, so that a seed's other faults stay what they were.
   Random silenceRandom;
   SoakStore store;
+  SoakCaller callers;
   Ledger ledger;
   UpstreamsByAddress byAddress;
   std::vector<std::unique_ptr<SoakUpstream>> upstreams;
@@ -226,6 +239,10 @@
   if (!this->WaitUntilServed()) {
     this->ledger.Broken("not all was served again after the last fault");
   }
+  // What has just healed is known to all daemons first: a stream that meets
+  // other faults besides may use up its attempts.
+  this->loop.run_for(kSettled);
+  this->CheckPlannedStop();
   this->CheckSilentStreams();
   this->CheckSilentLoss();
   // Whoever was refused must not run later either.
@@ -277,10 +294,7 @@
       daemon->process->Start();
     }
   }
-  if (now >= this->nextRequest) {
-    this->nextRequest = now + kRequestPause;
-    this->SendNext();
-  }
+  this->SendDue(now);
   if (this->injects && now >= this->nextFault) {
     this->nextFault = now + this->Draw(kShortestFaultPause, kFaultPauseSpread);
     this->Inject();
@@ -303,6 +317,21 @@
   });
 }
 
+void Soak::SendDue(Instant aNow) {
+  const Micros pause = std::max(
+      kShortestRequestPause, kRequestPause * kFewDaemons /
+                                 std::max(kFewDaemons, this->settings.daemons));
+  if (aNow < this->nextRequest) {
+    return;
+  }
+  // A tick that came late is not made up for.
+  this->nextRequest = std::max(this->nextRequest, aNow - kTick);
+  while (aNow >= this->nextRequest) {
+    this->nextRequest += pause;
+    this->SendNext();
+  }
+}
+
 void Soak::SendNext() {
   constexpr int kOtherShare = 5;
   const std::size_t pick = this->random.Below(this->daemons.size());
@@ -315,18 +344,21 @@
   constexpr std::array kPaths{"/safe/x", "/unsafe/x", "/llm/x"};
   this->lastRequest += 1;
   const std::string id = "r" + std::to_string(this->lastRequest);
+  // Half of the callers keep their connections until the process is gone.
+  const bool keeps = this->lastRequest % 2 == 0;
   this->ledger.Sent(id, aKind, aIsOther ? "other" : "acme", this->clock.Now());
   const std::string text =
       std::string("POST ") + kPaths[static_cast<std::size_t>(aKind)] +
       " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id +
       "\r\nX-Deadline-Ms: " + std::to_string(aPatience / 1ms) +
       "\r\nAuthorization: Bearer " + (aIsOther ? "key2" : "key1") +
-      "\r\nX-Token-Usage: 10,60\r\nConnection: close\r\n"
+      "\r\nX-Token-Usage: 10,60\r\n" + (keeps ? "" : "Connection: close\r\n") +
       "Content-Length: 2\r\n\r\n{}";
-  FetchWhole(this->loop, aDaemon.address, text, aPatience,
-             [this, id, aKind, &aDaemon](const Result<HttpAnswer>& aAnswer) {
-               this->OnAnswer(id, aKind, aDaemon, aAnswer);
-             });
+  this->callers.Send(
+      aDaemon.address, text, keeps, aPatience,
+      [this, id, aKind, &aDaemon](const Result<HttpAnswer>& aAnswer) {
+        this->OnAnswer(id, aKind, aDaemon, aAnswer);
+      });
   return id;
 }
 
@@ -334,6 +366,9 @@
                     const Result<HttpAnswer>& aAnswer) {
   constexpr std::array kNotRun{408, 421, 429, 503};
   if (!aAnswer) {
+    if (aAnswer.error().kind == ErrorKind::AnswerIncomplete) {
+      this->ledger.Cut(aId);
+    }
     return;  // Broken off or late: nothing was promised.
   }
   if (std::find(kNotRun.begin(), kNotRun.end(), aAnswer->status) !=
@@ -454,18 +489,42 @@
   return true;
 }
 
-void Soak::CheckSilentStreams() {
-  // What has just healed is known to all daemons first: a stream that meets
-  // other faults besides may use up its attempts.
-  this->loop.run_for(kSettled);
+std::vector<std::string> Soak::StartStreams() {
   std::vector<std::string> streams;
-  for (const auto& daemon : this->daemons) {
-    for (int i = 0; i < kStreamsAtOnce; ++i) {
-      streams.push_back(
-          this->Send(*daemon, RequestKind::Stream, false, kLongPatience));
-    }
+  for (int i = 0; i < kFewDaemons * kStreamsAtOnce; ++i) {
+    Daemon& daemon = *this->daemons[static_cast<std::size_t>(
+        i % std::min(kFewDaemons, this->settings.daemons))];
+    streams.push_back(
+        this->Send(daemon, RequestKind::Stream, false, kLongPatience));
   }
   this->loop.run_for(kStreamsRun);
+  return streams;
+}
+
+void Soak::CheckPlannedStop() {
+  this->ledger.ForgetCuts();
+  this->StartStreams();
+  Daemon& daemon =
+      *this->daemons[this->silenceRandom.Below(this->daemons.size())];
+  this->Note("planned stop of " + daemon.address.address().to_string());
+  daemon.isDown = true;
+  daemon.process->Signal(SIGTERM);
+  const Instant end = this->clock.Now() + kLongestStop;
+  while (daemon.process->IsRunning() && this->clock.Now() < end) {
+    this->loop.run_for(100ms);
+  }
+  if (daemon.process->IsRunning()) {
+    this->ledger.Broken("a stopped daemon has not ended");
+  }
+  this->ledger.CheckCuts("by a planned stop");
+  daemon.isDown = false;
+  if (!this->WaitUntilServed()) {
+    this->ledger.Broken("not all was served after a planned stop");
+  }
+}
+
+void Soak::CheckSilentStreams() {
+  const std::vector<std::string> streams = this->StartStreams();
   this->SilenceOpenConnections();
   const auto isOpen = [this](const std::string& aId) {
     return !this->ledger.IsAnswered(aId);
