Members and the choice of the teller apart from the talk with peers

Change: PeerMembers decides with a clock and no sockets; DaemonEntry writes and reads its text; no behaviour is meant to change. Ruled out: nothing.

--- a/UnitTests/SilentStoreWatchTest.cpp
+++ b/UnitTests/SilentStoreWatchTest.cpp
@@ -131,6 +131,7 @@
   CPPUNIT_TEST(Lists_BehindTheStore_AreNotProven);
   CPPUNIT_TEST(Lists_OfAStoreThatDoesNotChange_NeedNoFurtherCalls);
   CPPUNIT_TEST(Lists_OnAWatchThatWorks_AreProvenByEachProof);
+  CPPUNIT_TEST(Change_ToldUnderOnePrefix_NeedsNoQuestionUnderTheOther);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr const char* kUpstreams = "servers/";
@@ -243,6 +244,17 @@
       CPPUNIT_ASSERT(*view.ListsAge() <= 2 * kProofInterval);
     }
   }
+
+  void Change_ToldUnderOnePrefix_NeedsNoQuestionUnderTheOther() {
+    const int before = store.watches;
+    this->PutUpstream("ready", 8);
+    while (this->LastLayer() != 8 || store.OpenWatches(kUpstreams) == 0) {
+      loop.run_one();
+    }
+    this->RunProofs(5);
+    CPPUNIT_ASSERT_EQUAL(before + 1, store.watches);
+    CPPUNIT_ASSERT(*view.ListsAge() <= 2 * kProofInterval);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SilentStoreWatchTest);
--- /dev/null
+++ b/UnitTests/ToldChangesTest.cpp
@@ -0,0 +1,50 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Zincstep/Cluster/ToldChanges.h"
+
+namespace zincstep {
+namespace {
+
+class ToldChangesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ToldChangesTest);
+  CPPUNIT_TEST(WithoutGap_AllTold_IsTheLast);
+  CPPUNIT_TEST(WithoutGap_OneNotTold_IsTheOneBefore);
+  CPPUNIT_TEST(WithoutGap_NextNotTold_IsWhereItBegan);
+  CPPUNIT_TEST(Forget_UpToARevision_KeepsLaterOnes);
+  CPPUNIT_TEST_SUITE_END();
+
+  ToldChanges told;
+
+ public:
+  void setUp() override {
+    for (const std::uint64_t revision : {7, 5, 6, 9}) {
+      told.Add(revision);
+    }
+  }
+
+  void WithoutGap_AllTold_IsTheLast() {
+    told.Add(8);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, told.WithoutGap(4));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, told.WithoutGap(6));
+  }
+
+  void WithoutGap_OneNotTold_IsTheOneBefore() {
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, told.WithoutGap(4));
+  }
+
+  void WithoutGap_NextNotTold_IsWhereItBegan() {
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, told.WithoutGap(3));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, told.WithoutGap(9));
+  }
+
+  void Forget_UpToARevision_KeepsLaterOnes() {
+    told.Forget(7);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.Size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, told.WithoutGap(8));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ToldChangesTest);
+
+}  // namespace
+}  // namespace zincstep
--- a/Zincstep/Edge/DaemonEntry.cpp
+++ b/Zincstep/Edge/DaemonEntry.cpp
@@ -1,5 +1,6 @@
 #include "Zincstep/Edge/DaemonEntry.h"
 
+#include <cstring>
 #include <nlohmann/json.hpp>
 
 namespace zincstep {
@@ -11,9 +12,21 @@
 /// Renewals come three to a life.
 constexpr Micros kEntryKeep = 4s;
 constexpr Micros kEntryRetry = 1s;
+constexpr const char* kAddressField = "peer";
+constexpr const char* kDomainField = "failure_domain";
 
 }  // namespace
 
+std::optional<DaemonEntry::Text> DaemonEntry::Read(const std::string& aKey,
+                                                   const std::string& aValue) {
+  const auto json = nlohmann::json::parse(aValue, nullptr, false);
+  if (!aKey.starts_with(kPrefix) || !json.is_object()) {
+    return std::nullopt;
+  }
+  return Text{aKey.substr(std::strlen(kPrefix)), json.value(kAddressField, ""),
+              json.value(kDomainField, "")};
+}
+
 void DaemonEntry::Keep() {
   const Instant now = this->clock.Now();
   if (this->isWriting || now < this->nextKeep) {
@@ -45,10 +58,9 @@
 void DaemonEntry::Write() {
   StoreChange change;
   change.key = this->settings.storePrefix + kPrefix + this->settings.name;
-  change.value =
-      nlohmann::json{{"peer", this->settings.peerListen},
-                     {"failure_domain", this->settings.failureDomain}}
-          .dump();
+  change.value = nlohmann::json{{kAddressField, this->settings.peerListen},
+                                {kDomainField, this->settings.failureDomain}}
+                     .dump();
   change.lease = this->lease;
   this->isWriting = true;
   this->store.Commit(change, [this, change](Result<StoreCommit> aDone) {
--- a/Zincstep/Edge/DaemonEntry.h
+++ b/Zincstep/Edge/DaemonEntry.h
@@ -8,8 +8,18 @@
 /// Keeps this daemon's entry in the store, by which the others find it.
 class DaemonEntry {
  public:
-  /// What the keys of such entries begin with, behind the settings' prefix.
-  static constexpr const char* kPrefix = "members/";
+  /// What an entry tells of a daemon.
+  struct Text {
+    std::string name;
+    /// Where it listens for other daemons.
+    std::string address;
+    std::string failureDomain;
+  };
+
+  /// Reads an entry; `aKey` is without the settings' prefix. None where it is
+  /// no such entry, or does not parse.
+  static std::optional<Text> Read(const std::string& aKey,
+                                  const std::string& aValue);
 
   DaemonEntry(const EdgeSettings& aSettings, AsyncStore& aStore,
               const Clock& aClock)
@@ -20,6 +30,9 @@
   void Keep();
 
  private:
+  /// What the keys of such entries begin with, behind the settings' prefix.
+  static constexpr const char* kPrefix = "members/";
+
   void Write();
 
   const EdgeSettings& settings;
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -176,9 +176,11 @@
     return started;
   }
   // Whoever places layers hears of lost upstreams from the store itself.
-  this->follower.SetMayRely(
-      [this] { return this->peers.MayRely() && !this->keeper.HasDuty(); });
-  this->follower.SetHasTeller([this] { return this->peers.HasTeller(); });
+  this->follower.SetMayRely([this] {
+    return this->peers.Members().MayRely() && !this->keeper.HasDuty();
+  });
+  this->follower.SetHasTeller(
+      [this] { return this->peers.Members().HasTeller(); });
   this->keeper.SetMayTake([this] { return this->follower.IsDirect(); });
   this->keeper.SetDemand([this] { return this->peers.Demand(); });
   this->follower.Start(!this->peers.IsSeed());
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -1,8 +1,6 @@
 #include "Zincstep/Edge/PeerExchange.h"
 
-#include <cstring>
 #include <limits>
-#include <nlohmann/json.hpp>
 #include <sstream>
 
 #include "Zincstep/Telemetry/Telemetry.h"
@@ -56,15 +54,6 @@
 /// time between its proofs and one answer that is lost, what it tells stays
 /// under the age at which it is not relied on any more.
 constexpr Micros kReliancePause = 250ms;
-/// So many questions in a row without an answer: it has ended or is cut off,
-/// and the next member by name is asked. One that answers with old lists is not
-/// passed over: whoever then relies on nobody reads the store itself.
-constexpr int kMostUnanswered = 3;
-/// Between questions to one that was passed over.
-constexpr Micros kPassedOverPause = 2s;
-/// Lists that are older when they are told come from a peer that does not
-/// reach the store itself.
-constexpr Micros kFreshLists = 1100ms;
 /// Number of no question: what comes with it is a hint of a newer
 /// configuration, without its text.
 constexpr std::uint64_t kUnasked = 0;
@@ -107,6 +96,7 @@
       ownDemand(std::move(aOwnDemand)),
       entry(aSettings, aStore, aClock),
       listBytes(kListBytesPerSecond, kListBytesAtOnce),
+      members(aSettings, aClock),
       seeds(SeedPeers(aSettings)),
       startedAt(aClock.Now()) {
   const std::string host =
@@ -216,14 +206,14 @@
   }
   const Question question = asked->second;
   this->questions.erase(asked);
-  this->NoteAnswer(question, aGive.copy);
+  this->members.OnAnswer(question.address, aGive.copy.listsAge);
   ClusterCopy copy = aGive.copy;
   if (!question.wantsUpstreams) {
     copy.listsAge.reset();
   }
-  const bool knewNobody = this->members.empty();
+  const bool knewNobody = this->members.All().empty();
   this->view.OnCopy(copy, question.askedAt);
-  if (knewNobody && !this->members.empty() && this->IsNew()) {
+  if (knewNobody && !this->members.All().empty() && this->IsNew()) {
     this->AskPeers(this->clock.Now());
   }
 }
@@ -238,49 +228,9 @@
   }
 }
 
-void PeerExchange::NoteAnswer(const Question& aQuestion,
-                              const ClusterCopy& aCopy) {
-  Member* member = this->FindMember(aQuestion.address);
-  if (member == nullptr) {
-    return;
-  }
-  member->unanswered = 0;
-  member->isPassedOver = false;
-  if (aCopy.listsAge && *aCopy.listsAge <= kFreshLists) {
-    member->toldFreshAt = this->clock.Now();
-  }
-}
-
-PeerExchange::Member* PeerExchange::FindMember(const std::string& aAddress) {
-  for (auto& [name, member] : this->members) {
-    if (member.address == aAddress) {
-      return &member;
-    }
-  }
-  return nullptr;
-}
-
 void PeerExchange::OnDaemonEntries(const std::string& aDutyHolder) {
   this->dutyHolder = aDutyHolder;
-  std::map<std::string, Member> known;
-  known.swap(this->members);
-  for (const auto& [key, item] : this->view.Daemons().Items()) {
-    if (!key.starts_with(DaemonEntry::kPrefix)) {
-      continue;
-    }
-    const std::string name = key.substr(std::strlen(DaemonEntry::kPrefix));
-    const auto json = nlohmann::json::parse(item.value, nullptr, false);
-    if (!json.is_object() || name == this->settings.name) {
-      continue;
-    }
-    Member& member = this->members[name] = known[name];
-    const std::string address = json.value("peer", "");
-    if (member.address != address) {
-      member = Member{};  // Another process, whatever the last one did.
-    }
-    member.address = address;
-    member.failureDomain = json.value("failure_domain", "");
-  }
+  this->members.OnEntries(this->view.Daemons().Items());
 }
 
 bool PeerExchange::IsNew() const { return !this->view.ListsAge(); }
@@ -298,7 +248,10 @@
     this->TellDemand(now);
   }
   if (now >= this->nextReliance) {
-    this->AskTeller(now);
+    this->nextReliance = now + kReliancePause;
+    for (const std::string& address : this->members.TakeTellers()) {
+      this->Ask(address, now);
+    }
   }
   const auto isOld = [](std::optional<Micros> aAge) {
     return !aAge || *aAge > kOwnProofAge;
@@ -317,18 +270,20 @@
   if (!own) {
     return;
   }
-  const auto holder = this->members.find(this->dutyHolder);
+  const auto holder = this->members.All().find(this->dutyHolder);
   if (this->dutyHolder == this->settings.name) {
     this->demand.Tell(this->settings.name, *own, aNow);
-  } else if (holder != this->members.end()) {
+  } else if (holder != this->members.All().end()) {
     this->Send(holder->second.address, DemandGossip{*own});
   }
 }
 
 Micros PeerExchange::GossipPause() const {
-  const auto tellers = std::count_if(
-      this->members.begin(), this->members.end(),
-      [this](const auto& aMember) { return this->IsNear(aMember.second); });
+  const auto tellers =
+      std::count_if(this->members.All().begin(), this->members.All().end(),
+                    [this](const auto& aMember) {
+                      return this->members.IsNear(aMember.second);
+                    });
   return std::max(kGossipPause,
                   FromSeconds(static_cast<double>(tellers) / kWorkMessages));
 }
@@ -352,9 +307,9 @@
   }
   this->toldWork = !gossip.works.empty();
   const std::string message = this->Write(std::move(gossip));
-  const bool tellsAll = this->members.size() <= kFewMembers;
-  for (const auto& [name, member] : this->members) {
-    const bool shares = this->IsNear(member);
+  const bool tellsAll = this->members.All().size() <= kFewMembers;
+  for (const auto& [name, member] : this->members.All()) {
+    const bool shares = this->members.IsNear(member);
     const bool places = hasSuspects && name == this->dutyHolder;
     if (tellsAll || shares || places) {
       this->hub->Send(member.address, message);
@@ -364,7 +319,7 @@
 
 std::vector<std::string> PeerExchange::KnownAddresses() const {
   std::vector<std::string> known = this->seeds;
-  for (const auto& [name, member] : this->members) {
+  for (const auto& [name, member] : this->members.All()) {
     known.push_back(member.address);
   }
   std::sort(known.begin(), known.end());
@@ -372,68 +327,15 @@
   return known;
 }
 
-bool PeerExchange::IsNear(const Member& aMember) const {
-  return aMember.failureDomain == this->settings.failureDomain;
-}
-
-bool PeerExchange::IsBefore(const std::string& aName,
-                            const Member& aMember) const {
-  return aName < this->settings.name && this->IsNear(aMember);
-}
-
-bool PeerExchange::HasTeller() const {
-  return std::any_of(this->members.begin(), this->members.end(),
-                     [this](const auto& aEntry) {
-                       return this->IsBefore(aEntry.first, aEntry.second) &&
-                              !aEntry.second.isPassedOver;
-                     });
-}
-
-bool PeerExchange::MayRely() const {
-  const Instant now = this->clock.Now();
-  const Micros longest = LongestReliance(this->settings);
-  // Whoever told last holds until the next one has read the store.
-  return this->HasTeller() &&
-         std::any_of(this->members.begin(), this->members.end(),
-                     [&](const auto& aEntry) {
-                       return this->IsBefore(aEntry.first, aEntry.second) &&
-                              now - aEntry.second.toldFreshAt <= longest;
-                     });
-}
-
-void PeerExchange::AskTeller(Instant aNow) {
-  this->nextReliance = aNow + kReliancePause;
-  for (auto& [name, member] : this->members) {
-    if (!this->IsBefore(name, member)) {
-      continue;
-    }
-    if (!member.isPassedOver && member.unanswered >= kMostUnanswered) {
-      LogInfo("peer_passed_over",
-              {{"peer", member.address}, {"unanswered", member.unanswered}});
-      member.isPassedOver = true;
-      member.askAgainAt = aNow + kPassedOverPause;
-    }
-    if (!member.isPassedOver) {
-      member.unanswered += 1;
-      this->Ask(member.address, aNow);
-      return;
-    }
-    if (aNow >= member.askAgainAt) {
-      member.askAgainAt = aNow + kPassedOverPause;
-      this->Ask(member.address, aNow);
-    }
-  }
-}
-
 void PeerExchange::OnConfiguration() {
-  if (this->HasTeller()) {
+  if (this->members.HasTeller()) {
     return;  // Who told it has told the others.
   }
   // The text is large, and after an outage everybody has it from the store:
   // those that lack it ask for it.
   const std::string hint = this->Write(
       ClusterGive{kUnasked, this->view.CopyFor(this->view.Revisions())});
-  for (const std::string& address : this->Neighbours()) {
+  for (const std::string& address : this->members.Neighbours()) {
     this->hub->Send(address, hint);
   }
 }
@@ -467,7 +369,7 @@
       aNow - open->second.askedAt < kAllPatience) {
     return false;
   }
-  const std::vector<std::string> near = this->Neighbours();
+  const std::vector<std::string> near = this->members.Neighbours();
   return near.empty() || !this->AsksNearOnly(aNow) ||
          std::find(near.begin(), near.end(), aAddress) != near.end();
 }
@@ -477,19 +379,9 @@
   return this->IsNew() && aNow - this->startedAt < kNearPatience;
 }
 
-std::vector<std::string> PeerExchange::Neighbours() const {
-  std::vector<std::string> near;
-  for (const auto& [name, member] : this->members) {
-    if (this->IsNear(member)) {
-      near.push_back(member.address);
-    }
-  }
-  return near;
-}
-
 void PeerExchange::AskPeers(Instant aNow) {
   std::vector<std::string> known = this->AsksNearOnly(aNow)
-                                       ? this->Neighbours()
+                                       ? this->members.Neighbours()
                                        : std::vector<std::string>{};
   if (known.empty()) {
     known = this->KnownAddresses();
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -11,6 +11,7 @@
 #include "Zincstep/Edge/DaemonEntry.h"
 #include "Zincstep/Edge/EdgePeerMessage.h"
 #include "Zincstep/Edge/EdgeSettings.h"
+#include "Zincstep/Edge/PeerMembers.h"
 #include "Zincstep/Peer/Peer.h"
 
 namespace zincstep {
@@ -36,20 +37,15 @@
   void Stop();
   /// Tells and asks where it is time; to be called several times a second.
   void Tick();
-  /// Whether another daemon proves for this failure domain: the one whose
-  /// name is the first. The others ask it for all that the store tells, so
-  /// that the store does not have to answer all.
-  bool MayRely() const;
-  /// Whether another member tells this one what the store holds: the domain's
-  /// first by name that answers. Where there is none, this one does.
-  bool HasTeller() const;
+  /// The other daemons, and whether one of them proves for this one.
+  const PeerMembers& Members() const { return this->members; }
   /// The demand of all daemons, where this one places layers and has heard of
   /// it; see `DemandSum::Peak`.
   std::optional<ObservedDemand> Demand() {
     return this->demand.Peak(this->clock.Now());
   }
   /// Daemons that are known, this one included.
-  std::size_t Daemons() const { return this->members.size() + 1; }
+  std::size_t Daemons() const { return this->members.All().size() + 1; }
   /// A newer configuration is in force here: peers are told at once.
   void OnConfiguration();
   /// Tells this daemon's work and suspicions at once.
@@ -61,17 +57,6 @@
   bool IsSeed() const { return this->isSeed; }
 
  private:
-  struct Member {
-    std::string address;
-    std::string failureDomain;
-    /// Questions in a row that it has not answered.
-    int unanswered = 0;
-    /// It does not answer: the next by name tells instead.
-    bool isPassedOver = false;
-    Instant askAgainAt{};
-    /// When it last told lists that were up to the store.
-    Instant toldFreshAt{};
-  };
   /// What a question is for: all that is new, or at any rate the
   /// configuration, though a daemon that starts has it from the store.
   enum class Wanted { News, Configuration };
@@ -98,14 +83,6 @@
   Micros GossipPause() const;
   void AskPeers(Instant aNow);
   std::vector<std::string> KnownAddresses() const;
-  /// Whether a member is of this failure domain.
-  bool IsNear(const Member& aMember) const;
-  /// Whether a member is of this failure domain and comes before this one.
-  bool IsBefore(const std::string& aName, const Member& aMember) const;
-  Member* FindMember(const std::string& aAddress);
-  /// Asks the teller; passes it over where it has been silent.
-  void AskTeller(Instant aNow);
-  void NoteAnswer(const Question& aQuestion, const ClusterCopy& aCopy);
   void Ask(const std::string& aAddress, Instant aNow,
            Wanted aWanted = Wanted::News);
   /// Whether that peer may be asked for all upstreams at once: the entries of
@@ -113,8 +90,6 @@
   bool MayAskForAll(const std::string& aAddress, Instant aNow) const;
   /// Whether only members of the own failure domain are asked for all.
   bool AsksNearOnly(Instant aNow) const;
-  /// Addresses of the own failure domain's other members.
-  std::vector<std::string> Neighbours() const;
   std::string Write(EdgePeerBody aBody) const;
   void Send(const std::string& aAddress, EdgePeerBody aBody);
 
@@ -131,7 +106,7 @@
   std::unique_ptr<PeerHub> hub;
   PeerWork work;
   DemandSum demand;
-  std::map<std::string, Member> members;
+  PeerMembers members;
   std::string dutyHolder;
   std::vector<std::string> seeds;
   bool isSeed = true;
