--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -38,10 +38,12 @@
 /// fall silent, and the time that they have run by then.
 constexpr int kStreamsAtOnce = 3;
 constexpr Micros kStreamsRun = 80ms;
-/// Retries that all daemons may save up, for each of them: the users' sites
-/// give 200 for eight. A hundred daemons with 200 let two of twelve streams on
-/// silent connections wait for more.
+/// Retries that all daemons may save up, for each of them, and the fewest
+/// daemons that are counted: the users' sites give 200 for eight. A hundred
+/// daemons with 200 let two of twelve streams on silent connections wait for
+/// more.
 constexpr int kRetrySlack = 25;
+constexpr int kSlackDaemons = 8;
 /// A daemon ends within its grace (3 s); generous, as above.
 constexpr Micros kLongestStop = 12s;
 /// Lists of upstreams are known to all daemons by then: three proofs.
@@ -222,7 +224,8 @@
             {"ZINCSTEP_KEY_REVOCATION_MS",
              std::to_string(kKeyRevocation / 1ms)},
             {"ZINCSTEP_RETRY_SLACK",
-             std::to_string(kRetrySlack * std::max(8, this->settings.daemons))},
+             std::to_string(kRetrySlack *
+                            std::max(kSlackDaemons, this->settings.daemons))},
             {"ZINCSTEP_STOP_GRACE_S", "3"}});
     this->daemons.push_back(std::move(daemon));
   }
