--- a/Zincstep/Entry/ModelDesk.cpp
+++ b/Zincstep/Entry/ModelDesk.cpp
@@ -2,87 +2,23 @@
 
 #include <algorithm>
 
+#include "Zincstep/Entry/ModelRequest.h"
+
 namespace zincstep {
 
 namespace {
 
-/// Tokens that an answer without a limit is expected to have.
-constexpr int kUsualTokens = 256;
 /// Request numbers of two incarnations of a daemon must not meet at an
 /// engine, so that they begin at a random place.
 constexpr std::uint64_t kFirstRequestSpread = std::uint64_t{1} << 52;
 
 constexpr std::size_t kKeptRoutes = 512;
 constexpr std::int64_t kMicrosPerSecond = 1'000'000;
-/// Share of the window up to which organisations under their share begin.
-constexpr double kOverfill = 1.15;
 /// Times that a request without a token yet is begun.
 constexpr int kMostStarts = 3;
 
-/// Repairs chains with one planner, for one stream.
-class PlannerRepairer final : public ChainRepairer {
- public:
-  explicit PlannerRepairer(PlannerPtr aPlanner)
-      : planner(std::move(aPlanner)) {}
-
-  Result<Chain> Repair(const Chain& aChain, const std::vector<bool>& aFailed,
-                       Instant aNow, bool aLastResort) override {
-    return this->planner->Repair(aChain, aFailed, aNow, aLastResort);
-  }
-
- private:
-  PlannerPtr planner;
-};
-
-FairQueueSettings QueueSettings(const EntrySettings& aSettings) {
-  FairQueueSettings settings;
-  settings.longestWait = aSettings.longestWait;
-  return settings;
-}
-
 }  // namespace
 
-/// One request for tokens, from its coming to its end.
-struct ModelDesk::Request {
-  std::uint64_t id = 0;
-  ExchangeId exchange = 0;
-  SnapshotPtr snapshot;
-  CallerFacts facts;
-  CompletionRequest asked;
-  const Model* model = nullptr;
-  int maxTokens = 0;
-  double promptTokens = 0;
-  std::vector<std::uint64_t> prefixHashes;
-  std::string version;
-  PlannerPtr planner;
-  std::unique_ptr<PlannerRepairer> repairer;
-  std::unique_ptr<StreamMachine> machine;
-  std::optional<Chain> heldChain;
-  AnswerHead head;
-  std::string text;
-  int countedPrompt = 0;
-  Instant came;
-  Instant lastToken;
-  Instant lastGapStart;
-  std::uint64_t digest = 0;
-  int starts = 0;
-  int nextAttempt = 1;
-  bool isKeyed = false;
-  bool isWaiting = false;
-  bool isOver = false;
-  /// It was begun before, so that "not run" can't be said any more.
-  bool isAnew = false;
-  bool streamStarted = false;
-  Span span;
-  /// What its organisation is charged when it begins.
-  TokenCharge ExpectedCharge() const {
-    return {this->promptTokens, static_cast<double>(this->maxTokens)};
-  }
-
-  /// Each attempt with its stages, for operators.
-  nlohmann::json attempts = nlohmann::json::array();
-};
-
 ModelDesk::ModelDesk(EntryContext& aContext, ClaimDesk& aClaims,
                      ModelPool& aPool)
     : context(aContext),
@@ -93,20 +29,6 @@
 
 ModelDesk::~ModelDesk() = default;
 
-FairQueue& ModelDesk::QueueOf(const Request& aRequest) {
-  return this->queues
-      .try_emplace(aRequest.model->name, QueueSettings(this->context.settings))
-      .first->second;
-}
-
-std::size_t ModelDesk::Waiting() const {
-  std::size_t waiting = 0;
-  for (const auto& [model, queue] : this->queues) {
-    waiting += queue.Waiting();
-  }
-  return waiting;
-}
-
 ModelDesk::Request* ModelDesk::Find(std::uint64_t aRequest) {
   const auto found = this->requests.find(aRequest);
   return found == this->requests.end() || found->second->isOver
@@ -177,159 +99,6 @@
   this->Admit(request);
 }
 
-void ModelDesk::OnClaim(std::uint64_t aRequest, ClaimVerdict aVerdict,
-                        const Claim& aHolder) {
-  Request* request = this->Find(aRequest);
-  if (request == nullptr) {
-    // The caller went while the witnesses were asked.
-    this->claims.Release(aRequest);
-    return;
-  }
-  if (aVerdict == ClaimVerdict::Won) {
-    this->Admit(*request);
-    return;
-  }
-  request->isKeyed = false;
-  AnswerHeldClaim(this->context, request->exchange, aVerdict, aHolder,
-                  request->digest);
-  this->EndSpan(*request, "held");
-  this->Remove(aRequest);
-}
-
-namespace {
-
-Result<const Model*> CheckAsked(const Snapshot& aSnapshot,
-                                const Organisation& aOrganisation,
-                                const CompletionRequest& aAsked) {
-  const Model* model = aSnapshot.configuration.FindModel(aAsked.model);
-  const auto& allowed = aOrganisation.models;
-  const bool isAllowed =
-      std::find(allowed.begin(), allowed.end(), aAsked.model) != allowed.end();
-  if (model == nullptr || !isAllowed) {
-    // The same answer for both: what others use is not for this caller.
-    return Fail(ErrorKind::UnknownModel,
-                "there is no model '" + aAsked.model + "'");
-  }
-  const auto& adapters = model->adapters;
-  if (!aAsked.adapter.empty() && std::find(adapters.begin(), adapters.end(),
-                                           aAsked.adapter) == adapters.end()) {
-    return Fail(ErrorKind::UnknownModel,
-                "there is no adapter '" + aAsked.adapter + "'");
-  }
-  const auto tokens =
-      static_cast<int>(aAsked.prompt.size() / kBytesPerToken) + 1;
-  if (tokens >= model->contextTokens) {
-    return Fail(ErrorKind::RequestTooLarge,
-                "the prompt is longer than the model's context");
-  }
-  if (aAsked.maxTokens && *aAsked.maxTokens > model->maxTokens) {
-    return Fail(ErrorKind::BadRequest, "max_tokens: expected at most " +
-                                           std::to_string(model->maxTokens));
-  }
-  return model;
-}
-
-}  // namespace
-
-void ModelDesk::Admit(Request& aRequest) {
-  const Instant now = this->context.clock.Now();
-  const Organisation& organisation = *aRequest.facts.organisation;
-  const Result<const Model*> model =
-      CheckAsked(*aRequest.snapshot, organisation, aRequest.asked);
-  if (!model) {
-    this->RefuseWaiting(aRequest, model.error());
-    return;
-  }
-  aRequest.model = *model;
-  aRequest.promptTokens =
-      1 + static_cast<double>(aRequest.asked.prompt.size()) / kBytesPerToken;
-  aRequest.maxTokens = aRequest.asked.maxTokens.value_or(
-      std::min(kUsualTokens, aRequest.model->maxTokens));
-  const Result<void> allowed = this->context.limits.Admit(
-      organisation.name, organisation.tokensPerSecond,
-      aRequest.promptTokens + aRequest.maxTokens, now);
-  if (!allowed) {
-    this->RefuseWaiting(aRequest, allowed.error());
-    return;
-  }
-  this->SetVersion(aRequest, this->pool.ServingVersion(aRequest.model->name,
-                                                       this->context.random));
-  if (aRequest.planner == nullptr) {
-    this->RefuseWaiting(
-        aRequest,
-        {ErrorKind::NoCapacity, "the model has no upstreams here", {}});
-    return;
-  }
-  FairQueue& queue = this->QueueOf(aRequest);
-  if (queue.Waiting() == 0 && this->TryStart(aRequest)) {
-    return;
-  }
-  if (aRequest.isOver) {
-    return;
-  }
-  QueuedRequest queued;
-  queued.id = aRequest.id;
-  queued.organisation = organisation.name;
-  queued.priority = aRequest.facts.priority;
-  queued.weight = organisation.weight;
-  queued.tokens = aRequest.promptTokens + aRequest.maxTokens;
-  queued.startBy = aRequest.facts.deadline;
-  const double rate = this->pool.OwnTokenRate(aRequest.model->name);
-  const Result<void> joined = queue.Offer(std::move(queued), rate, now);
-  if (!joined) {
-    this->RefuseWaiting(aRequest, joined.error());
-    return;
-  }
-  aRequest.isWaiting = true;
-}
-
-void ModelDesk::SetVersion(Request& aRequest, const std::string& aVersion) {
-  aRequest.version = aVersion;
-  aRequest.planner = this->pool.Planner(aRequest.model->name, aVersion);
-  aRequest.prefixHashes = PrefixHashes(
-      aRequest.facts.organisation->name,
-      aRequest.model->name + "/" + aVersion + "/" + aRequest.asked.adapter,
-      aRequest.asked.prompt);
-}
-
-/// A chain in the request's version, or else in another one that runs: while
-/// a version rolls, its last upstream may be paused before the next plan.
-Result<Choice> ModelDesk::ChooseChain(Request& aRequest) {
-  ChoiceFacts facts;
-  facts.now = this->context.clock.Now();
-  facts.promptTokens = static_cast<int>(aRequest.promptTokens);
-  facts.prefixHashes = aRequest.prefixHashes;
-  Result<Choice> choice = aRequest.planner->Choose(facts, this->context.random);
-  for (const std::string& version : aRequest.model->versions) {
-    const PlannerPtr planner =
-        this->pool.Planner(aRequest.model->name, version);
-    if (choice || planner == nullptr || planner == aRequest.planner) {
-      continue;
-    }
-    this->SetVersion(aRequest, version);
-    facts.prefixHashes = aRequest.prefixHashes;
-    choice = planner->Choose(facts, this->context.random);
-  }
-  return choice;
-}
-
-bool ModelDesk::TryStart(Request& aRequest) {
-  const Result<Choice> choice = this->ChooseChain(aRequest);
-  if (!choice) {
-    this->RefuseWaiting(aRequest, choice.error());
-    return false;
-  }
-  if (!choice->withinWindow && !this->MayOverfill(aRequest)) {
-    return false;
-  }
-  this->context.tracer.Write("choose", aRequest.span.context, 0us,
-                             {{"hops", choice->chain.hops.size()},
-                              {"cached_tokens", choice->cachedTokens},
-                              {"step_us", choice->stepSeconds * 1e6}});
-  this->Start(aRequest, *choice);
-  return true;
-}
-
 void ModelDesk::Start(Request& aRequest, const Choice& aChoice) {
   const Instant now = this->context.clock.Now();
   const Organisation& organisation = *aRequest.facts.organisation;
@@ -362,15 +131,6 @@
                                 {aRequest.promptTokens, tokens});
 }
 
-/// Whether a request may begin though its chain's window is full.
-bool ModelDesk::MayOverfill(const Request& aRequest) {
-  const Organisation& organisation = *aRequest.facts.organisation;
-  const double most = kOverfill * aRequest.planner->OwnWindow();
-  return aRequest.planner->InFlight() + 1 <= most &&
-         this->QueueOf(aRequest).IsUnderShare(organisation.name,
-                                              organisation.weight);
-}
-
 void ModelDesk::LeaveChain(Request& aRequest) {
   if (aRequest.heldChain) {
     aRequest.planner->OnEnd(*aRequest.heldChain);
@@ -681,29 +441,6 @@
   }
 }
 
-void ModelDesk::StartWaiting(FairQueue& aQueue, Instant aNow) {
-  while (const std::optional<QueuedRequest> next = aQueue.Peek(aNow)) {
-    Request* request = this->Find(next->id);
-    ZINCSTEP_ASSERT(request != nullptr);
-    if (!this->TryStart(*request) && !request->isOver) {
-      break;
-    }
-    aQueue.Take(next->id);
-  }
-}
-
-void ModelDesk::RefuseExpired(FairQueue& aQueue, Instant aNow) {
-  for (const QueuedRequest& late : aQueue.TakeExpired(aNow)) {
-    Request* request = this->Find(late.id);
-    ZINCSTEP_ASSERT(request != nullptr);
-    const bool deadline = request->facts.deadline <= aNow;
-    this->RefuseWaiting(*request, {deadline ? ErrorKind::DeadlineBeforeRun
-                                            : ErrorKind::Overloaded,
-                                   "the request's turn did not come in time",
-                                   {}});
-  }
-}
-
 void ModelDesk::OnTick(Instant aNow) {
   for (auto& [model, queue] : this->queues) {
     this->RefuseExpired(queue, aNow);
