A situation of the planner without its last field gives no warning

Cause: 24 warnings of a missing initializer in PoolTest hid others. Change: the field has an initializer. Ruled out: nothing.

--- a/Zincstep/Pool/Placement.h
+++ b/Zincstep/Pool/Placement.h
@@ -59,7 +59,7 @@
   std::set<std::string> steadyDomains;
   /// The only failure domain that is looked at for that now, as it takes some
   /// milliseconds; none: all of them.
-  std::optional<std::string> onlyImproved;
+  std::optional<std::string> onlyImproved = std::nullopt;
 };
 
 }  // namespace zincstep
