--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -158,10 +158,17 @@
   void HealAll();
   /// Runs until every daemon has answered every kind; false: not in time.
   bool WaitUntilServed();
-  Micros Draw(Micros aShortest, Micros aSpread) {
-    return aShortest + Micros{static_cast<std::int64_t>(this->random.Below(
+  static Micros DrawFrom(Random& aRandom, Micros aShortest, Micros aSpread) {
+    return aShortest + Micros{static_cast<std::int64_t>(aRandom.Below(
                            static_cast<std::size_t>(aSpread.count())))};
   }
+  Micros Draw(Micros aShortest, Micros aSpread) {
+    return DrawFrom(this->random, aShortest, aSpread);
+  }
+  Micros DrawSilencePause() {
+    return DrawFrom(this->silenceRandom, kShortestSilencePause,
+                    kSilencePauseSpread);
+  }
 
   static constexpr int kPlainUpstreams = 2;
   static constexpr int kModelUpstreams = 5;
@@ -242,6 +249,7 @@
     this->ledger.Broken("not all was served before the first fault");
   }
   this->injects = true;
+  this->nextSilence = this->clock.Now() + this->DrawSilencePause();
   this->loop.run_for(this->settings.faults);
   this->injects = false;
   this->HealAll();
@@ -309,14 +317,8 @@
     this->Inject();
   }
   if (this->injects && now >= this->nextSilence) {
-    const bool isFirst = this->nextSilence == Instant{};
-    this->nextSilence =
-        now + kShortestSilencePause +
-        Micros{static_cast<std::int64_t>(this->silenceRandom.Below(
-            static_cast<std::size_t>(kSilencePauseSpread.count())))};
-    if (!isFirst) {
-      this->SilenceOpenConnections();
-    }
+    this->nextSilence = now + this->DrawSilencePause();
+    this->SilenceOpenConnections();
   }
   this->timer.expires_after(kTick);
   this->timer.async_wait([this](const asio::error_code& aError) {
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -25,8 +25,7 @@
       timer(aLoop),
       retry(aPauses.firstRetry) {}
 
-void PrefixFollower::Begin() {
-  // What earlier calls answer is passed over from now on.
+void PrefixFollower::BeginRound() {
   this->round += 1;
   this->isWatching = false;
   this->isWaiting = false;
@@ -34,14 +33,14 @@
 }
 
 void PrefixFollower::Restart() {
-  this->Begin();
+  this->BeginRound();
   this->isPaused = false;
   this->retry = this->pauses.firstRetry;
   this->Read(this->round);
 }
 
 void PrefixFollower::Pause() {
-  this->Begin();
+  this->BeginRound();
   this->isPaused = true;
   this->timer.cancel();
 }
@@ -135,7 +134,7 @@
   if (isNews && this->isWaiting) {
     LogInfo("store_watch_replaced",
             {{"prefix", this->prefix}, {"watch_at", before}, {"at", this->at}});
-    this->Begin();
+    this->BeginRound();
     this->isWatching = true;
     this->Watch(this->round);
   }
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -97,11 +97,13 @@
   }
 
  private:
-  void Begin();
+  /// What earlier calls answer is passed over from now on.
+  void BeginRound();
   void Read(std::uint64_t aRound);
   void Watch(std::uint64_t aRound);
   void OnWatched(std::uint64_t aRound, Instant aBegan,
                  Result<StoreEvents> aEvents);
+  /// What was asked for by `CatchUp` has come.
   void OnMissed(std::uint64_t aRound, std::uint64_t aRevision,
                 Result<StoreEvents> aEvents);
   void Take(StoreEvents aEvents);
