--- a/SoakTests/DaemonProcess.cpp
+++ b/SoakTests/DaemonProcess.cpp
@@ -33,7 +33,8 @@
                                    O_WRONLY | O_CREAT | O_APPEND, kLogMode);
   posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
   // A daemon that held copies of the soak's sockets would keep the connections
-  // open that the soak closes: 1 in 90 requests stood still to its time-out.
+  // open that the soak closes: 2 in 1,000 requests stood still to their
+  // time-out.
   posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
   std::vector<std::string> lines;
   for (const auto& [name, value] : this->environment) {
