--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -1,14 +1,7 @@
-#include "SoakTests/SoakRun.h"
+#include "SoakTests/Soak.h"
 
 #include <signal.h>
 
-#include <functional>
-
-#include "SoakTests/DaemonProcess.h"
-#include "SoakTests/SoakCaller.h"
-#include "SoakTests/SoakUpstream.h"
-#include "Zincstep/Core/Random.h"
-
 namespace zincstep::soak {
 
 namespace {
@@ -21,19 +14,11 @@
 constexpr Micros kShortestRequestPause = 5ms;
 constexpr Micros kShortestFaultPause = 200ms;
 constexpr Micros kFaultPauseSpread = 500ms;
-constexpr Micros kShortestFault = 300ms;
-constexpr Micros kFaultSpread = 2500ms;
 /// Longest time until all is served at the start, and again after the last
 /// fault; generous, as the machine may be busy.
 constexpr Micros kRecovery = 25s;
-/// The operators' bound on withdrawn keys, as the daemons get it.
-constexpr Micros kKeyRevocation = 5s;
-constexpr Micros kCallerPatience = 4s;
-/// The same where a stream has to be finished; generous, as above.
+/// How long callers wait where a stream has to be finished; generous, as above.
 constexpr Micros kLongPatience = 15s;
-/// Between two instants at which open connections fall silent.
-constexpr Micros kShortestSilencePause = 2s;
-constexpr Micros kSilencePauseSpread = 4s;
 /// Streams that each of the first few daemons has open when its connections
 /// fall silent, and the time that they have run by then.
 constexpr int kStreamsAtOnce = 3;
@@ -52,15 +37,19 @@
 constexpr Micros kDrainNotice = 4s;
 /// For so long its requests are looked at from then on.
 constexpr Micros kDrainWatch = 2s;
-/// Longer than a withdrawn key may still run.
-constexpr Micros kLongCut = 8s;
 constexpr int kOk = 200;
 /// The daemons' addresses are 127.0.0.10 and on, so that all use the same
 /// ports, as on the platform.
 constexpr int kFirstAddress = 10;
 
-/// The operators' configuration: two plain routes and a split model of four
-/// layers, two of which fit an upstream.
+std::uint16_t FreePort(asio::io_context& aLoop) {
+  const asio::ip::tcp::acceptor probe(
+      aLoop, TcpEndpoint(asio::ip::address_v4::loopback(), 0));
+  return probe.local_endpoint().port();
+}
+
+}  // namespace
+
 std::string Configuration(int aVersion, bool aHasOther) {
   const std::string other =
       aHasOther ? R"(,{"name":"other","apiKeys":["key2"]})" : "";
@@ -79,125 +68,24 @@
          other + "]}";
 }
 
-std::uint16_t FreePort(asio::io_context& aLoop) {
-  const asio::ip::tcp::acceptor probe(
-      aLoop, TcpEndpoint(asio::ip::address_v4::loopback(), 0));
-  return probe.local_endpoint().port();
-}
-
-class Soak {
- public:
-  explicit Soak(const SoakSettings& aSettings)
-      : settings(aSettings),
-        random(aSettings.seed),
-        silenceRandom(Hash64("silence", aSettings.seed)),
-        store(this->loop, this->clock),
-        callers(this->loop, this->clock),
-        timer(this->loop) {
-    this->store.Put("op/config", Configuration(this->version, true));
-    for (const char* domain : {"a", "b"}) {
-      for (int i = 0; i < kPlainUpstreams; ++i) {
-        this->AddUpstream("plain", domain, i);
-      }
-      for (int i = 0; i < kModelUpstreams; ++i) {
-        this->AddUpstream("model", domain, i);
-      }
+Soak::Soak(const SoakSettings& aSettings)
+    : settings(aSettings),
+      random(aSettings.seed),
+      silenceRandom(Hash64("silence", aSettings.seed)),
+      store(this->loop, this->clock),
+      callers(this->loop, this->clock),
+      timer(this->loop) {
+  this->store.Put("op/config", Configuration(this->version, true));
+  for (const char* domain : {"a", "b"}) {
+    for (int i = 0; i < kPlainUpstreams; ++i) {
+      this->AddUpstream("plain", domain, i);
+    }
+    for (int i = 0; i < kModelUpstreams; ++i) {
+      this->AddUpstream("model", domain, i);
     }
-    this->AddDaemons();
-  }
-
-  SoakOutcome Run();
-
- private:
-  struct Daemon {
-    std::unique_ptr<FaultProxy> storeLink;
-    std::unique_ptr<DaemonProcess> process;
-    TcpEndpoint address;
-    /// It is started again by whoever heals the fault.
-    bool isDown = false;
-    /// Kinds that it has answered since the last `Served`.
-    std::array<bool, 3> answered{};
-  };
-  struct Heal {
-    Instant at;
-    std::function<void()> act;
-  };
-
-  void AddUpstream(const std::string& aService, const std::string& aDomain,
-                   int aNumber);
-  void AddDaemons();
-  void Tick();
-  /// Sends as many requests as it is time for.
-  void SendDue(Instant aNow);
-  void SendNext();
-  std::string Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther,
-                   Micros aPatience = kCallerPatience);
-  void OnAnswer(const std::string& aId, RequestKind aKind, Daemon& aDaemon,
-                const Result<HttpAnswer>& aAnswer);
-  void Inject();
-  void InjectAtDaemon(Daemon& aDaemon);
-  void InjectAtUpstream(SoakUpstream& aUpstream);
-  void InjectAtStore();
-  /// All open connections to the store and to upstreams fall silent at once.
-  void SilenceOpenConnections();
-  /// Kills an upstream of the model that lives; false: none does.
-  bool LoseModelUpstream();
-  /// Streams at each daemon that have run for a moment.
-  std::vector<std::string> StartStreams();
-  /// A daemon that is stopped cuts off nothing that an upstream has begun.
-  void CheckPlannedStop();
-  /// Streams that run when all connections fall silent are finished.
-  void CheckSilentStreams();
-  /// When an upstream is lost at that instant all is served again, and one that
-  /// announces its end gets no new work long after.
-  void CheckSilentLoss();
-  /// Nobody hears that a key is withdrawn, for longer than it may still run.
-  void CutAllFromStore();
-  void Note(const std::string& aFault);
-  void Later(std::function<void()> aAct);
-  void HealAll();
-  /// Runs until every daemon has answered every kind; false: not in time.
-  bool WaitUntilServed();
-  static Micros DrawFrom(Random& aRandom, Micros aShortest, Micros aSpread) {
-    return aShortest + Micros{static_cast<std::int64_t>(aRandom.Below(
-                           static_cast<std::size_t>(aSpread.count())))};
-  }
-  Micros Draw(Micros aShortest, Micros aSpread) {
-    return DrawFrom(this->random, aShortest, aSpread);
-  }
-  Micros DrawSilencePause() {
-    return DrawFrom(this->silenceRandom, kShortestSilencePause,
-                    kSilencePauseSpread);
   }
-
-  static constexpr int kPlainUpstreams = 2;
-  static constexpr int kModelUpstreams = 5;
-
-  SoakSettings settings;
-  asio::io_context loop{1};
-  SystemClock clock;
-  Random random;
-  /// Of its own, so that a seed's other faults stay what they were.
-  Random silenceRandom;
-  SoakStore store;
-  SoakCaller callers;
-  Ledger ledger;
-  UpstreamsByAddress byAddress;
-  std::vector<std::unique_ptr<SoakUpstream>> upstreams;
-  std::vector<std::unique_ptr<Daemon>> daemons;
-  std::vector<Heal> heals;
-  asio::steady_timer timer;
-  Instant startedAt = this->clock.Now();
-  Instant nextRequest{};
-  Instant nextFault{};
-  Instant nextSilence{};
-  bool injects = false;
-  int version = 1;
-  /// The other organisation's key has been withdrawn.
-  bool isRevoked = false;
-  int lastRequest = 0;
-  SoakOutcome outcome;
-};
+  this->AddDaemons();
+}
 
 void Soak::AddUpstream(const std::string& aService, const std::string& aDomain,
                        int aNumber) {
@@ -406,100 +294,6 @@
   aDaemon.answered[static_cast<std::size_t>(aKind)] = true;
 }
 
-void Soak::Note(const std::string& aFault) {
-  this->outcome.faults.push_back(
-      std::to_string(ToSeconds(this->clock.Now() - this->startedAt)) + " " +
-      aFault);
-}
-
-void Soak::Later(std::function<void()> aAct) {
-  this->heals.push_back(
-      {this->clock.Now() + this->Draw(kShortestFault, kFaultSpread),
-       std::move(aAct)});
-}
-
-void Soak::HealAll() {
-  std::vector<Heal> all;
-  all.swap(this->heals);
-  for (const Heal& heal : all) {
-    heal.act();
-  }
-}
-
-void Soak::Inject() {
-  switch (this->random.Below(4)) {
-    case 0:
-      this->InjectAtStore();
-      break;
-    case 1:
-      this->InjectAtUpstream(
-          *this->upstreams[this->random.Below(this->upstreams.size())]);
-      break;
-    default:
-      this->InjectAtDaemon(
-          *this->daemons[this->random.Below(this->daemons.size())]);
-  }
-}
-
-void Soak::InjectAtDaemon(Daemon& aDaemon) {
-  const std::string name = aDaemon.address.address().to_string();
-  constexpr std::array kLinkFaults{LinkState::Silent, LinkState::OneWay,
-                                   LinkState::Reset};
-  switch (this->random.Below(5)) {
-    case 0:
-      this->Note("kill " + name);
-      aDaemon.process->Kill();
-      aDaemon.isDown = true;
-      this->Later([&aDaemon] { aDaemon.isDown = false; });
-      break;
-    case 1:
-      this->Note("stop " + name);
-      aDaemon.process->Signal(SIGTERM);
-      break;
-    case 2:
-      this->Note("pause " + name);
-      aDaemon.process->Signal(SIGSTOP);
-      this->Later([&aDaemon] { aDaemon.process->Signal(SIGCONT); });
-      break;
-    case 3: {
-      const std::size_t pick = this->random.Below(kLinkFaults.size());
-      this->Note("store link of " + name + ", way " + std::to_string(pick));
-      aDaemon.storeLink->Set(kLinkFaults[pick]);
-      this->Later([&aDaemon] { aDaemon.storeLink->Set(LinkState::Up); });
-      break;
-    }
-    default:
-      this->Note("slow store link of " + name);
-      aDaemon.storeLink->SetDelay(this->Draw(20ms, 300ms));
-      this->Later([&aDaemon] { aDaemon.storeLink->SetDelay(Micros{0}); });
-  }
-}
-
-void Soak::SilenceOpenConnections() {
-  this->Note("all open connections fall silent");
-  for (const auto& daemon : this->daemons) {
-    daemon->storeLink->SilenceOpen();
-  }
-  for (const auto& upstream : this->upstreams) {
-    upstream->SilenceConnections();
-  }
-}
-
-bool Soak::LoseModelUpstream() {
-  std::vector<SoakUpstream*> alive;
-  for (const auto& upstream : this->upstreams) {
-    if (upstream->IsOfModel() && upstream->IsAlive()) {
-      alive.push_back(upstream.get());
-    }
-  }
-  if (alive.empty()) {
-    return false;
-  }
-  this->Note("an upstream of the model is lost");
-  alive[this->silenceRandom.Below(alive.size())]->Kill(true);
-  return true;
-}
-
 std::vector<std::string> Soak::StartStreams() {
   std::vector<std::string> streams;
   for (int i = 0; i < kFewDaemons * kStreamsAtOnce; ++i) {
@@ -577,59 +371,6 @@
   }
 }
 
-void Soak::InjectAtUpstream(SoakUpstream& aUpstream) {
-  if (!aUpstream.IsAlive()) {
-    return;
-  }
-  const std::size_t pick = this->random.Below(3);
-  this->Note("upstream, way " + std::to_string(pick));
-  if (pick == 0) {
-    aUpstream.Drain();
-  } else {
-    aUpstream.Kill(pick == 1);
-  }
-  this->Later([&aUpstream] { aUpstream.Restart(); });
-}
-
-void Soak::CutAllFromStore() {
-  this->Note("all cut from the store");
-  for (const auto& daemon : this->daemons) {
-    daemon->storeLink->Set(LinkState::Silent);
-  }
-  this->heals.push_back({this->clock.Now() + kLongCut, [this] {
-                           for (const auto& daemon : this->daemons) {
-                             daemon->storeLink->Set(LinkState::Up);
-                           }
-                         }});
-}
-
-void Soak::InjectAtStore() {
-  const std::size_t pick = this->random.Below(4);
-  this->Note("store, way " + std::to_string(pick));
-  if (pick == 0) {
-    this->store.SetDown(true);
-    this->Later([this] { this->store.SetDown(false); });
-  } else if (pick == 1) {
-    this->store.SetLosesAnswers(true);
-    this->Later([this] { this->store.SetLosesAnswers(false); });
-  } else {
-    const bool revokesNow =
-        !this->isRevoked && (this->version > 1 || pick == 3);
-    this->isRevoked = this->isRevoked || revokesNow;
-    this->version += 1;
-    if (revokesNow) {
-      this->CutAllFromStore();
-    }
-    this->store.Put("op/config",
-                    Configuration(this->version, !this->isRevoked));
-    if (revokesNow) {
-      this->ledger.Revoked("other", this->clock.Now() + kKeyRevocation);
-    }
-  }
-}
-
-}  // namespace
-
 SoakOutcome RunSoak(const SoakSettings& aSettings) {
   return Soak(aSettings).Run();
 }
