A watch found silent is replaced by one, also where the history is gone

Cause: found on reading the change: where the question for missed changes is told that the history is gone, all is read anew, yet the silent watch kept its round, so that its end later began a second reading, and from then on two watches went on. Change: the round ends with it. Besides: one piece of code notes an unfit kept connection and drops its neighbours (SingleCall::DropKept, stood twice), and a key that is no daemon's is not parsed. Ruled out: that a cut watch alone does so.

--- a/UnitTests/SilentStoreWatchTest.cpp
+++ b/UnitTests/SilentStoreWatchTest.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 #include "Zincstep/Cluster/StoreFollower.h"
 #include "platform/Platform.h"
@@ -41,7 +42,15 @@
     }
   }
   /// Watches that wait now are never answered; later ones work.
-  void SilenceOpenWatches() { this->waits.clear(); }
+  void SilenceOpenWatches() { this->silenced = std::exchange(this->waits, {}); }
+  /// The silenced ones end at last, as by a time-out.
+  void FailSilencedWatches() {
+    for (Wait& wait : std::exchange(this->silenced, {})) {
+      wait.done(Fail(ErrorKind::PlatformUnavailable, "no answer in time"));
+    }
+  }
+  /// Whoever asks once more for what it has missed is told that it is too late.
+  void LoseHistory() { this->hasLostHistory = true; }
   /// Later ones do not work either.
   void SilenceAllWatches() {
     this->SilenceOpenWatches();
@@ -61,7 +70,12 @@
   void Watch(const std::string& aPrefix, std::uint64_t aAfter, Micros aWait,
              Done<StoreEvents> aDone) override {
     this->watches += 1;
-    if (!this->isSilent) {
+    if (aWait < kShortWait && this->hasLostHistory) {
+      this->hasLostHistory = false;
+      asio::post(this->loop, [aDone] {
+        aDone(Fail(ErrorKind::HistoryLost, "the history is gone"));
+      });
+    } else if (!this->isSilent) {
       this->Tell({aPrefix, aAfter, std::move(aDone)}, aWait < kShortWait);
     }
   }
@@ -117,6 +131,8 @@
   FakeClock& clock;
   std::map<std::string, StoreItem> items;
   std::vector<Wait> waits;
+  std::vector<Wait> silenced;
+  bool hasLostHistory = false;
   std::uint64_t revision = 10;
   bool isSilent = false;
 };
@@ -128,6 +144,7 @@
   CPPUNIT_TEST(Upstream_ChangedWhileTheWatchIsSilent_IsKnownByTheSecondProof);
   CPPUNIT_TEST(Duty_TakenWhileTheWatchIsSilent_IsKnownByTheSecondProof);
   CPPUNIT_TEST(Watch_FoundSilent_IsReplaced);
+  CPPUNIT_TEST(Watch_FoundSilentWithoutHistory_IsReplacedByOne);
   CPPUNIT_TEST(Lists_BehindTheStore_AreNotProven);
   CPPUNIT_TEST(Lists_OfAStoreThatDoesNotChange_NeedNoFurtherCalls);
   CPPUNIT_TEST(Lists_OnAWatchThatWorks_AreProvenByEachProof);
@@ -218,6 +235,20 @@
     CPPUNIT_ASSERT_EQUAL(1, store.OpenWatches(kUpstreams));
   }
 
+  void Watch_FoundSilentWithoutHistory_IsReplacedByOne() {
+    store.SilenceOpenWatches();
+    store.LoseHistory();
+    this->PutUpstream("ready", 8);
+    while (store.OpenWatches(kUpstreams) == 0) {
+      loop.run_one();
+    }
+    CPPUNIT_ASSERT_EQUAL(8, this->LastLayer());
+    store.FailSilencedWatches();
+    // Many times the pause before a read that a failed watch asks for.
+    loop.run_for(30ms);
+    CPPUNIT_ASSERT_EQUAL(1, store.OpenWatches(kUpstreams));
+  }
+
   void Lists_BehindTheStore_AreNotProven() {
     store.SilenceAllWatches();
     this->PutUpstream("ready", 8);
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -113,17 +113,19 @@
       this->prefix, this->at, kNoWait,
       [this, aRound = this->round, aRevision](Result<StoreEvents> aEvents) {
         if (aRound == this->round) {
-          this->OnMissed(aRound, aRevision, std::move(aEvents));
+          this->OnMissed(aRevision, std::move(aEvents));
         }
       });
 }
 
-void PrefixFollower::OnMissed(std::uint64_t aRound, std::uint64_t aRevision,
+void PrefixFollower::OnMissed(std::uint64_t aRevision,
                               Result<StoreEvents> aEvents) {
   this->isCatchingUp = false;
   if (!aEvents) {
     if (aEvents.error().kind == ErrorKind::HistoryLost) {
-      this->RetryLater(aRound);
+      // The watch that should have told may end later: it must not read too.
+      this->BeginRound();
+      this->RetryLater(this->round);
     }
     return;  // The next proof asks again.
   }
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -104,8 +104,7 @@
   void OnWatched(std::uint64_t aRound, Instant aBegan,
                  Result<StoreEvents> aEvents);
   /// What was asked for by `CatchUp` has come.
-  void OnMissed(std::uint64_t aRound, std::uint64_t aRevision,
-                Result<StoreEvents> aEvents);
+  void OnMissed(std::uint64_t aRevision, Result<StoreEvents> aEvents);
   void Take(StoreEvents aEvents);
   void RetryLater(std::uint64_t aRound);
   void WatchLater(std::uint64_t aRound);
--- a/Zincstep/Edge/DaemonEntry.cpp
+++ b/Zincstep/Edge/DaemonEntry.cpp
@@ -19,8 +19,11 @@
 
 std::optional<DaemonEntry::Text> DaemonEntry::Read(const std::string& aKey,
                                                    const std::string& aValue) {
+  if (!aKey.starts_with(kPrefix)) {
+    return std::nullopt;
+  }
   const auto json = nlohmann::json::parse(aValue, nullptr, false);
-  if (!aKey.starts_with(kPrefix) || !json.is_object()) {
+  if (!json.is_object()) {
     return std::nullopt;
   }
   return Text{aKey.substr(std::strlen(kPrefix)), json.value(kAddressField, ""),
--- a/Zincstep/Net/SingleCall.cpp
+++ b/Zincstep/Net/SingleCall.cpp
@@ -95,9 +95,7 @@
       return;
     }
     if (this->call->IsReusedAndUnanswered()) {
-      LogInfo("kept_connection_unfit",
-              {{"upstream", this->kept->upstream}, {"reason", "silent"}});
-      this->kept->pool->Distrust(this->kept->upstream);
+      this->call->DropKept("silent");
       this->call->Cancel();
       this->Send(std::nullopt);
     }
@@ -280,17 +278,21 @@
   this->socket.close(ignored);
 }
 
+void SingleCall::DropKept(const char* aReason) {
+  // Others that rest there may have gone the same way, and each would cost a
+  // request the time until that shows.
+  LogInfo("kept_connection_unfit",
+          {{"upstream", this->kept->upstream}, {"reason", aReason}});
+  this->kept->pool->Distrust(this->kept->upstream);
+}
+
 void SingleCall::End(SingleCallEnd aEnd) {
   SingleCallListener* told = this->listener;
   if (told == nullptr) {
     return;
   }
   if (aEnd == SingleCallEnd::Broken && this->IsReusedAndUnanswered()) {
-    // Others that rest there may have gone the same way, and each would cost a
-    // request the time until that shows.
-    LogInfo("kept_connection_unfit",
-            {{"upstream", this->kept->upstream}, {"reason", "broken"}});
-    this->kept->pool->Distrust(this->kept->upstream);
+    this->DropKept("broken");
   }
   this->Cancel();
   told->OnCallEnd(aEnd);
--- a/Zincstep/Net/SingleCall.h
+++ b/Zincstep/Net/SingleCall.h
@@ -78,6 +78,9 @@
              std::optional<KeptConnections> aKept = std::nullopt);
   /// Closes the connection at once; nothing more is told.
   void Cancel();
+  /// The kept connection that it went on is unfit: those of the same upstream
+  /// are not used any more.
+  void DropKept(const char* aReason);
   /// Stops or resumes reading, so that a slow reader holds up the writer.
   void SetReading(bool aReads);
 
