Requests wait for a daemon's first configuration and lists; what did not arrive costs no retry

A send after a connection that did not come up takes nothing from the budget, as the service got nothing.

--- a/UnitTests/RelayFixture.h
+++ b/UnitTests/RelayFixture.h
@@ -65,15 +65,20 @@
 class RelayFixture : public CppUnit::TestFixture, private ClusterListener {
  public:
   void setUp() override {
+    this->Begin();
+    this->Configure(kRelayConfig);
+  }
+
+ protected:
+  /// Begins without a configuration, as a daemon that has just started.
+  void Begin() {
     relay = std::make_unique<Relay>(RelayContext{
         loop, settings, *dialect, view, *control, clock, random, metrics, probe,
         kept, chains, services, demand, budgets, stop, [] {}});
     listener = std::make_unique<CallerListener>(loop, *relay, clock);
     CPPUNIT_ASSERT(listener->Start("127.0.0.1:0").has_value());
-    this->Configure(kRelayConfig);
   }
 
- protected:
   asio::io_context loop{1};
   SystemClock clock;
   std::unique_ptr<RelayDialect> dialect = platform::MakeDialect();
--- a/Zincstep/Admission/RetryBudget.h
+++ b/Zincstep/Admission/RetryBudget.h
@@ -32,6 +32,8 @@
   /// Sets how many retries may be saved up, as a share of a common bound
   /// changes with the number of those who share it.
   void SetMost(double aMost);
+  /// Retries that are saved up now.
+  double Saved() const { return this->saved; }
   /// Pause before retry number `aRetry`, from 1: full jitter.
   Micros Pause(int aRetry, Random& aRandom) const;
 
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -173,10 +173,31 @@
   }
 }
 
-bool Exchange::TakeRetry(double aKept) {
+bool Exchange::TakeResend() const {
   return this->sends < this->context.settings.mostSends &&
-         this->Now() < this->request.end &&
-         this->context.BudgetOf(this->request.service->name).TakeRetry(aKept);
+         this->Now() < this->request.end;
+}
+
+bool Exchange::TakeRetry(double aKept) {
+  if (!this->TakeResend()) {
+    return false;
+  }
+  RetryBudget& budget = this->context.BudgetOf(this->request.service->name);
+  const bool isTaken = budget.TakeRetry(aKept);
+  if (!isTaken && !this->wasRetryDenied) {
+    this->wasRetryDenied = true;
+    this->context.metrics.Count("zincstep_retries_denied_total");
+    LogInfo("retry_denied", {{"request", this->request.facts.id},
+                             {"saved", budget.Saved()},
+                             {"most", this->context.settings.retries.most}});
+  }
+  return isTaken;
+}
+
+bool Exchange::AwaitsFirstList() const {
+  return !this->context.view.KnowsUpstreams() &&
+         this->Now() - this->request.message.readAt <
+             this->context.settings.firstListPatience;
 }
 
 bool Exchange::IsForeign(const HttpHead& aHead,
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -67,6 +67,11 @@
   /// Whether another send is allowed by count and budget; `aKept` is the
   /// share of the budget that it may not use.
   bool TakeRetry(double aKept);
+  /// Whether one is allowed after a connection that did not come up. The
+  /// upstream got nothing, so that the budget is not touched.
+  bool TakeResend() const;
+  /// Whether this daemon has just started and is about to hear of upstreams.
+  bool AwaitsFirstList() const;
   /// Whether an answer of that kind can only be some other request's, or
   /// was changed on its way.
   bool IsForeign(const HttpHead& aHead, const AnswerFacts& aFacts) const;
@@ -94,6 +99,8 @@
 
  private:
   bool isDone = false;
+  /// The budget had no retry left when this request wanted one; logged once.
+  bool wasRetryDenied = false;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -1,6 +1,6 @@
 #include "Zincstep/Relay/Relay.h"
 
-#include <vector>
+#include <algorithm>
 
 #include "Zincstep/Relay/ServiceExchange.h"
 #include "Zincstep/Relay/StreamExchange.h"
@@ -83,6 +83,12 @@
 
 void Relay::OnRequest(const std::shared_ptr<CallerConnection>& aConnection,
                       CallerMessage aMessage) {
+  const Micros waited = this->context.clock.Now() - aMessage.readAt;
+  if (!this->context.view.Table() &&
+      waited < this->context.settings.firstListPatience) {
+    this->early.push_back({aConnection, std::move(aMessage)});
+    return;
+  }
   const std::string id = this->context.dialect.ReadRequest(aMessage.head).id;
   auto admitted = this->Admit(aConnection, std::move(aMessage));
   if (!admitted) {
@@ -124,7 +130,24 @@
   aConnection.Answer(answer.status, headers, answer.name);
 }
 
+void Relay::TakeEarly(Instant aNow) {
+  const bool isConfigured = this->context.view.Table() != nullptr;
+  std::vector<EarlyRequest> waiting;
+  waiting.swap(this->early);
+  for (EarlyRequest& one : waiting) {
+    const Micros waited = aNow - one.message.readAt;
+    if (isConfigured || waited >= this->context.settings.firstListPatience) {
+      this->OnRequest(one.connection, std::move(one.message));
+    } else {
+      this->early.push_back(std::move(one));
+    }
+  }
+}
+
 void Relay::OnCallerGone(CallerConnection& aConnection) {
+  std::erase_if(this->early, [&](const EarlyRequest& aOne) {
+    return aOne.connection.get() == &aConnection;
+  });
   const auto found = this->exchanges.find(&aConnection);
   if (found != this->exchanges.end()) {
     found->second->OnCallerGone();
@@ -134,6 +157,7 @@
 
 void Relay::Tick() {
   const Instant now = this->context.clock.Now();
+  this->TakeEarly(now);
   // A step may end its exchange; it is erased only after all have stepped.
   for (auto& [connection, exchange] : this->exchanges) {
     exchange->OnTick(now);
--- a/Zincstep/Relay/Relay.h
+++ b/Zincstep/Relay/Relay.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "Zincstep/Relay/EventSplitter.h"
 #include "Zincstep/Relay/Exchange.h"
@@ -27,8 +28,10 @@
 
   /// Looks at them in the next turn of the loop: a belief has changed.
   void TickSoon();
-  /// Exchanges that are not done.
-  std::size_t Active() const { return this->exchanges.size(); }
+  /// Requests that are not done.
+  std::size_t Active() const {
+    return this->exchanges.size() + this->early.size();
+  }
 
  private:
   Result<AdmittedRequest> Admit(
@@ -38,8 +41,18 @@
   void RefuseAtOnce(CallerConnection& aConnection, const std::string& aId,
                     const Error& aError);
   void AskReports(Instant aNow);
+  /// Requests that came before the first configuration go on, or are refused
+  /// once they have waited for long enough.
+  void TakeEarly(Instant aNow);
+
+  /// A request that came before this daemon knew any configuration.
+  struct EarlyRequest {
+    std::shared_ptr<CallerConnection> connection;
+    CallerMessage message;
+  };
 
   RelayContext context;
+  std::vector<EarlyRequest> early;
   bool isTickDue = false;
   std::unordered_map<CallerConnection*, std::shared_ptr<Exchange>> exchanges;
   /// When an upstream was last asked for its stalled requests, by id.
--- a/Zincstep/Relay/RelayContext.h
+++ b/Zincstep/Relay/RelayContext.h
@@ -55,6 +55,11 @@
   /// upstream was lost, and the largest hold a third of the layers; callers
   /// that come back sooner find it short again (docs/results/decisions.md).
   double restoredAfterLoads = 0.3;
+  /// How long a request waits for this daemon's first configuration and list of
+  /// upstreams, which come some tenths of a second after its start: refused at
+  /// once, callers came back after seconds, 1,360 of them in the second after
+  /// a loss of power (count of one such day's refusals).
+  Micros firstListPatience = 1s;
   /// Times that one request may be sent, rejections included.
   int mostSends = 6;
   /// Share of the retry budget that is kept for streams that have begun: a
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -19,6 +19,10 @@
   const UpstreamPtr chosen = this->context.services.Choose(
       upstreams, this->context.settings.failureDomain, this->tried, this->Now(),
       this->context.random);
+  this->isWaiting = !chosen && this->AwaitsFirstList();
+  if (this->isWaiting) {
+    return;
+  }
   if (!chosen) {
     this->hasBegun
         ? this->Refuse(ErrorKind::UpstreamFailed, "no other upstream is left")
@@ -44,7 +48,13 @@
 }
 
 void ServiceExchange::OnTick(Instant aNow) {
-  if (this->IsDone() || aNow < this->request.end) {
+  if (this->IsDone()) {
+    return;
+  }
+  if (aNow < this->request.end) {
+    if (this->isWaiting) {
+      this->TrySend();
+    }
     return;
   }
   const bool mayRun = this->hasBegun || (this->call && this->call->HasSent());
@@ -80,7 +90,7 @@
   this->call.reset();
   if (aEnd == SingleCallEnd::NotConnected) {
     this->Suspect(*this->upstream);
-    this->OnNotRun("no connection");
+    this->TakeResend() ? this->TrySend() : this->OnNotRun("no connection");
     return;
   }
   if (aEnd != SingleCallEnd::Complete ||
--- a/Zincstep/Relay/ServiceExchange.h
+++ b/Zincstep/Relay/ServiceExchange.h
@@ -33,6 +33,8 @@
   HttpHead head;
   AnswerFacts facts;
   std::string body;
+  /// It waits for the daemon's first list of upstreams.
+  bool isWaiting = false;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -89,6 +89,9 @@
     this->isWaiting = true;
     this->waitingSince = now;
   }
+  if (this->AwaitsFirstList()) {
+    return;
+  }
   // A request that has not begun comes back in better time than it would be
   // served here: waiting even a fifth of the objective cost 0.02 of worth.
   if (!this->headSent || now - this->waitingSince >= kCallerPatience) {
@@ -104,9 +107,10 @@
     this->Finish("cut", aReason);
     return;
   }
-  this->Refuse(
-      this->hasBegun ? ErrorKind::UpstreamFailed : ErrorKind::NoCapacity,
-      aReason);
+  const ErrorKind notRun = this->context.view.KnowsUpstreams()
+                               ? ErrorKind::NoCapacity
+                               : ErrorKind::NotReady;
+  this->Refuse(this->hasBegun ? ErrorKind::UpstreamFailed : notRun, aReason);
 }
 
 void StreamExchange::OnCallerGone() {
@@ -170,7 +174,7 @@
   this->call.reset();
   if (aEnd == SingleCallEnd::NotConnected) {
     this->Suspect(*this->upstream);
-    this->OnNotRun();
+    this->TakeResend() ? this->TryChain() : this->OnNotRun();
     return;
   }
   const bool isWhole = aEnd == SingleCallEnd::Complete && !this->isForeign;
