A member that a refusal names is asked whether it lives

Ruled out: memory (the pool was a tenth full), draining (their entries said ready). Change: a probe of the named member; a dead one is suspected and told. Test: Stream_RefusedForADeadMember_HasItSuspected, fails on the code before (181 passed, 1 failed).

--- a/UnitTests/RelayFixture.h
+++ b/UnitTests/RelayFixture.h
@@ -106,20 +106,23 @@
   }
 
   ScriptedUpstream& AddUpstream(const std::string& aService,
-                                ScriptedUpstream::Script aScript) {
+                                ScriptedUpstream::Script aScript,
+                                LayerRange aLayers = {0, 2}) {
     upstreams.push_back(
         std::make_unique<ScriptedUpstream>(loop, clock, std::move(aScript)));
-    this->List(aService, upstreams.back()->Address());
+    this->List(aService, upstreams.back()->Address(), aLayers);
     return *upstreams.back();
   }
 
-  void List(const std::string& aService, const std::string& aAddress) {
+  void List(const std::string& aService, const std::string& aAddress,
+            LayerRange aLayers = {0, 2}) {
     const std::uint64_t revision = view.Revisions().upstreams + 1;
     view.OnUpstreamEvents(
         {{{{"i" + std::to_string(revision),
             R"({"backend":")" + aService + R"(","address":")" + aAddress +
                 R"(","state":"ready","slots":4,"routeType":"k",)" +
-                R"("layers":{"from":0,"targetVersion":2}})",
+                R"("layers":{"from":)" + std::to_string(aLayers.first) +
+                R"(,"targetVersion":)" + std::to_string(aLayers.last) + "}}",
             revision},
            false}},
          revision});
--- a/UnitTests/RelayTest.cpp
+++ b/UnitTests/RelayTest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(Stream_BrokenWithoutBudget_WaitsForIt);
   CPPUNIT_TEST(Stream_BrokenAgain_RunsNoMoreThanItsAttempts);
   CPPUNIT_TEST(Stream_BrokenAndNotResumable_LooksCut);
+  CPPUNIT_TEST(Stream_RefusedForADeadMember_HasItSuspected);
   CPPUNIT_TEST(Caller_ThatLeaves_EndsTheWork);
   CPPUNIT_TEST_SUITE_END();
 
@@ -203,6 +204,29 @@
     CPPUNIT_ASSERT(!this->Ask(this->Request("/llm/")).has_value());
   }
 
+  // Members that had gone dark while the store was away were tried again every
+  // 0.3 s: 193 refusals in four seconds, by 60 daemons.
+  void Stream_RefusedForADeadMember_HasItSuspected() {
+    const std::string dead = "127.0.0.1:1";
+    this->AddUpstream("model",
+                      [&](const auto& aTo, const auto& aMessage) {
+                        auto headers = SealedHeaders(aMessage);
+                        headers.push_back({"X-Not-Executed", "1"});
+                        headers.push_back({"At-Server", dead});
+                        aTo->Answer(503, headers, "");
+                      },
+                      {0, 1});
+    this->List("model", dead, {1, 2});
+    this->Ask(this->Request("/llm/"));
+    const UpstreamPtr member = view.Directory().Find("i2");
+    CPPUNIT_ASSERT(member != nullptr);
+    asio::steady_timer limit(loop, 5s);
+    bool isOver = false;
+    limit.async_wait([&](const asio::error_code&) { isOver = true; });
+    this->RunUntil([&] { return isOver || member->IsSuspect(clock.Now()); });
+    CPPUNIT_ASSERT(!isOver);
+  }
+
   void Caller_ThatLeaves_EndsTheWork() {
     ScriptedUpstream& upstream =
         this->AddUpstream("model", [](const auto&, const auto&) {});
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -229,6 +229,10 @@
       continue;
     }
     hop.upstream->PassOver(aNow + this->context.settings.refusalPause);
+    // It may be dead rather than full: those before it refuse for it then.
+    // Unasked, one that had gone dark while the store was away was tried again
+    // after each pause, 340 of 661 refused streams of such a day.
+    this->context.probe.Ask(hop.upstream);
     const double capacity = ChainChooser::Capacity(
         *this->request.service->model, hop.upstream->Entry());
     if (hop.upstream->Work() < capacity * kRoomyShare) {
