Streams refused on a wrong belief come back in tenths of a second; returns are spread

Change: such a refusal is of the kind overloaded, back after 0.2 to 0.6 s; only a want of room waits for loads. All times to come back are spread. Tests: Stream_RefusedWithRoom_IsBackSoon, Stream_WithoutRoom_IsBackOnceLayersAreLoaded.

--- a/UnitTests/RelayTest.cpp
+++ b/UnitTests/RelayTest.cpp
@@ -20,6 +20,8 @@
   CPPUNIT_TEST(Stream_BrokenAgain_RunsNoMoreThanItsAttempts);
   CPPUNIT_TEST(Stream_BrokenAndNotResumable_LooksCut);
   CPPUNIT_TEST(Stream_RefusedForADeadMember_HasItSuspected);
+  CPPUNIT_TEST(Stream_RefusedWithRoom_IsBackSoon);
+  CPPUNIT_TEST(Stream_WithoutRoom_IsBackOnceLayersAreLoaded);
   CPPUNIT_TEST(Caller_ThatLeaves_EndsTheWork);
   CPPUNIT_TEST_SUITE_END();
 
@@ -227,6 +229,35 @@
     CPPUNIT_ASSERT(!isOver);
   }
 
+  double RetryAfter(const Result<HttpAnswer>& aAnswer) {
+    return std::stod(std::string(FindHeader(aAnswer->headers, "Retry-After")));
+  }
+
+  // Those refused on a wrong belief came back after 2 to 6 s, long after the
+  // belief was mended.
+  void Stream_RefusedWithRoom_IsBackSoon() {
+    settings.mostSends = 1;
+    this->AddUpstream("model", [](const auto& aTo, const auto& aMessage) {
+      auto headers = SealedHeaders(aMessage);
+      headers.push_back({"X-Not-Executed", "1"});
+      aTo->Answer(503, headers, "");
+    });
+    const auto answer = this->Ask(this->Request("/llm/"));
+    CPPUNIT_ASSERT_EQUAL(std::string("overloaded"), answer->body);
+    CPPUNIT_ASSERT(this->RetryAfter(answer) <= 0.6);
+  }
+
+  void Stream_WithoutRoom_IsBackOnceLayersAreLoaded() {
+    this->List("model", "127.0.0.1:1", {0, 1});
+    const auto answer = this->Ask(this->Request("/llm/"));
+    CPPUNIT_ASSERT_EQUAL(std::string("no_capacity"), answer->body);
+    const auto& model = view.Table()->Configuration().services.at(1).model;
+    const double loads =
+        ToSeconds(model->loadTime) * settings.restoredAfterLoads;
+    CPPUNIT_ASSERT(this->RetryAfter(answer) >= 0.49 * loads);
+    CPPUNIT_ASSERT(this->RetryAfter(answer) <= 1.51 * loads);
+  }
+
   void Caller_ThatLeaves_EndsTheWork() {
     ScriptedUpstream& upstream =
         this->AddUpstream("model", [](const auto&, const auto&) {});
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -41,11 +41,11 @@
   const std::optional<ModelShape>& model = this->request.service->model;
   Micros after = std::min(AnswerFor(aKind).retryAfter, settings.busyRetryAfter);
   if (aKind == ErrorKind::NoCapacity && model) {
-    // Those that are refused together should not come back together.
-    const double spread = 0.5 + this->context.random.Unit();
-    after = FromSeconds(ToSeconds(model->loadTime) *
-                        settings.restoredAfterLoads * spread);
+    after =
+        FromSeconds(ToSeconds(model->loadTime) * settings.restoredAfterLoads);
   }
+  // Those that are refused together should not come back together.
+  after = FromSeconds(ToSeconds(after) * (0.5 + this->context.random.Unit()));
   const Micros left = this->request.end - this->Now();
   return std::clamp(FromSeconds(ToSeconds(left) * kHeededShare), Micros{0},
                     after);
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -65,6 +65,7 @@
       this->context.settings.failureDomain, this->tokens, now,
       this->context.random);
   if (!chosen) {
+    this->chain.clear();
     this->WaitForChain();
     return;
   }
@@ -107,10 +108,17 @@
     this->Finish("cut", aReason);
     return;
   }
-  const ErrorKind notRun = this->context.view.KnowsUpstreams()
-                               ? ErrorKind::NoCapacity
-                               : ErrorKind::NotReady;
-  this->Refuse(this->hasBegun ? ErrorKind::UpstreamFailed : notRun, aReason);
+  this->Refuse(this->hasBegun ? ErrorKind::UpstreamFailed : this->NotRunKind(),
+               aReason);
+}
+
+ErrorKind StreamExchange::NotRunKind() const {
+  if (!this->context.view.KnowsUpstreams()) {
+    return ErrorKind::NotReady;
+  }
+  // With a chain that had room by what is believed here, the belief was wrong,
+  // and is mended within tenths of a second; room itself takes loads to return.
+  return this->chain.empty() ? ErrorKind::NoCapacity : ErrorKind::Overloaded;
 }
 
 void StreamExchange::OnCallerGone() {
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -48,6 +48,9 @@
   /// is where no new run is allowed.
   void Resume(const char* aReason);
   void Fail(const char* aReason);
+  /// As what a request is refused that has not run; it decides when the caller
+  /// is asked to come back.
+  ErrorKind NotRunKind() const;
   void CheckMembers(Instant aNow);
   /// Silence after which members are asked whether they live.
   Micros ProbeSilence() const;
