--- a/UnitTests/PoolReplay.cpp
+++ b/UnitTests/PoolReplay.cpp
@@ -100,7 +100,8 @@
     this->At(this->now + first, [this, i] { this->Tell(i); });
   }
   for (const ReplayTrouble& trouble : this->load.troubles) {
-    this->At(this->now + trouble.at, [this, trouble] { this->Begin(trouble); });
+    this->At(this->now + trouble.at,
+             [this, trouble] { this->StartTrouble(trouble); });
   }
   while (!this->events.empty()) {
     const Event event = this->events.top();
@@ -151,7 +152,7 @@
   }
   const auto refused = this->RefusedBy(*chain);
   if (!refused) {
-    this->Begin(aDaemon, *chain);
+    this->StartStream(aDaemon, *chain);
     return;
   }
   this->result.rejected += 1;
@@ -181,7 +182,7 @@
   }
 }
 
-void PoolReplay::Begin(std::size_t aDaemon, const PoolChain& aChain) {
+void PoolReplay::StartStream(std::size_t aDaemon, const PoolChain& aChain) {
   Stream stream;
   stream.daemon = aDaemon;
   const double tokens = this->load.prompt + this->load.steps / 2;
@@ -255,7 +256,7 @@
   this->At(this->now + kTellPause, [this, aDaemon] { this->Tell(aDaemon); });
 }
 
-void PoolReplay::Begin(const ReplayTrouble& aTrouble) {
+void PoolReplay::StartTrouble(const ReplayTrouble& aTrouble) {
   std::vector<std::size_t> drawn(this->upstreams.size());
   for (std::size_t i = 0; i < drawn.size(); ++i) {
     drawn[i] = i;
--- a/UnitTests/PoolReplay.h
+++ b/UnitTests/PoolReplay.h
@@ -107,15 +107,15 @@
   void At(Instant aAt, std::function<void()> aRun);
   void Arrive(std::size_t aDomain);
   void Try(std::size_t aDaemon, int aTriesLeft);
-  /// Runs the chain, or names the member that refuses it.
+  /// The member that refuses the chain, if one does.
   std::optional<std::size_t> RefusedBy(const PoolChain& aChain) const;
-  void Begin(std::size_t aDaemon, const PoolChain& aChain);
+  void StartStream(std::size_t aDaemon, const PoolChain& aChain);
   void End(std::size_t aStream);
   void Refuse(const std::string& aDomain);
   void Tell(std::size_t aDaemon);
   /// The domain's daemons hear that an upstream does not answer.
   void TellSuspicion(const std::string& aDomain, std::size_t aUpstream);
-  void Begin(const ReplayTrouble& aTrouble);
+  void StartTrouble(const ReplayTrouble& aTrouble);
   std::size_t IndexOf(const UpstreamPtr& aUpstream) const;
 
   ModelShape model;
