Sight: a line for each run that is lost, with the request's fingerprint

Cause: the logs could not recognise a request over attempts and daemons, nor say which runs ended with their upstream. Ruled out: that requests share fingerprints by chance, or that a run that breaks off without an event shows an ended upstream. Conclusion: blame needs the request, the run without an event, and proof that the upstream has ended.

--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -160,6 +160,18 @@
   }
 }
 
+void Exchange::OnRunLost(const char* aReason, bool aHasEvents) {
+  const RequestFingerprint fingerprint =
+      FingerprintOf(this->request.message, this->request.facts.host,
+                    this->request.organisation);
+  LogInfo("run_lost", {{"request", this->request.facts.id},
+                       {"fingerprint", TextOf(fingerprint)},
+                       {"upstream", this->upstream->Entry().id},
+                       {"reason", aReason},
+                       {"has_events", aHasEvents},
+                       {"ran_ms", (this->Now() - this->sentAt) / 1ms}});
+}
+
 void Exchange::Suspect(LiveUpstream& aUpstream) {
   const Instant now = this->Now();
   if (aUpstream.IsSuspect(now)) {
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -5,6 +5,7 @@
 
 #include "Zincstep/Net/SingleCall.h"
 #include "Zincstep/Relay/RelayContext.h"
+#include "Zincstep/Relay/RequestFingerprint.h"
 
 namespace zincstep {
 
@@ -62,6 +63,9 @@
   std::optional<KeptConnections> Kept() const;
   /// Ends the present call, if any.
   void CancelCall();
+  /// The present run ends without its whole answer; `aHasEvents`: some of it
+  /// has come.
+  void OnRunLost(const char* aReason, bool aHasEvents);
   /// There is evidence that an upstream does not answer.
   void Suspect(LiveUpstream& aUpstream);
   /// Whether another send is allowed by count and budget; `aKept` is the
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -97,8 +97,11 @@
       this->IsForeign(this->head, this->facts)) {
     this->hasBegun = true;
     this->runs += 1;
-    this->OnFailure(aEnd == SingleCallEnd::Complete ? "not its own answer"
-                                                    : "the answer broke off");
+    const char* reason = aEnd == SingleCallEnd::Complete
+                             ? "not its own answer"
+                             : "the answer broke off";
+    this->OnRunLost(reason, !this->facts.requestId.empty());
+    this->OnFailure(reason);
     return;
   }
   this->upstream->OnAnswer(now);
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -76,6 +76,7 @@
   this->facts = AnswerFacts{};
   this->body.clear();
   this->isForeign = false;
+  this->hasRunEvents = false;
   this->lastProgress = now;
   this->Send(this->chain.front().upstream, &this->chain,
              this->splitter.LastId());
@@ -142,7 +143,9 @@
     this->body.append(aPart);
     return;
   }
-  this->ready += this->splitter.Append(aPart);
+  const std::string events = this->splitter.Append(aPart);
+  this->hasRunEvents = this->hasRunEvents || !events.empty();
+  this->ready += events;
 }
 
 void StreamExchange::OnAnswerPause() {
@@ -207,6 +210,7 @@
     this->Release();
     this->PassOn(this->head, this->body);
   } else {
+    this->OnRunLost("the stream broke off", this->hasRunEvents);
     this->OnLost("the stream broke off");
   }
 }
@@ -287,6 +291,7 @@
   }
   if (this->call) {
     this->runs += 1;
+    this->OnRunLost(aReason, this->hasRunEvents);
   }
   this->CancelCall();
   this->Release();
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -87,6 +87,8 @@
   std::string body;
   bool isForeign = false;
   bool headSent = false;
+  /// Whole events have come in the present run.
+  bool hasRunEvents = false;
   bool isWaiting = false;
   /// It waits for the retry budget, not only for a chain.
   bool needsRetry = false;
