Failing: a request that crashes upstreams is sent on and on

Cause: a caller that repeats comes with a new id, often at another daemon; nothing remembers that upstreams ended under the same request before. Change: tests only. CrashingSoakTests: four daemons as processes, the request each 0.1 s at any of them, all daemons killed in between. Ruled out: that only our own retries do it (a plain route with one attempt fails too).

--- a/SoakTests/Ledger.cpp
+++ b/SoakTests/Ledger.cpp
@@ -48,6 +48,17 @@
   }
 }
 
+std::size_t Ledger::SentInSpite(Micros aKnownWithin) const {
+  constexpr std::size_t kProofs = 3;
+  if (this->crashes.size() < kProofs) {
+    return 0;
+  }
+  const Instant known = this->crashes[kProofs - 1] + aKnownWithin;
+  return static_cast<std::size_t>(
+      std::count_if(this->crashingSends.begin(), this->crashingSends.end(),
+                    [known](Instant aAt) { return aAt > known; }));
+}
+
 std::vector<std::string> Ledger::Close() {
   for (const auto& [id, record] : this->requests) {
     const bool mayNotRepeat = record.kind == RequestKind::Unsafe;
--- a/SoakTests/Ledger.h
+++ b/SoakTests/Ledger.h
@@ -34,6 +34,12 @@
   void ForgetCuts() { this->cut.clear(); }
   /// No request that ran was cut since; `aBy` says what should not cut them.
   void CheckCuts(const std::string& aBy);
+  /// The request that crashes upstreams has reached one, and has ended one.
+  void CrashingSent(Instant aAt) { this->crashingSends.push_back(aAt); }
+  void CrashedOne(Instant aAt) { this->crashes.push_back(aAt); }
+  /// Times that it was sent later than `aKnownWithin` after its third crash.
+  std::size_t SentInSpite(Micros aKnownWithin) const;
+  std::size_t Crashes() const { return this->crashes.size(); }
   /// Requests with keys of that organisation must not run that are sent after
   /// this.
   void Revoked(const std::string& aOrganisation, Instant aNotAfter) {
@@ -63,6 +69,8 @@
   std::vector<std::string> cut;
   std::map<std::string, Instant> revoked;
   std::vector<std::string> broken;
+  std::vector<Instant> crashingSends;
+  std::vector<Instant> crashes;
 };
 
 }  // namespace zincstep::soak
--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -17,6 +17,7 @@
     "  --seeds N       how many seeds, one after the other (1)\n"
     "  --seconds N     time of faults in each (10)\n"
     "  --daemons N     daemons (4)\n"
+    "  --crashing      at the end, a request that crashes upstreams\n"
     "Exit status: 0 all passed, 1 a promise was broken, 2 wrong use.\n";
 
 }  // namespace
@@ -31,6 +32,7 @@
                             {"seeds", required_argument, nullptr, 'n'},
                             {"seconds", required_argument, nullptr, 't'},
                             {"daemons", required_argument, nullptr, 'c'},
+                            {"crashing", no_argument, nullptr, 'x'},
                             {nullptr, 0, nullptr, 0}};
   for (int word = 0;
        (word = getopt_long(aCount, aWords, "", options, nullptr)) != -1;) {
@@ -53,6 +55,9 @@
       case 'c':
         settings.daemons = std::atoi(optarg);
         break;
+      case 'x':
+        settings.hasCrashingRequest = true;
+        break;
       default:
         std::fputs(kUsage, stderr);
         return 2;
--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -53,7 +53,8 @@
   void SendDue(Instant aNow);
   void SendNext();
   std::string Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther,
-                   Micros aPatience = kCallerPatience);
+                   Micros aPatience = kCallerPatience,
+                   const char* aPath = nullptr);
   void OnAnswer(const std::string& aId, RequestKind aKind, Daemon& aDaemon,
                 const Result<HttpAnswer>& aAnswer);
   void Inject();
@@ -73,6 +74,12 @@
   /// When an upstream is lost at that instant all is served again, and one that
   /// announces its end gets no new work long after.
   void CheckSilentLoss();
+  /// A request that crashes who runs it comes again and again, at any daemon,
+  /// also after all daemons have been killed.
+  void CheckCrashingRequest();
+  void SendCrashing(Micros aFor);
+  /// Kills all daemons at one instant; they start again.
+  void KillAllDaemons();
   /// Nobody hears that a key is withdrawn, for longer than it may still run.
   void CutAllFromStore();
   void Note(const std::string& aFault);
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -150,6 +150,9 @@
   this->CheckPlannedStop();
   this->CheckSilentStreams();
   this->CheckSilentLoss();
+  if (this->settings.hasCrashingRequest) {
+    this->CheckCrashingRequest();
+  }
   // Whoever was refused must not run later either.
   this->loop.run_for(kCallerPatience);
   this->outcome.broken = this->ledger.Close();
@@ -239,16 +242,17 @@
 }
 
 std::string Soak::Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther,
-                       Micros aPatience) {
+                       Micros aPatience, const char* aPath) {
   constexpr std::array kPaths{"/safe/x", "/unsafe/x", "/llm/x"};
+  const std::string path =
+      aPath != nullptr ? aPath : kPaths[static_cast<std::size_t>(aKind)];
   this->lastRequest += 1;
   const std::string id = "r" + std::to_string(this->lastRequest);
   // Half of the callers keep their connections until the process is gone.
   const bool keeps = this->lastRequest % 2 == 0;
   this->ledger.Sent(id, aKind, aIsOther ? "other" : "acme", this->clock.Now());
   const std::string text =
-      std::string("POST ") + kPaths[static_cast<std::size_t>(aKind)] +
-      " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id +
+      "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id +
       "\r\nX-Deadline-Ms: " + std::to_string(aPatience / 1ms) +
       "\r\nAuthorization: Bearer " + (aIsOther ? "key2" : "key1") +
       "\r\nX-Token-Usage: 10,60\r\n" + (keeps ? "" : "Connection: close\r\n") +
--- a/SoakTests/SoakRun.h
+++ b/SoakTests/SoakRun.h
@@ -17,6 +17,8 @@
   /// How long faults are injected.
   Micros faults = 10s;
   int daemons = 4;
+  /// Whether a request that crashes upstreams comes at the end.
+  bool hasCrashingRequest = false;
 };
 
 /// What a run has shown.
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -17,6 +17,10 @@
 constexpr Micros kLoadTime = 150ms;
 /// A plain upstream runs one request of so many and breaks its answer off.
 constexpr std::uint64_t kAnswersToOneLost = 15;
+/// A request that crashes an upstream has run for so long by then, and the
+/// upstream is back after this.
+constexpr Micros kTimeToCrash = 50ms;
+constexpr Micros kTimeToReturn = 800ms;
 /// A chain with a lost member stands still for so long, then it is cut.
 constexpr Micros kStall = 2s;
 
@@ -89,6 +93,9 @@
   if (aIsDark) {
     this->proxy->Set(LinkState::Silent);
   }
+  for (const auto& connection : std::exchange(this->dying, {})) {
+    connection->Abort();
+  }
   const std::vector<Stream> all = std::move(this->streams);
   this->streams.clear();
   for (const Stream& stream : all) {
@@ -194,6 +201,12 @@
         : aConnection->Answer(kOk, SealedHeaders(request), BodyFor(request));
     return;
   }
+  if (aMessage.head.target == kCrashingPath) {
+    this->ledger.CrashingSent(this->clock.Now());
+    this->crashAt = this->crashAt.value_or(this->clock.Now() + kTimeToCrash);
+    this->dying.push_back(aConnection);
+    return;
+  }
   int next = 0;
   for (const PathPart& part : PartsOf(path)) {
     if (part.layers.first != next) {
@@ -210,8 +223,24 @@
                            this->clock.Now()});
 }
 
+void SoakUpstream::CrashOrReturn(Instant aNow) {
+  if (this->crashAt && aNow >= *this->crashAt) {
+    this->crashAt.reset();
+    if (this->isAlive) {
+      this->ledger.CrashedOne(aNow);
+      this->Kill(false);
+      this->backAt = aNow + kTimeToReturn;
+    }
+  }
+  if (this->backAt && aNow >= *this->backAt) {
+    this->backAt.reset();
+    this->Restart();
+  }
+}
+
 void SoakUpstream::Tick() {
   const Instant now = this->clock.Now();
+  this->CrashOrReturn(now);
   if (this->isAlive && this->loading && now >= this->loadedAt) {
     this->layers = *this->loading;
     this->loading.reset();
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -16,6 +16,9 @@
 /// All upstreams, by the address that their entries tell.
 using UpstreamsByAddress = std::map<std::string, SoakUpstream*>;
 
+/// A request with this path crashes whoever begins to run it.
+inline constexpr const char* kCrashingPath = "/llm/crash";
+
 /// The body of a whole answer to a request.
 std::string BodyFor(const std::string& aId);
 /// One event of the stream that answers a request, and how many it has.
@@ -61,6 +64,7 @@
     Instant movedAt;
   };
 
+  void CrashOrReturn(Instant aNow);
   void WriteEntry();
   void Report(CallerConnection& aConnection);
   void Order(CallerConnection& aConnection, const std::string& aBody);
@@ -85,6 +89,8 @@
   CallerListener listener;
   std::unique_ptr<FaultProxy> proxy;
   std::vector<Stream> streams;
+  /// Connections of requests that are about to crash it.
+  std::vector<std::shared_ptr<CallerConnection>> dying;
   std::string id;
   int incarnation = 0;
   int sequence = 0;
@@ -95,6 +101,9 @@
   bool isAlive = false;
   bool isDraining = false;
   bool isNoticeOver = false;
+  /// When what it runs crashes it, and when it is back after that.
+  std::optional<Instant> crashAt;
+  std::optional<Instant> backAt;
 };
 
 }  // namespace zincstep::soak
--- a/UnitTests/RelayFixture.h
+++ b/UnitTests/RelayFixture.h
@@ -19,8 +19,10 @@
       std::function<void(const ConnectionPtr&, const CallerMessage&)>;
 
   ScriptedUpstream(asio::io_context& aLoop, const Clock& aClock, Script aScript)
-      : listener(aLoop, *this, aClock), script(std::move(aScript)) {
-    CPPUNIT_ASSERT(this->listener.Start("127.0.0.1:0").has_value());
+      : listener(std::make_unique<CallerListener>(aLoop, *this, aClock)),
+        script(std::move(aScript)) {
+    CPPUNIT_ASSERT(this->listener->Start("127.0.0.1:0").has_value());
+    this->address = "127.0.0.1:" + std::to_string(this->listener->Port());
   }
 
   void OnRequest(const ConnectionPtr& aConnection,
@@ -30,15 +32,17 @@
   }
   void OnCallerGone(CallerConnection&) override { this->gone += 1; }
 
-  std::string Address() const {
-    return "127.0.0.1:" + std::to_string(this->listener.Port());
-  }
+  const std::string& Address() const { return this->address; }
+  /// From now on its port is closed; not to be called while it takes a request.
+  void Close() { this->listener.reset(); }
+  bool IsClosed() const { return !this->listener; }
 
   std::vector<HttpHead> seen;
   int gone = 0;
 
  private:
-  CallerListener listener;
+  std::unique_ptr<CallerListener> listener;
+  std::string address;
   Script script;
 };
 
