Upstreams that start again under their id, entries by others, suspended machines

Cause: an entry of a known id was the same upstream, whatever had started under it, so that suspicion, loads told by peers, orders, kept connections and running requests went on to a start that knew nothing of them; a damaged entry left the one before in use or was filled with defaults, and one of another daemon ended the process; every age stood still while a machine was suspended. Change: born is decoded once into an Incarnation; numbers, probes, pending orders and kept connections belong to it; a report of another start is no answer; streams and safe requests on an ended start go on elsewhere at once. Entries are decoded strictly: one that cannot be read names no upstream. SystemClock counts suspension (CLOCK_BOOTTIME); a gap of over a second is one log line and drops resting connections. Conclusion: an unsafe request on an ended start waits for its time-out, as it may have reached the new one; the fence of orders over a restart stays the platform's.

--- a/UnitTests/PlacementKeeperTest.cpp
+++ b/UnitTests/PlacementKeeperTest.cpp
@@ -30,6 +30,8 @@
   CPPUNIT_TEST(Duty_UpstreamsStillJoining_OrdersNothing);
   CPPUNIT_TEST(Duty_TakenAsTheStoreComesBack_WaitsForLapsedEntries);
   CPPUNIT_TEST(Duty_UpstreamThatRefuses_CountsAsHolder);
+  CPPUNIT_TEST(Duty_OrderedOneStartsAgain_IsOrderedAnew);
+  CPPUNIT_TEST(Duty_ReportOfTheOldStart_OrdersNothing);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr const char* kConfig =
@@ -53,13 +55,14 @@
   std::uint64_t revision = 10;
 
   /// An upstream writes its entry; its memory is for those layers alone.
-  void Put(const std::string& aId, int aFirst, int aLast) {
+  void Put(const std::string& aId, int aFirst, int aLast, int aBorn = 1) {
     const std::string text =
         R"({"backend":"m","address":"10.0.0.1:80","zone":"a","slots":4,)"
         R"("state":"ready","routeType":")" +
         std::string(aLast - aFirst > 4 ? "whole" : "half") +
         R"(","layers":{"from":)" + std::to_string(aFirst) +
-        R"(,"targetVersion":)" + std::to_string(aLast) + "}}";
+        R"(,"targetVersion":)" + std::to_string(aLast) + R"(},"born":)" +
+        std::to_string(aBorn) + "}";
     StoreEvents events;
     events.events.push_back({{aId, text, ++revision}, false});
     events.at = revision;
@@ -137,6 +140,28 @@
     this->Run(1s);
     CPPUNIT_ASSERT(control.asked.empty());
   }
+
+  // What was ordered of the former start is neither held nor being loaded.
+  void Duty_OrderedOneStartsAgain_IsOrderedAnew() {
+    this->Put("i1", 0, 4);
+    this->Put("i2", 0, 4);
+    this->Run(1s);
+    control.Answer(1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, control.places.size());
+    this->Put("i1", 0, 0, 2);
+    this->Run(500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, control.asked.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("i1"), control.asked.at(1));
+  }
+
+  void Duty_ReportOfTheOldStart_OrdersNothing() {
+    this->Put("i1", 0, 4);
+    this->Put("i2", 0, 4);
+    this->Run(1s);
+    this->Put("i1", 0, 0, 2);
+    control.Answer(1);
+    CPPUNIT_ASSERT(control.places.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementKeeperTest);
--- a/UnitTests/RelayFixture.h
+++ b/UnitTests/RelayFixture.h
@@ -129,7 +129,7 @@
     view.OnUpstreamEvents(
         {{{{"i" + std::to_string(revision),
             R"({"backend":")" + aService + R"(","address":")" + aAddress +
-                R"(","state":"ready","slots":4,"routeType":"k",)" +
+                R"(","zone":"","state":"ready","slots":4,"routeType":"k",)" +
                 R"("layers":{"from":)" + std::to_string(aLayers.first) +
                 R"(,"targetVersion":)" + std::to_string(aLayers.last) + "}}",
             revision},
--- a/UnitTests/ScriptedControl.h
+++ b/UnitTests/ScriptedControl.h
@@ -23,8 +23,10 @@
     this->asked.push_back(aUpstream.id);
     this->open.push_back(std::move(aDone));
   }
-  void Place(const UpstreamEntry&, LayerRange, std::uint64_t, GiveUp,
-             Done<OrderOutcome>) override {}
+  void Place(const UpstreamEntry& aUpstream, LayerRange, std::uint64_t, GiveUp,
+             Done<OrderOutcome>) override {
+    this->places.push_back(aUpstream.id);
+  }
   void Repath(const std::string&, const PoolChain&,
               Done<OrderOutcome>) override {}
 
@@ -45,6 +47,8 @@
 
   std::vector<std::string> asked;
   std::vector<std::string> reached;
+  /// Upstreams that were ordered to hold layers.
+  std::vector<std::string> places;
 
  private:
   void Finish(Result<UpstreamReport> aReport) {
--- a/Zincstep/Cluster/ClusterView.cpp
+++ b/Zincstep/Cluster/ClusterView.cpp
@@ -70,8 +70,12 @@
     LogWarning("upstream_refused", {{"upstream", aItem.key},
                                     {"revision", aItem.revision},
                                     {"reason", decoded.error().message}});
+    // Whoever it named before is not known to be there any more.
+    this->wrongEntries.insert(aItem.key);
+    this->Remove(aItem.key);
     return;
   }
+  this->wrongEntries.erase(aItem.key);
   LogInfo("upstream_changed",
           {{"upstream", decoded->id},
            {"service", decoded->service},
@@ -80,6 +84,7 @@
            {"state", NameIn(kAvailabilityNames, decoded->state)},
            {"first_layer", decoded->layers.first},
            {"last_layer", decoded->layers.last},
+           {"born", decoded->born},
            {"revision", aItem.revision}});
   this->directory.Put(std::move(*decoded), this->clock.Now());
   if (const UpstreamPtr upstream = this->directory.Find(aItem.key)) {
@@ -137,6 +142,7 @@
 void ClusterView::Missing(const std::string& aId, std::uint64_t aRevision,
                           Instant aGraceEnd) {
   this->entries.Remove(aId, aRevision);
+  this->wrongEntries.erase(aId);
   if (aGraceEnd > this->clock.Now()) {
     this->missing.emplace(aId, aGraceEnd);
     return;
--- a/Zincstep/Cluster/ClusterView.h
+++ b/Zincstep/Cluster/ClusterView.h
@@ -113,6 +113,8 @@
   std::optional<Micros> ListsAge() const;
   /// Whether any list of upstreams is known, however old.
   bool KnowsUpstreams() const { return this->entries.At() > 0; }
+  /// Entries that name no upstream, as they cannot be read.
+  std::size_t WrongEntries() const { return this->wrongEntries.size(); }
   const UpstreamDirectory& Directory() const { return this->directory; }
   /// The daemons' own entries.
   const PrefixMirror& Daemons() const { return this->daemons; }
@@ -144,6 +146,7 @@
   UpstreamDirectory directory;
   /// Upstreams' entries as the store holds them, by id.
   ItemList entries;
+  std::set<std::string> wrongEntries;
   PrefixMirror daemons;
   std::optional<Instant> listsProvenAt;
   /// Upstreams whose entries went while the store was away: when they count as
--- a/Zincstep/Cluster/PlacementKeeper.cpp
+++ b/Zincstep/Cluster/PlacementKeeper.cpp
@@ -130,7 +130,8 @@
                        entry.slots};
     const auto order = this->pending.find(entry.id);
     if (order != this->pending.end()) {
-      const bool isDone = order->second.layers == entry.layers;
+      const bool isDone = order->second.layers == entry.layers ||
+                          order->second.incarnation != upstream->Number();
       if (isDone || aNow >= order->second.until) {
         this->pending.erase(order);
       } else {
@@ -256,36 +257,39 @@
   }
   const Micros loadTime =
       aModel.loadTime * aOrder.layers.Size() / aModel.layers;
-  this->Hold(aOrder.id, aOrder.layers, this->settings.reportTimeout * 2);
-  this->control.Report(
-      upstream->Entry(), this->settings.reportTimeout,
-      [this, aOrder, loadTime](const Result<UpstreamReport>& aReport) {
-        this->OnReport(aOrder, loadTime, aReport);
-      });
+  this->Hold(*upstream, aOrder.layers, this->settings.reportTimeout * 2);
+  this->control.Report(upstream->Entry(), this->settings.reportTimeout,
+                       [this, upstream, aOrder,
+                        loadTime](const Result<UpstreamReport>& aReport) {
+                         this->OnReport(upstream, aOrder, loadTime, aReport);
+                       });
 }
 
-void PlacementKeeper::Hold(const std::string& aId, LayerRange aLayers,
+void PlacementKeeper::Hold(const LiveUpstream& aUpstream, LayerRange aLayers,
                            Micros aTime) {
-  this->pending[aId] = {aLayers, this->clock.Now() + aTime};
+  this->pending[aUpstream.Entry().id] = {aUpstream.Number(), aLayers,
+                                         this->clock.Now() + aTime};
 }
 
-void PlacementKeeper::OnReport(const PlacementOrder& aOrder, Micros aLoadTime,
+void PlacementKeeper::OnReport(const UpstreamPtr& aUpstream,
+                               const PlacementOrder& aOrder, Micros aLoadTime,
                                const Result<UpstreamReport>& aReport) {
   const std::string& id = aOrder.id;
-  const UpstreamPtr upstream = this->view.Directory().Find(id);
   const Instant now = this->clock.Now();
-  if (!upstream || !this->guard.MayAct(now)) {
+  // The count of orders in a report is that of the start which gave it.
+  const bool isListed = this->view.Directory().Find(id) == aUpstream;
+  if (!isListed || !this->guard.MayAct(now)) {
     return;
   }
   if (!aReport) {
     LogInfo("upstream_suspected", {{"upstream", id},
                                    {"reason", "no report before an order"},
                                    {"error", aReport.error().message}});
-    upstream->Suspect(now);
+    aUpstream->Suspect(now);
     this->pending.erase(id);
     return;
   }
-  upstream->OnAnswer(now);
+  aUpstream->OnAnswer(now);
   if (aReport->isBusy) {
     LogInfo("placement_busy", {{"upstream", id},
                                {"first_layer", aReport->layers.first},
@@ -294,7 +298,7 @@
                                {"queued", aReport->queued},
                                {"memory_used", aReport->memoryUsed},
                                {"pace", aReport->pace}});
-    this->Hold(id, aOrder.layers, this->settings.refusedPause);
+    this->Hold(*aUpstream, aOrder.layers, this->settings.refusedPause);
     return;
   }
   LogInfo("placement_ordered", {{"upstream", id},
@@ -303,24 +307,31 @@
                                 {"memory_used", aReport->memoryUsed},
                                 {"memory_total", aReport->memoryTotal},
                                 {"expected_sequence", aReport->sequence}});
-  this->Hold(id, aOrder.layers, aLoadTime + this->settings.orderSlack);
-  this->control.Place(
-      upstream->Entry(), aOrder.layers, aReport->sequence, aOrder.giveUp,
-      [this, aOrder, aLoadTime](const Result<OrderOutcome>& aOutcome) {
-        this->OnOrdered(aOrder, aLoadTime, aOutcome);
-      });
+  this->Hold(*aUpstream, aOrder.layers, aLoadTime + this->settings.orderSlack);
+  this->control.Place(aUpstream->Entry(), aOrder.layers, aReport->sequence,
+                      aOrder.giveUp,
+                      [this, aUpstream, aOrder,
+                       aLoadTime](const Result<OrderOutcome>& aOutcome) {
+                        this->OnOrdered(aUpstream, aOrder, aLoadTime, aOutcome);
+                      });
 }
 
-void PlacementKeeper::OnOrdered(const PlacementOrder& aOrder, Micros aLoadTime,
+void PlacementKeeper::OnOrdered(const UpstreamPtr& aUpstream,
+                                const PlacementOrder& aOrder, Micros aLoadTime,
                                 const Result<OrderOutcome>& aOutcome) {
+  if (aUpstream->HasEnded()) {
+    LogInfo("placement_order_void",
+            {{"upstream", aOrder.id}, {"reason", "it has started again"}});
+    return;
+  }
   if (!aOutcome) {
     LogWarning("placement_unanswered",
                {{"upstream", aOrder.id}, {"reason", aOutcome.error().message}});
-    this->Hold(aOrder.id, aOrder.layers,
+    this->Hold(*aUpstream, aOrder.layers,
                aLoadTime + this->settings.unansweredPause);
   } else if (aOutcome->answer != OrderAnswer::Taken) {
     LogWarning("placement_refused", {{"upstream", aOrder.id}});
-    this->Hold(aOrder.id, aOrder.layers, this->settings.refusedPause);
+    this->Hold(*aUpstream, aOrder.layers, this->settings.refusedPause);
   }
 }
 
--- a/Zincstep/Cluster/PlacementKeeper.h
+++ b/Zincstep/Cluster/PlacementKeeper.h
@@ -84,6 +84,9 @@
 
  private:
   struct Order {
+    /// The incarnation that it was given to, as `LiveUpstream::Number`; one
+    /// that has started again holds and loads nothing of it.
+    std::uint64_t incarnation = 0;
     LayerRange layers;
     /// When the upstream is asked anew.
     Instant until;
@@ -102,11 +105,12 @@
   std::string NextImproved(const std::vector<PlacedUpstream>& aUpstreams,
                            Instant aNow);
   void Give(const ModelShape& aModel, const PlacementOrder& aOrder);
-  void OnReport(const PlacementOrder& aOrder, Micros aLoadTime,
-                const Result<UpstreamReport>& aReport);
-  void OnOrdered(const PlacementOrder& aOrder, Micros aLoadTime,
-                 const Result<OrderOutcome>& aOutcome);
-  void Hold(const std::string& aId, LayerRange aLayers, Micros aTime);
+  void OnReport(const UpstreamPtr& aUpstream, const PlacementOrder& aOrder,
+                Micros aLoadTime, const Result<UpstreamReport>& aReport);
+  void OnOrdered(const UpstreamPtr& aUpstream, const PlacementOrder& aOrder,
+                 Micros aLoadTime, const Result<OrderOutcome>& aOutcome);
+  /// For so long the upstream counts as one that holds those layers.
+  void Hold(const LiveUpstream& aUpstream, LayerRange aLayers, Micros aTime);
 
   PlacementKeeperSettings settings;
   AsyncStore& store;
--- a/Zincstep/Core/Time.h
+++ b/Zincstep/Core/Time.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
 #include <cstdint>
 
@@ -22,12 +24,19 @@
   virtual Instant Now() const = 0;
 };
 
-/// The machine's monotonic clock.
+/// The machine's monotonic clock with the time in which it was suspended.
+///
+/// The usual steady clock stands still meanwhile: after five seconds away a
+/// proof, a lease or a deadline looked as old as before, while the others had
+/// gone on.
 class SystemClock final : public Clock {
  public:
   Instant Now() const override {
-    return std::chrono::time_point_cast<Micros>(
-        std::chrono::steady_clock::now());
+    timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return Instant{std::chrono::duration_cast<Micros>(
+        std::chrono::seconds(now.tv_sec) +
+        std::chrono::nanoseconds(now.tv_nsec))};
   }
 };
 
--- a/Zincstep/Edge/DaemonEntry.cpp
+++ b/Zincstep/Edge/DaemonEntry.cpp
@@ -36,11 +36,16 @@
     return std::nullopt;
   }
   const auto json = nlohmann::json::parse(aValue, nullptr, false);
-  if (!json.is_object()) {
+  const auto isText = [&json](const char* aField) {
+    return json.is_object() && json.contains(aField) &&
+           json.at(aField).is_string();
+  };
+  if (!isText(kAddressField) || !isText(kDomainField)) {
     return std::nullopt;
   }
-  return Text{aKey.substr(std::strlen(kPrefix)), json.value(kAddressField, ""),
-              json.value(kDomainField, "")};
+  return Text{aKey.substr(std::strlen(kPrefix)),
+              json.at(kAddressField).get<std::string>(),
+              json.at(kDomainField).get<std::string>()};
 }
 
 DaemonEntry::DaemonEntry(const EdgeSettings& aSettings, AsyncStore& aStore,
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -16,6 +16,9 @@
 constexpr Micros kBusyTick = 25ms;
 /// The same while none runs.
 constexpr Micros kIdleTick = 100ms;
+/// A look that comes so much too late is told of: this VM was suspended, or has
+/// not run. Whatever has passed its time meanwhile ends in that look.
+constexpr Micros kToldGap = 1s;
 /// Between acts of the placement duty.
 constexpr Micros kDutyTick = 250ms;
 /// Margin of the bound on withdrawn keys for what lies between the check of
@@ -147,6 +150,8 @@
   void KeepBlocked();
   void OnSuspicion(Evidence aEvidence);
   void WaitForSignal();
+  /// Finds out that this VM was suspended, by the time since the last look.
+  void NoteGap();
   void OnFastTick();
   void OnDutyTick();
   bool IsReady() const;
@@ -173,6 +178,7 @@
   CrashLedger crashes{CrashLedgerSettings{}};
   CrashWatch crashWatch;
   BlockList blockList;
+  Instant lastLook{};
   /// When what is not in the store yet is told again.
   Instant nextUnlisted{};
   LostDomains lostDomains;
@@ -300,7 +306,21 @@
   });
 }
 
+void EdgeDaemon::NoteGap() {
+  const Instant now = this->clock.Now();
+  const Micros gap = now - this->lastLook;
+  if (this->lastLook != Instant{} && gap >= kToldGap) {
+    const auto age = this->view.ProofAge();
+    LogWarning("time_passed_unseen", {{"gap_ms", gap / 1ms},
+                                      {"active", this->relay.Active()},
+                                      {"proof_age_ms", age ? *age / 1ms : -1}});
+    this->kept.Clear();
+  }
+  this->lastLook = now;
+}
+
 void EdgeDaemon::OnFastTick() {
+  this->NoteGap();
   this->relay.Tick();
   if (this->stop.MayEnd(this->relay.Active(), this->clock.Now())) {
     this->loop.stop();
@@ -359,6 +379,8 @@
                     static_cast<double>(this->view.ConfigRevision()));
   this->metrics.Set("zincstep_upstreams",
                     static_cast<double>(this->view.Directory().All().size()));
+  this->metrics.Set("zincstep_wrong_entries",
+                    static_cast<double>(this->view.WrongEntries()));
   this->metrics.Set(
       "zincstep_blocked_requests",
       static_cast<double>(this->crashes.Blocked(this->clock.Now()).size()));
--- a/Zincstep/Net/ConnectionPool.h
+++ b/Zincstep/Net/ConnectionPool.h
@@ -46,6 +46,8 @@
            const HttpHead& aHead);
   /// A connection to that upstream was unfit, or it does not answer.
   void Distrust(const std::string& aUpstream);
+  /// Closes all that rest: nobody knows what has become of them.
+  void Clear() { this->byUpstream.clear(); }
   /// Connections that rest.
   std::size_t Resting() const;
 
--- a/Zincstep/Pool/LiveUpstream.h
+++ b/Zincstep/Pool/LiveUpstream.h
@@ -24,9 +24,24 @@
 /// them after whoever found it has seen that it is over.
 enum class Evidence { Found, Told };
 
+/// One start of an upstream. It may start again under the id that it had, and
+/// then holds and knows nothing of before.
+struct Incarnation {
+  std::string id;
+  /// When it started, in milliseconds since 1970 by its own clock; only told
+  /// apart, never compared with another clock. 0: it does not tell.
+  std::int64_t born = 0;
+
+  bool operator==(const Incarnation&) const = default;
+  /// Names it where a text is needed.
+  std::string Text() const {
+    return this->id + "@" + std::to_string(this->born);
+  }
+};
+
 /// One incarnation of an upstream as it announces itself.
 struct UpstreamEntry {
-  /// Of this incarnation alone; a restart brings a new one.
+  /// Of the upstream; it may start again under it.
   std::string id;
   std::string service;
   /// host:port; may go to another service once this incarnation has ended.
@@ -39,6 +54,11 @@
   LayerRange layers;
   /// Kind of its accelerator; empty for plain services.
   std::string kind;
+  /// When it started, as `Incarnation::born`.
+  std::int64_t born = 0;
+
+  /// What every belief about the upstream belongs to.
+  zincstep::Incarnation Incarnation() const { return {this->id, this->born}; }
 
   /// Whether it holds layers of a model and answers probes; else it is of a
   /// plain service.
@@ -49,10 +69,11 @@
 class LiveUpstream {
  public:
   explicit LiveUpstream(UpstreamEntry aEntry)
-      : entry(std::move(aEntry)), number(Hash64(this->entry.id)) {}
+      : entry(std::move(aEntry)),
+        number(Hash64(this->entry.Incarnation().Text())) {}
 
   const UpstreamEntry& Entry() const { return this->entry; }
-  /// Stands for the id where daemons tell each other of upstreams.
+  /// Stands for the incarnation where daemons tell each other of upstreams.
   std::uint64_t Number() const { return this->number; }
   void SetEntry(UpstreamEntry aEntry, Instant aNow);
 
@@ -81,6 +102,12 @@
     this->leavingSince.reset();
   }
   bool IsGone() const { return this->isGone; }
+  /// It has started again: nothing that was sent to this start runs any more.
+  void SetEnded(Instant aNow) {
+    this->hasEnded = true;
+    this->SetGone(aNow);
+  }
+  bool HasEnded() const { return this->hasEnded; }
   /// Whether it has been leaving for so long.
   bool IsLeaving(Instant aNow, Micros aFor) const {
     return this->leavingSince && aNow - *this->leavingSince >= aFor;
@@ -161,6 +188,7 @@
   Instant paceAt{};
   Evidence paceEvidence = Evidence::Told;
   bool isGone = false;
+  bool hasEnded = false;
 };
 
 using UpstreamPtr = std::shared_ptr<LiveUpstream>;
--- a/Zincstep/Pool/UpstreamDirectory.cpp
+++ b/Zincstep/Pool/UpstreamDirectory.cpp
@@ -5,26 +5,37 @@
 void UpstreamDirectory::Put(UpstreamEntry aEntry, Instant aNow) {
   const auto found = this->all.find(aEntry.id);
   if (found != this->all.end()) {
-    if (found->second->Entry().service == aEntry.service) {
-      found->second->SetEntry(std::move(aEntry), aNow);
+    LiveUpstream& known = *found->second;
+    if (known.Entry().Incarnation() == aEntry.Incarnation() &&
+        known.Entry().service == aEntry.service) {
+      known.SetEntry(std::move(aEntry), aNow);
       return;
     }
     this->Remove(aEntry.id, aNow);
   }
-  UpstreamPtr upstream = this->departed[aEntry.id].lock();
-  this->departed.erase(aEntry.id);
-  if (upstream && upstream->Entry().service == aEntry.service) {
-    upstream->SetBack();
-    upstream->SetEntry(std::move(aEntry), aNow);
-  } else {
-    upstream = std::make_shared<LiveUpstream>(std::move(aEntry));
-  }
+  const UpstreamPtr upstream = this->TakeBack(std::move(aEntry), aNow);
   this->all.emplace(upstream->Entry().id, upstream);
   this->byNumber[upstream->Number()] = upstream;
   if (upstream->Entry().IsOfModel()) {
     this->modelsByDomain[upstream->Entry().failureDomain].push_back(upstream);
   }
-  this->byService[upstream->Entry().service].push_back(std::move(upstream));
+  this->byService[upstream->Entry().service].push_back(upstream);
+}
+
+UpstreamPtr UpstreamDirectory::TakeBack(UpstreamEntry aEntry, Instant aNow) {
+  const UpstreamPtr former = this->departed[aEntry.id].lock();
+  this->departed.erase(aEntry.id);
+  const bool isSameStart =
+      former && former->Entry().Incarnation() == aEntry.Incarnation();
+  if (isSameStart && former->Entry().service == aEntry.service) {
+    former->SetBack();
+    former->SetEntry(std::move(aEntry), aNow);
+    return former;
+  }
+  if (former && !isSameStart) {
+    former->SetEnded(aNow);
+  }
+  return std::make_shared<LiveUpstream>(std::move(aEntry));
 }
 
 UpstreamPtr UpstreamDirectory::Remove(const std::string& aId, Instant aNow) {
--- a/Zincstep/Pool/UpstreamDirectory.h
+++ b/Zincstep/Pool/UpstreamDirectory.h
@@ -9,7 +9,7 @@
 
 namespace zincstep {
 
-/// All upstreams that are known, by the id of their incarnation.
+/// All upstreams that are known, by their ids, each in its newest incarnation.
 class UpstreamDirectory {
  public:
   /// An entry is new or has changed.
@@ -33,13 +33,16 @@
 
  private:
   void Unlist(const UpstreamPtr& aUpstream);
+  /// The incarnation if it is off the list and still in use; else a new one,
+  /// and what was in use has ended.
+  UpstreamPtr TakeBack(UpstreamEntry aEntry, Instant aNow);
 
   std::map<std::string, UpstreamPtr> all;
   std::unordered_map<std::uint64_t, UpstreamPtr> byNumber;
   std::map<std::string, std::vector<UpstreamPtr>> byService;
   std::map<std::string, std::vector<UpstreamPtr>> modelsByDomain;
-  /// Incarnations off the list that requests still run on: one that comes
-  /// back is the same, so that no chain names it twice.
+  /// Incarnations off the list that requests still run on, by their ids: one
+  /// that comes back is the same, so that no chain names it twice.
   std::map<std::string, std::weak_ptr<LiveUpstream>> departed;
 };
 
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -146,8 +146,9 @@
   // faults.
   const bool isFirst = this->sends <= 1;
   return mayRunAgain && isFirst
-             ? std::optional(KeptConnections{&this->context.kept,
-                                             this->upstream->Entry().id})
+             ? std::optional(KeptConnections{
+                   &this->context.kept,
+                   this->upstream->Entry().Incarnation().Text()})
              : std::nullopt;
 }
 
--- a/Zincstep/Relay/MemberProbe.cpp
+++ b/Zincstep/Relay/MemberProbe.cpp
@@ -23,7 +23,7 @@
 
 void MemberProbe::Ask(const UpstreamPtr& aUpstream) {
   const Instant now = this->clock.Now();
-  Record& record = this->records[aUpstream->Entry().id];
+  Record& record = this->records[aUpstream->Number()];
   if (record.isOpen || now < record.nextAt || !this->TakeToken(now)) {
     return;
   }
@@ -40,7 +40,7 @@
     return;
   }
   const Instant now = this->clock.Now();
-  Record& record = this->records[aUpstream->Entry().id];
+  Record& record = this->records[aUpstream->Number()];
   const bool isRecent = now - record.askedAt < this->settings.firstPause;
   if (!record.isOpen && !isRecent && this->TakeToken(now)) {
     record.evidence = Evidence::Told;
@@ -93,7 +93,7 @@
     aUpstream->Suspect(now);
     LogInfo("upstream_suspected", {{"upstream", aUpstream->Entry().id},
                                    {"reason", "no answer to a probe"}});
-    this->onSuspicion(this->records[aUpstream->Entry().id].evidence);
+    this->onSuspicion(this->records[aUpstream->Number()].evidence);
   }
   this->Confirm(aUpstream);
 }
@@ -107,7 +107,7 @@
 }
 
 void MemberProbe::Close(const UpstreamPtr& aUpstream) {
-  this->records[aUpstream->Entry().id].isOpen = false;
+  this->records[aUpstream->Number()].isOpen = false;
 }
 
 void MemberProbe::Tick() {
--- a/Zincstep/Relay/MemberProbe.h
+++ b/Zincstep/Relay/MemberProbe.h
@@ -83,7 +83,8 @@
   UpstreamControl& control;
   const Clock& clock;
   OnSuspicion onSuspicion;
-  std::unordered_map<std::string, Record> records;
+  /// By the numbers of the upstreams.
+  std::unordered_map<std::uint64_t, Record> records;
   TokenBucket tokens;
 };
 
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -214,7 +214,7 @@
     if (!upstream) {
       continue;
     }
-    Instant& last = this->asked[upstream->Entry().id];
+    Instant& last = this->asked[upstream->Number()];
     if (aNow - last < this->context.settings.stallQuestionPause) {
       continue;
     }
--- a/Zincstep/Relay/Relay.h
+++ b/Zincstep/Relay/Relay.h
@@ -59,8 +59,8 @@
   std::vector<EarlyRequest> early;
   bool isTickDue = false;
   std::unordered_map<CallerConnection*, std::shared_ptr<Exchange>> exchanges;
-  /// When an upstream was last asked for its stalled requests, by id.
-  std::unordered_map<std::string, Instant> asked;
+  /// When an upstream was last asked for its stalled requests, by number.
+  std::unordered_map<std::uint64_t, Instant> asked;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -54,6 +54,9 @@
   if (aNow < this->request.end) {
     if (this->isWaiting) {
       this->TrySend();
+    } else if (this->call && this->upstream->HasEnded() &&
+               this->MayRunAgain()) {
+      this->OnStartedAgain();
     }
     return;
   }
@@ -63,6 +66,18 @@
                "no answer in time");
 }
 
+void ServiceExchange::OnStartedAgain() {
+  // Its connection may be silent for good. One that must not run twice waits:
+  // it may have reached the new start.
+  constexpr const char* kReason = "its upstream has started again";
+  this->OnRunLost(kReason);
+  this->EndCall();
+  this->CancelCall();
+  this->hasBegun = true;
+  this->runs += 1;
+  this->OnFailure(kReason);
+}
+
 void ServiceExchange::OnCallerGone() {
   if (!this->IsDone()) {
     this->EndCall();
--- a/Zincstep/Relay/ServiceExchange.h
+++ b/Zincstep/Relay/ServiceExchange.h
@@ -27,6 +27,8 @@
   void Abandon(const char* aReason) override;
   void TrySend();
   void EndCall();
+  /// The upstream of the open call is not the start that it was sent to.
+  void OnStartedAgain();
   void OnFailure(const char* aReason);
   void OnNotRun(const char* aReason);
   bool MayRunAgain() const;
--- a/Zincstep/Relay/StreamRepair.cpp
+++ b/Zincstep/Relay/StreamRepair.cpp
@@ -59,6 +59,11 @@
     }
     return;
   }
+  if (this->upstream->HasEnded()) {
+    // Its connection may be silent for good. Waited for, that is a second.
+    this->Resume("the first upstream has started again");
+    return;
+  }
   if (this->upstream->IsSuspect(aNow)) {
     this->Resume("the first upstream is lost");
     return;
@@ -68,7 +73,8 @@
       this->chain.begin() + 1, this->chain.end(), [&](const PoolHop& aHop) {
         const bool isLeft = aHop.upstream->IsGone() ||
                             !aHop.upstream->Entry().layers.Covers(aHop.layers);
-        return aHop.upstream->IsSuspect(aNow) || (isLong && isLeft);
+        return aHop.upstream->HasEnded() || aHop.upstream->IsSuspect(aNow) ||
+               (isLong && isLeft);
       });
   if (hasLost) {
     this->Repair(aNow);
@@ -166,7 +172,7 @@
   }
   const Micros limit = this->context.settings.connectionSilence;
   if (aReport->queued == 0 && this->Silence(now) >= limit) {
-    this->context.kept.Distrust(aUpstream->Entry().id);
+    this->context.kept.Distrust(aUpstream->Entry().Incarnation().Text());
     this->Resume("its connection says nothing");
   }
 }
