--- a/UnitTests/IncarnationTest.cpp
+++ b/UnitTests/IncarnationTest.cpp
@@ -21,6 +21,11 @@
   CPPUNIT_TEST(Stream_WhoseFirstStartsAgain_GoesOnAtOnce);
   CPPUNIT_TEST(Service_SafeAndItsUpstreamStartsAgain_RunsElsewhere);
   CPPUNIT_TEST(Service_UnsafeAndItsUpstreamStartsAgain_IsNotSentAgain);
+  CPPUNIT_TEST(Entry_ThatComesBackBehindItsSuccessor_IsNotUsed);
+  CPPUNIT_TEST(Entry_ThatLapsesBesideItsSuccessor_IsNotUsedAgain);
+  CPPUNIT_TEST(Entry_OfAnotherServiceAtItsAddress_EndsNobody);
+  CPPUNIT_TEST(Entry_ThatLapsesAndComesBackAlone_IsUsed);
+  CPPUNIT_TEST(Refusal_ByAnotherInstance_IsItsEnd);
   CPPUNIT_TEST(Report_OfANewerStart_IsNoAnswer);
   CPPUNIT_TEST(Report_OfTheListedStart_IsAnAnswer);
   CPPUNIT_TEST_SUITE_END();
@@ -149,6 +154,69 @@
                    view.Directory().FindNumber(this->Find("i1")->Number()));
   }
 
+  void Drop(const std::string& aId) {
+    revision += 1;
+    view.OnUpstreamEvents({{{{aId, "", revision}, true}}, revision});
+  }
+
+  // What it wrote before its end was held up, and stood in the list for three
+  // and a half seconds beside who had started at its address: of 170 sends a
+  // second 60 to 75 were refused.
+  void Entry_ThatComesBackBehindItsSuccessor_IsNotUsed() {
+    this->Put("i1", "127.0.0.1:1", 0);
+    this->Drop("i1");
+    this->Put("i2", "127.0.0.1:1", 0);
+    this->Put("i1", "127.0.0.1:1", 0);
+    CPPUNIT_ASSERT(!this->Find("i1")->IsUsable(clock.Now()));
+    CPPUNIT_ASSERT(!this->Find("i1")->IsPresent(clock.Now()));
+    CPPUNIT_ASSERT(this->Find("i2")->IsUsable(clock.Now()));
+    this->Drop("i1");
+    this->Put("i1", "127.0.0.1:1", 0);
+    CPPUNIT_ASSERT(!this->Find("i1")->IsUsable(clock.Now()));
+  }
+
+  void Entry_ThatLapsesBesideItsSuccessor_IsNotUsedAgain() {
+    this->Put("i1", "127.0.0.1:1", 0);
+    this->Put("i2", "127.0.0.1:1", 0);
+    this->Drop("i1");
+    this->Put("i1", "127.0.0.1:1", 0);
+    CPPUNIT_ASSERT(!this->Find("i1")->IsUsable(clock.Now()));
+    CPPUNIT_ASSERT(this->Find("i2")->IsUsable(clock.Now()));
+  }
+
+  // An entry by another writer may name any address.
+  void Entry_OfAnotherServiceAtItsAddress_EndsNobody() {
+    this->Put("i1", "127.0.0.1:1", 0);
+    this->Put("i2", "127.0.0.1:1", 0, "ready", "nobodys");
+    this->Drop("i1");
+    this->Put("i1", "127.0.0.1:1", 0);
+    CPPUNIT_ASSERT(this->Find("i1")->IsUsable(clock.Now()));
+  }
+
+  void Entry_ThatLapsesAndComesBackAlone_IsUsed() {
+    this->Put("i1", "127.0.0.1:1", 0);
+    this->Drop("i1");
+    this->Put("i1", "127.0.0.1:1", 0);
+    CPPUNIT_ASSERT(this->Find("i1")->IsUsable(clock.Now()));
+  }
+
+  void Refusal_ByAnotherInstance_IsItsEnd() {
+    upstreams.push_back(std::make_unique<ScriptedUpstream>(
+        loop, clock, [](const auto& aTo, const auto& aMessage) {
+          aTo->Answer(
+              421,
+              {{"X-Attempt-Id",
+                std::string(FindHeader(aMessage.head.headers, "X-Attempt-Id"))},
+               {"X-Instance-Id", "i2"}},
+              "");
+        }));
+    this->Put("i1", upstreams[0]->Address(), 0);
+    const UpstreamPtr former = this->Find("i1");
+    this->Ask(this->Request("/llm/"));
+    CPPUNIT_ASSERT(former->HasEnded());
+    CPPUNIT_ASSERT(!former->IsUsable(clock.Now()));
+  }
+
   // The upstream reports to be well, so that the stream waited a second.
   void Stream_WhoseFirstStartsAgain_GoesOnAtOnce() {
     this->AddSilentAndGood("model");
--- a/UnitTests/WrongEntryTest.cpp
+++ b/UnitTests/WrongEntryTest.cpp
@@ -19,6 +19,11 @@
     R"("slots":4,"state":"ready","coldRemainingMs":0,"sequence":3,"born":7,)"
     R"("routeType":"k","layers":{"from":0,"targetVersion":2}})";
 
+/// Of another upstream.
+constexpr const char* kOther =
+    R"({"backend":"s","address":"10.0.0.2:80","zone":"a","slots":4,)"
+    R"("state":"ready"})";
+
 class WrongEntryTest : public CppUnit::TestFixture, private ClusterListener {
   CPPUNIT_TEST_SUITE(WrongEntryTest);
   CPPUNIT_TEST(Entry_Right_NamesItsUpstream);
@@ -143,7 +148,7 @@
 
   void Entry_WrongAfterRight_TakesTheUpstreamOutOfUse() {
     this->Put("i1", kRight);
-    this->Put("i2", kRight);
+    this->Put("i2", kOther);
     this->Put("i1", With(R"("ready")", R"("resting")"));
     CPPUNIT_ASSERT(!this->IsUsable("i1"));
     CPPUNIT_ASSERT(this->IsUsable("i2"));
@@ -158,10 +163,10 @@
 
   void Entry_WrongInAPeersList_TakesTheUpstreamOutOfUse() {
     this->Put("i1", kRight);
-    this->Put("i2", kRight);
+    this->Put("i2", kOther);
     ClusterView other{*decoder, *this, clock};
     other.OnUpstreams(
-        {{{"i1", "{}", revision + 1}, {"i2", kRight, 3}}, revision + 1});
+        {{{"i1", "{}", revision + 1}, {"i2", kOther, 3}}, revision + 1});
     view.OnCopy(other.CopyFor(view.Revisions()), clock.Now());
     CPPUNIT_ASSERT(!this->IsUsable("i1"));
     CPPUNIT_ASSERT(this->IsUsable("i2"));
@@ -170,7 +175,7 @@
   void Entry_DamagedAtRandom_LeavesTheOthers() {
     constexpr int kCases = 10'000;
     Random random{11};
-    this->Put("i2", kRight);
+    this->Put("i2", kOther);
     for (int i = 0; i < kCases; ++i) {
       std::string text = kRight;
       const std::size_t damages = 1 + random.Below(4);
--- a/Zincstep/Pool/LiveUpstream.h
+++ b/Zincstep/Pool/LiveUpstream.h
@@ -98,7 +98,7 @@
   void SetGone(Instant aNow);
   /// It is on the list again: it was cut off, not ended.
   void SetBack() {
-    this->isGone = false;
+    this->isGone = this->hasEnded;
     this->leavingSince.reset();
   }
   bool IsGone() const { return this->isGone; }
--- a/Zincstep/Pool/UpstreamDirectory.cpp
+++ b/Zincstep/Pool/UpstreamDirectory.cpp
@@ -1,7 +1,63 @@
 #include "Zincstep/Pool/UpstreamDirectory.h"
 
+#include <algorithm>
+
 namespace zincstep {
 
+namespace {
+
+/// Former incarnations that are remembered for an address: entries that were
+/// held up are of the last one or two.
+constexpr std::size_t kMostFormer = 8;
+
+}  // namespace
+
+void UpstreamDirectory::AddressUse::SetPresent(const LiveUpstream& aUpstream) {
+  this->present = aUpstream.Number();
+  this->id = aUpstream.Entry().id;
+  this->service = aUpstream.Entry().service;
+}
+
+void UpstreamDirectory::AddressUse::Retire(std::uint64_t aUpstream) {
+  std::erase(this->former, aUpstream);
+  this->former.push_back(aUpstream);
+  if (this->former.size() > kMostFormer) {
+    this->former.erase(this->former.begin());
+  }
+}
+
+bool UpstreamDirectory::IsSucceeded(const LiveUpstream& aUpstream) {
+  AddressUse& use = this->uses[aUpstream.Entry().address];
+  const std::uint64_t number = aUpstream.Number();
+  if (std::find(use.former.begin(), use.former.end(), number) !=
+      use.former.end()) {
+    return true;
+  }
+  const bool isListed = this->byNumber.contains(use.present);
+  if (use.present == number || isListed) {
+    return false;
+  }
+  // Of two starts under one id the store's revision says which is newer.
+  const UpstreamEntry& entry = aUpstream.Entry();
+  if (use.present != 0 && use.service == entry.service && use.id != entry.id) {
+    use.Retire(use.present);
+  }
+  use.SetPresent(aUpstream);
+  return false;
+}
+
+UpstreamPtr UpstreamDirectory::SuccessorOf(
+    const LiveUpstream& aUpstream) const {
+  const UpstreamEntry& entry = aUpstream.Entry();
+  for (const UpstreamPtr& other : this->OfService(entry.service)) {
+    if (other.get() != &aUpstream && other->Entry().address == entry.address &&
+        !other->HasEnded()) {
+      return other;
+    }
+  }
+  return nullptr;
+}
+
 void UpstreamDirectory::Put(UpstreamEntry aEntry, Instant aNow) {
   const auto found = this->all.find(aEntry.id);
   if (found != this->all.end()) {
@@ -14,6 +70,11 @@
     this->Remove(aEntry.id, aNow);
   }
   const UpstreamPtr upstream = this->TakeBack(std::move(aEntry), aNow);
+  if (this->IsSucceeded(*upstream)) {
+    // What it wrote was held up: it stood in the list for 3.6 s, and of 170
+    // sends a second 60 to 75 were refused for it (one day with a cut).
+    upstream->SetEnded(aNow);
+  }
   this->all.emplace(upstream->Entry().id, upstream);
   this->byNumber[upstream->Number()] = upstream;
   if (upstream->Entry().IsOfModel()) {
@@ -48,6 +109,11 @@
   this->byNumber.erase(upstream->Number());
   this->Unlist(upstream);
   upstream->SetGone(aNow);
+  if (const UpstreamPtr next = this->SuccessorOf(*upstream)) {
+    AddressUse& use = this->uses[upstream->Entry().address];
+    use.Retire(upstream->Number());
+    use.SetPresent(*next);
+  }
   std::erase_if(this->departed,
                 [](const auto& aEntry) { return aEntry.second.expired(); });
   this->departed[aId] = upstream;
--- a/Zincstep/Pool/UpstreamDirectory.h
+++ b/Zincstep/Pool/UpstreamDirectory.h
@@ -33,6 +33,11 @@
 
  private:
   void Unlist(const UpstreamPtr& aUpstream);
+  /// Notes who is at an address. True: this incarnation was there before, and
+  /// another one of its service has begun there since.
+  bool IsSucceeded(const LiveUpstream& aUpstream);
+  /// Another upstream of the same service at the same address, or null.
+  UpstreamPtr SuccessorOf(const LiveUpstream& aUpstream) const;
   /// The incarnation if it is off the list and still in use; else a new one,
   /// and what was in use has ended.
   UpstreamPtr TakeBack(UpstreamEntry aEntry, Instant aNow);
@@ -44,6 +49,20 @@
   /// Incarnations off the list that requests still run on, by their ids: one
   /// that comes back is the same, so that no chain names it twice.
   std::map<std::string, std::weak_ptr<LiveUpstream>> departed;
+
+  /// Who was and who is at an address.
+  struct AddressUse {
+    std::uint64_t present = 0;
+    std::string id;
+    std::string service;
+    /// Incarnations that have ended, the latest last.
+    std::vector<std::uint64_t> former;
+
+    void SetPresent(const LiveUpstream& aUpstream);
+    void Retire(std::uint64_t aUpstream);
+  };
+  /// By address; addresses are used again and again.
+  std::unordered_map<std::string, AddressUse> uses;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -189,6 +189,19 @@
   }
 }
 
+void Exchange::OnRefused(const AnswerFacts& aFacts, int aStatus) {
+  const bool isSucceeded = !aFacts.answeredBy.empty() &&
+                           aFacts.answeredBy != this->upstream->Entry().id;
+  LogInfo("upstream_refused", {{"request", this->request.facts.id},
+                               {"upstream", this->upstream->Entry().id},
+                               {"status", aStatus},
+                               {"at_fault", aFacts.atFault},
+                               {"answered_by", aFacts.answeredBy}});
+  if (isSucceeded) {
+    this->upstream->SetEnded(this->Now());
+  }
+}
+
 void Exchange::OnRunWhole() {
   if (!this->context.crashes.IsEmpty()) {
     this->context.crashWatch.OnAnswered(this->Fingerprint());
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -79,6 +79,9 @@
   virtual void Abandon(const char* aReason) = 0;
   /// The present run ends without its whole answer.
   void OnRunLost(const char* aReason);
+  /// The upstream has refused the request; where another one answers at its
+  /// address, it has ended.
+  void OnRefused(const AnswerFacts& aFacts, int aStatus);
   /// A run has ended with its whole answer.
   void OnRunWhole();
   /// What the request is, whichever attempt.
--- a/Zincstep/Relay/RelayDialect.h
+++ b/Zincstep/Relay/RelayDialect.h
@@ -60,6 +60,8 @@
   bool isEncoded = false;
   /// Address of the upstream of the chain that is at fault, if named.
   std::string atFault;
+  /// Id of the upstream that answered, where it tells.
+  std::string answeredBy;
   /// Requests waiting at the upstream, where it tells.
   std::optional<double> waiting;
 };
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -133,6 +133,7 @@
     this->upstream->queuedAt = now;
   }
   if (this->facts.isNotRun) {
+    this->OnRefused(this->facts, this->head.status);
     this->OnNotRun("the upstream refused");
     return;
   }
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -194,10 +194,7 @@
   const bool isWhole = aEnd == SingleCallEnd::Complete && !this->isForeign;
   if (isWhole && this->facts.isNotRun) {
     this->upstream->OnAnswer(now);
-    LogInfo("upstream_refused", {{"request", this->request.facts.id},
-                                 {"upstream", this->upstream->Entry().id},
-                                 {"status", this->head.status},
-                                 {"at_fault", this->facts.atFault}});
+    this->OnRefused(this->facts, this->head.status);
     this->Distrust(this->facts.atFault.empty() ? this->upstream->Entry().address
                                                : this->facts.atFault,
                    now, false);
