An entry that was held up makes no domain rejoin

Change: those that have ended are no rejoining members. Test failed first (1 order for 2). Ruled out: a longer grace; the entries say nothing of the domain.

--- a/UnitTests/PlacementKeeperTest.cpp
+++ b/UnitTests/PlacementKeeperTest.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(Duty_UpstreamThatRefuses_CountsAsHolder);
   CPPUNIT_TEST(Duty_OrderedOneStartsAgain_IsOrderedAnew);
   CPPUNIT_TEST(Duty_ReportOfTheOldStart_OrdersNothing);
+  CPPUNIT_TEST(Duty_EntryOfOneThatWasSucceeded_HoldsNoOrderUp);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr const char* kConfig =
@@ -55,9 +56,11 @@
   std::uint64_t revision = 10;
 
   /// An upstream writes its entry; its memory is for those layers alone.
-  void Put(const std::string& aId, int aFirst, int aLast, int aBorn = 1) {
+  void Put(const std::string& aId, int aFirst, int aLast, int aBorn = 1,
+           const std::string& aAddress = "10.0.0.1:80") {
     const std::string text =
-        R"({"backend":"m","address":"10.0.0.1:80","zone":"a","slots":4,)"
+        R"({"backend":"m","address":")" + aAddress +
+        R"(","zone":"a","slots":4,)"
         R"("state":"ready","routeType":")" +
         std::string(aLast - aFirst > 4 ? "whole" : "half") +
         R"(","layers":{"from":)" + std::to_string(aFirst) +
@@ -154,6 +157,25 @@
     CPPUNIT_ASSERT_EQUAL(std::string("i1"), control.asked.at(1));
   }
 
+  // It came back for seconds behind who had begun at its address, and for each
+  // time its domain was taken for one that rejoins, in which nothing is
+  // ordered.
+  void Duty_EntryOfOneThatWasSucceeded_HoldsNoOrderUp() {
+    this->Put("i1", 0, 4, 1, "10.0.0.1:80");
+    this->Put("i2", 0, 4, 1, "10.0.0.2:80");
+    this->Put("i3", 4, 8, 1, "10.0.0.3:80");
+    this->Run(2s);
+    CPPUNIT_ASSERT(control.asked.empty());
+    view.OnUpstreamEvents({{{{"i3", "", ++revision}, true}}, revision});
+    this->Run(250ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, control.asked.size());
+    this->Put("i4", 0, 0, 1, "10.0.0.3:80");
+    this->Put("i3", 4, 8, 1, "10.0.0.3:80");
+    control.StaySilent();
+    this->Run(500ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, control.asked.size());
+  }
+
   void Duty_ReportOfTheOldStart_OrdersNothing() {
     this->Put("i1", 0, 4);
     this->Put("i2", 0, 4);
--- a/Zincstep/Cluster/PlacementKeeper.cpp
+++ b/Zincstep/Cluster/PlacementKeeper.cpp
@@ -239,6 +239,9 @@
   std::set<std::string> present;
   for (const UpstreamPtr& upstream :
        this->view.Directory().OfService(aService)) {
+    if (upstream->HasEnded()) {
+      continue;  // What it wrote was held up; its domain has not rejoined.
+    }
     const UpstreamEntry& entry = upstream->Entry();
     present.insert(entry.id);
     const bool isNew = !this->listed.contains(entry.id);
