--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -107,7 +107,10 @@
 void SoakUpstream::Restart() {
   this->Kill(false);
   this->incarnation += 1;
-  this->id = this->name + "-" + std::to_string(this->incarnation);
+  const std::string next = this->name + "-" + std::to_string(this->incarnation);
+  if (this->id.empty() || Hash64(next) % 2 == 0) {
+    this->id = next;  // Each second one starts again under the id that it had.
+  }
   this->sequence = 0;
   this->layers = {};
   this->loading.reset();
@@ -130,6 +133,7 @@
       {"backend", this->service},
       {"address", this->proxy->Address()},
       {"zone", this->domain},
+      {"born", this->incarnation},
       {"slots", 8},
       {"state", this->isDraining ? "draining" : "ready"},
       {"routeType", this->service == "model" ? "k" : ""},
@@ -282,6 +286,7 @@
     }
   }
   const Json report{
+      {"born", this->incarnation},
       {"layers",
        {{"from", this->layers.first}, {"targetVersion", this->layers.last}}},
       {"busy", this->loading.has_value()},
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -38,7 +38,7 @@
 
   /// Ends this incarnation; `aIsDark`: it says nothing instead of resetting.
   void Kill(bool aIsDark);
-  /// Begins a new incarnation, without layers.
+  /// Begins a new incarnation, without layers, often under the id it had.
   void Restart();
   /// Announces that it leaves; it serves on until it is killed.
   void Drain();
