A request that has been answered lately ends nobody

Change: a whole answer, a success, speaks for the same request for a minute (4,096 are remembered); a crash under it is not counted, and whoever blames it is told by those who have answered it. A failure that an upstream answers clears nobody any more. Ruled out: counting crashes of one instant once (copies of a guilty request, three at a time each four seconds, would be sent six times more); a trial after some seconds (each daemon has its own).

--- a/UnitTests/BlockListTest.cpp
+++ b/UnitTests/BlockListTest.cpp
@@ -110,7 +110,7 @@
     other.Block(kRequest);
     holder.list.Write();
     other.list.OnEntries(store.Items());
-    holder.ledger.OnAnswered(kRequest);
+    holder.ledger.OnAnswered(kRequest, clock.Now());
     holder.list.Write();
     other.list.OnEntries(store.Items());
     CPPUNIT_ASSERT(!other.Blocks(kRequest));
--- a/UnitTests/CrashLedgerTest.cpp
+++ b/UnitTests/CrashLedgerTest.cpp
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(Crash_ThreeIncarnations_Block);
   CPPUNIT_TEST(Crash_OneIncarnationToldByMany_CountsOnce);
   CPPUNIT_TEST(Answer_Whole_TakesAllBack);
+  CPPUNIT_TEST(Answer_Lately_SpeaksForTheRequest);
+  CPPUNIT_TEST(Answer_OfManyOthers_IsForgottenInOrder);
   CPPUNIT_TEST(Block_AfterItsTime_Ends);
   CPPUNIT_TEST(Block_NoMoreListed_Ends);
   CPPUNIT_TEST(Block_ListedOnly_Holds);
@@ -66,13 +68,13 @@
   }
 
   void Crash_ThreeIncarnations_Block() {
-    CPPUNIT_ASSERT(!ledger.OnCrash({kGuilty, 1}, now));
-    CPPUNIT_ASSERT(!ledger.OnCrash({kGuilty, 2}, now));
+    CPPUNIT_ASSERT(ledger.OnCrash({kGuilty, 1}, now) == CrashVerdict::Counted);
+    CPPUNIT_ASSERT(ledger.OnCrash({kGuilty, 2}, now) == CrashVerdict::Counted);
     CPPUNIT_ASSERT(!this->IsBlocked(kGuilty));
-    CPPUNIT_ASSERT(ledger.OnCrash({kGuilty, 3}, now));
+    CPPUNIT_ASSERT(ledger.OnCrash({kGuilty, 3}, now) == CrashVerdict::Blocked);
     CPPUNIT_ASSERT(this->IsBlocked(kGuilty));
     CPPUNIT_ASSERT(!this->IsBlocked(kOther));
-    CPPUNIT_ASSERT(!ledger.OnCrash({kGuilty, 4}, now));
+    CPPUNIT_ASSERT(ledger.OnCrash({kGuilty, 4}, now) == CrashVerdict::Counted);
   }
 
   void Crash_OneIncarnationToldByMany_CountsOnce() {
@@ -84,10 +86,35 @@
 
   void Answer_Whole_TakesAllBack() {
     this->CrashThree(kGuilty);
-    CPPUNIT_ASSERT(ledger.OnAnswered(kGuilty));
+    CPPUNIT_ASSERT(ledger.OnAnswered(kGuilty, now));
     CPPUNIT_ASSERT(!this->IsBlocked(kGuilty));
     CPPUNIT_ASSERT(ledger.IsEmpty());
-    CPPUNIT_ASSERT(!ledger.OnAnswered(kGuilty));
+    CPPUNIT_ASSERT(!ledger.OnAnswered(kGuilty, now));
+  }
+
+  // Identical requests of many callers were on three upstreams that ended
+  // within 60 ms, none was left to be answered, and all were refused for ten
+  // minutes.
+  void Answer_Lately_SpeaksForTheRequest() {
+    ledger.OnAnswered(kGuilty, now);
+    now += 1s;
+    CPPUNIT_ASSERT(ledger.OnCrash({kGuilty, 1}, now) == CrashVerdict::Innocent);
+    this->CrashThree(kGuilty);
+    CPPUNIT_ASSERT(!this->IsBlocked(kGuilty));
+    now += settings.answeredTime;
+    this->CrashThree(kGuilty);
+    CPPUNIT_ASSERT(this->IsBlocked(kGuilty));
+  }
+
+  void Answer_OfManyOthers_IsForgottenInOrder() {
+    ledger.OnAnswered(kGuilty, now);
+    for (std::uint64_t i = 0; i < settings.mostAnswered; ++i) {
+      ledger.OnAnswered(RequestFingerprint{1000 + i}, now);
+    }
+    this->CrashThree(kGuilty);
+    CPPUNIT_ASSERT(this->IsBlocked(kGuilty));
+    CPPUNIT_ASSERT(ledger.OnCrash({RequestFingerprint{1001}, 1}, now) ==
+                   CrashVerdict::Innocent);
   }
 
   void Block_AfterItsTime_Ends() {
@@ -139,6 +166,8 @@
   CPPUNIT_TEST(Loss_SilenceNoticedLate_ProvesNothing);
   CPPUNIT_TEST(Loss_WhileAnAttemptIsOpen_IsAskedForAnew);
   CPPUNIT_TEST(Answer_OfABlamedRequest_IsToldOnce);
+  CPPUNIT_TEST(Answer_BeforeTheCrash_IsBlamedByNobody);
+  CPPUNIT_TEST(Cleared_ElsewhereAndBlamedHere_IsToldOn);
   CPPUNIT_TEST_SUITE_END();
 
   static UpstreamPtr MakeUpstream(const char* aId) {
@@ -223,6 +252,27 @@
     watch.OnAnswered(kGuilty);
     CPPUNIT_ASSERT_EQUAL(1, cleared);
   }
+
+  void Answer_BeforeTheCrash_IsBlamedByNobody() {
+    watch.OnAnswered(kOther);
+    watch.OnRunLost(kOther, upstream);
+    control.EndReach(Reachability::Refused);
+    CPPUNIT_ASSERT(found.empty() && ledger.IsEmpty());
+    // The upstream has ended all the same.
+    CPPUNIT_ASSERT(upstream->IsSuspect(clock.Now()));
+    CPPUNIT_ASSERT(watch.Take({kOther, 2}, Evidence::Told) ==
+                   CrashVerdict::Innocent);
+  }
+
+  void Cleared_ElsewhereAndBlamedHere_IsToldOn() {
+    watch.OnRunLost(kOther, upstream);
+    control.EndReach(Reachability::Refused);
+    CPPUNIT_ASSERT(watch.TakeCleared(kOther));
+    CPPUNIT_ASSERT(!ledger.IsBlamed(kOther));
+    CPPUNIT_ASSERT(!watch.TakeCleared(kOther));
+    watch.Take({kGuilty, 1}, Evidence::Told);
+    CPPUNIT_ASSERT(!watch.TakeCleared(kGuilty));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashLedgerTest);
--- a/UnitTests/CrashReplayTest.cpp
+++ b/UnitTests/CrashReplayTest.cpp
@@ -157,9 +157,9 @@
     }
     run.isOver = true;
     const RequestFingerprint request = run.request.fingerprint;
-    if (this->ledgers[run.request.daemon].OnAnswered(request)) {
+    if (this->ledgers[run.request.daemon].OnAnswered(request, this->now)) {
       this->Tell(run.request.daemon, [request](CrashLedger& aLedger, Instant) {
-        aLedger.OnAnswered(request);
+        aLedger.Clear(request);
       });
     }
   }
--- a/Zincstep/Admission/CrashLedger.cpp
+++ b/Zincstep/Admission/CrashLedger.cpp
@@ -4,7 +4,10 @@
 
 namespace zincstep {
 
-bool CrashLedger::OnCrash(const UpstreamCrash& aCrash, Instant aNow) {
+CrashVerdict CrashLedger::OnCrash(const UpstreamCrash& aCrash, Instant aNow) {
+  if (this->IsAnsweredLately(aCrash.request, aNow)) {
+    return CrashVerdict::Innocent;
+  }
   this->MakeRoom();
   Record& record = this->records[aCrash.request];
   const bool wasBlocked = this->IsBlocked(record);
@@ -12,11 +15,27 @@
       record.crashed.insert(aCrash.upstream).second) {
     record.lastCrash = aNow;
   }
-  return !wasBlocked && this->IsBlocked(record);
+  return !wasBlocked && this->IsBlocked(record) ? CrashVerdict::Blocked
+                                                : CrashVerdict::Counted;
+}
+
+bool CrashLedger::OnAnswered(RequestFingerprint aRequest, Instant aNow) {
+  const bool isNew = this->answered.insert_or_assign(aRequest, aNow).second;
+  if (isNew) {
+    this->answeredInOrder.push_back(aRequest);
+  }
+  if (this->answeredInOrder.size() > this->settings.mostAnswered) {
+    this->answered.erase(this->answeredInOrder.front());
+    this->answeredInOrder.pop_front();
+  }
+  return this->Clear(aRequest);
 }
 
-bool CrashLedger::OnAnswered(RequestFingerprint aRequest) {
-  return this->records.erase(aRequest) > 0;
+bool CrashLedger::IsAnsweredLately(RequestFingerprint aRequest,
+                                   Instant aNow) const {
+  const auto found = this->answered.find(aRequest);
+  return found != this->answered.end() &&
+         aNow - found->second < this->settings.answeredTime;
 }
 
 void CrashLedger::SetListed(const std::set<RequestFingerprint>& aRequests,
--- a/Zincstep/Admission/CrashLedger.h
+++ b/Zincstep/Admission/CrashLedger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -26,6 +27,19 @@
   /// Requests that are remembered at once, some 200 bytes each; callers make
   /// new ones at will. Those that are not blocked go first, the oldest before.
   std::size_t mostRequests = 4096;
+  /// Requests answered whole that are remembered, and for how long. Identical
+  /// ones of many callers may be on several upstreams that end at once.
+  std::size_t mostAnswered = 4096;
+  Micros answeredTime = 60s;
+};
+
+/// What a crash says of the request that ran.
+enum class CrashVerdict {
+  /// It has been answered whole lately: it ends nobody.
+  Innocent,
+  Counted,
+  /// It is blocked from now on.
+  Blocked,
 };
 
 /// An upstream that ended while it ran a request.
@@ -43,16 +57,22 @@
 /// after the other: 22 of 39 in ten seconds. Here it is counted by what it is,
 /// over attempts and daemons. A crash ends everything that an upstream runs, so
 /// that whoever was there may be innocent: crashes count once for each
-/// incarnation, and an answer that comes whole takes all of them back.
+/// incarnation, and an answer that comes whole takes all of them back and
+/// speaks for the same request for a while. Without that, three upstreams that
+/// ended within 60 ms blocked the requests that all callers shared, for ten
+/// minutes (one of 22 seeds of the soak).
 class CrashLedger {
  public:
   explicit CrashLedger(CrashLedgerSettings aSettings) : settings(aSettings) {}
 
   /// An upstream has ended under a request, as this daemon found or was told.
-  /// True: the request is blocked from now on.
-  bool OnCrash(const UpstreamCrash& aCrash, Instant aNow);
-  /// The request was answered whole. True: it had been blamed.
-  bool OnAnswered(RequestFingerprint aRequest);
+  CrashVerdict OnCrash(const UpstreamCrash& aCrash, Instant aNow);
+  /// The request was answered whole here. True: it had been blamed.
+  bool OnAnswered(RequestFingerprint aRequest, Instant aNow);
+  /// The request was answered whole elsewhere. True: it had been blamed.
+  bool Clear(RequestFingerprint aRequest) {
+    return this->records.erase(aRequest) > 0;
+  }
   /// All requests that are blocked by common knowledge. One that was and is no
   /// more has been answered elsewhere, or its time has passed.
   void SetListed(const std::set<RequestFingerprint>& aRequests, Instant aNow);
@@ -79,6 +99,7 @@
     bool isListed = false;
   };
 
+  bool IsAnsweredLately(RequestFingerprint aRequest, Instant aNow) const;
   bool IsBlocked(const Record& aRecord) const {
     return aRecord.isListed ||
            aRecord.crashed.size() >= this->settings.mostCrashes;
@@ -92,6 +113,9 @@
 
   CrashLedgerSettings settings;
   std::unordered_map<RequestFingerprint, Record> records;
+  /// When each was last answered; the oldest of the queue goes first.
+  std::unordered_map<RequestFingerprint, Instant> answered;
+  std::deque<RequestFingerprint> answeredInOrder;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -104,7 +104,9 @@
             [this](const UpstreamPtr& aUpstream) {
               this->probe.Verify(aUpstream);
             },
-            [this](const CrashGossip& aGossip) { this->OnTold(aGossip); },
+            [this](const CrashGossip& aGossip, const std::string& aFrom) {
+              this->OnTold(aGossip, aFrom);
+            },
             [this] { return this->demand.Tokens(this->clock.Now()); }),
         fastTimer(aLoop),
         dutyTimer(aLoop),
@@ -144,8 +146,8 @@
   void OnCleared(RequestFingerprint aRequest) override;
   void OnBlocked(RequestFingerprint aRequest) override;
   void OnCrashSuspicion() override { this->OnSuspicion(Evidence::Found); }
-  /// A peer tells of requests that end upstreams.
-  void OnTold(const CrashGossip& aGossip);
+  /// A peer that listens at `aFrom` tells of requests that end upstreams.
+  void OnTold(const CrashGossip& aGossip, const std::string& aFrom);
   /// What must not run is written to the store, or told to who writes it.
   void KeepBlocked();
   void OnSuspicion(Evidence aEvidence);
@@ -245,12 +247,22 @@
   this->relay.OnBlocked(aRequest);
 }
 
-void EdgeDaemon::OnTold(const CrashGossip& aGossip) {
+void EdgeDaemon::OnTold(const CrashGossip& aGossip, const std::string& aFrom) {
+  CrashGossip innocent;
   for (const UpstreamCrash& crash : aGossip.crashes) {
-    this->crashWatch.Take(crash, Evidence::Told);
+    const CrashVerdict verdict = this->crashWatch.Take(crash, Evidence::Told);
+    if (verdict == CrashVerdict::Innocent) {
+      innocent.cleared.push_back(crash.request);
+    }
+  }
+  if (!innocent.cleared.empty()) {
+    // Who blames it tells the others: hundreds that answered it do not.
+    this->peers.Send(aFrom, std::move(innocent));
   }
   for (const RequestFingerprint request : aGossip.cleared) {
-    this->crashWatch.TakeCleared(request);
+    if (this->crashWatch.TakeCleared(request)) {
+      this->peers.TellCrashes({{}, {request}});
+    }
   }
 }
 
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -133,7 +133,7 @@
   } else if (const auto* told = std::get_if<DemandGossip>(&aMessage.body)) {
     this->demand.Tell(aMessage.sender, told->tokens, this->clock.Now());
   } else if (const auto* crashes = std::get_if<CrashGossip>(&aMessage.body)) {
-    this->onCrashes(*crashes);
+    this->onCrashes(*crashes, aMessage.replyTo);
   } else if (const auto* want = std::get_if<ClusterWant>(&aMessage.body)) {
     this->OnWant(aMessage.replyTo, *want);
   } else if (const auto* give = std::get_if<ClusterGive>(&aMessage.body)) {
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -28,8 +28,10 @@
   /// Called with an upstream that a peer suspects and this daemon does not.
   using OnToldSuspicion = std::function<void(const UpstreamPtr&)>;
 
-  /// Called with what a peer tells of requests that end upstreams.
-  using OnToldCrashes = std::function<void(const CrashGossip&)>;
+  /// Called with what a peer tells of requests that end upstreams, and where it
+  /// listens.
+  using OnToldCrashes =
+      std::function<void(const CrashGossip&, const std::string&)>;
 
   PeerExchange(asio::io_context& aLoop, const EdgeSettings& aSettings,
                AsyncStore& aStore, ClusterView& aView, const Clock& aClock,
@@ -59,6 +61,8 @@
   void GossipSoon();
   /// Tells all daemons at once: the same request may come at any of them.
   void TellCrashes(CrashGossip aGossip);
+  /// Tells one daemon.
+  void Send(const std::string& aAddress, EdgePeerBody aBody);
   /// Tells whoever places layers, if that is another daemon.
   void TellDutyHolder(EdgePeerBody aBody);
   /// The view's entries of daemons have changed; `aDutyHolder` places layers
@@ -102,7 +106,6 @@
   /// Whether only members of the own failure domain are asked for all.
   bool AsksNearOnly(Instant aNow) const;
   std::string Write(EdgePeerBody aBody) const;
-  void Send(const std::string& aAddress, EdgePeerBody aBody);
 
   asio::io_context& loop;
   const EdgeSettings& settings;
--- a/Zincstep/Pool/UpstreamDirectory.cpp
+++ b/Zincstep/Pool/UpstreamDirectory.cpp
@@ -84,7 +84,7 @@
 }
 
 UpstreamPtr UpstreamDirectory::TakeBack(UpstreamEntry aEntry, Instant aNow) {
-  const UpstreamPtr former = this->departed[aEntry.id].lock();
+  UpstreamPtr former = this->departed[aEntry.id].lock();
   this->departed.erase(aEntry.id);
   const bool isSameStart =
       former && former->Entry().Incarnation() == aEntry.Incarnation();
--- a/Zincstep/Relay/CrashWatch.cpp
+++ b/Zincstep/Relay/CrashWatch.cpp
@@ -73,15 +73,20 @@
   const UpstreamPtr& upstream = aQuestion.upstream;
   std::vector<UpstreamCrash> crashes;
   for (const RequestFingerprint request : aQuestion.requests) {
-    crashes.push_back({request, upstream->Number()});
+    const UpstreamCrash crash{request, upstream->Number()};
+    const bool isInnocent =
+        this->Take(crash, Evidence::Found) == CrashVerdict::Innocent;
     LogInfo("upstream_ended_under",
             {{"fingerprint", TextOf(request)},
              {"upstream", upstream->Entry().id},
+             {"answered_lately", isInnocent},
              {"beside", aQuestion.requests.size() - 1}});
+    if (!isInnocent) {
+      crashes.push_back(crash);
+    }
   }
-  this->listener.OnCrashes(crashes);
-  for (const UpstreamCrash& crash : crashes) {
-    this->Take(crash, Evidence::Found);
+  if (!crashes.empty()) {
+    this->listener.OnCrashes(crashes);
   }
   if (!upstream->IsSuspect(now)) {
     upstream->Suspect(now);
@@ -91,27 +96,33 @@
   }
 }
 
-void CrashWatch::Take(const UpstreamCrash& aCrash, Evidence aEvidence) {
-  if (!this->ledger.OnCrash(aCrash, this->clock.Now())) {
-    return;
+CrashVerdict CrashWatch::Take(const UpstreamCrash& aCrash, Evidence aEvidence) {
+  const CrashVerdict verdict = this->ledger.OnCrash(aCrash, this->clock.Now());
+  if (verdict != CrashVerdict::Innocent && aEvidence == Evidence::Found) {
+    this->blamedHere.insert(aCrash.request);
+  }
+  if (verdict == CrashVerdict::Blocked) {
+    LogWarning("request_blocked", {{"fingerprint", TextOf(aCrash.request)},
+                                   {"told", aEvidence == Evidence::Told}});
+    this->listener.OnBlocked(aCrash.request);
   }
-  LogWarning("request_blocked", {{"fingerprint", TextOf(aCrash.request)},
-                                 {"told", aEvidence == Evidence::Told}});
-  this->listener.OnBlocked(aCrash.request);
+  return verdict;
 }
 
 void CrashWatch::OnAnswered(RequestFingerprint aRequest) {
-  if (!this->ledger.IsBlamed(aRequest)) {
+  if (!this->ledger.OnAnswered(aRequest, this->clock.Now())) {
     return;
   }
-  this->TakeCleared(aRequest);
+  this->blamedHere.erase(aRequest);
+  LogInfo("request_cleared", {{"fingerprint", TextOf(aRequest)}});
   this->listener.OnCleared(aRequest);
 }
 
-void CrashWatch::TakeCleared(RequestFingerprint aRequest) {
-  if (this->ledger.OnAnswered(aRequest)) {
+bool CrashWatch::TakeCleared(RequestFingerprint aRequest) {
+  if (this->ledger.Clear(aRequest)) {
     LogInfo("request_cleared", {{"fingerprint", TextOf(aRequest)}});
   }
+  return this->blamedHere.erase(aRequest) > 0;
 }
 
 }  // namespace zincstep
--- a/Zincstep/Relay/CrashWatch.h
+++ b/Zincstep/Relay/CrashWatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "Zincstep/Admission/Admission.h"
@@ -38,9 +39,10 @@
   /// The request has been answered whole.
   void OnAnswered(RequestFingerprint aRequest);
   /// Takes what was found here or told by another daemon.
-  void Take(const UpstreamCrash& aCrash, Evidence aEvidence);
-  /// Takes that the request has been answered whole elsewhere.
-  void TakeCleared(RequestFingerprint aRequest);
+  CrashVerdict Take(const UpstreamCrash& aCrash, Evidence aEvidence);
+  /// Takes that the request has been answered whole elsewhere. True: it was
+  /// blamed by what was found here, so that the others have to be told.
+  bool TakeCleared(RequestFingerprint aRequest);
 
  private:
   /// Requests whose runs at one upstream broke off.
@@ -58,6 +60,8 @@
                  Reachability aReachability);
   void OnEnded(const Question& aQuestion);
 
+  /// Requests that were blamed by this daemon first; the others believe it.
+  std::unordered_set<RequestFingerprint> blamedHere;
   CrashLedger& ledger;
   UpstreamControl& control;
   const Clock& clock;
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -66,11 +66,12 @@
 }
 
 void Exchange::PassOn(const HttpHead& aHead, const std::string& aBody) {
-  this->OnRunWhole();
+  const bool isSuccess = aHead.status < kFirstFailureStatus;
+  if (isSuccess) {
+    this->OnRunWhole();  // A failure may have come before it was run.
+  }
   this->request.connection->Answer(aHead.status, PassedHeaders(aHead), aBody);
-  this->Finish("answered", aHead.status < kFirstFailureStatus
-                               ? "success"
-                               : "the upstream's failure");
+  this->Finish("answered", isSuccess ? "success" : "the upstream's failure");
 }
 
 HttpHeaders Exchange::PassedHeaders(const HttpHead& aHead) {
@@ -203,9 +204,7 @@
 }
 
 void Exchange::OnRunWhole() {
-  if (!this->context.crashes.IsEmpty()) {
-    this->context.crashWatch.OnAnswered(this->Fingerprint());
-  }
+  this->context.crashWatch.OnAnswered(this->Fingerprint());
 }
 
 void Exchange::OnBlocked(RequestFingerprint aRequest) {
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -82,7 +82,7 @@
   /// The upstream has refused the request; where another one answers at its
   /// address, it has ended.
   void OnRefused(const AnswerFacts& aFacts, int aStatus);
-  /// A run has ended with its whole answer.
+  /// A run has ended with its whole answer, a success.
   void OnRunWhole();
   /// What the request is, whichever attempt.
   RequestFingerprint Fingerprint();
@@ -125,7 +125,8 @@
 
  private:
   bool isDone = false;
-  /// Made when it is first asked for, as that costs some microseconds.
+  /// Made when it is first asked for, once an answer at the most: it costs some
+  /// microseconds.
   std::optional<RequestFingerprint> fingerprint;
   /// The budget had no retry left when this request wanted one; logged once.
   bool wasRetryDenied = false;
