Tidying: the largest files are split by job, moves only

Cause: two files of some 600 lines held two jobs each. No line of a test or of the daemon is changed.

--- /dev/null
+++ b/UnitTests/ChainChooserTest.cpp
@@ -0,0 +1,259 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "UnitTests/UsersPool.h"
+
+namespace zincstep {
+namespace {
+
+class ChainTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ChainTest);
+  CPPUNIT_TEST(Choose_CoveredPool_RunsEachLayerOnceInOrder);
+  CPPUNIT_TEST(Choose_CoveredDomain_StaysInside);
+  CPPUNIT_TEST(Choose_GapInTheDomain_LiesInAnother);
+  CPPUNIT_TEST(Choose_BusyDomain_LiesInAnother);
+  CPPUNIT_TEST(Choose_FullUpstream_IsPassedOver);
+  CPPUNIT_TEST(Choose_NoUpstreamTwice);
+  CPPUNIT_TEST(Capacity_FirstLayers_IsBoundBySlots);
+  CPPUNIT_TEST(Repair_LostHop_KeepsTheFirstAndTheOthers);
+  CPPUNIT_TEST(Repair_NobodyElse_IsNone);
+  CPPUNIT_TEST(Repair_MemberThatLeaves_IsReplaced);
+  CPPUNIT_TEST(Repair_OnlyAMemberThatLeaves_IsNone);
+  CPPUNIT_TEST(Repair_BlamedMember_IsLeftOut);
+  CPPUNIT_TEST_SUITE_END();
+
+  ModelShape model = UsersModel();
+  ChainChooser chooser{ChainChooserSettings{}};
+  Random random{7};
+  Instant now{Micros{50s}};
+  std::vector<UpstreamPtr> upstreams;
+
+  void Add(const std::string& aId, const std::string& aDomain,
+           const std::string& aKind, LayerRange aLayers) {
+    UpstreamEntry entry;
+    entry.id = aId;
+    entry.address = aId;
+    entry.failureDomain = aDomain;
+    entry.kind = aKind;
+    entry.layers = aLayers;
+    entry.slots = 192;
+    this->upstreams.push_back(std::make_shared<LiveUpstream>(entry));
+  }
+
+  void AddPlanned() {
+    std::vector<PlacedUpstream> pool = UsersPool();
+    Carry(pool,
+          PlacementPlanner(PlacementSettings{}).Plan(model, {pool, {}, {}}));
+    for (const PlacedUpstream& one : pool) {
+      this->Add(one.id, one.failureDomain, one.kind, one.layers);
+    }
+  }
+
+  std::optional<PoolChain> Choose(const std::string& aDomain) {
+    return chooser.Choose(model, upstreams, aDomain, 900, now, random);
+  }
+
+  void AssertCovers(const PoolChain& aChain) const {
+    int next = 0;
+    for (const PoolHop& hop : aChain) {
+      CPPUNIT_ASSERT_EQUAL(next, hop.layers.first);
+      CPPUNIT_ASSERT(hop.layers.Size() > 0);
+      CPPUNIT_ASSERT(hop.upstream->Entry().layers.Covers(hop.layers));
+      next = hop.layers.last;
+    }
+    CPPUNIT_ASSERT_EQUAL(model.layers, next);
+  }
+
+ public:
+  void Choose_CoveredPool_RunsEachLayerOnceInOrder() {
+    this->AddPlanned();
+    for (int i = 0; i < 200; ++i) {
+      const auto chain = this->Choose("a");
+      CPPUNIT_ASSERT(chain.has_value());
+      this->AssertCovers(*chain);
+    }
+  }
+
+  void Choose_CoveredDomain_StaysInside() {
+    this->AddPlanned();
+    const auto chain = this->Choose("b");
+    CPPUNIT_ASSERT(chain.has_value());
+    for (const PoolHop& hop : *chain) {
+      CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                           hop.upstream->Entry().failureDomain);
+    }
+  }
+
+  // tavua-orders, scale-1: chains that left their domain for one range
+  // filled the pipe, and requests held memory everywhere while they waited.
+  void Choose_GapInTheDomain_LiesInAnother() {
+    this->Add("a1", "a", "h100", {0, 30});
+    this->Add("a2", "a", "h100", {50, 80});
+    this->Add("b1", "b", "h100", {0, 30});
+    this->Add("b2", "b", "h100", {30, 50});
+    this->Add("b3", "b", "h100", {50, 80});
+    const auto chain = this->Choose("a");
+    CPPUNIT_ASSERT(chain.has_value());
+    this->AssertCovers(*chain);
+    for (const PoolHop& hop : *chain) {
+      CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                           hop.upstream->Entry().failureDomain);
+    }
+  }
+
+  void Choose_BusyDomain_LiesInAnother() {
+    for (const char* domain : {"a", "b"}) {
+      const std::string name = domain;
+      this->Add(name + "1", domain, "h100", {0, 30});
+      this->Add(name + "2", domain, "h100", {30, 60});
+      this->Add(name + "3", domain, "h100", {60, 80});
+    }
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("a"),
+        this->Choose("a")->at(0).upstream->Entry().failureDomain);
+    for (int i = 0; i < 3; ++i) {
+      upstreams[static_cast<std::size_t>(i)]->own =
+          ChainChooser::Capacity(
+              model, upstreams[static_cast<std::size_t>(i)]->Entry()) *
+          0.9;
+    }
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("b"),
+        this->Choose("a")->at(0).upstream->Entry().failureDomain);
+  }
+
+  void Choose_FullUpstream_IsPassedOver() {
+    this->Add("full", "a", "h100", {0, 30});
+    this->Add("free", "a", "h100", {0, 30});
+    this->Add("rest", "a", "h100", {30, 80});
+    this->upstreams[0]->own =
+        ChainChooser::Capacity(model, this->upstreams[0]->Entry());
+    // 50 layers of the rest leave no memory; give it room.
+    this->upstreams.erase(this->upstreams.begin() + 2);
+    this->Add("r1", "a", "h100", {30, 55});
+    this->Add("r2", "a", "h100", {55, 80});
+    const auto chain = this->Choose("a");
+    CPPUNIT_ASSERT(chain.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("free"),
+                         chain->front().upstream->Entry().id);
+  }
+
+  void Choose_NoUpstreamTwice() {
+    // A far cheaper upstream lies inside the range of another.
+    this->Add("wide", "a", "t4", {0, 7});
+    this->Add("cheap", "a", "h100", {2, 4});
+    this->Add("rest1", "a", "h100", {7, 40});
+    this->Add("rest2", "a", "h100", {40, 73});
+    this->Add("rest3", "a", "t4", {73, 80});
+    for (int i = 0; i < 50; ++i) {
+      const auto chain = this->Choose("a");
+      CPPUNIT_ASSERT(chain.has_value());
+      this->AssertCovers(*chain);
+      std::map<std::string, int> uses;
+      for (const PoolHop& hop : *chain) {
+        uses[hop.upstream->Entry().id] += 1;
+      }
+      for (const auto& [id, count] : uses) {
+        CPPUNIT_ASSERT_EQUAL(1, count);
+      }
+    }
+  }
+
+  // tavua-orders-grown, trouble-1: 192 requests ran at the first upstream and
+  // others waited, while it had memory for three times as many.
+  void Capacity_FirstLayers_IsBoundBySlots() {
+    UpstreamEntry entry;
+    entry.kind = "a100s";
+    entry.layers = {0, 10};
+    entry.slots = 10;
+    const double usual = model.usualPrompt + model.usualAnswer;
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.75 * 10 * 10 * usual,
+                                 ChainChooser::Capacity(model, entry), 1);
+    entry.layers = {10, 20};
+    CPPUNIT_ASSERT(ChainChooser::Capacity(model, entry) > 20 * 10 * usual);
+  }
+
+  void Repair_LostHop_KeepsTheFirstAndTheOthers() {
+    this->Add("first", "a", "h100", {0, 30});
+    this->Add("lost", "a", "l4", {30, 40});
+    this->Add("spare", "a", "l4", {30, 40});
+    this->Add("last1", "a", "h100", {40, 60});
+    this->Add("last2", "a", "h100", {60, 80});
+    PoolChain chain{{upstreams[0], {0, 30}},
+                    {upstreams[1], {30, 40}},
+                    {upstreams[3], {40, 60}},
+                    {upstreams[4], {60, 80}}};
+    upstreams[1]->Suspect(now);
+    const auto repaired =
+        chooser.Repair(model, upstreams, chain, {}, 900, now, random);
+    CPPUNIT_ASSERT(repaired.has_value());
+    this->AssertCovers(*repaired);
+    CPPUNIT_ASSERT(repaired->at(0).upstream == upstreams[0]);
+    CPPUNIT_ASSERT(repaired->at(1).upstream == upstreams[2]);
+    CPPUNIT_ASSERT(repaired->at(2).upstream == upstreams[3]);
+  }
+
+  // tavua-orders-grown, scale-2: 1,242 of 2,067 orders were refused, most of
+  // them for a member that was leaving and ran the request already.
+  void Repair_MemberThatLeaves_IsReplaced() {
+    this->Add("first", "a", "h100", {0, 30});
+    this->Add("giving", "a", "h100", {30, 50});
+    this->Add("other", "a", "h100", {30, 50});
+    this->Add("leaving", "a", "h100", {50, 80});
+    this->Add("next", "a", "h100", {50, 80});
+    PoolChain chain{{upstreams[0], {0, 30}},
+                    {upstreams[1], {30, 50}},
+                    {upstreams[3], {50, 80}}};
+    UpstreamEntry empty = upstreams[1]->Entry();
+    empty.layers = {};
+    upstreams[1]->SetEntry(empty, now);
+    UpstreamEntry draining = upstreams[3]->Entry();
+    draining.state = Availability::Draining;
+    upstreams[3]->SetEntry(draining, now);
+    const auto repaired =
+        chooser.Repair(model, upstreams, chain, {}, 900, now, random);
+    CPPUNIT_ASSERT(repaired.has_value());
+    this->AssertCovers(*repaired);
+    CPPUNIT_ASSERT(repaired->at(1).upstream == upstreams[2]);
+    CPPUNIT_ASSERT(repaired->at(2).upstream == upstreams[4]);
+  }
+
+  void Repair_OnlyAMemberThatLeaves_IsNone() {
+    this->Add("first", "a", "h100", {0, 30});
+    this->Add("leaving", "a", "h100", {30, 55});
+    this->Add("last", "a", "h100", {55, 80});
+    PoolChain chain{{upstreams[0], {0, 30}},
+                    {upstreams[1], {30, 55}},
+                    {upstreams[2], {55, 80}}};
+    upstreams[1]->SetGone(now);
+    upstreams.erase(upstreams.begin() + 1);
+    CPPUNIT_ASSERT(
+        !chooser.Repair(model, upstreams, chain, {}, 900, now, random));
+  }
+
+  void Repair_BlamedMember_IsLeftOut() {
+    this->Add("first", "a", "h100", {0, 40});
+    this->Add("blamed", "a", "h100", {40, 80});
+    this->Add("other", "a", "h100", {40, 80});
+    PoolChain chain{{upstreams[0], {0, 40}}, {upstreams[1], {40, 80}}};
+    const auto repaired = chooser.Repair(model, upstreams, chain,
+                                         {upstreams[1]}, 900, now, random);
+    CPPUNIT_ASSERT(repaired.has_value());
+    CPPUNIT_ASSERT(repaired->at(1).upstream == upstreams[2]);
+  }
+
+  void Repair_NobodyElse_IsNone() {
+    this->Add("first", "a", "h100", {0, 40});
+    this->Add("lost", "a", "h100", {40, 80});
+    PoolChain chain{{upstreams[0], {0, 40}}, {upstreams[1], {40, 80}}};
+    upstreams[1]->Suspect(now);
+    CPPUNIT_ASSERT(
+        !chooser.Repair(model, upstreams, chain, {}, 900, now, random));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ChainTest);
+
+}  // namespace
+}  // namespace zincstep
--- a/UnitTests/UsersPool.h
+++ b/UnitTests/UsersPool.h
@@ -50,4 +50,16 @@
   return pool;
 }
 
+/// Each upstream holds what it was ordered to.
+inline void Carry(std::vector<PlacedUpstream>& aPool,
+                  const std::vector<PlacementOrder>& aOrders) {
+  for (const PlacementOrder& order : aOrders) {
+    for (PlacedUpstream& upstream : aPool) {
+      if (upstream.id == order.id) {
+        upstream.layers = order.layers;
+      }
+    }
+  }
+}
+
 }  // namespace zincstep
