Requests blamed here are forgotten with the ledger

Change: at 8,192 those go that the ledger (4,096) has forgotten. Test failed first (20,000 requests).

--- a/UnitTests/CrashLedgerTest.cpp
+++ b/UnitTests/CrashLedgerTest.cpp
@@ -168,6 +168,7 @@
   CPPUNIT_TEST(Answer_OfABlamedRequest_IsToldOnce);
   CPPUNIT_TEST(Answer_BeforeTheCrash_IsBlamedByNobody);
   CPPUNIT_TEST(Cleared_ElsewhereAndBlamedHere_IsToldOn);
+  CPPUNIT_TEST(Blamed_ManyRequests_AreForgottenWithTheLedger);
   CPPUNIT_TEST_SUITE_END();
 
   static UpstreamPtr MakeUpstream(const char* aId) {
@@ -273,6 +274,17 @@
     watch.Take({kGuilty, 1}, Evidence::Told);
     CPPUNIT_ASSERT(!watch.TakeCleared(kGuilty));
   }
+
+  // A caller that makes a new request each time is remembered no longer.
+  void Blamed_ManyRequests_AreForgottenWithTheLedger() {
+    constexpr std::uint64_t kMany = 20'000;
+    for (std::uint64_t i = 0; i < kMany; ++i) {
+      clock.Advance(1us);
+      watch.Take({RequestFingerprint{1000 + i}, i}, Evidence::Found);
+    }
+    CPPUNIT_ASSERT(!watch.TakeCleared(RequestFingerprint{1000}));
+    CPPUNIT_ASSERT(watch.TakeCleared(RequestFingerprint{1000 + kMany - 1}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashLedgerTest);
--- a/Zincstep/Relay/CrashWatch.cpp
+++ b/Zincstep/Relay/CrashWatch.cpp
@@ -12,6 +12,9 @@
 constexpr int kReachTries = 2;
 /// A time-out that is noticed this much too late tells of this daemon alone.
 constexpr Micros kLateness = 30ms;
+/// Requests blamed here after which those are forgotten that the ledger has
+/// forgotten: callers make new ones at will.
+constexpr std::size_t kMostBlamedHere = 8192;
 
 }  // namespace
 
@@ -99,6 +102,11 @@
 CrashVerdict CrashWatch::Take(const UpstreamCrash& aCrash, Evidence aEvidence) {
   const CrashVerdict verdict = this->ledger.OnCrash(aCrash, this->clock.Now());
   if (verdict != CrashVerdict::Innocent && aEvidence == Evidence::Found) {
+    if (this->blamedHere.size() >= kMostBlamedHere) {
+      std::erase_if(this->blamedHere, [this](RequestFingerprint aRequest) {
+        return !this->ledger.IsBlamed(aRequest);
+      });
+    }
     this->blamedHere.insert(aCrash.request);
   }
   if (verdict == CrashVerdict::Blocked) {
