--- a/Zincstep/Admission/CrashLedger.h
+++ b/Zincstep/Admission/CrashLedger.h
@@ -60,7 +60,7 @@
 /// incarnation, and an answer that comes whole takes all of them back and
 /// speaks for the same request for a while. Without that, three upstreams that
 /// ended within 60 ms blocked the requests that all callers shared, for ten
-/// minutes (one of 22 seeds of the soak).
+/// minutes (one of 23 seeds of the soak).
 class CrashLedger {
  public:
   explicit CrashLedger(CrashLedgerSettings aSettings) : settings(aSettings) {}
