Placement: equal upstreams are one class, large domains are laid out in parts

Change: (1) upstreams of one kind with the same layers are one class with a count: a score takes as long as there are classes, and what is tried with one stands for its class; decisions stay as they were. (3) A domain's plan has a bound on its steps; the next look goes on from another class.

A linear program was not built.

--- a/UnitTests/PlacementPlannerTest.cpp
+++ b/UnitTests/PlacementPlannerTest.cpp
@@ -50,6 +50,9 @@
   CPPUNIT_TEST(Plan_RoomForTwoCopies_LeavesTheRestToRequests);
   CPPUNIT_TEST(Plan_OneHolderOfTheFirstLayer_GetsAnother);
   CPPUNIT_TEST(Plan_HundredsOfUpstreams_KeepsChainsShort);
+  CPPUNIT_TEST(Plan_ThreeTimesTheUpstreams_TakesAtMostFourTimesTheSteps);
+  CPPUNIT_TEST(Plan_DomainInParts_IsWorthAsMuchAsASmallOne);
+  CPPUNIT_TEST(Plan_NewcomersByTheHundred_AreLaidOutAtOnce);
   CPPUNIT_TEST(Plan_HigherDemand_KeepsMoreMemory);
   CPPUNIT_TEST(Plan_NoisyDemand_ComesToRest);
   CPPUNIT_TEST(Plan_LostUpstream_IsRestoredInFewMoves);
@@ -209,6 +212,59 @@
     CPPUNIT_ASSERT(small <= 2);
   }
 
+  /// Three domains of unequal upstreams.
+  static std::vector<PlacedUpstream> Domains(int aTimes) {
+    std::vector<PlacedUpstream> all;
+    for (const char* domain : {"a", "b", "c"}) {
+      const auto one =
+          Hall(domain, 10 * aTimes, 35 * aTimes, 150 * aTimes, 138 * aTimes);
+      all.insert(all.end(), one.begin(), one.end());
+    }
+    return all;
+  }
+
+  /// Steps of the first layout, and of a look at what it has left.
+  std::pair<std::uint64_t, std::uint64_t> StepsOf(int aTimes) {
+    auto large = Domains(aTimes);
+    PlanEffort first;
+    Carry(large, planner.Plan(model, {large, {}, {}}, &first));
+    PlanEffort look;
+    planner.Plan(model, Steady(large, 1e6 * aTimes), &look);
+    return {first.steps, look.steps};
+  }
+
+  // With 333 upstreams in each domain a plan took seconds, growing with the
+  // square: no upstream had got any layers a minute after the start.
+  void Plan_ThreeTimesTheUpstreams_TakesAtMostFourTimesTheSteps() {
+    const auto [first, look] = this->StepsOf(1);
+    const auto [largeFirst, largeLook] = this->StepsOf(3);
+    CPPUNIT_ASSERT(largeFirst <= 4 * first);
+    CPPUNIT_ASSERT(largeLook <= 4 * look);
+  }
+
+  // What a domain gains by its size is not lost by laying it out in parts.
+  void Plan_DomainInParts_IsWorthAsMuchAsASmallOne() {
+    const double demand = 100'000;
+    auto small = Hall("a", 1, 4, 15, 14);
+    Carry(small, planner.Plan(model, {small, ObservedDemand{demand, 0}, {}}));
+    auto large = Hall("a", 10, 40, 150, 140);
+    Carry(large,
+          planner.Plan(model, {large, ObservedDemand{10 * demand, 0}, {}}));
+    CPPUNIT_ASSERT_EQUAL(0, Uncovered(large, "a", model.layers));
+    CPPUNIT_ASSERT(this->WorthOf(large, 10 * demand) >=
+                   this->WorthOf(small, demand));
+  }
+
+  void Plan_NewcomersByTheHundred_AreLaidOutAtOnce() {
+    auto large = Hall("a", 10, 40, 150, 140);
+    Carry(large, planner.Plan(model, {large, {}, {}}));
+    for (int i = 0; i < 170; ++i) {
+      large[2 * static_cast<std::size_t>(i)].layers = {};
+    }
+    const auto orders = planner.Plan(model, {large, {}, {}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{170}, orders.size());
+  }
+
   /// The least memory for requests over all layers of a domain.
   double LeastTokens(const std::string& aDomain) const {
     double least = 1e12;
--- a/Zincstep/Cluster/PlacementKeeper.cpp
+++ b/Zincstep/Cluster/PlacementKeeper.cpp
@@ -126,8 +126,7 @@
       continue;
     }
     PlacedUpstream one{entry.id,     entry.failureDomain, entry.kind,
-                       entry.layers, !isRefusing,         upstream->Work(),
-                       entry.slots};
+                       entry.layers, !isRefusing,         entry.slots};
     const auto order = this->pending.find(entry.id);
     if (order != this->pending.end()) {
       const bool isDone = order->second.layers == entry.layers ||
--- a/Zincstep/Pool/DomainLayout.cpp
+++ b/Zincstep/Pool/DomainLayout.cpp
@@ -61,47 +61,77 @@
 
 DomainLayout::DomainLayout(const ModelShape& aModel,
                            const LayoutWorthSettings& aSettings, double aDemand,
-                           std::vector<PlacedUpstream> aUpstreams)
+                           std::vector<PlacedUpstream> aUpstreams, int aTimes)
     : model(aModel),
       settings(aSettings),
       demand(std::max(1.0, aDemand)),
+      times(aTimes),
       upstreams(std::move(aUpstreams)),
-      beside(this->upstreams.size()) {
+      classOf(this->upstreams.size()) {
   const auto layers = static_cast<std::size_t>(this->model.layers);
   this->holders.assign(layers, 0);
   this->tokens.assign(layers, 0);
   for (std::size_t i = 0; i < this->upstreams.size(); ++i) {
-    this->Add(i, 1);
+    this->kinds.push_back(this->model.FindKind(this->upstreams[i].kind));
+    this->Join(i, this->upstreams[i].layers);
   }
 }
 
-double DomainLayout::TokensBeside(const PlacedUpstream& aUpstream) const {
-  const PoolKind* kind = this->model.FindKind(aUpstream.kind);
-  const int size = aUpstream.layers.Size();
-  return kind == nullptr || size <= 0
-             ? 0
-             : RequestMemory(this->model, *kind, aUpstream.layers,
-                             aUpstream.slots) /
-                   size;
+DomainLayout::HolderClass DomainLayout::MakeClass(std::size_t aIndex,
+                                                  LayerRange aLayers) const {
+  const PlacedUpstream& upstream = this->upstreams[aIndex];
+  HolderClass made;
+  made.layers = aLayers;
+  made.key = {this->kinds[aIndex], aLayers.first, aLayers.last, upstream.slots};
+  if (made.key.kind != nullptr && aLayers.Size() > 0) {
+    made.beside =
+        RequestMemory(this->model, *made.key.kind, aLayers, upstream.slots) /
+        aLayers.Size();
+  }
+  return made;
 }
 
-void DomainLayout::Add(std::size_t aIndex, int aTimes) {
-  const PlacedUpstream& upstream = this->upstreams[aIndex];
-  if (aTimes > 0) {
-    this->beside[aIndex] = this->TokensBeside(upstream);
+void DomainLayout::Add(const HolderClass& aClass, int aSign) {
+  const int last = std::min(aClass.layers.last, this->model.layers);
+  const int count = aSign * this->times;
+  for (int layer = aClass.layers.first; layer < last; ++layer) {
+    this->holders[static_cast<std::size_t>(layer)] += count;
+    this->tokens[static_cast<std::size_t>(layer)] += count * aClass.beside;
+  }
+}
+
+void DomainLayout::Join(std::size_t aIndex, LayerRange aLayers) {
+  HolderClass wanted = this->MakeClass(aIndex, aLayers);
+  const auto [place, isNew] = this->classByKey.try_emplace(wanted.key, 0);
+  if (isNew && this->unusedClasses.empty()) {
+    place->second = this->classes.size();
+    this->classes.push_back(wanted);
+  } else if (isNew) {
+    place->second = this->unusedClasses.back();
+    this->unusedClasses.pop_back();
+    this->classes[place->second] = wanted;
   }
-  const int last = std::min(upstream.layers.last, this->model.layers);
-  for (int layer = upstream.layers.first; layer < last; ++layer) {
-    this->holders[static_cast<std::size_t>(layer)] += aTimes;
-    this->tokens[static_cast<std::size_t>(layer)] +=
-        aTimes * this->beside[aIndex];
+  HolderClass& joined = this->classes[place->second];
+  joined.count += 1;
+  this->classOf[aIndex] = place->second;
+  this->upstreams[aIndex].layers = aLayers;
+  this->Add(joined, 1);
+}
+
+void DomainLayout::Leave(std::size_t aIndex) {
+  const std::size_t number = this->classOf[aIndex];
+  HolderClass& left = this->classes[number];
+  this->Add(left, -1);
+  left.count -= 1;
+  if (left.count == 0) {
+    this->classByKey.erase(left.key);
+    this->unusedClasses.push_back(number);
   }
 }
 
 void DomainLayout::Set(std::size_t aIndex, LayerRange aLayers) {
-  this->Add(aIndex, -1);
-  this->upstreams[aIndex].layers = aLayers;
-  this->Add(aIndex, 1);
+  this->Leave(aIndex);
+  this->Join(aIndex, aLayers);
 }
 
 double DomainLayout::Served(double aTokens) const {
@@ -111,10 +141,10 @@
   return own + this->settings.otherLostShare * (away - own);
 }
 
-double DomainLayout::LossCost(std::size_t aIndex, double aLeast,
+double DomainLayout::LossCost(const HolderClass& aClass, double aLeast,
                               double aServed) const {
-  const LayerRange layers = this->upstreams[aIndex].layers;
-  const double own = this->beside[aIndex];
+  const LayerRange layers = aClass.layers;
+  const double own = aClass.beside;
   double share = 0;
   double rest = aLeast;
   bool leavesGap = false;
@@ -134,7 +164,7 @@
   return restored * std::max(0.0, aServed - served) + broken * share;
 }
 
-LayoutScore DomainLayout::Score() const {
+LayoutScore DomainLayout::ScoreBeside(const HolderClass* aExtra) const {
   LayoutScore score;
   double scarcity = 0;
   double least = std::numeric_limits<double>::max();
@@ -145,23 +175,33 @@
         ScarcityPower(this->demand / std::max(1.0, this->tokens[layer]));
   }
   const auto layers = static_cast<double>(this->tokens.size());
-  const double tokens = this->demand / ScarcityRoot(scarcity / layers);
+  const double rated = this->demand / ScarcityRoot(scarcity / layers);
   const double served = this->Served(std::max(0.0, least));
   double lossCost = 0;
-  for (std::size_t i = 0; i < this->upstreams.size(); ++i) {
-    if (this->upstreams[i].layers.Size() > 0) {
-      lossCost += this->LossCost(i, least, served);
+  for (const HolderClass& one : this->classes) {
+    if (one.count > 0 && one.layers.Size() > 0) {
+      lossCost += one.count * this->LossCost(one, least, served);
     }
   }
-  score.worth = this->Served(tokens) - this->settings.lossRate * lossCost;
+  if (aExtra != nullptr && aExtra->layers.Size() > 0) {
+    lossCost += this->LossCost(*aExtra, least, served);
+  }
+  lossCost *= this->times;
+  this->steps += this->tokens.size() + this->classes.size();
+  score.worth = this->Served(rated) - this->settings.lossRate * lossCost;
   return score;
 }
 
 LayoutScore DomainLayout::ScoreWith(std::size_t aIndex, LayerRange aLayers) {
-  const LayerRange before = this->upstreams[aIndex].layers;
-  this->Set(aIndex, aLayers);
-  const LayoutScore score = this->Score();
-  this->Set(aIndex, before);
+  HolderClass& own = this->classes[this->classOf[aIndex]];
+  const HolderClass changed = this->MakeClass(aIndex, aLayers);
+  this->Add(own, -1);
+  own.count -= 1;
+  this->Add(changed, 1);
+  const LayoutScore score = this->ScoreBeside(&changed);
+  this->Add(changed, -1);
+  own.count += 1;
+  this->Add(own, 1);
   return score;
 }
 
@@ -178,18 +218,13 @@
   return gap;
 }
 
-double DomainLayout::ShareOf(std::size_t aIndex) const {
-  const LayerRange layers = this->upstreams[aIndex].layers;
-  double share = 0;
-  for (int layer = layers.first; layer < layers.last; ++layer) {
-    const double held = this->tokens[static_cast<std::size_t>(layer)];
-    share += held > 0 ? this->beside[aIndex] / held : 0;
-  }
-  return layers.Size() > 0 ? share / layers.Size() : 0;
+double DomainLayout::MemoryOf(std::size_t aIndex) const {
+  const PoolKind* kind = this->kinds[aIndex];
+  return kind == nullptr ? 0 : kind->memoryMb;
 }
 
 int DomainLayout::MostLayers(std::size_t aIndex) const {
-  const PoolKind* kind = this->model.FindKind(this->upstreams[aIndex].kind);
+  const PoolKind* kind = this->kinds[aIndex];
   return kind == nullptr ? 0
                          : LayersBeside(this->model, *kind, kFewestTokensKept);
 }
--- a/Zincstep/Pool/DomainLayout.h
+++ b/Zincstep/Pool/DomainLayout.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <compare>
+#include <cstdint>
+#include <map>
 #include <vector>
 
 #include "Zincstep/Pool/Placement.h"
@@ -52,16 +55,33 @@
 /// of it bounds the domain; so a second holder of a layer is bought with memory
 /// for requests. Both are weighed in one unit: the share of the demand that is
 /// served, now and after the loss of any one upstream.
+///
+/// Upstreams of one kind that hold the same layers are interchangeable. They
+/// are kept as one class with a count, so that a score takes as long as there
+/// are classes, some dozens, and not as there are upstreams.
 class DomainLayout {
  public:
-  /// `aDemand` is in tokens of requests in flight.
+  /// `aDemand` is in tokens of requests in flight. Each upstream stands for
+  /// `aTimes` equal ones, so that a large domain can be weighed by a part of
+  /// it.
   DomainLayout(const ModelShape& aModel, const LayoutWorthSettings& aSettings,
-               double aDemand, std::vector<PlacedUpstream> aUpstreams);
+               double aDemand, std::vector<PlacedUpstream> aUpstreams,
+               int aTimes = 1);
 
   const std::vector<PlacedUpstream>& Upstreams() const {
     return this->upstreams;
   }
   std::size_t Count() const { return this->upstreams.size(); }
+  /// How many equal upstreams each one stands for.
+  int Times() const { return this->times; }
+  /// Tokens of requests in flight that are asked for.
+  double Demand() const { return this->demand; }
+  /// The kind of an upstream; null where the model has no such kind.
+  const PoolKind* KindOf(std::size_t aIndex) const {
+    return this->kinds[aIndex];
+  }
+  /// Memory of an upstream, in MB.
+  double MemoryOf(std::size_t aIndex) const;
   const PlacedUpstream& At(std::size_t aIndex) const {
     return this->upstreams[aIndex];
   }
@@ -77,33 +97,71 @@
     this->upstreams[aIndex].takesOrders = false;
   }
 
-  LayoutScore Score() const;
+  LayoutScore Score() const { return this->ScoreBeside(nullptr); }
   /// The score with one upstream changed; the layout stays as it is.
   LayoutScore ScoreWith(std::size_t aIndex, LayerRange aLayers);
+  /// The class of an upstream; two of one class score alike.
+  std::size_t ClassOf(std::size_t aIndex) const {
+    return this->classOf[aIndex];
+  }
+  /// Bound of what `ClassOf` gives.
+  std::size_t ClassBound() const { return this->classes.size(); }
+  /// Layers and classes that scores have looked at since the start: what
+  /// planning has cost, whatever the machine.
+  std::uint64_t Steps() const { return this->steps; }
   /// First range without a holder from `aFrom` on, or an empty one.
   LayerRange FirstGap(int aFrom) const;
-  /// The part of the domain's requests that pass through an upstream.
-  double ShareOf(std::size_t aIndex) const;
   /// Most layers that an upstream may hold: memory for few requests is left.
   int MostLayers(std::size_t aIndex) const;
 
  private:
-  void Add(std::size_t aIndex, int aTimes);
-  /// Tokens of requests that an upstream has memory for beside its layers.
-  double TokensBeside(const PlacedUpstream& aUpstream) const;
+  /// What tells classes apart.
+  struct ClassKey {
+    const PoolKind* kind = nullptr;
+    int first = 0;
+    int last = 0;
+    int slots = 0;
+
+    auto operator<=>(const ClassKey&) const = default;
+  };
+  /// Upstreams that no score tells apart.
+  struct HolderClass {
+    ClassKey key;
+    LayerRange layers;
+    /// What each of them adds to each of its layers, in tokens.
+    double beside = 0;
+    int count = 0;
+  };
+
+  HolderClass MakeClass(std::size_t aIndex, LayerRange aLayers) const;
+  /// Puts an upstream into the class of its layers.
+  void Join(std::size_t aIndex, LayerRange aLayers);
+  void Leave(std::size_t aIndex);
+  /// Adds an upstream of a class to its layers (`aSign` 1), or takes it away.
+  void Add(const HolderClass& aClass, int aSign);
+  /// The score with an upstream that stands in no class.
+  LayoutScore ScoreBeside(const HolderClass* aExtra) const;
   /// Share of the demand that is served with memory for `aTokens`.
   double Served(double aTokens) const;
-  /// What losses of one upstream cost, in seconds of the domain's traffic.
-  double LossCost(std::size_t aIndex, double aLeast, double aServed) const;
+  /// What losses of one upstream of a class cost, in seconds of the domain's
+  /// traffic.
+  double LossCost(const HolderClass& aClass, double aLeast,
+                  double aServed) const;
 
   const ModelShape& model;
   const LayoutWorthSettings& settings;
   double demand;
+  int times;
   std::vector<PlacedUpstream> upstreams;
-  /// What each upstream adds to each of its layers.
-  std::vector<double> beside;
+  std::vector<const PoolKind*> kinds;
+  /// Classes; one that nobody is in any more has the count 0 and is used anew.
+  std::vector<HolderClass> classes;
+  std::vector<std::size_t> classOf;
+  std::map<ClassKey, std::size_t> classByKey;
+  std::vector<std::size_t> unusedClasses;
   std::vector<int> holders;
   std::vector<double> tokens;
+  mutable std::uint64_t steps = 0;
 };
 
 /// Layers that an upstream of that kind holds beside `aTokens` tokens.
--- a/Zincstep/Pool/EmptyDomain.cpp
+++ b/Zincstep/Pool/EmptyDomain.cpp
@@ -54,17 +54,19 @@
     return best;
   }
 
-  /// Whether the smallest upstream would hold too few layers.
+  /// Whether the smallest upstream would hold too few layers. Of one copy few
+  /// upstreams are that thin; of one in each part many would be.
   bool IsTooThin() const {
+    const int holders = this->layout.Times() > 1 ? 1 : 2;
     return std::any_of(this->order.begin(), this->order.end(),
-                       [this](std::size_t aIndex) {
-                         return this->Shared(aIndex, 2) < this->fewest;
+                       [this, holders](std::size_t aIndex) {
+                         return this->Shared(aIndex, holders) < this->fewest;
                        });
   }
 
  private:
   int SizeBeside(std::size_t aIndex, double aTokens) const {
-    const PoolKind* kind = this->model.FindKind(this->layout.At(aIndex).kind);
+    const PoolKind* kind = this->layout.KindOf(aIndex);
     return kind == nullptr ? 0 : LayersBeside(this->model, *kind, aTokens);
   }
   /// Layers of an upstream that shares the requests with other holders.
@@ -103,7 +105,8 @@
       // The last of a copy runs back into the one before rather than hold a
       // few layers only: each member adds a wait to each token. Where there is
       // one copy its memory for requests is needed more.
-      const bool runsBack = last == end && aCopies > 1;
+      const bool runsBack =
+          last == end && (aCopies > 1 || this->layout.Times() > 1);
       const int first =
           runsBack ? std::max(0, std::min(next, end - this->fewest)) : next;
       ranges[index] = {first, last};
@@ -128,13 +131,20 @@
 
 }  // namespace
 
+void SetAll(DomainLayout& aLayout, const std::vector<LayerRange>& aRanges) {
+  for (std::size_t i = 0; i < aRanges.size(); ++i) {
+    aLayout.Set(i, aRanges[i]);
+  }
+}
+
 int FewestLayers(const ModelShape& aModel) {
   return (aModel.layers + kMostHops - 1) / kMostHops;
 }
 
 std::vector<LayerRange> LayOutEmptyDomain(const ModelShape& aModel,
-                                          DomainLayout aLayout) {
-  std::vector<LayerRange> best(aLayout.Count());
+                                          DomainLayout& aLayout) {
+  const std::vector<LayerRange> none(aLayout.Count());
+  std::vector<LayerRange> best = none;
   LayoutScore bestScore{aModel.layers, 0};
   double tokens = kFewestTokensKept;
   while (true) {
@@ -142,11 +152,9 @@
     const auto ranges = filling.Make();
     const bool isFirst = bestScore.gaps > 0;
     if (!ranges || (!isFirst && filling.IsTooThin())) {
-      return best;
-    }
-    for (std::size_t i = 0; i < ranges->size(); ++i) {
-      aLayout.Set(i, (*ranges)[i]);
+      break;
     }
+    SetAll(aLayout, *ranges);
     const LayoutScore score = aLayout.Score();
     if (score.IsBetterThan(bestScore)) {
       best = *ranges;
@@ -154,6 +162,8 @@
     }
     tokens *= kTokensStep;
   }
+  SetAll(aLayout, none);
+  return best;
 }
 
 }  // namespace zincstep
--- a/Zincstep/Pool/EmptyDomain.h
+++ b/Zincstep/Pool/EmptyDomain.h
@@ -14,9 +14,12 @@
 /// take longest to load again, have the most holders. How much memory is kept
 /// for requests is tried from little to much, and the layout with the best
 /// score is taken. Gives a range for each upstream of `aLayout`, empty where it
-/// gets none; all are empty where no copy fits.
+/// gets none; all are empty where no copy fits. `aLayout` is as before then.
 std::vector<LayerRange> LayOutEmptyDomain(const ModelShape& aModel,
-                                          DomainLayout aLayout);
+                                          DomainLayout& aLayout);
+
+/// Gives each upstream of a layout its range.
+void SetAll(DomainLayout& aLayout, const std::vector<LayerRange>& aRanges);
 
 /// The fewest layers that an upstream should hold, however many there are: a
 /// chain of such members is as long as chains may be.
--- a/Zincstep/Pool/Placement.h
+++ b/Zincstep/Pool/Placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <string>
@@ -27,10 +28,10 @@
   LayerRange layers;
   /// Whether it gets orders: ready, answering, no order under way.
   bool takesOrders = true;
-  /// Requests in flight there, in tokens x layers.
-  double work = 0;
   /// Requests that it works on at once.
   int slots = 192;
+  /// Its incarnation, as `LiveUpstream::Number`.
+  std::uint64_t incarnation = 0;
 };
 
 /// An order: the upstream is to hold these layers instead of its own.
@@ -60,6 +61,15 @@
   /// The only failure domain that is looked at for that now, as it takes some
   /// milliseconds; none: all of them.
   std::optional<std::string> onlyImproved = std::nullopt;
+  /// Rises with each look: a domain with too many upstreams for one look is
+  /// looked at in parts, each time from another one on.
+  std::uint64_t turn = 0;
+};
+
+/// What a plan has cost: the layers and classes of upstreams that scores of
+/// layouts have looked at, whatever the machine.
+struct PlanEffort {
+  std::uint64_t steps = 0;
 };
 
 }  // namespace zincstep
