Plans are made on a thread of their own; few upstreams are ordered at once

Cause: (1) a plan ran on the loop: renewals, proofs and callers stood still, the duty was lost and the next holder began the same plan. (2) After the planner was mended, 3,000 orders were given at once: 6,354 connections of 4,100 allowed, one daemon ended over its memory (165 MB of 160). (3) An order whose load took longer than its own time was given up, so that the next plan gave the upstream other layers: orders were the largest price at 300 daemons. (4) With two models each one's list was taken for the other's, and no layer was ever ordered.

Change: PlanThread makes plans from a situation that shares nothing; orders are given only to upstreams that are still as planned, in the same term, within two seconds. Bytes between daemons are counted by kind (metrics, log line peer_bytes).

Tests: five in PlacementKeeperTest (a plan that never ends keeps the duty), six in PlacementOrdersTest; they do not compile on the code before.

--- a/UnitTests/PlacementKeeperTest.cpp
+++ b/UnitTests/PlacementKeeperTest.cpp
@@ -1,5 +1,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <deque>
+#include <utility>
+
 #include "UnitTests/ScriptedControl.h"
 #include "Zincstep/Cluster/Cluster.h"
 #include "Zincstep/Cluster/PlacementKeeper.h"
@@ -23,6 +27,34 @@
   void End(std::uint64_t, Done<bool> aDone) override { aDone(true); }
 };
 
+/// Makes plans at once, or holds them until they are let go.
+class HeldPlans final : public PlanRunner {
+ public:
+  void Start(PlanTask aTask, Done aDone) override {
+    this->started += 1;
+    if (!this->holds) {
+      this->direct.Start(std::move(aTask), std::move(aDone));
+      return;
+    }
+    this->held.push_back({std::move(aTask), std::move(aDone)});
+  }
+
+  /// Ends the oldest plan that is held.
+  void LetGo() {
+    CPPUNIT_ASSERT(!this->held.empty());
+    auto [task, done] = std::move(this->held.front());
+    this->held.pop_front();
+    this->direct.Start(std::move(task), std::move(done));
+  }
+
+  bool holds = false;
+  int started = 0;
+
+ private:
+  DirectPlanRunner direct{PlacementSettings{}};
+  std::deque<std::pair<PlanTask, Done>> held;
+};
+
 class PlacementKeeperTest : public CppUnit::TestFixture,
                             private ClusterListener {
   CPPUNIT_TEST_SUITE(PlacementKeeperTest);
@@ -33,15 +65,26 @@
   CPPUNIT_TEST(Duty_OrderedOneStartsAgain_IsOrderedAnew);
   CPPUNIT_TEST(Duty_ReportOfTheOldStart_OrdersNothing);
   CPPUNIT_TEST(Duty_EntryOfOneThatWasSucceeded_HoldsNoOrderUp);
+  CPPUNIT_TEST(Duty_PlanThatNeverEnds_KeepsTheDuty);
+  CPPUNIT_TEST(Duty_PlanOfAnEarlierPool_OrdersWhatIsStillAsItWas);
+  CPPUNIT_TEST(Duty_PlanThatEndsLate_OrdersNothing);
+  CPPUNIT_TEST(Duty_NewsWhileAPlanIsMade_IsPlannedNext);
+  CPPUNIT_TEST(Duty_TwoModels_GapOfEachIsOrderedAway);
   CPPUNIT_TEST_SUITE_END();
 
-  static constexpr const char* kConfig =
-      R"({"configVersion":1,"routes":[],"services":[{"name":"m","path":"/h",)"
-      R"("maxConnections":100,"engine":{"model":"x","layers":8,)"
-      R"("layer_mb":1000,"kvTokenBytes":1000,"step_ms":1,"read_per_s":1000,)"
-      R"("usual":{"prompt":100,"answer":50},"load_s":8,"loads_at_once":4,)"
-      R"("kinds":[{"name":"whole","mb":9000,"pace":1,"read_x":1},)"
-      R"({"name":"half","mb":4100,"pace":1,"read_x":1}]}}]})";
+  /// A service with a model of eight layers.
+  static std::string Service(const std::string& aName) {
+    return R"({"name":")" + aName +
+           R"(","path":"/h","maxConnections":100,"engine":{"model":"x",)"
+           R"("layers":8,"layer_mb":1000,"kvTokenBytes":1000,"step_ms":1,)"
+           R"("read_per_s":1000,"usual":{"prompt":100,"answer":50},)"
+           R"("load_s":8,"loads_at_once":4,"kinds":[)"
+           R"({"name":"whole","mb":9000,"pace":1,"read_x":1},)"
+           R"({"name":"half","mb":4100,"pace":1,"read_x":1}]}})";
+  }
+  static std::string Config(const std::string& aServices) {
+    return R"({"configVersion":1,"routes":[],"services":[)" + aServices + "]}";
+  }
 
   void OnConfiguration() override {}
   void OnUpstream(const UpstreamPtr&) override {}
@@ -52,14 +95,16 @@
   ClusterView view{*decoder, *this, clock};
   GrantingStore store;
   ScriptedControl control;
+  HeldPlans plans;
   std::unique_ptr<PlacementKeeper> keeper;
   std::uint64_t revision = 10;
 
   /// An upstream writes its entry; its memory is for those layers alone.
   void Put(const std::string& aId, int aFirst, int aLast, int aBorn = 1,
-           const std::string& aAddress = "10.0.0.1:80") {
+           const std::string& aAddress = "10.0.0.1:80",
+           const std::string& aService = "m") {
     const std::string text =
-        R"({"backend":"m","address":")" + aAddress +
+        R"({"backend":")" + aService + R"(","address":")" + aAddress +
         R"(","zone":"a","slots":4,)"
         R"("state":"ready","routeType":")" +
         std::string(aLast - aFirst > 4 ? "whole" : "half") +
@@ -81,13 +126,13 @@
 
  public:
   void setUp() override {
-    view.OnConfiguration({"", kConfig, 5});
+    view.OnConfiguration({"", Config(Service("m")), 5});
     CPPUNIT_ASSERT(view.Table() != nullptr);
     PlacementKeeperSettings settings;
     settings.name = "d1";
     settings.key = "duty";
     keeper = std::make_unique<PlacementKeeper>(settings, store, control, view,
-                                               clock);
+                                               plans, clock);
   }
 
   void Duty_GapThatStays_IsOrderedAway() {
@@ -176,6 +221,74 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, control.asked.size());
   }
 
+  // With 333 upstreams in a domain a plan took seconds on the loop: the lease
+  // ran out, and the next holder began the same plan.
+  void Duty_PlanThatNeverEnds_KeepsTheDuty() {
+    plans.holds = true;
+    this->Put("i1", 0, 4);
+    this->Put("i2", 0, 4);
+    this->Run(20s);
+    CPPUNIT_ASSERT(keeper->HasDuty());
+    CPPUNIT_ASSERT_EQUAL(1, plans.started);
+    CPPUNIT_ASSERT(control.asked.empty());
+  }
+
+  void Duty_PlanOfAnEarlierPool_OrdersWhatIsStillAsItWas() {
+    plans.holds = true;
+    this->Put("i1", 0, 4);
+    this->Put("i2", 0, 4);
+    this->Run(500ms);
+    this->Put("i1", 0, 4, 2);
+    plans.holds = false;
+    plans.LetGo();
+    // The plan named the start before; the next one is made at once.
+    CPPUNIT_ASSERT_EQUAL(2, plans.started);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, control.asked.size());
+  }
+
+  void Duty_PlanThatEndsLate_OrdersNothing() {
+    plans.holds = true;
+    this->Put("i1", 0, 4);
+    this->Put("i2", 0, 4);
+    this->Run(3s);
+    plans.LetGo();
+    CPPUNIT_ASSERT(control.asked.empty());
+    plans.holds = false;
+    this->Run(250ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, control.asked.size());
+  }
+
+  void Duty_NewsWhileAPlanIsMade_IsPlannedNext() {
+    plans.holds = true;
+    this->Put("i1", 0, 4);
+    this->Put("i2", 4, 8);
+    this->Put("i3", 0, 4);
+    this->Run(500ms);
+    view.OnUpstreamEvents({{{{"i2", "", ++revision}, true}}, revision});
+    this->Run(250ms);
+    plans.holds = false;
+    plans.LetGo();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, control.asked.size());
+  }
+
+  // Each model's list was taken for the other's: all upstreams seemed to join
+  // anew at each look, and nothing was ever ordered.
+  void Duty_TwoModels_GapOfEachIsOrderedAway() {
+    view.OnConfiguration({"", Config(Service("m") + "," + Service("n")), 6});
+    this->Put("i1", 0, 4);
+    this->Put("i2", 0, 4);
+    this->Put("j1", 0, 4, 1, "10.0.1.1:80", "n");
+    this->Put("j2", 0, 4, 1, "10.0.1.2:80", "n");
+    this->Run(4s);
+    CPPUNIT_ASSERT(this->WasAsked("i1"));
+    CPPUNIT_ASSERT(this->WasAsked("j1"));
+  }
+
+  bool WasAsked(const std::string& aId) const {
+    return std::find(control.asked.begin(), control.asked.end(), aId) !=
+           control.asked.end();
+  }
+
   void Duty_ReportOfTheOldStart_OrdersNothing() {
     this->Put("i1", 0, 4);
     this->Put("i2", 0, 4);
--- /dev/null
+++ b/UnitTests/PlacementOrdersTest.cpp
@@ -0,0 +1,138 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "UnitTests/ScriptedControl.h"
+#include "Zincstep/Cluster/Cluster.h"
+#include "platform/Platform.h"
+
+namespace zincstep {
+namespace {
+
+class PlacementOrdersTest : public CppUnit::TestFixture,
+                            private ClusterListener {
+  CPPUNIT_TEST_SUITE(PlacementOrdersTest);
+  CPPUNIT_TEST(Give_ManyOrders_CallsFewUpstreamsAtOnce);
+  CPPUNIT_TEST(Give_DutyLostMeanwhile_GivesNoMore);
+  CPPUNIT_TEST(Expected_LoadThatTakesLonger_IsAskedAndKept);
+  CPPUNIT_TEST(Expected_LoadedButNotListedYet_IsKept);
+  CPPUNIT_TEST(Expected_OrderThatWasLost_IsForgotten);
+  CPPUNIT_TEST(Expected_UpstreamStaysSilent_IsSuspected);
+  CPPUNIT_TEST_SUITE_END();
+
+  void OnConfiguration() override {}
+  void OnUpstream(const UpstreamPtr&) override {}
+  void OnDaemonEntries() override {}
+
+  static constexpr LayerRange kWanted{0, 4};
+
+  std::unique_ptr<ClusterDecoder> decoder = platform::MakeDecoder();
+  FakeClock clock;
+  ClusterView view{*decoder, *this, clock};
+  ScriptedControl control;
+  bool hasDuty = true;
+  PlacementOrdersSettings settings;
+  std::unique_ptr<PlacementOrders> orders;
+  std::uint64_t revision = 10;
+  ModelShape model;
+
+  void Put(const std::string& aId) {
+    const std::string text =
+        R"({"backend":"m","address":"10.0.0.1:80","zone":"a","slots":4,)"
+        R"("state":"ready","routeType":"half","born":1})";
+    view.OnUpstreamEvents({{{{aId, text, ++revision}, false}}, revision});
+  }
+
+  std::optional<LayerRange> Expected(const std::string& aId) {
+    return orders->ExpectedOf(view.Directory().Find(aId), clock.Now());
+  }
+
+  /// One order that has been taken, at the end of the time for its load.
+  void RunOneOrder() {
+    this->Put("i1");
+    orders->Give(model, {"i1", kWanted, GiveUp::CutRequests});
+    control.Answer(UpstreamReport{});
+    control.TakeOrder();
+    CPPUNIT_ASSERT(this->Expected("i1") == kWanted);
+    clock.Advance(model.loadTime + settings.orderSlack);
+    CPPUNIT_ASSERT(this->Expected("i1") == kWanted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, control.asked.size());
+  }
+
+ public:
+  void setUp() override {
+    model.layers = 8;
+    model.loadTime = 8s;
+    orders = std::make_unique<PlacementOrders>(settings, control, view, clock,
+                                               [this] { return hasDuty; });
+  }
+
+  // With 3,000 orders at once a daemon had 6,354 connections and ended.
+  void Give_ManyOrders_CallsFewUpstreamsAtOnce() {
+    const int many = 3 * settings.mostCalled;
+    for (int i = 0; i < many; ++i) {
+      this->Put("i" + std::to_string(i));
+      orders->Give(model,
+                   {"i" + std::to_string(i), kWanted, GiveUp::CutRequests});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(settings.mostCalled),
+                         control.asked.size());
+    clock.Advance(1min);
+    CPPUNIT_ASSERT(this->Expected("i" + std::to_string(many - 1)) == kWanted);
+    for (int i = 0; i < many; ++i) {
+      control.Answer(UpstreamReport{});
+      control.TakeOrder();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(many), control.places.size());
+  }
+
+  void Give_DutyLostMeanwhile_GivesNoMore() {
+    settings.mostCalled = 1;
+    this->setUp();
+    for (const char* id : {"i1", "i2"}) {
+      this->Put(id);
+      orders->Give(model, {id, kWanted, GiveUp::CutRequests});
+    }
+    hasDuty = false;
+    control.Answer(UpstreamReport{});
+    CPPUNIT_ASSERT(control.places.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, control.asked.size());
+    CPPUNIT_ASSERT(!this->Expected("i2"));
+  }
+
+  // Loads that run together slow each other; the upstream was taken for empty
+  // and got other layers each few seconds.
+  void Expected_LoadThatTakesLonger_IsAskedAndKept() {
+    this->RunOneOrder();
+    UpstreamReport busy;
+    busy.isBusy = true;
+    control.Answer(busy);
+    CPPUNIT_ASSERT(this->Expected("i1") == kWanted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, control.places.size());
+  }
+
+  void Expected_LoadedButNotListedYet_IsKept() {
+    this->RunOneOrder();
+    UpstreamReport done;
+    done.layers = kWanted;
+    control.Answer(done);
+    CPPUNIT_ASSERT(this->Expected("i1") == kWanted);
+  }
+
+  void Expected_OrderThatWasLost_IsForgotten() {
+    this->RunOneOrder();
+    control.Answer(UpstreamReport{});
+    CPPUNIT_ASSERT(!this->Expected("i1"));
+    CPPUNIT_ASSERT(!view.Directory().Find("i1")->IsSuspect(clock.Now()));
+  }
+
+  void Expected_UpstreamStaysSilent_IsSuspected() {
+    this->RunOneOrder();
+    control.StaySilent();
+    CPPUNIT_ASSERT(!this->Expected("i1"));
+    CPPUNIT_ASSERT(view.Directory().Find("i1")->IsSuspect(clock.Now()));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlacementOrdersTest);
+
+}  // namespace
+}  // namespace zincstep
--- a/UnitTests/ScriptedControl.h
+++ b/UnitTests/ScriptedControl.h
@@ -24,8 +24,9 @@
     this->open.push_back(std::move(aDone));
   }
   void Place(const UpstreamEntry& aUpstream, LayerRange, std::uint64_t, GiveUp,
-             Done<OrderOutcome>) override {
+             Done<OrderOutcome> aDone) override {
     this->places.push_back(aUpstream.id);
+    this->openPlaces.push_back(std::move(aDone));
   }
   void Repath(const std::string&, const PoolChain&,
               Done<OrderOutcome>) override {}
@@ -35,8 +36,17 @@
     report.pace = aPace;
     this->Finish(report);
   }
+  void Answer(const UpstreamReport& aReport) { this->Finish(aReport); }
   void StaySilent() { this->Finish(Fail(ErrorKind::AnswerIncomplete, "")); }
 
+  /// The oldest open order is taken.
+  void TakeOrder() {
+    CPPUNIT_ASSERT(!this->openPlaces.empty());
+    const auto done = std::move(this->openPlaces.front());
+    this->openPlaces.pop_front();
+    done(OrderOutcome{OrderAnswer::Taken, ""});
+  }
+
   /// Ends the oldest open attempt to connect.
   void EndReach(Reachability aReachability) {
     CPPUNIT_ASSERT(!this->openReaches.empty());
@@ -59,6 +69,7 @@
   }
 
   std::deque<Done<UpstreamReport>> open;
+  std::deque<Done<OrderOutcome>> openPlaces;
   std::deque<std::function<void(Reachability)>> openReaches;
 };
 
--- a/Zincstep/Cluster/Cluster.h
+++ b/Zincstep/Cluster/Cluster.h
@@ -10,5 +10,6 @@
 #include "Zincstep/Cluster/CountedStore.h"
 #include "Zincstep/Cluster/ItemList.h"
 #include "Zincstep/Cluster/PlacementKeeper.h"
+#include "Zincstep/Cluster/PlanRunner.h"
 #include "Zincstep/Cluster/PrefixMirror.h"
 #include "Zincstep/Cluster/StoreFollower.h"
--- a/Zincstep/Cluster/PlacementKeeper.cpp
+++ b/Zincstep/Cluster/PlacementKeeper.cpp
@@ -16,14 +16,16 @@
 
 PlacementKeeper::PlacementKeeper(PlacementKeeperSettings aSettings,
                                  AsyncStore& aStore, UpstreamControl& aControl,
-                                 ClusterView& aView, const Clock& aClock)
+                                 ClusterView& aView, PlanRunner& aPlans,
+                                 const Clock& aClock)
     : settings(std::move(aSettings)),
       store(aStore),
-      control(aControl),
       view(aView),
+      plans(aPlans),
       clock(aClock),
-      planner(this->settings.placement),
-      guard(this->settings.lease) {}
+      guard(this->settings.lease),
+      orders(this->settings.orders, aControl, aView, aClock,
+             [this] { return this->guard.MayAct(this->clock.Now()); }) {}
 
 void PlacementKeeper::OnHolder(const std::string& aName) {
   this->holder = aName;
@@ -80,7 +82,7 @@
           this->isAsking = false;
           if (aTaken && aTaken->done) {
             this->guard.OnTaken(aTaken->revision, sentAt);
-            this->pending.clear();
+            this->orders.Clear();
             LogInfo("placement_duty_taken", {{"fence", aTaken->revision}});
           } else if (aTaken && aTaken->present) {
             this->holder = aTaken->present->value;
@@ -125,18 +127,12 @@
     if (!counts || isRejoining) {
       continue;
     }
-    PlacedUpstream one{entry.id,     entry.failureDomain, entry.kind,
-                       entry.layers, !isRefusing,         entry.slots};
-    const auto order = this->pending.find(entry.id);
-    if (order != this->pending.end()) {
-      const bool isDone = order->second.layers == entry.layers ||
-                          order->second.incarnation != upstream->Number();
-      if (isDone || aNow >= order->second.until) {
-        this->pending.erase(order);
-      } else {
-        one.layers = order->second.layers;
-        one.takesOrders = false;
-      }
+    PlacedUpstream one{entry.id,          entry.failureDomain, entry.kind,
+                       entry.layers,      !isRefusing,         entry.slots,
+                       upstream->Number()};
+    if (const auto expected = this->orders.ExpectedOf(upstream, aNow)) {
+      one.layers = *expected;
+      one.takesOrders = false;
     }
     placed.push_back(std::move(one));
   }
@@ -144,7 +140,8 @@
 }
 
 std::set<std::string> PlacementKeeper::SteadyDomains(
-    const std::vector<PlacedUpstream>& aUpstreams, Instant aNow) {
+    const std::string& aService, const std::vector<PlacedUpstream>& aUpstreams,
+    Instant aNow) {
   std::map<std::string, std::vector<std::string>> present;
   for (const PlacedUpstream& upstream : aUpstreams) {
     present[upstream.failureDomain].push_back(upstream.id);
@@ -152,7 +149,7 @@
   std::set<std::string> steady;
   for (auto& [domain, ids] : present) {
     std::sort(ids.begin(), ids.end());
-    Membership& membership = this->memberships[domain];
+    Membership& membership = this->memberships[{aService, domain}];
     if (membership.ids != ids) {
       membership = {std::move(ids), aNow};
     } else if (aNow - membership.since >= this->settings.steadyTime) {
@@ -181,36 +178,106 @@
 }
 
 void PlacementKeeper::Act(Instant aNow) {
-  const auto& table = this->view.Table();
+  const auto table = this->view.Table();
   if (!table) {
     return;
   }
-  const bool isWhole = !this->view.MayLackEntries();
   for (const RoutedService& service : table->Configuration().services) {
-    if (!service.model || !this->IsSettled(service.name, aNow)) {
-      continue;
-    }
-    this->NoteRejoins(service.name, aNow);
-    if (!isWhole) {
-      continue;
+    if (service.model && this->IsSettled(service.name, aNow)) {
+      this->ActOn(service, aNow);
     }
-    PlacementSituation situation;
-    situation.upstreams = this->Placed(service.name, aNow);
-    situation.demand = this->demand ? this->demand() : std::nullopt;
-    if (situation.demand) {
-      situation.steadyDomains = this->SteadyDomains(situation.upstreams, aNow);
-    }
-    const std::string improved = this->NextImproved(situation.upstreams, aNow);
-    situation.onlyImproved = improved;
-    const auto orders = this->planner.Plan(*service.model, situation);
-    if (!improved.empty()) {
-      const Micros taken = this->clock.Now() - aNow;
-      this->nextImprove = aNow + this->settings.improveShare * taken;
-    }
-    for (const PlacementOrder& order : orders) {
-      this->Give(*service.model, order);
+  }
+}
+
+void PlacementKeeper::ActOn(const RoutedService& aService, Instant aNow) {
+  this->NoteRejoins(aService.name, aNow);
+  if (this->view.MayLackEntries()) {
+    return;
+  }
+  Planning& planning = this->plannings[aService.name];
+  if (planning.isUnderWay) {
+    this->OnBusy(aService.name, planning, aNow);
+    return;
+  }
+  this->Plan(aService, this->Observe(aService, aNow), aNow);
+}
+
+void PlacementKeeper::OnBusy(const std::string& aService, Planning& aPlanning,
+                             Instant aNow) {
+  aPlanning.isDue = true;
+  const Micros taken = aNow - aPlanning.since;
+  if (taken >= this->settings.longestPlan && !aPlanning.isTold) {
+    aPlanning.isTold = true;
+    LogWarning("placement_plan_late",
+               {{"service", aService}, {"taken_ms", taken / 1ms}});
+  }
+}
+
+PlacementSituation PlacementKeeper::Observe(const RoutedService& aService,
+                                            Instant aNow) {
+  PlacementSituation situation;
+  situation.upstreams = this->Placed(aService.name, aNow);
+  situation.demand = this->demand ? this->demand() : std::nullopt;
+  if (situation.demand) {
+    situation.steadyDomains =
+        this->SteadyDomains(aService.name, situation.upstreams, aNow);
+  }
+  situation.onlyImproved = this->NextImproved(situation.upstreams, aNow);
+  situation.turn = this->looks;
+  return situation;
+}
+
+void PlacementKeeper::Plan(const RoutedService& aService,
+                           PlacementSituation aSituation, Instant aNow) {
+  this->plannings[aService.name] = {true, false, false, aNow,
+                                    this->guard.Fence()};
+  PlanTask task{*aService.model, aSituation};
+  this->plans.Start(std::move(task), [this, service = aService,
+                                      situation = std::move(aSituation)](
+                                         const PlanOutcome& aPlan) {
+    this->OnPlan(service, situation, aPlan);
+  });
+}
+
+void PlacementKeeper::OnPlan(const RoutedService& aService,
+                             const PlacementSituation& aSituation,
+                             const PlanOutcome& aPlan) {
+  const Instant now = this->clock.Now();
+  Planning& planning = this->plannings[aService.name];
+  planning.isUnderWay = false;
+  if (!aSituation.onlyImproved->empty()) {
+    this->looks += 1;
+    this->nextImprove = now + this->settings.improveShare * aPlan.taken;
+  }
+  const bool isLate = now - planning.since > this->settings.longestPlan;
+  const bool isOfTerm = planning.fence == this->guard.Fence();
+  if (isLate || !isOfTerm || !this->guard.MayAct(now)) {
+    LogInfo("placement_plan_dropped", {{"service", aService.name},
+                                       {"taken_ms", aPlan.taken / 1ms},
+                                       {"orders", aPlan.orders.size()},
+                                       {"late", isLate},
+                                       {"of_term", isOfTerm}});
+    return;
+  }
+  std::map<std::string, const PlacedUpstream*> planned;
+  for (const PlacedUpstream& one : aSituation.upstreams) {
+    planned[one.id] = &one;
+  }
+  for (const PlacementOrder& order : aPlan.orders) {
+    if (this->IsAsPlanned(*planned.at(order.id))) {
+      this->orders.Give(*aService.model, order);
     }
   }
+  if (planning.isDue && !this->isStopping) {
+    this->Act(now);
+  }
+}
+
+bool PlacementKeeper::IsAsPlanned(const PlacedUpstream& aUpstream) const {
+  const UpstreamPtr upstream = this->view.Directory().Find(aUpstream.id);
+  return upstream && upstream->Number() == aUpstream.incarnation &&
+         upstream->Entry().layers == aUpstream.layers &&
+         !this->orders.IsUnderWay(aUpstream.id);
 }
 
 bool PlacementKeeper::IsSettled(const std::string& aService, Instant aNow) {
@@ -234,7 +301,12 @@
 }
 
 void PlacementKeeper::NoteRejoins(const std::string& aService, Instant aNow) {
-  const bool isFirst = this->listed.empty();
+  Listing& listing = this->listings[aService];
+  const std::uint64_t changes = this->view.Directory().Changes();
+  if (listing.changes == changes) {
+    return;
+  }
+  const bool isFirst = listing.ids.empty();
   std::set<std::string> present;
   for (const UpstreamPtr& upstream :
        this->view.Directory().OfService(aService)) {
@@ -243,98 +315,12 @@
     }
     const UpstreamEntry& entry = upstream->Entry();
     present.insert(entry.id);
-    const bool isNew = !this->listed.contains(entry.id);
+    const bool isNew = !listing.ids.contains(entry.id);
     if (isNew && !isFirst && entry.layers.Size() > 0) {
       this->rejoinedAt[entry.failureDomain] = aNow;
     }
   }
-  this->listed = std::move(present);
-}
-
-void PlacementKeeper::Give(const ModelShape& aModel,
-                           const PlacementOrder& aOrder) {
-  const UpstreamPtr upstream = this->view.Directory().Find(aOrder.id);
-  if (!upstream) {
-    return;
-  }
-  const Micros loadTime =
-      aModel.loadTime * aOrder.layers.Size() / aModel.layers;
-  this->Hold(*upstream, aOrder.layers, this->settings.reportTimeout * 2);
-  this->control.Report(upstream->Entry(), this->settings.reportTimeout,
-                       [this, upstream, aOrder,
-                        loadTime](const Result<UpstreamReport>& aReport) {
-                         this->OnReport(upstream, aOrder, loadTime, aReport);
-                       });
-}
-
-void PlacementKeeper::Hold(const LiveUpstream& aUpstream, LayerRange aLayers,
-                           Micros aTime) {
-  this->pending[aUpstream.Entry().id] = {aUpstream.Number(), aLayers,
-                                         this->clock.Now() + aTime};
-}
-
-void PlacementKeeper::OnReport(const UpstreamPtr& aUpstream,
-                               const PlacementOrder& aOrder, Micros aLoadTime,
-                               const Result<UpstreamReport>& aReport) {
-  const std::string& id = aOrder.id;
-  const Instant now = this->clock.Now();
-  // The count of orders in a report is that of the start which gave it.
-  const bool isListed = this->view.Directory().Find(id) == aUpstream;
-  if (!isListed || !this->guard.MayAct(now)) {
-    return;
-  }
-  if (!aReport) {
-    LogInfo("upstream_suspected", {{"upstream", id},
-                                   {"reason", "no report before an order"},
-                                   {"error", aReport.error().message}});
-    aUpstream->Suspect(now);
-    this->pending.erase(id);
-    return;
-  }
-  aUpstream->OnAnswer(now);
-  if (aReport->isBusy) {
-    LogInfo("placement_busy", {{"upstream", id},
-                               {"first_layer", aReport->layers.first},
-                               {"last_layer", aReport->layers.last},
-                               {"running", aReport->running},
-                               {"queued", aReport->queued},
-                               {"memory_used", aReport->memoryUsed},
-                               {"pace", aReport->pace}});
-    this->Hold(*aUpstream, aOrder.layers, this->settings.refusedPause);
-    return;
-  }
-  LogInfo("placement_ordered", {{"upstream", id},
-                                {"first_layer", aOrder.layers.first},
-                                {"last_layer", aOrder.layers.last},
-                                {"memory_used", aReport->memoryUsed},
-                                {"memory_total", aReport->memoryTotal},
-                                {"expected_sequence", aReport->sequence}});
-  this->Hold(*aUpstream, aOrder.layers, aLoadTime + this->settings.orderSlack);
-  this->control.Place(aUpstream->Entry(), aOrder.layers, aReport->sequence,
-                      aOrder.giveUp,
-                      [this, aUpstream, aOrder,
-                       aLoadTime](const Result<OrderOutcome>& aOutcome) {
-                        this->OnOrdered(aUpstream, aOrder, aLoadTime, aOutcome);
-                      });
-}
-
-void PlacementKeeper::OnOrdered(const UpstreamPtr& aUpstream,
-                                const PlacementOrder& aOrder, Micros aLoadTime,
-                                const Result<OrderOutcome>& aOutcome) {
-  if (aUpstream->HasEnded()) {
-    LogInfo("placement_order_void",
-            {{"upstream", aOrder.id}, {"reason", "it has started again"}});
-    return;
-  }
-  if (!aOutcome) {
-    LogWarning("placement_unanswered",
-               {{"upstream", aOrder.id}, {"reason", aOutcome.error().message}});
-    this->Hold(*aUpstream, aOrder.layers,
-               aLoadTime + this->settings.unansweredPause);
-  } else if (aOutcome->answer != OrderAnswer::Taken) {
-    LogWarning("placement_refused", {{"upstream", aOrder.id}});
-    this->Hold(*aUpstream, aOrder.layers, this->settings.refusedPause);
-  }
+  listing = {changes, std::move(present)};
 }
 
 }  // namespace zincstep
--- a/Zincstep/Cluster/PlacementKeeper.h
+++ b/Zincstep/Cluster/PlacementKeeper.h
@@ -5,7 +5,10 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
+#include "Zincstep/Cluster/PlacementOrders.h"
+#include "Zincstep/Cluster/PlanRunner.h"
 #include "Zincstep/Cluster/StoreFollower.h"
 #include "Zincstep/Control/LeaseGuard.h"
 #include "Zincstep/Pool/Pool.h"
@@ -20,15 +23,10 @@
   std::string key;
   /// Short, since nothing is placed between a holder's death and the lapse.
   LeaseGuardSettings lease{2s, 500ms};
-  PlacementSettings placement;
-  /// An order is taken for lost, and its upstream asked anew, this long
-  /// after its loads should have ended.
-  Micros orderSlack = 1500ms;
-  /// An order without an answer may be carried out seconds later.
-  Micros unansweredPause = 2s;
-  /// Pause after an order that was refused, or a report that failed.
-  Micros refusedPause = 600ms;
-  Micros reportTimeout = 500ms;
+  /// A plan that takes longer is told of, and its orders are dropped: they are
+  /// for a pool that has changed since.
+  Micros longestPlan = 2s;
+  PlacementOrdersSettings orders;
   /// A failure domain is changed to serve better once its upstreams have been
   /// the same for so long: losses often come together.
   Micros steadyTime = 1s;
@@ -36,10 +34,8 @@
   /// upstreams announce themselves about once in this time.
   Micros settleTime = 1300ms;
   /// One failure domain after the other is looked at for changes that serve
-  /// better, this many times as far apart as a look takes: 1 ms for 13
-  /// upstreams and 12 for 35, and the smallest VMs have an eighth of a core
-  /// (actas-lima-grown scale-1: 0.11 of a core at the holder with four looks
-  /// at all domains a second).
+  /// better, this many times as far apart as a look takes, as the smallest VMs
+  /// have an eighth of a core.
   int improveShare = 50;
   /// Upstreams that were cut off join again with what they hold, one after
   /// the other; their failure domain is planned once all had this long: two of
@@ -54,15 +50,12 @@
 /// Takes the duty to place layers by a lease, and fulfils it.
 ///
 /// At most one daemon has the duty. It compares what the upstreams hold
-/// with the plan and gives orders for the difference. Each order names the
-/// count of orders that the upstream has taken, read from the upstream
-/// just before: an order that is carried out late, or one of a daemon that
-/// has lost the duty, is refused once any other has been taken.
+/// with the plan and gives orders for the difference.
 class PlacementKeeper {
  public:
   PlacementKeeper(PlacementKeeperSettings aSettings, AsyncStore& aStore,
                   UpstreamControl& aControl, ClusterView& aView,
-                  const Clock& aClock);
+                  PlanRunner& aPlans, const Clock& aClock);
 
   /// The duty's key as the daemons' own prefix shows it; empty: free.
   void OnHolder(const std::string& aName);
@@ -83,42 +76,49 @@
   bool HasDuty() const { return this->guard.IsHeld(this->clock.Now()); }
 
  private:
-  struct Order {
-    /// The incarnation that it was given to, as `LiveUpstream::Number`; one
-    /// that has started again holds and loads nothing of it.
-    std::uint64_t incarnation = 0;
-    LayerRange layers;
-    /// When the upstream is asked anew.
-    Instant until;
-  };
-
   void TakeDuty();
   void RenewDuty();
+  /// The plan of a service that is being made, or was made last.
+  struct Planning {
+    bool isUnderWay = false;
+    /// Whether its lateness has been told.
+    bool isTold = false;
+    /// Whether the pool was to be looked at meanwhile.
+    bool isDue = false;
+    Instant since{};
+    /// The holder's term that it was made in.
+    std::uint64_t fence = 0;
+  };
+
   void Act(Instant aNow);
+  void ActOn(const RoutedService& aService, Instant aNow);
+  PlacementSituation Observe(const RoutedService& aService, Instant aNow);
+  void Plan(const RoutedService& aService, PlacementSituation aSituation,
+            Instant aNow);
+  void OnPlan(const RoutedService& aService,
+              const PlacementSituation& aSituation, const PlanOutcome& aPlan);
+  /// Whether the upstream is still as the plan found it.
+  bool IsAsPlanned(const PlacedUpstream& aUpstream) const;
+  /// Notes that a service's plan is due while another is under way.
+  void OnBusy(const std::string& aService, Planning& aPlanning, Instant aNow);
   void NoteRejoins(const std::string& aService, Instant aNow);
   bool IsSettled(const std::string& aService, Instant aNow);
   std::vector<PlacedUpstream> Placed(const std::string& aService, Instant aNow);
   /// The failure domains whose upstreams have been the same for a while.
   std::set<std::string> SteadyDomains(
+      const std::string& aService,
       const std::vector<PlacedUpstream>& aUpstreams, Instant aNow);
   /// The failure domain whose turn it is to be looked at; empty: none's.
   std::string NextImproved(const std::vector<PlacedUpstream>& aUpstreams,
                            Instant aNow);
-  void Give(const ModelShape& aModel, const PlacementOrder& aOrder);
-  void OnReport(const UpstreamPtr& aUpstream, const PlacementOrder& aOrder,
-                Micros aLoadTime, const Result<UpstreamReport>& aReport);
-  void OnOrdered(const UpstreamPtr& aUpstream, const PlacementOrder& aOrder,
-                 Micros aLoadTime, const Result<OrderOutcome>& aOutcome);
-  /// For so long the upstream counts as one that holds those layers.
-  void Hold(const LiveUpstream& aUpstream, LayerRange aLayers, Micros aTime);
 
   PlacementKeeperSettings settings;
   AsyncStore& store;
-  UpstreamControl& control;
   ClusterView& view;
+  PlanRunner& plans;
   const Clock& clock;
-  PlacementPlanner planner;
   LeaseGuard guard;
+  PlacementOrders orders;
   std::uint64_t lease = 0;
   std::string holder;
   bool isAsking = false;
@@ -139,14 +139,24 @@
     Instant since;
   };
 
-  std::map<std::string, Order> pending;
-  std::map<std::string, Membership> memberships;
+  /// By service and failure domain.
+  std::map<std::pair<std::string, std::string>, Membership> memberships;
   std::string lastImproved;
   Instant nextImprove{};
+  /// Looks so far; see `PlacementSituation::turn`.
+  std::uint64_t looks = 0;
+  /// By service.
+  std::map<std::string, Planning> plannings;
   std::map<std::string, Growth> growths;
-  /// Upstreams that were listed, and when one last joined each failure
-  /// domain with layers that no order of ours gave it.
-  std::set<std::string> listed;
+  /// Upstreams of a service that were listed, and the directory's changes then.
+  struct Listing {
+    std::uint64_t changes = 0;
+    std::set<std::string> ids;
+  };
+  /// By service.
+  std::map<std::string, Listing> listings;
+  /// When an upstream last joined each failure domain with layers that no order
+  /// of ours gave it.
   std::map<std::string, Instant> rejoinedAt;
 };
 
--- a/Zincstep/Core/Core.h
+++ b/Zincstep/Core/Core.h
@@ -9,5 +9,6 @@
 #include "Zincstep/Core/Hash.h"
 #include "Zincstep/Core/NameTable.h"
 #include "Zincstep/Core/Random.h"
+#include "Zincstep/Core/TaskThread.h"
 #include "Zincstep/Core/Time.h"
 #include "Zincstep/Core/TokenBucket.h"
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -5,6 +5,7 @@
 #include "Zincstep/Edge/AdminHandler.h"
 #include "Zincstep/Edge/BlockList.h"
 #include "Zincstep/Edge/PeerExchange.h"
+#include "Zincstep/Edge/PlanThread.h"
 #include "Zincstep/Relay/LostDomains.h"
 
 namespace zincstep {
@@ -58,8 +59,8 @@
 ///
 /// The brief asks for a thread a duty. Callers, upstreams and the store
 /// share one here: a VM has a quarter of a core, each wake-up is paid for,
-/// and an event that crosses threads costs two of them. Peers and the log
-/// have threads of their own.
+/// and an event that crosses threads costs two of them. Peers, plans of
+/// placement and the log have threads of their own.
 class EdgeDaemon final : private ClusterListener, private CrashListener {
  public:
   EdgeDaemon(const EdgeSettings& aSettings, asio::io_context& aLoop,
@@ -96,11 +97,12 @@
               [this] { return this->MetricsText(); }),
         callers(aLoop, this->relay, this->clock),
         admins(aLoop, this->admin, this->clock),
+        plans(aLoop, PlacementSettings{}),
         keeper(MakeKeeperSettings(aSettings), this->store,
-               *this->adapters.control, this->view, this->clock),
+               *this->adapters.control, this->view, this->plans, this->clock),
         peers(
             aLoop, aSettings, this->store, this->view, this->clock,
-            this->random,
+            this->random, this->metrics,
             [this](const UpstreamPtr& aUpstream) {
               this->probe.Verify(aUpstream);
             },
@@ -189,6 +191,7 @@
   AdminHandler admin;
   CallerListener callers;
   CallerListener admins;
+  PlanThread plans;
   PlacementKeeper keeper;
   PeerExchange peers;
   asio::steady_timer fastTimer;
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -85,7 +85,8 @@
 PeerExchange::PeerExchange(asio::io_context& aLoop,
                            const EdgeSettings& aSettings, AsyncStore& aStore,
                            ClusterView& aView, const Clock& aClock,
-                           Random& aRandom, OnToldSuspicion aOnSuspicion,
+                           Random& aRandom, Metrics& aMetrics,
+                           OnToldSuspicion aOnSuspicion,
                            OnToldCrashes aOnCrashes, OwnDemand aOwnDemand)
     : loop(aLoop),
       settings(aSettings),
@@ -95,6 +96,7 @@
       onSuspicion(std::move(aOnSuspicion)),
       onCrashes(std::move(aOnCrashes)),
       ownDemand(std::move(aOwnDemand)),
+      bytes(aMetrics),
       entry(aSettings, aStore, aClock),
       listBytes(kListBytesPerSecond, kListBytesAtOnce),
       members(aSettings, aClock),
@@ -123,6 +125,7 @@
       LogWarning("peer_message_refused", {{"reason", message.error().message}});
       return;
     }
+    this->bytes.AddReceived(KindOf(message->body), text.size());
     this->OnMessage(*message);
   });
 }
@@ -187,7 +190,7 @@
   if (tellsWhole) {
     this->listBytes.Spend(static_cast<double>(message.size()));
   }
-  this->hub->Send(aAddress, message);
+  this->SendText(aAddress, PeerMessageKind::Give, message);
 }
 
 void PeerExchange::GossipSoon() {
@@ -241,6 +244,7 @@
 
 void PeerExchange::Tick() {
   const Instant now = this->clock.Now();
+  this->bytes.Tick(now);
   this->work.Tick(now, kMissedTellings * this->GossipPause());
   this->entry.Keep();
   if (now >= this->nextGossip) {
@@ -322,7 +326,7 @@
     const bool shares = this->members.IsNear(member);
     const bool places = hasSuspects && name == this->dutyHolder;
     if (tellsAll || shares || places) {
-      this->hub->Send(member.address, message);
+      this->SendText(member.address, PeerMessageKind::Work, message);
     }
   }
 }
@@ -330,7 +334,7 @@
 void PeerExchange::TellCrashes(CrashGossip aGossip) {
   const std::string message = this->Write(std::move(aGossip));
   for (const auto& [name, member] : this->members.All()) {
-    this->hub->Send(member.address, message);
+    this->SendText(member.address, PeerMessageKind::Crashes, message);
   }
 }
 
@@ -353,7 +357,7 @@
   const std::string hint = this->Write(
       ClusterGive{kUnasked, this->view.CopyFor(this->view.Revisions())});
   for (const std::string& address : this->members.Neighbours()) {
-    this->hub->Send(address, hint);
+    this->SendText(address, PeerMessageKind::Give, hint);
   }
 }
 
@@ -416,7 +420,14 @@
 }
 
 void PeerExchange::Send(const std::string& aAddress, EdgePeerBody aBody) {
-  this->hub->Send(aAddress, this->Write(std::move(aBody)));
+  const PeerMessageKind kind = KindOf(aBody);
+  this->SendText(aAddress, kind, this->Write(std::move(aBody)));
+}
+
+void PeerExchange::SendText(const std::string& aAddress, PeerMessageKind aKind,
+                            const std::string& aMessage) {
+  this->bytes.AddSent(aKind, aMessage.size());
+  this->hub->Send(aAddress, aMessage);
 }
 
 }  // namespace zincstep
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -11,6 +11,7 @@
 #include "Zincstep/Edge/DaemonEntry.h"
 #include "Zincstep/Edge/EdgePeerMessage.h"
 #include "Zincstep/Edge/EdgeSettings.h"
+#include "Zincstep/Edge/PeerByteCount.h"
 #include "Zincstep/Edge/PeerMembers.h"
 #include "Zincstep/Peer/Peer.h"
 
@@ -35,7 +36,7 @@
 
   PeerExchange(asio::io_context& aLoop, const EdgeSettings& aSettings,
                AsyncStore& aStore, ClusterView& aView, const Clock& aClock,
-               Random& aRandom, OnToldSuspicion aOnSuspicion,
+               Random& aRandom, Metrics& aMetrics, OnToldSuspicion aOnSuspicion,
                OnToldCrashes aOnCrashes, OwnDemand aOwnDemand);
 
   Result<void> Start();
@@ -106,6 +107,9 @@
   /// Whether only members of the own failure domain are asked for all.
   bool AsksNearOnly(Instant aNow) const;
   std::string Write(EdgePeerBody aBody) const;
+  /// Sends a message that is written already.
+  void SendText(const std::string& aAddress, PeerMessageKind aKind,
+                const std::string& aMessage);
 
   asio::io_context& loop;
   const EdgeSettings& settings;
@@ -115,6 +119,7 @@
   OnToldSuspicion onSuspicion;
   OnToldCrashes onCrashes;
   OwnDemand ownDemand;
+  PeerByteCount bytes;
   DaemonEntry entry;
   /// Bytes of whole lists that may be told; none are while it is below zero.
   TokenBucket listBytes;
--- /dev/null
+++ b/Zincstep/Edge/PlanThread.cpp
@@ -0,0 +1,34 @@
+#include "Zincstep/Edge/PlanThread.h"
+
+namespace zincstep {
+
+namespace {
+
+/// Plans that may wait: one for each model at the most, of which a
+/// configuration has a few.
+constexpr std::size_t kMostWaiting = 64;
+
+}  // namespace
+
+PlanThread::PlanThread(asio::io_context& aLoop, PlacementSettings aSettings)
+    : loop(aLoop), planner(aSettings), thread(kMostWaiting, [this](Work aWork) {
+        this->Run(std::move(aWork));
+      }) {}
+
+void PlanThread::Start(PlanTask aTask, Done aDone) {
+  const bool isTaken = this->thread.Push({std::move(aTask), aDone});
+  if (!isTaken) {
+    LogWarning("placement_plan_dropped", {{"reason", "too many plans wait"}});
+    asio::post(this->loop, [done = std::move(aDone)] { done({}); });
+  }
+}
+
+void PlanThread::Run(Work aWork) {
+  PlanOutcome outcome = MakePlan(this->planner, aWork.task);
+  asio::post(this->loop, [done = std::move(aWork.done),
+                          result = std::move(outcome)]() mutable {
+    done(std::move(result));
+  });
+}
+
+}  // namespace zincstep
--- a/Zincstep/Entry/PlanWorker.h
+++ b/Zincstep/Entry/PlanWorker.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include <atomic>
 #include <functional>
 #include <string>
-#include <thread>
 
+#include "Zincstep/Core/Core.h"
 #include "Zincstep/Routing/Routing.h"
 
 namespace zincstep {
@@ -37,22 +36,12 @@
 
   /// `aSink` is called on the worker's thread.
   explicit PlanWorker(Sink aSink);
-  ~PlanWorker();
-
-  PlanWorker(const PlanWorker&) = delete;
-  PlanWorker& operator=(const PlanWorker&) = delete;
 
   /// Orders a plan; false where the worker is too far behind.
-  bool Order(PlanOrder aOrder);
+  bool Order(PlanOrder aOrder) { return this->orders.Push(std::move(aOrder)); }
 
  private:
-  void Loop();
-
-  Sink sink;
-  Doorbell doorbell;
-  Channel<PlanOrder> orders;
-  std::atomic<bool> stopping{false};
-  std::thread thread;
+  TaskThread<PlanOrder> orders;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Pool/UpstreamDirectory.cpp
+++ b/Zincstep/Pool/UpstreamDirectory.cpp
@@ -59,6 +59,7 @@
 }
 
 void UpstreamDirectory::Put(UpstreamEntry aEntry, Instant aNow) {
+  this->changes += 1;
   const auto found = this->all.find(aEntry.id);
   if (found != this->all.end()) {
     LiveUpstream& known = *found->second;
@@ -104,6 +105,7 @@
   if (found == this->all.end()) {
     return nullptr;
   }
+  this->changes += 1;
   UpstreamPtr upstream = found->second;
   this->all.erase(found);
   this->byNumber.erase(upstream->Number());
--- a/Zincstep/Pool/UpstreamDirectory.h
+++ b/Zincstep/Pool/UpstreamDirectory.h
@@ -30,6 +30,8 @@
   }
   /// All of them.
   const std::map<std::string, UpstreamPtr>& All() const { return this->all; }
+  /// Rises with each entry that comes, changes or goes.
+  std::uint64_t Changes() const { return this->changes; }
 
  private:
   void Unlist(const UpstreamPtr& aUpstream);
@@ -42,6 +44,7 @@
   /// and what was in use has ended.
   UpstreamPtr TakeBack(UpstreamEntry aEntry, Instant aNow);
 
+  std::uint64_t changes = 0;
   std::map<std::string, UpstreamPtr> all;
   std::unordered_map<std::uint64_t, UpstreamPtr> byNumber;
   std::map<std::string, std::vector<UpstreamPtr>> byService;
