--- a/EdgeDaemon/Main.cpp
+++ b/EdgeDaemon/Main.cpp
@@ -7,9 +7,10 @@
 namespace {
 
 zincstep::Result<zincstep::EdgeAdapters> MakeAdapters(
-    asio::io_context& aLoop, const zincstep::EdgeSettings& aSettings) {
+    asio::io_context& aLoop, const zincstep::EdgeSettings& aSettings,
+    zincstep::StoreEras& aEras) {
   namespace platform = zincstep::platform;
-  auto store = platform::MakeStore(aLoop, aSettings.store);
+  auto store = platform::MakeStore(aLoop, aSettings.store, aEras);
   if (!store) {
     return tl::unexpected(store.error());
   }
--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -18,6 +18,7 @@
     "  --seconds N     time of faults in each (10)\n"
     "  --daemons N     daemons (4)\n"
     "  --crashing      at the end, a request that crashes upstreams\n"
+    "  --restores      the store comes back from copies meanwhile\n"
     "Exit status: 0 all passed, 1 a promise was broken, 2 wrong use.\n";
 
 }  // namespace
@@ -33,6 +34,7 @@
                             {"seconds", required_argument, nullptr, 't'},
                             {"daemons", required_argument, nullptr, 'c'},
                             {"crashing", no_argument, nullptr, 'x'},
+                            {"restores", no_argument, nullptr, 'r'},
                             {nullptr, 0, nullptr, 0}};
   for (int word = 0;
        (word = getopt_long(aCount, aWords, "", options, nullptr)) != -1;) {
@@ -58,6 +60,9 @@
       case 'x':
         settings.hasCrashingRequest = true;
         break;
+      case 'r':
+        settings.hasRestores = true;
+        break;
       default:
         std::fputs(kUsage, stderr);
         return 2;
--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -95,6 +95,8 @@
     return DrawFrom(this->random, aShortest, aSpread);
   }
   Micros DrawSilencePause();
+  /// The store goes away for a moment and comes back from a copy.
+  void RestoreStore();
 
   static constexpr int kPlainUpstreams = 2;
   static constexpr int kModelUpstreams = 5;
@@ -105,6 +107,8 @@
   Random random;
   /// Of its own, so that a seed's other faults stay what they were.
   Random silenceRandom;
+  /// The same for returns of the store from a copy.
+  Random restoreRandom;
   SoakStore store;
   SoakCaller callers;
   Ledger ledger;
@@ -117,6 +121,7 @@
   Instant nextRequest{};
   Instant nextFault{};
   Instant nextSilence{};
+  Instant nextRestore{};
   bool injects = false;
   int version = 1;
   /// The other organisation's key has been withdrawn.
--- a/SoakTests/SoakFaults.cpp
+++ b/SoakTests/SoakFaults.cpp
@@ -18,6 +18,13 @@
 constexpr Micros kSilencePauseSpread = 4s;
 /// Longer than a withdrawn key may still run.
 constexpr Micros kLongCut = 8s;
+/// How long the store is away before it comes back from a copy, how old that
+/// is, and how long the operator and the upstreams take to write again.
+constexpr Micros kShortestAway = 200ms;
+constexpr Micros kAwaySpread = 1800ms;
+constexpr Micros kYoungestCopy = 1s;
+constexpr Micros kCopyAgeSpread = 9s;
+constexpr Micros kWrittenAgain = 1500ms;
 
 }  // namespace
 
@@ -146,6 +153,20 @@
                          }});
 }
 
+void Soak::RestoreStore() {
+  const Micros away = DrawFrom(this->restoreRandom, kShortestAway, kAwaySpread);
+  const Micros age =
+      DrawFrom(this->restoreRandom, kYoungestCopy, kCopyAgeSpread);
+  this->Note("store away for " + std::to_string(away / 1ms) +
+             " ms, back from a copy " + std::to_string(age / 1ms) + " ms old");
+  this->store.SetDown(true);
+  this->heals.push_back({this->clock.Now() + away, [this, age] {
+                           this->store.Restore(age, kWrittenAgain,
+                                               this->restoreRandom);
+                           this->store.SetDown(false);
+                         }});
+}
+
 void Soak::InjectAtStore() {
   const std::size_t pick = this->random.Below(4);
   this->Note("store, way " + std::to_string(pick));
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -37,6 +37,9 @@
 constexpr Micros kDrainNotice = 4s;
 /// For so long its requests are looked at from then on.
 constexpr Micros kDrainWatch = 2s;
+/// Between two returns of the store from a copy.
+constexpr Micros kShortestRestore = 2s;
+constexpr Micros kRestoreSpread = 5s;
 constexpr int kOk = 200;
 /// The daemons' addresses are 127.0.0.10 and on, so that all use the same
 /// ports, as on the platform.
@@ -72,6 +75,7 @@
     : settings(aSettings),
       random(aSettings.seed),
       silenceRandom(Hash64("silence", aSettings.seed)),
+      restoreRandom(Hash64("restore", aSettings.seed)),
       store(this->loop, this->clock),
       callers(this->loop, this->clock),
       timer(this->loop) {
@@ -138,6 +142,7 @@
   }
   this->injects = true;
   this->nextSilence = this->clock.Now() + this->DrawSilencePause();
+  this->nextRestore = this->clock.Now() + kShortestRestore;
   this->loop.run_for(this->settings.faults);
   this->injects = false;
   this->HealAll();
@@ -207,6 +212,11 @@
     this->nextFault = now + this->Draw(kShortestFaultPause, kFaultPauseSpread);
     this->Inject();
   }
+  if (this->injects && this->settings.hasRestores && now >= this->nextRestore) {
+    this->nextRestore =
+        now + DrawFrom(this->restoreRandom, kShortestRestore, kRestoreSpread);
+    this->RestoreStore();
+  }
   if (this->injects && now >= this->nextSilence) {
     this->nextSilence = now + this->DrawSilencePause();
     this->SilenceOpenConnections();
--- a/SoakTests/SoakStore.cpp
+++ b/SoakTests/SoakStore.cpp
@@ -1,5 +1,7 @@
 #include "SoakTests/SoakStore.h"
 
+#include <algorithm>
+
 #include "platform/Json.h"
 
 namespace zincstep::soak {
@@ -8,8 +10,12 @@
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
+constexpr int kGone = 410;
 constexpr int kConditionFailed = 412;
 constexpr int kUnavailable = 503;
+/// Between copies, and how many are kept.
+constexpr Micros kCopyPause = 500ms;
+constexpr std::size_t kMostCopies = 24;
 
 std::string Unescape(const std::string& aText) {
   std::string text;
@@ -37,7 +43,9 @@
 
 void SoakStore::Reply(CallerConnection& aConnection, int aStatus,
                       const Json& aBody) {
-  aConnection.Answer(aStatus, {{"Content-Type", "application/json"}},
+  aConnection.Answer(aStatus,
+                     {{"Content-Type", "application/json"},
+                      {"Store-Era", std::to_string(this->era)}},
                      aBody.dump());
 }
 
@@ -105,6 +113,10 @@
             this->clock.Now() +
                 Micros{1000 * static_cast<std::int64_t>(
                                   NumberOf(QueryValue(aQuery, "waitMs")))}};
+  if (wait.after < this->historyFrom || wait.after > this->revision) {
+    this->Reply(*aConnection, kGone, Json::object());
+    return;
+  }
   if (!this->Notify(wait, false)) {
     this->waits.push_back(std::move(wait));
   }
@@ -222,11 +234,15 @@
 }
 
 void SoakStore::Put(const std::string& aKey, const std::string& aValue) {
+  this->written[aKey] = aValue;
   this->Set(aKey, aValue, 0);
   this->NotifyAll();
 }
 
 void SoakStore::Remove(const std::string& aKey) {
+  if (this->written.contains(aKey)) {
+    this->written[aKey].reset();
+  }
   if (this->items.erase(aKey) > 0) {
     this->revision += 1;
     this->history.push_back({aKey, this->revision, std::nullopt});
@@ -234,8 +250,70 @@
   }
 }
 
+void SoakStore::TakeCopy(Instant aNow) {
+  if (aNow < this->nextCopy) {
+    return;
+  }
+  this->nextCopy = aNow + kCopyPause;
+  this->copies.push_back({aNow, this->items, this->leases, this->revision});
+  if (this->copies.size() > kMostCopies) {
+    this->copies.erase(this->copies.begin());
+  }
+}
+
+void SoakStore::Restore(Micros aAge, Micros aRewrite, Random& aRandom) {
+  const Instant now = this->clock.Now();
+  const auto newer =
+      std::find_if(this->copies.begin(), this->copies.end(),
+                   [&](const Copy& aCopy) { return now - aCopy.at <= aAge; });
+  if (newer == this->copies.end()) {
+    return;
+  }
+  const Copy copy = *newer;
+  this->copies.erase(newer + 1, this->copies.end());
+  this->items = copy.items;
+  this->leases = copy.leases;
+  this->revision = copy.revision;
+  this->era += 1;
+  this->history.clear();
+  this->historyFrom = this->revision;
+  std::vector<Wait> all;
+  all.swap(this->waits);
+  for (const Wait& wait : all) {
+    this->Reply(*wait.connection, kGone, Json::object());
+  }
+  for (const auto& [key, value] : this->written) {
+    const Micros after{static_cast<std::int64_t>(
+        aRandom.Unit() * static_cast<double>(aRewrite.count()))};
+    this->rewrites.push_back({now + after, key});
+  }
+}
+
+void SoakStore::WriteAgain(Instant aNow) {
+  std::vector<Rewrite> due;
+  std::erase_if(this->rewrites, [&](const Rewrite& aOne) {
+    if (aNow >= aOne.at) {
+      due.push_back(aOne);
+    }
+    return aNow >= aOne.at;
+  });
+  for (const Rewrite& one : due) {
+    const std::optional<std::string> value = this->written[one.key];
+    const auto found = this->items.find(one.key);
+    if (!value) {
+      this->Remove(one.key);
+    } else if (found == this->items.end() || found->second.value != *value) {
+      this->Put(one.key, *value);
+    }
+  }
+}
+
 void SoakStore::Tick() {
   const Instant now = this->clock.Now();
+  this->TakeCopy(now);
+  if (!this->isDown) {
+    this->WriteAgain(now);
+  }
   std::vector<std::uint64_t> over;
   for (const auto& [lease, state] : this->leases) {
     if (now >= state.until && !this->isDown) {
--- a/SoakTests/SoakStore.h
+++ b/SoakTests/SoakStore.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "Zincstep/Core/Random.h"
 #include "Zincstep/Net/CallerConnection.h"
 
 namespace zincstep::soak {
@@ -23,7 +24,11 @@
   /// Writes as the operator or an upstream does.
   void Put(const std::string& aKey, const std::string& aValue);
   void Remove(const std::string& aKey);
-  /// Ends leases and waits that are over.
+  /// It comes back as it was about so long ago: revisions go back, leases and
+  /// what the daemons wrote since are gone. What was written by `Put` and
+  /// `Remove` is written again, each at a time drawn from up to `aRewrite`.
+  void Restore(Micros aAge, Micros aRewrite, Random& aRandom);
+  /// Ends leases and waits that are over, takes copies, and writes again.
   void Tick();
 
   void OnRequest(const std::shared_ptr<CallerConnection>& aConnection,
@@ -55,6 +60,20 @@
     Instant until;
   };
 
+  /// All that is kept, as it was at some time.
+  struct Copy {
+    Instant at;
+    std::map<std::string, Item> items;
+    std::map<std::uint64_t, Lease> leases;
+    std::uint64_t revision = 0;
+  };
+  struct Rewrite {
+    Instant at;
+    std::string key;
+  };
+
+  void TakeCopy(Instant aNow);
+  void WriteAgain(Instant aNow);
   Json Show(const std::string& aKey, const Item& aItem) const;
   void Range(CallerConnection& aConnection, const std::string& aQuery);
   void Watch(const std::shared_ptr<CallerConnection>& aConnection,
@@ -77,6 +96,15 @@
   std::vector<Wait> waits;
   std::map<std::uint64_t, Lease> leases;
   std::uint64_t revision = 1;
+  std::uint64_t era = 1;
+  /// Revision from which on changes are known; a watch from one before, or from
+  /// one that is not there, is told that the history is gone.
+  std::uint64_t historyFrom = 0;
+  std::vector<Copy> copies;
+  Instant nextCopy{};
+  /// What the operator and the upstreams wrote last; none: it was removed.
+  std::map<std::string, std::optional<std::string>> written;
+  std::vector<Rewrite> rewrites;
   std::uint64_t lastLease = 0;
   bool isDown = false;
   bool losesAnswers = false;
--- a/UnitTests/BlockListTest.cpp
+++ b/UnitTests/BlockListTest.cpp
@@ -13,16 +13,16 @@
  public:
   void Range(const std::string&, Done<StoreRange>) override {}
   void RangeStale(const std::string&, Done<StoreRange>) override {}
-  void Watch(const std::string&, std::uint64_t, Micros,
+  void Watch(const std::string&, StoreRevision, Micros,
              Done<StoreEvents>) override {}
   void Commit(StoreChange aChange, Done<StoreCommit> aDone) override {
     this->calls += 1;
     if (this->isAway) {
       aDone(Fail(ErrorKind::PlatformUnavailable, "away"));
     } else if (aChange.expected != this->item.revision) {
-      aDone(StoreCommit{false, 0, this->item});
+      aDone(StoreCommit{false, {}, this->item});
     } else {
-      this->item.revision += 10;
+      this->item.revision.number += 10;
       this->item.value = *aChange.value;
       aDone(StoreCommit{true, this->item.revision, std::nullopt});
     }
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(Write_Cleared_EndsTheBlockElsewhere);
   CPPUNIT_TEST(Write_StoreAway_IsTriedAgainLater);
   CPPUNIT_TEST(Entries_ListThatDoesNotParse_LeavesTheLast);
+  CPPUNIT_TEST(Restored_ListOfTheCopy_TakesNoBlockAway);
   CPPUNIT_TEST_SUITE_END();
 
   /// What a daemon has of it.
@@ -126,7 +127,29 @@
     CPPUNIT_ASSERT_EQUAL(1, store.calls);
     store.isAway = false;
     holder.list.Write();
-    CPPUNIT_ASSERT(store.item.revision > 0);
+    CPPUNIT_ASSERT(!store.item.revision.IsNone());
+  }
+
+  void Restored_ListOfTheCopy_TakesNoBlockAway() {
+    holder.Block(kRequest);
+    holder.list.Write();
+    const StoreItem copy = store.item;
+    holder.Block(kOther);
+    clock.Advance(2s);
+    holder.list.Write();
+    other.list.OnEntries(store.Items());
+    store.item = copy;
+    store.item.revision.era = 1;
+    for (Daemon* daemon : {&holder, &other}) {
+      daemon->list.OnRestored();
+      daemon->list.OnEntries(store.Items());
+      CPPUNIT_ASSERT(daemon->Blocks(kRequest) && daemon->Blocks(kOther));
+    }
+    clock.Advance(2s);
+    other.list.Write();
+    Daemon fresh{store, clock};
+    fresh.list.OnEntries(store.Items());
+    CPPUNIT_ASSERT(fresh.Blocks(kRequest) && fresh.Blocks(kOther));
   }
 
   void Entries_ListThatDoesNotParse_LeavesTheLast() {
@@ -136,7 +159,7 @@
     for (const char* wrong :
          {"", "[]", "{}", R"({"blocked":7})", R"({"blocked":["x"]})",
           R"({"blocked":[1]})", "\xff\xfe"}) {
-      store.item.revision += 1;
+      store.item.revision.number += 1;
       store.item.value = wrong;
       other.list.OnEntries(store.Items());
       CPPUNIT_ASSERT(other.Blocks(kRequest));
--- a/UnitTests/ClusterViewTest.cpp
+++ b/UnitTests/ClusterViewTest.cpp
@@ -71,7 +71,7 @@
     view.OnConfiguration({"", R"({"configVersion":10,"routes":[{}]})", 30});
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9},
                          view.Table()->Configuration().version);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, view.ConfigRevision());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, view.ConfigFoundAt().number);
   }
 
   // tavua-orders-grown, trouble-3: each change of the configuration had up to
@@ -79,7 +79,7 @@
   // nothing newer than either configuration was there.
   void Configuration_Newer_KeepsTheAgeOfTheProof() {
     view.OnConfiguration({"", ConfigText(9), 20});
-    view.OnProof(20, clock.Now());
+    view.OnProof({20}, clock.Now());
     clock.Advance(600ms);
     view.OnConfiguration({"", ConfigText(10), 30});
     CPPUNIT_ASSERT(*view.ProofAge() == 600ms);
@@ -88,9 +88,9 @@
   // The newer one may have withdrawn a key that this one still grants.
   void Proof_OfANewerRevision_CountsNothing() {
     view.OnConfiguration({"", ConfigText(9), 20});
-    view.OnProof(21, clock.Now());
+    view.OnProof({21}, clock.Now());
     CPPUNIT_ASSERT(!view.ProofAge());
-    view.OnProof(0, clock.Now());
+    view.OnProof({0}, clock.Now());
     CPPUNIT_ASSERT(!view.ProofAge());
   }
 
@@ -98,10 +98,10 @@
     view.OnConfiguration({"", ConfigText(9), 20});
     const Instant began = clock.Now();
     clock.Advance(900ms);
-    view.OnProof(19, began);
+    view.OnProof({19}, began);
     CPPUNIT_ASSERT(*view.ProofAge() == 900ms);
-    view.OnProof(20, clock.Now());
-    view.OnProof(19, began);
+    view.OnProof({20}, clock.Now());
+    view.OnProof({19}, began);
     CPPUNIT_ASSERT(*view.ProofAge() == 0ms);
   }
 
@@ -109,9 +109,9 @@
     view.OnConfiguration({"", ConfigText(9), 20});
     const Instant began = clock.Now();
     clock.Advance(700ms);
-    view.OnProof(20, began);
+    view.OnProof({20}, began);
     CPPUNIT_ASSERT(*view.ProofAge() == 700ms);
-    view.OnProof(20, began - 1s);
+    view.OnProof({20}, began - 1s);
     CPPUNIT_ASSERT(*view.ProofAge() == 700ms);
   }
 
@@ -120,7 +120,7 @@
     const Instant asked = clock.Now();
     clock.Advance(3s);
     ClusterCopy copy;
-    copy.configRevision = 20;
+    copy.configRevision = {20};
     copy.proofAge = 500ms;
     view.OnCopy(copy, asked);
     CPPUNIT_ASSERT(*view.ProofAge() == 3500ms);
@@ -129,7 +129,7 @@
   void Copy_OlderUpstreams_ArePassedOver() {
     view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
     ClusterCopy copy;
-    copy.upstreams.emplace().at = 40;
+    copy.upstreams.emplace().at = {40};
     view.OnCopy(copy, clock.Now());
     CPPUNIT_ASSERT(view.Directory().Find("i1") != nullptr);
   }
@@ -140,7 +140,7 @@
     view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
     ClusterView newer{*decoder, *this, clock};
     newer.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 60});
-    view.OnCopy(newer.CopyFor({0, 60, 0}), clock.Now());
+    view.OnCopy(newer.CopyFor({{}, {60}, {}, 0}), clock.Now());
     CPPUNIT_ASSERT(view.Directory().Find("i1") != nullptr);
   }
 
@@ -162,11 +162,12 @@
     CPPUNIT_ASSERT(view.Directory().Find("i1")->IsUsable(clock.Now()));
     CPPUNIT_ASSERT(view.Directory().Find("i2") == nullptr);
     CPPUNIT_ASSERT(view.Directory().Find("i3") != nullptr);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{60}, view.Revisions().upstreams);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{60}, view.Revisions().upstreams.number);
     // What was taken can be told on: as changes to one who knows the list as
     // of the last whole read, whole to a newcomer.
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                         view.CopyFor({0, 50, 0}).upstreams->removed.size());
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{1},
+        view.CopyFor({{}, {50}, {}, 0}).upstreams->removed.size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{2},
                          view.CopyFor({}).upstreams->items.size());
   }
@@ -175,7 +176,7 @@
   // to the asker.
   void Copy_FromBeforeAWholeRead_IsWhole() {
     view.OnUpstreams({{{"i1", EntryText("ready"), 5}}, 50});
-    CPPUNIT_ASSERT(view.CopyFor({0, 40, 0}).upstreams->isWhole);
+    CPPUNIT_ASSERT(view.CopyFor({{}, {40}, {}, 0}).upstreams->isWhole);
     ClusterView asker{*decoder, *this, clock};
     asker.OnUpstreams({{{"i9", EntryText("ready"), 39}}, 40});
     asker.OnCopy(view.CopyFor(asker.Revisions()), clock.Now());
@@ -225,10 +226,10 @@
     view.OnUpstreamEvents({{{{"i3", EntryText("ready"), 58}, false}}, 60});
     asker.OnCopy(view.CopyFor(asker.Revisions()), clock.Now());
     CPPUNIT_ASSERT(asker.Directory().Find("i2") != nullptr);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, asker.Revisions().upstreams);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, asker.Revisions().upstreams.number);
     asker.OnCopy(view.CopyFor(asker.Revisions()), clock.Now());
     CPPUNIT_ASSERT(asker.Directory().Find("i2") == nullptr);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{60}, asker.Revisions().upstreams);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{60}, asker.Revisions().upstreams.number);
   }
 
   void Copy_OfDaemons_TellsRemovals() {
@@ -249,7 +250,7 @@
     view.OnListsProven(clock.Now());
     clock.Advance(3s);
     ClusterCopy copy;
-    copy.configRevision = 20;
+    copy.configRevision = {20};
     copy.proofAge = 100ms;
     view.OnCopy(copy, clock.Now());
     CPPUNIT_ASSERT(*view.ProofAge() == 100ms);
@@ -271,7 +272,7 @@
   void Daemons_OlderList_IsPassedOver() {
     view.OnDaemons({{{"members/a", "{}", 5}}, 50});
     ClusterCopy copy;
-    copy.daemons.emplace().at = 40;
+    copy.daemons.emplace().at = {40};
     view.OnCopy(copy, clock.Now());
     CPPUNIT_ASSERT_EQUAL(std::string("{}"),
                          view.Daemons().ValueOf("members/a"));
@@ -282,7 +283,7 @@
     view.OnDaemons({{{"members/a", "{}", 70}}, 80});
     view.OnDaemonEvents({{{{"members/a", "", 60}, true}}, 60});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, view.Daemons().Items().size());
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{80}, view.Daemons().At());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{80}, view.Daemons().At().number);
   }
 
   void Upstream_Draining_GetsNoWork() {
@@ -321,7 +322,7 @@
     view.OnStoreReached(false);
     clock.Advance(5s);
     ClusterCopy copy;
-    copy.upstreams.emplace().at = 60;
+    copy.upstreams.emplace().at = {60};
     view.OnCopy(copy, clock.Now());
     CPPUNIT_ASSERT(view.Directory().Find("i1") != nullptr);
     clock.Advance(400ms);
@@ -345,7 +346,7 @@
                       50});
     view.OnStoreReached(false);
     ClusterCopy copy;
-    copy.upstreams.emplace().at = 60;
+    copy.upstreams.emplace().at = {60};
     copy.upstreams->isWhole = false;
     copy.upstreams->removed = {"i2"};
     view.OnCopy(copy, clock.Now());
--- a/UnitTests/DaemonEntryTest.cpp
+++ b/UnitTests/DaemonEntryTest.cpp
@@ -10,15 +10,15 @@
  public:
   void Range(const std::string&, Done<StoreRange>) override {}
   void RangeStale(const std::string&, Done<StoreRange>) override {}
-  void Watch(const std::string&, std::uint64_t, Micros,
+  void Watch(const std::string&, StoreRevision, Micros,
              Done<StoreEvents>) override {}
   void Commit(StoreChange aChange, Done<StoreCommit> aDone) override {
     this->calls += 1;
     if (aChange.expected != this->revision) {
-      aDone(StoreCommit{false, 0, StoreItem{aChange.key, "", this->revision}});
+      aDone(StoreCommit{false, {}, StoreItem{aChange.key, "", this->revision}});
       return;
     }
-    this->revision += 1;
+    this->revision.number += 1;
     aDone(StoreCommit{true, this->revision, std::nullopt});
   }
   void Grant(Micros, Done<std::uint64_t> aDone) override {
@@ -42,7 +42,7 @@
   int calls = 0;
   int grants = 0;
   int ends = 0;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   bool isAway = false;
 };
 
@@ -54,6 +54,8 @@
   CPPUNIT_TEST(Keep_StoreAway_AsksEverLessOften);
   CPPUNIT_TEST(Entries_OwnOneGone_IsWrittenAgain);
   CPPUNIT_TEST(End_EntryKept_IsTakenBackForGood);
+  CPPUNIT_TEST(Restored_Store_GetsTheEntryWithinASecond);
+  CPPUNIT_TEST(Restored_Store_IsNotWrittenByAllAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
   FakeClock clock;
@@ -114,9 +116,9 @@
   }
 
   void Keep_EntryOfAnEarlierProcess_IsReplaced() {
-    store.revision = 9;
+    store.revision = {9};
     this->Run(1s);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, store.revision);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, store.revision.number);
     CPPUNIT_ASSERT_EQUAL(3, store.calls);
   }
 
@@ -136,11 +138,47 @@
     CPPUNIT_ASSERT_EQUAL(1, store.grants);
     entry->OnEntries(this->Listed());
     entry->OnEntries({});
-    store.revision = 0;
+    store.revision = {};
     this->Run(1s);
     CPPUNIT_ASSERT_EQUAL(2, store.grants);
   }
 
+  // Its lease is gone without a word for up to two minutes.
+  void Restored_Store_GetsTheEntryWithinASecond() {
+    this->Run(1s);
+    store.revision = {};
+    Random random{7};
+    entry->OnRestored(random);
+    this->Run(1250ms);
+    CPPUNIT_ASSERT_EQUAL(2, store.grants);
+    CPPUNIT_ASSERT(!store.revision.IsNone());
+  }
+
+  void Restored_Store_IsNotWrittenByAllAtOnce() {
+    constexpr int kDaemons = 300;
+    Random random{7};
+    std::vector<std::unique_ptr<EntryStore>> stores;
+    std::vector<std::unique_ptr<DaemonEntry>> entries;
+    for (int i = 0; i < kDaemons; ++i) {
+      stores.push_back(std::make_unique<EntryStore>());
+      entries.push_back(
+          std::make_unique<DaemonEntry>(settings, *stores.back(), clock));
+      entries.back()->OnRestored(random);
+    }
+    int most = 0;
+    for (int step = 0; step < 20; ++step) {
+      int calls = 0;
+      for (std::size_t i = 0; i < entries.size(); ++i) {
+        const int before = stores[i]->calls;
+        entries[i]->Keep();
+        calls += stores[i]->calls - before;
+      }
+      most = std::max(most, calls);
+      clock.Advance(50ms);
+    }
+    CPPUNIT_ASSERT(most < kDaemons / 4);
+  }
+
   void End_EntryKept_IsTakenBackForGood() {
     this->Run(1s);
     entry->OnEntries(this->Listed());
--- a/UnitTests/EdgePeerMessageTest.cpp
+++ b/UnitTests/EdgePeerMessageTest.cpp
@@ -54,11 +54,13 @@
 
   void Message_Lists_ReadAsWritten() {
     ClusterGive give;
+    give.era = 3;
     give.question = 9;
+    give.copy.configVersion = 12;
     ListCopy& list = give.copy.upstreams.emplace();
-    list.at = 60;
+    list.at = {60, 3};
     list.isWhole = false;
-    list.items = {{"i1", "text", 58}};
+    list.items = {{"i1", "text", {58, 3}}};
     list.removed = {"i2", "i3"};
     list.grace = 900ms;
     list.digest = 77;
@@ -66,10 +68,11 @@
     const ClusterCopy& copy = std::get<ClusterGive>(message.body).copy;
     CPPUNIT_ASSERT(!copy.daemons);
     CPPUNIT_ASSERT(!copy.proofAge && !copy.listsAge);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{60}, copy.upstreams->at);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, copy.configVersion);
+    CPPUNIT_ASSERT(copy.upstreams->at == StoreRevision({60, 3}));
     CPPUNIT_ASSERT(!copy.upstreams->isWhole);
     CPPUNIT_ASSERT_EQUAL(std::string("text"), copy.upstreams->items[0].value);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{58}, copy.upstreams->items[0].revision);
+    CPPUNIT_ASSERT(copy.upstreams->items[0].revision == StoreRevision({58, 3}));
     CPPUNIT_ASSERT_EQUAL(std::string("i3"), copy.upstreams->removed[1]);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{77}, copy.upstreams->digest);
     CPPUNIT_ASSERT(copy.upstreams->grace == 900ms);
--- a/UnitTests/ItemListTest.cpp
+++ b/UnitTests/ItemListTest.cpp
@@ -19,13 +19,13 @@
 class FakeStore {
  public:
   void Put(const std::string& aKey) {
-    this->revision += 1;
+    this->revision.number += 1;
     this->items[aKey] = {aKey, "v", this->revision};
     this->events.push_back({this->items[aKey], false});
   }
   void Remove(const std::string& aKey) {
     if (this->items.erase(aKey) > 0) {
-      this->revision += 1;
+      this->revision.number += 1;
       this->events.push_back({{aKey, "", this->revision}, true});
     }
   }
@@ -36,7 +36,7 @@
     }
     return range;
   }
-  StoreEvents Since(std::uint64_t aRevision) const {
+  StoreEvents Since(StoreRevision aRevision) const {
     StoreEvents since{{}, this->revision};
     for (const StoreEvent& event : this->events) {
       if (event.item.revision > aRevision) {
@@ -49,13 +49,13 @@
  private:
   StoreItems items;
   std::vector<StoreEvent> events;
-  std::uint64_t revision = 1;
+  StoreRevision revision{1};
 };
 
 std::string TextOf(const StoreItems& aItems) {
   std::string text;
   for (const auto& [key, item] : aItems) {
-    text += key + "@" + std::to_string(item.revision) + " ";
+    text += key + "@" + std::to_string(item.revision.number) + " ";
   }
   return text;
 }
@@ -74,7 +74,7 @@
     std::array<PrefixMirror, 4> mirrors;
     const auto ask = [&](std::size_t aAsker, std::size_t aTeller) {
       PrefixMirror& asker = mirrors[aAsker];
-      const std::uint64_t since = asker.List().AskSince();
+      const StoreRevision since = asker.List().AskSince();
       if (since < mirrors[aTeller].At()) {
         asker.OnCopy(mirrors[aTeller].List().CopySince(since));
       }
@@ -94,7 +94,7 @@
           mirrors[one].OnRange(store.Range());
           break;
         case 3:
-          if (mirrors[one].At() > 0) {
+          if (!mirrors[one].At().IsNone()) {
             mirrors[one].OnEvents(store.Since(mirrors[one].At()));
           }
           break;
@@ -133,12 +133,12 @@
     for (std::uint64_t i = 2; i < 4000; ++i) {
       events.events.push_back({{"k" + std::to_string(i), "", i}, true});
     }
-    events.at = 4000;
+    events.at = {4000};
     mirror.OnEvents(events);
-    CPPUNIT_ASSERT(mirror.List().CopySince(1).isWhole);
-    CPPUNIT_ASSERT(!mirror.List().CopySince(3900).isWhole);
+    CPPUNIT_ASSERT(mirror.List().CopySince({1}).isWhole);
+    CPPUNIT_ASSERT(!mirror.List().CopySince({3900}).isWhole);
     CPPUNIT_ASSERT_EQUAL(std::size_t{99},
-                         mirror.List().CopySince(3900).removed.size());
+                         mirror.List().CopySince({3900}).removed.size());
   }
 };
 
--- a/UnitTests/PeerMembersTest.cpp
+++ b/UnitTests/PeerMembersTest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(MayRely_OnListsThatWereOldWhenTold_IsFalse);
   CPPUNIT_TEST(Entries_OfAnotherProcess_StartAnew);
   CPPUNIT_TEST(Entries_ThatDoNotParse_AreLeftOut);
+  CPPUNIT_TEST(Restored_MembersThatTheCopyLacks_AreKeptForAWhile);
   CPPUNIT_TEST_SUITE_END();
 
   FakeClock clock;
@@ -46,6 +47,16 @@
   }
 
  public:
+  // Each daemon would be the first of its domain, and read all lists.
+  void Restored_MembersThatTheCopyLacks_AreKeptForAWhile() {
+    members->OnRestored();
+    this->Put({});
+    CPPUNIT_ASSERT(members->HasTeller());
+    clock.Advance(4s);
+    this->Put({});
+    CPPUNIT_ASSERT(!members->HasTeller());
+  }
+
   void setUp() override {
     settings.name = "d3";
     settings.failureDomain = "a";
--- a/UnitTests/PlacementKeeperTest.cpp
+++ b/UnitTests/PlacementKeeperTest.cpp
@@ -17,14 +17,16 @@
  public:
   void Range(const std::string&, Done<StoreRange>) override {}
   void RangeStale(const std::string&, Done<StoreRange>) override {}
-  void Watch(const std::string&, std::uint64_t, Micros,
+  void Watch(const std::string&, StoreRevision, Micros,
              Done<StoreEvents>) override {}
   void Commit(StoreChange, Done<StoreCommit> aDone) override {
-    aDone(StoreCommit{true, 7, std::nullopt});
+    aDone(StoreCommit{true, {7, this->era}, std::nullopt});
   }
   void Grant(Micros, Done<std::uint64_t> aDone) override { aDone(1); }
   void Renew(std::uint64_t, Done<bool> aDone) override { aDone(true); }
   void End(std::uint64_t, Done<bool> aDone) override { aDone(true); }
+
+  std::uint64_t era = 0;
 };
 
 /// Makes plans at once, or holds them until they are let go.
@@ -70,6 +72,8 @@
   CPPUNIT_TEST(Duty_PlanThatEndsLate_OrdersNothing);
   CPPUNIT_TEST(Duty_NewsWhileAPlanIsMade_IsPlannedNext);
   CPPUNIT_TEST(Duty_TwoModels_GapOfEachIsOrderedAway);
+  CPPUNIT_TEST(Duty_StoreRestored_IsVoidAndTakenWhenItsLeaseIsOver);
+  CPPUNIT_TEST(Duty_OfTwoEras_HasNotOneFence);
   CPPUNIT_TEST_SUITE_END();
 
   /// A service with a model of eight layers.
@@ -113,7 +117,7 @@
         std::to_string(aBorn) + "}";
     StoreEvents events;
     events.events.push_back({{aId, text, ++revision}, false});
-    events.at = revision;
+    events.at = {revision};
     view.OnUpstreamEvents(events);
   }
 
@@ -149,7 +153,7 @@
     this->Put("i1", 0, 8);
     this->Run(500ms);
     StoreRange none;
-    none.at = ++revision;
+    none.at = {++revision};
     view.OnUpstreams(none);
     this->Run(500ms);
     this->Put("i2", 0, 4);
@@ -284,6 +288,42 @@
     CPPUNIT_ASSERT(this->WasAsked("j1"));
   }
 
+  // Whoever held the duty goes on to give orders until it hears of the return.
+  void Duty_StoreRestored_IsVoidAndTakenWhenItsLeaseIsOver() {
+    this->Put("i1", 0, 8);
+    this->Run(500ms);
+    CPPUNIT_ASSERT(keeper->HasDuty());
+    keeper->OnRestored();
+    view.OnRestored(1);
+    CPPUNIT_ASSERT(!keeper->HasDuty());
+    this->Run(1750ms);
+    CPPUNIT_ASSERT(!keeper->HasDuty());
+    this->Run(750ms);
+    CPPUNIT_ASSERT(keeper->HasDuty());
+  }
+
+  // A plan that was begun in the earlier era gives no orders, though the
+  // revision of the duty is the same number.
+  void Duty_OfTwoEras_HasNotOneFence() {
+    plans.holds = true;
+    this->Put("i1", 0, 4);
+    this->Put("i2", 0, 4);
+    this->Run(500ms);
+    keeper->OnRestored();
+    store.era = 1;
+    keeper->OnHolder("");
+    plans.holds = false;
+    clock.Advance(1900ms);
+    keeper->Tick();
+    clock.Advance(100ms);
+    keeper->Tick();
+    CPPUNIT_ASSERT(keeper->HasDuty());
+    const int before = plans.started;
+    plans.LetGo();
+    CPPUNIT_ASSERT(control.asked.empty());
+    CPPUNIT_ASSERT_EQUAL(before, plans.started);
+  }
+
   bool WasAsked(const std::string& aId) const {
     return std::find(control.asked.begin(), control.asked.end(), aId) !=
            control.asked.end();
--- a/UnitTests/RelayFixture.h
+++ b/UnitTests/RelayFixture.h
@@ -111,7 +111,7 @@
 
   void Configure(const std::string& aText) {
     view.OnConfiguration({"", aText, 10});
-    view.OnProof(10, clock.Now());
+    view.OnProof({10}, clock.Now());
   }
 
   ScriptedUpstream& AddUpstream(const std::string& aService,
@@ -125,7 +125,7 @@
 
   void List(const std::string& aService, const std::string& aAddress,
             LayerRange aLayers = {0, 2}) {
-    const std::uint64_t revision = view.Revisions().upstreams + 1;
+    const std::uint64_t revision = view.Revisions().upstreams.number + 1;
     view.OnUpstreamEvents(
         {{{{"i" + std::to_string(revision),
             R"({"backend":")" + aService + R"(","address":")" + aAddress +
--- a/UnitTests/RelayTest.cpp
+++ b/UnitTests/RelayTest.cpp
@@ -197,7 +197,7 @@
     config.replace(config.find("\"resumable\":true"), 16,
                    "\"resumable\":false");
     view.OnConfiguration({"", config, 20});
-    view.OnProof(20, clock.Now());
+    view.OnProof({20}, clock.Now());
     this->AddUpstream("model", [&](const auto& aTo, const auto& aMessage) {
       aTo->BeginChunks(200, SealedHeaders(aMessage));
       aTo->AppendChunk("id: 1\ndata: a\n\n");
--- a/UnitTests/SilentStoreWatchTest.cpp
+++ b/UnitTests/SilentStoreWatchTest.cpp
@@ -33,7 +33,7 @@
       : loop(aLoop), clock(aClock) {}
 
   void Put(const std::string& aKey, const std::string& aValue) {
-    this->revision += 1;
+    this->revision.number += 1;
     this->items[aKey] = {aKey, aValue, this->revision};
     std::vector<Wait> all;
     all.swap(this->waits);
@@ -70,7 +70,7 @@
   void RangeStale(const std::string& aPrefix, Done<StoreRange> aDone) override {
     this->Range(aPrefix, std::move(aDone));
   }
-  void Watch(const std::string& aPrefix, std::uint64_t aAfter, Micros aWait,
+  void Watch(const std::string& aPrefix, StoreRevision aAfter, Micros aWait,
              Done<StoreEvents> aDone) override {
     this->watches += 1;
     if (aWait < kShortWait && this->hasLostHistory) {
@@ -105,7 +105,7 @@
  private:
   struct Wait {
     std::string prefix;
-    std::uint64_t after = 0;
+    StoreRevision after;
     Done<StoreEvents> done;
   };
 
@@ -136,7 +136,7 @@
   std::vector<Wait> waits;
   std::vector<Wait> silenced;
   bool hasLostHistory = false;
-  std::uint64_t revision = 10;
+  StoreRevision revision{10};
   bool isSilent = false;
 };
 
--- a/UnitTests/StoreFollowerTest.cpp
+++ b/UnitTests/StoreFollowerTest.cpp
@@ -19,13 +19,13 @@
     this->early += 1;
     this->Answer(std::move(aDone), this->lately);
   }
-  void Watch(const std::string&, std::uint64_t, Micros,
+  void Watch(const std::string&, StoreRevision, Micros,
              Done<StoreEvents>) override {
     this->watches += 1;
   }
   void Commit(StoreChange, Done<StoreCommit> aDone) override {
     this->proofs += 1;
-    this->Answer(std::move(aDone), StoreCommit{true, 0, std::nullopt});
+    this->Answer(std::move(aDone), StoreCommit{true, {}, std::nullopt});
   }
   void Grant(Micros, Done<std::uint64_t>) override {}
   void Renew(std::uint64_t, Done<bool>) override {}
@@ -128,7 +128,7 @@
   void Start_PeersFirst_ReadsTheListsAsTheyWereLately() {
     store.isAway = false;
     hasTeller = true;
-    store.lately.at = 7;
+    store.lately.at = {7};
     this->Begin(true);
     this->RunUntil([this] { return store.proofs >= 8; });
     CPPUNIT_ASSERT_EQUAL(2, store.early);
--- a/UnitTests/ToldChangesTest.cpp
+++ b/UnitTests/ToldChangesTest.cpp
@@ -18,29 +18,29 @@
  public:
   void setUp() override {
     for (const std::uint64_t revision : {7, 5, 6, 9}) {
-      told.Add(revision);
+      told.Add({revision});
     }
   }
 
   void WithoutGap_AllTold_IsTheLast() {
-    told.Add(8);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, told.WithoutGap(4));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, told.WithoutGap(6));
+    told.Add({8});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, told.WithoutGap({4}).number);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, told.WithoutGap({6}).number);
   }
 
   void WithoutGap_OneNotTold_IsTheOneBefore() {
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, told.WithoutGap(4));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, told.WithoutGap({4}).number);
   }
 
   void WithoutGap_NextNotTold_IsWhereItBegan() {
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, told.WithoutGap(3));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, told.WithoutGap(9));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, told.WithoutGap({3}).number);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, told.WithoutGap({9}).number);
   }
 
   void Forget_UpToARevision_KeepsLaterOnes() {
-    told.Forget(7);
+    told.Forget({7});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.Size());
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, told.WithoutGap(8));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, told.WithoutGap({8}).number);
   }
 };
 
--- a/Zincstep/Cluster/AsyncStore.h
+++ b/Zincstep/Cluster/AsyncStore.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "Zincstep/Cluster/StoreEras.h"
+#include "Zincstep/Cluster/StoreRevision.h"
 #include "Zincstep/Core/Core.h"
 
 namespace zincstep {
@@ -14,7 +16,7 @@
 struct StoreItem {
   std::string key;
   std::string value;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
 };
 
 /// All items under a prefix.
@@ -22,7 +24,7 @@
   std::vector<StoreItem> items;
   /// The store's revision when the first page was read: a watch that goes
   /// on from there misses nothing.
-  std::uint64_t at = 0;
+  StoreRevision at;
 };
 
 /// One change under a watched prefix.
@@ -35,14 +37,14 @@
 /// Changes under a watched prefix, none where the wait has passed.
 struct StoreEvents {
   std::vector<StoreEvent> events;
-  std::uint64_t at = 0;
+  StoreRevision at;
 };
 
 /// A change that takes place if a key's revision is as expected.
 struct StoreChange {
   std::string key;
-  /// 0: the key must not be there.
-  std::uint64_t expected = 0;
+  /// None: the key must not be there.
+  StoreRevision expected;
   /// None: nothing is written, the condition alone is checked.
   std::optional<std::string> value;
   std::uint64_t lease = 0;
@@ -53,7 +55,7 @@
   bool done = false;
   /// The revision of the store that it left; where nothing was written, the one
   /// that the store has.
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   /// Where not done: the item as it is; none where there is no such key.
   std::optional<StoreItem> present;
 };
@@ -61,7 +63,10 @@
 /// The platform's store, called without waiting, on the loop's thread.
 ///
 /// Failures: `PlatformUnavailable` where nobody knows whether a call took
-/// effect, `HistoryLost` where a watch cannot go on, `LeaseLost`.
+/// effect, `HistoryLost` where a watch cannot go on, `LeaseLost`,
+/// `StoreRestored` where the store came back from a copy since the call began,
+/// or the call is about a revision of an earlier era: nobody knows what became
+/// of it, and what it asked about is void.
 class AsyncStore {
  public:
   template <class T>
@@ -76,7 +81,7 @@
   virtual void RangeStale(const std::string& aPrefix,
                           Done<StoreRange> aDone) = 0;
   /// Waits for changes after a revision, at most `aWait`.
-  virtual void Watch(const std::string& aPrefix, std::uint64_t aAfter,
+  virtual void Watch(const std::string& aPrefix, StoreRevision aAfter,
                      Micros aWait, Done<StoreEvents> aDone) = 0;
   /// Makes a change, or checks its condition alone.
   virtual void Commit(StoreChange aChange, Done<StoreCommit> aDone) = 0;
--- a/Zincstep/Cluster/ClusterView.cpp
+++ b/Zincstep/Cluster/ClusterView.cpp
@@ -14,6 +14,16 @@
 /// peer tells that so many are missing, their entries have lapsed. Fewer may
 /// have left, and get no work from then on.
 constexpr double kLapsedShare = 0.5;
+/// An upstream that was gone and stands in a list which the store has from a
+/// copy is not used for so long: one that lives writes within a second or two,
+/// and the entry of one that has ended goes after three that it has missed.
+constexpr Micros kReturnDoubt = 4s;
+/// Time for the operators to write again what the copy lacks. Proofs from
+/// before go on to count meanwhile, and are old after five seconds.
+constexpr Micros kProofDoubt = 1500ms;
+/// For so long an incarnation that has gone is remembered: longer than a copy
+/// is old.
+constexpr Micros kGoneRemembered = 60s;
 
 }  // namespace
 
@@ -21,38 +31,112 @@
                          ClusterListener& aListener, const Clock& aClock)
     : decoder(aDecoder), listener(aListener), clock(aClock) {}
 
+bool ClusterView::IsNewer(std::uint64_t aVersion, StoreRevision aFound) const {
+  if (!this->table) {
+    return true;
+  }
+  // Inside one era the store's order holds, whatever the versions; a copy from
+  // before may hold what has been replaced.
+  const bool isOfOneEra = aFound.era == this->configEra;
+  return isOfOneEra || aVersion >= this->ConfigVersion();
+}
+
 void ClusterView::OnConfiguration(const StoreItem& aItem) {
-  if (aItem.revision <= this->config.revision ||
+  this->NoteEra(aItem.revision);
+  if (aItem.revision <= this->configFoundAt ||
       aItem.revision == this->refusedRevision) {
     return;
   }
+  if (this->table && aItem.value == this->configText) {
+    this->configFoundAt = aItem.revision;
+    this->configEra = aItem.revision.era;
+    return;
+  }
   auto decoded = this->decoder.DecodeConfiguration(aItem.value);
   if (!decoded) {
     this->refusedRevision = aItem.revision;
     LogWarning("configuration_refused",
-               {{"revision", aItem.revision},
-                {"kept_revision", this->config.revision},
+               {{"revision", aItem.revision.number},
+                {"era", aItem.revision.era},
+                {"kept_version", this->ConfigVersion()},
                 {"reason", decoded.error().message}});
     return;
   }
-  this->config = aItem;
-  this->table = std::make_shared<const RouteTable>(std::move(*decoded));
+  this->configFoundAt = aItem.revision;
+  if (!this->IsNewer(decoded->version, aItem.revision)) {
+    LogWarning("configuration_older",
+               {{"revision", aItem.revision.number},
+                {"era", aItem.revision.era},
+                {"version", decoded->version},
+                {"kept_version", this->ConfigVersion()}});
+    return;
+  }
+  this->SetInForce(aItem.value, std::move(*decoded), aItem.revision);
+}
+
+void ClusterView::SetInForce(std::string aText,
+                             RouteConfiguration aConfiguration,
+                             StoreRevision aFound) {
+  this->configText = std::move(aText);
+  this->configEra = aFound.era;
+  this->table = std::make_shared<const RouteTable>(std::move(aConfiguration));
   LogInfo("configuration_in_force",
-          {{"revision", aItem.revision},
+          {{"revision", aFound.number},
+           {"era", aFound.era},
            {"version", this->table->Configuration().version},
            {"routes", this->table->Configuration().routes.size()}});
   this->listener.OnConfiguration();
 }
 
-void ClusterView::OnProof(std::uint64_t aRevision, Instant aBegan) {
-  if (aRevision > this->config.revision || aRevision == 0) {
+void ClusterView::OnLostConfiguration(const ClusterCopy& aCopy) {
+  auto decoded = this->decoder.DecodeConfiguration(aCopy.configText);
+  if (decoded && decoded->version > this->ConfigVersion()) {
+    this->SetInForce(aCopy.configText, std::move(*decoded), {});
+  }
+}
+
+void ClusterView::OnProof(StoreRevision aRevision, Instant aBegan) {
+  if (aRevision > this->configFoundAt || aRevision.IsNone()) {
     return;  // That one has withdrawn what this one still grants.
   }
+  if (aRevision.era < this->era || aBegan < this->doubtsProofsUntil) {
+    return;
+  }
+  if (this->awaitsPeersUntil) {
+    this->heldProof = HeldProof{aRevision, aBegan};
+    return;
+  }
   if (!this->proofBegan || *this->proofBegan < aBegan) {
     this->proofBegan = aBegan;
   }
 }
 
+void ClusterView::OnRestored(std::uint64_t aEra) {
+  const Instant now = this->clock.Now();
+  this->era = aEra;
+  this->configFoundAt = {};
+  this->refusedRevision = {};
+  this->heldProof.reset();
+  this->doubtsProofsUntil = now + kProofDoubt;
+  this->storeBackAt = now;
+}
+
+void ClusterView::AwaitPeers(Instant aUntil) {
+  this->awaitsPeersUntil = aUntil;
+}
+
+void ClusterView::OnPeersHeard() {
+  if (!this->awaitsPeersUntil) {
+    return;
+  }
+  this->awaitsPeersUntil.reset();
+  if (this->heldProof) {
+    const HeldProof held = *this->heldProof;
+    this->heldProof.reset();
+    this->OnProof(held.revision, held.began);
+  }
+}
+
 std::optional<Micros> ClusterView::ProofAge() const {
   if (!this->proofBegan) {
     return std::nullopt;
@@ -60,7 +144,28 @@
   return this->clock.Now() - *this->proofBegan;
 }
 
-void ClusterView::Put(const StoreItem& aItem) {
+ClusterView::ToldBy ClusterView::ToldByList(StoreRevision aAt) const {
+  const StoreRevision known = this->entries.At();
+  return !known.IsNone() && known.era < aAt.era ? ToldBy::RestoredList
+                                                : ToldBy::News;
+}
+
+void ClusterView::KeepLeaving(UpstreamEntry& aEntry) const {
+  const UpstreamPtr known = this->directory.Find(aEntry.id);
+  if (known && known->Entry().Incarnation() == aEntry.Incarnation() &&
+      known->Entry().state == Availability::Draining) {
+    aEntry.state = Availability::Draining;
+  }
+}
+
+void ClusterView::DoubtReturn(LiveUpstream& aUpstream) {
+  if (this->lately.contains(aUpstream.Number())) {
+    LogInfo("upstream_return_doubted", {{"upstream", aUpstream.Entry().id}});
+    aUpstream.PassOver(this->clock.Now() + kReturnDoubt);
+  }
+}
+
+void ClusterView::Put(const StoreItem& aItem, ToldBy aToldBy) {
   if (!this->entries.Put(aItem)) {
     return;
   }
@@ -68,7 +173,7 @@
   auto decoded = this->decoder.DecodeUpstream(aItem.key, aItem.value);
   if (!decoded) {
     LogWarning("upstream_refused", {{"upstream", aItem.key},
-                                    {"revision", aItem.revision},
+                                    {"revision", aItem.revision.number},
                                     {"reason", decoded.error().message}});
     // Whoever it named before is not known to be there any more.
     this->wrongEntries.insert(aItem.key);
@@ -76,6 +181,10 @@
     return;
   }
   this->wrongEntries.erase(aItem.key);
+  const bool isRestored = aToldBy == ToldBy::RestoredList;
+  if (isRestored) {
+    this->KeepLeaving(*decoded);
+  }
   LogInfo("upstream_changed",
           {{"upstream", decoded->id},
            {"service", decoded->service},
@@ -85,9 +194,12 @@
            {"first_layer", decoded->layers.first},
            {"last_layer", decoded->layers.last},
            {"born", decoded->born},
-           {"revision", aItem.revision}});
+           {"revision", aItem.revision.number}});
   this->directory.Put(std::move(*decoded), this->clock.Now());
   if (const UpstreamPtr upstream = this->directory.Find(aItem.key)) {
+    if (isRestored) {
+      this->DoubtReturn(*upstream);
+    }
     this->listener.OnUpstream(upstream);
   }
 }
@@ -109,10 +221,12 @@
   const Instant graceEnd = std::max(own, now + aCopy.grace);
   const std::set<std::string> lapsed =
       graceEnd > now ? this->LapsedDomains(aIds) : std::set<std::string>();
+  const bool isRestored = this->ToldByList(aCopy.at) == ToldBy::RestoredList;
   for (const std::string& id : aIds) {
     const UpstreamPtr upstream = this->directory.Find(id);
     const bool isLapse =
-        upstream && lapsed.contains(upstream->Entry().failureDomain);
+        isRestored ||
+        (upstream && lapsed.contains(upstream->Entry().failureDomain));
     this->Missing(id, aCopy.at, isLapse ? graceEnd : now);
   }
 }
@@ -139,7 +253,7 @@
   return lapsed;
 }
 
-void ClusterView::Missing(const std::string& aId, std::uint64_t aRevision,
+void ClusterView::Missing(const std::string& aId, StoreRevision aRevision,
                           Instant aGraceEnd) {
   this->entries.Remove(aId, aRevision);
   this->wrongEntries.erase(aId);
@@ -156,7 +270,8 @@
           this->directory.Remove(aId, this->clock.Now())) {
     LogInfo("upstream_gone", {{"upstream", aId},
                               {"address", upstream->Entry().address},
-                              {"at", this->entries.At()}});
+                              {"at", this->entries.At().number}});
+    this->lately[upstream->Number()] = this->clock.Now();
     this->listener.OnUpstream(upstream);
   }
 }
@@ -165,8 +280,10 @@
   if (aRange.at < this->entries.At()) {
     return;
   }
+  this->NoteEra(aRange.at);
+  const ToldBy told = this->ToldByList(aRange.at);
   for (const StoreItem& item : aRange.items) {
-    this->Put(item);
+    this->Put(item, told);
   }
   for (const std::string& id : this->entries.AbsentFrom(aRange.items)) {
     this->Missing(id, aRange.at, this->GraceEnd());
@@ -178,9 +295,11 @@
   if (!this->entries.IsNews(aCopy)) {
     return;
   }
+  this->NoteEra(aCopy.at);
+  const ToldBy told = this->ToldByList(aCopy.at);
   this->RemoveTold(this->entries.TakenBy(aCopy), aCopy);
   for (const StoreItem& item : aCopy.items) {
-    this->Put(item);
+    this->Put(item, told);
   }
   this->entries.Complete(aCopy);
 }
@@ -199,6 +318,7 @@
 void ClusterView::OnCopy(const ClusterCopy& aCopy, Instant aAsked) {
   if (!aCopy.configText.empty()) {
     this->OnConfiguration({"", aCopy.configText, aCopy.configRevision});
+    this->OnLostConfiguration(aCopy);
   }
   if (aCopy.proofAge) {
     this->OnProof(aCopy.configRevision, aAsked - *aCopy.proofAge);
@@ -217,6 +337,7 @@
 }
 
 void ClusterView::OnDaemons(const StoreRange& aRange) {
+  this->NoteEra(aRange.at);
   this->daemons.OnRange(aRange);
   this->listener.OnDaemonEntries();
 }
@@ -242,8 +363,12 @@
 }
 
 KnownRevisions ClusterView::Revisions() const {
-  return {this->config.revision, this->entries.AskSince(),
-          this->daemons.List().AskSince()};
+  // What was known in an earlier era is of no use to whoever tells.
+  const auto known = [this](StoreRevision aRevision) {
+    return aRevision.era == this->era ? aRevision : StoreRevision{};
+  };
+  return {this->configFoundAt, known(this->entries.AskSince()),
+          known(this->daemons.List().AskSince()), this->ConfigVersion()};
 }
 
 void ClusterView::OnStoreReached(bool aReached) {
@@ -274,22 +399,36 @@
   for (const std::string& id : gone) {
     this->Remove(id);
   }
+  std::erase_if(this->lately, [now](const auto& aEntry) {
+    return now - aEntry.second > kGoneRemembered;
+  });
+  if (this->awaitsPeersUntil && now >= *this->awaitsPeersUntil) {
+    this->OnPeersHeard();
+  }
 }
 
 ClusterCopy ClusterView::CopyFor(const KnownRevisions& aKnown) const {
   ClusterCopy copy;
-  copy.configRevision = this->config.revision;
-  copy.proofAge = this->ProofAge();
-  copy.listsAge = this->ListsAge();
-  if (aKnown.config < this->config.revision) {
-    copy.configText = this->config.value;
-  }
-  if (aKnown.upstreams < this->entries.At()) {
+  copy.configRevision = this->configFoundAt;
+  copy.configVersion = this->ConfigVersion();
+  copy.proofAge =
+      this->configFoundAt.IsNone() ? std::nullopt : this->ProofAge();
+  if (aKnown.config < this->configFoundAt ||
+      aKnown.configVersion < this->ConfigVersion()) {
+    copy.configText = this->configText;
+  }
+  // Lists of an earlier era are nobody's news.
+  const bool tellsUpstreams = this->entries.At().era == this->era;
+  const bool tellsDaemons = this->daemons.At().era == this->era;
+  if (tellsUpstreams && tellsDaemons) {
+    copy.listsAge = this->ListsAge();
+  }
+  if (tellsUpstreams && aKnown.upstreams < this->entries.At()) {
     copy.upstreams = this->entries.CopySince(aKnown.upstreams);
     copy.upstreams->grace =
         std::max(Micros{0}, this->GraceEnd() - this->clock.Now());
   }
-  if (aKnown.daemons < this->daemons.At()) {
+  if (tellsDaemons && aKnown.daemons < this->daemons.At()) {
     copy.daemons = this->daemons.List().CopySince(aKnown.daemons);
   }
   return copy;
--- a/Zincstep/Cluster/ClusterView.h
+++ b/Zincstep/Cluster/ClusterView.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -39,7 +40,11 @@
 
 /// Everything that one daemon can tell another of the cluster.
 struct ClusterCopy {
-  std::uint64_t configRevision = 0;
+  /// Where the teller found the store's configuration last.
+  StoreRevision configRevision;
+  /// Version of the configuration in force there; 0: none.
+  std::uint64_t configVersion = 0;
+  /// That configuration; empty where the asker has it.
   std::string configText;
   /// Age of the proof that no newer configuration exists.
   std::optional<Micros> proofAge;
@@ -53,9 +58,10 @@
 
 /// What an asker of a copy has already, by the store's revisions.
 struct KnownRevisions {
-  std::uint64_t config = 0;
-  std::uint64_t upstreams = 0;
-  std::uint64_t daemons = 0;
+  StoreRevision config;
+  StoreRevision upstreams;
+  StoreRevision daemons;
+  std::uint64_t configVersion = 0;
 };
 
 /// What a daemon believes of configuration, upstreams and other daemons, and
@@ -68,6 +74,11 @@
 /// such a proof, began. That the lists of upstreams and daemons are up to the
 /// store is proved apart: a peer that has a fresh proof of the configuration
 /// may have lost whoever told it of the lists.
+///
+/// Where the store comes back from a copy, its revisions tell nothing of what
+/// was known before. What is known stays in use until it is told anew; the
+/// configuration never goes back to a lower version, and an upstream that was
+/// leaving or gone stays so until it has had time to write again.
 class ClusterView {
  public:
   ClusterView(const ClusterDecoder& aDecoder, ClusterListener& aListener,
@@ -78,7 +89,14 @@
   /// The configuration of `aRevision` was the newest one at `aBegan`. That goes
   /// on to hold for a newer one that came into force since: whatever neither of
   /// them tells was changed after `aBegan`.
-  void OnProof(std::uint64_t aRevision, Instant aBegan);
+  void OnProof(StoreRevision aRevision, Instant aBegan);
+  /// The store has come back from a copy, and is in that era.
+  void OnRestored(std::uint64_t aEra);
+  /// No proof counts from now on until a peer has answered or `aUntil`: one
+  /// that lives may know a configuration that the store has lost.
+  void AwaitPeers(Instant aUntil);
+  /// A peer has answered, and this daemon has no older configuration.
+  void OnPeersHeard();
   /// All upstreams' entries as of `aRange.at`; keys are their ids.
   void OnUpstreams(const StoreRange& aRange);
   /// Changes of upstreams' entries.
@@ -106,13 +124,18 @@
 
   /// The configuration in force, or null before the first.
   const std::shared_ptr<const RouteTable>& Table() const { return this->table; }
-  std::uint64_t ConfigRevision() const { return this->config.revision; }
+  std::uint64_t ConfigVersion() const {
+    return this->table ? this->table->Configuration().version : 0;
+  }
+  /// Where the store has the newest configuration, as it was found last; none:
+  /// it is not known in this era.
+  StoreRevision ConfigFoundAt() const { return this->configFoundAt; }
   /// Age of the proof that the configuration is the newest; none: no proof.
   std::optional<Micros> ProofAge() const;
   /// Age of the proof that the lists are up to the store; none: no proof.
   std::optional<Micros> ListsAge() const;
   /// Whether any list of upstreams is known, however old.
-  bool KnowsUpstreams() const { return this->entries.At() > 0; }
+  bool KnowsUpstreams() const { return !this->entries.At().IsNone(); }
   /// Entries that name no upstream, as they cannot be read.
   std::size_t WrongEntries() const { return this->wrongEntries.size(); }
   const UpstreamDirectory& Directory() const { return this->directory; }
@@ -121,11 +144,36 @@
 
  private:
   void OnUpstreamCopy(const ListCopy& aCopy);
-  void Put(const StoreItem& aItem);
+  /// Whether a configuration of that version goes before the one in force.
+  bool IsNewer(std::uint64_t aVersion, StoreRevision aFound) const;
+  /// A peer has a configuration of a higher version than the store was found to
+  /// have, whose copy has lost it.
+  void OnLostConfiguration(const ClusterCopy& aCopy);
+  void SetInForce(std::string aText, RouteConfiguration aConfiguration,
+                  StoreRevision aFound);
+  /// The first that is heard of a store tells its era.
+  void NoteEra(StoreRevision aRevision) {
+    this->era = std::max(this->era, aRevision.era);
+  }
+  /// How an entry was told.
+  enum class ToldBy {
+    /// As a change, or in a list of the era that was known before.
+    News,
+    /// In the first list after the store has come back: it may be as the copy
+    /// has it, seconds old.
+    RestoredList,
+  };
+  void Put(const StoreItem& aItem, ToldBy aToldBy = ToldBy::News);
+  /// How entries of a list as of that revision are told.
+  ToldBy ToldByList(StoreRevision aAt) const;
+  /// An entry of a restored list takes nothing back that was known of leaving.
+  void KeepLeaving(UpstreamEntry& aEntry) const;
+  /// One that was gone before is not used until it has had time to write.
+  void DoubtReturn(LiveUpstream& aUpstream);
   /// Until when a missing entry says nothing; in the past where it does.
   Instant GraceEnd() const;
   /// The list has lost an entry; the upstream is kept until then.
-  void Missing(const std::string& aId, std::uint64_t aRevision,
+  void Missing(const std::string& aId, StoreRevision aRevision,
                Instant aGraceEnd);
   /// A peer's copy lacks those.
   void RemoveTold(const std::vector<std::string>& aIds, const ListCopy& aCopy);
@@ -138,11 +186,28 @@
   const ClusterDecoder& decoder;
   ClusterListener& listener;
   const Clock& clock;
-  StoreItem config;
+  /// The present era of the store, as far as it is known here.
+  std::uint64_t era = 0;
+  /// Text of the configuration in force, and the era that it was taken in.
+  std::string configText;
+  std::uint64_t configEra = 0;
+  StoreRevision configFoundAt;
   std::shared_ptr<const RouteTable> table;
   /// Revision of a configuration that did not parse, to read it once only.
-  std::uint64_t refusedRevision = 0;
+  StoreRevision refusedRevision;
   std::optional<Instant> proofBegan;
+  /// A proof that counts once the peers were heard.
+  struct HeldProof {
+    StoreRevision revision;
+    Instant began;
+  };
+  std::optional<HeldProof> heldProof;
+  std::optional<Instant> awaitsPeersUntil;
+  /// No proof counts that began before: what the operators had written may not
+  /// be written again yet.
+  Instant doubtsProofsUntil{};
+  /// Incarnations that have gone lately, by their numbers, and when.
+  std::map<std::uint64_t, Instant> lately;
   UpstreamDirectory directory;
   /// Upstreams' entries as the store holds them, by id.
   ItemList entries;
--- a/Zincstep/Cluster/CountedStore.cpp
+++ b/Zincstep/Cluster/CountedStore.cpp
@@ -22,7 +22,7 @@
   this->store.RangeStale(aPrefix, std::move(aDone));
 }
 
-void CountedStore::Watch(const std::string& aPrefix, std::uint64_t aAfter,
+void CountedStore::Watch(const std::string& aPrefix, StoreRevision aAfter,
                          Micros aWait, Done<StoreEvents> aDone) {
   this->Count(StoreCall::Watch);
   this->store.Watch(aPrefix, aAfter, aWait, std::move(aDone));
--- a/Zincstep/Cluster/CountedStore.h
+++ b/Zincstep/Cluster/CountedStore.h
@@ -42,7 +42,7 @@
 
   void Range(const std::string& aPrefix, Done<StoreRange> aDone) override;
   void RangeStale(const std::string& aPrefix, Done<StoreRange> aDone) override;
-  void Watch(const std::string& aPrefix, std::uint64_t aAfter, Micros aWait,
+  void Watch(const std::string& aPrefix, StoreRevision aAfter, Micros aWait,
              Done<StoreEvents> aDone) override;
   void Commit(StoreChange aChange, Done<StoreCommit> aDone) override;
   void Grant(Micros aTtl, Done<std::uint64_t> aDone) override;
--- a/Zincstep/Cluster/ItemList.cpp
+++ b/Zincstep/Cluster/ItemList.cpp
@@ -12,10 +12,19 @@
 /// third of 3,000 upstreams may go in one second with their failure domain.
 constexpr std::size_t kMostRemovals = 2048;
 
+/// Revisions of one era stay below this power of two.
+constexpr int kEraShift = 48;
+
 /// An item's share of the digest; shares are added, so that their order does
 /// not matter.
 std::uint64_t DigestOf(const StoreItem& aItem) {
-  return Hash64(aItem.key, aItem.revision);
+  const StoreRevision revision = aItem.revision;
+  return Hash64(aItem.key, revision.number ^ (revision.era << kEraShift));
+}
+
+/// The least revision behind another.
+StoreRevision NextOf(StoreRevision aRevision) {
+  return {aRevision.number + 1, aRevision.era};
 }
 
 }  // namespace
@@ -40,7 +49,7 @@
   return true;
 }
 
-void ItemList::Remove(const std::string& aKey, std::uint64_t aRevision) {
+void ItemList::Remove(const std::string& aKey, StoreRevision aRevision) {
   const auto found = this->items.find(aKey);
   if (found != this->items.end()) {
     this->Forget(found->second);
@@ -54,13 +63,13 @@
   }
 }
 
-void ItemList::Advance(std::uint64_t aAt) {
+void ItemList::Advance(StoreRevision aAt) {
   this->at = std::max(this->at, aAt);
 }
 
-void ItemList::Restart(std::uint64_t aAt) {
+void ItemList::Restart(StoreRevision aAt) {
   // One gap is remembered; what lies before an older one's end is given up.
-  const bool isFirst = this->at == 0;
+  const bool isFirst = this->at.IsNone();
   this->removalsSince =
       std::max(this->removalsSince, isFirst ? aAt : this->gapUpTo);
   this->gapAfter = this->at;
@@ -69,7 +78,7 @@
   this->isDoubtful = false;
 }
 
-bool ItemList::KnowsRemovalsSince(std::uint64_t aRevision) const {
+bool ItemList::KnowsRemovalsSince(StoreRevision aRevision) const {
   const bool isInGap = aRevision > this->gapAfter && aRevision < this->gapUpTo;
   return aRevision >= this->removalsSince && !isInGap;
 }
@@ -82,7 +91,7 @@
 }
 
 bool ItemList::HasNewer(const std::string& aKey,
-                        std::uint64_t aRevision) const {
+                        StoreRevision aRevision) const {
   const auto found = this->items.find(aKey);
   return found != this->items.end() && found->second.revision > aRevision;
 }
@@ -115,24 +124,25 @@
   if (this->digest == aCopy.digest) {
     return;
   }
-  LogWarning("list_differs", {{"at", this->at},
+  LogWarning("list_differs", {{"at", this->at.number},
+                              {"era", this->at.era},
                               {"items", this->items.size()},
                               {"told_whole", aCopy.isWhole}});
   this->isDoubtful = !aCopy.isWhole;
 }
 
-ListCopy ItemList::CopySince(std::uint64_t aSince) const {
+ListCopy ItemList::CopySince(StoreRevision aSince) const {
   ListCopy copy;
   copy.at = this->at;
   copy.digest = this->digest;
-  copy.isWhole = aSince == 0 || !this->KnowsRemovalsSince(aSince);
+  copy.isWhole = aSince.IsNone() || !this->KnowsRemovalsSince(aSince);
   if (copy.isWhole) {
     for (const auto& [key, item] : this->items) {
       copy.items.push_back(item);
     }
     return copy;
   }
-  for (auto changed = this->byRevision.lower_bound({aSince + 1, {}});
+  for (auto changed = this->byRevision.lower_bound({NextOf(aSince), {}});
        changed != this->byRevision.end(); ++changed) {
     copy.items.push_back(this->items.at(changed->second));
   }
--- a/Zincstep/Cluster/ItemList.h
+++ b/Zincstep/Cluster/ItemList.h
@@ -17,7 +17,7 @@
 /// A list as one daemon tells it another: whole, or what has changed.
 struct ListCopy {
   /// Revision of the store up to which it is complete.
-  std::uint64_t at = 0;
+  StoreRevision at;
   /// Whether all items are here; else those since the asker's revision.
   bool isWhole = true;
   std::vector<StoreItem> items;
@@ -36,24 +36,26 @@
  public:
   const StoreItems& Items() const { return this->items; }
   /// Revision up to which the list is complete.
-  std::uint64_t At() const { return this->at; }
-  /// Revision that a peer is to tell the changes since; 0 asks for all.
-  std::uint64_t AskSince() const { return this->isDoubtful ? 0 : this->at; }
+  StoreRevision At() const { return this->at; }
+  /// Revision that a peer is to tell the changes since; none asks for all.
+  StoreRevision AskSince() const {
+    return this->isDoubtful ? StoreRevision{} : this->at;
+  }
 
   /// Takes an item unless a newer one is known; gives whether it is news.
   bool Put(const StoreItem& aItem);
   /// An item went with that revision.
-  void Remove(const std::string& aKey, std::uint64_t aRevision);
+  void Remove(const std::string& aKey, StoreRevision aRevision);
   /// The list is complete up to `aAt`; an older revision is passed over.
-  void Advance(std::uint64_t aAt);
+  void Advance(StoreRevision aAt);
   /// The list was read whole as of `aAt`. What came and went since it was last
   /// complete is not known, so that nobody can be told changes from between.
-  void Restart(std::uint64_t aAt);
+  void Restart(StoreRevision aAt);
   /// Whether the list is known to lack something.
   bool IsDoubtful() const { return this->isDoubtful; }
 
   /// Whether an item is known of a later revision.
-  bool HasNewer(const std::string& aKey, std::uint64_t aRevision) const;
+  bool HasNewer(const std::string& aKey, StoreRevision aRevision) const;
   /// Keys that are not among `aPresent`.
   std::vector<std::string> AbsentFrom(
       const std::vector<StoreItem>& aPresent) const;
@@ -66,23 +68,23 @@
   /// differs from the peer's, the whole list is asked for next.
   void Complete(const ListCopy& aCopy);
   /// What a peer is told that has the list as of `aSince`.
-  ListCopy CopySince(std::uint64_t aSince) const;
+  ListCopy CopySince(StoreRevision aSince) const;
 
  private:
   void Forget(const StoreItem& aItem);
-  bool KnowsRemovalsSince(std::uint64_t aRevision) const;
+  bool KnowsRemovalsSince(StoreRevision aRevision) const;
 
   StoreItems items;
-  std::uint64_t at = 0;
+  StoreRevision at;
   /// Revisions with their keys: what has changed since, without a walk.
-  std::set<std::pair<std::uint64_t, std::string>> byRevision;
+  std::set<std::pair<StoreRevision, std::string>> byRevision;
   /// Removals, the last ones at the end.
-  std::deque<std::pair<std::uint64_t, std::string>> removals;
+  std::deque<std::pair<StoreRevision, std::string>> removals;
   /// All removals after this revision are known, but for the gap's.
-  std::uint64_t removalsSince = 0;
+  StoreRevision removalsSince;
   /// Between these revisions the last whole read may have missed some.
-  std::uint64_t gapAfter = 0;
-  std::uint64_t gapUpTo = 0;
+  StoreRevision gapAfter;
+  StoreRevision gapUpTo;
   std::uint64_t digest = 0;
   bool isDoubtful = false;
 };
--- a/Zincstep/Cluster/PlacementKeeper.cpp
+++ b/Zincstep/Cluster/PlacementKeeper.cpp
@@ -59,6 +59,17 @@
   });
 }
 
+void PlacementKeeper::OnRestored() {
+  const Instant now = this->clock.Now();
+  if (this->guard.IsHeld(now)) {
+    LogWarning("placement_duty_lost", {{"reason", "the store was restored"}});
+  }
+  this->guard.OnLost();
+  this->orders.Clear();
+  this->holder.clear();
+  this->nextAttempt = now + this->settings.lease.ttl;
+}
+
 void PlacementKeeper::TakeDuty() {
   const Instant sentAt = this->clock.Now();
   const bool isBarred = this->mayTake && !this->mayTake();
@@ -81,9 +92,11 @@
         this->store.Commit(take, [this, sentAt](Result<StoreCommit> aTaken) {
           this->isAsking = false;
           if (aTaken && aTaken->done) {
-            this->guard.OnTaken(aTaken->revision, sentAt);
+            this->fence = aTaken->revision;
+            this->guard.OnTaken(this->fence.number, sentAt);
             this->orders.Clear();
-            LogInfo("placement_duty_taken", {{"fence", aTaken->revision}});
+            LogInfo("placement_duty_taken",
+                    {{"fence", this->fence.number}, {"era", this->fence.era}});
           } else if (aTaken && aTaken->present) {
             this->holder = aTaken->present->value;
           }
@@ -229,8 +242,7 @@
 
 void PlacementKeeper::Plan(const RoutedService& aService,
                            PlacementSituation aSituation, Instant aNow) {
-  this->plannings[aService.name] = {true, false, false, aNow,
-                                    this->guard.Fence()};
+  this->plannings[aService.name] = {true, false, false, aNow, this->fence};
   PlanTask task{*aService.model, aSituation};
   this->plans.Start(std::move(task), [this, service = aService,
                                       situation = std::move(aSituation)](
@@ -250,7 +262,7 @@
     this->nextImprove = now + this->settings.improveShare * aPlan.taken;
   }
   const bool isLate = now - planning.since > this->settings.longestPlan;
-  const bool isOfTerm = planning.fence == this->guard.Fence();
+  const bool isOfTerm = planning.fence == this->fence;
   if (isLate || !isOfTerm || !this->guard.MayAct(now)) {
     LogInfo("placement_plan_dropped", {{"service", aService.name},
                                        {"taken_ms", aPlan.taken / 1ms},
--- a/Zincstep/Cluster/PlacementKeeper.h
+++ b/Zincstep/Cluster/PlacementKeeper.h
@@ -72,6 +72,9 @@
   void Tick();
   /// Gives up the duty, so that another daemon takes it at once.
   void Stop();
+  /// The store has come back from a copy: a duty that was held is void, and
+  /// nobody takes it while whoever held it may not know that yet.
+  void OnRestored();
 
   bool HasDuty() const { return this->guard.IsHeld(this->clock.Now()); }
 
@@ -87,7 +90,7 @@
     bool isDue = false;
     Instant since{};
     /// The holder's term that it was made in.
-    std::uint64_t fence = 0;
+    StoreRevision fence;
   };
 
   void Act(Instant aNow);
@@ -120,6 +123,8 @@
   LeaseGuard guard;
   PlacementOrders orders;
   std::uint64_t lease = 0;
+  /// The store's revision at which the duty was taken; no two terms have one.
+  StoreRevision fence;
   std::string holder;
   bool isAsking = false;
   bool isStopping = false;
--- a/Zincstep/Cluster/PrefixMirror.h
+++ b/Zincstep/Cluster/PrefixMirror.h
@@ -22,7 +22,7 @@
   const StoreItems& Items() const { return this->list.Items(); }
   /// The value of a key; empty where it is not there.
   std::string ValueOf(const std::string& aKey) const;
-  std::uint64_t At() const { return this->list.At(); }
+  StoreRevision At() const { return this->list.At(); }
 
  private:
   ItemList list;
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -95,7 +95,7 @@
     LogInfo("store_watch_lost",
             {{"prefix", this->prefix},
              {"waited_ms", (this->clock.Now() - aBegan) / 1ms},
-             {"at", this->at},
+             {"at", this->at.number},
              {"reason", aEvents.error().message}});
     this->RetryLater(aRound);
     return;
@@ -114,7 +114,7 @@
   this->onCaughtUp();
 }
 
-void PrefixFollower::CatchUp(std::uint64_t aRevision) {
+void PrefixFollower::CatchUp(StoreRevision aRevision) {
   if (!this->isWatching || this->at >= aRevision || this->isCatchingUp) {
     return;
   }
@@ -128,7 +128,7 @@
       });
 }
 
-void PrefixFollower::OnMissed(std::uint64_t aRevision,
+void PrefixFollower::OnMissed(StoreRevision aRevision,
                               Result<StoreEvents> aEvents) {
   this->isCatchingUp = false;
   if (!aEvents) {
@@ -140,12 +140,13 @@
     return;  // The next proof asks again.
   }
   const bool isNews = !aEvents->events.empty() && aEvents->at > this->at;
-  const std::uint64_t before = this->at;
+  const StoreRevision before = this->at;
   this->at = std::max(this->at, aRevision);
   this->Take(std::move(*aEvents));
   if (isNews && this->isWaiting) {
-    LogInfo("store_watch_replaced",
-            {{"prefix", this->prefix}, {"watch_at", before}, {"at", this->at}});
+    LogInfo("store_watch_replaced", {{"prefix", this->prefix},
+                                     {"watch_at", before.number},
+                                     {"at", this->at.number}});
     this->BeginRound();
     this->isWatching = true;
     this->Watch(this->round);
@@ -297,8 +298,8 @@
   }
   StoreChange check;
   check.key = this->settings.keys.configuration;
-  check.expected = this->view.ConfigRevision();
-  const std::uint64_t checked = check.expected;
+  check.expected = this->view.ConfigFoundAt();
+  const StoreRevision checked = check.expected;
   const Instant began = this->clock.Now();
   this->store.Commit(std::move(check),
                      [this, checked, began](Result<StoreCommit> aResult) {
@@ -306,8 +307,12 @@
                      });
 }
 
-void StoreFollower::OnProved(std::uint64_t aChecked, Instant aBegan,
+void StoreFollower::OnProved(StoreRevision aChecked, Instant aBegan,
                              Result<StoreCommit> aResult) {
+  if (!aResult && aResult.error().kind == ErrorKind::StoreRestored) {
+    this->ProveAfter(Micros{0});
+    return;
+  }
   this->SetReached(aResult.has_value());
   // Lists are read only from a store that has just answered: begun beside the
   // proof, 406 reads were in vain in an outage of eight seconds (295 daemons).
@@ -321,11 +326,11 @@
     this->view.OnConfiguration(*aResult->present);
     this->view.OnProof(aResult->present->revision, aBegan);
     this->told.Add(aResult->present->revision);
-    if (this->view.ConfigRevision() > aChecked) {
+    if (this->view.ConfigFoundAt() > aChecked) {
       pause = Micros{0};  // This proof has not told the store's revision.
     }
   }
-  if (this->view.ConfigRevision() == 0) {
+  if (!this->view.Table()) {
     pause = this->settings.firstRetry;
   }
   const Micros taken = this->clock.Now() - aBegan;
@@ -333,6 +338,21 @@
       pause - taken, aResult ? Micros{0} : this->settings.firstRetry));
 }
 
+void StoreFollower::OnRestored() {
+  this->told = ToldChanges{};
+  this->lastState.reset();
+  if (this->hasTeller && this->hasTeller()) {
+    // One daemon of the domain reads for all; what it tells is of the new era.
+    this->peersFirstSince = this->clock.Now();
+  }
+  for (PrefixFollower* follower : {&this->upstreams, &this->own}) {
+    if (!follower->IsPaused()) {
+      follower->Restart();
+    }
+  }
+  this->ProveAfter(Micros{0});
+}
+
 void StoreFollower::OnStoreState(StoreState aState) {
   this->lastState = aState;
   this->SkipTold();
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -88,15 +88,15 @@
   /// The store has reached a revision: where the watch has not told up to
   /// there, asks on a connection of its own for what is missing. A watch that
   /// should have told it is replaced.
-  void CatchUp(std::uint64_t aRevision);
+  void CatchUp(StoreRevision aRevision);
   /// No change under the prefix lies between what is known and `aRevision`.
-  void SkipTo(std::uint64_t aRevision) {
+  void SkipTo(StoreRevision aRevision) {
     this->at = std::max(this->at, aRevision);
   }
   /// All changes up to this revision of the store are known.
-  std::uint64_t At() const { return this->at; }
+  StoreRevision At() const { return this->at; }
   /// Whether all changes up to a revision of the store are known.
-  bool Knows(std::uint64_t aRevision) const {
+  bool Knows(StoreRevision aRevision) const {
     return this->isWatching && this->at >= aRevision;
   }
 
@@ -108,7 +108,7 @@
   void OnWatched(std::uint64_t aRound, Instant aBegan,
                  Result<StoreEvents> aEvents);
   /// What was asked for by `CatchUp` has come.
-  void OnMissed(std::uint64_t aRevision, Result<StoreEvents> aEvents);
+  void OnMissed(StoreRevision aRevision, Result<StoreEvents> aEvents);
   void Take(StoreEvents aEvents);
   void RetryLater(std::uint64_t aRound);
   void WatchLater(std::uint64_t aRound);
@@ -123,7 +123,7 @@
   asio::steady_timer timer;
   /// Rises with each restart; tells late answers from wanted ones.
   std::uint64_t round = 0;
-  std::uint64_t at = 0;
+  StoreRevision at;
   Micros retry;
   bool isPaused = false;
   /// All is read, and a watch tells of changes, or soon will.
@@ -162,11 +162,14 @@
   }
   /// Whether this daemon asks the store itself.
   bool IsDirect() const { return !this->own.IsPaused(); }
+  /// The store has come back from a copy: all that is read or watched begins
+  /// anew, and what was asked for before is void.
+  void OnRestored();
 
  private:
   /// The revision that the store had at some time.
   struct StoreState {
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     Instant at;
   };
 
@@ -189,7 +192,7 @@
   void ProveAfter(Micros aPause);
   /// Pause between calls while the store does not answer.
   Micros PauseWhileAway();
-  void OnProved(std::uint64_t aChecked, Instant aBegan,
+  void OnProved(StoreRevision aChecked, Instant aBegan,
                 Result<StoreCommit> aResult);
   void OnStoreState(StoreState aState);
   void NoteTold(const StoreEvents& aEvents);
--- a/Zincstep/Cluster/ToldChanges.h
+++ b/Zincstep/Cluster/ToldChanges.h
@@ -3,38 +3,54 @@
 #include <cstdint>
 #include <set>
 
+#include "Zincstep/Cluster/StoreRevision.h"
+
 namespace zincstep {
 
 /// The store's changes that were told, by their revisions.
 ///
-/// Each change of the store has the revision that follows on the one before, so
-/// that a change which nobody told leaves a gap.
+/// Each change of the store has the number that follows on the one before, so
+/// that a change which nobody told leaves a gap. Those of one era are kept.
 class ToldChanges {
  public:
   /// A change was told, under whatever prefix.
-  void Add(std::uint64_t aRevision) { this->revisions.insert(aRevision); }
+  void Add(StoreRevision aRevision) {
+    if (aRevision.era > this->era) {
+      this->era = aRevision.era;
+      this->numbers.clear();
+    }
+    if (aRevision.era == this->era) {
+      this->numbers.insert(aRevision.number);
+    }
+  }
 
   /// The last revision behind `aFrom` up to which every change was told;
   /// `aFrom` where the next one was not.
-  std::uint64_t WithoutGap(std::uint64_t aFrom) const {
-    std::uint64_t last = aFrom;
-    for (auto next = this->revisions.upper_bound(aFrom);
-         next != this->revisions.end() && *next == last + 1; ++next) {
-      last = *next;
+  StoreRevision WithoutGap(StoreRevision aFrom) const {
+    StoreRevision last = aFrom;
+    if (aFrom.era != this->era) {
+      return last;
+    }
+    for (auto next = this->numbers.upper_bound(aFrom.number);
+         next != this->numbers.end() && *next == last.number + 1; ++next) {
+      last.number = *next;
     }
     return last;
   }
 
   /// Nobody asks for changes up to that revision any more.
-  void Forget(std::uint64_t aUpTo) {
-    this->revisions.erase(this->revisions.begin(),
-                          this->revisions.upper_bound(aUpTo));
+  void Forget(StoreRevision aUpTo) {
+    if (aUpTo.era == this->era) {
+      this->numbers.erase(this->numbers.begin(),
+                          this->numbers.upper_bound(aUpTo.number));
+    }
   }
 
-  std::size_t Size() const { return this->revisions.size(); }
+  std::size_t Size() const { return this->numbers.size(); }
 
  private:
-  std::set<std::uint64_t> revisions;
+  std::uint64_t era = 0;
+  std::set<std::uint64_t> numbers;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Core/Error.cpp
+++ b/Zincstep/Core/Error.cpp
@@ -46,6 +46,7 @@
                 O::MayHaveRun, 1s},
     ErrorAnswer{K::HistoryLost, "history_lost", 503, O::NotRun, 1s},
     ErrorAnswer{K::LeaseLost, "lease_lost", 409, O::NotRun, 0s},
+    ErrorAnswer{K::StoreRestored, "store_restored", 503, O::MayHaveRun, 1s},
     ErrorAnswer{K::Internal, "internal", 500, O::MayHaveRun, 0s},
 };
 
--- a/Zincstep/Core/Error.h
+++ b/Zincstep/Core/Error.h
@@ -43,6 +43,7 @@
   PlatformUnavailable,
   HistoryLost,
   LeaseLost,
+  StoreRestored,
   Internal,
 };
 
--- a/Zincstep/Edge/BlockList.cpp
+++ b/Zincstep/Edge/BlockList.cpp
@@ -67,14 +67,25 @@
   this->revision = aItem.revision;
   const auto requests = ParseList(aItem.value);
   if (!requests) {
-    LogWarning("block_list_refused", {{"revision", aItem.revision},
+    LogWarning("block_list_refused", {{"revision", aItem.revision.number},
                                       {"reason", "not a list of requests"}});
     return;
   }
-  LogInfo("block_list_read",
-          {{"revision", aItem.revision}, {"requests", requests->size()}});
+  LogInfo("block_list_read", {{"revision", aItem.revision.number},
+                              {"requests", requests->size()}});
   this->listed = *requests;
-  this->ledger.SetListed(this->listed, this->clock.Now());
+  // What the copy lacks stays blocked, and is written again.
+  std::set<RequestFingerprint> blocked = std::move(this->listedBefore);
+  this->listedBefore.clear();
+  blocked.insert(requests->begin(), requests->end());
+  this->ledger.SetListed(blocked, this->clock.Now());
+}
+
+void BlockList::OnRestored() {
+  this->listedBefore.insert(this->listed.begin(), this->listed.end());
+  this->listed.clear();
+  this->revision = {};
+  this->isWriting = false;
 }
 
 void BlockList::Write() {
@@ -102,8 +113,8 @@
       this->listed = wanted;
       this->nextTry = {};
       this->ledger.SetListed(wanted, this->clock.Now());
-      LogInfo("block_list_written",
-              {{"revision", aDone->revision}, {"requests", wanted.size()}});
+      LogInfo("block_list_written", {{"revision", aDone->revision.number},
+                                     {"requests", wanted.size()}});
     } else if (aDone && aDone->present) {
       this->Take(*aDone->present);
     }
--- a/Zincstep/Edge/BlockList.h
+++ b/Zincstep/Edge/BlockList.h
@@ -24,6 +24,9 @@
 
   /// Takes the daemons' own entries as they are in the store now.
   void OnEntries(const StoreItems& aItems);
+  /// The store has come back from a copy, which may lack some: what is known
+  /// here is written again.
+  void OnRestored();
   /// Writes what has changed; to be called several times a second by whoever
   /// has the duty to.
   void Write();
@@ -35,9 +38,12 @@
   AsyncStore& store;
   CrashLedger& ledger;
   const Clock& clock;
-  /// The list as the store has it, and its revision; 0: it was never written.
+  /// The list as the store has it, and its revision; none: it was never
+  /// written.
   std::set<RequestFingerprint> listed;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
+  /// What was listed before the store came back from a copy.
+  std::set<RequestFingerprint> listedBefore;
   bool isWriting = false;
   Instant nextTry{};
 };
--- a/Zincstep/Edge/DaemonEntry.cpp
+++ b/Zincstep/Edge/DaemonEntry.cpp
@@ -25,6 +25,9 @@
 /// store that turns many away is not to be asked by all of them each second.
 constexpr Micros kFirstRetry = 1s;
 constexpr Micros kLongestRetry = 8s;
+/// Time in which all daemons write their entries again after the store came
+/// back from a copy: hundreds that wrote at once would find it full.
+constexpr Micros kRewriteSpread = 1s;
 constexpr const char* kAddressField = "peer";
 constexpr const char* kDomainField = "failure_domain";
 
@@ -76,7 +79,7 @@
       return;
     }
     this->lease = *aLease;
-    this->Write(0);
+    this->Write({});
   });
 }
 
@@ -90,7 +93,7 @@
   });
 }
 
-void DaemonEntry::Write(std::uint64_t aExpected) {
+void DaemonEntry::Write(StoreRevision aExpected) {
   StoreChange change;
   change.key = this->settings.storePrefix + kPrefix + this->settings.name;
   change.expected = aExpected;
@@ -99,7 +102,7 @@
                      .dump();
   change.lease = this->lease;
   this->store.Commit(change, [this, aExpected](Result<StoreCommit> aDone) {
-    if (aExpected == 0 && aDone && aDone->present) {
+    if (aExpected.IsNone() && aDone && aDone->present) {
       // An entry of this VM's earlier process: it is replaced.
       this->Write(aDone->present->revision);
       return;
@@ -134,6 +137,14 @@
   }
 }
 
+void DaemonEntry::OnRestored(Random& aRandom) {
+  // What is under way is answered as void, and tried again later.
+  const Micros spread = FromSeconds(ToSeconds(kRewriteSpread) * aRandom.Unit());
+  this->lease = 0;
+  this->retryPause = kFirstRetry;
+  this->nextKeep = this->clock.Now() + spread;
+}
+
 void DaemonEntry::End() {
   if (this->hasEnded) {
     return;
--- a/Zincstep/Edge/DaemonEntry.h
+++ b/Zincstep/Edge/DaemonEntry.h
@@ -33,6 +33,9 @@
   /// Takes the daemons' entries as they are in the store now: one that was
   /// there and has gone is written again, whatever its lease was.
   void OnEntries(const StoreItems& aItems);
+  /// The store has come back from a copy: the lease may be gone with what was
+  /// written since, so the entry is written again within a second.
+  void OnRestored(Random& aRandom);
   /// Whether the entry was among those that the store had last.
   bool IsListed() const { return this->isListed; }
   /// Takes the entry back, as this daemon stops: the others are to choose
@@ -45,7 +48,7 @@
 
   void Grant();
   void Renew();
-  void Write(std::uint64_t aExpected);
+  void Write(StoreRevision aExpected);
   void OnWritten(const Result<StoreCommit>& aDone);
   /// Begins anew with a lease, later each time.
   void RetryLater();
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -35,6 +35,9 @@
 /// requests that arrive in one window and are repeated in the next.
 constexpr double kRetryRatioUsed = 0.8;
 
+/// A daemon that starts hears its peers for so long before what the store says
+/// of the configuration counts: the store may have lost what they know.
+constexpr Micros kPeerPatience = 600ms;
 /// Between tellings of a request that must not run and is not in the store yet:
 /// whoever writes it there may not have heard of it.
 constexpr Micros kUnlistedPause = 1s;
@@ -64,9 +67,10 @@
 class EdgeDaemon final : private ClusterListener, private CrashListener {
  public:
   EdgeDaemon(const EdgeSettings& aSettings, asio::io_context& aLoop,
-             EdgeAdapters aAdapters)
+             EdgeAdapters aAdapters, StoreEras& aEras)
       : settings(aSettings),
         loop(aLoop),
+        eras(aEras),
         adapters(std::move(aAdapters)),
         relaySettings(MakeRelaySettings(aSettings)),
         random(Hash64(aSettings.name,
@@ -102,7 +106,7 @@
                *this->adapters.control, this->view, this->plans, this->clock),
         peers(
             aLoop, aSettings, this->store, this->view, this->clock,
-            this->random, this->metrics,
+            this->random, this->metrics, aEras,
             [this](const UpstreamPtr& aUpstream) {
               this->probe.Verify(aUpstream);
             },
@@ -150,6 +154,9 @@
   void OnCrashSuspicion() override { this->OnSuspicion(Evidence::Found); }
   /// A peer that listens at `aFrom` tells of requests that end upstreams.
   void OnTold(const CrashGossip& aGossip, const std::string& aFrom);
+  /// The store has come back from a copy: what is known stays in use until it
+  /// is told anew, and what this daemon keeps there is written again.
+  void OnStoreRestored(std::uint64_t aBefore, std::uint64_t aEra);
   /// What must not run is written to the store, or told to who writes it.
   void KeepBlocked();
   void OnSuspicion(Evidence aEvidence);
@@ -165,6 +172,7 @@
 
   const EdgeSettings& settings;
   asio::io_context& loop;
+  StoreEras& eras;
   EdgeAdapters adapters;
   SystemClock clock;
   RelaySettings relaySettings;
@@ -219,6 +227,12 @@
   this->follower.SetIsListed([this] { return this->peers.IsListed(); });
   this->keeper.SetMayTake([this] { return this->follower.IsDirect(); });
   this->keeper.SetDemand([this] { return this->peers.Demand(); });
+  this->eras.SetOnRestored([this](std::uint64_t aBefore, std::uint64_t aEra) {
+    this->OnStoreRestored(aBefore, aEra);
+  });
+  if (!this->peers.IsAlone()) {
+    this->view.AwaitPeers(this->clock.Now() + kPeerPatience);
+  }
   this->follower.Start(!this->peers.IsSeed());
   this->WaitForSignal();
   this->OnFastTick();
@@ -237,6 +251,24 @@
   this->blockList.OnEntries(this->view.Daemons().Items());
 }
 
+void EdgeDaemon::OnStoreRestored(std::uint64_t aBefore, std::uint64_t aEra) {
+  const auto proofAge = this->view.ProofAge();
+  LogWarning("store_restored",
+             {{"era_before", aBefore},
+              {"era", aEra},
+              {"config_version", this->view.ConfigVersion()},
+              {"proof_age_ms", proofAge ? *proofAge / 1ms : -1},
+              {"upstreams", this->view.Directory().All().size()},
+              {"daemons", this->peers.Daemons()},
+              {"had_duty", this->keeper.HasDuty()}});
+  this->metrics.Count("zincstep_store_restores_total");
+  this->view.OnRestored(aEra);
+  this->keeper.OnRestored();
+  this->blockList.OnRestored();
+  this->peers.OnRestored();
+  this->follower.OnRestored();
+}
+
 void EdgeDaemon::OnCrashes(const std::vector<UpstreamCrash>& aCrashes) {
   this->metrics.Count("zincstep_upstream_crashes_total");
   this->peers.TellCrashes({aCrashes, {}});
@@ -391,7 +423,11 @@
   this->metrics.Set("zincstep_lists_proof_age_seconds",
                     listsAge ? ToSeconds(*listsAge) : -1);
   this->metrics.Set("zincstep_config_revision",
-                    static_cast<double>(this->view.ConfigRevision()));
+                    static_cast<double>(this->view.ConfigFoundAt().number));
+  this->metrics.Set("zincstep_config_version",
+                    static_cast<double>(this->view.ConfigVersion()));
+  this->metrics.Set("zincstep_store_era",
+                    static_cast<double>(this->eras.Present().value_or(0)));
   this->metrics.Set("zincstep_upstreams",
                     static_cast<double>(this->view.Directory().All().size()));
   this->metrics.Set("zincstep_wrong_entries",
@@ -414,12 +450,13 @@
                   const MakeEdgeAdapters& aMakeAdapters) {
   std::signal(SIGPIPE, SIG_IGN);
   asio::io_context loop(1);
-  auto adapters = aMakeAdapters(loop, aSettings);
+  StoreEras eras;
+  auto adapters = aMakeAdapters(loop, aSettings, eras);
   if (!adapters) {
     LogError("start_failed", {{"reason", adapters.error().message}});
     return 2;
   }
-  EdgeDaemon daemon(aSettings, loop, std::move(*adapters));
+  EdgeDaemon daemon(aSettings, loop, std::move(*adapters), eras);
   const Result<void> started = daemon.Start();
   if (!started) {
     LogError("start_failed", {{"reason", started.error().message}});
--- a/Zincstep/Edge/EdgeDaemon.h
+++ b/Zincstep/Edge/EdgeDaemon.h
@@ -8,8 +8,8 @@
 namespace zincstep {
 
 /// Makes the adapters on the daemon's loop.
-using MakeEdgeAdapters =
-    std::function<Result<EdgeAdapters>(asio::io_context&, const EdgeSettings&)>;
+using MakeEdgeAdapters = std::function<Result<EdgeAdapters>(
+    asio::io_context&, const EdgeSettings&, StoreEras&)>;
 
 /// Runs the daemon until it is told to stop; gives its exit status.
 int RunEdgeDaemon(const EdgeSettings& aSettings,
--- a/Zincstep/Edge/EdgePeerMessage.cpp
+++ b/Zincstep/Edge/EdgePeerMessage.cpp
@@ -30,9 +30,11 @@
   }
 
   fb::Offset<void> operator()(const ClusterWant& aWant) {
+    const KnownRevisions& known = aWant.known;
     return edgewire::CreateClusterWant(
-               this->builder, aWant.question, aWant.known.config,
-               aWant.known.upstreams, aWant.known.daemons)
+               this->builder, aWant.question, known.config.number,
+               known.upstreams.number, known.daemons.number, aWant.era,
+               known.configVersion)
         .Union();
   }
 
@@ -41,10 +43,10 @@
     const auto config = this->builder.CreateString(copy.configText);
     const auto upstreams = this->WriteList(copy.upstreams);
     const auto daemons = this->WriteList(copy.daemons);
-    return edgewire::CreateClusterGive(this->builder, aGive.question,
-                                       copy.configRevision, config,
-                                       AgeOrNone(copy.proofAge), upstreams,
-                                       daemons, AgeOrNone(copy.listsAge))
+    return edgewire::CreateClusterGive(
+               this->builder, aGive.question, copy.configRevision.number,
+               config, AgeOrNone(copy.proofAge), upstreams, daemons,
+               AgeOrNone(copy.listsAge), aGive.era, copy.configVersion)
         .Union();
   }
 
@@ -83,14 +85,14 @@
     for (const StoreItem& item : aList->items) {
       const auto id = this->builder.CreateString(item.key);
       const auto value = this->builder.CreateString(item.value);
-      entries.push_back(
-          edgewire::CreateEntry(this->builder, id, value, item.revision));
+      entries.push_back(edgewire::CreateEntry(this->builder, id, value,
+                                              item.revision.number));
     }
     const auto written = this->builder.CreateVector(entries);
     const auto removed = this->builder.CreateVectorOfStrings(aList->removed);
-    return edgewire::CreateEntryList(this->builder, aList->at, aList->isWhole,
-                                     written, removed, aList->grace.count(),
-                                     aList->digest);
+    return edgewire::CreateEntryList(this->builder, aList->at.number,
+                                     aList->isWhole, written, removed,
+                                     aList->grace.count(), aList->digest);
   }
 
   fb::FlatBufferBuilder& builder;
@@ -135,19 +137,20 @@
   return aAge >= 0 ? std::optional<Micros>(aAge) : std::nullopt;
 }
 
-std::optional<ListCopy> ReadList(const edgewire::EntryList* aTable) {
+std::optional<ListCopy> ReadList(const edgewire::EntryList* aTable,
+                                 std::uint64_t aEra) {
   if (aTable == nullptr) {
     return std::nullopt;
   }
   ListCopy copy;
-  copy.at = aTable->at();
+  copy.at = {aTable->at(), aEra};
   copy.isWhole = aTable->whole();
   copy.grace = Micros{aTable->grace_us()};
   copy.digest = aTable->digest();
   if (aTable->entries() != nullptr) {
     for (const edgewire::Entry* entry : *aTable->entries()) {
-      copy.items.push_back(
-          {TextOf(entry->id()), TextOf(entry->value()), entry->revision()});
+      copy.items.push_back({TextOf(entry->id()), TextOf(entry->value()),
+                            StoreRevision{entry->revision(), aEra}});
     }
   }
   if (aTable->removed() != nullptr) {
@@ -158,14 +161,28 @@
   return copy;
 }
 
+ClusterWant ReadWant(const edgewire::ClusterWant& aTable) {
+  const std::uint64_t era = aTable.era();
+  ClusterWant want;
+  want.era = era;
+  want.question = aTable.question();
+  want.known.config = {aTable.config_revision(), era};
+  want.known.upstreams = {aTable.upstreams_at(), era};
+  want.known.daemons = {aTable.daemons_at(), era};
+  want.known.configVersion = aTable.config_version();
+  return want;
+}
+
 ClusterGive ReadGive(const edgewire::ClusterGive& aTable) {
   ClusterGive give;
+  give.era = aTable.era();
   give.question = aTable.question();
-  give.copy.configRevision = aTable.config_revision();
+  give.copy.configRevision = {aTable.config_revision(), give.era};
+  give.copy.configVersion = aTable.config_version();
   give.copy.configText = TextOf(aTable.config());
   give.copy.proofAge = ReadAge(aTable.proof_age_us());
-  give.copy.upstreams = ReadList(aTable.upstreams());
-  give.copy.daemons = ReadList(aTable.daemons());
+  give.copy.upstreams = ReadList(aTable.upstreams(), give.era);
+  give.copy.daemons = ReadList(aTable.daemons(), give.era);
   give.copy.listsAge = ReadAge(aTable.lists_age_us());
   return give;
 }
@@ -195,9 +212,7 @@
   if (const auto* gossip = table->body_as_WorkGossip()) {
     message.body = ReadGossip(*gossip);
   } else if (const auto* want = table->body_as_ClusterWant()) {
-    message.body = ClusterWant{
-        want->question(),
-        {want->config_revision(), want->upstreams_at(), want->daemons_at()}};
+    message.body = ReadWant(*want);
   } else if (const auto* give = table->body_as_ClusterGive()) {
     message.body = ReadGive(*give);
   } else if (const auto* demand = table->body_as_DemandGossip()) {
--- a/Zincstep/Edge/EdgePeerMessage.h
+++ b/Zincstep/Edge/EdgePeerMessage.h
@@ -29,12 +29,16 @@
 
 /// Asks a peer for what it knows beyond these revisions.
 struct ClusterWant {
+  /// Era of the store, as the sender knows it; all revisions are of it.
+  std::uint64_t era = 0;
   std::uint64_t question = 0;
   KnownRevisions known;
 };
 
 /// The answer to a question.
 struct ClusterGive {
+  /// Era of the store, as the sender knows it; all revisions are of it.
+  std::uint64_t era = 0;
   std::uint64_t question = 0;
   ClusterCopy copy;
 };
--- a/Zincstep/Edge/Generated/EdgePeer_generated.h
+++ b/Zincstep/Edge/Generated/EdgePeer_generated.h
@@ -282,7 +282,9 @@
     VT_QUESTION = 4,
     VT_CONFIG_REVISION = 6,
     VT_UPSTREAMS_AT = 8,
-    VT_DAEMONS_AT = 10
+    VT_DAEMONS_AT = 10,
+    VT_ERA = 12,
+    VT_CONFIG_VERSION = 14
   };
   uint64_t question() const {
     return GetField<uint64_t>(VT_QUESTION, 0);
@@ -296,12 +298,20 @@
   uint64_t daemons_at() const {
     return GetField<uint64_t>(VT_DAEMONS_AT, 0);
   }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
+  uint64_t config_version() const {
+    return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_QUESTION, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_UPSTREAMS_AT, 8) &&
            VerifyField<uint64_t>(verifier, VT_DAEMONS_AT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            verifier.EndTable();
   }
 };
@@ -322,6 +332,12 @@
   void add_daemons_at(uint64_t daemons_at) {
     fbb_.AddElement<uint64_t>(ClusterWant::VT_DAEMONS_AT, daemons_at, 0);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(ClusterWant::VT_ERA, era, 0);
+  }
+  void add_config_version(uint64_t config_version) {
+    fbb_.AddElement<uint64_t>(ClusterWant::VT_CONFIG_VERSION, config_version, 0);
+  }
   explicit ClusterWantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -338,8 +354,12 @@
     uint64_t question = 0,
     uint64_t config_revision = 0,
     uint64_t upstreams_at = 0,
-    uint64_t daemons_at = 0) {
+    uint64_t daemons_at = 0,
+    uint64_t era = 0,
+    uint64_t config_version = 0) {
   ClusterWantBuilder builder_(_fbb);
+  builder_.add_config_version(config_version);
+  builder_.add_era(era);
   builder_.add_daemons_at(daemons_at);
   builder_.add_upstreams_at(upstreams_at);
   builder_.add_config_revision(config_revision);
@@ -548,7 +568,9 @@
     VT_PROOF_AGE_US = 10,
     VT_UPSTREAMS = 12,
     VT_DAEMONS = 14,
-    VT_LISTS_AGE_US = 16
+    VT_LISTS_AGE_US = 16,
+    VT_ERA = 18,
+    VT_CONFIG_VERSION = 20
   };
   uint64_t question() const {
     return GetField<uint64_t>(VT_QUESTION, 0);
@@ -571,6 +593,12 @@
   int64_t lists_age_us() const {
     return GetField<int64_t>(VT_LISTS_AGE_US, -1LL);
   }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
+  uint64_t config_version() const {
+    return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_QUESTION, 8) &&
@@ -583,6 +611,8 @@
            VerifyOffset(verifier, VT_DAEMONS) &&
            verifier.VerifyTable(daemons()) &&
            VerifyField<int64_t>(verifier, VT_LISTS_AGE_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            verifier.EndTable();
   }
 };
@@ -612,6 +642,12 @@
   void add_lists_age_us(int64_t lists_age_us) {
     fbb_.AddElement<int64_t>(ClusterGive::VT_LISTS_AGE_US, lists_age_us, -1LL);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(ClusterGive::VT_ERA, era, 0);
+  }
+  void add_config_version(uint64_t config_version) {
+    fbb_.AddElement<uint64_t>(ClusterGive::VT_CONFIG_VERSION, config_version, 0);
+  }
   explicit ClusterGiveBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -631,8 +667,12 @@
     int64_t proof_age_us = -1LL,
     flatbuffers::Offset<zincstep::edgewire::EntryList> upstreams = 0,
     flatbuffers::Offset<zincstep::edgewire::EntryList> daemons = 0,
-    int64_t lists_age_us = -1LL) {
+    int64_t lists_age_us = -1LL,
+    uint64_t era = 0,
+    uint64_t config_version = 0) {
   ClusterGiveBuilder builder_(_fbb);
+  builder_.add_config_version(config_version);
+  builder_.add_era(era);
   builder_.add_lists_age_us(lists_age_us);
   builder_.add_proof_age_us(proof_age_us);
   builder_.add_config_revision(config_revision);
@@ -651,7 +691,9 @@
     int64_t proof_age_us = -1LL,
     flatbuffers::Offset<zincstep::edgewire::EntryList> upstreams = 0,
     flatbuffers::Offset<zincstep::edgewire::EntryList> daemons = 0,
-    int64_t lists_age_us = -1LL) {
+    int64_t lists_age_us = -1LL,
+    uint64_t era = 0,
+    uint64_t config_version = 0) {
   auto config__ = config ? _fbb.CreateString(config) : 0;
   return zincstep::edgewire::CreateClusterGive(
       _fbb,
@@ -661,7 +703,9 @@
       proof_age_us,
       upstreams,
       daemons,
-      lists_age_us);
+      lists_age_us,
+      era,
+      config_version);
 }
 
 struct CrashGossip FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -44,7 +44,8 @@
 /// start together, or those of 3,000 for one.
 constexpr double kListBytesAtOnce = 1e6;
 /// Stands for any revision: it is not to be told.
-constexpr std::uint64_t kNotWanted = std::numeric_limits<std::uint64_t>::max();
+constexpr StoreRevision kNotWanted{std::numeric_limits<std::uint64_t>::max(),
+                                   std::numeric_limits<std::uint64_t>::max()};
 /// Peers that are asked at once.
 constexpr std::size_t kAskedAtOnce = 2;
 /// Up to so many members all are told of each other's work; beyond, those
@@ -85,7 +86,7 @@
 PeerExchange::PeerExchange(asio::io_context& aLoop,
                            const EdgeSettings& aSettings, AsyncStore& aStore,
                            ClusterView& aView, const Clock& aClock,
-                           Random& aRandom, Metrics& aMetrics,
+                           Random& aRandom, Metrics& aMetrics, StoreEras& aEras,
                            OnToldSuspicion aOnSuspicion,
                            OnToldCrashes aOnCrashes, OwnDemand aOwnDemand)
     : loop(aLoop),
@@ -96,6 +97,7 @@
       onSuspicion(std::move(aOnSuspicion)),
       onCrashes(std::move(aOnCrashes)),
       ownDemand(std::move(aOwnDemand)),
+      eras(aEras),
       bytes(aMetrics),
       entry(aSettings, aStore, aClock),
       listBytes(kListBytesPerSecond, kListBytesAtOnce),
@@ -138,13 +140,28 @@
   } else if (const auto* crashes = std::get_if<CrashGossip>(&aMessage.body)) {
     this->onCrashes(*crashes, aMessage.replyTo);
   } else if (const auto* want = std::get_if<ClusterWant>(&aMessage.body)) {
+    this->eras.OnTold(want->era);
     this->OnWant(aMessage.replyTo, *want);
   } else if (const auto* give = std::get_if<ClusterGive>(&aMessage.body)) {
+    this->eras.OnTold(give->era);
     give->question == kUnasked ? this->OnHint(aMessage.replyTo, give->copy)
                                : this->OnGive(*give);
   }
 }
 
+void PeerExchange::OnRestored() {
+  // What was asked for before would be answered in revisions of another era.
+  this->questions.clear();
+  this->entry.OnRestored(this->random);
+  this->members.OnRestored();
+  this->nextReliance = {};
+}
+
+std::string PeerExchange::Hint() const {
+  return this->Write(ClusterGive{this->Era(), kUnasked,
+                                 this->view.CopyFor(this->view.Revisions())});
+}
+
 void PeerExchange::OnGossip(const std::string& aSender,
                             const WorkGossip& aGossip) {
   const Instant now = this->clock.Now();
@@ -186,7 +203,8 @@
       tellsWhole = true;
     }
   }
-  const std::string message = this->Write(ClusterGive{aWant.question, copy});
+  const std::string message =
+      this->Write(ClusterGive{this->Era(), aWant.question, copy});
   if (tellsWhole) {
     this->listBytes.Spend(static_cast<double>(message.size()));
   }
@@ -212,11 +230,15 @@
   }
   const Question question = asked->second;
   this->questions.erase(asked);
+  if (aGive.era < this->Era()) {
+    return;  // It hears of the era by the next question.
+  }
   this->members.OnAnswer(question.address, aGive.copy.listsAge);
   ClusterCopy copy = aGive.copy;
   if (!question.wantsUpstreams) {
     copy.listsAge.reset();
   }
+  this->CompareVersions(question.address, copy);
   const bool knewNobody = this->members.All().empty();
   this->view.OnCopy(copy, question.askedAt);
   if (knewNobody && !this->members.All().empty() && this->IsNew()) {
@@ -224,10 +246,26 @@
   }
 }
 
+void PeerExchange::CompareVersions(const std::string& aAddress,
+                                   const ClusterCopy& aCopy) {
+  const std::uint64_t own = this->view.ConfigVersion();
+  const bool lacksText = aCopy.configVersion > own && aCopy.configText.empty();
+  if (lacksText) {
+    this->Ask(aAddress, this->clock.Now(), Wanted::Configuration);
+    return;
+  }
+  if (aCopy.configVersion != 0 && aCopy.configVersion < own) {
+    // The store's copy has lost what is in force here.
+    this->SendText(aAddress, PeerMessageKind::Give, this->Hint());
+  }
+  this->view.OnPeersHeard();
+}
+
 void PeerExchange::OnHint(const std::string& aAddress,
                           const ClusterCopy& aCopy) {
   const Instant now = this->clock.Now();
-  const bool isNews = aCopy.configRevision > this->view.ConfigRevision();
+  const bool isNews = aCopy.configRevision > this->view.ConfigFoundAt() ||
+                      aCopy.configVersion > this->view.ConfigVersion();
   if (isNews && now >= this->nextHintTaken) {
     this->nextHintTaken = now + kHintPause;
     this->Ask(aAddress, now, Wanted::Configuration);
@@ -354,8 +392,7 @@
   }
   // The text is large, and after an outage everybody has it from the store:
   // those that lack it ask for it.
-  const std::string hint = this->Write(
-      ClusterGive{kUnasked, this->view.CopyFor(this->view.Revisions())});
+  const std::string hint = this->Hint();
   for (const std::string& address : this->members.Neighbours()) {
     this->SendText(address, PeerMessageKind::Give, hint);
   }
@@ -369,18 +406,18 @@
   const std::uint64_t number = ++this->lastQuestion;
   Question& question = this->questions[number] = {aAddress, aNow};
   KnownRevisions known = this->view.Revisions();
-  if (known.config == 0 && aWanted == Wanted::News &&
+  if (known.config.IsNone() && aWanted == Wanted::News &&
       aNow - this->startedAt < kStorePatience) {
     known.config = kNotWanted;
   }
-  if (known.upstreams == 0) {
+  if (known.upstreams.IsNone()) {
     question.wantsUpstreams = this->MayAskForAll(aAddress, aNow);
-    known.upstreams = question.wantsUpstreams ? 0 : kNotWanted;
+    known.upstreams = question.wantsUpstreams ? StoreRevision{} : kNotWanted;
     if (question.wantsUpstreams) {
       this->questionForAll = number;
     }
   }
-  this->Send(aAddress, ClusterWant{number, known});
+  this->Send(aAddress, ClusterWant{this->Era(), number, known});
 }
 
 bool PeerExchange::MayAskForAll(const std::string& aAddress,
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -36,8 +36,9 @@
 
   PeerExchange(asio::io_context& aLoop, const EdgeSettings& aSettings,
                AsyncStore& aStore, ClusterView& aView, const Clock& aClock,
-               Random& aRandom, Metrics& aMetrics, OnToldSuspicion aOnSuspicion,
-               OnToldCrashes aOnCrashes, OwnDemand aOwnDemand);
+               Random& aRandom, Metrics& aMetrics, StoreEras& aEras,
+               OnToldSuspicion aOnSuspicion, OnToldCrashes aOnCrashes,
+               OwnDemand aOwnDemand);
 
   Result<void> Start();
   /// This daemon will end: it is taken off the list of daemons.
@@ -56,6 +57,9 @@
   bool IsListed() const { return this->entry.IsListed(); }
   /// Daemons that are known, this one included.
   std::size_t Daemons() const { return this->members.All().size() + 1; }
+  /// The store has come back from a copy: what this daemon keeps there is
+  /// written again, and what peers were asked for is void.
+  void OnRestored();
   /// A newer configuration is in force here: peers are told at once.
   void OnConfiguration();
   /// Tells this daemon's work and suspicions at once.
@@ -71,6 +75,8 @@
   void OnDaemonEntries(const std::string& aDutyHolder);
   /// Whether this daemon is one of those that others ask when they start.
   bool IsSeed() const { return this->isSeed; }
+  /// Whether no other daemon is known by the settings.
+  bool IsAlone() const { return this->seeds.empty(); }
 
  private:
   /// What a question is for: all that is new, or at any rate the
@@ -88,6 +94,12 @@
   void OnWant(const std::string& aAddress, const ClusterWant& aWant);
   void OnGossip(const std::string& aSender, const WorkGossip& aGossip);
   void OnGive(const ClusterGive& aGive);
+  /// Either side is told where the other has a configuration of a higher
+  /// version.
+  void CompareVersions(const std::string& aAddress, const ClusterCopy& aCopy);
+  /// A message that says which configuration is in force here.
+  std::string Hint() const;
+  std::uint64_t Era() const { return this->eras.Present().value_or(0); }
   /// A peer has a configuration that may be newer.
   void OnHint(const std::string& aAddress, const ClusterCopy& aCopy);
   /// Whether peers have not told what this daemon needs to begin.
@@ -119,6 +131,7 @@
   OnToldSuspicion onSuspicion;
   OnToldCrashes onCrashes;
   OwnDemand ownDemand;
+  StoreEras& eras;
   PeerByteCount bytes;
   DaemonEntry entry;
   /// Bytes of whole lists that may be told; none are while it is below zero.
--- a/Zincstep/Edge/PeerMembers.cpp
+++ b/Zincstep/Edge/PeerMembers.cpp
@@ -18,12 +18,24 @@
 /// Lists that are older when they are told come from a peer that does not
 /// reach the store itself.
 constexpr Micros kFreshLists = 1100ms;
+/// Members that are missing from the list which the store has from a copy are
+/// kept for so long: all write their entries again within a second, and these
+/// are told once a second. Without them each daemon would be the first of its
+/// domain and read all lists.
+constexpr Micros kReturnTime = 3s;
 
 }  // namespace
 
+void PeerMembers::OnRestored() {
+  this->keepsMissingUntil = this->clock.Now() + kReturnTime;
+}
+
 void PeerMembers::OnEntries(const StoreItems& aItems) {
   std::map<std::string, Member> known;
   known.swap(this->members);
+  if (this->clock.Now() < this->keepsMissingUntil) {
+    this->members = known;
+  }
   for (const auto& [key, item] : aItems) {
     const auto entry = DaemonEntry::Read(key, item.value);
     if (!entry || entry->name == this->settings.name) {
--- a/Zincstep/Edge/PeerMembers.h
+++ b/Zincstep/Edge/PeerMembers.h
@@ -31,6 +31,8 @@
 
   /// Takes the daemons' entries as they are in the store now.
   void OnEntries(const StoreItems& aItems);
+  /// The store has come back from a copy, which lacks some of the daemons.
+  void OnRestored();
   /// By name.
   const std::map<std::string, Member>& All() const { return this->members; }
   /// Whether a member is of this failure domain, whose upstreams it shares
@@ -59,6 +61,7 @@
   const EdgeSettings& settings;
   const Clock& clock;
   std::map<std::string, Member> members;
+  Instant keepsMissingUntil{};
 };
 
 }  // namespace zincstep
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -142,7 +142,7 @@
           {{"request", aId},
            {"kind", answer.name},
            {"reason", aError.message},
-           {"config_revision", this->context.view.ConfigRevision()},
+           {"config_version", this->context.view.ConfigVersion()},
            {"proof_age_ms", age ? *age / 1ms : -1}});
   this->context.metrics.Count("zincstep_refusals_total",
                               {{"kind", std::string(answer.name)}});
