--- /dev/null
+++ b/Zincstep/Pool/DomainPlan.cpp
@@ -0,0 +1,379 @@
+#include "Zincstep/Pool/DomainPlan.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "Zincstep/Pool/EmptyDomain.h"
+
+namespace zincstep {
+
+namespace {
+
+/// Requests that run at a part that is given up end within some seconds.
+constexpr double kGivingUpSeconds = 3;
+/// An order that gives nothing up takes a report and the order itself.
+constexpr double kGrowingSeconds = 0.2;
+
+/// Up to so many empty upstreams of a domain are laid out as a whole: the time
+/// for that grows with more than their square.
+constexpr std::size_t kMostAsWhole = 80;
+/// Sizes of the parts in which more are laid out: a copy of the model takes
+/// some five to twelve upstreams.
+constexpr std::size_t kPartSizes[] = {12, 16, 24, 36};
+/// Steps for each upstream of a part that its improvement may take.
+constexpr std::uint64_t kPartStepsEach = 4'000;
+
+/// What two ranges have in common; empty where that is nothing.
+LayerRange Common(LayerRange aOne, LayerRange aOther) {
+  const int first = std::max(aOne.first, aOther.first);
+  const int last = std::min(aOne.last, aOther.last);
+  return first < last ? LayerRange{first, last} : LayerRange{};
+}
+
+}  // namespace
+
+std::vector<PlacementOrder> DomainPlan::Make(bool aImproves, bool aIsSteady,
+                                             std::uint64_t aTurn) {
+  this->LayOut();
+  this->PlaceEmpty();
+  this->FillGaps();
+  if (aImproves && this->orders.empty()) {
+    this->Improve(aIsSteady, aTurn);
+  }
+  return std::move(this->orders);
+}
+
+PartPlan DomainPlan::MakePart(std::uint64_t aMostSteps) {
+  this->mostSteps = aMostSteps;
+  this->LayOutWhole();
+  this->PlaceEmpty();
+  this->FillGaps();
+  this->Refine();
+  PartPlan plan{{}, this->layout.Score()};
+  for (const PlacedUpstream& one : this->layout.Upstreams()) {
+    plan.ranges.push_back(one.layers);
+  }
+  return plan;
+}
+
+bool DomainPlan::IsEmpty(std::size_t aIndex) const {
+  const PlacedUpstream& upstream = this->layout.At(aIndex);
+  return upstream.layers.Size() == 0 && upstream.takesOrders;
+}
+
+void DomainPlan::Order(std::size_t aIndex, LayerRange aRange, GiveUp aGiveUp) {
+  this->layout.Set(aIndex, aRange);
+  this->layout.SetOrdered(aIndex);
+  this->orders.push_back({this->layout.At(aIndex).id, aRange, aGiveUp});
+}
+
+void DomainPlan::LayOut() {
+  std::vector<std::size_t> empty;
+  for (std::size_t i = 0; i < this->layout.Count(); ++i) {
+    if (this->IsEmpty(i)) {
+      empty.push_back(i);
+    }
+  }
+  if (empty.size() > kMostAsWhole) {
+    const std::size_t size = this->BestPartSize(empty);
+    this->OrderAll(empty, this->PlanParts(empty, size));
+  } else if (empty.size() == this->layout.Count()) {
+    this->OrderAll(empty, LayOutEmptyDomain(this->model, this->layout));
+  }
+}
+
+std::size_t DomainPlan::BestPartSize(
+    const std::vector<std::size_t>& aUpstreams) {
+  std::size_t best = kPartSizes[0];
+  LayoutScore bestScore{this->model.layers + 1, 0};
+  for (const std::size_t size : kPartSizes) {
+    const auto parts = SplitEvenly(this->layout, aUpstreams, size);
+    const PartPlan plan = this->PlanPart(parts.front(), parts.size());
+    if (plan.score.IsBetterThan(bestScore)) {
+      best = size;
+      bestScore = plan.score;
+    }
+  }
+  return best;
+}
+
+void DomainPlan::LayOutWhole() {
+  SetAll(this->layout, LayOutEmptyDomain(this->model, this->layout));
+}
+
+void DomainPlan::OrderAll(const std::vector<std::size_t>& aUpstreams,
+                          const std::vector<LayerRange>& aRanges) {
+  for (std::size_t i = 0; i < aUpstreams.size(); ++i) {
+    if (aRanges[i].Size() > 0) {
+      this->Order(aUpstreams[i], aRanges[i], GiveUp::CutRequests);
+    }
+  }
+}
+
+std::vector<LayerRange> DomainPlan::PlanParts(
+    const std::vector<std::size_t>& aUpstreams, std::size_t aPartSize) {
+  const auto parts = SplitEvenly(this->layout, aUpstreams, aPartSize);
+  std::map<std::string, std::vector<LayerRange>> known;
+  std::map<std::size_t, LayerRange> ranges;
+  for (const DomainPart& part : parts) {
+    const auto [planned, isNew] =
+        known.try_emplace(CompositionOf(this->layout, part));
+    if (isNew) {
+      planned->second = this->PlanPart(part, parts.size()).ranges;
+    }
+    for (std::size_t i = 0; i < part.size(); ++i) {
+      ranges[part[i]] = planned->second[i];
+    }
+  }
+  std::vector<LayerRange> inOrder;
+  for (const std::size_t upstream : aUpstreams) {
+    inOrder.push_back(ranges.at(upstream));
+  }
+  return inOrder;
+}
+
+PartPlan DomainPlan::PlanPart(const DomainPart& aPart, std::size_t aParts) {
+  std::vector<PlacedUpstream> upstreams;
+  double memory = 0;
+  for (const std::size_t index : aPart) {
+    upstreams.push_back(this->layout.At(index));
+    memory += this->layout.MemoryOf(index);
+  }
+  const int times = static_cast<int>(aParts);
+  const double all = this->AllMemory();
+  const double share = all > 0 ? std::min(1.0, times * memory / all) : 0;
+  DomainPlan plan(
+      this->model, this->settings,
+      DomainLayout(this->model, this->settings.worth,
+                   this->layout.Demand() * share, std::move(upstreams), times));
+  PartPlan made = plan.MakePart(kPartStepsEach * aPart.size());
+  this->partSteps += plan.Steps();
+  return made;
+}
+
+double DomainPlan::AllMemory() const {
+  double memory = 0;
+  for (std::size_t i = 0; i < this->layout.Count(); ++i) {
+    memory += this->layout.MemoryOf(i);
+  }
+  return memory;
+}
+
+std::vector<std::size_t> DomainPlan::Representatives() const {
+  return this->OneOfEachClass(false);
+}
+
+std::vector<std::size_t> DomainPlan::Changeable() const {
+  return this->OneOfEachClass(true);
+}
+
+std::vector<std::size_t> DomainPlan::OneOfEachClass(bool aIsToChange) const {
+  std::vector<bool> isSeen(this->layout.ClassBound());
+  std::vector<std::size_t> upstreams;
+  for (std::size_t i = 0; i < this->layout.Count(); ++i) {
+    const std::size_t own = this->layout.ClassOf(i);
+    const bool counts = !aIsToChange || this->MayChange(i);
+    if (counts && !isSeen[own]) {
+      isSeen[own] = true;
+      upstreams.push_back(i);
+    }
+  }
+  return upstreams;
+}
+
+Move DomainPlan::BestOf(std::size_t aIndex,
+                        const std::vector<LayerRange>& aRanges) {
+  Move best{aIndex, {}, {this->model.layers + 1, 0}};
+  for (const LayerRange& range : aRanges) {
+    const LayoutScore score = this->layout.ScoreWith(aIndex, range);
+    if (score.IsBetterThan(best.score)) {
+      best.layers = range;
+      best.score = score;
+    }
+  }
+  return best;
+}
+
+void DomainPlan::PlaceEmpty() {
+  for (std::size_t i = 0; i < this->layout.Count(); ++i) {
+    if (!this->HasTimeLeft()) {
+      return;  // The next look goes on.
+    }
+    if (!this->IsEmpty(i)) {
+      continue;
+    }
+    const Move best =
+        this->BestOf(i, this->choices.At(i, this->choices.Edges()));
+    if (best.layers.Size() > 0) {
+      this->Order(i, best.layers, GiveUp::CutRequests);
+    }
+  }
+}
+
+Move DomainPlan::BestFor(LayerRange aGap) {
+  Move best;
+  best.score = this->layout.Score();
+  for (const std::size_t i : this->Changeable()) {
+    Move move = this->BestOf(i, this->choices.For(i, aGap));
+    move.score.worth -= this->CostOf(i, move.layers);
+    if (move.score.IsBetterThan(best.score)) {
+      best = move;
+    }
+  }
+  return best;
+}
+
+void DomainPlan::FillGaps() {
+  int from = 0;
+  while (true) {
+    const LayerRange gap = this->layout.FirstGap(from);
+    if (gap.Size() == 0) {
+      return;
+    }
+    const int gaps = this->layout.Score().gaps;
+    const Move best = this->BestFor(gap);
+    if (best.score.gaps >= gaps) {
+      from = gap.last;
+      continue;
+    }
+    this->Order(best.index, best.layers, GiveUp::CutRequests);
+  }
+}
+
+double DomainPlan::CostOf(std::size_t aIndex, LayerRange aLayers) {
+  const LayerRange own = this->layout.At(aIndex).layers;
+  const LayerRange stays = Common(own, aLayers);
+  const LayoutScore now = this->layout.Score();
+  const LayoutScore meanwhile = this->layout.ScoreWith(aIndex, stays);
+  const double lost = meanwhile.gaps > now.gaps
+                          ? 1
+                          : std::max(0.0, now.worth - meanwhile.worth);
+  const double loading = ToSeconds(this->model.loadTime) *
+                         (aLayers.Size() - stays.Size()) / this->model.layers;
+  const double givingUp =
+      stays.Size() < own.Size() ? kGivingUpSeconds : kGrowingSeconds;
+  return lost * (loading + givingUp) / this->settings.horizonSeconds;
+}
+
+bool DomainPlan::MayChange(std::size_t aIndex) const {
+  const PlacedUpstream& upstream = this->layout.At(aIndex);
+  return upstream.takesOrders && upstream.layers.Size() > 0;
+}
+
+bool DomainPlan::IsChanging() const {
+  const auto& upstreams = this->layout.Upstreams();
+  return std::any_of(
+      upstreams.begin(), upstreams.end(),
+      [](const PlacedUpstream& aOne) { return !aOne.takesOrders; });
+}
+
+void DomainPlan::Refine() {
+  const std::vector<int> edges = this->choices.Edges();
+  bool isBetter = true;
+  while (isBetter && this->HasTimeLeft()) {
+    Move best;
+    best.score = this->layout.Score();
+    best.score.worth += this->settings.leastGain;
+    for (const std::size_t i : this->Representatives()) {
+      const Move move = this->BestOf(i, this->choices.At(i, edges));
+      best = move.score.IsBetterThan(best.score) ? move : best;
+    }
+    isBetter = best.layers.Size() > 0;
+    if (isBetter) {
+      this->layout.Set(best.index, best.layers);
+    }
+  }
+}
+
+void DomainPlan::Improve(bool aIsSteady, std::uint64_t aTurn) {
+  const LayoutScore present = this->layout.Score();
+  // Nothing is worth more than serving all without any loss.
+  const double most = 1;
+  if (present.gaps > 0 || present.worth + this->settings.leastGain >= most) {
+    return;
+  }
+  const bool onlyGrows = !aIsSteady || this->IsChanging();
+  Move best;
+  best.score = present;
+  best.score.worth += this->settings.leastGain;
+  const std::vector<int> edges = this->choices.Edges();
+  std::vector<std::size_t> upstreams = this->Changeable();
+  std::rotate(upstreams.begin(),
+              upstreams.begin() +
+                  static_cast<std::ptrdiff_t>(aTurn % (upstreams.size() + 1)),
+              upstreams.end());
+  for (const std::size_t i : upstreams) {
+    if (!this->HasTimeLeft()) {
+      break;
+    }
+    this->ConsiderRanges(best, i, edges, onlyGrows);
+    if (!onlyGrows) {
+      this->ConsiderShifts(best, i, upstreams);
+    }
+  }
+  if (best.layers.Size() > 0) {
+    this->Order(best.index, best.layers, GiveUp::WaitForRequests);
+  }
+}
+
+void DomainPlan::ConsiderRanges(Move& aBest, std::size_t aIndex,
+                                const std::vector<int>& aEdges,
+                                bool aOnlyGrows) {
+  const LayerRange own = this->layout.At(aIndex).layers;
+  std::vector<LayerRange> ranges = this->choices.At(aIndex, aEdges);
+  const auto near = this->choices.Near(aIndex);
+  ranges.insert(ranges.end(), near.begin(), near.end());
+  for (const LayerRange& range : ranges) {
+    if (!aOnlyGrows || range.Covers(own)) {
+      this->Consider(aBest, aIndex, range);
+    }
+  }
+}
+
+void DomainPlan::Consider(Move& aBest, std::size_t aIndex, LayerRange aRange) {
+  LayoutScore score = this->layout.ScoreWith(aIndex, aRange);
+  if (score.IsBetterThan(aBest.score)) {
+    score.worth -= this->CostOf(aIndex, aRange);
+    if (score.IsBetterThan(aBest.score)) {
+      aBest = {aIndex, aRange, score};
+    }
+  }
+}
+
+void DomainPlan::ConsiderShifts(Move& aBest, std::size_t aIndex,
+                                const std::vector<std::size_t>& aChangeable) {
+  const LayerRange own = this->layout.At(aIndex).layers;
+  for (const std::size_t next : aChangeable) {
+    const LayerRange other = this->layout.At(next).layers;
+    const bool isNext = next != aIndex && other.first == own.last;
+    for (int shift = 1; isNext && shift <= kMostShift; ++shift) {
+      this->ConsiderShift(aBest, aIndex, {own.first, own.last + shift}, next,
+                          {other.first + shift, other.last});
+      this->ConsiderShift(aBest, next, {other.first - shift, other.last},
+                          aIndex, {own.first, own.last - shift});
+    }
+  }
+}
+
+void DomainPlan::ConsiderShift(Move& aBest, std::size_t aGrowing,
+                               LayerRange aGrown, std::size_t aShrinking,
+                               LayerRange aShrunk) {
+  const int fewest = FewestLayers(this->model);
+  if (aGrown.Size() > this->layout.MostLayers(aGrowing) ||
+      aShrunk.Size() < fewest) {
+    return;
+  }
+  const LayerRange before = this->layout.At(aShrinking).layers;
+  const double cost =
+      this->CostOf(aGrowing, aGrown) + this->CostOf(aShrinking, aShrunk);
+  this->layout.Set(aShrinking, aShrunk);
+  LayoutScore score = this->layout.ScoreWith(aGrowing, aGrown);
+  this->layout.Set(aShrinking, before);
+  score.worth -= cost;
+  if (score.IsBetterThan(aBest.score)) {
+    aBest = {aGrowing, aGrown, score};
+  }
+}
+
+}  // namespace zincstep
