Lists are told packed, and packed once for all who ask for the same

Cause: at 300 daemons before 3,000 upstreams one daemon moved 8.6 MB a second. All entries change as upstreams get their layers: 1.2 MB of text for each of the hundred daemons that ask the first of their domain, which has 2.5 MB a second.

Ruled out: work in flight (inside a domain, 16 bytes an upstream now instead of 24), orders and reports (2 MB in all).

Change: lists of eight entries and more go as one FlatBuffer compressed by zlib (level 1, under a sixth of the text), kept for the next asker with the same revision. Way against: a binary form of entries, which would have to follow each new field of theirs.

--- a/UnitTests/EdgePeerMessageTest.cpp
+++ b/UnitTests/EdgePeerMessageTest.cpp
@@ -9,6 +9,9 @@
   CPPUNIT_TEST_SUITE(EdgePeerMessageTest);
   CPPUNIT_TEST(Message_Work_ReadsAsWritten);
   CPPUNIT_TEST(Message_Lists_ReadAsWritten);
+  CPPUNIT_TEST(Message_PackedList_ReadsAsWritten);
+  CPPUNIT_TEST(Message_PackedList_IsAFractionOfItsText);
+  CPPUNIT_TEST(Message_PackedListThatIsDamaged_HasNone);
   CPPUNIT_TEST(Message_Demand_ReadsAsWritten);
   CPPUNIT_TEST(Message_Crashes_ReadAsWritten);
   CPPUNIT_TEST(Message_Cut_IsRefused);
@@ -78,6 +81,68 @@
     CPPUNIT_ASSERT(copy.upstreams->grace == 900ms);
   }
 
+  /// Entries of that many upstreams as they write them.
+  static ListCopy Entries(int aCount) {
+    ListCopy list;
+    list.at = {60, 3};
+    for (int i = 0; i < aCount; ++i) {
+      const std::string number = std::to_string(i);
+      list.items.push_back(
+          {"i-" + std::to_string(Hash64(number)),
+           R"({"backend":"huvo11a","address":"10.128.0.)" + number +
+               R"(:8080","zone":"lautoka-hall","configVersion":"v1",)"
+               R"("slots":192,"state":"ready","coldRemainingMs":0,)"
+               R"("stage":"dual","models":[{"name":"daka510000",)"
+               R"("configVersion":1,"adapters":[]}],"sequence":)" +
+               number + R"(,"layers":{"from":)" + number +
+               R"(,"targetVersion":80,"configVersion":1},"routeType":"l4"})",
+           {60, 3}});
+    }
+    return list;
+  }
+
+  void Message_PackedList_ReadsAsWritten() {
+    ClusterGive give;
+    give.era = 3;
+    give.packedUpstreams = PackList(Entries(100));
+    give.packedGrace = 700ms;
+    const auto message = ReadBack(give);
+    const auto& list = std::get<ClusterGive>(message.body).copy.upstreams;
+    CPPUNIT_ASSERT(list.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{100}, list->items.size());
+    CPPUNIT_ASSERT_EQUAL(Entries(100).items[42].value, list->items[42].value);
+    CPPUNIT_ASSERT(list->items[42].revision == StoreRevision({60, 3}));
+    CPPUNIT_ASSERT(list->grace == 700ms);
+  }
+
+  // All entries of 3,000 upstreams change as they get their layers: as text
+  // that is 1.2 MB for each of a hundred daemons, of which the first of a
+  // domain may send 2.5 MB a second.
+  void Message_PackedList_IsAFractionOfItsText() {
+    const ListCopy list = Entries(3000);
+    std::size_t text = 0;
+    for (const StoreItem& item : list.items) {
+      text += item.key.size() + item.value.size();
+    }
+    CPPUNIT_ASSERT(PackList(list).size() < text / 6);
+  }
+
+  void Message_PackedListThatIsDamaged_HasNone() {
+    const std::string whole = PackList(Entries(20));
+    for (std::size_t cut = 0; cut < whole.size(); cut += 7) {
+      ClusterGive give;
+      give.packedUpstreams = whole.substr(0, cut);
+      const auto message = ReadBack(give);
+      CPPUNIT_ASSERT(!std::get<ClusterGive>(message.body).copy.upstreams);
+    }
+    for (std::size_t at = 0; at < whole.size(); at += 5) {
+      ClusterGive give;
+      give.packedUpstreams = whole;
+      give.packedUpstreams[at] ^= 0x55;
+      ReadBack(give);  // None or another list, and no fault.
+    }
+  }
+
   void Message_Cut_IsRefused() {
     const std::string text = WriteEdgePeerMessage(
         {"d1", "10.0.0.1:7000", WorkGossip{{{1, 2, false, 1}}}});
--- a/UnitTests/RestoredStoreTest.cpp
+++ b/UnitTests/RestoredStoreTest.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(Proof_FromBefore_GoesOnToAge);
   CPPUNIT_TEST(Start_UntilAPeerIsHeard_ProofsWait);
   CPPUNIT_TEST(Start_NoPeerAnswers_ProofsCountAfterAWhile);
+  CPPUNIT_TEST(Start_StoreInItsFirstEra_WaitsForNobody);
   CPPUNIT_TEST(Copy_OfAnEarlierEra_IsNotTold);
   CPPUNIT_TEST(Copy_ToAnAskerOfAnEarlierEra_BringsItsListUp);
   CPPUNIT_TEST(Copy_WholeOfANewEra_GivesMissingOnesAGrace);
@@ -226,6 +227,13 @@
     CPPUNIT_ASSERT(view.ProofAge().has_value());
   }
 
+  void Start_StoreInItsFirstEra_WaitsForNobody() {
+    view.AwaitPeers(clock.Now() + 600ms);
+    view.OnConfiguration({"", ConfigText(7), {40, 0}});
+    view.OnProof({40, 0}, clock.Now());
+    CPPUNIT_ASSERT(view.ProofAge().has_value());
+  }
+
   void Copy_OfAnEarlierEra_IsNotTold() {
     this->KnowTwo();
     view.OnListsProven(clock.Now());
--- a/Zincstep/Cluster/ClusterView.cpp
+++ b/Zincstep/Cluster/ClusterView.cpp
@@ -18,9 +18,6 @@
 /// copy is not used for so long: one that lives writes within a second or two,
 /// and the entry of one that has ended goes after three that it has missed.
 constexpr Micros kReturnDoubt = 4s;
-/// Time for the operators to write again what the copy lacks. Proofs from
-/// before go on to count meanwhile, and are old after five seconds.
-constexpr Micros kProofDoubt = 1500ms;
 /// For so long an incarnation that has gone is remembered: longer than a copy
 /// is old.
 constexpr Micros kGoneRemembered = 60s;
@@ -29,119 +26,22 @@
 
 ClusterView::ClusterView(const ClusterDecoder& aDecoder,
                          ClusterListener& aListener, const Clock& aClock)
-    : decoder(aDecoder), listener(aListener), clock(aClock) {}
-
-bool ClusterView::IsNewer(std::uint64_t aVersion, StoreRevision aFound) const {
-  if (!this->table) {
-    return true;
-  }
-  // Inside one era the store's order holds, whatever the versions; a copy from
-  // before may hold what has been replaced.
-  const bool isOfOneEra = aFound.era == this->configEra;
-  return isOfOneEra || aVersion >= this->ConfigVersion();
-}
+    : decoder(aDecoder),
+      listener(aListener),
+      clock(aClock),
+      config(aDecoder, aClock) {}
 
 void ClusterView::OnConfiguration(const StoreItem& aItem) {
   this->NoteEra(aItem.revision);
-  if (aItem.revision <= this->configFoundAt ||
-      aItem.revision == this->refusedRevision) {
-    return;
-  }
-  if (this->table && aItem.value == this->configText) {
-    this->configFoundAt = aItem.revision;
-    this->configEra = aItem.revision.era;
-    return;
-  }
-  auto decoded = this->decoder.DecodeConfiguration(aItem.value);
-  if (!decoded) {
-    this->refusedRevision = aItem.revision;
-    LogWarning("configuration_refused",
-               {{"revision", aItem.revision.number},
-                {"era", aItem.revision.era},
-                {"kept_version", this->ConfigVersion()},
-                {"reason", decoded.error().message}});
-    return;
-  }
-  this->configFoundAt = aItem.revision;
-  if (!this->IsNewer(decoded->version, aItem.revision)) {
-    LogWarning("configuration_older",
-               {{"revision", aItem.revision.number},
-                {"era", aItem.revision.era},
-                {"version", decoded->version},
-                {"kept_version", this->ConfigVersion()}});
-    return;
-  }
-  this->SetInForce(aItem.value, std::move(*decoded), aItem.revision);
-}
-
-void ClusterView::SetInForce(std::string aText,
-                             RouteConfiguration aConfiguration,
-                             StoreRevision aFound) {
-  this->configText = std::move(aText);
-  this->configEra = aFound.era;
-  this->table = std::make_shared<const RouteTable>(std::move(aConfiguration));
-  LogInfo("configuration_in_force",
-          {{"revision", aFound.number},
-           {"era", aFound.era},
-           {"version", this->table->Configuration().version},
-           {"routes", this->table->Configuration().routes.size()}});
-  this->listener.OnConfiguration();
-}
-
-void ClusterView::OnLostConfiguration(const ClusterCopy& aCopy) {
-  auto decoded = this->decoder.DecodeConfiguration(aCopy.configText);
-  if (decoded && decoded->version > this->ConfigVersion()) {
-    this->SetInForce(aCopy.configText, std::move(*decoded), {});
-  }
-}
-
-void ClusterView::OnProof(StoreRevision aRevision, Instant aBegan) {
-  if (aRevision > this->configFoundAt || aRevision.IsNone()) {
-    return;  // That one has withdrawn what this one still grants.
-  }
-  if (aRevision.era < this->era || aBegan < this->doubtsProofsUntil) {
-    return;
-  }
-  if (this->awaitsPeersUntil) {
-    this->heldProof = HeldProof{aRevision, aBegan};
-    return;
-  }
-  if (!this->proofBegan || *this->proofBegan < aBegan) {
-    this->proofBegan = aBegan;
+  if (this->config.OnFound(aItem)) {
+    this->listener.OnConfiguration();
   }
 }
 
 void ClusterView::OnRestored(std::uint64_t aEra) {
-  const Instant now = this->clock.Now();
   this->era = aEra;
-  this->configFoundAt = {};
-  this->refusedRevision = {};
-  this->heldProof.reset();
-  this->doubtsProofsUntil = now + kProofDoubt;
-  this->storeBackAt = now;
-}
-
-void ClusterView::AwaitPeers(Instant aUntil) {
-  this->awaitsPeersUntil = aUntil;
-}
-
-void ClusterView::OnPeersHeard() {
-  if (!this->awaitsPeersUntil) {
-    return;
-  }
-  this->awaitsPeersUntil.reset();
-  if (this->heldProof) {
-    const HeldProof held = *this->heldProof;
-    this->heldProof.reset();
-    this->OnProof(held.revision, held.began);
-  }
-}
-
-std::optional<Micros> ClusterView::ProofAge() const {
-  if (!this->proofBegan) {
-    return std::nullopt;
-  }
-  return this->clock.Now() - *this->proofBegan;
+  this->storeBackAt = this->clock.Now();
+  this->config.OnRestored(aEra);
 }
 
 ClusterView::ToldBy ClusterView::ToldByList(StoreRevision aAt) const {
@@ -318,7 +218,10 @@
 void ClusterView::OnCopy(const ClusterCopy& aCopy, Instant aAsked) {
   if (!aCopy.configText.empty()) {
     this->OnConfiguration({"", aCopy.configText, aCopy.configRevision});
-    this->OnLostConfiguration(aCopy);
+    const bool isLost = aCopy.configVersion > this->ConfigVersion();
+    if (isLost && this->config.OnPeers(aCopy.configText)) {
+      this->listener.OnConfiguration();
+    }
   }
   if (aCopy.proofAge) {
     this->OnProof(aCopy.configRevision, aAsked - *aCopy.proofAge);
@@ -367,7 +270,7 @@
   const auto known = [this](StoreRevision aRevision) {
     return aRevision.era == this->era ? aRevision : StoreRevision{};
   };
-  return {this->configFoundAt, known(this->entries.AskSince()),
+  return {this->ConfigFoundAt(), known(this->entries.AskSince()),
           known(this->daemons.List().AskSince()), this->ConfigVersion()};
 }
 
@@ -402,20 +305,18 @@
   std::erase_if(this->lately, [now](const auto& aEntry) {
     return now - aEntry.second > kGoneRemembered;
   });
-  if (this->awaitsPeersUntil && now >= *this->awaitsPeersUntil) {
-    this->OnPeersHeard();
-  }
+  this->config.Tick();
 }
 
 ClusterCopy ClusterView::CopyFor(const KnownRevisions& aKnown) const {
   ClusterCopy copy;
-  copy.configRevision = this->configFoundAt;
+  copy.configRevision = this->ConfigFoundAt();
   copy.configVersion = this->ConfigVersion();
   copy.proofAge =
-      this->configFoundAt.IsNone() ? std::nullopt : this->ProofAge();
-  if (aKnown.config < this->configFoundAt ||
+      this->ConfigFoundAt().IsNone() ? std::nullopt : this->ProofAge();
+  if (aKnown.config < this->ConfigFoundAt() ||
       aKnown.configVersion < this->ConfigVersion()) {
-    copy.configText = this->configText;
+    copy.configText = this->config.Text();
   }
   // Lists of an earlier era are nobody's news.
   const bool tellsUpstreams = this->entries.At().era == this->era;
@@ -425,8 +326,7 @@
   }
   if (tellsUpstreams && aKnown.upstreams < this->entries.At()) {
     copy.upstreams = this->entries.CopySince(aKnown.upstreams);
-    copy.upstreams->grace =
-        std::max(Micros{0}, this->GraceEnd() - this->clock.Now());
+    copy.upstreams->grace = this->ReturnGrace();
   }
   if (tellsDaemons && aKnown.daemons < this->daemons.At()) {
     copy.daemons = this->daemons.List().CopySince(aKnown.daemons);
--- a/Zincstep/Cluster/ClusterView.h
+++ b/Zincstep/Cluster/ClusterView.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "Zincstep/Cluster/ConfigurationBelief.h"
 #include "Zincstep/Cluster/PrefixMirror.h"
 #include "Zincstep/Pool/Pool.h"
 #include "Zincstep/Routes/Routes.h"
@@ -89,14 +90,16 @@
   /// The configuration of `aRevision` was the newest one at `aBegan`. That goes
   /// on to hold for a newer one that came into force since: whatever neither of
   /// them tells was changed after `aBegan`.
-  void OnProof(StoreRevision aRevision, Instant aBegan);
+  void OnProof(StoreRevision aRevision, Instant aBegan) {
+    this->config.OnProof(aRevision, aBegan);
+  }
   /// The store has come back from a copy, and is in that era.
   void OnRestored(std::uint64_t aEra);
   /// No proof counts from now on until a peer has answered or `aUntil`: one
   /// that lives may know a configuration that the store has lost.
-  void AwaitPeers(Instant aUntil);
+  void AwaitPeers(Instant aUntil) { this->config.AwaitPeers(aUntil); }
   /// A peer has answered, and this daemon has no older configuration.
-  void OnPeersHeard();
+  void OnPeersHeard() { this->config.OnPeersHeard(); }
   /// All upstreams' entries as of `aRange.at`; keys are their ids.
   void OnUpstreams(const StoreRange& aRange);
   /// Changes of upstreams' entries.
@@ -119,19 +122,29 @@
 
   /// What a peer is told that has those revisions.
   ClusterCopy CopyFor(const KnownRevisions& aKnown) const;
+  /// Revision up to which the list of upstreams can be told; none: it is of an
+  /// earlier era.
+  StoreRevision UpstreamsAt() const {
+    return this->entries.At().era == this->era ? this->entries.At()
+                                               : StoreRevision{};
+  }
+  /// For so long an entry that is missing may only have lapsed.
+  Micros ReturnGrace() const {
+    return std::max(Micros{0}, this->GraceEnd() - this->clock.Now());
+  }
   /// What a peer need not tell.
   KnownRevisions Revisions() const;
 
   /// The configuration in force, or null before the first.
-  const std::shared_ptr<const RouteTable>& Table() const { return this->table; }
-  std::uint64_t ConfigVersion() const {
-    return this->table ? this->table->Configuration().version : 0;
+  const std::shared_ptr<const RouteTable>& Table() const {
+    return this->config.Table();
   }
+  std::uint64_t ConfigVersion() const { return this->config.Version(); }
   /// Where the store has the newest configuration, as it was found last; none:
   /// it is not known in this era.
-  StoreRevision ConfigFoundAt() const { return this->configFoundAt; }
+  StoreRevision ConfigFoundAt() const { return this->config.FoundAt(); }
   /// Age of the proof that the configuration is the newest; none: no proof.
-  std::optional<Micros> ProofAge() const;
+  std::optional<Micros> ProofAge() const { return this->config.ProofAge(); }
   /// Age of the proof that the lists are up to the store; none: no proof.
   std::optional<Micros> ListsAge() const;
   /// Whether any list of upstreams is known, however old.
@@ -144,13 +157,6 @@
 
  private:
   void OnUpstreamCopy(const ListCopy& aCopy);
-  /// Whether a configuration of that version goes before the one in force.
-  bool IsNewer(std::uint64_t aVersion, StoreRevision aFound) const;
-  /// A peer has a configuration of a higher version than the store was found to
-  /// have, whose copy has lost it.
-  void OnLostConfiguration(const ClusterCopy& aCopy);
-  void SetInForce(std::string aText, RouteConfiguration aConfiguration,
-                  StoreRevision aFound);
   /// The first that is heard of a store tells its era.
   void NoteEra(StoreRevision aRevision) {
     this->era = std::max(this->era, aRevision.era);
@@ -186,26 +192,9 @@
   const ClusterDecoder& decoder;
   ClusterListener& listener;
   const Clock& clock;
+  ConfigurationBelief config;
   /// The present era of the store, as far as it is known here.
   std::uint64_t era = 0;
-  /// Text of the configuration in force, and the era that it was taken in.
-  std::string configText;
-  std::uint64_t configEra = 0;
-  StoreRevision configFoundAt;
-  std::shared_ptr<const RouteTable> table;
-  /// Revision of a configuration that did not parse, to read it once only.
-  StoreRevision refusedRevision;
-  std::optional<Instant> proofBegan;
-  /// A proof that counts once the peers were heard.
-  struct HeldProof {
-    StoreRevision revision;
-    Instant began;
-  };
-  std::optional<HeldProof> heldProof;
-  std::optional<Instant> awaitsPeersUntil;
-  /// No proof counts that began before: what the operators had written may not
-  /// be written again yet.
-  Instant doubtsProofsUntil{};
   /// Incarnations that have gone lately, by their numbers, and when.
   std::map<std::uint64_t, Instant> lately;
   UpstreamDirectory directory;
--- a/Zincstep/Edge/EdgePeerMessage.cpp
+++ b/Zincstep/Edge/EdgePeerMessage.cpp
@@ -1,5 +1,11 @@
 #include "Zincstep/Edge/EdgePeerMessage.h"
 
+#include <zlib.h>
+
+#include <algorithm>
+#include <cstring>
+#include <limits>
+
 #include "Zincstep/Edge/Generated/EdgePeer_generated.h"
 
 namespace zincstep {
@@ -9,11 +15,41 @@
 namespace fb = flatbuffers;
 
 constexpr std::int64_t kNoProof = -1;
+/// A pace is told in steps of this.
+constexpr double kPaceStep = 0.01;
+/// Longest list that is taken: 100,000 entries.
+constexpr std::uint32_t kLongestList = 64 << 20;
+/// How deep messages are nested, and tables in them: one an entry.
+constexpr fb::uoffset_t kMostDepth = 64;
+constexpr fb::uoffset_t kMostTables = 1'000'000;
+/// Of zlib's levels the quickest: entries shrink to an eighth with any.
+constexpr int kPackLevel = 1;
+
+std::uint16_t StepsOf(double aPace) {
+  const double most = std::numeric_limits<std::uint16_t>::max();
+  return static_cast<std::uint16_t>(std::min(most, aPace / kPaceStep));
+}
 
 std::string TextOf(const fb::String* aText) {
   return aText == nullptr ? std::string() : aText->str();
 }
 
+fb::Offset<edgewire::EntryList> WriteList(fb::FlatBufferBuilder& aBuilder,
+                                          const ListCopy& aList) {
+  std::vector<fb::Offset<edgewire::Entry>> entries;
+  for (const StoreItem& item : aList.items) {
+    const auto id = aBuilder.CreateString(item.key);
+    const auto value = aBuilder.CreateString(item.value);
+    entries.push_back(
+        edgewire::CreateEntry(aBuilder, id, value, item.revision.number));
+  }
+  const auto written = aBuilder.CreateVector(entries);
+  const auto removed = aBuilder.CreateVectorOfStrings(aList.removed);
+  return edgewire::CreateEntryList(aBuilder, aList.at.number, aList.isWhole,
+                                   written, removed, aList.grace.count(),
+                                   aList.digest);
+}
+
 /// Writes the bodies; each gives the offset of its table.
 class BodyWriter {
  public:
@@ -24,7 +60,7 @@
     works.reserve(aGossip.works.size());
     for (const UpstreamWork& work : aGossip.works) {
       works.emplace_back(work.upstream, static_cast<float>(work.work),
-                         static_cast<float>(work.pace), work.isSuspect);
+                         StepsOf(work.pace), work.isSuspect);
     }
     return edgewire::CreateWorkGossipDirect(this->builder, &works).Union();
   }
@@ -43,10 +79,17 @@
     const auto config = this->builder.CreateString(copy.configText);
     const auto upstreams = this->WriteList(copy.upstreams);
     const auto daemons = this->WriteList(copy.daemons);
+    fb::Offset<fb::Vector<std::uint8_t>> packed;
+    if (!aGive.packedUpstreams.empty()) {
+      packed = this->builder.CreateVector(
+          reinterpret_cast<const std::uint8_t*>(aGive.packedUpstreams.data()),
+          aGive.packedUpstreams.size());
+    }
     return edgewire::CreateClusterGive(
                this->builder, aGive.question, copy.configRevision.number,
                config, AgeOrNone(copy.proofAge), upstreams, daemons,
-               AgeOrNone(copy.listsAge), aGive.era, copy.configVersion)
+               AgeOrNone(copy.listsAge), aGive.era, copy.configVersion, packed,
+               aGive.packedGrace.count())
         .Union();
   }
 
@@ -78,21 +121,7 @@
   /// The list; a null offset where there is none.
   fb::Offset<edgewire::EntryList> WriteList(
       const std::optional<ListCopy>& aList) {
-    if (!aList) {
-      return 0;
-    }
-    std::vector<fb::Offset<edgewire::Entry>> entries;
-    for (const StoreItem& item : aList->items) {
-      const auto id = this->builder.CreateString(item.key);
-      const auto value = this->builder.CreateString(item.value);
-      entries.push_back(edgewire::CreateEntry(this->builder, id, value,
-                                              item.revision.number));
-    }
-    const auto written = this->builder.CreateVector(entries);
-    const auto removed = this->builder.CreateVectorOfStrings(aList->removed);
-    return edgewire::CreateEntryList(this->builder, aList->at.number,
-                                     aList->isWhole, written, removed,
-                                     aList->grace.count(), aList->digest);
+    return aList ? zincstep::WriteList(this->builder, *aList) : 0;
   }
 
   fb::FlatBufferBuilder& builder;
@@ -110,8 +139,8 @@
   WorkGossip gossip;
   if (aTable.works() != nullptr) {
     for (const edgewire::UpstreamWork* work : *aTable.works()) {
-      gossip.works.push_back(
-          {work->upstream(), work->work(), work->suspect(), work->pace()});
+      gossip.works.push_back({work->upstream(), work->work(), work->suspect(),
+                              work->pace() * kPaceStep});
     }
   }
   return gossip;
@@ -161,6 +190,30 @@
   return copy;
 }
 
+/// The list that was packed; none where it is damaged.
+std::optional<ListCopy> UnpackList(const fb::Vector<std::uint8_t>& aPacked,
+                                   std::uint64_t aEra) {
+  std::uint32_t length = 0;
+  if (aPacked.size() <= sizeof(length)) {
+    return std::nullopt;
+  }
+  std::memcpy(&length, aPacked.data(), sizeof(length));
+  if (length > kLongestList) {
+    return std::nullopt;
+  }
+  std::vector<std::uint8_t> text(length);
+  uLongf unpacked = length;
+  const int status =
+      uncompress(text.data(), &unpacked, aPacked.data() + sizeof(length),
+                 aPacked.size() - sizeof(length));
+  fb::Verifier verifier(text.data(), text.size(), kMostDepth, kMostTables);
+  const bool isWhole = status == Z_OK && unpacked == length;
+  if (!isWhole || !verifier.VerifyBuffer<edgewire::EntryList>(nullptr)) {
+    return std::nullopt;
+  }
+  return ReadList(fb::GetRoot<edgewire::EntryList>(text.data()), aEra);
+}
+
 ClusterWant ReadWant(const edgewire::ClusterWant& aTable) {
   const std::uint64_t era = aTable.era();
   ClusterWant want;
@@ -184,11 +237,32 @@
   give.copy.upstreams = ReadList(aTable.upstreams(), give.era);
   give.copy.daemons = ReadList(aTable.daemons(), give.era);
   give.copy.listsAge = ReadAge(aTable.lists_age_us());
+  if (aTable.packed_upstreams() != nullptr) {
+    give.copy.upstreams = UnpackList(*aTable.packed_upstreams(), give.era);
+    if (give.copy.upstreams) {
+      give.copy.upstreams->grace = Micros{aTable.packed_grace_us()};
+    }
+  }
   return give;
 }
 
 }  // namespace
 
+std::string PackList(const ListCopy& aList) {
+  fb::FlatBufferBuilder builder;
+  builder.Finish(WriteList(builder, aList));
+  const auto length = static_cast<std::uint32_t>(builder.GetSize());
+  std::string packed(sizeof(length) + compressBound(length), '\0');
+  std::memcpy(packed.data(), &length, sizeof(length));
+  uLongf size = packed.size() - sizeof(length);
+  const int status =
+      compress2(reinterpret_cast<Bytef*>(packed.data() + sizeof(length)), &size,
+                builder.GetBufferPointer(), length, kPackLevel);
+  ZINCSTEP_ASSERT(status == Z_OK);
+  packed.resize(sizeof(length) + size);
+  return packed;
+}
+
 std::string WriteEdgePeerMessage(const EdgePeerMessage& aMessage) {
   fb::FlatBufferBuilder builder;
   const auto sender = builder.CreateString(aMessage.sender);
@@ -202,7 +276,7 @@
 
 Result<EdgePeerMessage> ReadEdgePeerMessage(std::string_view aBuffer) {
   fb::Verifier verifier(reinterpret_cast<const std::uint8_t*>(aBuffer.data()),
-                        aBuffer.size());
+                        aBuffer.size(), kMostDepth, kMostTables);
   if (!edgewire::VerifyMessageBuffer(verifier)) {
     return Fail(ErrorKind::BadRequest, "not a message");
   }
--- a/Zincstep/Edge/EdgePeerMessage.h
+++ b/Zincstep/Edge/EdgePeerMessage.h
@@ -41,6 +41,10 @@
   std::uint64_t era = 0;
   std::uint64_t question = 0;
   ClusterCopy copy;
+  /// The list of upstreams by `PackList` in place of the copy's; read, it
+  /// stands in the copy. For so long what it removes may only have lapsed.
+  std::string packedUpstreams;
+  Micros packedGrace{0};
 };
 
 /// What a daemon tells whoever places layers.
@@ -68,6 +72,9 @@
   EdgePeerBody body;
 };
 
+/// A list as it is told to many: a FlatBuffer, compressed. Entries of upstreams
+/// are texts that differ in a few places.
+std::string PackList(const ListCopy& aList);
 /// The message as a FlatBuffer.
 std::string WriteEdgePeerMessage(const EdgePeerMessage& aMessage);
 /// The message in a buffer; fails with `BadRequest` where it has none.
--- a/Zincstep/Edge/Generated/EdgePeer_generated.h
+++ b/Zincstep/Edge/Generated/EdgePeer_generated.h
@@ -117,9 +117,9 @@
  private:
   uint64_t upstream_;
   float work_;
-  float pace_;
+  uint16_t pace_;
   uint8_t suspect_;
-  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+  int8_t padding0__;
 
  public:
   UpstreamWork()
@@ -127,24 +127,16 @@
         work_(0),
         pace_(0),
         suspect_(0),
-        padding0__(0),
-        padding1__(0),
-        padding2__(0) {
+        padding0__(0) {
     (void)padding0__;
-    (void)padding1__;
-    (void)padding2__;
   }
-  UpstreamWork(uint64_t _upstream, float _work, float _pace, bool _suspect)
+  UpstreamWork(uint64_t _upstream, float _work, uint16_t _pace, bool _suspect)
       : upstream_(flatbuffers::EndianScalar(_upstream)),
         work_(flatbuffers::EndianScalar(_work)),
         pace_(flatbuffers::EndianScalar(_pace)),
         suspect_(flatbuffers::EndianScalar(static_cast<uint8_t>(_suspect))),
-        padding0__(0),
-        padding1__(0),
-        padding2__(0) {
+        padding0__(0) {
     (void)padding0__;
-    (void)padding1__;
-    (void)padding2__;
   }
   uint64_t upstream() const {
     return flatbuffers::EndianScalar(upstream_);
@@ -152,14 +144,14 @@
   float work() const {
     return flatbuffers::EndianScalar(work_);
   }
-  float pace() const {
+  uint16_t pace() const {
     return flatbuffers::EndianScalar(pace_);
   }
   bool suspect() const {
     return flatbuffers::EndianScalar(suspect_) != 0;
   }
 };
-FLATBUFFERS_STRUCT_END(UpstreamWork, 24);
+FLATBUFFERS_STRUCT_END(UpstreamWork, 16);
 
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamCrash FLATBUFFERS_FINAL_CLASS {
  private:
@@ -570,7 +562,9 @@
     VT_DAEMONS = 14,
     VT_LISTS_AGE_US = 16,
     VT_ERA = 18,
-    VT_CONFIG_VERSION = 20
+    VT_CONFIG_VERSION = 20,
+    VT_PACKED_UPSTREAMS = 22,
+    VT_PACKED_GRACE_US = 24
   };
   uint64_t question() const {
     return GetField<uint64_t>(VT_QUESTION, 0);
@@ -599,6 +593,12 @@
   uint64_t config_version() const {
     return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
   }
+  const flatbuffers::Vector<uint8_t> *packed_upstreams() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED_UPSTREAMS);
+  }
+  int64_t packed_grace_us() const {
+    return GetField<int64_t>(VT_PACKED_GRACE_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_QUESTION, 8) &&
@@ -613,6 +613,9 @@
            VerifyField<int64_t>(verifier, VT_LISTS_AGE_US, 8) &&
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
+           VerifyOffset(verifier, VT_PACKED_UPSTREAMS) &&
+           verifier.VerifyVector(packed_upstreams()) &&
+           VerifyField<int64_t>(verifier, VT_PACKED_GRACE_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -648,6 +651,12 @@
   void add_config_version(uint64_t config_version) {
     fbb_.AddElement<uint64_t>(ClusterGive::VT_CONFIG_VERSION, config_version, 0);
   }
+  void add_packed_upstreams(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_upstreams) {
+    fbb_.AddOffset(ClusterGive::VT_PACKED_UPSTREAMS, packed_upstreams);
+  }
+  void add_packed_grace_us(int64_t packed_grace_us) {
+    fbb_.AddElement<int64_t>(ClusterGive::VT_PACKED_GRACE_US, packed_grace_us, 0);
+  }
   explicit ClusterGiveBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -669,14 +678,18 @@
     flatbuffers::Offset<zincstep::edgewire::EntryList> daemons = 0,
     int64_t lists_age_us = -1LL,
     uint64_t era = 0,
-    uint64_t config_version = 0) {
+    uint64_t config_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_upstreams = 0,
+    int64_t packed_grace_us = 0) {
   ClusterGiveBuilder builder_(_fbb);
+  builder_.add_packed_grace_us(packed_grace_us);
   builder_.add_config_version(config_version);
   builder_.add_era(era);
   builder_.add_lists_age_us(lists_age_us);
   builder_.add_proof_age_us(proof_age_us);
   builder_.add_config_revision(config_revision);
   builder_.add_question(question);
+  builder_.add_packed_upstreams(packed_upstreams);
   builder_.add_daemons(daemons);
   builder_.add_upstreams(upstreams);
   builder_.add_config(config);
@@ -693,8 +706,11 @@
     flatbuffers::Offset<zincstep::edgewire::EntryList> daemons = 0,
     int64_t lists_age_us = -1LL,
     uint64_t era = 0,
-    uint64_t config_version = 0) {
+    uint64_t config_version = 0,
+    const std::vector<uint8_t> *packed_upstreams = nullptr,
+    int64_t packed_grace_us = 0) {
   auto config__ = config ? _fbb.CreateString(config) : 0;
+  auto packed_upstreams__ = packed_upstreams ? _fbb.CreateVector<uint8_t>(*packed_upstreams) : 0;
   return zincstep::edgewire::CreateClusterGive(
       _fbb,
       question,
@@ -705,7 +721,9 @@
       daemons,
       lists_age_us,
       era,
-      config_version);
+      config_version,
+      packed_upstreams__,
+      packed_grace_us);
 }
 
 struct CrashGossip FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- /dev/null
+++ b/Zincstep/Edge/PackedLists.cpp
@@ -0,0 +1,43 @@
+#include "Zincstep/Edge/PackedLists.h"
+
+#include <algorithm>
+
+#include "Zincstep/Edge/EdgePeerMessage.h"
+
+namespace zincstep {
+
+namespace {
+
+/// Entries from which on a list is packed: fewer fit one packet.
+constexpr std::size_t kFewestPacked = 8;
+/// Askers' revisions that are remembered of one state of the list.
+constexpr std::size_t kMostKept = 64;
+
+}  // namespace
+
+bool PackedLists::IsLong(const ListCopy& aList) {
+  return aList.items.size() + aList.removed.size() >= kFewestPacked;
+}
+
+const PackedList* PackedLists::Find(StoreRevision aSince,
+                                    StoreRevision aAt) const {
+  if (aAt != this->at) {
+    return nullptr;
+  }
+  const auto found = std::find_if(
+      this->lists.begin(), this->lists.end(),
+      [aSince](const PackedList& aOne) { return aOne.since == aSince; });
+  return found == this->lists.end() ? nullptr : &*found;
+}
+
+const PackedList& PackedLists::Add(StoreRevision aSince,
+                                   const ListCopy& aList) {
+  if (aList.at != this->at || this->lists.size() >= kMostKept) {
+    this->lists.clear();
+    this->at = aList.at;
+  }
+  this->lists.push_back({aSince, PackList(aList), aList.isWhole});
+  return this->lists.back();
+}
+
+}  // namespace zincstep
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -188,23 +188,32 @@
 
 void PeerExchange::OnWant(const std::string& aAddress,
                           const ClusterWant& aWant) {
-  ClusterCopy copy = this->view.CopyFor(aWant.known);
-  const bool isPaused = this->listBytes.At(this->clock.Now()) <= 0;
-  bool tellsWhole = false;
-  for (std::optional<ListCopy>* list : {&copy.upstreams, &copy.daemons}) {
-    if (!*list || !(*list)->isWhole) {
-      continue;
-    }
-    if (isPaused) {
-      // The asker has others to ask, and the store.
-      list->reset();
-      copy.listsAge.reset();
-    } else {
-      tellsWhole = true;
-    }
+  const StoreRevision since = aWant.known.upstreams;
+  const StoreRevision at = this->view.UpstreamsAt();
+  const PackedList* packed = this->packedLists.Find(since, at);
+  KnownRevisions known = aWant.known;
+  known.upstreams = packed != nullptr ? at : since;
+  ClusterGive give{this->Era(), aWant.question, this->view.CopyFor(known)};
+  ClusterCopy& copy = give.copy;
+  if (copy.upstreams && PackedLists::IsLong(*copy.upstreams)) {
+    packed = &this->packedLists.Add(since, *copy.upstreams);
+    copy.upstreams.reset();
+  }
+  const bool tellsWhole = (packed != nullptr && packed->isWhole) ||
+                          (copy.upstreams && copy.upstreams->isWhole) ||
+                          (copy.daemons && copy.daemons->isWhole);
+  if (tellsWhole && this->listBytes.At(this->clock.Now()) <= 0) {
+    // The asker has others to ask, and the store.
+    packed = nullptr;
+    copy.upstreams.reset();
+    copy.daemons.reset();
+    copy.listsAge.reset();
+  }
+  if (packed != nullptr) {
+    give.packedUpstreams = packed->text;
+    give.packedGrace = this->view.ReturnGrace();
   }
-  const std::string message =
-      this->Write(ClusterGive{this->Era(), aWant.question, copy});
+  const std::string message = this->Write(std::move(give));
   if (tellsWhole) {
     this->listBytes.Spend(static_cast<double>(message.size()));
   }
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -11,6 +11,7 @@
 #include "Zincstep/Edge/DaemonEntry.h"
 #include "Zincstep/Edge/EdgePeerMessage.h"
 #include "Zincstep/Edge/EdgeSettings.h"
+#include "Zincstep/Edge/PackedLists.h"
 #include "Zincstep/Edge/PeerByteCount.h"
 #include "Zincstep/Edge/PeerMembers.h"
 #include "Zincstep/Peer/Peer.h"
@@ -133,6 +134,7 @@
   OwnDemand ownDemand;
   StoreEras& eras;
   PeerByteCount bytes;
+  PackedLists packedLists;
   DaemonEntry entry;
   /// Bytes of whole lists that may be told; none are while it is below zero.
   TokenBucket listBytes;
