At a start of many, few daemons read the upstreams' list from the store

Cause: in a play of our own with 298 daemons before 3,003 upstreams, all killed at the end, each daemon read the list as it was lately: 300 times 1.4 MB over a link of 1,000 Mbit/s, each page with 0.9 s.

Ruled out: the layout (held by the upstreams), the duty (nothing is ordered), the wait for peers (the store is in its first era).

Change: the first three daemons of a failure domain by name read that list, the others have it from them; who has to read by itself does so 20 ms later than the one before it. Domains of three daemons and fewer do as before.

Test: Start_LateInItsDomain_LeavesTheUpstreamsToPeers.

--- a/UnitTests/StoreFollowerTest.cpp
+++ b/UnitTests/StoreFollowerTest.cpp
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(StoreBack_WithATeller_LeavesTheListsToIt);
   CPPUNIT_TEST(Start_PeersFirst_ReadsTheListsAsTheyWereLately);
   CPPUNIT_TEST(Start_FirstOfItsDomain_ReadsTheListsAtOnce);
+  CPPUNIT_TEST(Start_LateInItsDomain_LeavesTheUpstreamsToPeers);
   CPPUNIT_TEST_SUITE_END();
 
   void OnConfiguration() override {}
@@ -72,6 +73,7 @@
   ClusterView view{*decoder, *this, clock};
   std::unique_ptr<StoreFollower> follower;
   bool hasTeller = false;
+  std::size_t rank = 0;
 
   void RunUntil(const std::function<bool()>& aDone) {
     while (!aDone()) {
@@ -91,6 +93,7 @@
     follower =
         std::make_unique<StoreFollower>(loop, store, settings, view, clock);
     follower->SetHasTeller([this] { return hasTeller; });
+    follower->SetRank([this] { return rank; });
     follower->Start(aPeersFirst);
   }
 
@@ -137,6 +140,18 @@
     CPPUNIT_ASSERT(!view.ListsAge());
   }
 
+  // 300 daemons that started together asked the store for 1.4 MB each, and none
+  // was answered in time.
+  void Start_LateInItsDomain_LeavesTheUpstreamsToPeers() {
+    store.isAway = false;
+    hasTeller = true;
+    rank = 3;
+    this->Begin(true);
+    this->RunUntil([this] { return store.proofs >= 8; });
+    CPPUNIT_ASSERT_EQUAL(1, store.early);
+    CPPUNIT_ASSERT_EQUAL(0, store.ranges);
+  }
+
   void Start_FirstOfItsDomain_ReadsTheListsAtOnce() {
     store.isAway = false;
     this->Begin(true);
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -207,12 +207,17 @@
 void StoreFollower::Start(bool aPeersFirst) {
   if (aPeersFirst) {
     this->peersFirstSince = this->clock.Now();
-    this->ReadStaleLists();
+    this->ReadStaleDaemons();
   }
   this->Prove();
 }
 
-void StoreFollower::ReadStaleLists() {
+void StoreFollower::ReadStaleUpstreams() {
+  if (this->hasReadStaleUpstreams ||
+      this->Rank() >= this->settings.listReaders) {
+    return;
+  }
+  this->hasReadStaleUpstreams = true;
   const std::string& prefix = this->settings.keys.upstreams;
   this->store.RangeStale(prefix, [this, prefix](Result<StoreRange> aRange) {
     if (!aRange) {
@@ -221,7 +226,6 @@
     }
     this->view.OnUpstreams(WithoutPrefix(std::move(*aRange), prefix));
   });
-  this->ReadStaleDaemons();
 }
 
 void StoreFollower::ReadStaleDaemons() {
@@ -240,6 +244,7 @@
   if (!this->WaitsForPeers()) {
     return;
   }
+  this->ReadStaleUpstreams();
   if (this->isListed && !this->isListed()) {
     this->earlyTimer.expires_after(this->settings.earlyPause);
     this->earlyTimer.async_wait([this](const asio::error_code& aError) {
@@ -261,8 +266,10 @@
     return false;
   }
   const Micros waited = this->clock.Now() - *this->peersFirstSince;
-  return waited < (this->IsFresh() ? this->settings.longestStart
-                                   : this->settings.startPatience);
+  const auto rank = static_cast<std::int64_t>(this->Rank());
+  const Micros patience = this->IsFresh() ? this->settings.longestStart
+                                          : this->settings.startPatience;
+  return waited < patience + rank * this->settings.patienceStep;
 }
 
 bool StoreFollower::IsFresh() const {
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -48,6 +48,14 @@
   Micros startPatience = 1200ms;
   /// The same where peers do answer, but not yet the one to rely on.
   Micros longestStart = 3s;
+  /// Daemons of a failure domain that read the upstreams' list when they start;
+  /// the others have it from them. When 300 that started together each read the
+  /// 1.4 MB of 3,000 upstreams, all reads ran out of time, again and again, and
+  /// nothing was served for 5 to 30 s.
+  std::size_t listReaders = 3;
+  /// So much later than the one before it by name does a daemon read the lists
+  /// by itself.
+  Micros patienceStep = 20ms;
   /// Upstreams' entries: each wait is a call; changes often come in series.
   /// That an answer is lost shows in the next proof, not at the end of the
   /// wait.
@@ -141,10 +149,10 @@
                 const Clock& aClock);
 
   /// Begins; `aPeersFirst`: there may be peers that know the lists already. The
-  /// lists are then read as they were lately, for the peers to tell what has
-  /// changed since. When each of 295 daemons read them whole, a day on which
-  /// all lost power had 1,145 such reads of some five calls each, of 8,070
-  /// calls.
+  /// lists are then read as they were lately, that of upstreams by a few, for
+  /// the peers to tell what has changed since. When each of 295 daemons read
+  /// them whole, a day on which all lost power had 1,145 such reads of some
+  /// five calls each, of 8,070 calls.
   void Start(bool aPeersFirst);
 
   /// Says whether a peer asks the store for this daemon too.
@@ -160,6 +168,10 @@
   void SetIsListed(std::function<bool()> aIsListed) {
     this->isListed = std::move(aIsListed);
   }
+  /// Says how many daemons of this failure domain come before this one by name.
+  void SetRank(std::function<std::size_t()> aRank) {
+    this->rank = std::move(aRank);
+  }
   /// Whether this daemon asks the store itself.
   bool IsDirect() const { return !this->own.IsPaused(); }
   /// The store has come back from a copy: all that is read or watched begins
@@ -173,10 +185,13 @@
     Instant at;
   };
 
-  /// Reads the lists as a base for what peers tell.
-  void ReadStaleLists();
-  /// The same for the daemons' list alone, until it holds this daemon.
+  /// Reads the daemons' list as a base for what peers tell, until it holds this
+  /// daemon.
   void ReadStaleDaemons();
+  /// The same for the upstreams' list, once, if this is one of the domain's
+  /// first daemons.
+  void ReadStaleUpstreams();
+  std::size_t Rank() const { return this->rank ? this->rank() : 0; }
   /// Reads that list again, or finds that this daemon is the first of its
   /// failure domain and has to read for the others.
   void OnStaleDaemons();
@@ -210,6 +225,8 @@
   asio::steady_timer proofTimer;
   asio::steady_timer earlyTimer;
   std::function<bool()> isListed;
+  std::function<std::size_t()> rank;
+  bool hasReadStaleUpstreams = false;
   std::function<bool()> mayRely;
   std::function<bool()> hasTeller;
   PrefixFollower upstreams;
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -225,6 +225,7 @@
   this->follower.SetHasTeller(
       [this] { return this->peers.Members().HasTeller(); });
   this->follower.SetIsListed([this] { return this->peers.IsListed(); });
+  this->follower.SetRank([this] { return this->peers.Members().Rank(); });
   this->keeper.SetMayTake([this] { return this->follower.IsDirect(); });
   this->keeper.SetDemand([this] { return this->peers.Demand(); });
   this->eras.SetOnRestored([this](std::uint64_t aBefore, std::uint64_t aEra) {
--- a/Zincstep/Edge/PeerMembers.cpp
+++ b/Zincstep/Edge/PeerMembers.cpp
@@ -69,6 +69,13 @@
   return near;
 }
 
+std::size_t PeerMembers::Rank() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->members.begin(), this->members.end(), [this](const auto& aEntry) {
+        return this->IsBefore(aEntry.first, aEntry.second);
+      }));
+}
+
 bool PeerMembers::HasTeller() const {
   return std::any_of(this->members.begin(), this->members.end(),
                      [this](const auto& aEntry) {
--- a/Zincstep/Edge/PeerMembers.h
+++ b/Zincstep/Edge/PeerMembers.h
@@ -41,6 +41,8 @@
   /// Addresses of this failure domain's other members.
   std::vector<std::string> Neighbours() const;
 
+  /// How many members of this failure domain come before this one by name.
+  std::size_t Rank() const;
   /// Whether another member tells this one what the store holds. Where there is
   /// none, this one asks the store.
   bool HasTeller() const;
--- a/Zincstep/Pool/DomainLayout.h
+++ b/Zincstep/Pool/DomainLayout.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
+#include <tuple>
 #include <vector>
 
 #include "Zincstep/Pool/Placement.h"
@@ -122,7 +122,10 @@
     int last = 0;
     int slots = 0;
 
-    auto operator<=>(const ClassKey&) const = default;
+    bool operator<(const ClassKey& aOther) const {
+      return std::tie(this->kind, this->first, this->last, this->slots) <
+             std::tie(aOther.kind, aOther.first, aOther.last, aOther.slots);
+    }
   };
   /// Upstreams that no score tells apart.
   struct HolderClass {
