A short list of upstreams is read by each daemon that starts, a long one by few

Change: each daemon reads the first page; where that is all it takes it, and only the first three of a domain read on.

--- a/UnitTests/DaemonEntryTest.cpp
+++ b/UnitTests/DaemonEntryTest.cpp
@@ -9,7 +9,7 @@
 class EntryStore final : public AsyncStore {
  public:
   void Range(const std::string&, Done<StoreRange>) override {}
-  void RangeStale(const std::string&, Done<StoreRange>) override {}
+  void RangeStale(const std::string&, StalePages, Done<StoreRange>) override {}
   void Watch(const std::string&, StoreRevision, Micros,
              Done<StoreEvents>) override {}
   void Commit(StoreChange aChange, Done<StoreCommit> aDone) override {
--- a/UnitTests/PlacementKeeperTest.cpp
+++ b/UnitTests/PlacementKeeperTest.cpp
@@ -16,7 +16,7 @@
 class GrantingStore final : public AsyncStore {
  public:
   void Range(const std::string&, Done<StoreRange>) override {}
-  void RangeStale(const std::string&, Done<StoreRange>) override {}
+  void RangeStale(const std::string&, StalePages, Done<StoreRange>) override {}
   void Watch(const std::string&, StoreRevision, Micros,
              Done<StoreEvents>) override {}
   void Commit(StoreChange, Done<StoreCommit> aDone) override {
--- a/UnitTests/SilentStoreWatchTest.cpp
+++ b/UnitTests/SilentStoreWatchTest.cpp
@@ -67,7 +67,8 @@
     }
     this->Answer(std::move(aDone), std::move(range));
   }
-  void RangeStale(const std::string& aPrefix, Done<StoreRange> aDone) override {
+  void RangeStale(const std::string& aPrefix, StalePages,
+                  Done<StoreRange> aDone) override {
     this->Range(aPrefix, std::move(aDone));
   }
   void Watch(const std::string& aPrefix, StoreRevision aAfter, Micros aWait,
--- a/Zincstep/Cluster/AsyncStore.h
+++ b/Zincstep/Cluster/AsyncStore.h
@@ -19,12 +19,21 @@
   StoreRevision revision;
 };
 
+/// How much of a list a stale read brings.
+enum class StalePages {
+  All,
+  /// One call's worth: a short list whole, the beginning of a long one.
+  First,
+};
+
 /// All items under a prefix.
 struct StoreRange {
   std::vector<StoreItem> items;
   /// The store's revision when the first page was read: a watch that goes
   /// on from there misses nothing.
   StoreRevision at;
+  /// Whether all items are here; else there were more pages than were wanted.
+  bool isWhole = true;
 };
 
 /// One change under a watched prefix.
@@ -78,7 +87,7 @@
   virtual void Range(const std::string& aPrefix, Done<StoreRange> aDone) = 0;
   /// A stale read of the same: as it was some seconds ago at most, and not at
   /// one instant. A base for what peers tell; it costs a tenth of a read.
-  virtual void RangeStale(const std::string& aPrefix,
+  virtual void RangeStale(const std::string& aPrefix, StalePages aPages,
                           Done<StoreRange> aDone) = 0;
   /// Waits for changes after a revision, at most `aWait`.
   virtual void Watch(const std::string& aPrefix, StoreRevision aAfter,
--- a/Zincstep/Cluster/CountedStore.cpp
+++ b/Zincstep/Cluster/CountedStore.cpp
@@ -16,10 +16,10 @@
   this->store.Range(aPrefix, std::move(aDone));
 }
 
-void CountedStore::RangeStale(const std::string& aPrefix,
+void CountedStore::RangeStale(const std::string& aPrefix, StalePages aPages,
                               Done<StoreRange> aDone) {
   this->Count(StoreCall::RangeStale);
-  this->store.RangeStale(aPrefix, std::move(aDone));
+  this->store.RangeStale(aPrefix, aPages, std::move(aDone));
 }
 
 void CountedStore::Watch(const std::string& aPrefix, StoreRevision aAfter,
--- a/Zincstep/Cluster/CountedStore.h
+++ b/Zincstep/Cluster/CountedStore.h
@@ -41,7 +41,8 @@
       : store(aStore), metrics(aMetrics), clock(aClock) {}
 
   void Range(const std::string& aPrefix, Done<StoreRange> aDone) override;
-  void RangeStale(const std::string& aPrefix, Done<StoreRange> aDone) override;
+  void RangeStale(const std::string& aPrefix, StalePages aPages,
+                  Done<StoreRange> aDone) override;
   void Watch(const std::string& aPrefix, StoreRevision aAfter, Micros aWait,
              Done<StoreEvents> aDone) override;
   void Commit(StoreChange aChange, Done<StoreCommit> aDone) override;
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -213,31 +213,34 @@
 }
 
 void StoreFollower::ReadStaleUpstreams() {
-  if (this->hasReadStaleUpstreams ||
-      this->Rank() >= this->settings.listReaders) {
+  if (this->hasReadStaleUpstreams) {
     return;
   }
   this->hasReadStaleUpstreams = true;
   const std::string& prefix = this->settings.keys.upstreams;
-  this->store.RangeStale(prefix, [this, prefix](Result<StoreRange> aRange) {
-    if (!aRange) {
-      LogStaleReadFailed(prefix, aRange.error());
-      return;
-    }
-    this->view.OnUpstreams(WithoutPrefix(std::move(*aRange), prefix));
-  });
+  const bool readsAll = this->Rank() < this->settings.listReaders;
+  this->store.RangeStale(
+      prefix, readsAll ? StalePages::All : StalePages::First,
+      [this, prefix](Result<StoreRange> aRange) {
+        if (!aRange) {
+          LogStaleReadFailed(prefix, aRange.error());
+        } else if (aRange->isWhole) {
+          this->view.OnUpstreams(WithoutPrefix(std::move(*aRange), prefix));
+        }
+      });
 }
 
 void StoreFollower::ReadStaleDaemons() {
   const std::string& prefix = this->settings.keys.own;
-  this->store.RangeStale(prefix, [this, prefix](Result<StoreRange> aRange) {
-    if (aRange) {
-      this->view.OnDaemons(WithoutPrefix(std::move(*aRange), prefix));
-    } else {
-      LogStaleReadFailed(prefix, aRange.error());
-    }
-    this->OnStaleDaemons();
-  });
+  this->store.RangeStale(
+      prefix, StalePages::All, [this, prefix](Result<StoreRange> aRange) {
+        if (aRange) {
+          this->view.OnDaemons(WithoutPrefix(std::move(*aRange), prefix));
+        } else {
+          LogStaleReadFailed(prefix, aRange.error());
+        }
+        this->OnStaleDaemons();
+      });
 }
 
 void StoreFollower::OnStaleDaemons() {
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -48,10 +48,10 @@
   Micros startPatience = 1200ms;
   /// The same where peers do answer, but not yet the one to rely on.
   Micros longestStart = 3s;
-  /// Daemons of a failure domain that read the upstreams' list when they start;
-  /// the others have it from them. When 300 that started together each read the
-  /// 1.4 MB of 3,000 upstreams, all reads ran out of time, again and again, and
-  /// nothing was served for 5 to 30 s.
+  /// Daemons of a failure domain that read the upstreams' list however long it
+  /// is when they start; the others leave a long one to them. When 300 that
+  /// started together each read the 1.4 MB of 3,000 upstreams, all reads ran
+  /// out of time, again and again, and nothing was served for 5 to 30 s.
   std::size_t listReaders = 3;
   /// So much later than the one before it by name does a daemon read the lists
   /// by itself.
@@ -149,10 +149,10 @@
                 const Clock& aClock);
 
   /// Begins; `aPeersFirst`: there may be peers that know the lists already. The
-  /// lists are then read as they were lately, that of upstreams by a few, for
-  /// the peers to tell what has changed since. When each of 295 daemons read
-  /// them whole, a day on which all lost power had 1,145 such reads of some
-  /// five calls each, of 8,070 calls.
+  /// lists are then read as they were lately, a long one of upstreams by a few,
+  /// for the peers to tell what has changed since. When each of 295 daemons
+  /// read them whole, a day on which all lost power had 1,145 such reads of
+  /// some five calls each, of 8,070 calls.
   void Start(bool aPeersFirst);
 
   /// Says whether a peer asks the store for this daemon too.
@@ -188,8 +188,8 @@
   /// Reads the daemons' list as a base for what peers tell, until it holds this
   /// daemon.
   void ReadStaleDaemons();
-  /// The same for the upstreams' list, once, if this is one of the domain's
-  /// first daemons.
+  /// The same for the upstreams' list, once; only the domain's first daemons
+  /// read a long one.
   void ReadStaleUpstreams();
   std::size_t Rank() const { return this->rank ? this->rank() : 0; }
   /// Reads that list again, or finds that this daemon is the first of its
