Log lines for upstreams that name a limit, and for the calls that they get

Cause: the logs of the incident tell neither which limit an upstream named and when, nor how many requests, reports and orders a daemon sent to it. No decision uses the limit yet. Ruled out: counting by upstream at all times; one map entry for each of 3,000 upstreams tells nothing while no limit is named.

--- a/UnitTests/RelayFixture.h
+++ b/UnitTests/RelayFixture.h
@@ -79,8 +79,8 @@
   /// Begins without a configuration, as a daemon that has just started.
   void Begin() {
     relay = std::make_unique<Relay>(
-        RelayContext{loop, settings, *dialect, view, *control, clock, random,
-                     metrics, probe, crashes, crashWatch, kept, chains,
+        RelayContext{loop, settings, *dialect, view, counted, clock, random,
+                     metrics, probe, crashes, crashWatch, kept, limits, chains,
                      services, demand, budgets, stop, [] {}});
     listener = std::make_unique<CallerListener>(loop, *relay, clock);
     CPPUNIT_ASSERT(listener->Start("127.0.0.1:0").has_value());
@@ -96,7 +96,9 @@
   RelaySettings settings;
   Random random{3};
   Metrics metrics;
-  MemberProbe probe{MemberProbeSettings{}, *control, clock, [](Evidence) {}};
+  CallLimits limits{clock, metrics};
+  CountedControl counted{*control, view.Directory(), limits};
+  MemberProbe probe{MemberProbeSettings{}, counted, clock, [](Evidence) {}};
   CrashLedger crashes{CrashLedgerSettings{}};
   CrashWatch crashWatch{crashes, *control, clock, *this};
   ChainChooser chains{ChainChooserSettings{}};
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -84,26 +84,29 @@
         chains(ChainChooserSettings{}),
         services(ServiceChooserSettings{}),
         stop(MakeStopSettings(aSettings)),
-        probe(MemberProbeSettings{}, *this->adapters.control, this->clock,
+        limits(this->clock, this->metrics),
+        control(*this->adapters.control, this->view.Directory(), this->limits),
+        probe(MemberProbeSettings{}, this->control, this->clock,
               [this](Evidence aEvidence) { this->OnSuspicion(aEvidence); }),
-        crashWatch(this->crashes, *this->adapters.control, this->clock, *this),
+        crashWatch(this->crashes, this->control, this->clock, *this),
         blockList(aSettings.storePrefix, this->store, this->crashes,
                   this->clock),
         lostDomains(this->probe, this->clock, this->random),
         kept(ConnectionPoolSettings{}, this->clock),
-        relay(RelayContext{
-            aLoop, this->relaySettings, *this->adapters.dialect, this->view,
-            *this->adapters.control, this->clock, this->random, this->metrics,
-            this->probe, this->crashes, this->crashWatch, this->kept,
-            this->chains, this->services, this->demand, this->budgets,
-            this->stop, [this] { this->OnSuspicion(Evidence::Found); }}),
+        relay(RelayContext{aLoop, this->relaySettings, *this->adapters.dialect,
+                           this->view, this->control, this->clock, this->random,
+                           this->metrics, this->probe, this->crashes,
+                           this->crashWatch, this->kept, this->limits,
+                           this->chains, this->services, this->demand,
+                           this->budgets, this->stop,
+                           [this] { this->OnSuspicion(Evidence::Found); }}),
         admin([this] { return this->IsReady(); },
               [this] { return this->MetricsText(); }),
         callers(aLoop, this->relay, this->clock),
         admins(aLoop, this->admin, this->clock),
         plans(aLoop, PlacementSettings{}),
-        keeper(MakeKeeperSettings(aSettings), this->store,
-               *this->adapters.control, this->view, this->plans, this->clock),
+        keeper(MakeKeeperSettings(aSettings), this->store, this->control,
+               this->view, this->plans, this->clock),
         peers(
             aLoop, aSettings, this->store, this->view, this->clock,
             this->random, this->metrics, aEras,
@@ -186,6 +189,8 @@
   ServiceChooser services;
   DemandMeter demand;
   StopPolicy stop;
+  CallLimits limits;
+  CountedControl control;
   MemberProbe probe;
   CrashLedger crashes{CrashLedgerSettings{}};
   CrashWatch crashWatch;
@@ -391,6 +396,7 @@
   this->admins.Tick();
   this->view.Tick();
   this->store.Tick();
+  this->limits.Tick();
   this->lostDomains.Tick(this->view.Directory());
   this->keeper.Tick();
   this->peers.Tick();
--- /dev/null
+++ b/Zincstep/Pool/CountedControl.cpp
@@ -0,0 +1,42 @@
+#include "Zincstep/Pool/CountedControl.h"
+
+namespace zincstep {
+
+void CountedControl::Reach(const UpstreamEntry& aUpstream, Micros aTimeout,
+                           std::function<void(Reachability)> aDone) {
+  // No request is sent.
+  this->control.Reach(aUpstream, aTimeout, std::move(aDone));
+}
+
+void CountedControl::Report(const UpstreamEntry& aUpstream, Micros aTimeout,
+                            Done<UpstreamReport> aDone) {
+  const std::uint64_t number = aUpstream.Incarnation().Number();
+  this->limits.OnCall(number, UpstreamCall::Report);
+  this->control.Report(
+      aUpstream, aTimeout,
+      [this, number,
+       done = std::move(aDone)](const Result<UpstreamReport>& aReport) {
+        const UpstreamPtr upstream = this->directory.FindNumber(number);
+        // Whether reports tell of limits is not sure: only those that do count.
+        if (aReport && upstream && aReport->notice.callsPerSecond) {
+          this->limits.OnNotice(upstream, aReport->notice);
+        }
+        done(aReport);
+      });
+}
+
+void CountedControl::Place(const UpstreamEntry& aUpstream, LayerRange aLayers,
+                           std::uint64_t aExpectedSequence, GiveUp aGiveUp,
+                           Done<OrderOutcome> aDone) {
+  this->limits.OnCall(aUpstream.Incarnation().Number(), UpstreamCall::Order);
+  this->control.Place(aUpstream, aLayers, aExpectedSequence, aGiveUp,
+                      std::move(aDone));
+}
+
+void CountedControl::Repath(const std::string& aRequestId,
+                            const PoolChain& aChain, Done<OrderOutcome> aDone) {
+  this->limits.OnCall(aChain.front().upstream->Number(), UpstreamCall::Order);
+  this->control.Repath(aRequestId, aChain, std::move(aDone));
+}
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Pool/CountedControl.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Zincstep/Pool/CallLimits.h"
+#include "Zincstep/Pool/UpstreamControl.h"
+#include "Zincstep/Pool/UpstreamDirectory.h"
+
+namespace zincstep {
+
+/// Counts this daemon's reports and orders, and takes what the answers say of
+/// limits.
+class CountedControl final : public UpstreamControl {
+ public:
+  CountedControl(UpstreamControl& aControl, const UpstreamDirectory& aDirectory,
+                 CallLimits& aLimits)
+      : control(aControl), directory(aDirectory), limits(aLimits) {}
+
+  void Reach(const UpstreamEntry& aUpstream, Micros aTimeout,
+             std::function<void(Reachability)> aDone) override;
+  void Report(const UpstreamEntry& aUpstream, Micros aTimeout,
+              Done<UpstreamReport> aDone) override;
+  void Place(const UpstreamEntry& aUpstream, LayerRange aLayers,
+             std::uint64_t aExpectedSequence, GiveUp aGiveUp,
+             Done<OrderOutcome> aDone) override;
+  void Repath(const std::string& aRequestId, const PoolChain& aChain,
+              Done<OrderOutcome> aDone) override;
+
+ private:
+  UpstreamControl& control;
+  const UpstreamDirectory& directory;
+  CallLimits& limits;
+};
+
+}  // namespace zincstep
--- a/Zincstep/Pool/LiveUpstream.h
+++ b/Zincstep/Pool/LiveUpstream.h
@@ -37,6 +37,8 @@
   std::string Text() const {
     return this->id + "@" + std::to_string(this->born);
   }
+  /// Stands for it where daemons tell each other of upstreams.
+  std::uint64_t Number() const { return Hash64(this->Text()); }
 };
 
 /// One incarnation of an upstream as it announces itself.
@@ -69,11 +71,10 @@
 class LiveUpstream {
  public:
   explicit LiveUpstream(UpstreamEntry aEntry)
-      : entry(std::move(aEntry)),
-        number(Hash64(this->entry.Incarnation().Text())) {}
+      : entry(std::move(aEntry)), number(this->entry.Incarnation().Number()) {}
 
   const UpstreamEntry& Entry() const { return this->entry; }
-  /// Stands for the incarnation where daemons tell each other of upstreams.
+  /// As `Incarnation::Number`.
   std::uint64_t Number() const { return this->number; }
   void SetEntry(UpstreamEntry aEntry, Instant aNow);
 
--- a/Zincstep/Pool/Pool.h
+++ b/Zincstep/Pool/Pool.h
@@ -5,7 +5,9 @@
 /// a model's layers each one holds or should hold, and the chains that
 /// requests take through them.
 
+#include "Zincstep/Pool/CallLimits.h"
 #include "Zincstep/Pool/ChainChooser.h"
+#include "Zincstep/Pool/CountedControl.h"
 #include "Zincstep/Pool/DemandMeter.h"
 #include "Zincstep/Pool/DomainLayout.h"
 #include "Zincstep/Pool/LiveUpstream.h"
--- a/Zincstep/Pool/UpstreamControl.h
+++ b/Zincstep/Pool/UpstreamControl.h
@@ -8,6 +8,7 @@
 #include "Zincstep/Net/TcpSocket.h"
 #include "Zincstep/Pool/ChainChooser.h"
 #include "Zincstep/Pool/Placement.h"
+#include "Zincstep/Pool/UpstreamCall.h"
 
 namespace zincstep {
 
@@ -34,6 +35,7 @@
   double memoryUsed = 0;
   double memoryTotal = 0;
   std::vector<StalledRequest> stalled;
+  UpstreamNotice notice;
 };
 
 /// What an upstream says to an order.
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -130,6 +130,7 @@
                                    aLastEventId,
                                    this->request.priority,
                                    aChain};
+  this->context.limits.OnCall(aUpstream->Number(), UpstreamCall::Request);
   this->call = std::make_shared<SingleCall>(this->context.loop, *this);
   this->call->Start(*endpoint, this->context.dialect.WriteRequest(forwarded),
                     this->context.settings.connectTimeout, this->Kept());
@@ -203,6 +204,13 @@
   }
 }
 
+void Exchange::TakeNotice(const AnswerFacts& aFacts) {
+  // What answers another request may be a surplus answer, and old.
+  if (aFacts.requestId == this->request.facts.id) {
+    this->context.limits.OnNotice(this->upstream, aFacts.notice);
+  }
+}
+
 void Exchange::OnRunWhole() {
   this->context.crashWatch.OnAnswered(this->Fingerprint());
 }
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -82,6 +82,8 @@
   /// The upstream has refused the request; where another one answers at its
   /// address, it has ended.
   void OnRefused(const AnswerFacts& aFacts, int aStatus);
+  /// Takes what the head of an answer says of the upstream.
+  void TakeNotice(const AnswerFacts& aFacts);
   /// A run has ended with its whole answer, a success.
   void OnRunWhole();
   /// What the request is, whichever attempt.
--- a/Zincstep/Relay/RelayContext.h
+++ b/Zincstep/Relay/RelayContext.h
@@ -89,6 +89,8 @@
   CrashWatch& crashWatch;
   /// For requests that may run again.
   ConnectionPool& kept;
+  /// Upstreams that name a limit of calls.
+  CallLimits& limits;
   ChainChooser& chains;
   ServiceChooser& services;
   /// Of requests to split models.
--- a/Zincstep/Relay/RelayDialect.h
+++ b/Zincstep/Relay/RelayDialect.h
@@ -64,6 +64,7 @@
   std::string answeredBy;
   /// Requests waiting at the upstream, where it tells.
   std::optional<double> waiting;
+  UpstreamNotice notice;
 };
 
 /// How requests and answers are written; the words of a platform.
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -88,6 +88,7 @@
 void ServiceExchange::OnAnswerHead(HttpHead aHead) {
   this->head = std::move(aHead);
   this->facts = this->context.dialect.ReadAnswer(this->head);
+  this->TakeNotice(this->facts);
 }
 
 void ServiceExchange::OnAnswerBody(std::string_view aPart) {
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -136,6 +136,7 @@
   this->facts = this->context.dialect.ReadAnswer(aHead);
   this->isForeign = this->IsForeign(aHead, this->facts);
   this->head = std::move(aHead);
+  this->TakeNotice(this->facts);
 }
 
 void StreamExchange::OnAnswerBody(std::string_view aPart) {
