Failing: an upstream that names a limit gets what its memory lets the choice give it

Cause: no decision of the daemons knows of limits that upstreams name. Change: tests only. UpstreamLimitTests: an upstream that names 1 call a second beside one that names none; 3 of 4 fail (streams, plain requests, reports to it while its stream is silent), the one on a limit that is lifted passes. Ruled out: that callers' requests alone do it (reports alone break the bound in a test).

--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -18,6 +18,7 @@
     "  --seconds N     time of faults in each (10)\n"
     "  --daemons N     daemons (4)\n"
     "  --crashing      at the end, a request that crashes upstreams\n"
+    "  --limits        at the end, upstreams that name limits of calls\n"
     "  --restores      the store comes back from copies meanwhile\n"
     "Exit status: 0 all passed, 1 a promise was broken, 2 wrong use.\n";
 
@@ -34,6 +35,7 @@
                             {"seconds", required_argument, nullptr, 't'},
                             {"daemons", required_argument, nullptr, 'c'},
                             {"crashing", no_argument, nullptr, 'x'},
+                            {"limits", no_argument, nullptr, 'm'},
                             {"restores", no_argument, nullptr, 'r'},
                             {nullptr, 0, nullptr, 0}};
   for (int word = 0;
@@ -60,6 +62,9 @@
       case 'x':
         settings.hasCrashingRequest = true;
         break;
+      case 'm':
+        settings.hasLimits = true;
+        break;
       case 'r':
         settings.hasRestores = true;
         break;
--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -78,6 +78,12 @@
   /// also after all daemons have been killed.
   void CheckCrashingRequest();
   void SendCrashing(Micros aFor);
+  /// Upstreams that name a limit get no more than that, from all daemons
+  /// together, and are used again once they name none.
+  void CheckLimits();
+  void CheckLimitsLifted(const std::vector<SoakUpstream*>& aLimited);
+  /// One upstream of each service names a limit.
+  std::vector<SoakUpstream*> NameLimits();
   /// Kills all daemons at one instant; they start again.
   void KillAllDaemons();
   /// Nobody hears that a key is withdrawn, for longer than it may still run.
--- /dev/null
+++ b/SoakTests/SoakLimits.cpp
@@ -0,0 +1,81 @@
+/// \file
+/// The check with upstreams that name a limit of calls for all daemons
+/// together.
+
+#include "SoakTests/Soak.h"
+
+namespace zincstep::soak {
+
+namespace {
+
+/// Below what the callers' load gives an upstream that names none.
+constexpr double kPlainLimit = 1;
+constexpr double kModelLimit = 0.4;
+/// All daemons know of a limit by then.
+constexpr Micros kKnownWithin = 3s;
+constexpr Micros kWatch = 8s;
+constexpr Micros kWindow = 4s;
+constexpr double kTolerance = 1.5;
+constexpr double kSpare = 5;
+/// An upstream that names none any more is used again by then.
+constexpr Micros kUsedAgainWithin = 15s;
+
+}  // namespace
+
+std::vector<SoakUpstream*> Soak::NameLimits() {
+  std::vector<SoakUpstream*> limited;
+  for (const bool isOfModel : {false, true}) {
+    for (const auto& upstream : this->upstreams) {
+      if (upstream->IsOfModel() == isOfModel && upstream->TakesRequests()) {
+        upstream->NameLimit(isOfModel ? kModelLimit : kPlainLimit);
+        limited.push_back(upstream.get());
+        break;
+      }
+    }
+  }
+  return limited;
+}
+
+void Soak::CheckLimits() {
+  this->Note("upstreams name limits");
+  const std::vector<SoakUpstream*> limited = this->NameLimits();
+  this->loop.run_for(kKnownWithin);
+  const Instant since = this->clock.Now();
+  this->loop.run_for(kWatch);
+  for (const SoakUpstream* upstream : limited) {
+    const double limit = upstream->IsOfModel() ? kModelLimit : kPlainLimit;
+    const double allowed = kTolerance * limit * ToSeconds(kWindow) + kSpare;
+    const std::size_t most = upstream->MostCalls(since, kWindow);
+    if (static_cast<double>(most) > allowed) {
+      this->ledger.Broken("an upstream that takes " + std::to_string(limit) +
+                          " calls a second got " + std::to_string(most) +
+                          " in 4 s");
+    }
+  }
+  if (!this->WaitUntilServed()) {
+    this->ledger.Broken("not all was served beside upstreams with limits");
+  }
+  this->CheckLimitsLifted(limited);
+}
+
+void Soak::CheckLimitsLifted(const std::vector<SoakUpstream*>& aLimited) {
+  this->Note("upstreams name no limits any more");
+  std::size_t before = 0;
+  for (SoakUpstream* upstream : aLimited) {
+    upstream->NameLimit(std::nullopt);
+    before += upstream->IsOfModel() ? 0 : upstream->Calls();
+  }
+  this->loop.run_for(kUsedAgainWithin);
+  // Plain upstreams share the load evenly; of a model's there may be better
+  // ones.
+  for (const SoakUpstream* upstream : aLimited) {
+    const double mostWithLimit =
+        kTolerance * kPlainLimit * ToSeconds(kUsedAgainWithin) + kSpare;
+    if (!upstream->IsOfModel() &&
+        static_cast<double>(upstream->Calls() - before) <= mostWithLimit) {
+      this->ledger.Broken("an upstream without a limit any more is not used");
+    }
+  }
+}
+
+}  // namespace zincstep::soak
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -158,6 +158,9 @@
   if (this->settings.hasCrashingRequest) {
     this->CheckCrashingRequest();
   }
+  if (this->settings.hasLimits) {
+    this->CheckLimits();
+  }
   // Whoever was refused must not run later either.
   this->loop.run_for(kCallerPatience);
   this->outcome.broken = this->ledger.Close();
--- a/SoakTests/SoakRun.h
+++ b/SoakTests/SoakRun.h
@@ -19,6 +19,8 @@
   int daemons = 4;
   /// Whether a request that crashes upstreams comes at the end.
   bool hasCrashingRequest = false;
+  /// Whether upstreams name limits of calls at the end.
+  bool hasLimits = false;
   /// Whether the store comes back from copies meanwhile.
   bool hasRestores = false;
 };
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -112,6 +112,7 @@
     this->id = next;  // Each second one starts again under the id that it had.
   }
   this->sequence = 0;
+  this->limit.reset();
   this->layers = {};
   this->loading.reset();
   this->isAlive = true;
@@ -156,9 +157,34 @@
   return "";
 }
 
+bool SoakUpstream::TakesRequests() const {
+  return this->isAlive && !this->isDraining &&
+         (!this->IsOfModel() || this->Holds({0, 1}));
+}
+
+std::size_t SoakUpstream::MostCalls(Instant aSince, Micros aWindow) const {
+  std::size_t most = 0;
+  for (auto end = this->calls.begin(); end != this->calls.end(); ++end) {
+    const Instant after = std::max(aSince, *end - aWindow);
+    const auto first = std::upper_bound(this->calls.begin(), end, after);
+    if (*end >= aSince) {
+      most = std::max(most, static_cast<std::size_t>(end - first) + 1);
+    }
+  }
+  return most;
+}
+
+HttpHeaders SoakUpstream::WithLimit(HttpHeaders aHeaders) const {
+  if (this->limit) {
+    aHeaders.push_back({"Server-Limit", std::to_string(*this->limit)});
+  }
+  return aHeaders;
+}
+
 void SoakUpstream::OnRequest(
     const std::shared_ptr<CallerConnection>& aConnection,
     CallerMessage aMessage) {
+  this->calls.push_back(this->clock.Now());
   const std::string expected = HeaderOf(aMessage, "X-Expect-Instance");
   if (!this->isAlive || (!expected.empty() && expected != this->id)) {
     aConnection->Answer(kMisdirected, {{"X-Not-Executed", "1"}}, "");
@@ -188,9 +214,9 @@
   const std::string missing = this->Missing(path);
   if (!missing.empty()) {
     aConnection->Answer(kUnavailable,
-                        {{"X-Attempt-Id", request},
-                         {"X-Not-Executed", "1"},
-                         {"At-Server", missing}},
+                        this->WithLimit({{"X-Attempt-Id", request},
+                                         {"X-Not-Executed", "1"},
+                                         {"At-Server", missing}}),
                         "");
     return;
   }
@@ -202,7 +228,8 @@
   if (this->service != "model") {
     this->LosesAnswerTo(request)
         ? aConnection->Abort()
-        : aConnection->Answer(kOk, SealedHeaders(request), BodyFor(request));
+        : aConnection->Answer(kOk, this->WithLimit(SealedHeaders(request)),
+                              BodyFor(request));
     return;
   }
   if (aMessage.head.target == kCrashingPath) {
@@ -219,7 +246,7 @@
     next = part.layers.last;
   }
   const std::string last = HeaderOf(aMessage, "Last-Event-Id");
-  auto headers = SealedHeaders(request);
+  auto headers = this->WithLimit(SealedHeaders(request));
   headers.push_back({"Content-Type", "text/event-stream"});
   aConnection->BeginChunks(kOk, headers);
   this->streams.push_back({aConnection, request, path,
@@ -297,7 +324,8 @@
       {"kvUsed", 0},
       {"kvTotal", 1000},
       {"stalled", stalled}};
-  aConnection.Answer(kOk, {{"Content-Type", "application/json"}},
+  aConnection.Answer(kOk,
+                     this->WithLimit({{"Content-Type", "application/json"}}),
                      report.dump());
 }
 
@@ -312,13 +340,13 @@
   const LayerRange wanted{aBody.value("from", 0),
                           aBody.value("targetVersion", 0)};
   if (this->loading || aBody.value("expectedRevision", -1) != this->sequence) {
-    aConnection.Answer(kConflict, {}, "{}");
+    aConnection.Answer(kConflict, this->WithLimit({}), "{}");
     return;
   }
   this->sequence += 1;
   this->loading = wanted;
   this->loadedAt = this->clock.Now() + kLoadTime;
-  aConnection.Answer(kTaken, {}, "{}");
+  aConnection.Answer(kTaken, this->WithLimit({}), "{}");
 }
 
 void SoakUpstream::Repath(CallerConnection& aConnection, const Json& aBody) {
@@ -330,13 +358,14 @@
     }
     if (missing.empty()) {
       stream.path = path;
-      aConnection.Answer(kOk, {}, "{}");
+      aConnection.Answer(kOk, this->WithLimit({}), "{}");
     } else {
-      aConnection.Answer(kConflict, {}, Json{{"address", missing}}.dump());
+      aConnection.Answer(kConflict, this->WithLimit({}),
+                         Json{{"address", missing}}.dump());
     }
     return;
   }
-  aConnection.Answer(kNotFound, {}, "{}");
+  aConnection.Answer(kNotFound, this->WithLimit({}), "{}");
 }
 
 }  // namespace zincstep::soak
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -46,6 +46,14 @@
   void EndDrainNotice() { this->isNoticeOver = this->isDraining; }
   /// Open connections to it fall silent for good; new ones work.
   void SilenceConnections() { this->proxy->SilenceOpen(); }
+  /// From now on all its answers name that limit of calls a second, or none.
+  void NameLimit(std::optional<double> aPerSecond) { this->limit = aPerSecond; }
+  /// Whether it is asked for requests: a plain one, or the first of a chain.
+  bool TakesRequests() const;
+  /// All calls that it got: requests, reports and orders.
+  std::size_t Calls() const { return this->calls.size(); }
+  /// Most of them in any span of `aWindow` since then.
+  std::size_t MostCalls(Instant aSince, Micros aWindow) const;
   /// Goes on with its streams; to be called many times a second.
   void Tick();
   bool IsAlive() const { return this->isAlive; }
@@ -64,6 +72,8 @@
     Instant movedAt;
   };
 
+  /// Fields that all its answers have.
+  HttpHeaders WithLimit(HttpHeaders aHeaders) const;
   void CrashOrReturn(Instant aNow);
   void WriteEntry();
   void Report(CallerConnection& aConnection);
@@ -98,6 +108,8 @@
   /// What is being loaded, and until when.
   std::optional<LayerRange> loading;
   Instant loadedAt;
+  std::optional<double> limit;
+  std::vector<Instant> calls;
   bool isAlive = false;
   bool isDraining = false;
   bool isNoticeOver = false;
--- /dev/null
+++ b/UnitTests/UpstreamLimitTest.cpp
@@ -0,0 +1,150 @@
+// An upstream in need named a limit of calls for all daemons together, and got
+// what its memory and pace let each daemon's choice give it.
+
+#include "UnitTests/RelayFixture.h"
+
+namespace zincstep {
+namespace {
+
+class UpstreamLimitTest : public RelayFixture {
+  CPPUNIT_TEST_SUITE(UpstreamLimitTest);
+  CPPUNIT_TEST(Streams_AtAnUpstreamThatNamesALimit_StayBelowIt);
+  CPPUNIT_TEST(ServiceRequests_AtAnUpstreamThatNamesALimit_StayBelowIt);
+  CPPUNIT_TEST(Reports_AtAnUpstreamThatNamesALimit_StayBelowIt);
+  CPPUNIT_TEST(Upstream_ThatNamesNoLimitAnyMore_IsUsedAsBefore);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr double kLimit = 1;
+  /// What an upstream with that limit gets in some seconds at the most.
+  static constexpr Micros kWindow = 4s;
+  static constexpr double kTolerance = 1.5;
+  static constexpr double kSpare = 5;
+  static constexpr int kRequests = 60;
+  static constexpr const char* kReport =
+      R"({"layers":{"from":0,"targetVersion":2},"running":1,"queued":1,)"
+      R"("kvUsed":10,"kvTotal":1000,"stalled":[]})";
+
+  /// What the limited upstream names now.
+  std::string named = "1";
+  /// It does not answer the next request.
+  bool holdsNext = false;
+  ConnectionPtr held;
+  int attempts = 0;
+
+  std::string Attempt(const std::string& aPath) {
+    attempts += 1;
+    return "POST " + aPath + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r" +
+           std::to_string(attempts) +
+           "\r\nX-Deadline-Ms: 9000\r\nAuthorization: Bearer key1\r\n"
+           "Content-Length: 0\r\n\r\n";
+  }
+
+  void Answer(const ConnectionPtr& aTo, const CallerMessage& aMessage,
+              const std::string& aLimit) {
+    HttpHeaders headers = SealedHeaders(aMessage);
+    if (!aLimit.empty()) {
+      headers.push_back({"Server-Limit", aLimit});
+    }
+    if (aMessage.head.target == "/report") {
+      aTo->Answer(200, headers, kReport);
+    } else if (aMessage.head.target.starts_with("/llm/")) {
+      aTo->BeginChunks(200, headers);
+      aTo->AppendChunk("id: 1\ndata: a\n\n");
+      aTo->EndChunks();
+    } else {
+      aTo->Answer(200, headers, "ok");
+    }
+  }
+
+  ScriptedUpstream& AddLimited(const std::string& aService) {
+    return this->AddUpstream(
+        aService, [this](const auto& aTo, const auto& aMessage) {
+          const bool isRequest = aMessage.head.target != "/report";
+          if (holdsNext && isRequest) {
+            holdsNext = false;
+            held = aTo;
+            return;
+          }
+          this->Answer(aTo, aMessage, named);
+        });
+  }
+
+  ScriptedUpstream& AddOther(const std::string& aService) {
+    return this->AddUpstream(aService,
+                             [this](const auto& aTo, const auto& aMessage) {
+                               this->Answer(aTo, aMessage, "");
+                             });
+  }
+
+  void RunFor(Micros aTime) {
+    const Instant end = clock.Now() + aTime;
+    this->RunUntil([&] { return clock.Now() >= end; });
+  }
+
+  /// Calls that the limited upstream may get in the time since `aSince`.
+  double Allowed(Instant aSince) const {
+    const double windows =
+        std::floor(ToSeconds(clock.Now() - aSince) / ToSeconds(kWindow)) + 1;
+    return windows * (kTolerance * kLimit * ToSeconds(kWindow) + kSpare);
+  }
+
+  void CheckRequests(const std::string& aService, const std::string& aPath) {
+    const ScriptedUpstream& limited = this->AddLimited(aService);
+    this->AddOther(aService);
+    const Instant begin = clock.Now();
+    for (int i = 0; i < kRequests; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, this->Ask(this->Attempt(aPath))->status);
+    }
+    CPPUNIT_ASSERT(!limited.seen.empty());
+    CPPUNIT_ASSERT(static_cast<double>(limited.seen.size()) <=
+                   this->Allowed(begin));
+  }
+
+ public:
+  void Streams_AtAnUpstreamThatNamesALimit_StayBelowIt() {
+    this->CheckRequests("model", "/llm/x");
+  }
+
+  void ServiceRequests_AtAnUpstreamThatNamesALimit_StayBelowIt() {
+    this->CheckRequests("plain", "/safe/x");
+  }
+
+  void Reports_AtAnUpstreamThatNamesALimit_StayBelowIt() {
+    ScriptedUpstream& limited = this->AddLimited("model");
+    const Instant begin = clock.Now();
+    CPPUNIT_ASSERT_EQUAL(200, this->Ask(this->Attempt("/llm/x"))->status);
+    this->RunFor(1500ms);
+    holdsNext = true;
+    std::optional<Result<HttpAnswer>> answer;
+    FetchWhole(loop, {asio::ip::address_v4::loopback(), this->listener->Port()},
+               this->Attempt("/llm/x"), 9s, [&](Result<HttpAnswer> aAnswer) {
+                 answer = std::move(aAnswer);
+               });
+    this->RunFor(2400ms);
+    CPPUNIT_ASSERT(held);
+    CPPUNIT_ASSERT(static_cast<double>(limited.seen.size()) <=
+                   this->Allowed(begin));
+    held->Abort();
+    this->RunUntil([&] { return answer.has_value(); });
+  }
+
+  void Upstream_ThatNamesNoLimitAnyMore_IsUsedAsBefore() {
+    const ScriptedUpstream& limited = this->AddLimited("plain");
+    this->AddOther("plain");
+    for (int i = 0; i < kRequests; ++i) {
+      this->Ask(this->Attempt("/safe/x"));
+    }
+    named.clear();
+    this->RunFor(2s);  // Its share allows a request that finds it out.
+    const std::size_t before = limited.seen.size();
+    for (int i = 0; i < kRequests; ++i) {
+      this->Ask(this->Attempt("/safe/x"));
+    }
+    CPPUNIT_ASSERT(limited.seen.size() - before >= kRequests / 4);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamLimitTest);
+
+}  // namespace
+}  // namespace zincstep
