An upstream that names a limit gets no more calls than that from all daemons

What callers saw: nothing; the upstream got up to twice what it had said it takes. Cause: the limit was read nowhere, and no decision knew of calls a second: choices go by memory, pace and work in flight. Class: what upstreams say of themselves was dropped. Change: UpstreamNotice, decoded once for answers and reports; CallLimits keeps the belief of one incarnation with the time of its answer, and gives this daemon's part; an answer lifts it only where its call was sent after the last that named it. Few daemons of the upstream's domain (one, and two for each call a second), drawn by its number, share a limit; the others are told at once and call it not at all. One place, MayCall, is asked by the choices of chains (first member only) and of plain services, by repairs, moves, questions about silent streams and probes, which only connect while it says no. Placement orders are counted against the part and not held back: few, and layers hang on them. Why it works: what k daemons save up, one call each, with L a second stays below the 1.5 L and 5 in 4 s that upstreams bear, for any number of daemons. Ruled out: parts for all daemons of a domain: with 100 of them one call each 100 s, and 100 saved up at one instant. A limit only for callers' requests: reports alone broke the bound in a test. Test changed: Upstream_ThatNamesNoLimitAnyMore_IsUsedAsBefore sends its requests at one instant: one after the other they go to whoever answered quickest, limit or not; its bound is as it was.

--- a/UnitTests/RelayFixture.h
+++ b/UnitTests/RelayFixture.h
@@ -96,8 +96,9 @@
   RelaySettings settings;
   Random random{3};
   Metrics metrics;
-  CallLimits limits{clock, metrics};
-  CountedControl counted{*control, view.Directory(), limits};
+  CallLimits limits{CallLimitSettings{"self", ""}, clock, metrics,
+                    [](const std::vector<LimitNotice>&) {}};
+  CountedControl counted{*control, view.Directory(), limits, clock};
   MemberProbe probe{MemberProbeSettings{}, counted, clock, [](Evidence) {}};
   CrashLedger crashes{CrashLedgerSettings{}};
   CrashWatch crashWatch{crashes, *control, clock, *this};
@@ -162,6 +163,7 @@
     asio::steady_timer tick(loop);
     std::function<void()> step = [&] {
       relay->Tick();
+      limits.Tick();
       tick.expires_after(10ms);
       tick.async_wait([&](const asio::error_code& aError) {
         if (!aError) {
--- a/UnitTests/UpstreamLimitTest.cpp
+++ b/UnitTests/UpstreamLimitTest.cpp
@@ -76,6 +76,18 @@
                              });
   }
 
+  /// Sends requests at one instant and waits for all answers.
+  void AskTogether(const std::string& aPath) {
+    int open = kRequests;
+    for (int i = 0; i < kRequests; ++i) {
+      FetchWhole(loop,
+                 {asio::ip::address_v4::loopback(), this->listener->Port()},
+                 this->Attempt(aPath), 9s,
+                 [&](const Result<HttpAnswer>&) { open -= 1; });
+    }
+    this->RunUntil([&] { return open == 0; });
+  }
+
   void RunFor(Micros aTime) {
     const Instant end = clock.Now() + aTime;
     this->RunUntil([&] { return clock.Now() >= end; });
@@ -131,15 +143,12 @@
   void Upstream_ThatNamesNoLimitAnyMore_IsUsedAsBefore() {
     const ScriptedUpstream& limited = this->AddLimited("plain");
     this->AddOther("plain");
-    for (int i = 0; i < kRequests; ++i) {
-      this->Ask(this->Attempt("/safe/x"));
-    }
+    this->AskTogether("/safe/x");
     named.clear();
-    this->RunFor(2s);  // Its share allows a request that finds it out.
+    this->RunFor(2s);
+    this->AskTogether("/safe/x");  // Its part allows one that finds it out.
     const std::size_t before = limited.seen.size();
-    for (int i = 0; i < kRequests; ++i) {
-      this->Ask(this->Attempt("/safe/x"));
-    }
+    this->AskTogether("/safe/x");
     CPPUNIT_ASSERT(limited.seen.size() - before >= kRequests / 4);
   }
 };
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -84,8 +84,12 @@
         chains(ChainChooserSettings{}),
         services(ServiceChooserSettings{}),
         stop(MakeStopSettings(aSettings)),
-        limits(this->clock, this->metrics),
-        control(*this->adapters.control, this->view.Directory(), this->limits),
+        limits(MakeLimitSettings(aSettings), this->clock, this->metrics,
+               [this](const std::vector<LimitNotice>& aNotices) {
+                 this->peers.TellAll(LimitGossip{aNotices});
+               }),
+        control(*this->adapters.control, this->view.Directory(), this->limits,
+                this->clock),
         probe(MemberProbeSettings{}, this->control, this->clock,
               [this](Evidence aEvidence) { this->OnSuspicion(aEvidence); }),
         crashWatch(this->crashes, this->control, this->clock, *this),
@@ -116,6 +120,9 @@
             [this](const CrashGossip& aGossip, const std::string& aFrom) {
               this->OnTold(aGossip, aFrom);
             },
+            [this](const LimitGossip& aGossip, const std::string& aFrom) {
+              this->OnToldLimits(aGossip, aFrom);
+            },
             [this] { return this->demand.Tokens(this->clock.Now()); }),
         fastTimer(aLoop),
         dutyTimer(aLoop),
@@ -134,6 +141,13 @@
     return settings;
   }
 
+  static CallLimitSettings MakeLimitSettings(const EdgeSettings& aSettings) {
+    CallLimitSettings settings;
+    settings.ownName = aSettings.name;
+    settings.ownDomain = aSettings.failureDomain;
+    return settings;
+  }
+
   static StoreFollowerSettings MakeFollowerSettings(
       const EdgeSettings& aSettings, const ClusterKeys& aKeys) {
     StoreFollowerSettings settings;
@@ -157,6 +171,8 @@
   void OnCrashSuspicion() override { this->OnSuspicion(Evidence::Found); }
   /// A peer that listens at `aFrom` tells of requests that end upstreams.
   void OnTold(const CrashGossip& aGossip, const std::string& aFrom);
+  /// The same of limits that upstreams name.
+  void OnToldLimits(const LimitGossip& aGossip, const std::string& aFrom);
   /// The store has come back from a copy: what is known stays in use until it
   /// is told anew, and what this daemon keeps there is written again.
   void OnStoreRestored(std::uint64_t aBefore, std::uint64_t aEra);
@@ -255,6 +271,11 @@
   this->keeper.OnHolder(holder);
   this->peers.OnDaemonEntries(holder);
   this->blockList.OnEntries(this->view.Daemons().Items());
+  std::map<std::string, std::string> domains;
+  for (const auto& [name, member] : this->peers.Members().All()) {
+    domains[name] = member.failureDomain;
+  }
+  this->limits.SetDaemons(std::move(domains));
 }
 
 void EdgeDaemon::OnStoreRestored(std::uint64_t aBefore, std::uint64_t aEra) {
@@ -277,11 +298,11 @@
 
 void EdgeDaemon::OnCrashes(const std::vector<UpstreamCrash>& aCrashes) {
   this->metrics.Count("zincstep_upstream_crashes_total");
-  this->peers.TellCrashes({aCrashes, {}});
+  this->peers.TellAll(CrashGossip{aCrashes, {}});
 }
 
 void EdgeDaemon::OnCleared(RequestFingerprint aRequest) {
-  this->peers.TellCrashes({{}, {aRequest}});
+  this->peers.TellAll(CrashGossip{{}, {aRequest}});
 }
 
 void EdgeDaemon::OnBlocked(RequestFingerprint aRequest) {
@@ -302,11 +323,29 @@
   }
   for (const RequestFingerprint request : aGossip.cleared) {
     if (this->crashWatch.TakeCleared(request)) {
-      this->peers.TellCrashes({{}, {request}});
+      this->peers.TellAll(CrashGossip{{}, {request}});
     }
   }
 }
 
+void EdgeDaemon::OnToldLimits(const LimitGossip& aGossip,
+                              const std::string& aFrom) {
+  LimitGossip newer;
+  for (const LimitNotice& notice : aGossip.limits) {
+    const UpstreamPtr upstream =
+        this->view.Directory().FindNumber(notice.upstream);
+    if (!upstream) {
+      continue;
+    }
+    if (const auto known = this->limits.OnTold(upstream, notice)) {
+      newer.limits.push_back(*known);
+    }
+  }
+  if (!newer.limits.empty()) {
+    this->peers.Send(aFrom, std::move(newer));
+  }
+}
+
 void EdgeDaemon::KeepBlocked() {
   const Instant now = this->clock.Now();
   this->crashes.Tick(now);
--- a/Zincstep/Edge/EdgePeerMessage.cpp
+++ b/Zincstep/Edge/EdgePeerMessage.cpp
@@ -3,6 +3,7 @@
 #include <zlib.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 #include <limits>
 
@@ -15,6 +16,8 @@
 namespace fb = flatbuffers;
 
 constexpr std::int64_t kNoProof = -1;
+/// Stands for a limit that has ended.
+constexpr double kNoLimit = -1;
 /// A pace is told in steps of this.
 constexpr double kPaceStep = 0.01;
 /// Longest list that is taken: 100,000 entries.
@@ -113,6 +116,15 @@
         .Union();
   }
 
+  fb::Offset<void> operator()(const LimitGossip& aGossip) {
+    std::vector<edgewire::UpstreamLimit> limits;
+    for (const LimitNotice& notice : aGossip.limits) {
+      limits.emplace_back(notice.upstream, notice.age.count(),
+                          notice.callsPerSecond.value_or(kNoLimit));
+    }
+    return edgewire::CreateLimitGossipDirect(this->builder, &limits).Union();
+  }
+
  private:
   static std::int64_t AgeOrNone(std::optional<Micros> aAge) {
     return aAge ? aAge->count() : kNoProof;
@@ -129,9 +141,9 @@
 
 edgewire::Body TypeOf(const EdgePeerMessage& aMessage) {
   constexpr std::array kTypes{
-      edgewire::Body_WorkGossip, edgewire::Body_ClusterWant,
+      edgewire::Body_WorkGossip,  edgewire::Body_ClusterWant,
       edgewire::Body_ClusterGive, edgewire::Body_DemandGossip,
-      edgewire::Body_CrashGossip};
+      edgewire::Body_CrashGossip, edgewire::Body_LimitGossip};
   return kTypes[aMessage.body.index()];
 }
 
@@ -146,6 +158,24 @@
   return gossip;
 }
 
+LimitGossip ReadLimits(const edgewire::LimitGossip& aTable) {
+  LimitGossip gossip;
+  if (aTable.limits() == nullptr) {
+    return gossip;
+  }
+  for (const edgewire::UpstreamLimit* limit : *aTable.limits()) {
+    LimitNotice notice{limit->upstream(),
+                       {},
+                       Micros{std::max<std::int64_t>(0, limit->age_us())}};
+    if (std::isfinite(limit->calls_per_second()) &&
+        limit->calls_per_second() >= 0) {
+      notice.callsPerSecond = limit->calls_per_second();
+    }
+    gossip.limits.push_back(notice);
+  }
+  return gossip;
+}
+
 CrashGossip ReadCrashes(const edgewire::CrashGossip& aTable) {
   CrashGossip gossip;
   if (aTable.crashes() != nullptr) {
@@ -293,6 +323,8 @@
     message.body = DemandGossip{demand->tokens()};
   } else if (const auto* crashes = table->body_as_CrashGossip()) {
     message.body = ReadCrashes(*crashes);
+  } else if (const auto* limits = table->body_as_LimitGossip()) {
+    message.body = ReadLimits(*limits);
   } else {
     return Fail(ErrorKind::BadRequest, "a message without a body");
   }
--- a/Zincstep/Edge/EdgePeerMessage.h
+++ b/Zincstep/Edge/EdgePeerMessage.h
@@ -61,8 +61,13 @@
   std::vector<RequestFingerprint> cleared;
 };
 
+/// What a daemon tells all others of limits that upstreams name.
+struct LimitGossip {
+  std::vector<LimitNotice> limits;
+};
+
 using EdgePeerBody = std::variant<WorkGossip, ClusterWant, ClusterGive,
-                                  DemandGossip, CrashGossip>;
+                                  DemandGossip, CrashGossip, LimitGossip>;
 
 /// A message with the daemon that sent it.
 struct EdgePeerMessage {
--- a/Zincstep/Edge/Generated/EdgePeer_generated.h
+++ b/Zincstep/Edge/Generated/EdgePeer_generated.h
@@ -41,6 +41,11 @@
 struct CrashGossip;
 struct CrashGossipBuilder;
 
+struct UpstreamLimit;
+
+struct LimitGossip;
+struct LimitGossipBuilder;
+
 struct Message;
 struct MessageBuilder;
 
@@ -51,37 +56,40 @@
   Body_ClusterGive = 3,
   Body_DemandGossip = 4,
   Body_CrashGossip = 5,
+  Body_LimitGossip = 6,
   Body_MIN = Body_NONE,
-  Body_MAX = Body_CrashGossip
+  Body_MAX = Body_LimitGossip
 };
 
-inline const Body (&EnumValuesBody())[6] {
+inline const Body (&EnumValuesBody())[7] {
   static const Body values[] = {
     Body_NONE,
     Body_WorkGossip,
     Body_ClusterWant,
     Body_ClusterGive,
     Body_DemandGossip,
-    Body_CrashGossip
+    Body_CrashGossip,
+    Body_LimitGossip
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[7] = {
+  static const char * const names[8] = {
     "NONE",
     "WorkGossip",
     "ClusterWant",
     "ClusterGive",
     "DemandGossip",
     "CrashGossip",
+    "LimitGossip",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body_NONE, Body_CrashGossip)) return "";
+  if (flatbuffers::IsOutRange(e, Body_NONE, Body_LimitGossip)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -110,6 +118,10 @@
   static const Body enum_value = Body_CrashGossip;
 };
 
+template<> struct BodyTraits<zincstep::edgewire::LimitGossip> {
+  static const Body enum_value = Body_LimitGossip;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<uint8_t> *types);
 
@@ -176,6 +188,35 @@
 };
 FLATBUFFERS_STRUCT_END(UpstreamCrash, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) UpstreamLimit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  int64_t age_us_;
+  double calls_per_second_;
+
+ public:
+  UpstreamLimit()
+      : upstream_(0),
+        age_us_(0),
+        calls_per_second_(0) {
+  }
+  UpstreamLimit(uint64_t _upstream, int64_t _age_us, double _calls_per_second)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        age_us_(flatbuffers::EndianScalar(_age_us)),
+        calls_per_second_(flatbuffers::EndianScalar(_calls_per_second)) {
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  int64_t age_us() const {
+    return flatbuffers::EndianScalar(age_us_);
+  }
+  double calls_per_second() const {
+    return flatbuffers::EndianScalar(calls_per_second_);
+  }
+};
+FLATBUFFERS_STRUCT_END(UpstreamLimit, 24);
+
 struct WorkGossip FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef WorkGossipBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -791,6 +832,57 @@
       cleared__);
 }
 
+struct LimitGossip FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LimitGossipBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LIMITS = 4
+  };
+  const flatbuffers::Vector<const zincstep::edgewire::UpstreamLimit *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const zincstep::edgewire::UpstreamLimit *> *>(VT_LIMITS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
+           verifier.EndTable();
+  }
+};
+
+struct LimitGossipBuilder {
+  typedef LimitGossip Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const zincstep::edgewire::UpstreamLimit *>> limits) {
+    fbb_.AddOffset(LimitGossip::VT_LIMITS, limits);
+  }
+  explicit LimitGossipBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LimitGossip> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LimitGossip>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LimitGossip> CreateLimitGossip(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<const zincstep::edgewire::UpstreamLimit *>> limits = 0) {
+  LimitGossipBuilder builder_(_fbb);
+  builder_.add_limits(limits);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LimitGossip> CreateLimitGossipDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<zincstep::edgewire::UpstreamLimit> *limits = nullptr) {
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<zincstep::edgewire::UpstreamLimit>(*limits) : 0;
+  return zincstep::edgewire::CreateLimitGossip(
+      _fbb,
+      limits__);
+}
+
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -827,6 +919,9 @@
   const zincstep::edgewire::CrashGossip *body_as_CrashGossip() const {
     return body_type() == zincstep::edgewire::Body_CrashGossip ? static_cast<const zincstep::edgewire::CrashGossip *>(body()) : nullptr;
   }
+  const zincstep::edgewire::LimitGossip *body_as_LimitGossip() const {
+    return body_type() == zincstep::edgewire::Body_LimitGossip ? static_cast<const zincstep::edgewire::LimitGossip *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -860,6 +955,10 @@
   return body_as_CrashGossip();
 }
 
+template<> inline const zincstep::edgewire::LimitGossip *Message::body_as<zincstep::edgewire::LimitGossip>() const {
+  return body_as_LimitGossip();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -942,6 +1041,10 @@
       auto ptr = reinterpret_cast<const zincstep::edgewire::CrashGossip *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body_LimitGossip: {
+      auto ptr = reinterpret_cast<const zincstep::edgewire::LimitGossip *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Zincstep/Edge/PeerByteCount.cpp
+++ b/Zincstep/Edge/PeerByteCount.cpp
@@ -45,12 +45,14 @@
        {"sent_want", kind(this->sent, PeerMessageKind::Want)},
        {"sent_give", kind(this->sent, PeerMessageKind::Give)},
        {"sent_other", kind(this->sent, PeerMessageKind::Demand) +
-                          kind(this->sent, PeerMessageKind::Crashes)},
+                          kind(this->sent, PeerMessageKind::Crashes) +
+                          kind(this->sent, PeerMessageKind::Limits)},
        {"received_work", kind(this->received, PeerMessageKind::Work)},
        {"received_want", kind(this->received, PeerMessageKind::Want)},
        {"received_give", kind(this->received, PeerMessageKind::Give)},
        {"received_other", kind(this->received, PeerMessageKind::Demand) +
-                              kind(this->received, PeerMessageKind::Crashes)}});
+                              kind(this->received, PeerMessageKind::Crashes) +
+                              kind(this->received, PeerMessageKind::Limits)}});
   this->sent.fill(0);
   this->received.fill(0);
   this->nextLine = aNow + kLinePause;
--- a/Zincstep/Edge/PeerByteCount.h
+++ b/Zincstep/Edge/PeerByteCount.h
@@ -10,14 +10,15 @@
 namespace zincstep {
 
 /// Kinds of messages between daemons, in the order of `EdgePeerBody`.
-enum class PeerMessageKind { Work, Want, Give, Demand, Crashes };
+enum class PeerMessageKind { Work, Want, Give, Demand, Crashes, Limits };
 
-inline constexpr NameTable<PeerMessageKind, 5> kPeerMessageNames{{
+inline constexpr NameTable<PeerMessageKind, 6> kPeerMessageNames{{
     {PeerMessageKind::Work, "work"},
     {PeerMessageKind::Want, "want"},
     {PeerMessageKind::Give, "give"},
     {PeerMessageKind::Demand, "demand"},
     {PeerMessageKind::Crashes, "crashes"},
+    {PeerMessageKind::Limits, "limits"},
 }};
 
 static_assert(std::variant_size_v<EdgePeerBody> == kPeerMessageNames.size());
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -88,7 +88,8 @@
                            ClusterView& aView, const Clock& aClock,
                            Random& aRandom, Metrics& aMetrics, StoreEras& aEras,
                            OnToldSuspicion aOnSuspicion,
-                           OnToldCrashes aOnCrashes, OwnDemand aOwnDemand)
+                           OnToldCrashes aOnCrashes, OnToldLimits aOnLimits,
+                           OwnDemand aOwnDemand)
     : loop(aLoop),
       settings(aSettings),
       view(aView),
@@ -96,6 +97,7 @@
       random(aRandom),
       onSuspicion(std::move(aOnSuspicion)),
       onCrashes(std::move(aOnCrashes)),
+      onLimits(std::move(aOnLimits)),
       ownDemand(std::move(aOwnDemand)),
       eras(aEras),
       bytes(aMetrics),
@@ -139,6 +141,8 @@
     this->demand.Tell(aMessage.sender, told->tokens, this->clock.Now());
   } else if (const auto* crashes = std::get_if<CrashGossip>(&aMessage.body)) {
     this->onCrashes(*crashes, aMessage.replyTo);
+  } else if (const auto* limits = std::get_if<LimitGossip>(&aMessage.body)) {
+    this->onLimits(*limits, aMessage.replyTo);
   } else if (const auto* want = std::get_if<ClusterWant>(&aMessage.body)) {
     this->eras.OnTold(want->era);
     this->OnWant(aMessage.replyTo, *want);
@@ -378,10 +382,11 @@
   }
 }
 
-void PeerExchange::TellCrashes(CrashGossip aGossip) {
-  const std::string message = this->Write(std::move(aGossip));
+void PeerExchange::TellAll(EdgePeerBody aBody) {
+  const PeerMessageKind kind = KindOf(aBody);
+  const std::string message = this->Write(std::move(aBody));
   for (const auto& [name, member] : this->members.All()) {
-    this->SendText(member.address, PeerMessageKind::Crashes, message);
+    this->SendText(member.address, kind, message);
   }
 }
 
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -35,11 +35,15 @@
   using OnToldCrashes =
       std::function<void(const CrashGossip&, const std::string&)>;
 
+  /// The same with what it tells of limits that upstreams name.
+  using OnToldLimits =
+      std::function<void(const LimitGossip&, const std::string&)>;
+
   PeerExchange(asio::io_context& aLoop, const EdgeSettings& aSettings,
                AsyncStore& aStore, ClusterView& aView, const Clock& aClock,
                Random& aRandom, Metrics& aMetrics, StoreEras& aEras,
                OnToldSuspicion aOnSuspicion, OnToldCrashes aOnCrashes,
-               OwnDemand aOwnDemand);
+               OnToldLimits aOnLimits, OwnDemand aOwnDemand);
 
   Result<void> Start();
   /// This daemon will end: it is taken off the list of daemons.
@@ -65,8 +69,8 @@
   void OnConfiguration();
   /// Tells this daemon's work and suspicions at once.
   void GossipSoon();
-  /// Tells all daemons at once: the same request may come at any of them.
-  void TellCrashes(CrashGossip aGossip);
+  /// Tells all daemons at once.
+  void TellAll(EdgePeerBody aBody);
   /// Tells one daemon.
   void Send(const std::string& aAddress, EdgePeerBody aBody);
   /// Tells whoever places layers, if that is another daemon.
@@ -131,6 +135,7 @@
   Random& random;
   OnToldSuspicion onSuspicion;
   OnToldCrashes onCrashes;
+  OnToldLimits onLimits;
   OwnDemand ownDemand;
   StoreEras& eras;
   PeerByteCount bytes;
--- a/Zincstep/Pool/CallLimits.h
+++ b/Zincstep/Pool/CallLimits.h
@@ -2,7 +2,12 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "Zincstep/Pool/LiveUpstream.h"
 #include "Zincstep/Pool/UpstreamCall.h"
@@ -10,31 +15,106 @@
 
 namespace zincstep {
 
-/// The upstreams that name a limit of calls, and what this daemon sends them.
+/// What a daemon tells the others of an upstream's limit.
+struct LimitNotice {
+  /// The upstream's number.
+  std::uint64_t upstream = 0;
+  /// None: it names no limit any more.
+  std::optional<double> callsPerSecond;
+  /// Age of the answer that says so.
+  Micros age{0};
+};
+
+/// Settings of the limits that upstreams name.
+struct CallLimitSettings {
+  std::string ownName;
+  std::string ownDomain;
+  /// Calls a second to an upstream that takes fewer: they find out when its
+  /// limit ends.
+  double fewestPerSecond = 0.05;
+  /// Whoever may call an upstream tells the others this often that its limit
+  /// stands.
+  Micros renewalPause = 2s;
+  /// Daemons of each upstream that do so.
+  std::size_t renewers = 3;
+  /// Without such word for so long the daemons that may call it have ended or
+  /// are cut off: the others of its domain call it in their stead.
+  Micros renewalLife = 5s;
+  /// For so long it is remembered that a limit has ended, so that older word of
+  /// it is not believed.
+  Micros endedLife = 30s;
+};
+
+/// Which upstreams name a limit of calls for all daemons together, and this
+/// daemon's part of each.
+///
+/// A limit is kept by few daemons of the upstream's failure domain, drawn by
+/// the upstream's number, with equal parts; the others send no calls there
+/// while it stands. So parts are large enough to be used, and what all of them
+/// save up stays below what the upstream bears at once, whatever their number.
 class CallLimits {
  public:
-  CallLimits(const Clock& aClock, Metrics& aMetrics)
-      : clock(aClock), metrics(aMetrics) {}
+  using Tell = std::function<void(const std::vector<LimitNotice>&)>;
 
-  /// The head of an upstream's answer has come.
-  void OnNotice(const UpstreamPtr& aUpstream, const UpstreamNotice& aNotice);
+  CallLimits(CallLimitSettings aSettings, const Clock& aClock,
+             Metrics& aMetrics, Tell aTellAll)
+      : settings(std::move(aSettings)),
+        clock(aClock),
+        metrics(aMetrics),
+        tellAll(std::move(aTellAll)) {}
+
+  /// The other daemons: their names with their failure domains.
+  void SetDaemons(std::map<std::string, std::string> aDomainByName) {
+    this->daemons = std::move(aDomainByName);
+  }
+  /// The head of an answer has come, of a call that was sent at `aSentAt`.
+  void OnNotice(const UpstreamPtr& aUpstream, const UpstreamNotice& aNotice,
+                Instant aSentAt);
+  /// Another daemon tells of `aUpstream`; gives what it should hear back where
+  /// more recent word is known here.
+  std::optional<LimitNotice> OnTold(const UpstreamPtr& aUpstream,
+                                    const LimitNotice& aNotice);
   /// A call to an upstream begins.
-  void OnCall(std::uint64_t aUpstream, UpstreamCall aCall);
-  /// Logs the calls to limited upstreams; to be called several times a second.
+  void OnCall(LiveUpstream& aUpstream, UpstreamCall aCall);
+  /// Sets the parts anew, tells the others and logs the calls; to be called
+  /// several times a second.
   void Tick();
+  /// Whether any upstream's calls are of interest.
+  bool IsEmpty() const { return this->limits.empty(); }
 
  private:
-  struct Limited {
+  struct Limit {
     UpstreamPtr upstream;
-    double callsPerSecond = 0;
+    /// None: it has ended.
+    std::optional<double> callsPerSecond;
+    /// When the answer that says so came, here or elsewhere.
+    Instant answeredAt;
+    /// When this daemon, or one that may call it, last said so.
+    Instant renewedAt;
+    Instant nextRenewal{};
     std::array<int, kUpstreamCallNames.size()> calls{};
     Instant nextLine{};
   };
 
+  /// This daemon's part of a limit.
+  struct Part {
+    double perSecond = 0;
+    bool isRenewer = false;
+  };
+
+  LimitNotice NoticeOf(const Limit& aLimit) const;
+  Part PartOf(const Limit& aLimit, Instant aNow) const;
+  void Apply(Limit& aLimit, Instant aNow);
+  void LogChange(const Limit& aLimit, Evidence aEvidence) const;
+  void LogCalls(Limit& aLimit, Instant aNow) const;
+
+  CallLimitSettings settings;
   const Clock& clock;
   Metrics& metrics;
+  Tell tellAll;
+  std::map<std::string, std::string> daemons;
   /// By the numbers of the upstreams.
-  std::unordered_map<std::uint64_t, Limited> limited;
+  std::unordered_map<std::uint64_t, Limit> limits;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Pool/ChainChooser.cpp
+++ b/Zincstep/Pool/ChainChooser.cpp
@@ -57,7 +57,11 @@
     const double wanted = upstream->Work() + aTokens * entry.layers.Size();
     SearchItem item;
     item.layers = entry.layers;
-    item.usable = kind != nullptr && entry.layers.Size() > 0 &&
+    if (!upstream->MayCall(aNow)) {
+      // Whoever runs the first layer gets the call; any other member gets none.
+      item.layers.first = std::max(item.layers.first, 1);
+    }
+    item.usable = kind != nullptr && item.layers.Size() > 0 &&
                   upstream->IsUsable(aNow) && wanted <= capacity;
     double freeTokens = 0;
     if (item.usable) {
@@ -122,11 +126,11 @@
     const std::string& aOwnDomain, Random& aRandom) const {
   std::map<std::string, std::vector<double>> roomByDomain;
   for (std::size_t i = 0; i < aUpstreams.size(); ++i) {
-    const UpstreamEntry& entry = aUpstreams[i]->Entry();
-    auto& room = roomByDomain[entry.failureDomain];
+    const LayerRange layers = this->items[i].layers;
+    auto& room = roomByDomain[aUpstreams[i]->Entry().failureDomain];
     room.resize(static_cast<std::size_t>(aModel.layers));
-    for (int layer = entry.layers.first;
-         layer < std::min(entry.layers.last, aModel.layers); ++layer) {
+    for (int layer = layers.first; layer < std::min(layers.last, aModel.layers);
+         ++layer) {
       room[static_cast<std::size_t>(layer)] += this->freeTokens[i];
     }
   }
--- a/Zincstep/Pool/CountedControl.cpp
+++ b/Zincstep/Pool/CountedControl.cpp
@@ -2,6 +2,12 @@
 
 namespace zincstep {
 
+void CountedControl::Count(std::uint64_t aUpstream, UpstreamCall aCall) {
+  if (const UpstreamPtr upstream = this->directory.FindNumber(aUpstream)) {
+    this->limits.OnCall(*upstream, aCall);
+  }
+}
+
 void CountedControl::Reach(const UpstreamEntry& aUpstream, Micros aTimeout,
                            std::function<void(Reachability)> aDone) {
   // No request is sent.
@@ -11,15 +17,15 @@
 void CountedControl::Report(const UpstreamEntry& aUpstream, Micros aTimeout,
                             Done<UpstreamReport> aDone) {
   const std::uint64_t number = aUpstream.Incarnation().Number();
-  this->limits.OnCall(number, UpstreamCall::Report);
+  this->Count(number, UpstreamCall::Report);
   this->control.Report(
       aUpstream, aTimeout,
-      [this, number,
+      [this, number, sentAt = this->clock.Now(),
        done = std::move(aDone)](const Result<UpstreamReport>& aReport) {
         const UpstreamPtr upstream = this->directory.FindNumber(number);
         // Whether reports tell of limits is not sure: only those that do count.
         if (aReport && upstream && aReport->notice.callsPerSecond) {
-          this->limits.OnNotice(upstream, aReport->notice);
+          this->limits.OnNotice(upstream, aReport->notice, sentAt);
         }
         done(aReport);
       });
@@ -28,14 +34,14 @@
 void CountedControl::Place(const UpstreamEntry& aUpstream, LayerRange aLayers,
                            std::uint64_t aExpectedSequence, GiveUp aGiveUp,
                            Done<OrderOutcome> aDone) {
-  this->limits.OnCall(aUpstream.Incarnation().Number(), UpstreamCall::Order);
+  this->Count(aUpstream.Incarnation().Number(), UpstreamCall::Order);
   this->control.Place(aUpstream, aLayers, aExpectedSequence, aGiveUp,
                       std::move(aDone));
 }
 
 void CountedControl::Repath(const std::string& aRequestId,
                             const PoolChain& aChain, Done<OrderOutcome> aDone) {
-  this->limits.OnCall(aChain.front().upstream->Number(), UpstreamCall::Order);
+  this->limits.OnCall(*aChain.front().upstream, UpstreamCall::Order);
   this->control.Repath(aRequestId, aChain, std::move(aDone));
 }
 
--- a/Zincstep/Pool/CountedControl.h
+++ b/Zincstep/Pool/CountedControl.h
@@ -11,8 +11,11 @@
 class CountedControl final : public UpstreamControl {
  public:
   CountedControl(UpstreamControl& aControl, const UpstreamDirectory& aDirectory,
-                 CallLimits& aLimits)
-      : control(aControl), directory(aDirectory), limits(aLimits) {}
+                 CallLimits& aLimits, const Clock& aClock)
+      : control(aControl),
+        directory(aDirectory),
+        limits(aLimits),
+        clock(aClock) {}
 
   void Reach(const UpstreamEntry& aUpstream, Micros aTimeout,
              std::function<void(Reachability)> aDone) override;
@@ -25,9 +28,12 @@
               Done<OrderOutcome> aDone) override;
 
  private:
+  void Count(std::uint64_t aUpstream, UpstreamCall aCall);
+
   UpstreamControl& control;
   const UpstreamDirectory& directory;
   CallLimits& limits;
+  const Clock& clock;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Pool/LiveUpstream.cpp
+++ b/Zincstep/Pool/LiveUpstream.cpp
@@ -22,6 +22,8 @@
 /// From this pace on an upstream is slow: work that doubles its time is worth
 /// reading a prompt again elsewhere.
 constexpr double kSlowPace = 2;
+/// Longest time that anybody is told to wait for a call.
+constexpr Micros kLongestCallWait = 5s;
 /// Time for a suspected upstream to prove that it lives, before its layers
 /// are placed elsewhere.
 constexpr Micros kSuspicionConfirmed = 160ms;
@@ -40,6 +42,24 @@
   this->leavingSince = this->leavingSince.value_or(aNow);
 }
 
+void LiveUpstream::SetCallRate(double aPerSecond, Instant aNow) {
+  if (!this->callShare) {
+    this->callShare.emplace();
+  }
+  this->callShare->SetRate(aPerSecond, aNow);
+}
+
+void LiveUpstream::OnCall(Instant aNow) {
+  if (this->callShare) {
+    this->callShare->Spend(aNow);
+  }
+}
+
+Micros LiveUpstream::CallWait(Instant aNow) const {
+  return this->callShare ? this->callShare->Wait(aNow, kLongestCallWait)
+                         : Micros{0};
+}
+
 void LiveUpstream::Suspect(Instant aNow) {
   if (this->IsSuspect(aNow)) {
     return;
--- a/Zincstep/Pool/LiveUpstream.h
+++ b/Zincstep/Pool/LiveUpstream.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "Zincstep/Config/Config.h"
+#include "Zincstep/Pool/CallShare.h"
 #include "Zincstep/Routes/Routes.h"
 
 namespace zincstep {
@@ -129,6 +130,20 @@
     return this->IsPresent(aNow) && !this->IsRefusing(aNow);
   }
 
+  /// It names a limit, of which this daemon may use so many calls a second.
+  void SetCallRate(double aPerSecond, Instant aNow);
+  /// It names no limit any more.
+  void LiftCallRate() { this->callShare.reset(); }
+  /// A call to it begins, whatever for.
+  void OnCall(Instant aNow);
+  /// Whether this daemon may call it now: send a request, an order or a
+  /// question. As a later member of a chain it gets no calls.
+  bool MayCall(Instant aNow) const {
+    return !this->callShare || this->callShare->HasCall(aNow);
+  }
+  /// Time until this daemon may.
+  Micros CallWait(Instant aNow) const;
+
   /// Something came through it, which proves that it lives.
   void OnAnswer(Instant aNow);
   /// When it was last proved to live.
@@ -177,6 +192,8 @@
   /// Work of all other daemons, and how many of them have some.
   double others = 0;
   int othersCount = 0;
+  /// None: it names no limit.
+  std::optional<CallShare> callShare;
   Instant refusingUntil{};
   std::optional<Instant> leavingSince;
   int refusals = 0;
--- a/Zincstep/Pool/ServiceChooser.cpp
+++ b/Zincstep/Pool/ServiceChooser.cpp
@@ -37,7 +37,7 @@
   for (const UpstreamPtr& upstream : aUpstreams) {
     const bool tried =
         std::find(aTried.begin(), aTried.end(), upstream) != aTried.end();
-    if (tried || !upstream->IsUsable(aNow)) {
+    if (tried || !upstream->IsUsable(aNow) || !upstream->MayCall(aNow)) {
       continue;
     }
     const double seconds = this->ExpectedSeconds(*upstream, aOwnDomain, aNow) *
--- a/Zincstep/Pool/ServiceChooser.h
+++ b/Zincstep/Pool/ServiceChooser.h
@@ -27,7 +27,8 @@
   explicit ServiceChooser(ServiceChooserSettings aSettings)
       : settings(aSettings) {}
 
-  /// The best of those that are usable and not in `aTried`, or null.
+  /// The best of those that are usable, may be called and are not in `aTried`,
+  /// or null.
   UpstreamPtr Choose(const std::vector<UpstreamPtr>& aUpstreams,
                      const std::string& aOwnDomain,
                      const std::vector<UpstreamPtr>& aTried, Instant aNow,
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -44,6 +44,7 @@
     after =
         FromSeconds(ToSeconds(model->loadTime) * settings.restoredAfterLoads);
   }
+  after = std::max(after, this->callWait);
   // Those that are refused together should not come back together.
   after = FromSeconds(ToSeconds(after) * (0.5 + this->context.random.Unit()));
   const Micros left = this->request.end - this->Now();
@@ -130,7 +131,7 @@
                                    aLastEventId,
                                    this->request.priority,
                                    aChain};
-  this->context.limits.OnCall(aUpstream->Number(), UpstreamCall::Request);
+  this->context.limits.OnCall(*aUpstream, UpstreamCall::Request);
   this->call = std::make_shared<SingleCall>(this->context.loop, *this);
   this->call->Start(*endpoint, this->context.dialect.WriteRequest(forwarded),
                     this->context.settings.connectTimeout, this->Kept());
@@ -207,7 +208,7 @@
 void Exchange::TakeNotice(const AnswerFacts& aFacts) {
   // What answers another request may be a surplus answer, and old.
   if (aFacts.requestId == this->request.facts.id) {
-    this->context.limits.OnNotice(this->upstream, aFacts.notice);
+    this->context.limits.OnNotice(this->upstream, aFacts.notice, this->sentAt);
   }
 }
 
@@ -257,6 +258,22 @@
   return isTaken;
 }
 
+bool Exchange::NoteCallWait(bool aIsFirstOfChain) {
+  const Instant now = this->Now();
+  bool isHeldBack = false;
+  for (const UpstreamPtr& one :
+       this->context.view.Directory().OfService(this->request.service->name)) {
+    const Micros wait = one->CallWait(now);
+    const bool fits = !aIsFirstOfChain || one->Entry().layers.first == 0;
+    if (wait == Micros{0} || !fits || !one->IsUsable(now)) {
+      continue;
+    }
+    this->callWait = isHeldBack ? std::min(this->callWait, wait) : wait;
+    isHeldBack = true;
+  }
+  return isHeldBack;
+}
+
 bool Exchange::AwaitsFirstList() const {
   return !this->context.view.KnowsUpstreams() &&
          this->Now() - this->request.message.readAt <
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -98,6 +98,9 @@
   /// Whether one is allowed after a connection that did not come up. The
   /// upstream got nothing, so that the budget is not touched.
   bool TakeResend();
+  /// Notes that the request would go to one of the service's upstreams if they
+  /// took another call now. False: there is none of them.
+  bool NoteCallWait(bool aIsFirstOfChain);
   /// Whether this daemon has just started and is about to hear of upstreams.
   bool AwaitsFirstList() const;
   /// Whether an answer of that kind can only be some other request's, or
@@ -120,6 +123,8 @@
   int runs = 0;
   int sends = 0;
   Instant sentAt;
+  /// Time until an upstream may be called that is held back by its limit alone.
+  Micros callWait{0};
   /// Time from the request's reading to the first event that was passed on,
   /// and the longest pause between two since: what makes an answer late.
   Micros firstEventAfter{0};
--- a/Zincstep/Relay/MemberProbe.cpp
+++ b/Zincstep/Relay/MemberProbe.cpp
@@ -60,25 +60,48 @@
 void MemberProbe::Send(const UpstreamPtr& aUpstream, int aTriesLeft) {
   const Instant latest =
       this->clock.Now() + this->settings.timeout + this->settings.latestTimeout;
-  this->control.Report(aUpstream->Entry(), this->settings.timeout,
-                       [this, aUpstream, aTriesLeft,
-                        latest](const Result<UpstreamReport>& aReport) {
-                         if (aReport) {
-                           this->OnAnswer(aUpstream, *aReport);
-                         } else if (this->clock.Now() > latest) {
-                           this->Close(aUpstream);
-                         } else if (aTriesLeft > 1) {
-                           this->Send(aUpstream, aTriesLeft - 1);
-                         } else {
-                           this->OnSilence(aUpstream);
-                         }
-                       });
+  this->Question(aUpstream, this->settings.timeout,
+                 [this, aUpstream, aTriesLeft, latest](bool aHasAnswered) {
+                   if (aHasAnswered) {
+                     this->Close(aUpstream);
+                   } else if (this->clock.Now() > latest) {
+                     this->Close(aUpstream);
+                   } else if (aTriesLeft > 1) {
+                     this->Send(aUpstream, aTriesLeft - 1);
+                   } else {
+                     this->OnSilence(aUpstream);
+                   }
+                 });
+}
+
+void MemberProbe::Question(const UpstreamPtr& aUpstream, Micros aTimeout,
+                           std::function<void(bool)> aDone) {
+  if (aUpstream->MayCall(this->clock.Now())) {
+    this->control.Report(aUpstream->Entry(), aTimeout,
+                         [this, aUpstream, done = std::move(aDone)](
+                             const Result<UpstreamReport>& aReport) {
+                           if (aReport) {
+                             this->OnAnswer(aUpstream, *aReport);
+                           }
+                           done(aReport.has_value());
+                         });
+    return;
+  }
+  // It takes no question now; that it accepts connections shows that it lives.
+  this->control.Reach(
+      aUpstream->Entry(), aTimeout,
+      [this, aUpstream, done = std::move(aDone)](Reachability aReachability) {
+        const bool isReached = aReachability == Reachability::Reached;
+        if (isReached) {
+          aUpstream->OnAnswer(this->clock.Now());
+        }
+        done(isReached);
+      });
 }
 
 void MemberProbe::OnAnswer(const UpstreamPtr& aUpstream,
                            const UpstreamReport& aReport) {
   const Instant now = this->clock.Now();
-  this->Close(aUpstream);
   if (aReport.pace != aUpstream->Pace(now)) {
     LogInfo("upstream_pace",
             {{"upstream", aUpstream->Entry().id}, {"pace", aReport.pace}});
@@ -99,11 +122,8 @@
 }
 
 void MemberProbe::Confirm(const UpstreamPtr& aUpstream) {
-  this->control.Report(
-      aUpstream->Entry(), this->settings.confirmTimeout,
-      [this, aUpstream](const Result<UpstreamReport>& aReport) {
-        aReport ? this->OnAnswer(aUpstream, *aReport) : this->Close(aUpstream);
-      });
+  this->Question(aUpstream, this->settings.confirmTimeout,
+                 [this, aUpstream](bool) { this->Close(aUpstream); });
 }
 
 void MemberProbe::Close(const UpstreamPtr& aUpstream) {
@@ -119,7 +139,8 @@
   std::vector<UpstreamPtr> slow;
   for (auto& [id, record] : this->records) {
     const bool isDue = now - record.askedAt >= this->settings.slowPause;
-    if (isDue && record.upstream && record.upstream->FoundPace(now) > 1) {
+    if (isDue && record.upstream && record.upstream->FoundPace(now) > 1 &&
+        record.upstream->MayCall(now)) {
       record.nextAt = now;
       slow.push_back(record.upstream);
     }
--- a/Zincstep/Relay/MemberProbe.h
+++ b/Zincstep/Relay/MemberProbe.h
@@ -74,6 +74,10 @@
   bool TakeToken(Instant aNow);
   void Start(Record& aRecord, const UpstreamPtr& aUpstream, Instant aNow);
   void Send(const UpstreamPtr& aUpstream, int aTriesLeft);
+  /// Asks for a report, or only connects where the upstream takes no call now;
+  /// tells whether it has answered.
+  void Question(const UpstreamPtr& aUpstream, Micros aTimeout,
+                std::function<void(bool)> aDone);
   void OnAnswer(const UpstreamPtr& aUpstream, const UpstreamReport& aReport);
   void OnSilence(const UpstreamPtr& aUpstream);
   void Confirm(const UpstreamPtr& aUpstream);
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -211,7 +211,7 @@
 void Relay::AskReports(Instant aNow) {
   for (auto& [connection, exchange] : this->exchanges) {
     const UpstreamPtr upstream = exchange->WantsReport(aNow);
-    if (!upstream) {
+    if (!upstream || !upstream->MayCall(aNow)) {
       continue;
     }
     Instant& last = this->asked[upstream->Number()];
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -26,7 +26,7 @@
   if (!chosen) {
     this->hasBegun
         ? this->Refuse(ErrorKind::UpstreamFailed, "no other upstream is left")
-        : this->Refuse(ErrorKind::NoCapacity, "no upstream is usable");
+        : this->RefuseUnsent();
     return;
   }
   this->tried.push_back(chosen);
@@ -41,6 +41,12 @@
   }
 }
 
+void ServiceExchange::RefuseUnsent() {
+  this->NoteCallWait(false)
+      ? this->Refuse(ErrorKind::Overloaded, "the upstreams' limits are used up")
+      : this->Refuse(ErrorKind::NoCapacity, "no upstream is usable");
+}
+
 void ServiceExchange::EndCall() {
   if (this->upstream) {
     this->upstream->own -= 1;
--- a/Zincstep/Relay/ServiceExchange.h
+++ b/Zincstep/Relay/ServiceExchange.h
@@ -26,6 +26,8 @@
   bool HasRunBegun() const override { return !this->facts.requestId.empty(); }
   void Abandon(const char* aReason) override;
   void TrySend();
+  /// Refuses a request that no upstream may be sent now.
+  void RefuseUnsent();
   void EndCall();
   /// The upstream of the open call is not the start that it was sent to.
   void OnStartedAgain();
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -120,6 +120,9 @@
   if (!this->context.view.KnowsUpstreams()) {
     return ErrorKind::NotReady;
   }
+  if (this->chain.empty() && this->NoteCallWait(true)) {
+    return ErrorKind::Overloaded;
+  }
   // With a chain that had room by what is believed here, the belief was wrong,
   // and is mended within tenths of a second; room itself takes loads to return.
   return this->chain.empty() ? ErrorKind::NoCapacity : ErrorKind::Overloaded;
--- a/Zincstep/Relay/StreamRepair.cpp
+++ b/Zincstep/Relay/StreamRepair.cpp
@@ -117,7 +117,7 @@
 }
 
 void StreamExchange::MoveOn(Instant aNow) {
-  if (!this->MayRepair(aNow)) {
+  if (!this->upstream->MayCall(aNow) || !this->MayRepair(aNow)) {
     return;
   }
   const auto chain = this->RepairedChain(aNow);
@@ -181,6 +181,10 @@
   if (!this->MayRepair(aNow)) {
     return;
   }
+  if (!this->upstream->MayCall(aNow)) {
+    this->Resume("the first upstream takes no order now");
+    return;
+  }
   const auto repaired = this->RepairedChain(aNow);
   if (!repaired) {
     // Nobody in its domain holds what was lost: a chain elsewhere does.
