--- a/UnitTests/UpstreamLimitTest.cpp
+++ b/UnitTests/UpstreamLimitTest.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(Streams_AtAnUpstreamThatNamesALimit_StayBelowIt);
   CPPUNIT_TEST(ServiceRequests_AtAnUpstreamThatNamesALimit_StayBelowIt);
   CPPUNIT_TEST(Reports_AtAnUpstreamThatNamesALimit_StayBelowIt);
+  CPPUNIT_TEST(Requests_BeyondTheLimitOfAllUpstreams_AreRefusedAsNotRun);
   CPPUNIT_TEST(Upstream_ThatNamesNoLimitAnyMore_IsUsedAsBefore);
   CPPUNIT_TEST_SUITE_END();
 
@@ -76,16 +77,21 @@
                              });
   }
 
-  /// Sends requests at one instant and waits for all answers.
-  void AskTogether(const std::string& aPath) {
+  /// Sends requests at one instant and waits for all answers; gives how many
+  /// were served.
+  int AskTogether(const std::string& aPath) {
     int open = kRequests;
+    int served = 0;
     for (int i = 0; i < kRequests; ++i) {
-      FetchWhole(loop,
-                 {asio::ip::address_v4::loopback(), this->listener->Port()},
-                 this->Attempt(aPath), 9s,
-                 [&](const Result<HttpAnswer>&) { open -= 1; });
+      FetchWhole(
+          loop, {asio::ip::address_v4::loopback(), this->listener->Port()},
+          this->Attempt(aPath), 9s, [&](const Result<HttpAnswer>& aAnswer) {
+            open -= 1;
+            served += aAnswer && aAnswer->status == 200 ? 1 : 0;
+          });
     }
     this->RunUntil([&] { return open == 0; });
+    return served;
   }
 
   void RunFor(Micros aTime) {
@@ -140,16 +146,22 @@
     this->RunUntil([&] { return answer.has_value(); });
   }
 
+  void Requests_BeyondTheLimitOfAllUpstreams_AreRefusedAsNotRun() {
+    this->AddLimited("plain");
+    this->AskTogether("/safe/x");
+    const auto answer = this->Ask(this->Attempt("/safe/x"));
+    CPPUNIT_ASSERT_EQUAL(503, answer->status);
+    CPPUNIT_ASSERT(!FindHeader(answer->headers, "Retry-After").empty());
+  }
+
   void Upstream_ThatNamesNoLimitAnyMore_IsUsedAsBefore() {
-    const ScriptedUpstream& limited = this->AddLimited("plain");
-    this->AddOther("plain");
+    this->AddLimited("plain");
     this->AskTogether("/safe/x");
     named.clear();
     this->RunFor(2s);
-    this->AskTogether("/safe/x");  // Its part allows one that finds it out.
-    const std::size_t before = limited.seen.size();
-    this->AskTogether("/safe/x");
-    CPPUNIT_ASSERT(limited.seen.size() - before >= kRequests / 4);
+    // Its part allows one call, which finds it out.
+    CPPUNIT_ASSERT_EQUAL(200, this->Ask(this->Attempt("/safe/x"))->status);
+    CPPUNIT_ASSERT_EQUAL(kRequests, this->AskTogether("/safe/x"));
   }
 };
 
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -120,8 +120,9 @@
             [this](const CrashGossip& aGossip, const std::string& aFrom) {
               this->OnTold(aGossip, aFrom);
             },
-            [this](const LimitGossip& aGossip, const std::string& aFrom) {
-              this->OnToldLimits(aGossip, aFrom);
+            [this](const LimitGossip& aGossip, const std::string& aTeller,
+                   const std::string& aFrom) {
+              this->OnToldLimits(aGossip, aTeller, aFrom);
             },
             [this] { return this->demand.Tokens(this->clock.Now()); }),
         fastTimer(aLoop),
@@ -172,7 +173,8 @@
   /// A peer that listens at `aFrom` tells of requests that end upstreams.
   void OnTold(const CrashGossip& aGossip, const std::string& aFrom);
   /// The same of limits that upstreams name.
-  void OnToldLimits(const LimitGossip& aGossip, const std::string& aFrom);
+  void OnToldLimits(const LimitGossip& aGossip, const std::string& aTeller,
+                    const std::string& aFrom);
   /// The store has come back from a copy: what is known stays in use until it
   /// is told anew, and what this daemon keeps there is written again.
   void OnStoreRestored(std::uint64_t aBefore, std::uint64_t aEra);
@@ -329,6 +331,7 @@
 }
 
 void EdgeDaemon::OnToldLimits(const LimitGossip& aGossip,
+                              const std::string& aTeller,
                               const std::string& aFrom) {
   LimitGossip newer;
   for (const LimitNotice& notice : aGossip.limits) {
@@ -337,7 +340,7 @@
     if (!upstream) {
       continue;
     }
-    if (const auto known = this->limits.OnTold(upstream, notice)) {
+    if (const auto known = this->limits.OnTold(upstream, notice, aTeller)) {
       newer.limits.push_back(*known);
     }
   }
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -142,7 +142,7 @@
   } else if (const auto* crashes = std::get_if<CrashGossip>(&aMessage.body)) {
     this->onCrashes(*crashes, aMessage.replyTo);
   } else if (const auto* limits = std::get_if<LimitGossip>(&aMessage.body)) {
-    this->onLimits(*limits, aMessage.replyTo);
+    this->onLimits(*limits, aMessage.sender, aMessage.replyTo);
   } else if (const auto* want = std::get_if<ClusterWant>(&aMessage.body)) {
     this->eras.OnTold(want->era);
     this->OnWant(aMessage.replyTo, *want);
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -35,9 +35,10 @@
   using OnToldCrashes =
       std::function<void(const CrashGossip&, const std::string&)>;
 
-  /// The same with what it tells of limits that upstreams name.
-  using OnToldLimits =
-      std::function<void(const LimitGossip&, const std::string&)>;
+  /// Called with what a peer tells of limits that upstreams name, its name, and
+  /// where it listens.
+  using OnToldLimits = std::function<void(
+      const LimitGossip&, const std::string&, const std::string&)>;
 
   PeerExchange(asio::io_context& aLoop, const EdgeSettings& aSettings,
                AsyncStore& aStore, ClusterView& aView, const Clock& aClock,
--- a/Zincstep/Pool/CallLimits.cpp
+++ b/Zincstep/Pool/CallLimits.cpp
@@ -11,9 +11,6 @@
 constexpr Micros kLinePause = 1s;
 /// A limit that has changed by less is told with the next renewal.
 constexpr double kToldChange = 0.1;
-/// Daemons that share a limit, for each call a second, beside the first one.
-/// Each of them may save one call up.
-constexpr double kSharersPerCall = 2;
 
 bool IsLargeChange(double aBefore, double aAfter) {
   return std::abs(aAfter - aBefore) > kToldChange * aBefore;
@@ -48,6 +45,7 @@
   const bool isChanged = before.has_value() != named.has_value() ||
                          (before && named && IsLargeChange(*before, *named));
   if (isChanged) {
+    limit.renewedAt = now;
     this->LogChange(limit, Evidence::Found);
     this->Apply(limit, now);
     this->tellAll({this->NoticeOf(limit)});
@@ -55,28 +53,31 @@
 }
 
 std::optional<LimitNotice> CallLimits::OnTold(const UpstreamPtr& aUpstream,
-                                              const LimitNotice& aNotice) {
+                                              const LimitNotice& aNotice,
+                                              const std::string& aTeller) {
   const Instant now = this->clock.Now();
   const Instant answeredAt = now - aNotice.age;
   const auto known = this->limits.find(aUpstream->Number());
-  if (known != this->limits.end() && known->second.answeredAt >= answeredAt) {
-    Limit& limit = known->second;
-    if (limit.callsPerSecond.has_value() !=
-        aNotice.callsPerSecond.has_value()) {
-      return this->NoticeOf(limit);
-    }
-    limit.renewedAt = now;
-    return std::nullopt;
-  }
   if (known == this->limits.end() && !aNotice.callsPerSecond) {
     return std::nullopt;
   }
+  const bool isNew = known == this->limits.end();
   Limit& limit = this->limits[aUpstream->Number()];
-  const bool isChanged = limit.callsPerSecond != aNotice.callsPerSecond;
+  const bool isSame =
+      limit.callsPerSecond.has_value() == aNotice.callsPerSecond.has_value();
+  if (!isNew && limit.answeredAt >= answeredAt && !isSame) {
+    return this->NoticeOf(limit);
+  }
   limit.upstream = aUpstream;
+  if (isNew || this->ComesBefore(limit, aTeller)) {
+    limit.renewedAt = now;
+  }
+  if (!isNew && limit.answeredAt >= answeredAt) {
+    return std::nullopt;
+  }
+  const bool isChanged = limit.callsPerSecond != aNotice.callsPerSecond;
   limit.callsPerSecond = aNotice.callsPerSecond;
   limit.answeredAt = answeredAt;
-  limit.renewedAt = now;
   if (isChanged) {
     this->LogChange(limit, Evidence::Told);
     this->Apply(limit, now);
@@ -84,36 +85,68 @@
   return std::nullopt;
 }
 
-CallLimits::Part CallLimits::PartOf(const Limit& aLimit, Instant aNow) const {
-  const std::string& domain = aLimit.upstream->Entry().failureDomain;
-  const bool hasOwnDaemons =
-      domain == this->settings.ownDomain ||
-      std::any_of(
-          this->daemons.begin(), this->daemons.end(),
-          [&](const auto& aDaemon) { return aDaemon.second == domain; });
-  const bool mayKeep = !hasOwnDaemons || domain == this->settings.ownDomain;
-  const std::uint64_t number = aLimit.upstream->Number();
-  const std::uint64_t own = RendezvousScore(number, this->settings.ownName);
-  std::size_t daemonsInAll = 1;
-  std::size_t rank = 0;
-  for (const auto& [name, itsDomain] : this->daemons) {
-    if (hasOwnDaemons && itsDomain != domain) {
-      continue;
+CallLimits::Order CallLimits::OrderOf(const LiveUpstream& aUpstream,
+                                      const std::string& aDaemon) const {
+  const std::string& domain = aUpstream.Entry().failureDomain;
+  const std::string& ownDomain = this->settings.ownDomain;
+  const bool isServed = domain == ownDomain ||
+                        std::any_of(this->daemons.begin(), this->daemons.end(),
+                                    [&](const auto& aDaemon) {
+                                      return aDaemon.second == domain;
+                                    });
+  const std::uint64_t number = aUpstream.Number();
+  const std::uint64_t score = RendezvousScore(number, aDaemon);
+  Order order;
+  const auto add = [&](const std::string& aName, const std::string& aDomain) {
+    // Where no daemon is of the upstream's domain, any may keep its limit.
+    if (isServed && aDomain != domain) {
+      return;
     }
-    daemonsInAll += 1;
-    rank += RendezvousScore(number, name) > own ? 1 : 0;
+    order.daemons += 1;
+    order.isListed = order.isListed || aName == aDaemon;
+    order.rank += RendezvousScore(number, aName) > score ? 1 : 0;
+  };
+  add(this->settings.ownName, ownDomain);
+  for (const auto& [name, itsDomain] : this->daemons) {
+    add(name, itsDomain);
+  }
+  return order;
+}
+
+std::size_t CallLimits::Sharers(const Limit& aLimit,
+                                std::size_t aDaemons) const {
+  const double calls = aLimit.callsPerSecond.value_or(0);
+  const double wanted = std::min(1 + this->settings.sharersPerCall * calls,
+                                 static_cast<double>(aDaemons));
+  return std::max<std::size_t>(1, static_cast<std::size_t>(wanted));
+}
+
+bool CallLimits::ComesBefore(const Limit& aLimit,
+                             const std::string& aTeller) const {
+  const Order teller = this->OrderOf(*aLimit.upstream, aTeller);
+  const Order own = this->OrderOf(*aLimit.upstream, this->settings.ownName);
+  const std::size_t sharers = this->Sharers(aLimit, own.daemons);
+  return teller.isListed && teller.rank / sharers < own.rank / sharers;
+}
+
+CallLimits::Part CallLimits::PartOf(const Limit& aLimit, Instant aNow) const {
+  const Order order = this->OrderOf(*aLimit.upstream, this->settings.ownName);
+  if (!order.isListed) {
+    return {};
+  }
+  const std::size_t sharers = this->Sharers(aLimit, order.daemons);
+  const std::size_t group = order.rank / sharers;
+  const Micros silence = aNow - aLimit.renewedAt;
+  const bool isDue =
+      group == 0 ||
+      silence > this->settings.renewalLife * static_cast<std::int64_t>(group);
+  if (!isDue) {
+    return {};
   }
   const double all =
       std::max(*aLimit.callsPerSecond, this->settings.fewestPerSecond);
-  const auto sharers = std::min(
-      daemonsInAll,
-      1 + static_cast<std::size_t>(std::min(
-              kSharersPerCall * all, static_cast<double>(daemonsInAll))));
-  if (mayKeep && rank < sharers) {
-    return {all / static_cast<double>(sharers), rank < this->settings.renewers};
-  }
-  const bool isAbandoned = aNow - aLimit.renewedAt > this->settings.renewalLife;
-  return {isAbandoned ? all / static_cast<double>(daemonsInAll) : 0, false};
+  return {all / static_cast<double>(sharers),
+          order.rank % sharers < this->settings.renewers};
 }
 
 void CallLimits::Apply(Limit& aLimit, Instant aNow) {
@@ -142,7 +175,8 @@
   std::erase_if(this->limits, [&](const auto& aEntry) {
     const Limit& limit = aEntry.second;
     const bool isOver = !limit.callsPerSecond || limit.upstream->IsGone();
-    return isOver && now - limit.renewedAt > this->settings.endedLife;
+    return isOver && now - std::max(limit.renewedAt, limit.answeredAt) >
+                         this->settings.endedLife;
   });
   for (auto& [number, limit] : this->limits) {
     this->LogCalls(limit, now);
@@ -153,7 +187,6 @@
     inForce += 1;
     if (now >= limit.nextRenewal && this->PartOf(limit, now).isRenewer) {
       limit.nextRenewal = now + this->settings.renewalPause;
-      limit.renewedAt = now;
       renewals.push_back(this->NoticeOf(limit));
     }
   }
--- a/Zincstep/Pool/CallLimits.h
+++ b/Zincstep/Pool/CallLimits.h
@@ -32,13 +32,17 @@
   /// Calls a second to an upstream that takes fewer: they find out when its
   /// limit ends.
   double fewestPerSecond = 0.05;
+  /// Daemons that share a limit, for each call a second, beside the first one.
+  /// Each of them may save one call up.
+  double sharersPerCall = 2;
   /// Whoever may call an upstream tells the others this often that its limit
   /// stands.
   Micros renewalPause = 2s;
   /// Daemons of each upstream that do so.
   std::size_t renewers = 3;
   /// Without such word for so long the daemons that may call it have ended or
-  /// are cut off: the others of its domain call it in their stead.
+  /// are cut off: the next of its domain call it in their stead, after twice
+  /// this those behind them, and so on.
   Micros renewalLife = 5s;
   /// For so long it is remembered that a limit has ended, so that older word of
   /// it is not believed.
@@ -70,10 +74,11 @@
   /// The head of an answer has come, of a call that was sent at `aSentAt`.
   void OnNotice(const UpstreamPtr& aUpstream, const UpstreamNotice& aNotice,
                 Instant aSentAt);
-  /// Another daemon tells of `aUpstream`; gives what it should hear back where
-  /// more recent word is known here.
+  /// The daemon `aTeller` tells of `aUpstream`; gives what it should hear back
+  /// where more recent word is known here.
   std::optional<LimitNotice> OnTold(const UpstreamPtr& aUpstream,
-                                    const LimitNotice& aNotice);
+                                    const LimitNotice& aNotice,
+                                    const std::string& aTeller);
   /// A call to an upstream begins.
   void OnCall(LiveUpstream& aUpstream, UpstreamCall aCall);
   /// Sets the parts anew, tells the others and logs the calls; to be called
@@ -89,7 +94,7 @@
     std::optional<double> callsPerSecond;
     /// When the answer that says so came, here or elsewhere.
     Instant answeredAt;
-    /// When this daemon, or one that may call it, last said so.
+    /// When a daemon that comes before this one last said so.
     Instant renewedAt;
     Instant nextRenewal{};
     std::array<int, kUpstreamCallNames.size()> calls{};
@@ -102,7 +107,21 @@
     bool isRenewer = false;
   };
 
+  /// The daemons that may keep a limit, in an order that all agree on.
+  struct Order {
+    std::size_t daemons = 0;
+    /// How many come before the one in question.
+    std::size_t rank = 0;
+    /// Whether that one is among them.
+    bool isListed = false;
+  };
+
   LimitNotice NoticeOf(const Limit& aLimit) const;
+  Order OrderOf(const LiveUpstream& aUpstream,
+                const std::string& aDaemon) const;
+  /// How many of them share it.
+  std::size_t Sharers(const Limit& aLimit, std::size_t aDaemons) const;
+  bool ComesBefore(const Limit& aLimit, const std::string& aTeller) const;
   Part PartOf(const Limit& aLimit, Instant aNow) const;
   void Apply(Limit& aLimit, Instant aNow);
   void LogChange(const Limit& aLimit, Evidence aEvidence) const;
