--- a/Zincstep/Pool/UpstreamCall.h
+++ b/Zincstep/Pool/UpstreamCall.h
@@ -21,6 +21,9 @@
   /// Calls a second that it takes from all daemons together; none: it names no
   /// limit.
   std::optional<double> callsPerSecond;
+  /// It turns the call away and wants none from this daemon for so long; none:
+  /// it does not say so.
+  std::optional<Micros> rest;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -195,11 +195,13 @@
 void Exchange::OnRefused(const AnswerFacts& aFacts, int aStatus) {
   const bool isSucceeded = !aFacts.answeredBy.empty() &&
                            aFacts.answeredBy != this->upstream->Entry().id;
-  LogInfo("upstream_refused", {{"request", this->request.facts.id},
-                               {"upstream", this->upstream->Entry().id},
-                               {"status", aStatus},
-                               {"at_fault", aFacts.atFault},
-                               {"answered_by", aFacts.answeredBy}});
+  LogInfo("upstream_refused",
+          {{"request", this->request.facts.id},
+           {"upstream", this->upstream->Entry().id},
+           {"status", aStatus},
+           {"at_fault", aFacts.atFault},
+           {"rest_ms", aFacts.notice.rest.value_or(Micros{0}) / 1ms},
+           {"answered_by", aFacts.answeredBy}});
   if (isSucceeded) {
     this->upstream->SetEnded(this->Now());
   }
