Failing: an upstream that asks for rest is called again at once

Cause: no decision of the daemons knows of a rest that an upstream asks for. Change: tests only. LimitSoakTests has a phase in which all plain upstreams but one rest.

--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -18,7 +18,7 @@
     "  --seconds N     time of faults in each (10)\n"
     "  --daemons N     daemons (4)\n"
     "  --crashing      at the end, a request that crashes upstreams\n"
-    "  --limits        at the end, upstreams that name limits of calls\n"
+    "  --limits        at the end, upstreams that name limits or ask for rest\n"
     "  --restores      the store comes back from copies meanwhile\n"
     "Exit status: 0 all passed, 1 a promise was broken, 2 wrong use.\n";
 
--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -82,6 +82,8 @@
   /// together, and are used again once they name none.
   void CheckLimits();
   void CheckLimitsLifted(const std::vector<SoakUpstream*>& aLimited);
+  /// An upstream that asks for rest is left alone.
+  void CheckRest();
   /// One upstream of each service names a limit.
   std::vector<SoakUpstream*> NameLimits();
   /// Kills all daemons at one instant; they start again.
--- a/SoakTests/SoakLimits.cpp
+++ b/SoakTests/SoakLimits.cpp
@@ -20,6 +20,11 @@
 /// An upstream that names none any more is used again by then.
 constexpr Micros kUsedAgainWithin = 15s;
 
+/// What an upstream asks for, and the calls that each daemon may make then: the
+/// one that is turned away, and two.
+constexpr Micros kRest = 3s;
+constexpr std::size_t kCallsInRest = 3;
+
 }  // namespace
 
 std::vector<SoakUpstream*> Soak::NameLimits() {
@@ -58,6 +63,40 @@
   this->CheckLimitsLifted(limited);
 }
 
+void Soak::CheckRest() {
+  this->Note("all plain upstreams but one ask for rest");
+  std::vector<SoakUpstream*> tired;
+  for (const auto& upstream : this->upstreams) {
+    if (!upstream->IsOfModel() && upstream->TakesRequests()) {
+      tired.push_back(upstream.get());
+    }
+  }
+  if (tired.size() < 2) {
+    this->ledger.Broken("fewer than two plain upstreams live");
+    return;
+  }
+  tired.pop_back();
+  std::vector<std::size_t> before;
+  for (SoakUpstream* upstream : tired) {
+    before.push_back(upstream->Calls());
+    upstream->AskForRest(kRest);
+  }
+  this->loop.run_for(kRest);
+  const std::size_t allowed = kCallsInRest * this->daemons.size();
+  for (std::size_t i = 0; i < tired.size(); ++i) {
+    const std::size_t got = tired[i]->Calls() - before[i];
+    if (got > allowed) {
+      this->ledger.Broken("an upstream that asked for rest got " +
+                          std::to_string(got) + " calls, allowed " +
+                          std::to_string(allowed));
+    }
+    tired[i]->AskForRest(std::nullopt);
+  }
+  if (!this->WaitUntilServed()) {
+    this->ledger.Broken("not all was served beside upstreams at rest");
+  }
+}
+
 void Soak::CheckLimitsLifted(const std::vector<SoakUpstream*>& aLimited) {
   this->Note("upstreams name no limits any more");
   std::size_t before = 0;
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -160,6 +160,7 @@
   }
   if (this->settings.hasLimits) {
     this->CheckLimits();
+    this->CheckRest();
   }
   // Whoever was refused must not run later either.
   this->loop.run_for(kCallerPatience);
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -2,6 +2,8 @@
 
 #include <sstream>
 
+#include "Zincstep/Relay/Relay.h"
+
 namespace zincstep::soak {
 
 namespace {
@@ -113,6 +115,7 @@
   }
   this->sequence = 0;
   this->limit.reset();
+  this->rest.reset();
   this->layers = {};
   this->loading.reset();
   this->isAlive = true;
@@ -212,6 +215,14 @@
   const std::string request = HeaderOf(aMessage, "X-Attempt-Id");
   const std::string path = HeaderOf(aMessage, "Path");
   const std::string missing = this->Missing(path);
+  if (this->rest) {
+    aConnection->Answer(kUnavailable,
+                        {{"X-Attempt-Id", request},
+                         {"X-Not-Executed", "1"},
+                         RetryAfterHeader(*this->rest)},
+                        "");
+    return;
+  }
   if (!missing.empty()) {
     aConnection->Answer(kUnavailable,
                         this->WithLimit({{"X-Attempt-Id", request},
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -48,6 +48,8 @@
   void SilenceConnections() { this->proxy->SilenceOpen(); }
   /// From now on all its answers name that limit of calls a second, or none.
   void NameLimit(std::optional<double> aPerSecond) { this->limit = aPerSecond; }
+  /// From now on it turns all requests away and asks for that rest, or not.
+  void AskForRest(std::optional<Micros> aRest) { this->rest = aRest; }
   /// Whether it is asked for requests: a plain one, or the first of a chain.
   bool TakesRequests() const;
   /// All calls that it got: requests, reports and orders.
@@ -109,6 +111,7 @@
   std::optional<LayerRange> loading;
   Instant loadedAt;
   std::optional<double> limit;
+  std::optional<Micros> rest;
   std::vector<Instant> calls;
   bool isAlive = false;
   bool isDraining = false;
--- /dev/null
+++ b/UnitTests/UpstreamRestTest.cpp
@@ -0,0 +1,173 @@
+// An upstream turned a request away and asked for some seconds of rest; the
+// next requests of the same daemon went there again.
+
+#include "UnitTests/RelayFixture.h"
+
+namespace zincstep {
+namespace {
+
+class UpstreamRestTest : public RelayFixture {
+  CPPUNIT_TEST_SUITE(UpstreamRestTest);
+  CPPUNIT_TEST(ServiceRequests_AtAnUpstreamThatAsksForRest_GoElsewhere);
+  CPPUNIT_TEST(Streams_AtAnUpstreamThatAsksForRest_GoElsewhere);
+  CPPUNIT_TEST(Reports_AtAnUpstreamThatAsksForRest_AreLeftOut);
+  CPPUNIT_TEST(Upstream_WhoseRestIsOver_IsUsedAsBefore);
+  CPPUNIT_TEST(Upstream_ThatAsksForLessLater_RestsAsLongAsItAskedFirst);
+  CPPUNIT_TEST(Requests_WhereAllUpstreamsRest_AreRefusedWithTheTimeLeft);
+  CPPUNIT_TEST(Rest_ThatIsNoNumberOfSeconds_IsNone);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr int kRequests = 40;
+  /// Calls that may reach an upstream which asks for rest, the first of them
+  /// included.
+  static constexpr std::size_t kMostCalls = 3;
+  static constexpr const char* kReport =
+      R"({"layers":{"from":0,"targetVersion":2},"running":1,"queued":1,)"
+      R"("kvUsed":10,"kvTotal":1000,"stalled":[]})";
+
+  /// Seconds that the upstream asks for; empty: it answers.
+  std::string rest = "3";
+  /// It does not answer the next request.
+  bool holdsNext = false;
+  ConnectionPtr held;
+  int attempts = 0;
+
+  std::string Attempt(const std::string& aPath) {
+    attempts += 1;
+    return "POST " + aPath + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r" +
+           std::to_string(attempts) +
+           "\r\nX-Deadline-Ms: 9000\r\nAuthorization: Bearer key1\r\n"
+           "Content-Length: 0\r\n\r\n";
+  }
+
+  static void Serve(const ConnectionPtr& aTo, const CallerMessage& aMessage) {
+    const HttpHeaders headers = SealedHeaders(aMessage);
+    if (aMessage.head.target == "/report") {
+      aTo->Answer(200, headers, kReport);
+    } else if (aMessage.head.target.starts_with("/llm/")) {
+      aTo->BeginChunks(200, headers);
+      aTo->AppendChunk("id: 1\ndata: a\n\n");
+      aTo->EndChunks();
+    } else {
+      aTo->Answer(200, headers, "ok");
+    }
+  }
+
+  ScriptedUpstream& AddTired(const std::string& aService) {
+    return this->AddUpstream(
+        aService, [this](const auto& aTo, const auto& aMessage) {
+          const bool isRequest = aMessage.head.target != "/report";
+          if (isRequest && holdsNext) {
+            holdsNext = false;
+            held = aTo;
+          } else if (isRequest && !rest.empty()) {
+            HttpHeaders headers = SealedHeaders(aMessage);
+            headers.push_back({"X-Not-Executed", "shed"});
+            headers.push_back({"Retry-After", rest});
+            aTo->Answer(503, headers, "");
+          } else {
+            Serve(aTo, aMessage);
+          }
+        });
+  }
+
+  void AddOther(const std::string& aService) {
+    this->AddUpstream(aService, [](const auto& aTo, const auto& aMessage) {
+      Serve(aTo, aMessage);
+    });
+  }
+
+  void RunFor(Micros aTime) {
+    const Instant end = clock.Now() + aTime;
+    this->RunUntil([&] { return clock.Now() >= end; });
+  }
+
+  void CheckRequests(const std::string& aService, const std::string& aPath) {
+    const ScriptedUpstream& tired = this->AddTired(aService);
+    this->AddOther(aService);
+    settings.retries.most = kRequests;
+    for (int i = 0; i < kRequests; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, this->Ask(this->Attempt(aPath))->status);
+    }
+    CPPUNIT_ASSERT(!tired.seen.empty());
+    CPPUNIT_ASSERT(tired.seen.size() <= kMostCalls);
+  }
+
+  /// How the only upstream's refusal with that rest is followed.
+  int StatusAfterRest(const std::string& aRest) {
+    rest = aRest;
+    this->Ask(this->Attempt("/safe/x"));
+    rest.clear();
+    return this->Ask(this->Attempt("/safe/x"))->status;
+  }
+
+ public:
+  void ServiceRequests_AtAnUpstreamThatAsksForRest_GoElsewhere() {
+    this->CheckRequests("plain", "/safe/x");
+  }
+
+  void Streams_AtAnUpstreamThatAsksForRest_GoElsewhere() {
+    // The pause after any refusal is shorter than what is asked for here.
+    settings.refusalPause = 0ms;
+    this->CheckRequests("model", "/llm/x");
+  }
+
+  void Reports_AtAnUpstreamThatAsksForRest_AreLeftOut() {
+    ScriptedUpstream& tired = this->AddTired("model");
+    holdsNext = true;
+    std::optional<Result<HttpAnswer>> answer;
+    FetchWhole(loop, {asio::ip::address_v4::loopback(), this->listener->Port()},
+               this->Attempt("/llm/x"), 9s, [&](Result<HttpAnswer> aAnswer) {
+                 answer = std::move(aAnswer);
+               });
+    this->RunUntil([&] { return held != nullptr; });
+    this->Ask(this->Attempt("/llm/x"));
+    const std::size_t before = tired.seen.size();
+    this->RunFor(2s);
+    CPPUNIT_ASSERT(tired.seen.size() - before < kMostCalls);
+    held->Abort();
+    this->RunUntil([&] { return answer.has_value(); });
+  }
+
+  void Upstream_WhoseRestIsOver_IsUsedAsBefore() {
+    this->AddTired("plain");
+    CPPUNIT_ASSERT_EQUAL(503, this->StatusAfterRest("0.4"));
+    this->RunFor(500ms);
+    CPPUNIT_ASSERT_EQUAL(200, this->Ask(this->Attempt("/safe/x"))->status);
+  }
+
+  void Upstream_ThatAsksForLessLater_RestsAsLongAsItAskedFirst() {
+    const UpstreamPtr one = std::make_shared<LiveUpstream>(UpstreamEntry{});
+    const Instant now = clock.Now();
+    limits.OnNotice(one, {{}, 3s}, now);
+    limits.OnNotice(one, {{}, 1s}, now);
+    CPPUNIT_ASSERT(!one->MayCall(now + 2s));
+    CPPUNIT_ASSERT(one->MayCall(clock.Now() + 3s));
+  }
+
+  void Requests_WhereAllUpstreamsRest_AreRefusedWithTheTimeLeft() {
+    const ScriptedUpstream& tired = this->AddTired("plain");
+    rest = "2";
+    this->Ask(this->Attempt("/safe/x"));
+    const auto answer = this->Ask(this->Attempt("/safe/x"));
+    CPPUNIT_ASSERT_EQUAL(503, answer->status);
+    const double after =
+        std::stod(std::string(FindHeader(answer->headers, "Retry-After")));
+    CPPUNIT_ASSERT(after >= 1 && after <= 3);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tired.seen.size());
+  }
+
+  void Rest_ThatIsNoNumberOfSeconds_IsNone() {
+    this->AddTired("plain");
+    for (const char* text :
+         {"-3", "soon", "3s", "Thu, 03 Dec 2026 08:00:00 GMT", "nan", "inf",
+          "0"}) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 200, this->StatusAfterRest(text));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamRestTest);
+
+}  // namespace
+}  // namespace zincstep
