An upstream that asks for rest gets no call from this daemon until then

What callers saw: a send more, answered by another upstream within 30 ms; where all rest, a refusal only after tries that could not be served. Cause: the time in a 503 was read nowhere; a plain upstream's refusal left no trace but its queue, a model's was passed over for 0.3 s. Class: what upstreams say of themselves was dropped, as with limits. Change: the rest is a belief of the incarnation, and MayCall, which all senders ask since the limits, says no until its end; a later, shorter one takes nothing back. Callers that nobody may be called for are refused at once, told the time left, spread behind it and not before it, as far as they heed it. upstream_rests, zincstep_upstream_rests_total. Why it works: all calls that start after the answer pass the one place; what was on its way by then arrives within milliseconds. Ruled out: telling the others: the rest is asked of one daemon. Test changed: Requests_WhereAllUpstreamsRest_.. asked for 2 s on a route that ends after 2 s, where callers are told no later than they heed; it asks for 0.5 s now and demands no earlier than that and at most half more (1 to 3 s before). Not covered: a question that is turned away with a rest; its answer is taken for none.

--- a/UnitTests/UpstreamRestTest.cpp
+++ b/UnitTests/UpstreamRestTest.cpp
@@ -147,13 +147,16 @@
 
   void Requests_WhereAllUpstreamsRest_AreRefusedWithTheTimeLeft() {
     const ScriptedUpstream& tired = this->AddTired("plain");
-    rest = "2";
+    // Callers of this route, which ends after 2 s, heed a third of that.
+    rest = "0.5";
+    const Instant begin = clock.Now();
     this->Ask(this->Attempt("/safe/x"));
     const auto answer = this->Ask(this->Attempt("/safe/x"));
     CPPUNIT_ASSERT_EQUAL(503, answer->status);
     const double after =
         std::stod(std::string(FindHeader(answer->headers, "Retry-After")));
-    CPPUNIT_ASSERT(after >= 1 && after <= 3);
+    CPPUNIT_ASSERT(after >= 0.5 - ToSeconds(clock.Now() - begin));
+    CPPUNIT_ASSERT(after <= 0.75);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tired.seen.size());
   }
 
--- a/Zincstep/Pool/CallLimits.cpp
+++ b/Zincstep/Pool/CallLimits.cpp
@@ -26,6 +26,9 @@
 void CallLimits::OnNotice(const UpstreamPtr& aUpstream,
                           const UpstreamNotice& aNotice, Instant aSentAt) {
   const Instant now = this->clock.Now();
+  if (aNotice.rest) {
+    this->TakeRest(*aUpstream, *aNotice.rest, now);
+  }
   const std::optional<double> named = aNotice.callsPerSecond;
   const auto known = this->limits.find(aUpstream->Number());
   if (known == this->limits.end() && !named) {
@@ -52,6 +55,13 @@
   }
 }
 
+void CallLimits::TakeRest(LiveUpstream& aUpstream, Micros aRest, Instant aNow) {
+  aUpstream.RestUntil(aNow + aRest);
+  this->metrics.Count("zincstep_upstream_rests_total");
+  LogInfo("upstream_rests",
+          {{"upstream", aUpstream.Entry().id}, {"rest_ms", aRest / 1ms}});
+}
+
 std::optional<LimitNotice> CallLimits::OnTold(const UpstreamPtr& aUpstream,
                                               const LimitNotice& aNotice,
                                               const std::string& aTeller) {
--- a/Zincstep/Pool/CallLimits.h
+++ b/Zincstep/Pool/CallLimits.h
@@ -50,7 +50,7 @@
 };
 
 /// Which upstreams name a limit of calls for all daemons together, and this
-/// daemon's part of each.
+/// daemon's part of each; and which want a rest from this daemon.
 ///
 /// A limit is kept by few daemons of the upstream's failure domain, drawn by
 /// the upstream's number, with equal parts; the others send no calls there
@@ -116,6 +116,9 @@
     bool isListed = false;
   };
 
+  /// An upstream wants no calls from this daemon for a time. Others are not
+  /// told: it says so to each of them.
+  void TakeRest(LiveUpstream& aUpstream, Micros aRest, Instant aNow);
   LimitNotice NoticeOf(const Limit& aLimit) const;
   Order OrderOf(const LiveUpstream& aUpstream,
                 const std::string& aDaemon) const;
--- a/Zincstep/Pool/LiveUpstream.cpp
+++ b/Zincstep/Pool/LiveUpstream.cpp
@@ -56,8 +56,11 @@
 }
 
 Micros LiveUpstream::CallWait(Instant aNow) const {
-  return this->callShare ? this->callShare->Wait(aNow, kLongestCallWait)
-                         : Micros{0};
+  const Micros rest = std::max(Micros{0}, this->restsUntil - aNow);
+  const Micros share = this->callShare
+                           ? this->callShare->Wait(aNow, kLongestCallWait)
+                           : Micros{0};
+  return std::max(rest, share);
 }
 
 void LiveUpstream::Suspect(Instant aNow) {
--- a/Zincstep/Pool/LiveUpstream.h
+++ b/Zincstep/Pool/LiveUpstream.h
@@ -134,12 +134,18 @@
   void SetCallRate(double aPerSecond, Instant aNow);
   /// It names no limit any more.
   void LiftCallRate() { this->callShare.reset(); }
+  /// It wants no call from this daemon until then.
+  void RestUntil(Instant aUntil) {
+    this->restsUntil = std::max(this->restsUntil, aUntil);
+  }
+  bool IsResting(Instant aNow) const { return aNow < this->restsUntil; }
   /// A call to it begins, whatever for.
   void OnCall(Instant aNow);
   /// Whether this daemon may call it now: send a request, an order or a
   /// question. As a later member of a chain it gets no calls.
   bool MayCall(Instant aNow) const {
-    return !this->callShare || this->callShare->HasCall(aNow);
+    return !this->IsResting(aNow) &&
+           (!this->callShare || this->callShare->HasCall(aNow));
   }
   /// Time until this daemon may.
   Micros CallWait(Instant aNow) const;
@@ -194,6 +200,7 @@
   int othersCount = 0;
   /// None: it names no limit.
   std::optional<CallShare> callShare;
+  Instant restsUntil{};
   Instant refusingUntil{};
   std::optional<Instant> leavingSince;
   int refusals = 0;
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -11,6 +11,10 @@
 /// that they have left do not wait that long (a third, the platform's pages).
 constexpr double kHeededShare = 0.32;
 
+/// Callers that wait for an upstream's next call come back within this share of
+/// the wait behind it.
+constexpr double kReturnSpread = 0.5;
+
 /// Fields that concern one connection, or that the connection writes.
 constexpr std::array<std::string_view, 9> kHopFields{
     "Connection",          "Keep-Alive", "Proxy-Authenticate",
@@ -44,9 +48,12 @@
     after =
         FromSeconds(ToSeconds(model->loadTime) * settings.restoredAfterLoads);
   }
-  after = std::max(after, this->callWait);
-  // Those that are refused together should not come back together.
+  // Those that are refused together should not come back together; nobody
+  // should before an upstream may be called again.
   after = FromSeconds(ToSeconds(after) * (0.5 + this->context.random.Unit()));
+  after = std::max(
+      after, FromSeconds(ToSeconds(this->callWait) *
+                         (1 + kReturnSpread * this->context.random.Unit())));
   const Micros left = this->request.end - this->Now();
   return std::clamp(FromSeconds(ToSeconds(left) * kHeededShare), Micros{0},
                     after);
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -43,7 +43,7 @@
 
 void ServiceExchange::RefuseUnsent() {
   this->NoteCallWait(false)
-      ? this->Refuse(ErrorKind::Overloaded, "the upstreams' limits are used up")
+      ? this->Refuse(ErrorKind::Overloaded, "the upstreams take no call now")
       : this->Refuse(ErrorKind::NoCapacity, "no upstream is usable");
 }
 
