An upstream that says in its answers that it leaves gets no new requests

What callers saw: nothing yet; the rule on it is new, and an entry may say ready for long or not at all. Cause: leaving was known from the store's list alone. Class: as with limits and rests. Ruled out: taking it back by an answer without the header: such an answer may be older. Left: other daemons are not told; each hears it by its own answers or the store's list.

--- a/Zincstep/Pool/CallLimits.cpp
+++ b/Zincstep/Pool/CallLimits.cpp
@@ -29,6 +29,11 @@
   if (aNotice.rest) {
     this->TakeRest(*aUpstream, *aNotice.rest, now);
   }
+  if (aNotice.isLeaving && !aUpstream->IsDraining()) {
+    aUpstream->SetLeaving(now);
+    LogInfo("upstream_leaving", {{"upstream", aUpstream->Entry().id},
+                                 {"reason", "its answer says so"}});
+  }
   const std::optional<double> named = aNotice.callsPerSecond;
   const auto known = this->limits.find(aUpstream->Number());
   if (known == this->limits.end() && !named) {
--- a/Zincstep/Pool/CountedControl.cpp
+++ b/Zincstep/Pool/CountedControl.cpp
@@ -24,7 +24,9 @@
        done = std::move(aDone)](const Result<UpstreamReport>& aReport) {
         const UpstreamPtr upstream = this->directory.FindNumber(number);
         // Whether reports tell of limits is not sure: only those that do count.
-        if (aReport && upstream && aReport->notice.callsPerSecond) {
+        const bool hasNews = aReport && (aReport->notice.callsPerSecond ||
+                                         aReport->notice.isLeaving);
+        if (hasNews && upstream) {
           this->limits.OnNotice(upstream, aReport->notice, sentAt);
         }
         done(aReport);
--- a/Zincstep/Pool/LiveUpstream.cpp
+++ b/Zincstep/Pool/LiveUpstream.cpp
@@ -32,9 +32,18 @@
 
 void LiveUpstream::SetEntry(UpstreamEntry aEntry, Instant aNow) {
   this->entry = std::move(aEntry);
-  if (this->entry.state == Availability::Draining && !this->leavingSince) {
-    this->leavingSince = aNow;
+  if (this->isLeaving) {
+    this->entry.state = Availability::Draining;
   }
+  if (this->IsDraining()) {
+    this->leavingSince = this->leavingSince.value_or(aNow);
+  }
+}
+
+void LiveUpstream::SetLeaving(Instant aNow) {
+  this->isLeaving = true;
+  this->entry.state = Availability::Draining;
+  this->leavingSince = this->leavingSince.value_or(aNow);
 }
 
 void LiveUpstream::SetGone(Instant aNow) {
--- a/Zincstep/Pool/LiveUpstream.h
+++ b/Zincstep/Pool/LiveUpstream.h
@@ -79,6 +79,12 @@
   std::uint64_t Number() const { return this->number; }
   void SetEntry(UpstreamEntry aEntry, Instant aNow);
 
+  /// It has said that it leaves: as if its entry did.
+  void SetLeaving(Instant aNow);
+  bool IsDraining() const {
+    return this->entry.state == Availability::Draining;
+  }
+
   /// There is evidence that it does not answer; it gets no new work for
   /// a time that doubles with each suspicion in a row.
   void Suspect(Instant aNow);
@@ -212,6 +218,8 @@
   double pace = 1;
   Instant paceAt{};
   Evidence paceEvidence = Evidence::Told;
+  /// It has said so itself; its entry may be written before it says so too.
+  bool isLeaving = false;
   bool isGone = false;
   bool hasEnded = false;
 };
--- a/Zincstep/Pool/UpstreamCall.h
+++ b/Zincstep/Pool/UpstreamCall.h
@@ -24,6 +24,8 @@
   /// It turns the call away and wants none from this daemon for so long; none:
   /// it does not say so.
   std::optional<Micros> rest;
+  /// It leaves: it finishes what it runs, and wants nothing new.
+  bool isLeaving = false;
 };
 
 }  // namespace zincstep
