--- a/UnitTests/EdgePeerMessageTest.cpp
+++ b/UnitTests/EdgePeerMessageTest.cpp
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
+
 #include "Zincstep/Edge/EdgePeerMessage.h"
 
 namespace zincstep {
@@ -14,6 +16,8 @@
   CPPUNIT_TEST(Message_PackedListThatIsDamaged_HasNone);
   CPPUNIT_TEST(Message_Demand_ReadsAsWritten);
   CPPUNIT_TEST(Message_Crashes_ReadAsWritten);
+  CPPUNIT_TEST(Message_Limits_ReadAsWritten);
+  CPPUNIT_TEST(Message_LimitThatIsNoNumber_IsNone);
   CPPUNIT_TEST(Message_Cut_IsRefused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -55,6 +59,28 @@
     CPPUNIT_ASSERT(told.cleared == std::vector{RequestFingerprint{9}});
   }
 
+  void Message_Limits_ReadAsWritten() {
+    const auto message =
+        ReadBack(LimitGossip{{{7, 1.5, 20ms}, {8, std::nullopt, 30ms}}});
+    const auto& limits = std::get<LimitGossip>(message.body).limits;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, limits.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, limits[0].upstream);
+    CPPUNIT_ASSERT(limits[0].callsPerSecond == 1.5);
+    CPPUNIT_ASSERT(limits[0].age == Micros{20ms});
+    CPPUNIT_ASSERT(!limits[1].callsPerSecond);
+  }
+
+  void Message_LimitThatIsNoNumber_IsNone() {
+    constexpr double kNoNumber = std::numeric_limits<double>::quiet_NaN();
+    constexpr double kEndless = std::numeric_limits<double>::infinity();
+    const auto message =
+        ReadBack(LimitGossip{{{7, kNoNumber, -5ms}, {8, kEndless, 0ms}}});
+    for (const LimitNotice& one : std::get<LimitGossip>(message.body).limits) {
+      CPPUNIT_ASSERT(!one.callsPerSecond);
+      CPPUNIT_ASSERT(one.age >= Micros{0});
+    }
+  }
+
   void Message_Lists_ReadAsWritten() {
     ClusterGive give;
     give.era = 3;
--- a/UnitTests/UpstreamLimitTest.cpp
+++ b/UnitTests/UpstreamLimitTest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(ServiceRequests_AtAnUpstreamThatNamesALimit_StayBelowIt);
   CPPUNIT_TEST(Reports_AtAnUpstreamThatNamesALimit_StayBelowIt);
   CPPUNIT_TEST(Requests_BeyondTheLimitOfAllUpstreams_AreRefusedAsNotRun);
+  CPPUNIT_TEST(Limit_ThatIsNoNumber_IsNone);
   CPPUNIT_TEST(Upstream_ThatNamesNoLimitAnyMore_IsUsedAsBefore);
   CPPUNIT_TEST_SUITE_END();
 
@@ -154,6 +155,15 @@
     CPPUNIT_ASSERT(!FindHeader(answer->headers, "Retry-After").empty());
   }
 
+  void Limit_ThatIsNoNumber_IsNone() {
+    this->AddLimited("plain");
+    for (const char* text : {"-1", "few", "1/s", "nan", "inf", " "}) {
+      named = text;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, kRequests,
+                                   this->AskTogether("/safe/x"));
+    }
+  }
+
   void Upstream_ThatNamesNoLimitAnyMore_IsUsedAsBefore() {
     this->AddLimited("plain");
     this->AskTogether("/safe/x");
--- a/Zincstep/Pool/CallLimits.cpp
+++ b/Zincstep/Pool/CallLimits.cpp
@@ -100,7 +100,7 @@
   return std::nullopt;
 }
 
-CallLimits::Order CallLimits::OrderOf(const LiveUpstream& aUpstream,
+CallLimits::Place CallLimits::PlaceOf(const LiveUpstream& aUpstream,
                                       const std::string& aDaemon) const {
   const std::string& domain = aUpstream.Entry().failureDomain;
   const std::string& ownDomain = this->settings.ownDomain;
@@ -111,21 +111,21 @@
                                     });
   const std::uint64_t number = aUpstream.Number();
   const std::uint64_t score = RendezvousScore(number, aDaemon);
-  Order order;
+  Place place;
   const auto add = [&](const std::string& aName, const std::string& aDomain) {
     // Where no daemon is of the upstream's domain, any may keep its limit.
     if (isServed && aDomain != domain) {
       return;
     }
-    order.daemons += 1;
-    order.isListed = order.isListed || aName == aDaemon;
-    order.rank += RendezvousScore(number, aName) > score ? 1 : 0;
+    place.daemons += 1;
+    place.isListed = place.isListed || aName == aDaemon;
+    place.rank += RendezvousScore(number, aName) > score ? 1 : 0;
   };
   add(this->settings.ownName, ownDomain);
   for (const auto& [name, itsDomain] : this->daemons) {
     add(name, itsDomain);
   }
-  return order;
+  return place;
 }
 
 std::size_t CallLimits::Sharers(const Limit& aLimit,
@@ -138,19 +138,19 @@
 
 bool CallLimits::ComesBefore(const Limit& aLimit,
                              const std::string& aTeller) const {
-  const Order teller = this->OrderOf(*aLimit.upstream, aTeller);
-  const Order own = this->OrderOf(*aLimit.upstream, this->settings.ownName);
+  const Place teller = this->PlaceOf(*aLimit.upstream, aTeller);
+  const Place own = this->PlaceOf(*aLimit.upstream, this->settings.ownName);
   const std::size_t sharers = this->Sharers(aLimit, own.daemons);
   return teller.isListed && teller.rank / sharers < own.rank / sharers;
 }
 
 CallLimits::Part CallLimits::PartOf(const Limit& aLimit, Instant aNow) const {
-  const Order order = this->OrderOf(*aLimit.upstream, this->settings.ownName);
-  if (!order.isListed) {
+  const Place place = this->PlaceOf(*aLimit.upstream, this->settings.ownName);
+  if (!place.isListed) {
     return {};
   }
-  const std::size_t sharers = this->Sharers(aLimit, order.daemons);
-  const std::size_t group = order.rank / sharers;
+  const std::size_t sharers = this->Sharers(aLimit, place.daemons);
+  const std::size_t group = place.rank / sharers;
   const Micros silence = aNow - aLimit.renewedAt;
   const bool isDue =
       group == 0 ||
@@ -161,7 +161,7 @@
   const double all =
       std::max(*aLimit.callsPerSecond, this->settings.fewestPerSecond);
   return {all / static_cast<double>(sharers),
-          order.rank % sharers < this->settings.renewers};
+          place.rank % sharers < this->settings.renewers};
 }
 
 void CallLimits::Apply(Limit& aLimit, Instant aNow) {
--- a/Zincstep/Pool/CallLimits.h
+++ b/Zincstep/Pool/CallLimits.h
@@ -84,8 +84,6 @@
   /// Sets the parts anew, tells the others and logs the calls; to be called
   /// several times a second.
   void Tick();
-  /// Whether any upstream's calls are of interest.
-  bool IsEmpty() const { return this->limits.empty(); }
 
  private:
   struct Limit {
@@ -107,12 +105,13 @@
     bool isRenewer = false;
   };
 
-  /// The daemons that may keep a limit, in an order that all agree on.
-  struct Order {
+  /// A daemon's place among those that may share a limit, in an order that all
+  /// of them agree on.
+  struct Place {
     std::size_t daemons = 0;
-    /// How many come before the one in question.
+    /// How many come before it.
     std::size_t rank = 0;
-    /// Whether that one is among them.
+    /// Whether it is among them.
     bool isListed = false;
   };
 
@@ -120,7 +119,7 @@
   /// told: it says so to each of them.
   void TakeRest(LiveUpstream& aUpstream, Micros aRest, Instant aNow);
   LimitNotice NoticeOf(const Limit& aLimit) const;
-  Order OrderOf(const LiveUpstream& aUpstream,
+  Place PlaceOf(const LiveUpstream& aUpstream,
                 const std::string& aDaemon) const;
   /// How many of them share it.
   std::size_t Sharers(const Limit& aLimit, std::size_t aDaemons) const;
