--- a/Zincstep/Relay/MemberProbe.cpp
+++ b/Zincstep/Relay/MemberProbe.cpp
@@ -62,9 +62,8 @@
       this->clock.Now() + this->settings.timeout + this->settings.latestTimeout;
   this->Question(aUpstream, this->settings.timeout,
                  [this, aUpstream, aTriesLeft, latest](bool aHasAnswered) {
-                   if (aHasAnswered) {
-                     this->Close(aUpstream);
-                   } else if (this->clock.Now() > latest) {
+                   const bool isLate = this->clock.Now() > latest;
+                   if (aHasAnswered || isLate) {
                      this->Close(aUpstream);
                    } else if (aTriesLeft > 1) {
                      this->Send(aUpstream, aTriesLeft - 1);
