Limits: stand-ins stay in charge, forgotten limits are lifted, an idle upstream is tried

A stand-in's own answers counted as word of those before it, so that it paused for 5 s after each. 2. A limit that was forgotten with an upstream which had gone left its part in force, 0 at most daemons; an upstream that came back would not have been called again. 3. Change: only word of a daemon before this one counts; a forgotten limit is lifted; a limited upstream that has had a call free for 2 s without one gets the next request. Evidence: two new checks of CallLimitReplayTest failed before (0 of at least 10 calls; may not be called), the third's test is new (Upstream_WhoseOldAnswersWereSlow_..). Ruled out: forgetting old answer times in general: it would change choices without limits. Tests: Attempt and RunFor of three files stand in the fixture once.

--- a/UnitTests/CallLimitReplayTest.cpp
+++ b/UnitTests/CallLimitReplayTest.cpp
@@ -25,7 +25,8 @@
   CPPUNIT_TEST(Calls_OfAnyNumberOfDaemons_StayBelowTheLimit);
   CPPUNIT_TEST(Calls_AtASteadyLimit_UseMostOfIt);
   CPPUNIT_TEST(Calls_AfterTheLimitHasEnded_AreUnlimitedAtAll);
-  CPPUNIT_TEST(Calls_WhereRenewersHaveEnded_StayBelowTheLimit);
+  CPPUNIT_TEST(Calls_WhereThoseThatShareItHaveEnded_AreMadeByTheNext);
+  CPPUNIT_TEST(Upstream_BackAfterItsLimitWasForgotten_MayBeCalled);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr Micros kStep = 20ms;
@@ -48,6 +49,7 @@
 
   struct Daemon {
     std::string name;
+    std::string domain;
     UpstreamPtr upstream;
     std::unique_ptr<CallLimits> limits;
     bool isDown = false;
@@ -74,7 +76,7 @@
     daemon.upstream = std::make_shared<LiveUpstream>(entry);
     CallLimitSettings settings;
     settings.ownName = daemon.name;
-    settings.ownDomain = DomainOf(aDaemon);
+    settings.ownDomain = daemon.domain;
     daemon.limits = std::make_unique<CallLimits>(
         settings, this->clock, this->metrics,
         [this, aDaemon](const std::vector<LimitNotice>& aNotices) {
@@ -95,7 +97,8 @@
     this->named.reset();
     this->daemons.clear();
     for (std::size_t i = 0; i < aCount; ++i) {
-      this->daemons.push_back({"d" + std::to_string(i), nullptr, nullptr});
+      this->daemons.push_back(
+          {"d" + std::to_string(i), DomainOf(i), nullptr, nullptr});
     }
     for (std::size_t i = 0; i < aCount; ++i) {
       this->Begin(i);
@@ -244,7 +247,7 @@
     }
   }
 
-  void Calls_WhereRenewersHaveEnded_StayBelowTheLimit() {
+  void Calls_WhereThoseThatShareItHaveEnded_AreMadeByTheNext() {
     for (const std::size_t count : {6, 24, 73}) {
       this->Start(count);
       this->named = 1;
@@ -255,9 +258,33 @@
         daemon.isDown = daemon.upstream->CallWait(now) < 5s;
       }
       const Instant since = this->clock.Now();
-      this->Run(30s);
+      this->Run(10s);
+      const std::size_t before = this->calls.size();
+      this->Run(20s);
       CPPUNIT_ASSERT(this->MostCalls(since) <= Allowed(1));
+      // The next in line call it in their stead, where there are any.
+      const bool hasNext = std::any_of(
+          this->daemons.begin(), this->daemons.end(), [](const Daemon& aOne) {
+            return !aOne.isDown && aOne.domain == "a";
+          });
+      CPPUNIT_ASSERT(!hasNext || this->calls.size() - before >= 10);
+    }
+  }
+
+  void Upstream_BackAfterItsLimitWasForgotten_MayBeCalled() {
+    this->Start(24);
+    this->named = 1;
+    this->Run(kContact);
+    const UpstreamPtr upstream = this->daemons.back().upstream;
+    CPPUNIT_ASSERT(!upstream->MayCall(this->clock.Now()));
+    for (Daemon& daemon : this->daemons) {
+      daemon.isDown = true;
     }
+    upstream->SetGone(this->clock.Now());
+    this->clock.Pass(1min);
+    this->daemons.back().limits->Tick();
+    upstream->SetBack();
+    CPPUNIT_ASSERT(upstream->MayCall(this->clock.Now()));
   }
 };
 
--- a/UnitTests/CrashingRequestTest.cpp
+++ b/UnitTests/CrashingRequestTest.cpp
@@ -33,7 +33,6 @@
       R"({"layers":{"from":0,"targetVersion":2},"running":1,"queued":0,)"
       R"("kvUsed":10,"kvTotal":1000,"stalled":[]})";
 
-  int attempts = 0;
   int crashes = 0;
   /// The next request with "held" in its body is not answered.
   bool holdsNext = false;
--- a/UnitTests/RelayFixture.h
+++ b/UnitTests/RelayFixture.h
@@ -111,6 +111,8 @@
   std::unique_ptr<Relay> relay;
   std::unique_ptr<CallerListener> listener;
   std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
+  /// Requests made by `Attempt`.
+  int attempts = 0;
 
   void Configure(const std::string& aText) {
     view.OnConfiguration({"", aText, 10});
@@ -148,6 +150,20 @@
            aKey + "\r\nContent-Length: 2\r\n\r\nhi";
   }
 
+  /// A request with an id of its own, by a caller that waits for long.
+  std::string Attempt(const std::string& aPath) {
+    this->attempts += 1;
+    return "POST " + aPath + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r" +
+           std::to_string(this->attempts) +
+           "\r\nX-Deadline-Ms: 9000\r\nAuthorization: Bearer key1\r\n"
+           "Content-Length: 0\r\n\r\n";
+  }
+
+  void RunFor(Micros aTime) {
+    const Instant end = clock.Now() + aTime;
+    this->RunUntil([&] { return clock.Now() >= end; });
+  }
+
   /// Sends a request and runs the loop until its answer is there.
   Result<HttpAnswer> Ask(const std::string& aRequest) {
     std::optional<Result<HttpAnswer>> answer;
--- a/UnitTests/UpstreamLeavingTest.cpp
+++ b/UnitTests/UpstreamLeavingTest.cpp
@@ -17,15 +17,6 @@
   static constexpr int kRequests = 20;
 
   std::string leaving = "1";
-  int attempts = 0;
-
-  std::string Attempt(const std::string& aPath) {
-    attempts += 1;
-    return "POST " + aPath + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r" +
-           std::to_string(attempts) +
-           "\r\nX-Deadline-Ms: 9000\r\nAuthorization: Bearer key1\r\n"
-           "Content-Length: 0\r\n\r\n";
-  }
 
   /// Writes the whole answer to a request; `aLeaving` may be empty.
   static void Serve(const ConnectionPtr& aTo, const CallerMessage& aMessage,
--- a/UnitTests/UpstreamLimitTest.cpp
+++ b/UnitTests/UpstreamLimitTest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(Requests_BeyondTheLimitOfAllUpstreams_AreRefusedAsNotRun);
   CPPUNIT_TEST(Limit_ThatIsNoNumber_IsNone);
   CPPUNIT_TEST(Upstream_ThatNamesNoLimitAnyMore_IsUsedAsBefore);
+  CPPUNIT_TEST(Upstream_WhoseOldAnswersWereSlow_IsTriedWithinItsLimit);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr double kLimit = 1;
@@ -31,15 +32,6 @@
   /// It does not answer the next request.
   bool holdsNext = false;
   ConnectionPtr held;
-  int attempts = 0;
-
-  std::string Attempt(const std::string& aPath) {
-    attempts += 1;
-    return "POST " + aPath + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r" +
-           std::to_string(attempts) +
-           "\r\nX-Deadline-Ms: 9000\r\nAuthorization: Bearer key1\r\n"
-           "Content-Length: 0\r\n\r\n";
-  }
 
   void Answer(const ConnectionPtr& aTo, const CallerMessage& aMessage,
               const std::string& aLimit) {
@@ -95,11 +87,6 @@
     return served;
   }
 
-  void RunFor(Micros aTime) {
-    const Instant end = clock.Now() + aTime;
-    this->RunUntil([&] { return clock.Now() >= end; });
-  }
-
   /// Calls that the limited upstream may get in the time since `aSince`.
   double Allowed(Instant aSince) const {
     const double windows =
@@ -164,6 +151,23 @@
     }
   }
 
+  void Upstream_WhoseOldAnswersWereSlow_IsTriedWithinItsLimit() {
+    UpstreamEntry entry;
+    entry.slots = 4;
+    entry.id = "slow";
+    const auto slow = std::make_shared<LiveUpstream>(entry);
+    entry.id = "quick";
+    const auto quick = std::make_shared<LiveUpstream>(entry);
+    slow->answerSeconds = 1;
+    quick->answerSeconds = 0.001;
+    const Instant now = clock.Now();
+    slow->SetCallRate(kLimit, now);
+    CPPUNIT_ASSERT(services.Choose({slow, quick}, "", {}, now, random) ==
+                   quick);
+    CPPUNIT_ASSERT(services.Choose({slow, quick}, "", {}, now + 3s, random) ==
+                   slow);
+  }
+
   void Upstream_ThatNamesNoLimitAnyMore_IsUsedAsBefore() {
     this->AddLimited("plain");
     this->AskTogether("/safe/x");
--- a/UnitTests/UpstreamRestTest.cpp
+++ b/UnitTests/UpstreamRestTest.cpp
@@ -30,15 +30,6 @@
   /// It does not answer the next request.
   bool holdsNext = false;
   ConnectionPtr held;
-  int attempts = 0;
-
-  std::string Attempt(const std::string& aPath) {
-    attempts += 1;
-    return "POST " + aPath + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r" +
-           std::to_string(attempts) +
-           "\r\nX-Deadline-Ms: 9000\r\nAuthorization: Bearer key1\r\n"
-           "Content-Length: 0\r\n\r\n";
-  }
 
   static void Serve(const ConnectionPtr& aTo, const CallerMessage& aMessage) {
     const HttpHeaders headers = SealedHeaders(aMessage);
@@ -77,11 +68,6 @@
     });
   }
 
-  void RunFor(Micros aTime) {
-    const Instant end = clock.Now() + aTime;
-    this->RunUntil([&] { return clock.Now() >= end; });
-  }
-
   void CheckRequests(const std::string& aService, const std::string& aPath) {
     const ScriptedUpstream& tired = this->AddTired(aService);
     this->AddOther(aService);
--- a/Zincstep/Pool/CallLimits.cpp
+++ b/Zincstep/Pool/CallLimits.cpp
@@ -49,7 +49,6 @@
   limit.upstream = aUpstream;
   limit.callsPerSecond = named;
   limit.answeredAt = now;
-  limit.renewedAt = now;
   const bool isChanged = before.has_value() != named.has_value() ||
                          (before && named && IsLargeChange(*before, *named));
   if (isChanged) {
@@ -104,11 +103,10 @@
                                       const std::string& aDaemon) const {
   const std::string& domain = aUpstream.Entry().failureDomain;
   const std::string& ownDomain = this->settings.ownDomain;
-  const bool isServed = domain == ownDomain ||
-                        std::any_of(this->daemons.begin(), this->daemons.end(),
-                                    [&](const auto& aDaemon) {
-                                      return aDaemon.second == domain;
-                                    });
+  const bool isServed =
+      domain == ownDomain ||
+      std::any_of(this->daemons.begin(), this->daemons.end(),
+                  [&](const auto& aOther) { return aOther.second == domain; });
   const std::uint64_t number = aUpstream.Number();
   const std::uint64_t score = RendezvousScore(number, aDaemon);
   Place place;
@@ -183,15 +181,23 @@
   }
 }
 
+bool CallLimits::IsForgotten(const Limit& aLimit, Instant aNow) const {
+  const bool isOver = !aLimit.callsPerSecond || aLimit.upstream->IsGone();
+  const Instant heardAt = std::max(aLimit.renewedAt, aLimit.answeredAt);
+  if (!isOver || aNow - heardAt <= this->settings.endedLife) {
+    return false;
+  }
+  // It may come back, and nobody would set its part anew.
+  aLimit.upstream->LiftCallRate();
+  return true;
+}
+
 void CallLimits::Tick() {
   const Instant now = this->clock.Now();
   std::vector<LimitNotice> renewals;
   std::size_t inForce = 0;
   std::erase_if(this->limits, [&](const auto& aEntry) {
-    const Limit& limit = aEntry.second;
-    const bool isOver = !limit.callsPerSecond || limit.upstream->IsGone();
-    return isOver && now - std::max(limit.renewedAt, limit.answeredAt) >
-                         this->settings.endedLife;
+    return this->IsForgotten(aEntry.second, now);
   });
   for (auto& [number, limit] : this->limits) {
     this->LogCalls(limit, now);
--- a/Zincstep/Pool/CallLimits.h
+++ b/Zincstep/Pool/CallLimits.h
@@ -126,6 +126,9 @@
   bool ComesBefore(const Limit& aLimit, const std::string& aTeller) const;
   Part PartOf(const Limit& aLimit, Instant aNow) const;
   void Apply(Limit& aLimit, Instant aNow);
+  /// Whether a limit is of no interest any more; then its upstream may be
+  /// called freely.
+  bool IsForgotten(const Limit& aLimit, Instant aNow) const;
   void LogChange(const Limit& aLimit, Evidence aEvidence) const;
   void LogCalls(Limit& aLimit, Instant aNow) const;
 
--- a/Zincstep/Pool/CallShare.h
+++ b/Zincstep/Pool/CallShare.h
@@ -19,8 +19,13 @@
     this->at = aNow;
   }
   bool HasCall(Instant aNow) const { return this->Left(aNow) >= 1; }
+  /// Whether there has been a call for so long that nobody made.
+  bool IsOverdue(Instant aNow) const {
+    return this->HasCall(aNow) && aNow - this->spentAt >= kOverdue;
+  }
   /// A call is made; one that cannot wait may overspend.
   void Spend(Instant aNow) {
+    this->spentAt = aNow;
     this->tokens = this->Left(aNow) - 1;
     this->at = aNow;
   }
@@ -35,6 +40,8 @@
 
  private:
   static constexpr double kMost = 1;
+  /// Whoever is not called cannot tell that its limit has ended.
+  static constexpr Micros kOverdue = 2s;
 
   double Left(Instant aNow) const {
     return std::min(
@@ -44,6 +51,7 @@
   double perSecond = 0;
   double tokens = 0;
   Instant at{};
+  Instant spentAt{};
 };
 
 }  // namespace zincstep
--- a/Zincstep/Pool/LiveUpstream.h
+++ b/Zincstep/Pool/LiveUpstream.h
@@ -153,6 +153,10 @@
     return !this->IsResting(aNow) &&
            (!this->callShare || this->callShare->HasCall(aNow));
   }
+  /// Whether it has had no call for so long that its limit may have ended.
+  bool IsCallOverdue(Instant aNow) const {
+    return this->callShare && this->callShare->IsOverdue(aNow);
+  }
   /// Time until this daemon may.
   Micros CallWait(Instant aNow) const;
 
--- a/Zincstep/Pool/ServiceChooser.cpp
+++ b/Zincstep/Pool/ServiceChooser.cpp
@@ -40,6 +40,11 @@
     if (tried || !upstream->IsUsable(aNow) || !upstream->MayCall(aNow)) {
       continue;
     }
+    if (upstream->IsCallOverdue(aNow)) {
+      // Old answer times may say it is slow for as long as others are idle, and
+      // the end of its limit would never be found out.
+      return upstream;
+    }
     const double seconds = this->ExpectedSeconds(*upstream, aOwnDomain, aNow) *
                            (1 + kJitter * aRandom.Unit());
     if (!best || seconds < bestSeconds) {
