Tests of limits, rests and leaving answer whole requests by one function

Change: AnswerWhole and AddSound stand in the fixture; names, checks and bounds are as they were. No code of the product. Ruled out: CrashingRequestTest's own AnswerWhole: it gives no report, which its tests need.

--- a/UnitTests/RelayFixture.h
+++ b/UnitTests/RelayFixture.h
@@ -52,6 +52,24 @@
           {"X-Response-Seal", "seal"}};
 }
 
+/// Answers a request whole, a stream with one event, or a question with the
+/// report of an upstream on which somebody waits.
+inline void AnswerWhole(const ConnectionPtr& aTo, const CallerMessage& aMessage,
+                        const HttpHeaders& aHeaders) {
+  constexpr const char* kReport =
+      R"({"layers":{"from":0,"targetVersion":2},"running":1,"queued":1,)"
+      R"("kvUsed":10,"kvTotal":1000,"stalled":[]})";
+  if (aMessage.head.target == "/report") {
+    aTo->Answer(200, aHeaders, kReport);
+  } else if (aMessage.head.target.starts_with("/llm/")) {
+    aTo->BeginChunks(200, aHeaders);
+    aTo->AppendChunk("id: 1\ndata: a\n\n");
+    aTo->EndChunks();
+  } else {
+    aTo->Answer(200, aHeaders, "ok");
+  }
+}
+
 /// A configuration with a safe, an unsafe and a streaming route.
 inline constexpr const char* kRelayConfig = R"({"configVersion":1,"routes":[
  {"name":"s","hostname":"h","pathPrefix":"/safe/","routeType":"safe",
@@ -128,6 +146,13 @@
     return *upstreams.back();
   }
 
+  /// Adds an upstream that serves whatever comes.
+  void AddSound(const std::string& aService) {
+    this->AddUpstream(aService, [](const auto& aTo, const auto& aMessage) {
+      AnswerWhole(aTo, aMessage, SealedHeaders(aMessage));
+    });
+  }
+
   void List(const std::string& aService, const std::string& aAddress,
             LayerRange aLayers = {0, 2}) {
     const std::uint64_t revision = view.Revisions().upstreams.number + 1;
--- a/UnitTests/UpstreamLeavingTest.cpp
+++ b/UnitTests/UpstreamLeavingTest.cpp
@@ -25,13 +25,7 @@
     if (!aLeaving.empty()) {
       headers.push_back({"Server-Leaving", aLeaving});
     }
-    if (aMessage.head.target.starts_with("/llm/")) {
-      aTo->BeginChunks(200, headers);
-      aTo->AppendChunk("id: 1\ndata: a\n\n");
-      aTo->EndChunks();
-    } else {
-      aTo->Answer(200, headers, "ok");
-    }
+    AnswerWhole(aTo, aMessage, headers);
   }
 
   ScriptedUpstream& AddLeaving(const std::string& aService) {
@@ -41,17 +35,11 @@
                              });
   }
 
-  void AddOther(const std::string& aService) {
-    this->AddUpstream(aService, [](const auto& aTo, const auto& aMessage) {
-      Serve(aTo, aMessage, "");
-    });
-  }
-
   /// Sends requests until the upstream has got one, and some more.
   void CheckRequests(const std::string& aService, const std::string& aPath) {
     const ScriptedUpstream& one = this->AddLeaving(aService);
     CPPUNIT_ASSERT_EQUAL(200, this->Ask(this->Attempt(aPath))->status);
-    this->AddOther(aService);
+    this->AddSound(aService);
     for (int i = 0; i < kRequests; ++i) {
       CPPUNIT_ASSERT_EQUAL(200, this->Ask(this->Attempt(aPath))->status);
     }
--- a/UnitTests/UpstreamLimitTest.cpp
+++ b/UnitTests/UpstreamLimitTest.cpp
@@ -23,9 +23,6 @@
   static constexpr double kTolerance = 1.5;
   static constexpr double kSpare = 5;
   static constexpr int kRequests = 60;
-  static constexpr const char* kReport =
-      R"({"layers":{"from":0,"targetVersion":2},"running":1,"queued":1,)"
-      R"("kvUsed":10,"kvTotal":1000,"stalled":[]})";
 
   /// What the limited upstream names now.
   std::string named = "1";
@@ -39,15 +36,7 @@
     if (!aLimit.empty()) {
       headers.push_back({"Server-Limit", aLimit});
     }
-    if (aMessage.head.target == "/report") {
-      aTo->Answer(200, headers, kReport);
-    } else if (aMessage.head.target.starts_with("/llm/")) {
-      aTo->BeginChunks(200, headers);
-      aTo->AppendChunk("id: 1\ndata: a\n\n");
-      aTo->EndChunks();
-    } else {
-      aTo->Answer(200, headers, "ok");
-    }
+    AnswerWhole(aTo, aMessage, headers);
   }
 
   ScriptedUpstream& AddLimited(const std::string& aService) {
@@ -63,13 +52,6 @@
         });
   }
 
-  ScriptedUpstream& AddOther(const std::string& aService) {
-    return this->AddUpstream(aService,
-                             [this](const auto& aTo, const auto& aMessage) {
-                               this->Answer(aTo, aMessage, "");
-                             });
-  }
-
   /// Sends requests at one instant and waits for all answers; gives how many
   /// were served.
   int AskTogether(const std::string& aPath) {
@@ -96,7 +78,7 @@
 
   void CheckRequests(const std::string& aService, const std::string& aPath) {
     const ScriptedUpstream& limited = this->AddLimited(aService);
-    this->AddOther(aService);
+    this->AddSound(aService);
     const Instant begin = clock.Now();
     for (int i = 0; i < kRequests; ++i) {
       CPPUNIT_ASSERT_EQUAL(200, this->Ask(this->Attempt(aPath))->status);
--- a/UnitTests/UpstreamRestTest.cpp
+++ b/UnitTests/UpstreamRestTest.cpp
@@ -21,9 +21,6 @@
   /// Calls that may reach an upstream which asks for rest, the first of them
   /// included.
   static constexpr std::size_t kMostCalls = 3;
-  static constexpr const char* kReport =
-      R"({"layers":{"from":0,"targetVersion":2},"running":1,"queued":1,)"
-      R"("kvUsed":10,"kvTotal":1000,"stalled":[]})";
 
   /// Seconds that the upstream asks for; empty: it answers.
   std::string rest = "3";
@@ -31,19 +28,6 @@
   bool holdsNext = false;
   ConnectionPtr held;
 
-  static void Serve(const ConnectionPtr& aTo, const CallerMessage& aMessage) {
-    const HttpHeaders headers = SealedHeaders(aMessage);
-    if (aMessage.head.target == "/report") {
-      aTo->Answer(200, headers, kReport);
-    } else if (aMessage.head.target.starts_with("/llm/")) {
-      aTo->BeginChunks(200, headers);
-      aTo->AppendChunk("id: 1\ndata: a\n\n");
-      aTo->EndChunks();
-    } else {
-      aTo->Answer(200, headers, "ok");
-    }
-  }
-
   ScriptedUpstream& AddTired(const std::string& aService) {
     return this->AddUpstream(
         aService, [this](const auto& aTo, const auto& aMessage) {
@@ -57,20 +41,14 @@
             headers.push_back({"Retry-After", rest});
             aTo->Answer(503, headers, "");
           } else {
-            Serve(aTo, aMessage);
+            AnswerWhole(aTo, aMessage, SealedHeaders(aMessage));
           }
         });
   }
 
-  void AddOther(const std::string& aService) {
-    this->AddUpstream(aService, [](const auto& aTo, const auto& aMessage) {
-      Serve(aTo, aMessage);
-    });
-  }
-
   void CheckRequests(const std::string& aService, const std::string& aPath) {
     const ScriptedUpstream& tired = this->AddTired(aService);
-    this->AddOther(aService);
+    this->AddSound(aService);
     settings.retries.most = kRequests;
     for (int i = 0; i < kRequests; ++i) {
       CPPUNIT_ASSERT_EQUAL(200, this->Ask(this->Attempt(aPath))->status);
