Failing: ends of upstreams whose links accept connections are not counted; soak.log

The daemons' lines tell how a connection attempt ended, and nothing told when the stand-in had ended, accepted, reset or started again, so that a connection taken for life and a successor taken for the former looked alike.

--- a/SoakTests/FaultProxy.cpp
+++ b/SoakTests/FaultProxy.cpp
@@ -184,7 +184,7 @@
           return;
         }
         if (!aError && this->state == LinkState::Reset) {
-          CloseHard(aSocket);
+          this->ResetLater(std::move(aSocket));
         } else if (!aError) {
           const auto pair = std::make_shared<Pair>(*this, std::move(aSocket));
           this->pairs.insert(pair);
@@ -194,4 +194,20 @@
       });
 }
 
+void FaultProxy::ResetLater(TcpSocket aSocket) {
+  if (this->resetDelay == Micros{0}) {
+    CloseHard(aSocket);
+    this->onReset();
+    return;
+  }
+  const auto held = std::make_shared<TcpSocket>(std::move(aSocket));
+  const auto timer =
+      std::make_shared<asio::steady_timer>(this->loop, this->resetDelay);
+  timer->async_wait(
+      [held, timer, told = this->onReset](const asio::error_code&) {
+        CloseHard(*held);
+        told();
+      });
+}
+
 }  // namespace zincstep::soak
--- a/SoakTests/FaultProxy.h
+++ b/SoakTests/FaultProxy.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <asio.hpp>
+#include <functional>
 #include <memory>
 #include <unordered_set>
 
@@ -27,6 +28,13 @@
   ~FaultProxy();
 
   void Set(LinkState aState);
+  /// New connections to a link that resets are open for so long before: those
+  /// of a proxy in front of a process that has ended.
+  void SetResetDelay(Micros aDelay) { this->resetDelay = aDelay; }
+  /// Is told of each connection that is accepted and reset.
+  void SetOnReset(std::function<void()> aOnReset) {
+    this->onReset = std::move(aOnReset);
+  }
   /// All connections that are open now fall silent for good, and neither side
   /// is told; new ones work.
   void SilenceOpen();
@@ -40,6 +48,8 @@
   class Pair;
 
   void Accept();
+  /// Closes a connection hard once the delay of resets is over.
+  void ResetLater(TcpSocket aSocket);
   bool Passes(bool aIsToTarget) const;
 
   asio::io_context& loop;
@@ -47,6 +57,8 @@
   TcpEndpoint target;
   LinkState state = LinkState::Up;
   Micros delay{0};
+  Micros resetDelay{0};
+  std::function<void()> onReset = [] {};
   std::unordered_set<std::shared_ptr<Pair>> pairs;
 };
 
--- a/SoakTests/Ledger.cpp
+++ b/SoakTests/Ledger.cpp
@@ -1,9 +1,24 @@
 #include "SoakTests/Ledger.h"
 
+#include <fmt/chrono.h>
+
 #include <algorithm>
+#include <chrono>
 
 namespace zincstep::soak {
 
+void Ledger::Event(const char* aEvent, nlohmann::json aFields) {
+  const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  aFields["event"] = aEvent;
+  aFields["program"] = "zincstep-soak";
+  aFields["time"] =
+      fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
+                  std::chrono::time_point_cast<std::chrono::seconds>(now),
+                  now.time_since_epoch().count() % 1000);
+  this->events << aFields.dump() << std::endl;
+}
+
 void Ledger::Sent(const std::string& aId, RequestKind aKind,
                   const std::string& aOrganisation, Instant aAt) {
   this->requests[aId] = {aKind, aOrganisation, aAt, 0, Told::Unknown};
--- a/SoakTests/Ledger.h
+++ b/SoakTests/Ledger.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <fstream>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -23,6 +25,11 @@
 /// Everything that callers and upstreams have seen, and what it breaks.
 class Ledger {
  public:
+  /// Events are written there, one JSON line each, in the form and by the clock
+  /// of the daemons' logs.
+  void WriteEventsTo(const std::string& aPath) { this->events.open(aPath); }
+  /// Writes what a stand-in has seen or done.
+  void Event(const char* aEvent, nlohmann::json aFields);
   /// A caller sends a request with a key of that organisation.
   void Sent(const std::string& aId, RequestKind aKind,
             const std::string& aOrganisation, Instant aAt);
@@ -65,6 +72,7 @@
     Told told = Told::Unknown;
   };
 
+  std::ofstream events;
   std::map<std::string, Record> requests;
   std::vector<std::string> cut;
   std::map<std::string, Instant> revoked;
--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -19,6 +19,7 @@
     "  --daemons N     daemons (4)\n"
     "  --crashing      at the end, a request that crashes upstreams\n"
     "  --limits        at the end, upstreams that name limits or ask for rest\n"
+    "  --late-links    links of ended upstreams accept, and reset later\n"
     "  --restores      the store comes back from copies meanwhile\n"
     "Exit status: 0 all passed, 1 a promise was broken, 2 wrong use.\n";
 
@@ -36,6 +37,7 @@
                             {"daemons", required_argument, nullptr, 'c'},
                             {"crashing", no_argument, nullptr, 'x'},
                             {"limits", no_argument, nullptr, 'm'},
+                            {"late-links", no_argument, nullptr, 'k'},
                             {"restores", no_argument, nullptr, 'r'},
                             {nullptr, 0, nullptr, 0}};
   for (int word = 0;
@@ -65,6 +67,9 @@
       case 'm':
         settings.hasLimits = true;
         break;
+      case 'k':
+        settings.hasLateLinks = true;
+        break;
       case 'r':
         settings.hasRestores = true;
         break;
--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -118,6 +118,8 @@
   Random silenceRandom;
   /// The same for returns of the store from a copy.
   Random restoreRandom;
+  /// The same for links that reset late.
+  Random linkRandom;
   SoakStore store;
   SoakCaller callers;
   Ledger ledger;
--- a/SoakTests/SoakFaults.cpp
+++ b/SoakTests/SoakFaults.cpp
@@ -34,6 +34,7 @@
 }
 
 void Soak::Note(const std::string& aFault) {
+  this->ledger.Event("fault", {{"fault", aFault}});
   this->outcome.faults.push_back(
       std::to_string(ToSeconds(this->clock.Now() - this->startedAt)) + " " +
       aFault);
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -37,6 +37,9 @@
 constexpr Micros kDrainNotice = 4s;
 /// For so long its requests are looked at from then on.
 constexpr Micros kDrainWatch = 2s;
+/// How late a link that accepts resets connections to an ended upstream.
+constexpr Micros kShortestReset = 20ms;
+constexpr Micros kResetSpread = 180ms;
 /// Between two returns of the store from a copy.
 constexpr Micros kShortestRestore = 2s;
 constexpr Micros kRestoreSpread = 5s;
@@ -76,9 +79,11 @@
       random(aSettings.seed),
       silenceRandom(Hash64("silence", aSettings.seed)),
       restoreRandom(Hash64("restore", aSettings.seed)),
+      linkRandom(Hash64("link", aSettings.seed)),
       store(this->loop, this->clock),
       callers(this->loop, this->clock),
       timer(this->loop) {
+  this->ledger.WriteEventsTo(aSettings.logs + "/soak.log");
   this->store.Put("op/config", Configuration(this->version, true));
   for (const char* domain : {"a", "b"}) {
     for (int i = 0; i < kPlainUpstreams; ++i) {
@@ -96,6 +101,10 @@
   this->upstreams.push_back(std::make_unique<SoakUpstream>(
       this->loop, this->clock, this->store, this->ledger, this->byAddress,
       aService + "-" + aDomain + std::to_string(aNumber), aService, aDomain));
+  if (this->settings.hasLateLinks) {
+    this->upstreams.back()->SetResetDelay(
+        DrawFrom(this->linkRandom, kShortestReset, kResetSpread));
+  }
 }
 
 void Soak::AddDaemons() {
--- a/SoakTests/SoakRun.h
+++ b/SoakTests/SoakRun.h
@@ -21,6 +21,9 @@
   bool hasCrashingRequest = false;
   /// Whether upstreams name limits of calls at the end.
   bool hasLimits = false;
+  /// Whether links of upstreams that have ended accept connections, and reset
+  /// them only some time later.
+  bool hasLateLinks = false;
   /// Whether the store comes back from copies meanwhile.
   bool hasRestores = false;
 };
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -82,6 +82,9 @@
       listener(aLoop, *this, aClock) {
   ZINCSTEP_ASSERT(this->listener.Start("127.0.0.1:0").has_value());
   this->proxy = std::make_unique<FaultProxy>(aLoop, this->listener.Port());
+  this->proxy->SetOnReset([this] {
+    this->ledger.Event("connection_reset", {{"upstream", this->id}});
+  });
   this->peers[this->proxy->Address()] = this;
   this->Restart();
 }
@@ -122,6 +125,9 @@
   this->isDraining = false;
   this->isNoticeOver = false;
   this->proxy->Set(LinkState::Up);
+  this->ledger.Event("upstream_started", {{"upstream", this->id},
+                                          {"born", this->incarnation},
+                                          {"address", this->proxy->Address()}});
   this->WriteEntry();
 }
 
@@ -245,6 +251,8 @@
   }
   if (aMessage.head.target == kCrashingPath) {
     this->ledger.CrashingSent(this->clock.Now());
+    this->ledger.Event("crashing_request",
+                       {{"request", request}, {"upstream", this->id}});
     this->crashAt = this->crashAt.value_or(this->clock.Now() + kTimeToCrash);
     this->dying.push_back(aConnection);
     return;
@@ -270,6 +278,10 @@
     this->crashAt.reset();
     if (this->isAlive) {
       this->ledger.CrashedOne(aNow);
+      this->ledger.Event("upstream_crashed",
+                         {{"upstream", this->id},
+                          {"born", this->incarnation},
+                          {"streams", this->streams.size()}});
       this->Kill(false);
       this->backAt = aNow + kTimeToReturn;
     }
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -44,6 +44,8 @@
   void Drain();
   /// From now on each request that comes is too late.
   void EndDrainNotice() { this->isNoticeOver = this->isDraining; }
+  /// Its link accepts connections after its end, and resets them so much later.
+  void SetResetDelay(Micros aDelay) { this->proxy->SetResetDelay(aDelay); }
   /// Open connections to it fall silent for good; new ones work.
   void SilenceConnections() { this->proxy->SilenceOpen(); }
   /// From now on all its answers name that limit of calls a second, or none.
