--- a/UnitTests/CrashLedgerTest.cpp
+++ b/UnitTests/CrashLedgerTest.cpp
@@ -1,7 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "UnitTests/ScriptedControl.h"
-#include "Zincstep/Relay/CrashWatch.h"
+#include "Zincstep/Admission/Admission.h"
 
 namespace zincstep {
 namespace {
@@ -23,6 +22,9 @@
   CPPUNIT_TEST(Block_NoMoreListed_Ends);
   CPPUNIT_TEST(Block_ListedOnly_Holds);
   CPPUNIT_TEST(Room_ManyRequests_LeavesTheBlocked);
+  CPPUNIT_TEST(Suspected_AsManyAsBlock_IsHeldBackUntilSettled);
+  CPPUNIT_TEST(Suspected_BesideCrashes_CountsWithThem);
+  CPPUNIT_TEST(Suspected_AnsweredLately_IsNotHeldBack);
   CPPUNIT_TEST_SUITE_END();
 
   CrashLedgerSettings settings;
@@ -155,140 +157,43 @@
     CPPUNIT_ASSERT(this->IsBlocked(kGuilty));
     CPPUNIT_ASSERT(!ledger.IsBlamed(RequestFingerprint{1000}));
   }
-};
-
-/// The watch with attempts to connect that the test ends.
-class CrashWatchTest : public CppUnit::TestFixture, private CrashListener {
-  CPPUNIT_TEST_SUITE(CrashWatchTest);
-  CPPUNIT_TEST(Loss_UpstreamRefuses_IsItsEnd);
-  CPPUNIT_TEST(Loss_UpstreamAccepts_ProvesNothing);
-  CPPUNIT_TEST(Loss_SilentOnce_IsAskedAgain);
-  CPPUNIT_TEST(Loss_SilenceNoticedLate_ProvesNothing);
-  CPPUNIT_TEST(Loss_WhileAnAttemptIsOpen_IsAskedForAnew);
-  CPPUNIT_TEST(Answer_OfABlamedRequest_IsToldOnce);
-  CPPUNIT_TEST(Answer_BeforeTheCrash_IsBlamedByNobody);
-  CPPUNIT_TEST(Cleared_ElsewhereAndBlamedHere_IsToldOn);
-  CPPUNIT_TEST(Blamed_ManyRequests_AreForgottenWithTheLedger);
-  CPPUNIT_TEST_SUITE_END();
-
-  static UpstreamPtr MakeUpstream(const char* aId) {
-    UpstreamEntry entry;
-    entry.id = aId;
-    return std::make_shared<LiveUpstream>(entry);
-  }
-
-  void OnCrashes(const std::vector<UpstreamCrash>& aCrashes) override {
-    found.insert(found.end(), aCrashes.begin(), aCrashes.end());
-  }
-  void OnCleared(RequestFingerprint) override { cleared += 1; }
-  void OnBlocked(RequestFingerprint) override { blocked += 1; }
-  void OnCrashSuspicion() override { suspicions += 1; }
-
-  FakeClock clock;
-  ScriptedControl control;
-  CrashLedger ledger{CrashLedgerSettings{}};
-  CrashWatch watch{ledger, control, clock, *this};
-  UpstreamPtr upstream = MakeUpstream("i1");
-  std::vector<UpstreamCrash> found;
-  int cleared = 0;
-  int blocked = 0;
-  int suspicions = 0;
 
- public:
-  void setUp() override { clock.Advance(100s); }
-
-  void Loss_UpstreamRefuses_IsItsEnd() {
-    watch.OnRunLost(kGuilty, upstream);
-    control.EndReach(Reachability::Refused);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
-    CPPUNIT_ASSERT_EQUAL(upstream->Number(), found[0].upstream);
-    CPPUNIT_ASSERT(ledger.IsBlamed(kGuilty));
-    CPPUNIT_ASSERT(upstream->IsSuspect(clock.Now()));
-    CPPUNIT_ASSERT_EQUAL(1, suspicions);
-    for (const char* id : {"i2", "i3"}) {
-      watch.OnRunLost(kGuilty, MakeUpstream(id));
-      control.EndReach(Reachability::Refused);
+  // While nothing was known of three ends, the same request went on to a
+  // fourth.
+  void Suspected_AsManyAsBlock_IsHeldBackUntilSettled() {
+    for (const std::uint64_t upstream : {1, 2, 3}) {
+      CPPUNIT_ASSERT(!this->IsBlocked(kGuilty));
+      ledger.OnSuspected({kGuilty, upstream});
+      ledger.OnSuspected({kGuilty, upstream});
     }
-    CPPUNIT_ASSERT_EQUAL(1, blocked);
-  }
-
-  void Loss_UpstreamAccepts_ProvesNothing() {
-    watch.OnRunLost(kGuilty, upstream);
-    control.EndReach(Reachability::Reached);
-    CPPUNIT_ASSERT(found.empty() && ledger.IsEmpty());
-    CPPUNIT_ASSERT(!upstream->IsSuspect(clock.Now()));
-  }
-
-  void Loss_SilentOnce_IsAskedAgain() {
-    watch.OnRunLost(kGuilty, upstream);
-    control.EndReach(Reachability::Silent);
-    CPPUNIT_ASSERT(found.empty());
-    control.EndReach(Reachability::Silent);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
-  }
-
-  void Loss_SilenceNoticedLate_ProvesNothing() {
-    watch.OnRunLost(kGuilty, upstream);
-    control.EndReach(Reachability::Silent);
-    clock.Advance(1s);
-    control.EndReach(Reachability::Silent);
-    CPPUNIT_ASSERT(found.empty() && ledger.IsEmpty());
-  }
-
-  void Loss_WhileAnAttemptIsOpen_IsAskedForAnew() {
-    // The open attempt may have come before the crash.
-    watch.OnRunLost(kOther, upstream);
-    watch.OnRunLost(kGuilty, upstream);
-    control.EndReach(Reachability::Reached);
-    CPPUNIT_ASSERT(ledger.IsEmpty());
-    control.EndReach(Reachability::Refused);
-    CPPUNIT_ASSERT(ledger.IsBlamed(kGuilty) && !ledger.IsBlamed(kOther));
-  }
-
-  void Answer_OfABlamedRequest_IsToldOnce() {
-    watch.Take({kGuilty, 1}, Evidence::Told);
-    watch.OnAnswered(kOther);
-    CPPUNIT_ASSERT_EQUAL(0, cleared);
-    watch.OnAnswered(kGuilty);
-    watch.OnAnswered(kGuilty);
-    CPPUNIT_ASSERT_EQUAL(1, cleared);
-  }
-
-  void Answer_BeforeTheCrash_IsBlamedByNobody() {
-    watch.OnAnswered(kOther);
-    watch.OnRunLost(kOther, upstream);
-    control.EndReach(Reachability::Refused);
-    CPPUNIT_ASSERT(found.empty() && ledger.IsEmpty());
-    // The upstream has ended all the same.
-    CPPUNIT_ASSERT(upstream->IsSuspect(clock.Now()));
-    CPPUNIT_ASSERT(watch.Take({kOther, 2}, Evidence::Told) ==
-                   CrashVerdict::Innocent);
+    CPPUNIT_ASSERT(ledger.BlockedFor(kGuilty, now) == settings.heldTime);
+    CPPUNIT_ASSERT(!this->IsBlocked(kOther));
+    // Nobody is told, and nothing is written, of what is not known.
+    CPPUNIT_ASSERT(ledger.Blocked(now).empty());
+    CPPUNIT_ASSERT(!ledger.IsBlamed(kGuilty));
+    ledger.OnSettled({kGuilty, 2});
+    CPPUNIT_ASSERT(!this->IsBlocked(kGuilty));
   }
 
-  void Cleared_ElsewhereAndBlamedHere_IsToldOn() {
-    watch.OnRunLost(kOther, upstream);
-    control.EndReach(Reachability::Refused);
-    CPPUNIT_ASSERT(watch.TakeCleared(kOther));
-    CPPUNIT_ASSERT(!ledger.IsBlamed(kOther));
-    CPPUNIT_ASSERT(!watch.TakeCleared(kOther));
-    watch.Take({kGuilty, 1}, Evidence::Told);
-    CPPUNIT_ASSERT(!watch.TakeCleared(kGuilty));
+  void Suspected_BesideCrashes_CountsWithThem() {
+    ledger.OnCrash({kGuilty, 1}, now);
+    ledger.OnCrash({kGuilty, 2}, now);
+    ledger.OnSuspected({kGuilty, 2});
+    CPPUNIT_ASSERT(!this->IsBlocked(kGuilty));
+    ledger.OnSuspected({kGuilty, 3});
+    CPPUNIT_ASSERT(this->IsBlocked(kGuilty));
   }
 
-  // A caller that makes a new request each time is remembered no longer.
-  void Blamed_ManyRequests_AreForgottenWithTheLedger() {
-    constexpr std::uint64_t kMany = 20'000;
-    for (std::uint64_t i = 0; i < kMany; ++i) {
-      clock.Advance(1us);
-      watch.Take({RequestFingerprint{1000 + i}, i}, Evidence::Found);
+  void Suspected_AnsweredLately_IsNotHeldBack() {
+    ledger.OnAnswered(kOther, now);
+    for (const std::uint64_t upstream : {1, 2, 3}) {
+      ledger.OnSuspected({kOther, upstream});
     }
-    CPPUNIT_ASSERT(!watch.TakeCleared(RequestFingerprint{1000}));
-    CPPUNIT_ASSERT(watch.TakeCleared(RequestFingerprint{1000 + kMany - 1}));
+    CPPUNIT_ASSERT(!this->IsBlocked(kOther));
   }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashLedgerTest);
-CPPUNIT_TEST_SUITE_REGISTRATION(CrashWatchTest);
 
 }  // namespace
 }  // namespace zincstep
--- /dev/null
+++ b/UnitTests/CrashWatchTest.cpp
@@ -0,0 +1,333 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "UnitTests/ScriptedControl.h"
+#include "Zincstep/Relay/CrashWatch.h"
+
+namespace zincstep {
+namespace {
+
+constexpr RequestFingerprint kGuilty{1};
+constexpr RequestFingerprint kOther{2};
+
+/// The watch with attempts to connect that the test ends.
+class CrashWatchTest : public CppUnit::TestFixture, private CrashListener {
+  CPPUNIT_TEST_SUITE(CrashWatchTest);
+  CPPUNIT_TEST(Loss_UpstreamRefuses_IsItsEnd);
+  CPPUNIT_TEST(Loss_UpstreamAccepts_ProvesNothing);
+  CPPUNIT_TEST(Loss_SilentOnce_IsAskedAgain);
+  CPPUNIT_TEST(Loss_SilenceNoticedLate_ProvesNothing);
+  CPPUNIT_TEST(Loss_WhileAQuestionIsOpen_IsAskedForAnew);
+  CPPUNIT_TEST(Loss_WhileNothingIsKnown_IsOfTheSameQuestion);
+  CPPUNIT_TEST(Loss_UpstreamAccepts_IsAskedAboutAgain);
+  CPPUNIT_TEST(Loss_SilenceNoticedLate_IsAskedAboutAgain);
+  CPPUNIT_TEST(Loss_ConnectionsDropped_IsAnEndOnceInARow);
+  CPPUNIT_TEST(Loss_UpstreamReports_Lives);
+  CPPUNIT_TEST(Loss_AnotherOneReports_IsItsEnd);
+  CPPUNIT_TEST(Loss_ReportsDroppedTwice_IsItsEnd);
+  CPPUNIT_TEST(Loss_AcceptsAndReportsNothing_IsAskedAboutAgain);
+  CPPUNIT_TEST(Loss_UpstreamThatTakesNoCall_IsNotAskedForAReport);
+  CPPUNIT_TEST(Loss_NothingKnownForLong_IsNobodysEnd);
+  CPPUNIT_TEST(Loss_NothingKnownAndOffTheList_IsItsEnd);
+  CPPUNIT_TEST(Loss_UpstreamStartsAgain_IsItsEndAtOnce);
+  CPPUNIT_TEST(Loss_AfterTheUpstreamStartedAgain_IsItsEndUnasked);
+  CPPUNIT_TEST(Answer_ToARequestSentAfterTheLoss_ShowsLife);
+  CPPUNIT_TEST(Answer_WhereStartsAreToldApart_ShowsNoLife);
+  CPPUNIT_TEST(Request_WithThreeOpenQuestions_IsHeldBack);
+  CPPUNIT_TEST(Answer_OfABlamedRequest_IsToldOnce);
+  CPPUNIT_TEST(Answer_BeforeTheCrash_IsBlamedByNobody);
+  CPPUNIT_TEST(Cleared_ElsewhereAndBlamedHere_IsToldOn);
+  CPPUNIT_TEST(Blamed_ManyRequests_AreForgottenWithTheLedger);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Longer than the first pause between questions.
+  static constexpr Micros kPause = 100ms;
+
+  /// A plain one, which gives no reports.
+  static UpstreamPtr MakeUpstream(const char* aId, const char* aKind = "") {
+    UpstreamEntry entry;
+    entry.id = aId;
+    entry.kind = aKind;
+    return std::make_shared<LiveUpstream>(entry);
+  }
+
+  void OnCrashes(const std::vector<UpstreamCrash>& aCrashes) override {
+    found.insert(found.end(), aCrashes.begin(), aCrashes.end());
+  }
+  void OnCleared(RequestFingerprint) override { cleared += 1; }
+  void OnBlocked(RequestFingerprint) override { blocked += 1; }
+  void OnCrashSuspicion() override { suspicions += 1; }
+
+  FakeClock clock;
+  ScriptedControl control;
+  CrashLedger ledger{CrashLedgerSettings{}};
+  CrashWatch watch{ledger, control, clock, *this};
+  UpstreamPtr upstream = MakeUpstream("i1");
+  /// Holds layers, and gives reports.
+  UpstreamPtr member = MakeUpstream("m1", "h100");
+  std::vector<UpstreamCrash> found;
+  int cleared = 0;
+  int blocked = 0;
+  int suspicions = 0;
+
+  void Pass(Micros aTime) {
+    clock.Advance(aTime);
+    watch.Tick();
+  }
+
+  /// Each try finds that connections are accepted, for longer than a question
+  /// is kept open.
+  void KeepUnknown() {
+    for (Micros passed{0}; passed < 4s; passed += kPause) {
+      if (control.HasOpenReach()) {
+        control.EndReach(Reachability::Reached);
+      }
+      this->Pass(kPause);
+    }
+  }
+
+ public:
+  void setUp() override { clock.Advance(100s); }
+
+  void Loss_UpstreamRefuses_IsItsEnd() {
+    watch.OnRunLost(kGuilty, upstream);
+    control.EndReach(Reachability::Refused);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+    CPPUNIT_ASSERT_EQUAL(upstream->Number(), found[0].upstream);
+    CPPUNIT_ASSERT(ledger.IsBlamed(kGuilty));
+    CPPUNIT_ASSERT(upstream->IsSuspect(clock.Now()));
+    CPPUNIT_ASSERT_EQUAL(1, suspicions);
+    for (const char* id : {"i2", "i3"}) {
+      watch.OnRunLost(kGuilty, MakeUpstream(id));
+      control.EndReach(Reachability::Refused);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, blocked);
+  }
+
+  void Loss_UpstreamAccepts_ProvesNothing() {
+    watch.OnRunLost(kGuilty, upstream);
+    control.EndReach(Reachability::Reached);
+    CPPUNIT_ASSERT(found.empty() && ledger.IsEmpty());
+    CPPUNIT_ASSERT(!upstream->IsSuspect(clock.Now()));
+  }
+
+  void Loss_SilentOnce_IsAskedAgain() {
+    watch.OnRunLost(kGuilty, upstream);
+    control.EndReach(Reachability::Silent);
+    CPPUNIT_ASSERT(found.empty());
+    control.EndReach(Reachability::Silent);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+  }
+
+  void Loss_SilenceNoticedLate_ProvesNothing() {
+    watch.OnRunLost(kGuilty, upstream);
+    control.EndReach(Reachability::Silent);
+    clock.Advance(1s);
+    control.EndReach(Reachability::Silent);
+    CPPUNIT_ASSERT(found.empty() && ledger.IsEmpty());
+  }
+
+  void Loss_WhileAQuestionIsOpen_IsAskedForAnew() {
+    // The open question may have come before the crash.
+    watch.OnRunLost(kOther, member);
+    watch.OnRunLost(kGuilty, member);
+    control.Answer(1);
+    CPPUNIT_ASSERT(ledger.IsEmpty());
+    control.FailReport(ErrorKind::UpstreamUnreachable);
+    control.EndReach(Reachability::Refused);
+    CPPUNIT_ASSERT(ledger.IsBlamed(kGuilty) && !ledger.IsBlamed(kOther));
+  }
+
+  void Loss_WhileNothingIsKnown_IsOfTheSameQuestion() {
+    // That a connection was accepted between the two clears neither.
+    watch.OnRunLost(kOther, upstream);
+    watch.OnRunLost(kGuilty, upstream);
+    control.EndReach(Reachability::Reached);
+    CPPUNIT_ASSERT(ledger.IsEmpty());
+    this->Pass(kPause);
+    control.EndReach(Reachability::Refused);
+    CPPUNIT_ASSERT(ledger.IsBlamed(kGuilty) && ledger.IsBlamed(kOther));
+  }
+
+  void Answer_OfABlamedRequest_IsToldOnce() {
+    watch.Take({kGuilty, 1}, Evidence::Told);
+    watch.OnAnswered(kOther);
+    CPPUNIT_ASSERT_EQUAL(0, cleared);
+    watch.OnAnswered(kGuilty);
+    watch.OnAnswered(kGuilty);
+    CPPUNIT_ASSERT_EQUAL(1, cleared);
+  }
+
+  void Answer_BeforeTheCrash_IsBlamedByNobody() {
+    watch.OnAnswered(kOther);
+    watch.OnRunLost(kOther, upstream);
+    control.EndReach(Reachability::Refused);
+    CPPUNIT_ASSERT(found.empty() && ledger.IsEmpty());
+    // The upstream has ended all the same.
+    CPPUNIT_ASSERT(upstream->IsSuspect(clock.Now()));
+    CPPUNIT_ASSERT(watch.Take({kOther, 2}, Evidence::Told) ==
+                   CrashVerdict::Innocent);
+  }
+
+  void Cleared_ElsewhereAndBlamedHere_IsToldOn() {
+    watch.OnRunLost(kOther, upstream);
+    control.EndReach(Reachability::Refused);
+    CPPUNIT_ASSERT(watch.TakeCleared(kOther));
+    CPPUNIT_ASSERT(!ledger.IsBlamed(kOther));
+    CPPUNIT_ASSERT(!watch.TakeCleared(kOther));
+    watch.Take({kGuilty, 1}, Evidence::Told);
+    CPPUNIT_ASSERT(!watch.TakeCleared(kGuilty));
+  }
+
+  void Loss_UpstreamAccepts_IsAskedAboutAgain() {
+    watch.OnRunLost(kGuilty, upstream);
+    control.EndReach(Reachability::Reached);
+    watch.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, control.reached.size());
+    this->Pass(kPause);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, control.reached.size());
+    control.EndReach(Reachability::Refused);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+  }
+
+  void Loss_SilenceNoticedLate_IsAskedAboutAgain() {
+    watch.OnRunLost(kGuilty, upstream);
+    clock.Advance(1s);
+    control.EndReach(Reachability::Silent);
+    this->Pass(kPause);
+    control.EndReach(Reachability::Silent);
+    control.EndReach(Reachability::Silent);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+  }
+
+  void Loss_ConnectionsDropped_IsAnEndOnceInARow() {
+    watch.OnRunLost(kGuilty, upstream);
+    control.EndReach(Reachability::Dropped);
+    control.EndReach(Reachability::Reached);
+    this->Pass(kPause);
+    control.EndReach(Reachability::Dropped);
+    CPPUNIT_ASSERT(found.empty());
+    control.EndReach(Reachability::Dropped);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+  }
+
+  void Loss_UpstreamReports_Lives() {
+    watch.OnRunLost(kGuilty, member);
+    CPPUNIT_ASSERT(control.reached.empty());
+    control.Answer(1);
+    this->Pass(10s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, control.asked.size());
+    CPPUNIT_ASSERT(found.empty() && !ledger.MayBlock());
+  }
+
+  void Loss_AnotherOneReports_IsItsEnd() {
+    watch.OnRunLost(kGuilty, member);
+    control.FailReport(ErrorKind::UpstreamEnded);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+    CPPUNIT_ASSERT(control.reached.empty());
+  }
+
+  // A proxy in front of one that has ended accepts, and closes on a request.
+  void Loss_ReportsDroppedTwice_IsItsEnd() {
+    watch.OnRunLost(kGuilty, member);
+    control.FailReport(ErrorKind::AnswerIncomplete);
+    CPPUNIT_ASSERT(found.empty());
+    control.FailReport(ErrorKind::AnswerIncomplete);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+  }
+
+  // The kernel accepts for one that is stopped, which may go on.
+  void Loss_AcceptsAndReportsNothing_IsAskedAboutAgain() {
+    watch.OnRunLost(kGuilty, member);
+    control.FailReport(ErrorKind::DeadlineDuringRun);
+    control.EndReach(Reachability::Reached);
+    CPPUNIT_ASSERT(found.empty());
+    this->Pass(kPause);
+    control.Answer(1);
+    CPPUNIT_ASSERT(found.empty() && !ledger.MayBlock());
+  }
+
+  void Loss_UpstreamThatTakesNoCall_IsNotAskedForAReport() {
+    member->RestUntil(clock.Now() + 1s);
+    watch.OnRunLost(kGuilty, member);
+    CPPUNIT_ASSERT(control.asked.empty());
+    control.EndReach(Reachability::Refused);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+  }
+
+  void Loss_NothingKnownForLong_IsNobodysEnd() {
+    watch.OnRunLost(kGuilty, upstream);
+    this->KeepUnknown();
+    CPPUNIT_ASSERT(found.empty() && !ledger.MayBlock());
+  }
+
+  void Loss_NothingKnownAndOffTheList_IsItsEnd() {
+    watch.OnRunLost(kGuilty, upstream);
+    upstream->SetGone(clock.Now());
+    this->KeepUnknown();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+  }
+
+  void Loss_UpstreamStartsAgain_IsItsEndAtOnce() {
+    watch.OnRunLost(kGuilty, upstream);
+    control.EndReach(Reachability::Reached);
+    upstream->SetEnded(clock.Now());
+    watch.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+  }
+
+  void Loss_AfterTheUpstreamStartedAgain_IsItsEndUnasked() {
+    member->SetEnded(clock.Now());
+    watch.OnRunLost(kGuilty, member);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+    CPPUNIT_ASSERT(control.asked.empty() && control.reached.empty());
+  }
+
+  void Answer_ToARequestSentAfterTheLoss_ShowsLife() {
+    watch.OnRunLost(kGuilty, upstream);
+    const Instant lostAt = clock.Now();
+    control.EndReach(Reachability::Reached);
+    watch.OnUpstreamAnswered(*upstream, lostAt - 1ms);
+    CPPUNIT_ASSERT(ledger.MayBlock());
+    watch.OnUpstreamAnswered(*upstream, lostAt + 1ms);
+    CPPUNIT_ASSERT(!ledger.MayBlock());
+  }
+
+  // It may be the next start's, which has the same id.
+  void Answer_WhereStartsAreToldApart_ShowsNoLife() {
+    UpstreamEntry entry;
+    entry.id = "i1";
+    entry.born = 7;
+    const auto born = std::make_shared<LiveUpstream>(entry);
+    watch.OnRunLost(kGuilty, born);
+    control.EndReach(Reachability::Reached);
+    watch.OnUpstreamAnswered(*born, clock.Now() + 1ms);
+    CPPUNIT_ASSERT(ledger.MayBlock());
+  }
+
+  void Request_WithThreeOpenQuestions_IsHeldBack() {
+    for (const char* id : {"i1", "i2", "i3"}) {
+      CPPUNIT_ASSERT(ledger.BlockedFor(kGuilty, clock.Now()) == 0us);
+      watch.OnRunLost(kGuilty, MakeUpstream(id));
+      control.EndReach(Reachability::Reached);
+    }
+    CPPUNIT_ASSERT(ledger.BlockedFor(kGuilty, clock.Now()) > 0us);
+    CPPUNIT_ASSERT(ledger.BlockedFor(kOther, clock.Now()) == 0us);
+    CPPUNIT_ASSERT_EQUAL(0, blocked);
+  }
+
+  // A caller that makes a new request each time is remembered no longer.
+  void Blamed_ManyRequests_AreForgottenWithTheLedger() {
+    constexpr std::uint64_t kMany = 20'000;
+    for (std::uint64_t i = 0; i < kMany; ++i) {
+      clock.Advance(1us);
+      watch.Take({RequestFingerprint{1000 + i}, i}, Evidence::Found);
+    }
+    CPPUNIT_ASSERT(!watch.TakeCleared(RequestFingerprint{1000}));
+    CPPUNIT_ASSERT(watch.TakeCleared(RequestFingerprint{1000 + kMany - 1}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashWatchTest);
+
+}  // namespace
+}  // namespace zincstep
--- a/UnitTests/CrashingRequestTest.cpp
+++ b/UnitTests/CrashingRequestTest.cpp
@@ -12,6 +12,8 @@
 // lived. Of 25 upstreams that ended, 21 had one to four streams without an
 // event; the rest of what they ran had got some.
 
+#include <set>
+
 #include "UnitTests/RelayFixture.h"
 
 namespace zincstep {
@@ -23,6 +25,7 @@
   CPPUNIT_TEST(Service_ThatCrashesUpstreams_IsRefusedAsNotRunAfterThree);
   CPPUNIT_TEST(Stream_LostBesideOneThatCrashes_IsServedEachTime);
   CPPUNIT_TEST(Stream_OnUpstreamsThatResetAndLive_IsTriedAgain);
+  CPPUNIT_TEST(Stream_ThatCrashesUpstreamsBehindAProxy_IsRefusedAfterThree);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr int kUpstreams = 12;
@@ -39,6 +42,10 @@
   /// Where one waits until whatever crashes takes its upstream along.
   ConnectionPtr held;
   std::size_t heldAt = 0;
+  /// A proxy accepts connections for upstreams that have ended, and resets them
+  /// once a request comes.
+  bool hasProxy = false;
+  std::set<std::size_t> endedBehindProxy;
 
   /// A request to be answered; "bad" in its body crashes whoever runs it.
   std::string Attempt(const std::string& aPath, const std::string& aBody) {
@@ -65,6 +72,10 @@
     crashes += 1;
     std::vector<std::size_t> ended{aUpstream};
     aTo->Abort();
+    if (hasProxy) {
+      endedBehindProxy.insert(aUpstream);
+      return;
+    }
     if (held) {
       held->Abort();
       held.reset();
@@ -81,7 +92,9 @@
     for (std::size_t i = 0; i < kUpstreams; ++i) {
       this->AddUpstream(
           aService, [this, i](const auto& aTo, const auto& aMessage) {
-            if (aMessage.head.target == "/report") {
+            if (endedBehindProxy.contains(i)) {
+              aTo->Abort();
+            } else if (aMessage.head.target == "/report") {
               aTo->Answer(200, {}, kReport);
             } else if (aMessage.body.starts_with("bad")) {
               this->Crash(i, aTo);
@@ -149,6 +162,13 @@
                          this->Ask(this->Attempt("/llm/x", "held"))->status);
   }
 
+  // Each accepted connection was taken for life, and no end was counted.
+  void Stream_ThatCrashesUpstreamsBehindAProxy_IsRefusedAfterThree() {
+    hasProxy = true;
+    this->AddUpstreams("model");
+    this->CheckRefusedAfterThree("/llm/x");
+  }
+
   void Stream_OnUpstreamsThatResetAndLive_IsTriedAgain() {
     int resets = 0;
     for (int i = 0; i < 2; ++i) {
--- a/UnitTests/RelayFixture.h
+++ b/UnitTests/RelayFixture.h
@@ -156,12 +156,15 @@
   void List(const std::string& aService, const std::string& aAddress,
             LayerRange aLayers = {0, 2}) {
     const std::uint64_t revision = view.Revisions().upstreams.number + 1;
+    // Only those that hold layers tell a kind, and give reports.
+    const std::string kind = aService == "model" ? "k" : "";
     view.OnUpstreamEvents(
         {{{{"i" + std::to_string(revision),
             R"({"backend":")" + aService + R"(","address":")" + aAddress +
-                R"(","zone":"","state":"ready","slots":4,"routeType":"k",)" +
-                R"("layers":{"from":)" + std::to_string(aLayers.first) +
-                R"(,"targetVersion":)" + std::to_string(aLayers.last) + "}}",
+                R"(","zone":"","state":"ready","slots":4,"routeType":")" +
+                kind + R"(","layers":{"from":)" +
+                std::to_string(aLayers.first) + R"(,"targetVersion":)" +
+                std::to_string(aLayers.last) + "}}",
             revision},
            false}},
          revision});
--- a/UnitTests/ScriptedControl.h
+++ b/UnitTests/ScriptedControl.h
@@ -37,7 +37,8 @@
     this->Finish(report);
   }
   void Answer(const UpstreamReport& aReport) { this->Finish(aReport); }
-  void StaySilent() { this->Finish(Fail(ErrorKind::AnswerIncomplete, "")); }
+  void StaySilent() { this->FailReport(ErrorKind::DeadlineDuringRun); }
+  void FailReport(ErrorKind aKind) { this->Finish(Fail(aKind, "")); }
 
   /// The oldest open order is taken.
   void TakeOrder() {
@@ -47,6 +48,7 @@
     done(OrderOutcome{OrderAnswer::Taken, ""});
   }
 
+  bool HasOpenReach() const { return !this->openReaches.empty(); }
   /// Ends the oldest open attempt to connect.
   void EndReach(Reachability aReachability) {
     CPPUNIT_ASSERT(!this->openReaches.empty());
--- a/Zincstep/Admission/CrashLedger.cpp
+++ b/Zincstep/Admission/CrashLedger.cpp
@@ -4,6 +4,24 @@
 
 namespace zincstep {
 
+void CrashLedger::OnSuspected(const UpstreamCrash& aCrash) {
+  const bool hasRoom = this->suspected.size() < this->settings.mostRequests;
+  if (hasRoom || this->suspected.contains(aCrash.request)) {
+    this->suspected[aCrash.request].insert(aCrash.upstream);
+  }
+}
+
+void CrashLedger::OnSettled(const UpstreamCrash& aCrash) {
+  const auto found = this->suspected.find(aCrash.request);
+  if (found == this->suspected.end()) {
+    return;
+  }
+  found->second.erase(aCrash.upstream);
+  if (found->second.empty()) {
+    this->suspected.erase(found);
+  }
+}
+
 CrashVerdict CrashLedger::OnCrash(const UpstreamCrash& aCrash, Instant aNow) {
   if (this->IsAnsweredLately(aCrash.request, aNow)) {
     return CrashVerdict::Innocent;
@@ -56,11 +74,24 @@
                                Instant aNow) const {
   const auto found = this->records.find(aRequest);
   if (found == this->records.end() || !this->IsBlocked(found->second)) {
-    return Micros{0};
+    return this->IsHeld(aRequest, aNow) ? this->settings.heldTime : Micros{0};
   }
   return std::max(Micros{0}, this->EndOf(found->second) - aNow);
 }
 
+bool CrashLedger::IsHeld(RequestFingerprint aRequest, Instant aNow) const {
+  const auto open = this->suspected.find(aRequest);
+  if (open == this->suspected.end() || this->IsAnsweredLately(aRequest, aNow)) {
+    return false;
+  }
+  std::set<std::uint64_t> all = open->second;
+  if (const auto blamed = this->records.find(aRequest);
+      blamed != this->records.end()) {
+    all.insert(blamed->second.crashed.begin(), blamed->second.crashed.end());
+  }
+  return all.size() >= this->settings.mostCrashes;
+}
+
 std::set<RequestFingerprint> CrashLedger::Blocked(Instant aNow) const {
   std::set<RequestFingerprint> blocked;
   for (const auto& [request, record] : this->records) {
--- a/Zincstep/Admission/CrashLedger.h
+++ b/Zincstep/Admission/CrashLedger.h
@@ -31,6 +31,9 @@
   /// ones of many callers may be on several upstreams that end at once.
   std::size_t mostAnswered = 4096;
   Micros answeredTime = 60s;
+  /// When those come back that are held back until it is known whether
+  /// upstreams have ended under them: most questions take less.
+  Micros heldTime = 500ms;
 };
 
 /// What a crash says of the request that ran.
@@ -65,6 +68,11 @@
  public:
   explicit CrashLedger(CrashLedgerSettings aSettings) : settings(aSettings) {}
 
+  /// An upstream may have ended under a request, which is being found out here.
+  /// Requests with as many of these as block one are held back meanwhile.
+  void OnSuspected(const UpstreamCrash& aCrash);
+  /// It has been found out, or cannot be.
+  void OnSettled(const UpstreamCrash& aCrash);
   /// An upstream has ended under a request, as this daemon found or was told.
   CrashVerdict OnCrash(const UpstreamCrash& aCrash, Instant aNow);
   /// The request was answered whole here. True: it had been blamed.
@@ -77,12 +85,16 @@
   /// more has been answered elsewhere, or its time has passed.
   void SetListed(const std::set<RequestFingerprint>& aRequests, Instant aNow);
 
-  /// Whether no request is blamed, so that none needs to be looked up.
+  /// Whether no request is blamed.
   bool IsEmpty() const { return this->records.empty(); }
   bool IsBlamed(RequestFingerprint aRequest) const {
     return this->records.contains(aRequest);
   }
-  /// For how long a request must not run; zero: it may.
+  /// Whether any request may have to wait: else none needs to be looked up.
+  bool MayBlock() const {
+    return !this->records.empty() || !this->suspected.empty();
+  }
+  /// For how long a request must not run, blocked or held back; zero: it may.
   Micros BlockedFor(RequestFingerprint aRequest, Instant aNow) const;
   /// All that must not run.
   std::set<RequestFingerprint> Blocked(Instant aNow) const;
@@ -99,6 +111,8 @@
     bool isListed = false;
   };
 
+  /// Whether ends that are being found out would block it.
+  bool IsHeld(RequestFingerprint aRequest, Instant aNow) const;
   bool IsAnsweredLately(RequestFingerprint aRequest, Instant aNow) const;
   bool IsBlocked(const Record& aRecord) const {
     return aRecord.isListed ||
@@ -113,6 +127,8 @@
 
   CrashLedgerSettings settings;
   std::unordered_map<RequestFingerprint, Record> records;
+  /// Incarnations of which it is being found out whether they have ended.
+  std::unordered_map<RequestFingerprint, std::set<std::uint64_t>> suspected;
   /// When each was last answered; the oldest of the queue goes first.
   std::unordered_map<RequestFingerprint, Instant> answered;
   std::deque<RequestFingerprint> answeredInOrder;
--- a/Zincstep/Core/Error.cpp
+++ b/Zincstep/Core/Error.cpp
@@ -37,6 +37,7 @@
                 0s},
     ErrorAnswer{K::UpstreamUnreachable, "upstream_unreachable", 503, O::NotRun,
                 1s},
+    ErrorAnswer{K::UpstreamEnded, "upstream_ended", 502, O::MayHaveRun, 0s},
     ErrorAnswer{K::UpstreamFailed, "upstream_failed", 502, O::MayHaveRun, 0s},
     ErrorAnswer{K::AnswerIncomplete, "answer_incomplete", 502, O::MayHaveRun,
                 0s},
--- a/Zincstep/Core/Error.h
+++ b/Zincstep/Core/Error.h
@@ -36,6 +36,7 @@
   DeadlineBeforeRun,
   DeadlineDuringRun,
   UpstreamUnreachable,
+  UpstreamEnded,
   UpstreamFailed,
   AnswerIncomplete,
   ConfigInvalid,
--- a/Zincstep/Net/SingleCall.cpp
+++ b/Zincstep/Net/SingleCall.cpp
@@ -107,7 +107,7 @@
       this->kept->pool->Distrust(this->kept->upstream);
     }
     this->call->Cancel();
-    this->Finish(Fail(this->call->HasSent() ? ErrorKind::AnswerIncomplete
+    this->Finish(Fail(this->call->HasSent() ? ErrorKind::DeadlineDuringRun
                                             : ErrorKind::UpstreamUnreachable,
                       "no answer in time"));
   }
--- a/Zincstep/Net/SingleCall.h
+++ b/Zincstep/Net/SingleCall.h
@@ -122,9 +122,10 @@
 /// Makes a call and gives its whole answer, or how it failed.
 ///
 /// `aTimeout` bounds the whole call. Fails with `UpstreamUnreachable`
-/// where nothing was sent, else with `AnswerIncomplete`. With `aKept` the
-/// request is sent again, on a new connection, where a kept one breaks or says
-/// nothing.
+/// where nothing was sent, else with `DeadlineDuringRun` where no answer came
+/// in time, and with `AnswerIncomplete` where the connection broke. With
+/// `aKept` the request is sent again, on a new connection, where a kept one
+/// breaks or says nothing.
 void FetchWhole(asio::io_context& aLoop, const SingleCall::Endpoint& aEndpoint,
                 std::string aRequest, Micros aTimeout,
                 std::function<void(Result<HttpAnswer>)> aDone,
--- a/Zincstep/Net/TcpSocket.cpp
+++ b/Zincstep/Net/TcpSocket.cpp
@@ -2,20 +2,60 @@
 
 #include <netinet/tcp.h>
 
+#include <array>
 #include <charconv>
+#include <memory>
 
 namespace zincstep {
 
 namespace {
 
 /// An attempt to connect with the time that it has.
-struct ReachAttempt {
-  explicit ReachAttempt(asio::io_context& aLoop)
-      : socket(aLoop), timer(aLoop) {}
+class ReachAttempt : public std::enable_shared_from_this<ReachAttempt> {
+ public:
+  ReachAttempt(asio::io_context& aLoop, std::function<void(Reachability)> aDone)
+      : socket(aLoop), timer(aLoop), done(std::move(aDone)) {}
 
-  TcpSocket socket;
-  asio::steady_timer timer;
-  std::function<void(Reachability)> done;
+  void Start(const TcpEndpoint& aEndpoint, Micros aTimeout) {
+    auto self = this->shared_from_this();
+    this->socket.async_connect(
+        aEndpoint,
+        [self](const asio::error_code& aError) { self->OnConnect(aError); });
+    this->timer.expires_after(aTimeout);
+    this->timer.async_wait([self](const asio::error_code& aError) {
+      if (!aError) {
+        self->Finish(self->isOpen ? Reachability::Reached
+                                  : Reachability::Silent);
+      }
+    });
+  }
+
+ private:
+  void OnConnect(const asio::error_code& aError) {
+    if (!this->done) {
+      return;
+    }
+    if (aError == asio::error::connection_refused) {
+      this->Finish(Reachability::Refused);
+    } else if (aError == asio::error::connection_reset) {
+      this->Finish(Reachability::Dropped);
+    } else if (!aError) {
+      this->isOpen = true;
+      this->Watch();
+    }
+    // Any other error is the network's: the other side has said nothing.
+  }
+
+  void Watch() {
+    auto self = this->shared_from_this();
+    this->socket.async_read_some(
+        asio::buffer(this->unasked),
+        [self](const asio::error_code& aError, std::size_t) {
+          if (aError) {
+            self->Finish(Reachability::Dropped);
+          }
+        });
+  }
 
   void Finish(Reachability aReachability) {
     if (const auto tell = std::exchange(this->done, nullptr)) {
@@ -25,24 +65,21 @@
       tell(aReachability);
     }
   }
+
+  TcpSocket socket;
+  asio::steady_timer timer;
+  std::function<void(Reachability)> done;
+  /// Bytes that come without a request mean nothing.
+  std::array<char, 1> unasked{};
+  bool isOpen = false;
 };
 
 }  // namespace
 
 void CheckReachable(asio::io_context& aLoop, const TcpEndpoint& aEndpoint,
                     Micros aTimeout, std::function<void(Reachability)> aDone) {
-  const auto attempt = std::make_shared<ReachAttempt>(aLoop);
-  attempt->done = std::move(aDone);
-  attempt->socket.async_connect(
-      aEndpoint, [attempt](const asio::error_code& aError) {
-        attempt->Finish(aError ? Reachability::Refused : Reachability::Reached);
-      });
-  attempt->timer.expires_after(aTimeout);
-  attempt->timer.async_wait([attempt](const asio::error_code& aError) {
-    if (!aError) {
-      attempt->Finish(Reachability::Silent);
-    }
-  });
+  std::make_shared<ReachAttempt>(aLoop, std::move(aDone))
+      ->Start(aEndpoint, aTimeout);
 }
 
 void SetSocketOptions(TcpSocket& aSocket, Micros aSilence) {
--- a/Zincstep/Net/TcpSocket.h
+++ b/Zincstep/Net/TcpSocket.h
@@ -20,22 +20,29 @@
 void SetSocketOptions(TcpSocket& aSocket, Micros aSilence);
 
 /// What became of an attempt to connect.
+///
+/// Connections are accepted by the kernel, also for a process that is stopped,
+/// and by a proxy, also for a process that has ended: none of these shows that
+/// a process works there.
 enum class Reachability {
-  /// Somebody accepts connections there.
+  /// A connection came up and stayed open as long as it was watched.
   Reached,
-  /// The other side has said that nobody does.
+  /// A connection came up, and the other side closed it without a request.
+  Dropped,
+  /// The other side has said that nobody accepts connections.
   Refused,
   /// Nothing has come back in time.
   Silent,
 };
 
-inline constexpr NameTable<Reachability, 3> kReachabilityNames{{
+inline constexpr NameTable<Reachability, 4> kReachabilityNames{{
     {Reachability::Reached, "reached"},
+    {Reachability::Dropped, "dropped"},
     {Reachability::Refused, "refused"},
     {Reachability::Silent, "silent"},
 }};
 
-/// Connects within `aTimeout`, closes at once, and tells what became of it.
+/// Connects, and watches the connection until `aTimeout` is over.
 void CheckReachable(asio::io_context& aLoop, const TcpEndpoint& aEndpoint,
                     Micros aTimeout, std::function<void(Reachability)> aDone);
 
--- a/Zincstep/Pool/UpstreamControl.h
+++ b/Zincstep/Pool/UpstreamControl.h
@@ -57,7 +57,8 @@
 /// Calls to upstreams beside requests, on the loop's thread.
 ///
 /// Failures: `UpstreamUnreachable` where nothing was sent, else
-/// `AnswerIncomplete`: an order may have been taken, or may still be.
+/// `DeadlineDuringRun` (no answer in time) or `AnswerIncomplete` (the
+/// connection broke): an order may have been taken, or may still be.
 class UpstreamControl {
  public:
   template <class T>
@@ -65,11 +66,12 @@
 
   virtual ~UpstreamControl() = default;
 
-  /// Finds out whether anybody accepts connections at its address, without a
-  /// request: plain services answer no reports.
+  /// Finds out what becomes of a connection to its address, without a request:
+  /// plain services answer no reports.
   virtual void Reach(const UpstreamEntry& aUpstream, Micros aTimeout,
                      std::function<void(Reachability)> aDone) = 0;
-  /// Asks how an upstream is.
+  /// Asks how an upstream is. Fails with `UpstreamEnded` where another
+  /// incarnation answers at its address.
   virtual void Report(const UpstreamEntry& aUpstream, Micros aTimeout,
                       Done<UpstreamReport> aDone) = 0;
   /// Orders an upstream to hold `aLayers` if it has taken
--- a/Zincstep/Relay/CrashWatch.cpp
+++ b/Zincstep/Relay/CrashWatch.cpp
@@ -1,17 +1,25 @@
 #include "Zincstep/Relay/CrashWatch.h"
 
+#include <algorithm>
+
 #include "Zincstep/Telemetry/Telemetry.h"
 
 namespace zincstep {
 
 namespace {
 
-/// Time to connect to an upstream that lives: many round trips. An opening
-/// packet that is lost comes again later than that, so one more try is made.
-constexpr Micros kReachTimeout = 100ms;
-constexpr int kReachTries = 2;
+/// Time of the first try: many round trips. It doubles with each try that
+/// shows nothing, as the upstream may only be slow.
+constexpr Micros kFirstTimeout = 100ms;
+constexpr Micros kLongestTimeout = 800ms;
+/// Unanswered tries in a row that prove an end: an opening packet may be lost,
+/// and comes again later than a try lasts.
+constexpr int kProvenTries = 2;
 /// A time-out that is noticed this much too late tells of this daemon alone.
 constexpr Micros kLateness = 30ms;
+/// Longest time without knowing: an upstream that has ended is off the list by
+/// then.
+constexpr Micros kLongestQuestion = 3s;
 /// Requests blamed here after which those are forgotten that the ledger has
 /// forgotten: callers make new ones at will.
 constexpr std::size_t kMostBlamedHere = 8192;
@@ -20,68 +28,198 @@
 
 CrashWatch::CrashWatch(CrashLedger& aLedger, UpstreamControl& aControl,
                        const Clock& aClock, CrashListener& aListener)
-    : ledger(aLedger), control(aControl), clock(aClock), listener(aListener) {}
+    : ledger(aLedger),
+      clock(aClock),
+      listener(aListener),
+      check(aControl, aClock, kLateness) {}
+
+CrashWatch::Question CrashWatch::Begin(
+    const UpstreamPtr& aUpstream,
+    std::vector<RequestFingerprint> aRequests) const {
+  const Instant now = this->clock.Now();
+  Question question;
+  question.upstream = aUpstream;
+  question.requests = std::move(aRequests);
+  question.begunAt = now;
+  question.lostAt = now;
+  question.timeout = kFirstTimeout;
+  return question;
+}
 
 void CrashWatch::OnRunLost(RequestFingerprint aRequest,
                            const UpstreamPtr& aUpstream) {
   const std::uint64_t number = aUpstream->Number();
+  this->ledger.OnSuspected({aRequest, number});
   const auto open = this->questions.find(number);
-  if (open != this->questions.end()) {
-    open->second.later.push_back(aRequest);
+  if (open == this->questions.end()) {
+    this->questions[number] = this->Begin(aUpstream, {aRequest});
+    this->Try(number);
     return;
   }
-  this->questions[number] = {aUpstream, {aRequest}, {}, kReachTries};
-  this->Ask(number);
+  Question& question = open->second;
+  question.lostAt = this->clock.Now();
+  auto& requests = question.nextAt ? question.requests : question.later;
+  requests.push_back(aRequest);
 }
 
-void CrashWatch::Ask(std::uint64_t aUpstream) {
-  Question& question = this->questions.at(aUpstream);
-  question.triesLeft -= 1;
-  const Instant latest = this->clock.Now() + kReachTimeout + kLateness;
-  this->control.Reach(question.upstream->Entry(), kReachTimeout,
-                      [this, aUpstream, latest](Reachability aReachability) {
-                        this->OnReached(aUpstream, latest, aReachability);
-                      });
+void CrashWatch::OnUpstreamAnswered(const LiveUpstream& aUpstream,
+                                    Instant aSentAt) {
+  const auto open = this->questions.find(aUpstream.Number());
+  // Where incarnations are told apart, an answer does not say whose it is.
+  const bool isProof = open != this->questions.end() &&
+                       aUpstream.Entry().born == 0 &&
+                       aSentAt > open->second.lostAt;
+  if (isProof && open->second.nextAt) {
+    this->Settle(open->first, "upstream_lives_after_loss", "an answer");
+  }
 }
 
-void CrashWatch::OnReached(std::uint64_t aUpstream, Instant aLatest,
-                           Reachability aReachability) {
+void CrashWatch::Try(std::uint64_t aUpstream) {
   Question& question = this->questions.at(aUpstream);
-  const bool isSilent = aReachability == Reachability::Silent;
-  if (isSilent && question.triesLeft > 0) {
-    this->Ask(aUpstream);
+  question.nextAt.reset();
+  if (question.upstream->HasEnded()) {
+    this->OnEnded(aUpstream, "it has started again");
     return;
   }
-  const bool isLate = isSilent && this->clock.Now() > aLatest;
-  if (aReachability == Reachability::Reached || isLate) {
-    LogInfo("upstream_reached_after_loss",
-            {{"upstream", question.upstream->Entry().id},
-             {"how", NameIn(kReachabilityNames, aReachability)},
-             {"requests", question.requests.size()}});
-    question.requests = std::exchange(question.later, {});
-    question.triesLeft = kReachTries;
-    question.requests.empty() ? void(this->questions.erase(aUpstream))
-                              : this->Ask(aUpstream);
+  if (!this->check.MayAsk(*question.upstream)) {
+    this->Connect(aUpstream);
     return;
   }
-  Question ended = std::move(question);
+  this->check.Ask(question.upstream, question.timeout,
+                  [this, aUpstream](LifeSign aSign, const UpstreamReport*) {
+                    this->OnAsked(aUpstream, aSign);
+                  });
+}
+
+void CrashWatch::OnAsked(std::uint64_t aUpstream, LifeSign aSign) {
+  switch (aSign) {
+    case LifeSign::Lives:
+      this->Settle(aUpstream, "upstream_lives_after_loss", "a report");
+      break;
+    case LifeSign::Ended:
+      this->OnEnded(aUpstream, "another one answers");
+      break;
+    case LifeSign::Dropped:
+      if (this->IsProven(aUpstream)) {
+        this->OnEnded(aUpstream, "drops its connections");
+      } else {
+        this->Try(aUpstream);
+      }
+      break;
+    case LifeSign::Silent:
+      this->questions.at(aUpstream).unanswered += 1;
+      this->Connect(aUpstream);
+      break;
+    case LifeSign::Unknown:
+      this->Connect(aUpstream);
+      break;
+  }
+}
+
+void CrashWatch::Connect(std::uint64_t aUpstream) {
+  Question& question = this->questions.at(aUpstream);
+  this->check.Connect(question.upstream, question.timeout,
+                      [this, aUpstream](LifeSign aSign, const UpstreamReport*) {
+                        this->OnConnected(aUpstream, aSign);
+                      });
+}
+
+void CrashWatch::OnConnected(std::uint64_t aUpstream, LifeSign aSign) {
+  if (aSign == LifeSign::Ended) {
+    this->OnEnded(aUpstream, "accepts no connection");
+  } else if (aSign == LifeSign::Unknown) {
+    this->Wait(this->questions.at(aUpstream));
+  } else if (this->IsProven(aUpstream)) {
+    this->OnEnded(aUpstream, aSign == LifeSign::Dropped
+                                 ? "drops its connections"
+                                 : "answers no connection");
+  } else {
+    this->Connect(aUpstream);
+  }
+}
+
+bool CrashWatch::IsProven(std::uint64_t aUpstream) {
+  Question& question = this->questions.at(aUpstream);
+  question.unanswered += 1;
+  return question.unanswered >= kProvenTries;
+}
+
+void CrashWatch::Wait(Question& aQuestion) {
+  aQuestion.unanswered = 0;
+  // Whatever broke off during this try is asked about by the next one.
+  aQuestion.requests.insert(aQuestion.requests.end(), aQuestion.later.begin(),
+                            aQuestion.later.end());
+  aQuestion.later.clear();
+  aQuestion.nextAt = this->clock.Now() + aQuestion.timeout;
+  aQuestion.timeout = std::min(2 * aQuestion.timeout, kLongestTimeout);
+}
+
+void CrashWatch::Tick() {
+  const Instant now = this->clock.Now();
+  std::vector<std::uint64_t> waiting;
+  for (const auto& [number, question] : this->questions) {
+    if (question.nextAt) {
+      waiting.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : waiting) {
+    const Question& question = this->questions.at(number);
+    const bool hasEnded = question.upstream->HasEnded();
+    if (!hasEnded && now - question.begunAt >= kLongestQuestion) {
+      this->GiveUp(number);
+    } else if (hasEnded || now >= *question.nextAt) {
+      this->Try(number);
+    }
+  }
+}
+
+void CrashWatch::GiveUp(std::uint64_t aUpstream) {
+  if (this->questions.at(aUpstream).upstream->IsGone()) {
+    this->OnEnded(aUpstream, "it has left the list");
+  } else {
+    this->Settle(aUpstream, "upstream_end_unproven",
+                 "connections are accepted, and it is on the list");
+  }
+}
+
+void CrashWatch::Settle(std::uint64_t aUpstream, const char* aEvent,
+                        const char* aReason) {
+  const Question settled = std::move(this->questions.at(aUpstream));
+  this->questions.erase(aUpstream);
+  LogInfo(aEvent, {{"upstream", settled.upstream->Entry().id},
+                   {"reason", aReason},
+                   {"asked_ms", (this->clock.Now() - settled.begunAt) / 1ms},
+                   {"requests", settled.requests.size()}});
+  for (const RequestFingerprint request : settled.requests) {
+    this->ledger.OnSettled({request, aUpstream});
+  }
+  for (const RequestFingerprint request : settled.later) {
+    this->OnRunLost(request, settled.upstream);
+  }
+}
+
+void CrashWatch::OnEnded(std::uint64_t aUpstream, const char* aReason) {
+  Question ended = std::move(this->questions.at(aUpstream));
   this->questions.erase(aUpstream);
   ended.requests.insert(ended.requests.end(), ended.later.begin(),
                         ended.later.end());
-  this->OnEnded(ended);
+  this->Blame(ended, aReason);
+  this->Suspect(ended);
 }
 
-void CrashWatch::OnEnded(const Question& aQuestion) {
-  const Instant now = this->clock.Now();
+void CrashWatch::Blame(const Question& aQuestion, const char* aReason) {
   const UpstreamPtr& upstream = aQuestion.upstream;
   std::vector<UpstreamCrash> crashes;
   for (const RequestFingerprint request : aQuestion.requests) {
     const UpstreamCrash crash{request, upstream->Number()};
+    this->ledger.OnSettled(crash);
     const bool isInnocent =
         this->Take(crash, Evidence::Found) == CrashVerdict::Innocent;
     LogInfo("upstream_ended_under",
             {{"fingerprint", TextOf(request)},
              {"upstream", upstream->Entry().id},
+             {"reason", aReason},
+             {"asked_ms", (this->clock.Now() - aQuestion.begunAt) / 1ms},
              {"answered_lately", isInnocent},
              {"beside", aQuestion.requests.size() - 1}});
     if (!isInnocent) {
@@ -91,10 +229,15 @@
   if (!crashes.empty()) {
     this->listener.OnCrashes(crashes);
   }
+}
+
+void CrashWatch::Suspect(const Question& aQuestion) {
+  const UpstreamPtr& upstream = aQuestion.upstream;
+  const Instant now = this->clock.Now();
   if (!upstream->IsSuspect(now)) {
     upstream->Suspect(now);
     LogInfo("upstream_suspected", {{"upstream", upstream->Entry().id},
-                                   {"reason", "accepts no connection"}});
+                                   {"reason", "it ended under a request"}});
     this->listener.OnCrashSuspicion();
   }
 }
--- a/Zincstep/Relay/CrashWatch.h
+++ b/Zincstep/Relay/CrashWatch.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "Zincstep/Admission/Admission.h"
-#include "Zincstep/Pool/Pool.h"
+#include "Zincstep/Relay/LifeCheck.h"
 
 namespace zincstep {
 
@@ -27,8 +27,11 @@
 /// Finds out whether upstreams have ended under requests whose runs broke off.
 ///
 /// A run that breaks off proves nothing: upstreams reset single answers and
-/// live. Of 3,649 requests of a day with resets, 11 lost three runs in a row
-/// so. Whoever has crashed accepts no connection a moment later.
+/// live. So the upstream is asked. Until it is known whether it lives, the
+/// ledger counts it as one that may have ended, and the question is asked again
+/// at growing pauses: a connection that is accepted, or a time-out that a busy
+/// daemon noticed late, once closed the question, and the same request went on
+/// to end one upstream after the other.
 class CrashWatch {
  public:
   CrashWatch(CrashLedger& aLedger, UpstreamControl& aControl,
@@ -36,6 +39,8 @@
 
   /// A run of that request broke off before any of its answer came.
   void OnRunLost(RequestFingerprint aRequest, const UpstreamPtr& aUpstream);
+  /// An upstream has answered a request that was sent to it at `aSentAt`.
+  void OnUpstreamAnswered(const LiveUpstream& aUpstream, Instant aSentAt);
   /// The request has been answered whole.
   void OnAnswered(RequestFingerprint aRequest);
   /// Takes what was found here or told by another daemon.
@@ -43,29 +48,52 @@
   /// Takes that the request has been answered whole elsewhere. True: it was
   /// blamed by what was found here, so that the others have to be told.
   bool TakeCleared(RequestFingerprint aRequest);
+  /// Asks again where it is due; to be called many times a second.
+  void Tick();
 
  private:
   /// Requests whose runs at one upstream broke off.
   struct Question {
     UpstreamPtr upstream;
     std::vector<RequestFingerprint> requests;
-    /// Runs that broke off after the present attempt to connect began, which
-    /// may have come before the crash.
+    /// Runs that broke off after the present try began, which may have been
+    /// before the crash.
     std::vector<RequestFingerprint> later;
-    int triesLeft = 0;
+    /// When the first and the last of these runs broke off.
+    Instant begunAt;
+    Instant lostAt;
+    /// Time that each try has, and the pause before the next; both grow.
+    Micros timeout;
+    /// None: a try is under way.
+    std::optional<Instant> nextAt;
+    /// Tries in a row that no one answered.
+    int unanswered = 0;
   };
 
-  void Ask(std::uint64_t aUpstream);
-  void OnReached(std::uint64_t aUpstream, Instant aLatest,
-                 Reachability aReachability);
-  void OnEnded(const Question& aQuestion);
+  Question Begin(const UpstreamPtr& aUpstream,
+                 std::vector<RequestFingerprint> aRequests) const;
+  void Try(std::uint64_t aUpstream);
+  void OnAsked(std::uint64_t aUpstream, LifeSign aSign);
+  void Connect(std::uint64_t aUpstream);
+  /// One more try was not answered. True: so many in a row prove an end.
+  bool IsProven(std::uint64_t aUpstream);
+  void OnConnected(std::uint64_t aUpstream, LifeSign aSign);
+  /// Nothing is known yet: asks again later.
+  void Wait(Question& aQuestion);
+  /// Nothing was known in the longest time: the list decides.
+  void GiveUp(std::uint64_t aUpstream);
+  /// The upstream lives, or nothing has shown that it does not.
+  void Settle(std::uint64_t aUpstream, const char* aEvent, const char* aReason);
+  void OnEnded(std::uint64_t aUpstream, const char* aReason);
+  void Blame(const Question& aQuestion, const char* aReason);
+  void Suspect(const Question& aQuestion);
 
   /// Requests that were blamed by this daemon first; the others believe it.
   std::unordered_set<RequestFingerprint> blamedHere;
   CrashLedger& ledger;
-  UpstreamControl& control;
   const Clock& clock;
   CrashListener& listener;
+  LifeCheck check;
   /// By the numbers of the upstreams.
   std::unordered_map<std::uint64_t, Question> questions;
 };
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -181,7 +181,7 @@
 
 bool Exchange::IsBlocked() {
   const CrashLedger& crashes = this->context.crashes;
-  return !crashes.IsEmpty() &&
+  return crashes.MayBlock() &&
          crashes.BlockedFor(this->Fingerprint(), this->Now()) > Micros{0};
 }
 
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -44,7 +44,7 @@
 
 Result<void> Relay::CheckCrashes(const AdmittedRequest& aRequest) const {
   const CrashLedger& crashes = this->context.crashes;
-  if (crashes.IsEmpty()) {
+  if (!crashes.MayBlock()) {
     return {};
   }
   const RequestFingerprint request = FingerprintOf(aRequest.Identity());
@@ -193,6 +193,7 @@
   }
   this->AskReports(now);
   this->context.probe.Tick();
+  this->context.crashWatch.Tick();
   std::erase_if(this->exchanges,
                 [](const auto& aEntry) { return aEntry.second->IsDone(); });
 }
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -135,6 +135,7 @@
     return;
   }
   this->upstream->OnAnswer(now);
+  this->context.crashWatch.OnUpstreamAnswered(*this->upstream, this->sentAt);
   if (this->facts.waiting) {
     this->upstream->queued = *this->facts.waiting;
     this->upstream->queuedAt = now;
