A connection to an upstream that takes no call does not take its suspicion back

Callers saw: new streams sent to an upstream that names a limit or rests, and has stopped: each stood still. Change: MemberProbe asks through LifeCheck too. A connection that stays open leaves the belief as it is; one that is refused, dropped or silent counts against it as before. Ruled out: suspecting it for silence towards a mere connection (nothing was asked).

--- a/UnitTests/MemberProbeTest.cpp
+++ b/UnitTests/MemberProbeTest.cpp
@@ -20,6 +20,8 @@
   CPPUNIT_TEST(Verify_UpstreamThatAnswers_IsNotSuspected);
   CPPUNIT_TEST(Verify_UpstreamThatIsSilent_WasTold);
   CPPUNIT_TEST(Verify_PlainService_IsNotAsked);
+  CPPUNIT_TEST(Ask_AtRestAndAcceptsConnections_StaysSuspect);
+  CPPUNIT_TEST(Ask_AtRestAndAcceptsNoConnections_Suspects);
   CPPUNIT_TEST_SUITE_END();
 
   FakeClock clock;
@@ -163,6 +165,27 @@
     CPPUNIT_ASSERT(suspicions.back() == Evidence::Found);
   }
 
+  // The kernel accepts connections for a process that is stopped: its
+  // suspicion was taken back, and new streams were sent to it.
+  void Ask_AtRestAndAcceptsConnections_StaysSuspect() {
+    upstream->RestUntil(clock.Now() + 10s);
+    upstream->Suspect(clock.Now());
+    clock.Advance(1ms);
+    probe.Ask(upstream);
+    control.EndReach(Reachability::Reached);
+    CPPUNIT_ASSERT(upstream->IsSuspect(clock.Now()));
+    CPPUNIT_ASSERT(upstream->AnsweredAt() == Instant{});
+    CPPUNIT_ASSERT(control.asked.empty());
+  }
+
+  void Ask_AtRestAndAcceptsNoConnections_Suspects() {
+    upstream->RestUntil(clock.Now() + 10s);
+    probe.Ask(upstream);
+    control.EndReach(Reachability::Refused);
+    control.EndReach(Reachability::Refused);
+    CPPUNIT_ASSERT(upstream->IsSuspect(clock.Now()));
+  }
+
   // The same day: their peers believed them, and the domain's layers were
   // placed anew.
   void Verify_UpstreamThatAnswers_IsNotSuspected() {
--- a/Zincstep/Relay/MemberProbe.cpp
+++ b/Zincstep/Relay/MemberProbe.cpp
@@ -8,8 +8,8 @@
                          UpstreamControl& aControl, const Clock& aClock,
                          OnSuspicion aOnSuspicion)
     : settings(aSettings),
-      control(aControl),
       clock(aClock),
+      check(aControl, aClock, aSettings.latestTimeout),
       onSuspicion(std::move(aOnSuspicion)),
       tokens(aSettings.mostPerSecond, aSettings.mostAtOnce) {}
 
@@ -58,12 +58,11 @@
 }
 
 void MemberProbe::Send(const UpstreamPtr& aUpstream, int aTriesLeft) {
-  const Instant latest =
-      this->clock.Now() + this->settings.timeout + this->settings.latestTimeout;
   this->Question(aUpstream, this->settings.timeout,
-                 [this, aUpstream, aTriesLeft, latest](bool aHasAnswered) {
-                   const bool isLate = this->clock.Now() > latest;
-                   if (aHasAnswered || isLate) {
+                 [this, aUpstream, aTriesLeft](LifeSign aSign) {
+                   const bool mayBeLost =
+                       aSign != LifeSign::Lives && aSign != LifeSign::Unknown;
+                   if (!mayBeLost) {
                      this->Close(aUpstream);
                    } else if (aTriesLeft > 1) {
                      this->Send(aUpstream, aTriesLeft - 1);
@@ -74,28 +73,17 @@
 }
 
 void MemberProbe::Question(const UpstreamPtr& aUpstream, Micros aTimeout,
-                           std::function<void(bool)> aDone) {
-  if (aUpstream->MayCall(this->clock.Now())) {
-    this->control.Report(aUpstream->Entry(), aTimeout,
-                         [this, aUpstream, done = std::move(aDone)](
-                             const Result<UpstreamReport>& aReport) {
-                           if (aReport) {
-                             this->OnAnswer(aUpstream, *aReport);
-                           }
-                           done(aReport.has_value());
-                         });
-    return;
-  }
-  // It takes no question now; that it accepts connections shows that it lives.
-  this->control.Reach(
-      aUpstream->Entry(), aTimeout,
-      [this, aUpstream, done = std::move(aDone)](Reachability aReachability) {
-        const bool isReached = aReachability == Reachability::Reached;
-        if (isReached) {
-          aUpstream->OnAnswer(this->clock.Now());
-        }
-        done(isReached);
-      });
+                           std::function<void(LifeSign)> aDone) {
+  auto take = [this, aUpstream, done = std::move(aDone)](
+                  LifeSign aSign, const UpstreamReport* aReport) {
+    if (aReport != nullptr) {
+      this->OnAnswer(aUpstream, *aReport);
+    }
+    done(aSign);
+  };
+  aUpstream->MayCall(this->clock.Now())
+      ? this->check.Ask(aUpstream, aTimeout, std::move(take))
+      : this->check.Connect(aUpstream, aTimeout, std::move(take));
 }
 
 void MemberProbe::OnAnswer(const UpstreamPtr& aUpstream,
@@ -122,7 +110,7 @@
 
 void MemberProbe::Confirm(const UpstreamPtr& aUpstream) {
   this->Question(aUpstream, this->settings.confirmTimeout,
-                 [this, aUpstream](bool) { this->Close(aUpstream); });
+                 [this, aUpstream](LifeSign) { this->Close(aUpstream); });
 }
 
 void MemberProbe::Close(const UpstreamPtr& aUpstream) {
--- a/Zincstep/Relay/MemberProbe.h
+++ b/Zincstep/Relay/MemberProbe.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <unordered_map>
 
-#include "Zincstep/Pool/Pool.h"
+#include "Zincstep/Relay/LifeCheck.h"
 
 namespace zincstep {
 
@@ -74,18 +74,18 @@
   bool TakeToken(Instant aNow);
   void Start(Record& aRecord, const UpstreamPtr& aUpstream, Instant aNow);
   void Send(const UpstreamPtr& aUpstream, int aTriesLeft);
-  /// Asks for a report, or only connects where the upstream takes no call now;
-  /// tells whether it has answered.
+  /// Asks for a report, or only connects where the upstream takes no call now:
+  /// then it may prove to be lost, and never to live.
   void Question(const UpstreamPtr& aUpstream, Micros aTimeout,
-                std::function<void(bool)> aDone);
+                std::function<void(LifeSign)> aDone);
   void OnAnswer(const UpstreamPtr& aUpstream, const UpstreamReport& aReport);
   void OnSilence(const UpstreamPtr& aUpstream);
   void Confirm(const UpstreamPtr& aUpstream);
   void Close(const UpstreamPtr& aUpstream);
 
   MemberProbeSettings settings;
-  UpstreamControl& control;
   const Clock& clock;
+  LifeCheck check;
   OnSuspicion onSuspicion;
   /// By the numbers of the upstreams.
   std::unordered_map<std::uint64_t, Record> records;
