A stream whose first upstream takes no question and says nothing goes on elsewhere

Callers saw: a stream that had begun at an upstream that then asked for rest, or named a limit, and stopped, stood still until the rest was over; callers leave after 2 s. Cause: silence is asked after by a report, which is left out while the upstream takes no call; nothing else ended the wait. Change: with events begun, and no question allowed, the stream goes on elsewhere after connectionSilence (1 s), the time after which a connection is taken to be silent. Ruled out: a question in spite of the rest (it asked for none); a connection as a question (it is accepted for a stopped process too).

--- a/UnitTests/UpstreamRestTest.cpp
+++ b/UnitTests/UpstreamRestTest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(Upstream_ThatAsksForLessLater_RestsAsLongAsItAskedFirst);
   CPPUNIT_TEST(Requests_WhereAllUpstreamsRest_AreRefusedWithTheTimeLeft);
   CPPUNIT_TEST(Rest_ThatIsNoNumberOfSeconds_IsNone);
+  CPPUNIT_TEST(Stream_AtAnUpstreamThatRestsAndStops_GoesOnElsewhere);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr int kRequests = 40;
@@ -132,6 +133,42 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 200, this->StatusAfterRest(text));
     }
   }
+
+  // It takes no question while it rests, and its connections stay open: the
+  // stream stood still until its caller's time was over.
+  void Stream_AtAnUpstreamThatRestsAndStops_GoesOnElsewhere() {
+    ConnectionPtr begun;
+    ScriptedUpstream& stopped =
+        this->AddUpstream("model", [&](const auto& aTo, const auto& aMessage) {
+          if (begun) {
+            return;
+          }
+          begun = aTo;
+          aTo->BeginChunks(200, SealedHeaders(aMessage));
+          aTo->AppendChunk("id: 1\ndata: a\n\n");
+          // Before the event is read, so that nobody asks in between.
+          const auto& all = view.Directory().OfService("model");
+          limits.OnNotice(all.front(), {{}, 8s}, clock.Now());
+        });
+    settings.retries.most = 10;
+    std::optional<Result<HttpAnswer>> answer;
+    FetchWhole(loop, {asio::ip::address_v4::loopback(), this->listener->Port()},
+               this->Attempt("/llm/x"), 9s, [&](Result<HttpAnswer> aAnswer) {
+                 answer = std::move(aAnswer);
+               });
+    this->RunUntil([&] { return begun != nullptr; });
+    this->AddUpstream("model", [](const auto& aTo, const auto& aMessage) {
+      aTo->BeginChunks(200, SealedHeaders(aMessage));
+      aTo->AppendChunk("id: 2\ndata: b\n\n");
+      aTo->EndChunks();
+    });
+    this->RunUntil([&] { return answer.has_value(); });
+    CPPUNIT_ASSERT(answer->has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+                         (*answer)->body);
+    // Not a call but the stream itself.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stopped.seen.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamRestTest);
--- a/Zincstep/Relay/StreamRepair.cpp
+++ b/Zincstep/Relay/StreamRepair.cpp
@@ -68,6 +68,15 @@
     this->Resume("the first upstream is lost");
     return;
   }
+  const bool mayAsk = this->upstream->MayCall(aNow);
+  if (this->headSent && !mayAsk &&
+      this->Silence(aNow) >= this->context.settings.connectionSilence) {
+    // Nobody can be asked whether it lives: a connection is accepted also for
+    // one that is stopped, and its streams would stand still to their end.
+    this->context.kept.Distrust(this->upstream->Entry().Incarnation().Text());
+    this->Resume("the first upstream says nothing, and takes no question");
+    return;
+  }
   const bool isLong = this->Silence(aNow) >= kLeftSilence;
   const bool hasLost = std::any_of(
       this->chain.begin() + 1, this->chain.end(), [&](const PoolHop& aHop) {
