A run lost late in an open question has as much time to be found out as the first

Callers would see: an end that is not counted, so that the request that caused it ends one upstream more. Cause: a fault of the mend in: a question had one begin, and runs that broke off later were settled with its first one after 3 s, though the upstream had ended in between. Change: each lost run has its own time; the question goes on with those that are younger. Names: CountUnanswered (it counts), OnLives; tables of names that nothing used are gone. Ruled out: a question that starts anew with each loss (on an upstream that resets answers all the time it would never end).

--- a/UnitTests/CrashWatchTest.cpp
+++ b/UnitTests/CrashWatchTest.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(Loss_UpstreamThatTakesNoCall_IsNotAskedForAReport);
   CPPUNIT_TEST(Loss_NothingKnownForLong_IsNobodysEnd);
   CPPUNIT_TEST(Loss_NothingKnownAndOffTheList_IsItsEnd);
+  CPPUNIT_TEST(Loss_LateInAnOpenQuestion_HasAsMuchTime);
   CPPUNIT_TEST(Loss_UpstreamStartsAgain_IsItsEndAtOnce);
   CPPUNIT_TEST(Loss_AfterTheUpstreamStartedAgain_IsItsEndUnasked);
   CPPUNIT_TEST(Answer_ToARequestSentAfterTheLoss_ShowsLife);
@@ -74,10 +75,10 @@
     watch.Tick();
   }
 
-  /// Each try finds that connections are accepted, for longer than a question
-  /// is kept open.
-  void KeepUnknown() {
-    for (Micros passed{0}; passed < 4s; passed += kPause) {
+  /// Each try finds that connections are accepted; for longer than a question
+  /// is kept open where nothing else is said.
+  void KeepUnknown(Micros aFor = 4s) {
+    for (Micros passed{0}; passed < aFor; passed += kPause) {
       if (control.HasOpenReach()) {
         control.EndReach(Reachability::Reached);
       }
@@ -267,6 +268,19 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
   }
 
+  // Of two losses the second one was settled with the first, though the
+  // upstream had ended in between.
+  void Loss_LateInAnOpenQuestion_HasAsMuchTime() {
+    watch.OnRunLost(kOther, upstream);
+    this->KeepUnknown(2900ms);
+    watch.OnRunLost(kGuilty, upstream);
+    this->KeepUnknown(1s);
+    upstream->SetGone(clock.Now());
+    this->KeepUnknown(3s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+    CPPUNIT_ASSERT(ledger.IsBlamed(kGuilty) && !ledger.IsBlamed(kOther));
+  }
+
   void Loss_UpstreamStartsAgain_IsItsEndAtOnce() {
     watch.OnRunLost(kGuilty, upstream);
     control.EndReach(Reachability::Reached);
--- a/Zincstep/Admission/CrashLedger.h
+++ b/Zincstep/Admission/CrashLedger.h
@@ -31,8 +31,8 @@
   /// ones of many callers may be on several upstreams that end at once.
   std::size_t mostAnswered = 4096;
   Micros answeredTime = 60s;
-  /// When those come back that are held back until it is known whether
-  /// upstreams have ended under them: most questions take less.
+  /// Retry-After of requests that are held back until it is known whether
+  /// upstreams have ended under them; most questions take less.
   Micros heldTime = 500ms;
 };
 
--- a/Zincstep/Net/TcpSocket.h
+++ b/Zincstep/Net/TcpSocket.h
@@ -35,13 +35,6 @@
   Silent,
 };
 
-inline constexpr NameTable<Reachability, 4> kReachabilityNames{{
-    {Reachability::Reached, "reached"},
-    {Reachability::Dropped, "dropped"},
-    {Reachability::Refused, "refused"},
-    {Reachability::Silent, "silent"},
-}};
-
 /// Connects, and watches the connection until `aTimeout` is over.
 void CheckReachable(asio::io_context& aLoop, const TcpEndpoint& aEndpoint,
                     Micros aTimeout, std::function<void(Reachability)> aDone);
--- a/Zincstep/Relay/CrashWatch.cpp
+++ b/Zincstep/Relay/CrashWatch.cpp
@@ -33,44 +33,33 @@
       listener(aListener),
       check(aControl, aClock, kLateness) {}
 
-CrashWatch::Question CrashWatch::Begin(
-    const UpstreamPtr& aUpstream,
-    std::vector<RequestFingerprint> aRequests) const {
-  const Instant now = this->clock.Now();
-  Question question;
-  question.upstream = aUpstream;
-  question.requests = std::move(aRequests);
-  question.begunAt = now;
-  question.lostAt = now;
-  question.timeout = kFirstTimeout;
-  return question;
-}
-
 void CrashWatch::OnRunLost(RequestFingerprint aRequest,
                            const UpstreamPtr& aUpstream) {
   const std::uint64_t number = aUpstream->Number();
+  const LostRun run{aRequest, this->clock.Now()};
   this->ledger.OnSuspected({aRequest, number});
   const auto open = this->questions.find(number);
-  if (open == this->questions.end()) {
-    this->questions[number] = this->Begin(aUpstream, {aRequest});
-    this->Try(number);
+  if (open != this->questions.end()) {
+    Question& question = open->second;
+    (question.nextAt ? question.runs : question.later).push_back(run);
     return;
   }
-  Question& question = open->second;
-  question.lostAt = this->clock.Now();
-  auto& requests = question.nextAt ? question.requests : question.later;
-  requests.push_back(aRequest);
+  Question& question = this->questions[number];
+  question.upstream = aUpstream;
+  question.runs = {run};
+  question.timeout = kFirstTimeout;
+  this->Try(number);
 }
 
 void CrashWatch::OnUpstreamAnswered(const LiveUpstream& aUpstream,
                                     Instant aSentAt) {
   const auto open = this->questions.find(aUpstream.Number());
   // Where incarnations are told apart, an answer does not say whose it is.
-  const bool isProof = open != this->questions.end() &&
+  const bool isProof = open != this->questions.end() && open->second.nextAt &&
                        aUpstream.Entry().born == 0 &&
-                       aSentAt > open->second.lostAt;
-  if (isProof && open->second.nextAt) {
-    this->Settle(open->first, "upstream_lives_after_loss", "an answer");
+                       aSentAt > open->second.runs.back().at;
+  if (isProof) {
+    this->OnLives(open->first, "an answer");
   }
 }
 
@@ -94,13 +83,13 @@
 void CrashWatch::OnAsked(std::uint64_t aUpstream, LifeSign aSign) {
   switch (aSign) {
     case LifeSign::Lives:
-      this->Settle(aUpstream, "upstream_lives_after_loss", "a report");
+      this->OnLives(aUpstream, "a report");
       break;
     case LifeSign::Ended:
       this->OnEnded(aUpstream, "another one answers");
       break;
     case LifeSign::Dropped:
-      if (this->IsProven(aUpstream)) {
+      if (this->CountUnanswered(aUpstream)) {
         this->OnEnded(aUpstream, "drops its connections");
       } else {
         this->Try(aUpstream);
@@ -129,7 +118,7 @@
     this->OnEnded(aUpstream, "accepts no connection");
   } else if (aSign == LifeSign::Unknown) {
     this->Wait(this->questions.at(aUpstream));
-  } else if (this->IsProven(aUpstream)) {
+  } else if (this->CountUnanswered(aUpstream)) {
     this->OnEnded(aUpstream, aSign == LifeSign::Dropped
                                  ? "drops its connections"
                                  : "answers no connection");
@@ -138,7 +127,7 @@
   }
 }
 
-bool CrashWatch::IsProven(std::uint64_t aUpstream) {
+bool CrashWatch::CountUnanswered(std::uint64_t aUpstream) {
   Question& question = this->questions.at(aUpstream);
   question.unanswered += 1;
   return question.unanswered >= kProvenTries;
@@ -147,8 +136,8 @@
 void CrashWatch::Wait(Question& aQuestion) {
   aQuestion.unanswered = 0;
   // Whatever broke off during this try is asked about by the next one.
-  aQuestion.requests.insert(aQuestion.requests.end(), aQuestion.later.begin(),
-                            aQuestion.later.end());
+  aQuestion.runs.insert(aQuestion.runs.end(), aQuestion.later.begin(),
+                        aQuestion.later.end());
   aQuestion.later.clear();
   aQuestion.nextAt = this->clock.Now() + aQuestion.timeout;
   aQuestion.timeout = std::min(2 * aQuestion.timeout, kLongestTimeout);
@@ -165,7 +154,7 @@
   for (const std::uint64_t number : waiting) {
     const Question& question = this->questions.at(number);
     const bool hasEnded = question.upstream->HasEnded();
-    if (!hasEnded && now - question.begunAt >= kLongestQuestion) {
+    if (!hasEnded && now - question.runs.front().at >= kLongestQuestion) {
       this->GiveUp(number);
     } else if (hasEnded || now >= *question.nextAt) {
       this->Try(number);
@@ -174,54 +163,74 @@
 }
 
 void CrashWatch::GiveUp(std::uint64_t aUpstream) {
-  if (this->questions.at(aUpstream).upstream->IsGone()) {
+  Question& question = this->questions.at(aUpstream);
+  if (question.upstream->IsGone()) {
     this->OnEnded(aUpstream, "it has left the list");
-  } else {
-    this->Settle(aUpstream, "upstream_end_unproven",
-                 "connections are accepted, and it is on the list");
+    return;
+  }
+  // The upstream may have ended since the first of them; those that broke off
+  // later have the same time.
+  const auto young =
+      std::find_if(question.runs.begin(), question.runs.end(),
+                   [now = this->clock.Now()](const LostRun& aRun) {
+                     return now - aRun.at < kLongestQuestion;
+                   });
+  const std::vector<LostRun> old(question.runs.begin(), young);
+  question.runs.erase(question.runs.begin(), young);
+  this->Settle(question, old, "upstream_end_unproven",
+               "connections are accepted, and it is on the list");
+  for (const LostRun& run : question.runs) {
+    this->ledger.OnSuspected({run.request, aUpstream});
+  }
+  if (question.runs.empty()) {
+    this->questions.erase(aUpstream);
   }
 }
 
-void CrashWatch::Settle(std::uint64_t aUpstream, const char* aEvent,
-                        const char* aReason) {
+void CrashWatch::OnLives(std::uint64_t aUpstream, const char* aReason) {
   const Question settled = std::move(this->questions.at(aUpstream));
   this->questions.erase(aUpstream);
-  LogInfo(aEvent, {{"upstream", settled.upstream->Entry().id},
-                   {"reason", aReason},
-                   {"asked_ms", (this->clock.Now() - settled.begunAt) / 1ms},
-                   {"requests", settled.requests.size()}});
-  for (const RequestFingerprint request : settled.requests) {
-    this->ledger.OnSettled({request, aUpstream});
-  }
-  for (const RequestFingerprint request : settled.later) {
-    this->OnRunLost(request, settled.upstream);
+  this->Settle(settled, settled.runs, "upstream_lives_after_loss", aReason);
+  for (const LostRun& run : settled.later) {
+    this->OnRunLost(run.request, settled.upstream);
   }
 }
 
 void CrashWatch::OnEnded(std::uint64_t aUpstream, const char* aReason) {
   Question ended = std::move(this->questions.at(aUpstream));
   this->questions.erase(aUpstream);
-  ended.requests.insert(ended.requests.end(), ended.later.begin(),
-                        ended.later.end());
+  ended.runs.insert(ended.runs.end(), ended.later.begin(), ended.later.end());
   this->Blame(ended, aReason);
   this->Suspect(ended);
 }
 
+void CrashWatch::Settle(const Question& aQuestion,
+                        const std::vector<LostRun>& aRuns, const char* aEvent,
+                        const char* aReason) {
+  LogInfo(aEvent, {{"upstream", aQuestion.upstream->Entry().id},
+                   {"reason", aReason},
+                   {"asked_ms", (this->clock.Now() - aRuns.front().at) / 1ms},
+                   {"requests", aRuns.size()}});
+  for (const LostRun& run : aRuns) {
+    this->ledger.OnSettled({run.request, aQuestion.upstream->Number()});
+  }
+}
+
 void CrashWatch::Blame(const Question& aQuestion, const char* aReason) {
   const UpstreamPtr& upstream = aQuestion.upstream;
   std::vector<UpstreamCrash> crashes;
-  for (const RequestFingerprint request : aQuestion.requests) {
-    const UpstreamCrash crash{request, upstream->Number()};
+  for (const LostRun& run : aQuestion.runs) {
+    const UpstreamCrash crash{run.request, upstream->Number()};
     this->ledger.OnSettled(crash);
     const bool isInnocent =
         this->Take(crash, Evidence::Found) == CrashVerdict::Innocent;
     LogInfo("upstream_ended_under",
-            {{"fingerprint", TextOf(request)},
+            {{"fingerprint", TextOf(run.request)},
              {"upstream", upstream->Entry().id},
              {"reason", aReason},
-             {"asked_ms", (this->clock.Now() - aQuestion.begunAt) / 1ms},
+             {"asked_ms", (this->clock.Now() - run.at) / 1ms},
              {"answered_lately", isInnocent},
-             {"beside", aQuestion.requests.size() - 1}});
+             {"beside", aQuestion.runs.size() - 1}});
     if (!isInnocent) {
       crashes.push_back(crash);
     }
--- a/Zincstep/Relay/CrashWatch.h
+++ b/Zincstep/Relay/CrashWatch.h
@@ -29,9 +29,9 @@
 /// A run that breaks off proves nothing: upstreams reset single answers and
 /// live. So the upstream is asked. Until it is known whether it lives, the
 /// ledger counts it as one that may have ended, and the question is asked again
-/// at growing pauses: a connection that is accepted, or a time-out that a busy
-/// daemon noticed late, once closed the question, and the same request went on
-/// to end one upstream after the other.
+/// at growing pauses. If a connection that is accepted, or a time-out that a
+/// busy daemon noticed late, closed the question, the same request could end
+/// one upstream after the other.
 class CrashWatch {
  public:
   CrashWatch(CrashLedger& aLedger, UpstreamControl& aControl,
@@ -52,39 +52,45 @@
   void Tick();
 
  private:
-  /// Requests whose runs at one upstream broke off.
+  /// A run that broke off.
+  struct LostRun {
+    RequestFingerprint request{};
+    Instant at;
+  };
+
+  /// What is being found out about one upstream.
   struct Question {
     UpstreamPtr upstream;
-    std::vector<RequestFingerprint> requests;
+    /// In the order in which they broke off; never empty.
+    std::vector<LostRun> runs;
     /// Runs that broke off after the present try began, which may have been
     /// before the crash.
-    std::vector<RequestFingerprint> later;
-    /// When the first and the last of these runs broke off.
-    Instant begunAt;
-    Instant lostAt;
+    std::vector<LostRun> later;
     /// Time that each try has, and the pause before the next; both grow.
-    Micros timeout;
+    Micros timeout{0};
     /// None: a try is under way.
     std::optional<Instant> nextAt;
     /// Tries in a row that no one answered.
     int unanswered = 0;
   };
 
-  Question Begin(const UpstreamPtr& aUpstream,
-                 std::vector<RequestFingerprint> aRequests) const;
   void Try(std::uint64_t aUpstream);
   void OnAsked(std::uint64_t aUpstream, LifeSign aSign);
   void Connect(std::uint64_t aUpstream);
-  /// One more try was not answered. True: so many in a row prove an end.
-  bool IsProven(std::uint64_t aUpstream);
   void OnConnected(std::uint64_t aUpstream, LifeSign aSign);
+  /// Takes that one more try was not answered. True: so many in a row prove an
+  /// end.
+  bool CountUnanswered(std::uint64_t aUpstream);
   /// Nothing is known yet: asks again later.
   void Wait(Question& aQuestion);
-  /// Nothing was known in the longest time: the list decides.
+  /// The list decides on runs about which nothing was known for too long.
   void GiveUp(std::uint64_t aUpstream);
-  /// The upstream lives, or nothing has shown that it does not.
-  void Settle(std::uint64_t aUpstream, const char* aEvent, const char* aReason);
+  /// The upstream lives.
+  void OnLives(std::uint64_t aUpstream, const char* aReason);
   void OnEnded(std::uint64_t aUpstream, const char* aReason);
+  /// Takes out of the ledger what was open about these runs.
+  void Settle(const Question& aQuestion, const std::vector<LostRun>& aRuns,
+              const char* aEvent, const char* aReason);
   void Blame(const Question& aQuestion, const char* aReason);
   void Suspect(const Question& aQuestion);
 
--- a/Zincstep/Relay/LifeCheck.h
+++ b/Zincstep/Relay/LifeCheck.h
@@ -23,14 +23,6 @@
   Unknown,
 };
 
-inline constexpr NameTable<LifeSign, 5> kLifeSignNames{{
-    {LifeSign::Lives, "lives"},
-    {LifeSign::Ended, "ended"},
-    {LifeSign::Dropped, "dropped"},
-    {LifeSign::Silent, "silent"},
-    {LifeSign::Unknown, "unknown"},
-}};
-
 /// Asks upstreams whether they live, and says what each answer proves.
 ///
 /// Keeps no state: who asks decides how often, and what to believe.
