--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -20,6 +20,7 @@
     "  --crashing      at the end, a request that crashes upstreams\n"
     "  --limits        at the end, upstreams that name limits or ask for rest\n"
     "  --late-links    links of ended upstreams accept, and reset later\n"
+    "  --quick-restarts  crashed upstreams are back at once\n"
     "  --restores      the store comes back from copies meanwhile\n"
     "Exit status: 0 all passed, 1 a promise was broken, 2 wrong use.\n";
 
@@ -38,6 +39,7 @@
                             {"crashing", no_argument, nullptr, 'x'},
                             {"limits", no_argument, nullptr, 'm'},
                             {"late-links", no_argument, nullptr, 'k'},
+                            {"quick-restarts", no_argument, nullptr, 'q'},
                             {"restores", no_argument, nullptr, 'r'},
                             {nullptr, 0, nullptr, 0}};
   for (int word = 0;
@@ -70,6 +72,9 @@
       case 'k':
         settings.hasLateLinks = true;
         break;
+      case 'q':
+        settings.hasQuickRestarts = true;
+        break;
       case 'r':
         settings.hasRestores = true;
         break;
--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -118,7 +118,7 @@
   Random silenceRandom;
   /// The same for returns of the store from a copy.
   Random restoreRandom;
-  /// The same for links that reset late.
+  /// The same for links that reset late and upstreams that are back at once.
   Random linkRandom;
   SoakStore store;
   SoakCaller callers;
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -40,6 +40,9 @@
 /// How late a link that accepts resets connections to an ended upstream.
 constexpr Micros kShortestReset = 20ms;
 constexpr Micros kResetSpread = 180ms;
+/// How soon an upstream is back that is restarted at once.
+constexpr Micros kShortestRestart = 20ms;
+constexpr Micros kRestartSpread = 180ms;
 /// Between two returns of the store from a copy.
 constexpr Micros kShortestRestore = 2s;
 constexpr Micros kRestoreSpread = 5s;
@@ -105,6 +108,10 @@
     this->upstreams.back()->SetResetDelay(
         DrawFrom(this->linkRandom, kShortestReset, kResetSpread));
   }
+  if (this->settings.hasQuickRestarts) {
+    this->upstreams.back()->SetTimeToReturn(
+        DrawFrom(this->linkRandom, kShortestRestart, kRestartSpread));
+  }
 }
 
 void Soak::AddDaemons() {
--- a/SoakTests/SoakRun.h
+++ b/SoakTests/SoakRun.h
@@ -24,6 +24,9 @@
   /// Whether links of upstreams that have ended accept connections, and reset
   /// them only some time later.
   bool hasLateLinks = false;
+  /// Whether upstreams that a request has crashed are back within a fraction of
+  /// a second.
+  bool hasQuickRestarts = false;
   /// Whether the store comes back from copies meanwhile.
   bool hasRestores = false;
 };
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -20,7 +20,7 @@
 /// A plain upstream runs one request of so many and breaks its answer off.
 constexpr std::uint64_t kAnswersToOneLost = 15;
 /// A request that crashes an upstream has run for so long by then, and the
-/// upstream is back after this.
+/// upstream is back after this where nothing else is set.
 constexpr Micros kTimeToCrash = 50ms;
 constexpr Micros kTimeToReturn = 800ms;
 /// A chain with a lost member stands still for so long, then it is cut.
@@ -79,7 +79,8 @@
       name(std::move(aName)),
       service(std::move(aService)),
       domain(std::move(aDomain)),
-      listener(aLoop, *this, aClock) {
+      listener(aLoop, *this, aClock),
+      timeToReturn(kTimeToReturn) {
   ZINCSTEP_ASSERT(this->listener.Start("127.0.0.1:0").has_value());
   this->proxy = std::make_unique<FaultProxy>(aLoop, this->listener.Port());
   this->proxy->SetOnReset([this] {
@@ -283,7 +284,7 @@
                           {"born", this->incarnation},
                           {"streams", this->streams.size()}});
       this->Kill(false);
-      this->backAt = aNow + kTimeToReturn;
+      this->backAt = aNow + this->timeToReturn;
     }
   }
   if (this->backAt && aNow >= *this->backAt) {
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -46,6 +46,8 @@
   void EndDrainNotice() { this->isNoticeOver = this->isDraining; }
   /// Its link accepts connections after its end, and resets them so much later.
   void SetResetDelay(Micros aDelay) { this->proxy->SetResetDelay(aDelay); }
+  /// It is back so long after a request has crashed it.
+  void SetTimeToReturn(Micros aTime) { this->timeToReturn = aTime; }
   /// Open connections to it fall silent for good; new ones work.
   void SilenceConnections() { this->proxy->SilenceOpen(); }
   /// From now on all its answers name that limit of calls a second, or none.
@@ -118,6 +120,7 @@
   bool isAlive = false;
   bool isDraining = false;
   bool isNoticeOver = false;
+  Micros timeToReturn;
   /// When what it runs crashes it, and when it is back after that.
   std::optional<Instant> crashAt;
   std::optional<Instant> backAt;
