A successor's refusal does not show that the upstream before it lives

Cause: found by reading the change once more: ServiceExchange told CrashWatch of an answer before it looked whether it is a refusal, so that a 421 of the next process at the address closed the question as life. Change: only an answer to a request that ran counts; the line stands behind the refusals.

--- a/UnitTests/CrashingRequestTest.cpp
+++ b/UnitTests/CrashingRequestTest.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(Stream_LostBesideOneThatCrashes_IsServedEachTime);
   CPPUNIT_TEST(Stream_OnUpstreamsThatResetAndLive_IsTriedAgain);
   CPPUNIT_TEST(Stream_ThatCrashesUpstreamsBehindAProxy_IsRefusedAfterThree);
+  CPPUNIT_TEST(Service_WhoseUpstreamIsSucceeded_IsBlamedForItsEnd);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr int kUpstreams = 12;
@@ -169,6 +170,27 @@
     this->CheckRefusedAfterThree("/llm/x");
   }
 
+  // The successor's refusal was taken for a sign of life of the one that ended.
+  void Service_WhoseUpstreamIsSucceeded_IsBlamedForItsEnd() {
+    bool hasEnded = false;
+    this->AddUpstream("plain", [&](const auto& aTo, const auto& aMessage) {
+      if (!hasEnded) {
+        hasEnded = true;
+        aTo->Abort();
+        return;
+      }
+      HttpHeaders headers = SealedHeaders(aMessage);
+      headers.push_back({"X-Instance-Id", "successor"});
+      aTo->Answer(421, headers, "");
+    });
+    this->Ask(this->Attempt("/unsafe/x", "bad"));
+    // By then its connection has been watched, and nothing is known.
+    this->RunFor(150ms);
+    this->Ask(this->Attempt("/unsafe/x", "good"));
+    this->RunFor(1s);
+    CPPUNIT_ASSERT(!RelayFixture::crashes.IsEmpty());
+  }
+
   void Stream_OnUpstreamsThatResetAndLive_IsTriedAgain() {
     int resets = 0;
     for (int i = 0; i < 2; ++i) {
--- a/Zincstep/Relay/CrashWatch.h
+++ b/Zincstep/Relay/CrashWatch.h
@@ -39,7 +39,7 @@
 
   /// A run of that request broke off before any of its answer came.
   void OnRunLost(RequestFingerprint aRequest, const UpstreamPtr& aUpstream);
-  /// An upstream has answered a request that was sent to it at `aSentAt`.
+  /// An upstream has run a request that was sent to it at `aSentAt`.
   void OnUpstreamAnswered(const LiveUpstream& aUpstream, Instant aSentAt);
   /// The request has been answered whole.
   void OnAnswered(RequestFingerprint aRequest);
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -135,7 +135,6 @@
     return;
   }
   this->upstream->OnAnswer(now);
-  this->context.crashWatch.OnUpstreamAnswered(*this->upstream, this->sentAt);
   if (this->facts.waiting) {
     this->upstream->queued = *this->facts.waiting;
     this->upstream->queuedAt = now;
@@ -145,6 +144,8 @@
     this->OnNotRun("the upstream refused");
     return;
   }
+  // Not for a refusal: whoever listens at the address by now may have sent it.
+  this->context.crashWatch.OnUpstreamAnswered(*this->upstream, this->sentAt);
   this->hasBegun = true;
   this->runs += 1;
   this->context.services.OnAnswer(*this->upstream, now - this->sentAt);
