Sight: bytes that a daemon holds, by kind; why the store counts as lost

Change: HeldMemory logs (held_bytes) and shows as gauges what waits for peers, what has come from peers and is not read, what is kept packed and what callers have not taken. store_lost names the failed call. Ruled out by the count: lists that are kept packed (13 KB at most), messages that wait to be read (0), answers that callers have not taken (0). Conclusion: a text of the configuration is written anew for each asker, of each version, and waits on links of 14 Mbit/s.

--- a/Zincstep/Cluster/ClusterView.cpp
+++ b/Zincstep/Cluster/ClusterView.cpp
@@ -274,7 +274,7 @@
           known(this->daemons.List().AskSince()), this->ConfigVersion()};
 }
 
-void ClusterView::OnStoreReached(bool aReached) {
+void ClusterView::OnStoreReached(bool aReached, const std::string& aReason) {
   if (aReached == this->isStoreReached) {
     return;
   }
@@ -283,7 +283,7 @@
     this->storeBackAt = this->clock.Now();
     LogInfo("store_regained", {});
   } else {
-    LogWarning("store_lost", {});
+    LogWarning("store_lost", {{"reason", aReason}});
   }
 }
 
--- a/Zincstep/Cluster/ClusterView.h
+++ b/Zincstep/Cluster/ClusterView.h
@@ -112,8 +112,8 @@
   void OnListsProven(Instant aAt);
   /// What a peer answered to a question that was asked at `aAsked`.
   void OnCopy(const ClusterCopy& aCopy, Instant aAsked);
-  /// The store has begun or ceased to answer.
-  void OnStoreReached(bool aReached);
+  /// The store has begun or ceased to answer, for that reason.
+  void OnStoreReached(bool aReached, const std::string& aReason = "");
   /// Whether the store is away, or has come back so lately that entries which
   /// lapsed meanwhile may still be missing.
   bool MayLackEntries() const;
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -323,7 +323,7 @@
     this->ProveAfter(Micros{0});
     return;
   }
-  this->SetReached(aResult.has_value());
+  this->SetReached(aResult);
   // Lists are read only from a store that has just answered: begun beside the
   // proof, 406 reads were in vain in an outage of eight seconds (295 daemons).
   this->FollowLists(!aResult || this->Relies() || this->WaitsForPeers());
@@ -414,13 +414,14 @@
   });
 }
 
-void StoreFollower::SetReached(bool aReached) {
-  const bool isBack = aReached && !this->isReached;
-  this->isReached = aReached;
-  if (aReached) {
+void StoreFollower::SetReached(const Result<StoreCommit>& aAnswer) {
+  const bool isBack = aAnswer && !this->isReached;
+  this->isReached = aAnswer.has_value();
+  if (aAnswer) {
     this->awayPause = Micros{0};
   }
-  this->view.OnStoreReached(aReached);
+  this->view.OnStoreReached(this->isReached,
+                            aAnswer ? "" : aAnswer.error().message);
   if (!isBack) {
     return;
   }
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -216,7 +216,7 @@
   /// Takes the lists as proven if they hold all that the store held at the
   /// last proof.
   void ProveLists();
-  void SetReached(bool aReached);
+  void SetReached(const Result<StoreCommit>& aAnswer);
 
   StoreFollowerSettings settings;
   AsyncStore& store;
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -4,6 +4,7 @@
 
 #include "Zincstep/Edge/AdminHandler.h"
 #include "Zincstep/Edge/BlockList.h"
+#include "Zincstep/Edge/HeldMemory.h"
 #include "Zincstep/Edge/PeerExchange.h"
 #include "Zincstep/Edge/PlanThread.h"
 #include "Zincstep/Relay/LostDomains.h"
@@ -125,6 +126,7 @@
               this->OnToldLimits(aGossip, aTeller, aFrom);
             },
             [this] { return this->demand.Tokens(this->clock.Now()); }),
+        held(this->metrics, this->clock),
         fastTimer(aLoop),
         dutyTimer(aLoop),
         signals(aLoop, SIGTERM, SIGINT, SIGHUP) {}
@@ -186,6 +188,8 @@
   void NoteGap();
   void OnFastTick();
   void OnDutyTick();
+  /// Bytes that this daemon holds for others.
+  HeldMemory::Bytes HeldBytes() const;
   bool IsReady() const;
   std::string MetricsText();
 
@@ -225,6 +229,7 @@
   PlanThread plans;
   PlacementKeeper keeper;
   PeerExchange peers;
+  HeldMemory held;
   asio::steady_timer fastTimer;
   asio::steady_timer dutyTimer;
   asio::signal_set signals;
@@ -443,6 +448,7 @@
   this->keeper.Tick();
   this->peers.Tick();
   this->KeepBlocked();
+  this->held.Tick(this->HeldBytes());
   this->relaySettings.retries.most =
       RetryShare(this->settings.retrySlack, this->peers.Daemons());
   for (auto& [service, budget] : this->budgets) {
@@ -456,6 +462,18 @@
   });
 }
 
+HeldMemory::Bytes EdgeDaemon::HeldBytes() const {
+  HeldMemory::Bytes bytes{};
+  const auto of = [&bytes](HeldKind aKind) -> std::size_t& {
+    return bytes[static_cast<std::size_t>(aKind)];
+  };
+  of(HeldKind::ToPeers) = this->peers.BytesToPeers();
+  of(HeldKind::FromPeers) = this->peers.BytesFromPeers();
+  of(HeldKind::PackedLists) = this->peers.BytesPacked();
+  of(HeldKind::ToCallers) = this->callers.PendingBytes();
+  return bytes;
+}
+
 bool EdgeDaemon::IsReady() const {
   const auto age = this->view.ProofAge();
   return !this->stop.IsStopping() && this->view.Table() && age &&
@@ -484,6 +502,7 @@
   this->metrics.Set(
       "zincstep_blocked_requests",
       static_cast<double>(this->crashes.Blocked(this->clock.Now()).size()));
+  this->held.Report(this->HeldBytes());
   this->metrics.Set("zincstep_placement_duty", this->keeper.HasDuty() ? 1 : 0);
   return this->metrics.Text();
 }
--- a/Zincstep/Edge/PackedLists.cpp
+++ b/Zincstep/Edge/PackedLists.cpp
@@ -30,6 +30,14 @@
   return found == this->lists.end() ? nullptr : &*found;
 }
 
+std::size_t PackedLists::Bytes() const {
+  std::size_t bytes = 0;
+  for (const PackedList& list : this->lists) {
+    bytes += list.text.size();
+  }
+  return bytes;
+}
+
 const PackedList& PackedLists::Add(StoreRevision aSince,
                                    const ListCopy& aList) {
   if (aList.at != this->at || this->lists.size() >= kMostKept) {
--- a/Zincstep/Edge/PackedLists.h
+++ b/Zincstep/Edge/PackedLists.h
@@ -29,6 +29,9 @@
   /// Packs a list; what was packed of an earlier state is forgotten.
   const PackedList& Add(StoreRevision aSince, const ListCopy& aList);
 
+  /// Bytes that are kept.
+  std::size_t Bytes() const;
+
   /// Whether a list is long enough to be packed.
   static bool IsLong(const ListCopy& aList);
 
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -123,7 +123,9 @@
 
 void PeerExchange::OnPeerData(std::string aMessage) {
   // Comes on the hub's thread; all beliefs belong to the loop's.
+  this->untakenBytes += aMessage.size();
   asio::post(this->loop, [this, text = std::move(aMessage)] {
+    this->untakenBytes -= text.size();
     const auto message = ReadEdgePeerMessage(text);
     if (!message) {
       LogWarning("peer_message_refused", {{"reason", message.error().message}});
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <asio.hpp>
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -81,6 +82,12 @@
   void OnDaemonEntries(const std::string& aDutyHolder);
   /// Whether this daemon is one of those that others ask when they start.
   bool IsSeed() const { return this->isSeed; }
+  /// Bytes of messages that wait to be sent.
+  std::size_t BytesToPeers() const { return this->hub->Traffic().queuedBytes; }
+  /// Bytes of messages that have come and are not read yet.
+  std::size_t BytesFromPeers() const { return this->untakenBytes; }
+  /// Bytes of lists that are kept packed.
+  std::size_t BytesPacked() const { return this->packedLists.Bytes(); }
   /// Whether no other daemon is known by the settings.
   bool IsAlone() const { return this->seeds.empty(); }
 
@@ -140,6 +147,8 @@
   OwnDemand ownDemand;
   StoreEras& eras;
   PeerByteCount bytes;
+  /// The hub's thread adds, the loop's takes away.
+  std::atomic<std::size_t> untakenBytes{0};
   PackedLists packedLists;
   DaemonEntry entry;
   /// Bytes of whole lists that may be told; none are while it is below zero.
--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -352,6 +352,14 @@
   return busy;
 }
 
+std::size_t CallerListener::PendingBytes() const {
+  std::size_t bytes = 0;
+  for (const auto& connection : this->connections) {
+    bytes += connection->PendingBytes();
+  }
+  return bytes;
+}
+
 std::uint16_t CallerListener::Port() const {
   return this->acceptor.local_endpoint().port();
 }
--- a/Zincstep/Net/CallerConnection.h
+++ b/Zincstep/Net/CallerConnection.h
@@ -126,6 +126,8 @@
   void Tick();
   /// Requests that wait for their answer.
   std::size_t Busy() const;
+  /// Bytes of answers that callers have not taken yet.
+  std::size_t PendingBytes() const;
   /// Port that is listened on.
   std::uint16_t Port() const;
 
--- a/Zincstep/Peer/AsioPeerHub.cpp
+++ b/Zincstep/Peer/AsioPeerHub.cpp
@@ -44,6 +44,7 @@
   std::atomic<std::uint64_t> messagesIn{0};
   std::atomic<std::uint64_t> dropped{0};
   std::atomic<std::uint64_t> connects{0};
+  std::atomic<std::uint64_t> queuedBytes{0};
 };
 
 /// A connection that a peer opened: it only receives.
@@ -132,6 +133,7 @@
       return;
     }
     this->queuedBytes += size;
+    this->traffic.queuedBytes += size;
     this->queue.push_back(std::move(aMessage));
     if (this->state == State::Closed) {
       this->Connect();
@@ -221,7 +223,9 @@
   }
 
   void PopFront() {
-    this->queuedBytes -= this->queue.front().size() + kLengthBytes;
+    const std::size_t size = this->queue.front().size() + kLengthBytes;
+    this->queuedBytes -= size;
+    this->traffic.queuedBytes -= size;
     this->queue.pop_front();
   }
 
@@ -348,7 +352,8 @@
   PeerTraffic Traffic() const override {
     return {this->traffic.bytesOut,    this->traffic.bytesIn,
             this->traffic.messagesOut, this->traffic.messagesIn,
-            this->traffic.dropped,     this->traffic.connects};
+            this->traffic.dropped,     this->traffic.connects,
+            this->traffic.queuedBytes};
   }
 
  private:
--- a/Zincstep/Peer/PeerHub.h
+++ b/Zincstep/Peer/PeerHub.h
@@ -47,6 +47,8 @@
   std::uint64_t messagesIn = 0;
   std::uint64_t dropped = 0;
   std::uint64_t connects = 0;
+  /// Bytes that wait to be sent now.
+  std::uint64_t queuedBytes = 0;
 };
 
 /// Carries messages between entry daemons over TCP, on one thread.
