Configurations and lists are packed and held once for all who ask; bounds of held bytes

Change: an answer is a head for its asker and parts that many are sent (PeerText); the configuration and long lists are packed once (PeerAnswers, PackedConfiguration) and held once (PeerHub). The hub bounds what waits for all peers to a twentieth of the VM's memory: at the bound the peer for which most waits loses it. As much may have come and not be read; beyond, nothing more is read, which holds up the sender. The memory comes from the deploy file. Ruled out: a bound by connection (16 MB for each of 230 peers, as it was); a budget that refuses configurations, which are to be in force within 3 s.

--- a/UnitTests/EdgePeerMessageTest.cpp
+++ b/UnitTests/EdgePeerMessageTest.cpp
@@ -14,6 +14,8 @@
   CPPUNIT_TEST(Message_PackedList_ReadsAsWritten);
   CPPUNIT_TEST(Message_PackedList_IsAFractionOfItsText);
   CPPUNIT_TEST(Message_PackedListThatIsDamaged_HasNone);
+  CPPUNIT_TEST(Message_ThatLacksItsPackedEnd_IsRefused);
+  CPPUNIT_TEST(Message_PackedTextThatClaimsTooMuch_HasNone);
   CPPUNIT_TEST(Message_Demand_ReadsAsWritten);
   CPPUNIT_TEST(Message_Crashes_ReadAsWritten);
   CPPUNIT_TEST(Message_Limits_ReadAsWritten);
@@ -21,9 +23,14 @@
   CPPUNIT_TEST(Message_Cut_IsRefused);
   CPPUNIT_TEST_SUITE_END();
 
+  static SharedBytes Shared(std::string aBytes) {
+    return std::make_shared<const std::string>(std::move(aBytes));
+  }
+
   static EdgePeerMessage ReadBack(EdgePeerBody aBody) {
     const auto read = ReadEdgePeerMessage(
-        WriteEdgePeerMessage({"d1", "10.0.0.1:7000", std::move(aBody)}));
+        WriteEdgePeerMessage({"d1", "10.0.0.1:7000", std::move(aBody)})
+            .Whole());
     CPPUNIT_ASSERT(read.has_value());
     CPPUNIT_ASSERT_EQUAL(std::string("d1"), read->sender);
     CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:7000"), read->replyTo);
@@ -130,7 +137,9 @@
   void Message_PackedList_ReadsAsWritten() {
     ClusterGive give;
     give.era = 3;
-    give.packedUpstreams = PackList(Entries(100));
+    give.packedConfig = Shared(PackText("the configuration"));
+    give.packedUpstreams = Shared(PackList(Entries(100)));
+    give.packedDaemons = Shared(PackList(Entries(10)));
     give.packedGrace = 700ms;
     const auto message = ReadBack(give);
     const auto& list = std::get<ClusterGive>(message.body).copy.upstreams;
@@ -139,6 +148,9 @@
     CPPUNIT_ASSERT_EQUAL(Entries(100).items[42].value, list->items[42].value);
     CPPUNIT_ASSERT(list->items[42].revision == StoreRevision({60, 3}));
     CPPUNIT_ASSERT(list->grace == 700ms);
+    const ClusterCopy& copy = std::get<ClusterGive>(message.body).copy;
+    CPPUNIT_ASSERT_EQUAL(std::string("the configuration"), copy.configText);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, copy.daemons->items.size());
   }
 
   // All entries of 3,000 upstreams change as they get their layers: as text
@@ -157,21 +169,43 @@
     const std::string whole = PackList(Entries(20));
     for (std::size_t cut = 0; cut < whole.size(); cut += 7) {
       ClusterGive give;
-      give.packedUpstreams = whole.substr(0, cut);
+      give.packedUpstreams = Shared(whole.substr(0, cut));
       const auto message = ReadBack(give);
       CPPUNIT_ASSERT(!std::get<ClusterGive>(message.body).copy.upstreams);
     }
     for (std::size_t at = 0; at < whole.size(); at += 5) {
       ClusterGive give;
-      give.packedUpstreams = whole;
-      give.packedUpstreams[at] ^= 0x55;
+      std::string damaged = whole;
+      damaged[at] ^= 0x55;
+      give.packedUpstreams = Shared(damaged);
       ReadBack(give);  // None or another list, and no fault.
     }
   }
 
+  // What stands behind a message is told by its numbers of bytes alone.
+  void Message_ThatLacksItsPackedEnd_IsRefused() {
+    ClusterGive give;
+    give.packedConfig = Shared(std::string(1000, 'x'));
+    const PeerText text = WriteEdgePeerMessage({"d1", "h:1", give});
+    CPPUNIT_ASSERT_EQUAL(text.head.size() + 1000, text.Size());
+    CPPUNIT_ASSERT(!ReadEdgePeerMessage(text.head).has_value());
+  }
+
+  // A text of some bytes that claims megabytes would be given their memory.
+  void Message_PackedTextThatClaimsTooMuch_HasNone() {
+    std::string packed = PackText("the configuration");
+    packed[3] = 2;
+    ClusterGive give;
+    give.packedConfig = Shared(packed);
+    const auto message = ReadBack(give);
+    CPPUNIT_ASSERT(std::get<ClusterGive>(message.body).copy.configText.empty());
+  }
+
   void Message_Cut_IsRefused() {
-    const std::string text = WriteEdgePeerMessage(
-        {"d1", "10.0.0.1:7000", WorkGossip{{{1, 2, false, 1}}}});
+    const std::string text =
+        WriteEdgePeerMessage(
+            {"d1", "10.0.0.1:7000", WorkGossip{{{1, 2, false, 1}}}})
+            .Whole();
     for (std::size_t size = 0; size < text.size(); size += 4) {
       CPPUNIT_ASSERT(!ReadEdgePeerMessage(text.substr(0, size)).has_value());
     }
--- a/Zincstep/Cluster/ClusterView.cpp
+++ b/Zincstep/Cluster/ClusterView.cpp
@@ -314,9 +314,8 @@
   copy.configVersion = this->ConfigVersion();
   copy.proofAge =
       this->ConfigFoundAt().IsNone() ? std::nullopt : this->ProofAge();
-  if (aKnown.config < this->ConfigFoundAt() ||
-      aKnown.configVersion < this->ConfigVersion()) {
-    copy.configText = this->config.Text();
+  if (this->LacksConfigText(aKnown)) {
+    copy.configText = this->ConfigText();
   }
   // Lists of an earlier era are nobody's news.
   const bool tellsUpstreams = this->entries.At().era == this->era;
--- a/Zincstep/Cluster/ClusterView.h
+++ b/Zincstep/Cluster/ClusterView.h
@@ -128,6 +128,11 @@
     return this->entries.At().era == this->era ? this->entries.At()
                                                : StoreRevision{};
   }
+  /// The same for the list of daemons.
+  StoreRevision DaemonsAt() const {
+    return this->daemons.At().era == this->era ? this->daemons.At()
+                                               : StoreRevision{};
+  }
   /// For so long an entry that is missing may only have lapsed.
   Micros ReturnGrace() const {
     return std::max(Micros{0}, this->GraceEnd() - this->clock.Now());
@@ -140,6 +145,14 @@
     return this->config.Table();
   }
   std::uint64_t ConfigVersion() const { return this->config.Version(); }
+  /// Text of the configuration in force; empty before the first.
+  const std::string& ConfigText() const { return this->config.Text(); }
+  /// Whether a peer that has those revisions lacks that text.
+  bool LacksConfigText(const KnownRevisions& aKnown) const {
+    return !this->ConfigText().empty() &&
+           (aKnown.config < this->ConfigFoundAt() ||
+            aKnown.configVersion < this->ConfigVersion());
+  }
   /// Where the store has the newest configuration, as it was found last; none:
   /// it is not known in this era.
   StoreRevision ConfigFoundAt() const { return this->config.FoundAt(); }
--- a/Zincstep/Edge/EdgePeerMessage.cpp
+++ b/Zincstep/Edge/EdgePeerMessage.cpp
@@ -20,8 +20,11 @@
 constexpr double kNoLimit = -1;
 /// A pace is told in steps of this.
 constexpr double kPaceStep = 0.01;
-/// Longest list that is taken: 100,000 entries.
-constexpr std::uint32_t kLongestList = 64 << 20;
+/// Longest text that is unpacked: a list of 100,000 entries.
+constexpr std::uint32_t kLongestText = 64 << 20;
+/// zlib packs no text to a smaller part than this: one that claims so is
+/// damaged.
+constexpr std::uint64_t kMostShrinking = 1032;
 /// How deep messages are nested, and tables in them: one an entry.
 constexpr fb::uoffset_t kMostDepth = 64;
 constexpr fb::uoffset_t kMostTables = 1'000'000;
@@ -79,20 +82,14 @@
 
   fb::Offset<void> operator()(const ClusterGive& aGive) {
     const ClusterCopy& copy = aGive.copy;
-    const auto config = this->builder.CreateString(copy.configText);
     const auto upstreams = this->WriteList(copy.upstreams);
     const auto daemons = this->WriteList(copy.daemons);
-    fb::Offset<fb::Vector<std::uint8_t>> packed;
-    if (!aGive.packedUpstreams.empty()) {
-      packed = this->builder.CreateVector(
-          reinterpret_cast<const std::uint8_t*>(aGive.packedUpstreams.data()),
-          aGive.packedUpstreams.size());
-    }
     return edgewire::CreateClusterGive(
                this->builder, aGive.question, copy.configRevision.number,
-               config, AgeOrNone(copy.proofAge), upstreams, daemons,
-               AgeOrNone(copy.listsAge), aGive.era, copy.configVersion, packed,
-               aGive.packedGrace.count())
+               AgeOrNone(copy.proofAge), upstreams, daemons,
+               AgeOrNone(copy.listsAge), aGive.era, copy.configVersion,
+               aGive.packedGrace.count(), SizeOf(aGive.packedConfig),
+               SizeOf(aGive.packedUpstreams), SizeOf(aGive.packedDaemons))
         .Union();
   }
 
@@ -126,6 +123,10 @@
   }
 
  private:
+  static std::uint32_t SizeOf(const SharedBytes& aBytes) {
+    return aBytes ? static_cast<std::uint32_t>(aBytes->size()) : 0;
+  }
+
   static std::int64_t AgeOrNone(std::optional<Micros> aAge) {
     return aAge ? aAge->count() : kNoProof;
   }
@@ -220,30 +221,58 @@
   return copy;
 }
 
-/// The list that was packed; none where it is damaged.
-std::optional<ListCopy> UnpackList(const fb::Vector<std::uint8_t>& aPacked,
-                                   std::uint64_t aEra) {
+/// The text that was packed; none where it is damaged.
+std::optional<std::string> UnpackText(std::string_view aPacked) {
   std::uint32_t length = 0;
   if (aPacked.size() <= sizeof(length)) {
     return std::nullopt;
   }
   std::memcpy(&length, aPacked.data(), sizeof(length));
-  if (length > kLongestList) {
+  aPacked.remove_prefix(sizeof(length));
+  if (length > kLongestText || length > aPacked.size() * kMostShrinking) {
     return std::nullopt;
   }
-  std::vector<std::uint8_t> text(length);
+  std::string text(length, '\0');
   uLongf unpacked = length;
-  const int status =
-      uncompress(text.data(), &unpacked, aPacked.data() + sizeof(length),
-                 aPacked.size() - sizeof(length));
-  fb::Verifier verifier(text.data(), text.size(), kMostDepth, kMostTables);
-  const bool isWhole = status == Z_OK && unpacked == length;
-  if (!isWhole || !verifier.VerifyBuffer<edgewire::EntryList>(nullptr)) {
+  const int status = uncompress(
+      reinterpret_cast<Bytef*>(text.data()), &unpacked,
+      reinterpret_cast<const Bytef*>(aPacked.data()), aPacked.size());
+  if (status != Z_OK || unpacked != length) {
+    return std::nullopt;
+  }
+  return text;
+}
+
+/// The list that was packed; none where it is damaged.
+std::optional<ListCopy> UnpackList(std::string_view aPacked,
+                                   std::uint64_t aEra) {
+  const std::optional<std::string> text = UnpackText(aPacked);
+  if (!text) {
     return std::nullopt;
   }
-  return ReadList(fb::GetRoot<edgewire::EntryList>(text.data()), aEra);
+  fb::Verifier verifier(reinterpret_cast<const std::uint8_t*>(text->data()),
+                        text->size(), kMostDepth, kMostTables);
+  if (!verifier.VerifyBuffer<edgewire::EntryList>(nullptr)) {
+    return std::nullopt;
+  }
+  return ReadList(fb::GetRoot<edgewire::EntryList>(text->data()), aEra);
 }
 
+/// What stands behind a message, from its beginning on.
+class PackedParts {
+ public:
+  explicit PackedParts(std::string_view aParts) : rest(aParts) {}
+
+  std::string_view Take(std::uint32_t aBytes) {
+    const std::string_view part = this->rest.substr(0, aBytes);
+    this->rest.remove_prefix(part.size());
+    return part;
+  }
+
+ private:
+  std::string_view rest;
+};
+
 ClusterWant ReadWant(const edgewire::ClusterWant& aTable) {
   const std::uint64_t era = aTable.era();
   ClusterWant want;
@@ -256,52 +285,81 @@
   return want;
 }
 
-ClusterGive ReadGive(const edgewire::ClusterGive& aTable) {
+/// Bytes of what stands behind the message.
+std::uint64_t PackedBytes(const edgewire::ClusterGive& aTable) {
+  return std::uint64_t{aTable.config_bytes()} + aTable.upstreams_bytes() +
+         aTable.daemons_bytes();
+}
+
+ClusterGive ReadGive(const edgewire::ClusterGive& aTable, PackedParts aParts) {
   ClusterGive give;
   give.era = aTable.era();
   give.question = aTable.question();
   give.copy.configRevision = {aTable.config_revision(), give.era};
   give.copy.configVersion = aTable.config_version();
-  give.copy.configText = TextOf(aTable.config());
   give.copy.proofAge = ReadAge(aTable.proof_age_us());
   give.copy.upstreams = ReadList(aTable.upstreams(), give.era);
   give.copy.daemons = ReadList(aTable.daemons(), give.era);
   give.copy.listsAge = ReadAge(aTable.lists_age_us());
-  if (aTable.packed_upstreams() != nullptr) {
-    give.copy.upstreams = UnpackList(*aTable.packed_upstreams(), give.era);
+  if (aTable.config_bytes() > 0) {
+    give.copy.configText =
+        UnpackText(aParts.Take(aTable.config_bytes())).value_or("");
+  }
+  if (aTable.upstreams_bytes() > 0) {
+    give.copy.upstreams =
+        UnpackList(aParts.Take(aTable.upstreams_bytes()), give.era);
     if (give.copy.upstreams) {
       give.copy.upstreams->grace = Micros{aTable.packed_grace_us()};
     }
   }
+  if (aTable.daemons_bytes() > 0) {
+    give.copy.daemons =
+        UnpackList(aParts.Take(aTable.daemons_bytes()), give.era);
+  }
   return give;
 }
 
 }  // namespace
 
-std::string PackList(const ListCopy& aList) {
-  fb::FlatBufferBuilder builder;
-  builder.Finish(WriteList(builder, aList));
-  const auto length = static_cast<std::uint32_t>(builder.GetSize());
+std::string PackText(std::string_view aText) {
+  const auto length = static_cast<std::uint32_t>(aText.size());
   std::string packed(sizeof(length) + compressBound(length), '\0');
   std::memcpy(packed.data(), &length, sizeof(length));
   uLongf size = packed.size() - sizeof(length);
-  const int status =
-      compress2(reinterpret_cast<Bytef*>(packed.data() + sizeof(length)), &size,
-                builder.GetBufferPointer(), length, kPackLevel);
+  const int status = compress2(
+      reinterpret_cast<Bytef*>(packed.data() + sizeof(length)), &size,
+      reinterpret_cast<const Bytef*>(aText.data()), length, kPackLevel);
   ZINCSTEP_ASSERT(status == Z_OK);
   packed.resize(sizeof(length) + size);
   return packed;
 }
 
-std::string WriteEdgePeerMessage(const EdgePeerMessage& aMessage) {
+std::string PackList(const ListCopy& aList) {
+  fb::FlatBufferBuilder builder;
+  builder.Finish(WriteList(builder, aList));
+  return PackText({reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                   builder.GetSize()});
+}
+
+PeerText WriteEdgePeerMessage(const EdgePeerMessage& aMessage) {
   fb::FlatBufferBuilder builder;
   const auto sender = builder.CreateString(aMessage.sender);
   const auto replyTo = builder.CreateString(aMessage.replyTo);
   const auto body = std::visit(BodyWriter(builder), aMessage.body);
   builder.Finish(edgewire::CreateMessage(builder, sender, replyTo,
                                          TypeOf(aMessage), body));
-  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
-          builder.GetSize()};
+  PeerText text{{reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                 builder.GetSize()},
+                {}};
+  if (const auto* give = std::get_if<ClusterGive>(&aMessage.body)) {
+    for (const SharedBytes& bytes :
+         {give->packedConfig, give->packedUpstreams, give->packedDaemons}) {
+      if (bytes) {
+        text.shared.push_back(bytes);
+      }
+    }
+  }
+  return text;
 }
 
 Result<EdgePeerMessage> ReadEdgePeerMessage(std::string_view aBuffer) {
@@ -318,7 +376,12 @@
   } else if (const auto* want = table->body_as_ClusterWant()) {
     message.body = ReadWant(*want);
   } else if (const auto* give = table->body_as_ClusterGive()) {
-    message.body = ReadGive(*give);
+    const std::uint64_t packed = PackedBytes(*give);
+    if (packed > aBuffer.size()) {
+      return Fail(ErrorKind::BadRequest, "a message that lacks its end");
+    }
+    message.body =
+        ReadGive(*give, PackedParts(aBuffer.substr(aBuffer.size() - packed)));
   } else if (const auto* demand = table->body_as_DemandGossip()) {
     message.body = DemandGossip{demand->tokens()};
   } else if (const auto* crashes = table->body_as_CrashGossip()) {
--- a/Zincstep/Edge/EdgePeerMessage.h
+++ b/Zincstep/Edge/EdgePeerMessage.h
@@ -8,6 +8,7 @@
 
 #include "Zincstep/Admission/Admission.h"
 #include "Zincstep/Cluster/Cluster.h"
+#include "Zincstep/Peer/Peer.h"
 
 namespace zincstep {
 
@@ -41,9 +42,13 @@
   std::uint64_t era = 0;
   std::uint64_t question = 0;
   ClusterCopy copy;
-  /// The list of upstreams by `PackList` in place of the copy's; read, it
-  /// stands in the copy. For so long what it removes may only have lapsed.
-  std::string packedUpstreams;
+  /// By `PackText` and `PackList` in place of the copy's, null where there is
+  /// none; read, they stand in the copy.
+  SharedBytes packedConfig;
+  SharedBytes packedUpstreams;
+  SharedBytes packedDaemons;
+  /// For so long what the packed list of upstreams removes may only have
+  /// lapsed.
   Micros packedGrace{0};
 };
 
@@ -77,11 +82,13 @@
   EdgePeerBody body;
 };
 
-/// A list as it is told to many: a FlatBuffer, compressed. Entries of upstreams
-/// are texts that differ in a few places.
+/// A text as it is told to many: compressed, behind its length.
+std::string PackText(std::string_view aText);
+/// A list as it is told to many: a FlatBuffer, by `PackText`. Entries of
+/// upstreams are texts that differ in a few places.
 std::string PackList(const ListCopy& aList);
-/// The message as a FlatBuffer.
-std::string WriteEdgePeerMessage(const EdgePeerMessage& aMessage);
+/// The message as a FlatBuffer, and what is packed behind it.
+PeerText WriteEdgePeerMessage(const EdgePeerMessage& aMessage);
 /// The message in a buffer; fails with `BadRequest` where it has none.
 Result<EdgePeerMessage> ReadEdgePeerMessage(std::string_view aBuffer);
 
--- a/Zincstep/Edge/Generated/EdgePeer_generated.h
+++ b/Zincstep/Edge/Generated/EdgePeer_generated.h
@@ -597,15 +597,16 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_QUESTION = 4,
     VT_CONFIG_REVISION = 6,
-    VT_CONFIG = 8,
     VT_PROOF_AGE_US = 10,
     VT_UPSTREAMS = 12,
     VT_DAEMONS = 14,
     VT_LISTS_AGE_US = 16,
     VT_ERA = 18,
     VT_CONFIG_VERSION = 20,
-    VT_PACKED_UPSTREAMS = 22,
-    VT_PACKED_GRACE_US = 24
+    VT_PACKED_GRACE_US = 24,
+    VT_CONFIG_BYTES = 26,
+    VT_UPSTREAMS_BYTES = 28,
+    VT_DAEMONS_BYTES = 30
   };
   uint64_t question() const {
     return GetField<uint64_t>(VT_QUESTION, 0);
@@ -613,9 +614,6 @@
   uint64_t config_revision() const {
     return GetField<uint64_t>(VT_CONFIG_REVISION, 0);
   }
-  const flatbuffers::String *config() const {
-    return GetPointer<const flatbuffers::String *>(VT_CONFIG);
-  }
   int64_t proof_age_us() const {
     return GetField<int64_t>(VT_PROOF_AGE_US, -1LL);
   }
@@ -634,18 +632,22 @@
   uint64_t config_version() const {
     return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
   }
-  const flatbuffers::Vector<uint8_t> *packed_upstreams() const {
-    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED_UPSTREAMS);
-  }
   int64_t packed_grace_us() const {
     return GetField<int64_t>(VT_PACKED_GRACE_US, 0);
   }
+  uint32_t config_bytes() const {
+    return GetField<uint32_t>(VT_CONFIG_BYTES, 0);
+  }
+  uint32_t upstreams_bytes() const {
+    return GetField<uint32_t>(VT_UPSTREAMS_BYTES, 0);
+  }
+  uint32_t daemons_bytes() const {
+    return GetField<uint32_t>(VT_DAEMONS_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_QUESTION, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_REVISION, 8) &&
-           VerifyOffset(verifier, VT_CONFIG) &&
-           verifier.VerifyString(config()) &&
            VerifyField<int64_t>(verifier, VT_PROOF_AGE_US, 8) &&
            VerifyOffset(verifier, VT_UPSTREAMS) &&
            verifier.VerifyTable(upstreams()) &&
@@ -654,9 +656,10 @@
            VerifyField<int64_t>(verifier, VT_LISTS_AGE_US, 8) &&
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
-           VerifyOffset(verifier, VT_PACKED_UPSTREAMS) &&
-           verifier.VerifyVector(packed_upstreams()) &&
            VerifyField<int64_t>(verifier, VT_PACKED_GRACE_US, 8) &&
+           VerifyField<uint32_t>(verifier, VT_CONFIG_BYTES, 4) &&
+           VerifyField<uint32_t>(verifier, VT_UPSTREAMS_BYTES, 4) &&
+           VerifyField<uint32_t>(verifier, VT_DAEMONS_BYTES, 4) &&
            verifier.EndTable();
   }
 };
@@ -671,9 +674,6 @@
   void add_config_revision(uint64_t config_revision) {
     fbb_.AddElement<uint64_t>(ClusterGive::VT_CONFIG_REVISION, config_revision, 0);
   }
-  void add_config(flatbuffers::Offset<flatbuffers::String> config) {
-    fbb_.AddOffset(ClusterGive::VT_CONFIG, config);
-  }
   void add_proof_age_us(int64_t proof_age_us) {
     fbb_.AddElement<int64_t>(ClusterGive::VT_PROOF_AGE_US, proof_age_us, -1LL);
   }
@@ -692,12 +692,18 @@
   void add_config_version(uint64_t config_version) {
     fbb_.AddElement<uint64_t>(ClusterGive::VT_CONFIG_VERSION, config_version, 0);
   }
-  void add_packed_upstreams(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_upstreams) {
-    fbb_.AddOffset(ClusterGive::VT_PACKED_UPSTREAMS, packed_upstreams);
-  }
   void add_packed_grace_us(int64_t packed_grace_us) {
     fbb_.AddElement<int64_t>(ClusterGive::VT_PACKED_GRACE_US, packed_grace_us, 0);
   }
+  void add_config_bytes(uint32_t config_bytes) {
+    fbb_.AddElement<uint32_t>(ClusterGive::VT_CONFIG_BYTES, config_bytes, 0);
+  }
+  void add_upstreams_bytes(uint32_t upstreams_bytes) {
+    fbb_.AddElement<uint32_t>(ClusterGive::VT_UPSTREAMS_BYTES, upstreams_bytes, 0);
+  }
+  void add_daemons_bytes(uint32_t daemons_bytes) {
+    fbb_.AddElement<uint32_t>(ClusterGive::VT_DAEMONS_BYTES, daemons_bytes, 0);
+  }
   explicit ClusterGiveBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -713,15 +719,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t question = 0,
     uint64_t config_revision = 0,
-    flatbuffers::Offset<flatbuffers::String> config = 0,
     int64_t proof_age_us = -1LL,
     flatbuffers::Offset<zincstep::edgewire::EntryList> upstreams = 0,
     flatbuffers::Offset<zincstep::edgewire::EntryList> daemons = 0,
     int64_t lists_age_us = -1LL,
     uint64_t era = 0,
     uint64_t config_version = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_upstreams = 0,
-    int64_t packed_grace_us = 0) {
+    int64_t packed_grace_us = 0,
+    uint32_t config_bytes = 0,
+    uint32_t upstreams_bytes = 0,
+    uint32_t daemons_bytes = 0) {
   ClusterGiveBuilder builder_(_fbb);
   builder_.add_packed_grace_us(packed_grace_us);
   builder_.add_config_version(config_version);
@@ -730,43 +737,14 @@
   builder_.add_proof_age_us(proof_age_us);
   builder_.add_config_revision(config_revision);
   builder_.add_question(question);
-  builder_.add_packed_upstreams(packed_upstreams);
+  builder_.add_daemons_bytes(daemons_bytes);
+  builder_.add_upstreams_bytes(upstreams_bytes);
+  builder_.add_config_bytes(config_bytes);
   builder_.add_daemons(daemons);
   builder_.add_upstreams(upstreams);
-  builder_.add_config(config);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<ClusterGive> CreateClusterGiveDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t question = 0,
-    uint64_t config_revision = 0,
-    const char *config = nullptr,
-    int64_t proof_age_us = -1LL,
-    flatbuffers::Offset<zincstep::edgewire::EntryList> upstreams = 0,
-    flatbuffers::Offset<zincstep::edgewire::EntryList> daemons = 0,
-    int64_t lists_age_us = -1LL,
-    uint64_t era = 0,
-    uint64_t config_version = 0,
-    const std::vector<uint8_t> *packed_upstreams = nullptr,
-    int64_t packed_grace_us = 0) {
-  auto config__ = config ? _fbb.CreateString(config) : 0;
-  auto packed_upstreams__ = packed_upstreams ? _fbb.CreateVector<uint8_t>(*packed_upstreams) : 0;
-  return zincstep::edgewire::CreateClusterGive(
-      _fbb,
-      question,
-      config_revision,
-      config__,
-      proof_age_us,
-      upstreams,
-      daemons,
-      lists_age_us,
-      era,
-      config_version,
-      packed_upstreams__,
-      packed_grace_us);
-}
-
 struct CrashGossip FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CrashGossipBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/Zincstep/Edge/PackedLists.cpp
+++ b/Zincstep/Edge/PackedLists.cpp
@@ -10,8 +10,10 @@
 
 /// Entries from which on a list is packed: fewer fit one packet.
 constexpr std::size_t kFewestPacked = 8;
-/// Askers' revisions that are remembered of one state of the list.
+/// Askers' revisions that are remembered of one state of the list, and the
+/// bytes of what is packed for them.
 constexpr std::size_t kMostKept = 64;
+constexpr std::size_t kMostBytes = 2 << 20;
 
 }  // namespace
 
@@ -33,18 +35,21 @@
 std::size_t PackedLists::Bytes() const {
   std::size_t bytes = 0;
   for (const PackedList& list : this->lists) {
-    bytes += list.text.size();
+    bytes += list.text->size();
   }
   return bytes;
 }
 
 const PackedList& PackedLists::Add(StoreRevision aSince,
                                    const ListCopy& aList) {
-  if (aList.at != this->at || this->lists.size() >= kMostKept) {
+  if (aList.at != this->at || this->lists.size() >= kMostKept ||
+      this->Bytes() >= kMostBytes) {
     this->lists.clear();
     this->at = aList.at;
   }
-  this->lists.push_back({aSince, PackList(aList), aList.isWhole});
+  this->lists.push_back({aSince,
+                         std::make_shared<const std::string>(PackList(aList)),
+                         aList.isWhole});
   return this->lists.back();
 }
 
--- a/Zincstep/Edge/PackedLists.h
+++ b/Zincstep/Edge/PackedLists.h
@@ -6,13 +6,14 @@
 #include <vector>
 
 #include "Zincstep/Cluster/Cluster.h"
+#include "Zincstep/Peer/Peer.h"
 
 namespace zincstep {
 
 /// A list, or its changes, as it goes to whoever knows it as of one revision.
 struct PackedList {
   StoreRevision since;
-  std::string text;
+  SharedBytes text;
   bool isWhole = false;
 };
 
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -37,12 +37,6 @@
 constexpr Micros kAllPatience = 200ms;
 /// For so long a daemon that starts asks those of its own failure domain alone.
 constexpr Micros kNearPatience = 200ms;
-/// What is told of whole lists, a second: less than half of the smallest VM's
-/// link (20 Mbit/s, the site files), the rest of which requests need.
-constexpr double kListBytesPerSecond = 1e6;
-/// The same at once: the lists of a hundred upstreams for thirty daemons that
-/// start together, or those of 3,000 for one.
-constexpr double kListBytesAtOnce = 1e6;
 /// Stands for any revision: it is not to be told.
 constexpr StoreRevision kNotWanted{std::numeric_limits<std::uint64_t>::max(),
                                    std::numeric_limits<std::uint64_t>::max()};
@@ -63,6 +57,11 @@
 /// Longest pause before a peer is connected to again: half the age at which
 /// a proof that comes through it would be missed.
 constexpr Micros kLongestReconnect = 800ms;
+constexpr double kBytesPerMb = 1 << 20;
+/// Shares of the VM's memory for messages that wait for peers, and for such as
+/// have come and wait to be read: what requests need is many times that.
+constexpr double kSendingShare = 0.05;
+constexpr double kReceivingShare = 0.05;
 /// A question that was not answered by then is forgotten.
 constexpr Micros kQuestionLife = 5s;
 
@@ -102,7 +101,7 @@
       eras(aEras),
       bytes(aMetrics),
       entry(aSettings, aStore, aClock),
-      listBytes(kListBytesPerSecond, kListBytesAtOnce),
+      answers(aView, aClock),
       members(aSettings, aClock),
       seeds(SeedPeers(aSettings)),
       startedAt(aClock.Now()) {
@@ -114,6 +113,11 @@
   hubSettings.listen = aSettings.peerListen;
   hubSettings.seed = Hash64(aSettings.name);
   hubSettings.longestReconnect = kLongestReconnect;
+  const double memory = aSettings.memoryMb * kBytesPerMb;
+  hubSettings.maxHeldBytes = static_cast<std::size_t>(memory * kSendingShare);
+  hubSettings.maxQueuedBytes = hubSettings.maxHeldBytes;
+  hubSettings.maxUntakenBytes =
+      static_cast<std::size_t>(memory * kReceivingShare);
   this->hub = MakePeerHub(hubSettings, *this);
 }
 
@@ -123,9 +127,8 @@
 
 void PeerExchange::OnPeerData(std::string aMessage) {
   // Comes on the hub's thread; all beliefs belong to the loop's.
-  this->untakenBytes += aMessage.size();
   asio::post(this->loop, [this, text = std::move(aMessage)] {
-    this->untakenBytes -= text.size();
+    this->hub->OnTaken(text.size());
     const auto message = ReadEdgePeerMessage(text);
     if (!message) {
       LogWarning("peer_message_refused", {{"reason", message.error().message}});
@@ -163,9 +166,12 @@
   this->nextReliance = {};
 }
 
-std::string PeerExchange::Hint() const {
-  return this->Write(ClusterGive{this->Era(), kUnasked,
-                                 this->view.CopyFor(this->view.Revisions())});
+PeerText PeerExchange::Hint() const {
+  ClusterGive hint;
+  hint.era = this->Era();
+  hint.question = kUnasked;
+  hint.copy = this->view.CopyFor(this->view.Revisions());
+  return this->Write(std::move(hint));
 }
 
 void PeerExchange::OnGossip(const std::string& aSender,
@@ -194,36 +200,7 @@
 
 void PeerExchange::OnWant(const std::string& aAddress,
                           const ClusterWant& aWant) {
-  const StoreRevision since = aWant.known.upstreams;
-  const StoreRevision at = this->view.UpstreamsAt();
-  const PackedList* packed = this->packedLists.Find(since, at);
-  KnownRevisions known = aWant.known;
-  known.upstreams = packed != nullptr ? at : since;
-  ClusterGive give{this->Era(), aWant.question, this->view.CopyFor(known)};
-  ClusterCopy& copy = give.copy;
-  if (copy.upstreams && PackedLists::IsLong(*copy.upstreams)) {
-    packed = &this->packedLists.Add(since, *copy.upstreams);
-    copy.upstreams.reset();
-  }
-  const bool tellsWhole = (packed != nullptr && packed->isWhole) ||
-                          (copy.upstreams && copy.upstreams->isWhole) ||
-                          (copy.daemons && copy.daemons->isWhole);
-  if (tellsWhole && this->listBytes.At(this->clock.Now()) <= 0) {
-    // The asker has others to ask, and the store.
-    packed = nullptr;
-    copy.upstreams.reset();
-    copy.daemons.reset();
-    copy.listsAge.reset();
-  }
-  if (packed != nullptr) {
-    give.packedUpstreams = packed->text;
-    give.packedGrace = this->view.ReturnGrace();
-  }
-  const std::string message = this->Write(std::move(give));
-  if (tellsWhole) {
-    this->listBytes.Spend(static_cast<double>(message.size()));
-  }
-  this->SendText(aAddress, PeerMessageKind::Give, message);
+  this->Send(aAddress, this->answers.To(aWant, this->Era()));
 }
 
 void PeerExchange::GossipSoon() {
@@ -373,7 +350,7 @@
     return;
   }
   this->toldWork = !gossip.works.empty();
-  const std::string message = this->Write(std::move(gossip));
+  const PeerText message = this->Write(std::move(gossip));
   const bool tellsAll = this->members.All().size() <= kFewMembers;
   for (const auto& [name, member] : this->members.All()) {
     const bool shares = this->members.IsNear(member);
@@ -386,7 +363,7 @@
 
 void PeerExchange::TellAll(EdgePeerBody aBody) {
   const PeerMessageKind kind = KindOf(aBody);
-  const std::string message = this->Write(std::move(aBody));
+  const PeerText message = this->Write(std::move(aBody));
   for (const auto& [name, member] : this->members.All()) {
     this->SendText(member.address, kind, message);
   }
@@ -408,7 +385,7 @@
   }
   // The text is large, and after an outage everybody has it from the store:
   // those that lack it ask for it.
-  const std::string hint = this->Hint();
+  const PeerText hint = this->Hint();
   for (const std::string& address : this->members.Neighbours()) {
     this->SendText(address, PeerMessageKind::Give, hint);
   }
@@ -467,7 +444,7 @@
   }
 }
 
-std::string PeerExchange::Write(EdgePeerBody aBody) const {
+PeerText PeerExchange::Write(EdgePeerBody aBody) const {
   return WriteEdgePeerMessage(
       {this->settings.name, this->settings.peerListen, std::move(aBody)});
 }
@@ -478,8 +455,8 @@
 }
 
 void PeerExchange::SendText(const std::string& aAddress, PeerMessageKind aKind,
-                            const std::string& aMessage) {
-  this->bytes.AddSent(aKind, aMessage.size());
+                            const PeerText& aMessage) {
+  this->bytes.AddSent(aKind, aMessage.Size());
   this->hub->Send(aAddress, aMessage);
 }
 
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <asio.hpp>
-#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -12,7 +11,7 @@
 #include "Zincstep/Edge/DaemonEntry.h"
 #include "Zincstep/Edge/EdgePeerMessage.h"
 #include "Zincstep/Edge/EdgeSettings.h"
-#include "Zincstep/Edge/PackedLists.h"
+#include "Zincstep/Edge/PeerAnswers.h"
 #include "Zincstep/Edge/PeerByteCount.h"
 #include "Zincstep/Edge/PeerMembers.h"
 #include "Zincstep/Peer/Peer.h"
@@ -83,11 +82,13 @@
   /// Whether this daemon is one of those that others ask when they start.
   bool IsSeed() const { return this->isSeed; }
   /// Bytes of messages that wait to be sent.
-  std::size_t BytesToPeers() const { return this->hub->Traffic().queuedBytes; }
+  std::size_t BytesToPeers() const { return this->hub->Traffic().heldBytes; }
   /// Bytes of messages that have come and are not read yet.
-  std::size_t BytesFromPeers() const { return this->untakenBytes; }
-  /// Bytes of lists that are kept packed.
-  std::size_t BytesPacked() const { return this->packedLists.Bytes(); }
+  std::size_t BytesFromPeers() const {
+    return this->hub->Traffic().untakenBytes;
+  }
+  /// Bytes that are kept packed for whoever asks.
+  std::size_t BytesPacked() const { return this->answers.Bytes(); }
   /// Whether no other daemon is known by the settings.
   bool IsAlone() const { return this->seeds.empty(); }
 
@@ -111,7 +112,7 @@
   /// version.
   void CompareVersions(const std::string& aAddress, const ClusterCopy& aCopy);
   /// A message that says which configuration is in force here.
-  std::string Hint() const;
+  PeerText Hint() const;
   std::uint64_t Era() const { return this->eras.Present().value_or(0); }
   /// A peer has a configuration that may be newer.
   void OnHint(const std::string& aAddress, const ClusterCopy& aCopy);
@@ -131,10 +132,10 @@
   bool MayAskForAll(const std::string& aAddress, Instant aNow) const;
   /// Whether only members of the own failure domain are asked for all.
   bool AsksNearOnly(Instant aNow) const;
-  std::string Write(EdgePeerBody aBody) const;
+  PeerText Write(EdgePeerBody aBody) const;
   /// Sends a message that is written already.
   void SendText(const std::string& aAddress, PeerMessageKind aKind,
-                const std::string& aMessage);
+                const PeerText& aMessage);
 
   asio::io_context& loop;
   const EdgeSettings& settings;
@@ -147,12 +148,8 @@
   OwnDemand ownDemand;
   StoreEras& eras;
   PeerByteCount bytes;
-  /// The hub's thread adds, the loop's takes away.
-  std::atomic<std::size_t> untakenBytes{0};
-  PackedLists packedLists;
   DaemonEntry entry;
-  /// Bytes of whole lists that may be told; none are while it is below zero.
-  TokenBucket listBytes;
+  PeerAnswers answers;
   std::unique_ptr<PeerHub> hub;
   PeerWork work;
   DemandSum demand;
--- a/Zincstep/Peer/AsioPeerHub.cpp
+++ b/Zincstep/Peer/AsioPeerHub.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <asio.hpp>
 #include <atomic>
@@ -16,6 +17,8 @@
 using Tcp = asio::ip::tcp;
 
 constexpr std::size_t kLengthBytes = 4;
+/// Between looks at whether the listener has taken enough to read on.
+constexpr Micros kReadPause = 10ms;
 
 std::array<unsigned char, kLengthBytes> WriteLength(std::size_t aLength) {
   return {static_cast<unsigned char>(aLength),
@@ -44,7 +47,41 @@
   std::atomic<std::uint64_t> messagesIn{0};
   std::atomic<std::uint64_t> dropped{0};
   std::atomic<std::uint64_t> connects{0};
-  std::atomic<std::uint64_t> queuedBytes{0};
+  std::atomic<std::uint64_t> heldBytes{0};
+  std::atomic<std::uint64_t> untakenBytes{0};
+};
+
+/// Bytes that wait to be sent; what several peers are sent counts once.
+class HeldBytes {
+ public:
+  explicit HeldBytes(SharedTraffic& aTraffic) : traffic(aTraffic) {}
+
+  void Add(const PeerText& aMessage) {
+    this->traffic.heldBytes += aMessage.head.size();
+    for (const SharedBytes& bytes : aMessage.shared) {
+      if (++this->holders[bytes.get()] == 1) {
+        this->traffic.heldBytes += bytes->size();
+      }
+    }
+  }
+
+  void Remove(const PeerText& aMessage) {
+    this->traffic.heldBytes -= aMessage.head.size();
+    for (const SharedBytes& bytes : aMessage.shared) {
+      const auto found = this->holders.find(bytes.get());
+      if (--found->second == 0) {
+        this->traffic.heldBytes -= bytes->size();
+        this->holders.erase(found);
+      }
+    }
+  }
+
+  std::size_t Sum() const { return this->traffic.heldBytes; }
+
+ private:
+  SharedTraffic& traffic;
+  /// How many messages hold the same bytes.
+  std::unordered_map<const std::string*, std::size_t> holders;
 };
 
 /// A connection that a peer opened: it only receives.
@@ -61,7 +98,26 @@
   void Start() { this->ReadHead(); }
 
  private:
+  bool MustWait() const {
+    return this->settings.maxUntakenBytes > 0 &&
+           this->traffic.untakenBytes > this->settings.maxUntakenBytes;
+  }
+
+  void ReadLater() {
+    auto self = this->shared_from_this();
+    this->timer.expires_after(kReadPause);
+    this->timer.async_wait([self](const asio::error_code& aError) {
+      if (!aError) {
+        self->ReadHead();
+      }
+    });
+  }
+
   void ReadHead() {
+    if (this->MustWait()) {
+      this->ReadLater();
+      return;
+    }
     auto self = this->shared_from_this();
     this->timer.expires_after(this->settings.idleTimeout);
     this->timer.async_wait([self](const asio::error_code& aError) {
@@ -97,6 +153,7 @@
                        self->traffic.bytesIn +=
                            self->body.size() + kLengthBytes;
                        self->traffic.messagesIn += 1;
+                       self->traffic.untakenBytes += self->body.size();
                        self->listener.OnPeerData(std::move(self->body));
                        self->body = std::string();
                        self->ReadHead();
@@ -117,23 +174,24 @@
  public:
   Sender(asio::io_context& aLoop, Tcp::endpoint aPeer,
          const PeerHubSettings& aSettings, SharedTraffic& aTraffic,
-         Random& aRandom)
+         HeldBytes& aHeld, Random& aRandom)
       : socket(aLoop),
         timer(aLoop),
         peer(std::move(aPeer)),
         settings(aSettings),
         traffic(aTraffic),
+        held(aHeld),
         random(aRandom),
         pause(aSettings.firstReconnect) {}
 
-  void Send(std::string aMessage) {
-    const std::size_t size = aMessage.size() + kLengthBytes;
+  void Send(PeerText aMessage) {
+    const std::size_t size = aMessage.Size() + kLengthBytes;
     if (this->queuedBytes + size > this->settings.maxQueuedBytes) {
       this->traffic.dropped += 1;
       return;
     }
     this->queuedBytes += size;
-    this->traffic.queuedBytes += size;
+    this->held.Add(aMessage);
     this->queue.push_back(std::move(aMessage));
     if (this->state == State::Closed) {
       this->Connect();
@@ -148,6 +206,27 @@
     this->timer.cancel();
   }
 
+  /// Bytes that wait behind the message that is on its way.
+  std::size_t DroppableBytes() const {
+    return this->writing ? this->queuedBytes - this->SizeOf(this->queue.front())
+                         : this->queuedBytes;
+  }
+
+  /// Drops what waits behind the message that is on its way.
+  void DropWaiting() {
+    LogWarning("peer_messages_dropped",
+               {{"peer", TextOf(this->peer)},
+                {"messages", this->queue.size() - (this->writing ? 1 : 0)},
+                {"bytes", this->DroppableBytes()},
+                {"held", this->held.Sum()}});
+    while (this->queue.size() > (this->writing ? 1U : 0U)) {
+      this->traffic.dropped += 1;
+      this->queuedBytes -= this->SizeOf(this->queue.back());
+      this->held.Remove(this->queue.back());
+      this->queue.pop_back();
+    }
+  }
+
  private:
   enum class State { Closed, Connecting, Open, Pausing };
 
@@ -199,14 +278,22 @@
         });
   }
 
+  static std::size_t SizeOf(const PeerText& aMessage) {
+    return aMessage.Size() + kLengthBytes;
+  }
+
   void Write() {
+    const PeerText& message = this->queue.front();
     this->writing = true;
-    this->length = WriteLength(this->queue.front().size());
-    const std::array<asio::const_buffer, 2> parts{
-        asio::buffer(this->length), asio::buffer(this->queue.front())};
+    this->length = WriteLength(message.Size());
+    this->parts.assign(
+        {asio::buffer(this->length), asio::buffer(message.head)});
+    for (const SharedBytes& bytes : message.shared) {
+      this->parts.emplace_back(asio::buffer(*bytes));
+    }
     auto self = this->shared_from_this();
     asio::async_write(
-        this->socket, parts,
+        this->socket, this->parts,
         [self](const asio::error_code& aError, std::size_t aBytes) {
           self->writing = false;
           if (aError) {
@@ -223,9 +310,8 @@
   }
 
   void PopFront() {
-    const std::size_t size = this->queue.front().size() + kLengthBytes;
-    this->queuedBytes -= size;
-    this->traffic.queuedBytes -= size;
+    this->queuedBytes -= this->SizeOf(this->queue.front());
+    this->held.Remove(this->queue.front());
     this->queue.pop_front();
   }
 
@@ -272,11 +358,14 @@
   Tcp::endpoint peer;
   const PeerHubSettings& settings;
   SharedTraffic& traffic;
+  HeldBytes& held;
   Random& random;
   State state = State::Closed;
   Micros pause;
-  std::deque<std::string> queue;
+  std::deque<PeerText> queue;
   std::size_t queuedBytes = 0;
+  /// Of the message that is on its way.
+  std::vector<asio::const_buffer> parts;
   std::array<unsigned char, kLengthBytes> length{};
   std::array<char, 64> sink{};
   bool writing = false;
@@ -330,33 +419,55 @@
 
   std::uint16_t Port() const override { return this->port; }
 
-  void Send(const std::string& aAddress, std::string aMessage) override {
-    asio::post(this->loop, [this, aAddress,
-                            message = std::move(aMessage)]() mutable {
-      auto found = this->senders.find(aAddress);
-      if (found == this->senders.end()) {
-        const Result<Tcp::endpoint> peer = ParseEndpoint(aAddress);
-        if (!peer) {
-          return;
-        }
-        found = this->senders
-                    .emplace(aAddress, std::make_shared<Sender>(
-                                           this->loop, *peer, this->settings,
-                                           this->traffic, this->random))
-                    .first;
-      }
-      found->second->Send(std::move(message));
-    });
+  void Send(const std::string& aAddress, PeerText aMessage) override {
+    asio::post(
+        this->loop, [this, aAddress, message = std::move(aMessage)]() mutable {
+          this->MakeRoom(message.Size());
+          auto found = this->senders.find(aAddress);
+          if (found == this->senders.end()) {
+            const Result<Tcp::endpoint> peer = ParseEndpoint(aAddress);
+            if (!peer) {
+              return;
+            }
+            found = this->senders
+                        .emplace(aAddress,
+                                 std::make_shared<Sender>(
+                                     this->loop, *peer, this->settings,
+                                     this->traffic, this->held, this->random))
+                        .first;
+          }
+          found->second->Send(std::move(message));
+        });
+  }
+
+  void OnTaken(std::size_t aBytes) override {
+    this->traffic.untakenBytes -= aBytes;
   }
 
   PeerTraffic Traffic() const override {
     return {this->traffic.bytesOut,    this->traffic.bytesIn,
             this->traffic.messagesOut, this->traffic.messagesIn,
             this->traffic.dropped,     this->traffic.connects,
-            this->traffic.queuedBytes};
+            this->traffic.heldBytes,   this->traffic.untakenBytes};
   }
 
  private:
+  /// Drops what waits longest in bytes until so many more may be held.
+  void MakeRoom(std::size_t aBytes) {
+    while (this->held.Sum() + aBytes > this->settings.maxHeldBytes) {
+      const auto most =
+          std::max_element(this->senders.begin(), this->senders.end(),
+                           [](const auto& aOne, const auto& aOther) {
+                             return aOne.second->DroppableBytes() <
+                                    aOther.second->DroppableBytes();
+                           });
+      if (most == this->senders.end() || most->second->DroppableBytes() == 0) {
+        return;
+      }
+      most->second->DropWaiting();
+    }
+  }
+
   void Accept() {
     this->acceptor.async_accept(
         [this](const asio::error_code& aError, Tcp::socket aSocket) {
@@ -376,6 +487,7 @@
   PeerListener& listener;
   Random random;
   SharedTraffic traffic;
+  HeldBytes held{this->traffic};
   asio::io_context loop;
   asio::executor_work_guard<asio::io_context::executor_type> work;
   Tcp::acceptor acceptor;
@@ -386,6 +498,22 @@
 
 }  // namespace
 
+std::size_t PeerText::Size() const {
+  std::size_t size = this->head.size();
+  for (const SharedBytes& bytes : this->shared) {
+    size += bytes->size();
+  }
+  return size;
+}
+
+std::string PeerText::Whole() const {
+  std::string text = this->head;
+  for (const SharedBytes& bytes : this->shared) {
+    text += *bytes;
+  }
+  return text;
+}
+
 std::unique_ptr<PeerHub> MakePeerHub(PeerHubSettings aSettings,
                                      PeerListener& aListener) {
   return std::make_unique<AsioPeerHub>(std::move(aSettings), aListener);
--- a/Zincstep/Peer/PeerHub.h
+++ b/Zincstep/Peer/PeerHub.h
@@ -9,6 +9,20 @@
 
 namespace zincstep {
 
+/// Bytes that are kept once, however many peers they are sent to.
+using SharedBytes = std::shared_ptr<const std::string>;
+
+/// A message as it is sent: what is written for one peer, and behind it what
+/// others are sent as well.
+struct PeerText {
+  std::string head;
+  std::vector<SharedBytes> shared;
+
+  std::size_t Size() const;
+  /// All of it in one piece.
+  std::string Whole() const;
+};
+
 /// Is told of messages; called on the hub's own thread.
 class PeerListener {
  public:
@@ -25,6 +39,14 @@
   std::size_t maxMessageBytes = 8 << 20;
   /// Bytes that may wait for one peer; more are dropped, newest first.
   std::size_t maxQueuedBytes = 16 << 20;
+  /// Bytes that may wait for all peers, where what several are sent counts
+  /// once. At the bound the peer for which most waits loses it: it does not
+  /// read, and what it is told is out of date when it does.
+  std::size_t maxHeldBytes = 64 << 20;
+  /// Bytes of messages that the listener has not taken yet, see
+  /// `PeerHub::OnTaken`. Beyond that nothing more is read, which holds up those
+  /// that send. 0: without bound, for a listener that does not tell.
+  std::size_t maxUntakenBytes = 0;
   Micros firstReconnect = 100ms;
   Micros longestReconnect = 5s;
   /// A connection that is not up by then is given up: an opening packet that
@@ -48,7 +70,9 @@
   std::uint64_t dropped = 0;
   std::uint64_t connects = 0;
   /// Bytes that wait to be sent now.
-  std::uint64_t queuedBytes = 0;
+  std::uint64_t heldBytes = 0;
+  /// Bytes that the listener has not taken yet.
+  std::uint64_t untakenBytes = 0;
 };
 
 /// Carries messages between entry daemons over TCP, on one thread.
@@ -69,7 +93,12 @@
   /// Port that is listened on.
   virtual std::uint16_t Port() const = 0;
   /// Sends to host:port; may be lost, as anything over a network.
-  virtual void Send(const std::string& aAddress, std::string aMessage) = 0;
+  virtual void Send(const std::string& aAddress, PeerText aMessage) = 0;
+  void Send(const std::string& aAddress, std::string aMessage) {
+    this->Send(aAddress, PeerText{std::move(aMessage), {}});
+  }
+  /// The listener is done with a message of so many bytes.
+  virtual void OnTaken(std::size_t aBytes) = 0;
   /// Counts so far.
   virtual PeerTraffic Traffic() const = 0;
 };
