--- a/SoakTests/SoakStore.cpp
+++ b/SoakTests/SoakStore.cpp
@@ -187,6 +187,9 @@
         platform::DecodeBase64(one.at("value").get<std::string>()).value_or(""),
         lease);
   }
+  for (const Json& key : aBody.at("delete")) {
+    this->Remove(key);
+  }
   if (this->losesAnswers && !aBody.at("put").empty()) {
     aConnection.Abort();
   } else {
--- a/UnitTests/BlockListTest.cpp
+++ b/UnitTests/BlockListTest.cpp
@@ -27,6 +27,7 @@
       aDone(StoreCommit{true, this->item.revision, std::nullopt});
     }
   }
+  void WriteAll(StoreWrites, Done<StoreRevision>) override {}
   void Grant(Micros, Done<std::uint64_t>) override {}
   void Renew(std::uint64_t, Done<bool>) override {}
   void End(std::uint64_t, Done<bool>) override {}
--- a/UnitTests/PeerMemoryTest.cpp
+++ b/UnitTests/PeerMemoryTest.cpp
@@ -16,6 +16,7 @@
   void Watch(const std::string&, StoreRevision, Micros,
              Done<StoreEvents>) override {}
   void Commit(StoreChange, Done<StoreCommit>) override {}
+  void WriteAll(StoreWrites, Done<StoreRevision>) override {}
   void Grant(Micros, Done<std::uint64_t>) override {}
   void Renew(std::uint64_t, Done<bool>) override {}
   void End(std::uint64_t, Done<bool>) override {}
--- a/UnitTests/PlacementKeeperTest.cpp
+++ b/UnitTests/PlacementKeeperTest.cpp
@@ -22,6 +22,7 @@
   void Commit(StoreChange, Done<StoreCommit> aDone) override {
     aDone(StoreCommit{true, {7, this->era}, std::nullopt});
   }
+  void WriteAll(StoreWrites, Done<StoreRevision>) override {}
   void Grant(Micros, Done<std::uint64_t> aDone) override { aDone(1); }
   void Renew(std::uint64_t, Done<bool> aDone) override { aDone(true); }
   void End(std::uint64_t, Done<bool> aDone) override { aDone(true); }
--- a/UnitTests/SilentStoreWatchTest.cpp
+++ b/UnitTests/SilentStoreWatchTest.cpp
@@ -89,6 +89,7 @@
     this->Answer(std::move(aDone),
                  StoreCommit{true, this->revision, std::nullopt});
   }
+  void WriteAll(StoreWrites, Done<StoreRevision>) override {}
   void Grant(Micros, Done<std::uint64_t>) override {}
   void Renew(std::uint64_t, Done<bool>) override {}
   void End(std::uint64_t, Done<bool>) override {}
@@ -193,7 +194,7 @@
  public:
   void setUp() override {
     StoreFollowerSettings settings;
-    settings.keys = {"op/config", kUpstreams, kOwn};
+    settings.keys = {"op/config", kUpstreams, kOwn, kOwn};
     settings.proofInterval = 1ms;
     settings.firstRetry = 1ms;
     for (PrefixPauses* pauses :
--- a/Zincstep/Cluster/AsyncStore.h
+++ b/Zincstep/Cluster/AsyncStore.h
@@ -59,6 +59,21 @@
   std::uint64_t lease = 0;
 };
 
+/// A value that a key gets, whatever stands there.
+struct StorePut {
+  std::string key;
+  std::string value;
+};
+
+/// Keys that are written or removed without a condition, all or none of them;
+/// 32 at the most.
+struct StoreWrites {
+  std::vector<StorePut> puts;
+  /// Of all that are put.
+  std::uint64_t lease = 0;
+  std::vector<std::string> removed;
+};
+
 /// What became of a change.
 struct StoreCommit {
   bool done = false;
@@ -94,6 +109,8 @@
                      Micros aWait, Done<StoreEvents> aDone) = 0;
   /// Makes a change, or checks its condition alone.
   virtual void Commit(StoreChange aChange, Done<StoreCommit> aDone) = 0;
+  /// Writes several keys; gives the revision of the store that it left.
+  virtual void WriteAll(StoreWrites aWrites, Done<StoreRevision> aDone) = 0;
   /// Grants a lease; gives its number.
   virtual void Grant(Micros aTtl, Done<std::uint64_t> aDone) = 0;
   /// Renews a lease.
--- a/Zincstep/Cluster/CountedStore.cpp
+++ b/Zincstep/Cluster/CountedStore.cpp
@@ -33,6 +33,11 @@
   this->store.Commit(std::move(aChange), std::move(aDone));
 }
 
+void CountedStore::WriteAll(StoreWrites aWrites, Done<StoreRevision> aDone) {
+  this->Count(StoreCall::Change);
+  this->store.WriteAll(std::move(aWrites), std::move(aDone));
+}
+
 void CountedStore::Grant(Micros aTtl, Done<std::uint64_t> aDone) {
   this->Count(StoreCall::Grant);
   this->store.Grant(aTtl, std::move(aDone));
--- a/Zincstep/Cluster/CountedStore.h
+++ b/Zincstep/Cluster/CountedStore.h
@@ -46,6 +46,7 @@
   void Watch(const std::string& aPrefix, StoreRevision aAfter, Micros aWait,
              Done<StoreEvents> aDone) override;
   void Commit(StoreChange aChange, Done<StoreCommit> aDone) override;
+  void WriteAll(StoreWrites aWrites, Done<StoreRevision> aDone) override;
   void Grant(Micros aTtl, Done<std::uint64_t> aDone) override;
   void Renew(std::uint64_t aLease, Done<bool> aDone) override;
   void End(std::uint64_t aLease, Done<bool> aDone) override;
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -207,16 +207,44 @@
 void StoreFollower::Start(bool aPeersFirst) {
   if (aPeersFirst) {
     this->peersFirstSince = this->clock.Now();
-    this->ReadStaleDaemons();
+    this->ReadEarlyDaemons();
   }
   this->Prove();
 }
 
-void StoreFollower::ReadStaleUpstreams() {
-  if (this->hasReadStaleUpstreams) {
+void StoreFollower::ReadEarlyDaemons() {
+  const std::string& prefix = this->settings.keys.near;
+  this->store.RangeStale(
+      prefix, StalePages::All, [this, prefix](Result<StoreRange> aRange) {
+        if (!aRange) {
+          LogStaleReadFailed(prefix, aRange.error());
+          this->OnEarly({});
+          return;
+        }
+        this->OnEarly(
+            WithoutPrefix(std::move(*aRange), this->settings.keys.own).items);
+      });
+}
+
+void StoreFollower::OnEarly(const std::vector<StoreItem>& aDaemons) {
+  const bool knowsPeers = !this->onEarly || this->onEarly(aDaemons);
+  if (this->MayAsk()) {
+    this->ReadStaleUpstreams();
+    this->Prove();
+    return;
+  }
+  if (knowsPeers) {
     return;
   }
-  this->hasReadStaleUpstreams = true;
+  this->earlyTimer.expires_after(this->settings.earlyPause);
+  this->earlyTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      this->ReadEarlyDaemons();
+    }
+  });
+}
+
+void StoreFollower::ReadStaleUpstreams() {
   const std::string& prefix = this->settings.keys.upstreams;
   const bool readsAll = this->Rank() < this->settings.listReaders;
   this->store.RangeStale(
@@ -230,42 +258,8 @@
       });
 }
 
-void StoreFollower::ReadStaleDaemons() {
-  const std::string& prefix = this->settings.keys.own;
-  this->store.RangeStale(
-      prefix, StalePages::All, [this, prefix](Result<StoreRange> aRange) {
-        if (aRange) {
-          this->view.OnDaemons(WithoutPrefix(std::move(*aRange), prefix));
-        } else {
-          LogStaleReadFailed(prefix, aRange.error());
-        }
-        this->OnStaleDaemons();
-      });
-}
-
-void StoreFollower::OnStaleDaemons() {
-  if (!this->WaitsForPeers()) {
-    return;
-  }
-  this->ReadStaleUpstreams();
-  if (this->isListed && !this->isListed()) {
-    this->earlyTimer.expires_after(this->settings.earlyPause);
-    this->earlyTimer.async_wait([this](const asio::error_code& aError) {
-      if (!aError && this->WaitsForPeers()) {
-        this->ReadStaleDaemons();
-      }
-    });
-    return;
-  }
-  if (this->hasTeller && !this->hasTeller()) {
-    // The first daemon of its failure domain tells the others.
-    this->peersFirstSince.reset();
-    this->FollowLists(this->Relies());
-  }
-}
-
 bool StoreFollower::WaitsForPeers() const {
-  if (!this->peersFirstSince) {
+  if (!this->peersFirstSince || !this->HasTeller()) {
     return false;
   }
   const Micros waited = this->clock.Now() - *this->peersFirstSince;
@@ -287,10 +281,10 @@
   return this->mayRely && this->mayRely() && this->IsFresh();
 }
 
-void StoreFollower::FollowLists(bool aRelies) {
+void StoreFollower::FollowLists(bool aFollows) {
   // While the store does not answer, one kind of call finds out when it does
   // again; all is read anew then.
-  const bool reads = !aRelies && this->isReached;
+  const bool reads = aFollows && this->isReached;
   for (PrefixFollower* follower : {&this->upstreams, &this->own}) {
     if (!reads && !follower->IsPaused()) {
       follower->Pause();
@@ -301,11 +295,19 @@
 }
 
 void StoreFollower::Prove() {
-  if (this->Relies()) {
-    this->FollowLists(true);
+  const bool relies = this->Relies();
+  if (relies || !this->MayAsk()) {
+    if (relies && !this->isReached) {
+      this->SetReached(StoreCommit{});  // By the peer that asks it.
+    }
+    this->FollowLists(false);
     this->ProveAfter(this->settings.reliancePause);
     return;
   }
+  if (this->isProving) {
+    return;
+  }
+  this->isProving = true;
   StoreChange check;
   check.key = this->settings.keys.configuration;
   check.expected = this->view.ConfigFoundAt();
@@ -313,6 +315,7 @@
   const Instant began = this->clock.Now();
   this->store.Commit(std::move(check),
                      [this, checked, began](Result<StoreCommit> aResult) {
+                       this->isProving = false;
                        this->OnProved(checked, began, std::move(aResult));
                      });
 }
@@ -326,7 +329,8 @@
   this->SetReached(aResult);
   // Lists are read only from a store that has just answered: begun beside the
   // proof, 406 reads were in vain in an outage of eight seconds (295 daemons).
-  this->FollowLists(!aResult || this->Relies() || this->WaitsForPeers());
+  this->FollowLists(aResult && !this->Relies() && this->MayAsk() &&
+                    !this->WaitsForPeers());
   Micros pause =
       aResult ? this->settings.proofInterval : this->PauseWhileAway();
   if (aResult && aResult->done) {
@@ -351,7 +355,7 @@
 void StoreFollower::OnRestored() {
   this->told = ToldChanges{};
   this->lastState.reset();
-  if (this->hasTeller && this->hasTeller()) {
+  if (this->HasTeller()) {
     // One daemon of the domain reads for all; what it tells is of the new era.
     this->peersFirstSince = this->clock.Now();
   }
@@ -396,13 +400,11 @@
   }
 }
 
-Micros StoreFollower::PauseWhileAway() {
-  const bool hasOther = this->hasTeller && this->hasTeller();
-  this->awayPause =
-      hasOther ? std::min(2 * this->awayPause, this->settings.longestProofPause)
-               : this->settings.proofInterval;
-  this->awayPause = std::max(this->awayPause, this->settings.proofInterval);
-  return this->awayPause;
+Micros StoreFollower::PauseWhileAway() const {
+  // Daemons after the first ask the less often the more ask before them.
+  const auto share = static_cast<std::int64_t>(1 + this->Rank());
+  return std::min(share * this->settings.proofInterval,
+                  this->settings.longestProofPause);
 }
 
 void StoreFollower::ProveAfter(Micros aPause) {
@@ -415,23 +417,13 @@
 }
 
 void StoreFollower::SetReached(const Result<StoreCommit>& aAnswer) {
-  const bool isBack = aAnswer && !this->isReached;
-  this->isReached = aAnswer.has_value();
-  if (aAnswer) {
-    this->awayPause = Micros{0};
-  }
-  this->view.OnStoreReached(this->isReached,
-                            aAnswer ? "" : aAnswer.error().message);
-  if (!isBack) {
-    return;
-  }
-  if (this->hasTeller && this->hasTeller()) {
+  if (aAnswer && !this->isReached && this->HasTeller()) {
     // A domain that was cut off is back: one of its daemons reads for all.
     this->peersFirstSince = this->clock.Now();
-    return;
   }
-  this->upstreams.Restart();
-  this->own.Restart();
+  this->isReached = aAnswer.has_value();
+  this->view.OnStoreReached(this->isReached,
+                            aAnswer ? "" : aAnswer.error().message);
 }
 
 }  // namespace zincstep
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -18,6 +18,8 @@
   std::string upstreams;
   /// Prefix under which daemons keep entries of their own.
   std::string own;
+  /// What the entries of this failure domain's daemons begin with.
+  std::string near;
 };
 
 /// How long the follower of a prefix waits for what.
@@ -42,20 +44,21 @@
   /// with the pauses between questions) are overdue then.
   Micros reliancePause = 150ms;
   Micros longestReliance = 1350ms;
-  /// A daemon that starts, or that reaches the store again, leaves the lists to
-  /// its teller. Where that has not told them by then it reads them itself: two
-  /// questions to the teller and the teller's own reading take less.
+  /// A daemon that may ask the store as it starts, or that reaches it again,
+  /// leaves the lists to its teller. Where that has not told them by then it
+  /// reads them itself: two questions to the teller and the teller's own
+  /// reading take less.
   Micros startPatience = 1200ms;
   /// The same where peers do answer, but not yet the one to rely on.
   Micros longestStart = 3s;
+  /// So much later than the one before it does a daemon read the lists by
+  /// itself.
+  Micros patienceStep = 20ms;
   /// Daemons of a failure domain that read the upstreams' list however long it
   /// is when they start; the others leave a long one to them. When 300 that
   /// started together each read the 1.4 MB of 3,000 upstreams, all reads ran
   /// out of time, again and again, and nothing was served for 5 to 30 s.
   std::size_t listReaders = 3;
-  /// So much later than the one before it by name does a daemon read the lists
-  /// by itself.
-  Micros patienceStep = 20ms;
   /// Upstreams' entries: each wait is a call; changes often come in series.
   /// That an answer is lost shows in the next proof, not at the end of the
   /// wait.
@@ -64,13 +67,11 @@
   /// little.
   PrefixPauses ownPauses{15s, 1s, 150ms, 1s};
   Micros firstRetry = 150ms;
-  /// While the store does not answer, one that has a teller asks it ever less
-  /// often, up to this pause: the teller asks on, and its word comes sooner
-  /// than a proof is too old for keys.
+  /// Longest pause between questions of one daemon while the store does not
+  /// answer.
   Micros longestProofPause = 5600ms;
-  /// Between reads of the daemons' list while those that start together write
-  /// their entries.
-  Micros earlyPause = 300ms;
+  /// Between reads of the domain's daemons while none is known.
+  Micros earlyPause = 500ms;
 };
 
 /// Follows all items under one prefix: reads them, then watches.
@@ -148,30 +149,33 @@
                 StoreFollowerSettings aSettings, ClusterView& aView,
                 const Clock& aClock);
 
-  /// Begins; `aPeersFirst`: there may be peers that know the lists already. The
-  /// lists are then read as they were lately, a long one of upstreams by a few,
-  /// for the peers to tell what has changed since. When each of 295 daemons
-  /// read them whole, a day on which all lost power had 1,145 such reads of
-  /// some five calls each, of 8,070 calls.
+  /// Begins; `aPeersFirst`: there may be peers that know the lists already, or
+  /// read them for this daemon. The daemons of its failure domain are then read
+  /// as they were lately, and a list of upstreams likewise where it is short.
   void Start(bool aPeersFirst);
 
   /// Says whether a peer asks the store for this daemon too.
   void SetMayRely(std::function<bool()> aMayRely) {
     this->mayRely = std::move(aMayRely);
   }
+  /// Says whether this daemon is to ask the store where nobody does so for it.
+  void SetMayAsk(std::function<bool()> aMayAsk) {
+    this->mayAsk = std::move(aMayAsk);
+  }
   /// Says whether a peer would tell this daemon once the store answers.
   void SetHasTeller(std::function<bool()> aHasTeller) {
     this->hasTeller = std::move(aHasTeller);
   }
-  /// Says whether the daemons' list holds this daemon: it is then new enough to
-  /// hold those that started with it.
-  void SetIsListed(std::function<bool()> aIsListed) {
-    this->isListed = std::move(aIsListed);
-  }
-  /// Says how many daemons of this failure domain come before this one by name.
+  /// Says how many daemons of this failure domain come before this one.
   void SetRank(std::function<std::size_t()> aRank) {
     this->rank = std::move(aRank);
   }
+  /// Told of the failure domain's daemons as they were lately; says whether any
+  /// are known now, by whatever way.
+  using OnEarlyDaemons = std::function<bool(const std::vector<StoreItem>&)>;
+  void SetOnEarlyDaemons(OnEarlyDaemons aOnEarly) {
+    this->onEarly = std::move(aOnEarly);
+  }
   /// Whether this daemon asks the store itself.
   bool IsDirect() const { return !this->own.IsPaused(); }
   /// The store has come back from a copy: all that is read or watched begins
@@ -185,16 +189,15 @@
     Instant at;
   };
 
-  /// Reads the daemons' list as a base for what peers tell, until it holds this
-  /// daemon.
-  void ReadStaleDaemons();
-  /// The same for the upstreams' list, once; only the domain's first daemons
-  /// read a long one.
+  /// Reads the domain's daemons until any are known.
+  void ReadEarlyDaemons();
+  void OnEarly(const std::vector<StoreItem>& aDaemons);
+  /// Reads the upstreams' list as it was lately, as a base for what peers tell;
+  /// only the domain's first daemons read a long one.
   void ReadStaleUpstreams();
   std::size_t Rank() const { return this->rank ? this->rank() : 0; }
-  /// Reads that list again, or finds that this daemon is the first of its
-  /// failure domain and has to read for the others.
-  void OnStaleDaemons();
+  bool MayAsk() const { return !this->mayAsk || this->mayAsk(); }
+  bool HasTeller() const { return this->hasTeller && this->hasTeller(); }
   void Prove();
   bool Relies() const;
   /// Whether what it knows is new enough to leave the store to a peer.
@@ -202,11 +205,11 @@
   /// Whether this daemon has just started, or reached the store again, and
   /// waits for its peers' answers.
   bool WaitsForPeers() const;
-  /// Leaves the lists to the peer that is relied on, or reads them again.
-  void FollowLists(bool aRelies);
+  /// Follows the lists, or leaves them to a peer.
+  void FollowLists(bool aFollows);
   void ProveAfter(Micros aPause);
   /// Pause between calls while the store does not answer.
-  Micros PauseWhileAway();
+  Micros PauseWhileAway() const;
   void OnProved(StoreRevision aChecked, Instant aBegan,
                 Result<StoreCommit> aResult);
   void OnStoreState(StoreState aState);
@@ -224,11 +227,11 @@
   const Clock& clock;
   asio::steady_timer proofTimer;
   asio::steady_timer earlyTimer;
-  std::function<bool()> isListed;
-  std::function<std::size_t()> rank;
-  bool hasReadStaleUpstreams = false;
   std::function<bool()> mayRely;
+  std::function<bool()> mayAsk;
   std::function<bool()> hasTeller;
+  std::function<std::size_t()> rank;
+  OnEarlyDaemons onEarly;
   PrefixFollower upstreams;
   PrefixFollower own;
   /// Of both prefixes, and of the configuration.
@@ -236,8 +239,7 @@
   /// What the last proof told of the store.
   std::optional<StoreState> lastState;
   bool isReached = true;
-  /// The last pause while the store did not answer.
-  Micros awayPause{0};
+  bool isProving = false;
   /// When it began to wait for the peers' lists; none: it does not.
   std::optional<Instant> peersFirstSince;
 };
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -4,6 +4,7 @@
 
 #include "Zincstep/Edge/AdminHandler.h"
 #include "Zincstep/Edge/BlockList.h"
+#include "Zincstep/Edge/DaemonEntry.h"
 #include "Zincstep/Edge/HeldMemory.h"
 #include "Zincstep/Edge/PeerExchange.h"
 #include "Zincstep/Edge/PlanThread.h"
@@ -155,6 +156,8 @@
       const EdgeSettings& aSettings, const ClusterKeys& aKeys) {
     StoreFollowerSettings settings;
     settings.keys = aKeys;
+    settings.keys.near =
+        aKeys.own + DaemonEntry::PrefixOf(aSettings.failureDomain);
     settings.longestReliance = LongestReliance(aSettings);
     return settings;
   }
@@ -217,6 +220,8 @@
   CrashLedger crashes{CrashLedgerSettings{}};
   CrashWatch crashWatch;
   BlockList blockList;
+  /// `PeerMembers::Changes` when other parts last heard of the members.
+  std::uint64_t knownMembers = 0;
   Instant lastLook{};
   /// When what is not in the store yet is told again.
   Instant nextUnlisted{};
@@ -250,10 +255,17 @@
   this->follower.SetMayRely([this] {
     return this->peers.Members().MayRely() && !this->keeper.HasDuty();
   });
+  this->follower.SetMayAsk([this] {
+    return this->peers.Members().MayAskStore() || this->keeper.HasDuty();
+  });
   this->follower.SetHasTeller(
       [this] { return this->peers.Members().HasTeller(); });
-  this->follower.SetIsListed([this] { return this->peers.IsListed(); });
   this->follower.SetRank([this] { return this->peers.Members().Rank(); });
+  this->follower.SetOnEarlyDaemons(
+      [this](const std::vector<StoreItem>& aDaemons) {
+        this->peers.OnEarlyEntries(aDaemons);
+        return this->peers.Members().KnowsPeers();
+      });
   this->keeper.SetMayTake([this] { return this->follower.IsDirect(); });
   this->keeper.SetDemand([this] { return this->peers.Demand(); });
   this->eras.SetOnRestored([this](std::uint64_t aBefore, std::uint64_t aEra) {
@@ -262,7 +274,7 @@
   if (!this->peers.IsAlone()) {
     this->view.AwaitPeers(this->clock.Now() + kPeerPatience);
   }
-  this->follower.Start(!this->peers.IsSeed());
+  this->follower.Start(!this->peers.IsAlone());
   this->WaitForSignal();
   this->OnFastTick();
   this->OnDutyTick();
@@ -278,6 +290,10 @@
   this->keeper.OnHolder(holder);
   this->peers.OnDaemonEntries(holder);
   this->blockList.OnEntries(this->view.Daemons().Items());
+  if (this->peers.Members().Changes() == this->knownMembers) {
+    return;
+  }
+  this->knownMembers = this->peers.Members().Changes();
   std::map<std::string, std::string> domains;
   for (const auto& [name, member] : this->peers.Members().All()) {
     domains[name] = member.failureDomain;
--- a/Zincstep/Edge/EdgePeerMessage.cpp
+++ b/Zincstep/Edge/EdgePeerMessage.cpp
@@ -73,10 +73,12 @@
 
   fb::Offset<void> operator()(const ClusterWant& aWant) {
     const KnownRevisions& known = aWant.known;
-    return edgewire::CreateClusterWant(
+    return edgewire::CreateClusterWantDirect(
                this->builder, aWant.question, known.config.number,
                known.upstreams.number, known.daemons.number, aWant.era,
-               known.configVersion)
+               known.configVersion, aWant.failureDomain.c_str(),
+               static_cast<float>(aWant.linkMbps), aWant.wantsEntry,
+               aWant.wantsNames)
         .Union();
   }
 
@@ -84,12 +86,20 @@
     const ClusterCopy& copy = aGive.copy;
     const auto upstreams = this->WriteList(copy.upstreams);
     const auto daemons = this->WriteList(copy.daemons);
+    std::vector<fb::Offset<edgewire::Peer>> names;
+    for (const PeerName& peer : aGive.names) {
+      names.push_back(edgewire::CreatePeerDirect(
+          this->builder, peer.name.c_str(), peer.address.c_str(),
+          static_cast<float>(peer.linkMbps)));
+    }
+    const auto written = this->builder.CreateVector(names);
     return edgewire::CreateClusterGive(
                this->builder, aGive.question, copy.configRevision.number,
                AgeOrNone(copy.proofAge), upstreams, daemons,
                AgeOrNone(copy.listsAge), aGive.era, copy.configVersion,
                aGive.packedGrace.count(), SizeOf(aGive.packedConfig),
-               SizeOf(aGive.packedUpstreams), SizeOf(aGive.packedDaemons))
+               SizeOf(aGive.packedUpstreams), SizeOf(aGive.packedDaemons),
+               written)
         .Union();
   }
 
@@ -278,10 +288,18 @@
   ClusterWant want;
   want.era = era;
   want.question = aTable.question();
-  want.known.config = {aTable.config_revision(), era};
-  want.known.upstreams = {aTable.upstreams_at(), era};
-  want.known.daemons = {aTable.daemons_at(), era};
+  const auto known = [era](std::uint64_t aNumber) {
+    return aNumber == kNotWanted.number ? kNotWanted
+                                        : StoreRevision{aNumber, era};
+  };
+  want.known.config = known(aTable.config_revision());
+  want.known.upstreams = known(aTable.upstreams_at());
+  want.known.daemons = known(aTable.daemons_at());
   want.known.configVersion = aTable.config_version();
+  want.failureDomain = TextOf(aTable.failure_domain());
+  want.linkMbps = std::isfinite(aTable.link_mbps()) ? aTable.link_mbps() : 0;
+  want.wantsEntry = aTable.wants_entry();
+  want.wantsNames = aTable.wants_names();
   return want;
 }
 
@@ -316,6 +334,14 @@
     give.copy.daemons =
         UnpackList(aParts.Take(aTable.daemons_bytes()), give.era);
   }
+  if (aTable.names() != nullptr) {
+    for (const edgewire::Peer* peer : *aTable.names()) {
+      const double link =
+          std::isfinite(peer->link_mbps()) ? peer->link_mbps() : 0;
+      give.names.push_back(
+          {TextOf(peer->name()), TextOf(peer->address()), "", link});
+    }
+  }
   return give;
 }
 
--- a/Zincstep/Edge/EdgePeerMessage.h
+++ b/Zincstep/Edge/EdgePeerMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -8,6 +9,7 @@
 
 #include "Zincstep/Admission/Admission.h"
 #include "Zincstep/Cluster/Cluster.h"
+#include "Zincstep/Edge/PeerName.h"
 #include "Zincstep/Peer/Peer.h"
 
 namespace zincstep {
@@ -28,12 +30,23 @@
   std::vector<UpstreamWork> works;
 };
 
+/// Stands for any revision, of any era: it is not to be told.
+constexpr StoreRevision kNotWanted{std::numeric_limits<std::uint64_t>::max(),
+                                   std::numeric_limits<std::uint64_t>::max()};
+
 /// Asks a peer for what it knows beyond these revisions.
 struct ClusterWant {
   /// Era of the store, as the sender knows it; all revisions are of it.
   std::uint64_t era = 0;
   std::uint64_t question = 0;
   KnownRevisions known;
+  std::string failureDomain;
+  /// Of the sender's VM.
+  double linkMbps = 0;
+  /// Whether the sender is to have an entry in the store.
+  bool wantsEntry = false;
+  /// Whether the sender asks who is there.
+  bool wantsNames = false;
 };
 
 /// The answer to a question.
@@ -50,6 +63,8 @@
   /// For so long what the packed list of upstreams removes may only have
   /// lapsed.
   Micros packedGrace{0};
+  /// The first daemons of the asker's failure domain, where it asks for names.
+  std::vector<PeerName> names;
 };
 
 /// What a daemon tells whoever places layers.
--- a/Zincstep/Edge/EdgeSettings.cpp
+++ b/Zincstep/Edge/EdgeSettings.cpp
@@ -53,6 +53,8 @@
                 "repeats as a share of requests");
   reader.Number("retry-slack", settings.retrySlack, 0, 1e6,
                 "repeats beyond that, of all daemons");
+  reader.Number("link-mbps", settings.linkMbps, 0.001, 1e7,
+                "link of this VM, in Mbit/s");
   reader.Number("memory-mb", settings.memoryMb, 16, 1e7,
                 "memory that the process may take, in MB");
   reader.Text("log-level", settings.logLevel,
--- a/Zincstep/Edge/EdgeSettings.h
+++ b/Zincstep/Edge/EdgeSettings.h
@@ -36,6 +36,8 @@
   double retryRatio = 0.2;
   /// Repeats beyond the share, of all daemons together.
   double retrySlack = 200;
+  /// Link of this VM, in Mbit/s.
+  double linkMbps = 1000;
   /// Memory that the process may take, in MB.
   double memoryMb = 256;
   std::string logLevel = "info";
--- a/Zincstep/Edge/Generated/EdgePeer_generated.h
+++ b/Zincstep/Edge/Generated/EdgePeer_generated.h
@@ -27,6 +27,9 @@
 struct ClusterWant;
 struct ClusterWantBuilder;
 
+struct Peer;
+struct PeerBuilder;
+
 struct Entry;
 struct EntryBuilder;
 
@@ -317,7 +320,11 @@
     VT_UPSTREAMS_AT = 8,
     VT_DAEMONS_AT = 10,
     VT_ERA = 12,
-    VT_CONFIG_VERSION = 14
+    VT_CONFIG_VERSION = 14,
+    VT_FAILURE_DOMAIN = 16,
+    VT_LINK_MBPS = 18,
+    VT_WANTS_ENTRY = 20,
+    VT_WANTS_NAMES = 22
   };
   uint64_t question() const {
     return GetField<uint64_t>(VT_QUESTION, 0);
@@ -337,6 +344,18 @@
   uint64_t config_version() const {
     return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
   }
+  const flatbuffers::String *failure_domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
+  }
+  float link_mbps() const {
+    return GetField<float>(VT_LINK_MBPS, 0.0f);
+  }
+  bool wants_entry() const {
+    return GetField<uint8_t>(VT_WANTS_ENTRY, 0) != 0;
+  }
+  bool wants_names() const {
+    return GetField<uint8_t>(VT_WANTS_NAMES, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_QUESTION, 8) &&
@@ -345,6 +364,11 @@
            VerifyField<uint64_t>(verifier, VT_DAEMONS_AT, 8) &&
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
+           VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
+           verifier.VerifyString(failure_domain()) &&
+           VerifyField<float>(verifier, VT_LINK_MBPS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_ENTRY, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_NAMES, 1) &&
            verifier.EndTable();
   }
 };
@@ -371,6 +395,18 @@
   void add_config_version(uint64_t config_version) {
     fbb_.AddElement<uint64_t>(ClusterWant::VT_CONFIG_VERSION, config_version, 0);
   }
+  void add_failure_domain(flatbuffers::Offset<flatbuffers::String> failure_domain) {
+    fbb_.AddOffset(ClusterWant::VT_FAILURE_DOMAIN, failure_domain);
+  }
+  void add_link_mbps(float link_mbps) {
+    fbb_.AddElement<float>(ClusterWant::VT_LINK_MBPS, link_mbps, 0.0f);
+  }
+  void add_wants_entry(bool wants_entry) {
+    fbb_.AddElement<uint8_t>(ClusterWant::VT_WANTS_ENTRY, static_cast<uint8_t>(wants_entry), 0);
+  }
+  void add_wants_names(bool wants_names) {
+    fbb_.AddElement<uint8_t>(ClusterWant::VT_WANTS_NAMES, static_cast<uint8_t>(wants_names), 0);
+  }
   explicit ClusterWantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -389,7 +425,11 @@
     uint64_t upstreams_at = 0,
     uint64_t daemons_at = 0,
     uint64_t era = 0,
-    uint64_t config_version = 0) {
+    uint64_t config_version = 0,
+    flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
+    float link_mbps = 0.0f,
+    bool wants_entry = false,
+    bool wants_names = false) {
   ClusterWantBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
   builder_.add_era(era);
@@ -397,9 +437,117 @@
   builder_.add_upstreams_at(upstreams_at);
   builder_.add_config_revision(config_revision);
   builder_.add_question(question);
+  builder_.add_link_mbps(link_mbps);
+  builder_.add_failure_domain(failure_domain);
+  builder_.add_wants_names(wants_names);
+  builder_.add_wants_entry(wants_entry);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<ClusterWant> CreateClusterWantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t question = 0,
+    uint64_t config_revision = 0,
+    uint64_t upstreams_at = 0,
+    uint64_t daemons_at = 0,
+    uint64_t era = 0,
+    uint64_t config_version = 0,
+    const char *failure_domain = nullptr,
+    float link_mbps = 0.0f,
+    bool wants_entry = false,
+    bool wants_names = false) {
+  auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
+  return zincstep::edgewire::CreateClusterWant(
+      _fbb,
+      question,
+      config_revision,
+      upstreams_at,
+      daemons_at,
+      era,
+      config_version,
+      failure_domain__,
+      link_mbps,
+      wants_entry,
+      wants_names);
+}
+
+struct Peer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PeerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_ADDRESS = 6,
+    VT_LINK_MBPS = 8
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  float link_mbps() const {
+    return GetField<float>(VT_LINK_MBPS, 0.0f);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<float>(verifier, VT_LINK_MBPS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct PeerBuilder {
+  typedef Peer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(Peer::VT_NAME, name);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(Peer::VT_ADDRESS, address);
+  }
+  void add_link_mbps(float link_mbps) {
+    fbb_.AddElement<float>(Peer::VT_LINK_MBPS, link_mbps, 0.0f);
+  }
+  explicit PeerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Peer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Peer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Peer> CreatePeer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    float link_mbps = 0.0f) {
+  PeerBuilder builder_(_fbb);
+  builder_.add_link_mbps(link_mbps);
+  builder_.add_address(address);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Peer> CreatePeerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const char *address = nullptr,
+    float link_mbps = 0.0f) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return zincstep::edgewire::CreatePeer(
+      _fbb,
+      name__,
+      address__,
+      link_mbps);
+}
+
 struct Entry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EntryBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -606,7 +754,8 @@
     VT_PACKED_GRACE_US = 24,
     VT_CONFIG_BYTES = 26,
     VT_UPSTREAMS_BYTES = 28,
-    VT_DAEMONS_BYTES = 30
+    VT_DAEMONS_BYTES = 30,
+    VT_NAMES = 32
   };
   uint64_t question() const {
     return GetField<uint64_t>(VT_QUESTION, 0);
@@ -644,6 +793,9 @@
   uint32_t daemons_bytes() const {
     return GetField<uint32_t>(VT_DAEMONS_BYTES, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Peer>> *names() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Peer>> *>(VT_NAMES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_QUESTION, 8) &&
@@ -660,6 +812,9 @@
            VerifyField<uint32_t>(verifier, VT_CONFIG_BYTES, 4) &&
            VerifyField<uint32_t>(verifier, VT_UPSTREAMS_BYTES, 4) &&
            VerifyField<uint32_t>(verifier, VT_DAEMONS_BYTES, 4) &&
+           VerifyOffset(verifier, VT_NAMES) &&
+           verifier.VerifyVector(names()) &&
+           verifier.VerifyVectorOfTables(names()) &&
            verifier.EndTable();
   }
 };
@@ -704,6 +859,9 @@
   void add_daemons_bytes(uint32_t daemons_bytes) {
     fbb_.AddElement<uint32_t>(ClusterGive::VT_DAEMONS_BYTES, daemons_bytes, 0);
   }
+  void add_names(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Peer>>> names) {
+    fbb_.AddOffset(ClusterGive::VT_NAMES, names);
+  }
   explicit ClusterGiveBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -728,7 +886,8 @@
     int64_t packed_grace_us = 0,
     uint32_t config_bytes = 0,
     uint32_t upstreams_bytes = 0,
-    uint32_t daemons_bytes = 0) {
+    uint32_t daemons_bytes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<zincstep::edgewire::Peer>>> names = 0) {
   ClusterGiveBuilder builder_(_fbb);
   builder_.add_packed_grace_us(packed_grace_us);
   builder_.add_config_version(config_version);
@@ -737,6 +896,7 @@
   builder_.add_proof_age_us(proof_age_us);
   builder_.add_config_revision(config_revision);
   builder_.add_question(question);
+  builder_.add_names(names);
   builder_.add_daemons_bytes(daemons_bytes);
   builder_.add_upstreams_bytes(upstreams_bytes);
   builder_.add_config_bytes(config_bytes);
@@ -745,6 +905,39 @@
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<ClusterGive> CreateClusterGiveDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t question = 0,
+    uint64_t config_revision = 0,
+    int64_t proof_age_us = -1LL,
+    flatbuffers::Offset<zincstep::edgewire::EntryList> upstreams = 0,
+    flatbuffers::Offset<zincstep::edgewire::EntryList> daemons = 0,
+    int64_t lists_age_us = -1LL,
+    uint64_t era = 0,
+    uint64_t config_version = 0,
+    int64_t packed_grace_us = 0,
+    uint32_t config_bytes = 0,
+    uint32_t upstreams_bytes = 0,
+    uint32_t daemons_bytes = 0,
+    const std::vector<flatbuffers::Offset<zincstep::edgewire::Peer>> *names = nullptr) {
+  auto names__ = names ? _fbb.CreateVector<flatbuffers::Offset<zincstep::edgewire::Peer>>(*names) : 0;
+  return zincstep::edgewire::CreateClusterGive(
+      _fbb,
+      question,
+      config_revision,
+      proof_age_us,
+      upstreams,
+      daemons,
+      lists_age_us,
+      era,
+      config_version,
+      packed_grace_us,
+      config_bytes,
+      upstreams_bytes,
+      daemons_bytes,
+      names__);
+}
+
 struct CrashGossip FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CrashGossipBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/Zincstep/Edge/PeerAnswers.cpp
+++ b/Zincstep/Edge/PeerAnswers.cpp
@@ -4,12 +4,12 @@
 
 namespace {
 
-/// What is told of whole lists, a second: less than half of the smallest VM's
-/// link (20 Mbit/s, the site files), the rest of which requests need.
-constexpr double kListBytesPerSecond = 1e6;
-/// The same at once: the lists of a hundred upstreams for thirty daemons that
-/// start together, or those of 3,000 for one.
-constexpr double kListBytesAtOnce = 1e6;
+constexpr double kBytesPerMbit = 125'000;
+/// Share of the link for whole lists: requests need the rest.
+constexpr double kListShare = 0.4;
+/// For so long the lists may take that share in advance: those of a hundred
+/// upstreams for thirty daemons that start together by 20 Mbit/s.
+constexpr double kListBurstSeconds = 1;
 
 std::size_t WholeBytes(const PackedList* aList) {
   return aList != nullptr && aList->isWhole ? aList->text->size() : 0;
@@ -17,10 +17,12 @@
 
 }  // namespace
 
-PeerAnswers::PeerAnswers(const ClusterView& aView, const Clock& aClock)
+PeerAnswers::PeerAnswers(const ClusterView& aView, const Clock& aClock,
+                         double aLinkMbps)
     : view(aView),
       clock(aClock),
-      listBytes(kListBytesPerSecond, kListBytesAtOnce) {}
+      listBytes(aLinkMbps * kBytesPerMbit * kListShare,
+                aLinkMbps * kBytesPerMbit * kListShare * kListBurstSeconds) {}
 
 const PackedList* PeerAnswers::Pack(PackedLists& aLists, StoreRevision aSince,
                                     StoreRevision aAt,
--- a/Zincstep/Edge/PeerAnswers.h
+++ b/Zincstep/Edge/PeerAnswers.h
@@ -13,7 +13,8 @@
 /// and held once. Whole lists fall under a budget of bytes.
 class PeerAnswers {
  public:
-  PeerAnswers(const ClusterView& aView, const Clock& aClock);
+  /// `aLinkMbps`: this VM's link.
+  PeerAnswers(const ClusterView& aView, const Clock& aClock, double aLinkMbps);
 
   /// The answer to a question, in the present era of the store. Whole lists are
   /// left out while the budget is spent: the asker has others to ask, and the
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -27,6 +27,9 @@
 constexpr Micros kQuestionPause = 400ms;
 /// The same for a daemon that has just started and knows nothing yet.
 constexpr Micros kFirstQuestionPause = 100ms;
+/// Questions that a daemon which has just started leaves to a teller that may
+/// have started with it, and has to read the lists first.
+constexpr int kMostUnansweredAtStart = 10;
 /// A daemon that has just started has the configuration from the store, which
 /// is closer than a peer of another failure domain, unless that takes longer
 /// than this.
@@ -37,9 +40,9 @@
 constexpr Micros kAllPatience = 200ms;
 /// For so long a daemon that starts asks those of its own failure domain alone.
 constexpr Micros kNearPatience = 200ms;
-/// Stands for any revision: it is not to be told.
-constexpr StoreRevision kNotWanted{std::numeric_limits<std::uint64_t>::max(),
-                                   std::numeric_limits<std::uint64_t>::max()};
+/// Stands for any version of the configuration: it is not to be told.
+constexpr std::uint64_t kNoVersionWanted =
+    std::numeric_limits<std::uint64_t>::max();
 /// Peers that are asked at once.
 constexpr std::size_t kAskedAtOnce = 2;
 /// Up to so many members all are told of each other's work; beyond, those
@@ -100,15 +103,14 @@
       ownDemand(std::move(aOwnDemand)),
       eras(aEras),
       bytes(aMetrics),
-      entry(aSettings, aStore, aClock),
-      answers(aView, aClock),
+      entries(aSettings, aStore, aClock),
+      answers(aView, aClock, aSettings.linkMbps),
       members(aSettings, aClock),
       seeds(SeedPeers(aSettings)),
       startedAt(aClock.Now()) {
-  const std::string host =
-      aSettings.peerListen.substr(0, aSettings.peerListen.rfind(':') + 1);
-  this->isSeed = this->seeds.empty() ||
-                 ("," + aSettings.seeds).find("," + host) != std::string::npos;
+  if (this->seeds.empty()) {
+    this->members.BeginAlone();
+  }
   PeerHubSettings hubSettings;
   hubSettings.listen = aSettings.peerListen;
   hubSettings.seed = Hash64(aSettings.name);
@@ -150,7 +152,7 @@
     this->onLimits(*limits, aMessage.sender, aMessage.replyTo);
   } else if (const auto* want = std::get_if<ClusterWant>(&aMessage.body)) {
     this->eras.OnTold(want->era);
-    this->OnWant(aMessage.replyTo, *want);
+    this->OnWant(aMessage.sender, aMessage.replyTo, *want);
   } else if (const auto* give = std::get_if<ClusterGive>(&aMessage.body)) {
     this->eras.OnTold(give->era);
     give->question == kUnasked ? this->OnHint(aMessage.replyTo, give->copy)
@@ -161,7 +163,7 @@
 void PeerExchange::OnRestored() {
   // What was asked for before would be answered in revisions of another era.
   this->questions.clear();
-  this->entry.OnRestored(this->random);
+  this->entries.OnRestored(this->random);
   this->members.OnRestored();
   this->nextReliance = {};
 }
@@ -198,9 +200,19 @@
   this->work.Tell(aSender, std::move(shares), now);
 }
 
-void PeerExchange::OnWant(const std::string& aAddress,
+void PeerExchange::OnWant(const std::string& aSender,
+                          const std::string& aAddress,
                           const ClusterWant& aWant) {
-  this->Send(aAddress, this->answers.To(aWant, this->Era()));
+  const PeerName asker{aSender, aAddress, aWant.failureDomain, aWant.linkMbps};
+  if (aWant.wantsEntry) {
+    this->members.OnAsker(asker);
+    this->entries.OnAsker(asker);
+  }
+  ClusterGive give = this->answers.To(aWant, this->Era());
+  if (aWant.wantsNames) {
+    give.names = this->members.FirstOf(aWant.failureDomain, aSender);
+  }
+  this->Send(aAddress, std::move(give));
 }
 
 void PeerExchange::GossipSoon() {
@@ -226,6 +238,10 @@
     return;  // It hears of the era by the next question.
   }
   this->members.OnAnswer(question.address, aGive.copy.listsAge);
+  if (question.wantsNames) {
+    this->OnNames(aGive.names);
+    return;
+  }
   ClusterCopy copy = aGive.copy;
   if (!question.wantsUpstreams) {
     copy.listsAge.reset();
@@ -238,6 +254,22 @@
   }
 }
 
+void PeerExchange::OnNames(std::vector<PeerName> aNames) {
+  const bool hadTeller = this->members.HasTeller();
+  for (PeerName& peer : aNames) {
+    peer.failureDomain = this->settings.failureDomain;
+  }
+  this->members.OnNamed(aNames);
+  if (!hadTeller && this->members.HasTeller()) {
+    this->AskTellers(this->clock.Now());
+  }
+}
+
+void PeerExchange::OnEarlyEntries(const std::vector<StoreItem>& aItems) {
+  this->members.OnEarlyEntries(aItems);
+  this->AskTellers(this->clock.Now());
+}
+
 void PeerExchange::CompareVersions(const std::string& aAddress,
                                    const ClusterCopy& aCopy) {
   const std::uint64_t own = this->view.ConfigVersion();
@@ -266,8 +298,10 @@
 
 void PeerExchange::OnDaemonEntries(const std::string& aDutyHolder) {
   this->dutyHolder = aDutyHolder;
-  this->entry.OnEntries(this->view.Daemons().Items());
-  this->members.OnEntries(this->view.Daemons().Items());
+  this->entries.OnEntries(this->view.Daemons().Items());
+  const ItemList& daemons = this->view.Daemons().List();
+  this->members.OnEntries(daemons.CopySince(this->entriesAt));
+  this->entriesAt = daemons.At();
 }
 
 bool PeerExchange::IsNew() const { return !this->view.ListsAge(); }
@@ -276,7 +310,7 @@
   const Instant now = this->clock.Now();
   this->bytes.Tick(now);
   this->work.Tick(now, kMissedTellings * this->GossipPause());
-  this->entry.Keep();
+  this->entries.Keep(this->members.Leads());
   if (now >= this->nextGossip) {
     this->nextGossip = now + this->GossipPause();
     this->Gossip();
@@ -286,23 +320,39 @@
     this->TellDemand(now);
   }
   if (now >= this->nextReliance) {
-    this->nextReliance = now + kReliancePause;
-    for (const std::string& address : this->members.TakeTellers()) {
-      this->Ask(address, now);
-    }
+    this->AskTellers(now);
+  }
+  if (now < this->nextQuestion) {
+    return;
   }
   const auto isOld = [](std::optional<Micros> aAge) {
     return !aAge || *aAge > kOwnProofAge;
   };
-  const bool wantsPeers =
-      isOld(this->view.ProofAge()) || isOld(this->view.ListsAge());
-  if (wantsPeers && now >= this->nextQuestion) {
-    this->nextQuestion =
-        now + (this->IsNew() ? kFirstQuestionPause : kQuestionPause);
+  if (this->IsNew() && !this->members.HasTeller()) {
+    this->nextQuestion = now + kFirstQuestionPause;
+    this->AskSeeds(now);
+  } else if (isOld(this->view.ProofAge()) || isOld(this->view.ListsAge())) {
+    this->nextQuestion = now + kQuestionPause;
     this->AskPeers(now);
   }
 }
 
+void PeerExchange::AskTellers(Instant aNow) {
+  const bool isNew = this->IsNew();
+  this->nextReliance = aNow + (isNew ? kFirstQuestionPause : kReliancePause);
+  const int most =
+      isNew ? kMostUnansweredAtStart : PeerMembers::kMostUnanswered;
+  for (const std::string& address : this->members.TakeTellers(most)) {
+    this->Ask(address, aNow);
+  }
+}
+
+void PeerExchange::AskSeeds(Instant aNow) {
+  for (const std::string& address : this->seeds) {
+    this->Ask(address, aNow, Wanted::Names);
+  }
+}
+
 void PeerExchange::TellDemand(Instant aNow) {
   const std::optional<double> own = this->ownDemand();
   if (!own) {
@@ -399,6 +449,10 @@
   const std::uint64_t number = ++this->lastQuestion;
   Question& question = this->questions[number] = {aAddress, aNow};
   KnownRevisions known = this->view.Revisions();
+  if (aWanted == Wanted::Names) {
+    question.wantsNames = true;
+    known = {kNotWanted, kNotWanted, kNotWanted, kNoVersionWanted};
+  }
   if (known.config.IsNone() && aWanted == Wanted::News &&
       aNow - this->startedAt < kStorePatience) {
     known.config = kNotWanted;
@@ -410,7 +464,15 @@
       this->questionForAll = number;
     }
   }
-  this->Send(aAddress, ClusterWant{this->Era(), number, known});
+  ClusterWant want;
+  want.era = this->Era();
+  want.question = number;
+  want.known = known;
+  want.failureDomain = this->settings.failureDomain;
+  want.linkMbps = this->settings.linkMbps;
+  want.wantsEntry = this->entries.WantsEntry();
+  want.wantsNames = question.wantsNames;
+  this->Send(aAddress, std::move(want));
 }
 
 bool PeerExchange::MayAskForAll(const std::string& aAddress,
--- a/Zincstep/Edge/PeerExchange.h
+++ b/Zincstep/Edge/PeerExchange.h
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "Zincstep/Cluster/Cluster.h"
-#include "Zincstep/Edge/DaemonEntry.h"
 #include "Zincstep/Edge/EdgePeerMessage.h"
 #include "Zincstep/Edge/EdgeSettings.h"
+#include "Zincstep/Edge/EntryKeeper.h"
 #include "Zincstep/Edge/PeerAnswers.h"
 #include "Zincstep/Edge/PeerByteCount.h"
 #include "Zincstep/Edge/PeerMembers.h"
@@ -48,7 +48,7 @@
 
   Result<void> Start();
   /// This daemon will end: it is taken off the list of daemons.
-  void BeginStop() { this->entry.End(); }
+  void BeginStop() { this->entries.End(); }
   void Stop();
   /// Tells and asks where it is time; to be called several times a second.
   void Tick();
@@ -59,8 +59,8 @@
   std::optional<ObservedDemand> Demand() {
     return this->demand.Peak(this->clock.Now());
   }
-  /// Whether the list of daemons that is known holds this one.
-  bool IsListed() const { return this->entry.IsListed(); }
+  /// Entries of this failure domain's daemons, as the store had them lately.
+  void OnEarlyEntries(const std::vector<StoreItem>& aItems);
   /// Daemons that are known, this one included.
   std::size_t Daemons() const { return this->members.All().size() + 1; }
   /// The store has come back from a copy: what this daemon keeps there is
@@ -79,8 +79,6 @@
   /// The view's entries of daemons have changed; `aDutyHolder` places layers
   /// and is told of suspicions wherever it is.
   void OnDaemonEntries(const std::string& aDutyHolder);
-  /// Whether this daemon is one of those that others ask when they start.
-  bool IsSeed() const { return this->isSeed; }
   /// Bytes of messages that wait to be sent.
   std::size_t BytesToPeers() const { return this->hub->Traffic().heldBytes; }
   /// Bytes of messages that have come and are not read yet.
@@ -93,19 +91,23 @@
   bool IsAlone() const { return this->seeds.empty(); }
 
  private:
-  /// What a question is for: all that is new, or at any rate the
-  /// configuration, though a daemon that starts has it from the store.
-  enum class Wanted { News, Configuration };
+  /// What a question is for: all that is new, at any rate the configuration,
+  /// though a daemon that starts may have it from the store, or who is there.
+  enum class Wanted { News, Configuration, Names };
   struct Question {
     std::string address;
     Instant askedAt;
     /// Whether the answer tells of upstreams, so that it can prove the lists.
     bool wantsUpstreams = true;
+    bool wantsNames = false;
   };
 
   void OnPeerData(std::string aMessage) override;
   void OnMessage(const EdgePeerMessage& aMessage);
-  void OnWant(const std::string& aAddress, const ClusterWant& aWant);
+  void OnWant(const std::string& aSender, const std::string& aAddress,
+              const ClusterWant& aWant);
+  /// A peer has named the first daemons of this failure domain.
+  void OnNames(std::vector<PeerName> aNames);
   void OnGossip(const std::string& aSender, const WorkGossip& aGossip);
   void OnGive(const ClusterGive& aGive);
   /// Either side is told where the other has a configuration of a higher
@@ -124,6 +126,10 @@
   /// Between two tellings of this daemon's work.
   Micros GossipPause() const;
   void AskPeers(Instant aNow);
+  /// Asks the seeds who is there.
+  void AskSeeds(Instant aNow);
+  /// Asks whoever tells this daemon what the store holds.
+  void AskTellers(Instant aNow);
   std::vector<std::string> KnownAddresses() const;
   void Ask(const std::string& aAddress, Instant aNow,
            Wanted aWanted = Wanted::News);
@@ -148,15 +154,16 @@
   OwnDemand ownDemand;
   StoreEras& eras;
   PeerByteCount bytes;
-  DaemonEntry entry;
+  EntryKeeper entries;
   PeerAnswers answers;
   std::unique_ptr<PeerHub> hub;
   PeerWork work;
   DemandSum demand;
   PeerMembers members;
+  /// Revision up to which the members are those of the daemons' entries.
+  StoreRevision entriesAt;
   std::string dutyHolder;
   std::vector<std::string> seeds;
-  bool isSeed = true;
   /// When this daemon began; the store is asked for the configuration first.
   Instant startedAt;
   /// Open questions by their numbers.
--- a/Zincstep/Edge/PeerMembers.cpp
+++ b/Zincstep/Edge/PeerMembers.cpp
@@ -1,6 +1,7 @@
 #include "Zincstep/Edge/PeerMembers.h"
 
 #include <algorithm>
+#include <set>
 
 #include "Zincstep/Edge/DaemonEntry.h"
 #include "Zincstep/Telemetry/Telemetry.h"
@@ -9,10 +10,17 @@
 
 namespace {
 
-/// So many questions in a row without an answer: it has ended or is cut off,
-/// and the next member by name is asked. One that answers with old lists is not
-/// passed over: whoever then relies on nobody reads the store itself.
-constexpr int kMostUnanswered = 3;
+/// So many answers in a row without fresh lists: the member does not reach the
+/// store, and the next one is asked. Where the first ones do not, it may be
+/// away for all: each further one is given more time, so that not one after
+/// the other begins to ask it.
+constexpr int kMostStale = 3;
+constexpr int kMostStaleLater = 12;
+constexpr std::size_t kQuicklyPassed = 3;
+/// Up to so many daemons of a failure domain each may ask the store: they serve
+/// sooner after a start. Beyond, the calls of a start, or of a cut that ends,
+/// would grow with all daemons.
+constexpr std::size_t kFewDaemons = 64;
 /// Between questions to one that was passed over.
 constexpr Micros kPassedOverPause = 2s;
 /// Lists that are older when they are told come from a peer that does not
@@ -23,40 +31,213 @@
 /// are told once a second. Without them each daemon would be the first of its
 /// domain and read all lists.
 constexpr Micros kReturnTime = 3s;
+/// A peer without an entry is remembered for so long after it was heard of.
+constexpr Micros kUnlistedLife = 10s;
+constexpr Micros kForgettingPause = 1s;
+/// After it first heard who is there a daemon waits so long before it leads:
+/// those that start together are heard of one after the other.
+constexpr Micros kSettleTime = 300ms;
+/// A daemon that nobody answers begins by itself after this time, and up to
+/// three times as long after it: when all seeds are away, hundreds that began
+/// at once would each read all lists.
+constexpr Micros kShortestLoneliness = 1s;
+constexpr double kLonelinessSpread = 3;
+/// A daemon whose seniors do not answer at all asks the store after so long,
+/// times the factor that it has drawn for its start.
+constexpr Micros kIsolatedAfter = 3s;
+/// Daemons of a failure domain that are named to an asker: the first, and two
+/// that are asked where it does not answer.
+constexpr std::size_t kNamed = 3;
 
 }  // namespace
 
-void PeerMembers::OnRestored() {
-  this->keepsMissingUntil = this->clock.Now() + kReturnTime;
+PeerMembers::PeerMembers(const EdgeSettings& aSettings, const Clock& aClock)
+    : settings(aSettings),
+      clock(aClock),
+      own{aSettings.name, aSettings.peerListen, aSettings.failureDomain,
+          aSettings.linkMbps},
+      startedAt(aClock.Now()),
+      answeredAt(aClock.Now()) {
+  Random random{Hash64(aSettings.name)};
+  const double factor = 1 + kLonelinessSpread * random.Unit();
+  this->loneliness = FromSeconds(ToSeconds(kShortestLoneliness) * factor);
+  this->order[this->own.failureDomain].insert(this->own);
+}
+
+void PeerMembers::BeginAlone() {
+  this->orientedAt = this->clock.Now() - kSettleTime;
+}
+
+bool PeerMembers::Precedence::operator()(const PeerName& aOne,
+                                         const PeerName& aOther) const {
+  return aOne.linkMbps != aOther.linkMbps ? aOne.linkMbps > aOther.linkMbps
+                                          : aOne.name < aOther.name;
 }
 
-void PeerMembers::OnEntries(const StoreItems& aItems) {
-  std::map<std::string, Member> known;
-  known.swap(this->members);
-  if (this->clock.Now() < this->keepsMissingUntil) {
-    this->members = known;
+PeerName PeerMembers::NameOf(const std::string& aName, const Member& aMember) {
+  return {aName, aMember.address, aMember.failureDomain, aMember.linkMbps};
+}
+
+std::vector<PeerMembers::Member*> PeerMembers::Seniors() {
+  std::vector<Member*> seniors;
+  for (const PeerName& peer : this->order.at(this->own.failureDomain)) {
+    if (peer.name == this->own.name) {
+      break;
+    }
+    seniors.push_back(&this->members.at(peer.name));
   }
-  for (const auto& [key, item] : aItems) {
-    const auto entry = DaemonEntry::Read(key, item.value);
-    if (!entry || entry->name == this->settings.name) {
-      continue;
+  return seniors;
+}
+
+bool PeerMembers::AnySenior(
+    const std::function<bool(const Member&)>& aHolds) const {
+  for (const PeerName& peer : this->order.at(this->own.failureDomain)) {
+    if (peer.name == this->own.name) {
+      return false;
     }
-    Member& member = this->members[entry->name] = known[entry->name];
-    if (member.address != entry->address) {
-      member = Member{};  // Another process, whatever the last one did.
+    if (aHolds(this->members.at(peer.name))) {
+      return true;
     }
-    member.address = entry->address;
-    member.failureDomain = entry->failureDomain;
   }
+  return false;
+}
+
+std::size_t PeerMembers::Rank() const {
+  const auto& near = this->order.at(this->own.failureDomain);
+  return static_cast<std::size_t>(
+      std::distance(near.begin(), near.find(this->own)));
 }
 
 bool PeerMembers::IsNear(const Member& aMember) const {
   return aMember.failureDomain == this->settings.failureDomain;
 }
 
-bool PeerMembers::IsBefore(const std::string& aName,
-                           const Member& aMember) const {
-  return aName < this->settings.name && this->IsNear(aMember);
+void PeerMembers::OnRestored() {
+  this->keepsMissingUntil = this->clock.Now() + kReturnTime;
+}
+
+void PeerMembers::OnEntries(const ListCopy& aChanges) {
+  if (aChanges.isWhole) {
+    std::set<std::string> present;
+    for (const StoreItem& item : aChanges.items) {
+      present.insert(DaemonEntry::NameIn(item.key));
+    }
+    for (auto& [name, member] : this->members) {
+      if (!present.contains(name)) {
+        this->SetRevision(member, {});
+      }
+    }
+    this->isListed = present.contains(this->own.name);
+  }
+  for (const StoreItem& item : aChanges.items) {
+    this->TakeEntry(item);
+  }
+  for (const std::string& key : aChanges.removed) {
+    this->DropEntry(key);
+  }
+  this->ForgetUnlisted();
+}
+
+void PeerMembers::SetRevision(Member& aMember, StoreRevision aRevision) {
+  if (this->IsNear(aMember)) {
+    this->listedNear -= aMember.revision.IsNone() ? 0 : 1;
+    this->listedNear += aRevision.IsNone() ? 0 : 1;
+  }
+  aMember.revision = aRevision;
+}
+
+void PeerMembers::DropEntry(const std::string& aKey) {
+  const std::string name = DaemonEntry::NameIn(aKey);
+  const auto member = this->members.find(name);
+  if (member != this->members.end()) {
+    this->SetRevision(member->second, {});
+  }
+  this->isListed = this->isListed && name != this->own.name;
+}
+
+void PeerMembers::TakeEntry(const StoreItem& aItem) {
+  const auto entry = DaemonEntry::Read(aItem.key, aItem.value);
+  if (!entry) {
+    this->DropEntry(aItem.key);
+    return;
+  }
+  if (entry->name == this->own.name) {
+    this->isListed = true;
+    return;
+  }
+  this->SetRevision(this->Put(*entry), aItem.revision);
+}
+
+void PeerMembers::OnEarlyEntries(const std::vector<StoreItem>& aItems) {
+  for (const StoreItem& item : aItems) {
+    this->TakeEntry(item);
+  }
+  if (this->isListed) {
+    // The list is from after this domain's last start: all are in it.
+    this->BeginAlone();
+  }
+}
+
+PeerMembers::Member& PeerMembers::Put(const PeerName& aPeer) {
+  const auto [place, isNew] = this->members.try_emplace(aPeer.name);
+  Member& member = place->second;
+  const bool isSame = !isNew && member.address == aPeer.address &&
+                      member.failureDomain == aPeer.failureDomain &&
+                      member.linkMbps == aPeer.linkMbps;
+  if (isSame) {
+    return member;
+  }
+  if (!isNew) {
+    this->Unsort(aPeer.name, member);
+  }
+  member = Member{};  // Another process, whatever the last one did.
+  member.address = aPeer.address;
+  member.failureDomain = aPeer.failureDomain;
+  member.linkMbps = aPeer.linkMbps;
+  this->order[aPeer.failureDomain].insert(aPeer);
+  this->changes += 1;
+  return member;
+}
+
+void PeerMembers::Unsort(const std::string& aName, Member& aMember) {
+  this->SetRevision(aMember, {});
+  this->order.at(aMember.failureDomain).erase(NameOf(aName, aMember));
+  this->changes += 1;
+}
+
+void PeerMembers::Note(const PeerName& aPeer) {
+  if (aPeer.name != this->own.name) {
+    this->Put(aPeer).heardAt = this->clock.Now();
+  }
+}
+
+void PeerMembers::ForgetUnlisted() {
+  const Instant now = this->clock.Now();
+  if (now < this->keepsMissingUntil) {
+    return;
+  }
+  for (auto entry = this->members.begin(); entry != this->members.end();) {
+    Member& member = entry->second;
+    const bool isKept =
+        !member.revision.IsNone() || now - member.heardAt < kUnlistedLife;
+    if (isKept) {
+      ++entry;
+      continue;
+    }
+    this->Unsort(entry->first, member);
+    entry = this->members.erase(entry);
+  }
+}
+
+void PeerMembers::OnAsker(const PeerName& aAsker) { this->Note(aAsker); }
+
+void PeerMembers::OnNamed(const std::vector<PeerName>& aFirst) {
+  if (!this->orientedAt) {
+    this->orientedAt = this->clock.Now();
+  }
+  for (const PeerName& peer : aFirst) {
+    this->Note(peer);
+  }
 }
 
 std::vector<std::string> PeerMembers::Neighbours() const {
@@ -69,43 +250,58 @@
   return near;
 }
 
-std::size_t PeerMembers::Rank() const {
-  return static_cast<std::size_t>(std::count_if(
-      this->members.begin(), this->members.end(), [this](const auto& aEntry) {
-        return this->IsBefore(aEntry.first, aEntry.second);
-      }));
-}
-
 bool PeerMembers::HasTeller() const {
-  return std::any_of(this->members.begin(), this->members.end(),
-                     [this](const auto& aEntry) {
-                       return this->IsBefore(aEntry.first, aEntry.second) &&
-                              !aEntry.second.isPassedOver;
-                     });
+  return this->AnySenior(
+      [](const Member& aSenior) { return !aSenior.isPassedOver; });
 }
 
 bool PeerMembers::MayRely() const {
   const Instant now = this->clock.Now();
   const Micros longest = LongestReliance(this->settings);
   // Whoever told last holds until the next one has read the store.
-  return this->HasTeller() &&
-         std::any_of(this->members.begin(), this->members.end(),
-                     [&](const auto& aEntry) {
-                       return this->IsBefore(aEntry.first, aEntry.second) &&
-                              now - aEntry.second.toldFreshAt <= longest;
-                     });
+  return this->HasTeller() && this->AnySenior([&](const Member& aSenior) {
+    return now - aSenior.toldFreshAt <= longest;
+  });
+}
+
+bool PeerMembers::MayAskStore() const {
+  const Instant now = this->clock.Now();
+  if (this->isListed && this->listedNear < kFewDaemons) {
+    return true;
+  }
+  if (this->HasTeller()) {
+    const Micros isolatedAfter =
+        kIsolatedAfter + this->loneliness - kShortestLoneliness;
+    return now - this->answeredAt >= isolatedAfter;
+  }
+  return this->orientedAt ? now - *this->orientedAt >= kSettleTime
+                          : now - this->startedAt >= this->loneliness;
+}
+
+bool PeerMembers::IsUseless(std::size_t aPlace, const Member& aSenior,
+                            int aMostUnanswered) const {
+  // While a start gives it more questions, it has to read the lists first.
+  const int mostStale = aPlace < kQuicklyPassed
+                            ? std::max(kMostStale, aMostUnanswered)
+                            : kMostStaleLater;
+  return aSenior.unanswered >= aMostUnanswered || aSenior.stale >= mostStale;
 }
 
-std::vector<std::string> PeerMembers::TakeTellers() {
+std::vector<std::string> PeerMembers::TakeTellers(int aMostUnanswered) {
   const Instant now = this->clock.Now();
+  if (now >= this->nextForgetting) {
+    this->nextForgetting = now + kForgettingPause;
+    this->ForgetUnlisted();
+  }
   std::vector<std::string> asked;
-  for (auto& [name, member] : this->members) {
-    if (!this->IsBefore(name, member)) {
-      continue;
-    }
-    if (!member.isPassedOver && member.unanswered >= kMostUnanswered) {
-      LogInfo("peer_passed_over",
-              {{"peer", member.address}, {"unanswered", member.unanswered}});
+  std::size_t place = 0;
+  for (Member* senior : this->Seniors()) {
+    Member& member = *senior;
+    if (!member.isPassedOver &&
+        this->IsUseless(place, member, aMostUnanswered)) {
+      LogInfo("peer_passed_over", {{"peer", member.address},
+                                   {"unanswered", member.unanswered},
+                                   {"stale", member.stale}});
       member.isPassedOver = true;
       member.askAgainAt = now + kPassedOverPause;
     }
@@ -114,28 +310,54 @@
       asked.push_back(member.address);
       return asked;
     }
-    if (now >= member.askAgainAt) {
+    // One at a time: where none is fresh, hundreds would be asked each time.
+    if (now >= member.askAgainAt && asked.empty()) {
       member.askAgainAt = now + kPassedOverPause;
       asked.push_back(member.address);
     }
+    place += 1;
   }
   return asked;
 }
 
 void PeerMembers::OnAnswer(const std::string& aAddress,
                            std::optional<Micros> aListsAge) {
+  const std::vector<Member*> seniors = this->Seniors();
   const auto found = std::find_if(
-      this->members.begin(), this->members.end(),
-      [&](const auto& aEntry) { return aEntry.second.address == aAddress; });
-  if (found == this->members.end()) {
+      seniors.begin(), seniors.end(),
+      [&](const Member* aSenior) { return aSenior->address == aAddress; });
+  if (found == seniors.end()) {
     return;
   }
-  Member& member = found->second;
+  Member& member = **found;
+  const Instant now = this->clock.Now();
+  this->answeredAt = now;
   member.unanswered = 0;
-  member.isPassedOver = false;
   if (aListsAge && *aListsAge <= kFreshLists) {
-    member.toldFreshAt = this->clock.Now();
+    member.stale = 0;
+    member.isPassedOver = false;
+    member.toldFreshAt = now;
+  } else {
+    member.stale += 1;
+  }
+}
+
+std::vector<PeerName> PeerMembers::FirstOf(const std::string& aFailureDomain,
+                                           const std::string& aAsker) const {
+  std::vector<PeerName> named;
+  const auto found = this->order.find(aFailureDomain);
+  if (found == this->order.end()) {
+    return named;
+  }
+  for (const PeerName& peer : found->second) {
+    if (named.size() == kNamed) {
+      break;
+    }
+    if (peer.name != aAsker) {
+      named.push_back(peer);
+    }
   }
+  return named;
 }
 
 }  // namespace zincstep
