A catch-up that is told in pieces goes on until it is whole

A store that tells some hundreds at a time leaves the rest out, for the whole domain and for good. That this store does so is not on its pages, and only suspected from these lines. Change: an answer with changes counts up to its own revision, and the rest is asked for; one without changes shows that there are none. Test: PrefixFollowerTest, 10 of 39 changes told before, 39 now.

--- a/UnitTests/StoreFollowerTest.cpp
+++ b/UnitTests/StoreFollowerTest.cpp
@@ -257,5 +257,72 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreFollowerTest);
 
+/// A store that tells the changes since a revision, some at a time, and whose
+/// waiting watches are silent.
+class PagedStore final : public AsyncStore {
+ public:
+  explicit PagedStore(asio::io_context& aLoop) : loop(aLoop) {}
+
+  void Range(const std::string&, Done<StoreRange> aDone) override {
+    asio::post(this->loop, [aDone] { aDone(StoreRange{{}, {1}}); });
+  }
+  void RangeStale(const std::string&, StalePages, Done<StoreRange>) override {}
+  void Watch(const std::string&, StoreRevision aAfter, Micros aWait,
+             Done<StoreEvents> aDone) override {
+    if (aWait > 100ms) {
+      return;
+    }
+    StoreEvents events;
+    events.at = aAfter;
+    while (events.at.number < kLast && events.events.size() < kPage) {
+      events.at.number += 1;
+      const std::string key = "i" + std::to_string(events.at.number);
+      events.events.push_back({{key, "text", events.at}, false});
+    }
+    asio::post(this->loop, [aDone, events] { aDone(events); });
+  }
+  void Commit(StoreChange, Done<StoreCommit>) override {}
+  void WriteAll(StoreWrites, Done<StoreRevision>) override {}
+  void Grant(Micros, Done<std::uint64_t>) override {}
+  void Renew(std::uint64_t, Done<bool>) override {}
+  void End(std::uint64_t, Done<bool>) override {}
+
+  static constexpr std::uint64_t kLast = 40;
+  static constexpr std::size_t kPage = 10;
+
+ private:
+  asio::io_context& loop;
+};
+
+class PrefixFollowerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PrefixFollowerTest);
+  CPPUNIT_TEST(CatchUp_ToldInPieces_MissesNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+  asio::io_context loop;
+  SystemClock clock;
+  PagedStore store{loop};
+
+ public:
+  // Of 1,900 changes that a silent watch had left out the first hundreds were
+  // taken for all: the daemons of that failure domain missed the rest for good.
+  void CatchUp_ToldInPieces_MissesNothing() {
+    std::size_t told = 0;
+    PrefixFollower follower(
+        loop, store, clock, "p/", PrefixPauses{}, [](const StoreRange&) {},
+        [&told](const StoreEvents& aEvents) { told += aEvents.events.size(); },
+        [] {});
+    follower.Restart();
+    loop.run_for(10ms);
+    follower.CatchUp({PagedStore::kLast});
+    loop.restart();
+    loop.run_for(50ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{PagedStore::kLast - 1}, told);
+    CPPUNIT_ASSERT(follower.Knows({PagedStore::kLast}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PrefixFollowerTest);
+
 }  // namespace
 }  // namespace zincstep
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -1,5 +1,7 @@
 #include "Zincstep/Cluster/StoreFollower.h"
 
+#include <utility>
+
 #include "Zincstep/Telemetry/Telemetry.h"
 
 namespace zincstep {
@@ -43,6 +45,7 @@
   this->isWatching = false;
   this->isWaiting = false;
   this->isCatchingUp = false;
+  this->hasMissed = false;
 }
 
 void PrefixFollower::Restart() {
@@ -141,9 +144,16 @@
   }
   const bool isNews = !aEvents->events.empty() && aEvents->at > this->at;
   const StoreRevision before = this->at;
-  this->at = std::max(this->at, aRevision);
+  if (aEvents->events.empty()) {
+    this->at = std::max(this->at, aRevision);
+  }
+  this->hasMissed = this->hasMissed || isNews;
   this->Take(std::move(*aEvents));
-  if (isNews && this->isWaiting) {
+  if (isNews && this->at < aRevision) {
+    this->CatchUp(aRevision);  // The answer may hold the first changes alone.
+    return;
+  }
+  if (std::exchange(this->hasMissed, false) && this->isWaiting) {
     LogInfo("store_watch_replaced", {{"prefix", this->prefix},
                                      {"watch_at", before.number},
                                      {"at", this->at.number}});
--- a/Zincstep/Cluster/StoreFollower.h
+++ b/Zincstep/Cluster/StoreFollower.h
@@ -140,6 +140,8 @@
   /// A call of a watch is waiting for its answer.
   bool isWaiting = false;
   bool isCatchingUp = false;
+  /// What was asked for by `CatchUp` has told changes that the watch has not.
+  bool hasMissed = false;
 };
 
 /// Keeps a view up to the store: watches, and proofs of freshness.
