A hint of a newer configuration tells nothing else

Cause: while a daemon's list was doubtful its hint was what a peer is told that knows nothing: the whole list, unpacked, 1 MB to each of 200 neighbours. Change: a hint is written for a peer that wants nothing.

--- a/UnitTests/PeerMemoryTest.cpp
+++ b/UnitTests/PeerMemoryTest.cpp
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "Zincstep/Edge/DaemonEntry.h"
 #include "Zincstep/Edge/PeerExchange.h"
 #include "platform/Platform.h"
 
@@ -68,6 +69,7 @@
 class PeerMemoryTest : public CppUnit::TestFixture, private ClusterListener {
   CPPUNIT_TEST_SUITE(PeerMemoryTest);
   CPPUNIT_TEST(Configurations_AskedForByManyThatReadSlowly_HoldLittle);
+  CPPUNIT_TEST(Hint_WhileTheListIsDoubtful_IsShort);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr int kAskers = 45;
@@ -155,6 +157,48 @@
     }
     CPPUNIT_ASSERT_MESSAGE("held " + std::to_string(most), most <= kMostHeld);
   }
+
+  /// Three thousand upstreams, of which something was missed on the way.
+  void KnowDoubtfulList() {
+    StoreRange range;
+    range.at = {5, 0};
+    for (int i = 0; i < 3000; ++i) {
+      const std::string number = std::to_string(i);
+      range.items.push_back({"i-" + std::to_string(Hash64(number)),
+                             std::string(300, 'x') + number,
+                             {5, 0}});
+    }
+    view.OnUpstreams(range);
+    ClusterCopy copy;
+    ListCopy& list = copy.upstreams.emplace();
+    list.at = {6, 0};
+    list.isWhole = false;
+    list.digest = 1;
+    view.OnCopy(copy, clock.Now());
+    CPPUNIT_ASSERT(view.Revisions().upstreams.IsNone());
+  }
+
+  // A hint of a newer configuration took the whole list along, a megabyte to
+  // each of two hundred daemons: 226 MB were held.
+  void Hint_WhileTheListIsDoubtful_IsShort() {
+    this->KnowDoubtfulList();
+    StoreRange daemons;
+    daemons.at = {5, 0};
+    for (std::size_t i = 0; i < readers.size(); ++i) {
+      const PeerName daemon{"e" + std::to_string(i), readers[i]->Address(), "a",
+                            20};
+      daemons.items.push_back(
+          {DaemonEntry::KeyOf(daemon), DaemonEntry::TextOf(daemon), {5, 0}});
+    }
+    view.OnDaemons(daemons);
+    exchange->OnDaemonEntries("");
+    exchange->OnConfiguration();
+    const double sent = metrics.CounterValue("zincstep_peer_sent_bytes_total",
+                                             {{"kind", "give"}});
+    CPPUNIT_ASSERT(sent > 0);
+    CPPUNIT_ASSERT_MESSAGE("sent " + std::to_string(sent),
+                           sent < 1000.0 * kAskers);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerMemoryTest);
--- a/Zincstep/Edge/PeerExchange.cpp
+++ b/Zincstep/Edge/PeerExchange.cpp
@@ -43,6 +43,8 @@
 /// Stands for any version of the configuration: it is not to be told.
 constexpr std::uint64_t kNoVersionWanted =
     std::numeric_limits<std::uint64_t>::max();
+constexpr KnownRevisions kNothingWanted{kNotWanted, kNotWanted, kNotWanted,
+                                        kNoVersionWanted};
 /// Peers that are asked at once.
 constexpr std::size_t kAskedAtOnce = 2;
 /// Up to so many members all are told of each other's work; beyond, those
@@ -172,7 +174,7 @@
   ClusterGive hint;
   hint.era = this->Era();
   hint.question = kUnasked;
-  hint.copy = this->view.CopyFor(this->view.Revisions());
+  hint.copy = this->view.CopyFor(kNothingWanted);
   return this->Write(std::move(hint));
 }
 
@@ -451,7 +453,7 @@
   KnownRevisions known = this->view.Revisions();
   if (aWanted == Wanted::Names) {
     question.wantsNames = true;
-    known = {kNotWanted, kNotWanted, kNotWanted, kNoVersionWanted};
+    known = kNothingWanted;
   }
   if (known.config.IsNone() && aWanted == Wanted::News &&
       aNow - this->startedAt < kStorePatience) {
