Retries are shared as whole ones where daemons are more than retries

Half of what is saved is kept for streams that have begun, so that even a whole one would not have done for a safe request. Change: RetryShare gives the first of the daemons, in the order of their names' hashes, a whole retry; what is kept for streams is counted in whole retries. Ruled out: a share lent by the domain's leader on demand (a round trip before each repair); a cap of one for all daemons, whose sum passes the slack beyond 1,040. Test: AdmissionTest::RetryShare_MoreDaemonsThanRetries_GivesWholeOnes at 8 to 1,970 daemons: sum within the slack, 832 or all of them able to retry a safe request; none at 985 before.

--- a/UnitTests/AdmissionTest.cpp
+++ b/UnitTests/AdmissionTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(Limit_SilentPeer_FallsBackToEqualShare);
   CPPUNIT_TEST(Limit_CutInTwo_SumStaysWithin);
   CPPUNIT_TEST(Budget_Outage_BoundsRetries);
+  CPPUNIT_TEST(RetryShare_MoreDaemonsThanRetries_GivesWholeOnes);
   CPPUNIT_TEST_SUITE_END();
 
   FairQueue queue{FairQueueSettings{}};
@@ -126,6 +127,24 @@
     CPPUNIT_ASSERT(sum <= 100.001);
   }
 
+  // Each of 985 daemons had 0.84 of a retry, and none ever made one.
+  void RetryShare_MoreDaemonsThanRetries_GivesWholeOnes() {
+    constexpr double kSlack = 1040;
+    for (const std::size_t daemons : {8UL, 100UL, 300UL, 985UL, 1970UL}) {
+      double sum = 0;
+      std::size_t able = 0;
+      for (std::size_t place = 0; place < daemons; ++place) {
+        const double share = RetryShare(kSlack, {daemons, place});
+        sum += share;
+        RetryBudgetSettings settings;
+        settings.most = share;
+        able += RetryBudget(settings).TakeRetry(0.5) ? 1 : 0;
+      }
+      CPPUNIT_ASSERT(sum <= kSlack);
+      CPPUNIT_ASSERT(able >= std::min<std::size_t>(daemons, 832));
+    }
+  }
+
   void Budget_Outage_BoundsRetries() {
     RetryBudget budget({});
     int retries = 0;
--- a/Zincstep/Admission/RetryBudget.cpp
+++ b/Zincstep/Admission/RetryBudget.cpp
@@ -1,22 +1,39 @@
 #include "Zincstep/Admission/RetryBudget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace zincstep {
 
 namespace {
 
 constexpr int kMaxDoublings = 10;
+/// Fewest daemons that the slack is divided by: one that knows of no other may
+/// be cut off from them.
+constexpr std::size_t kFewestDaemons = 8;
+/// Part of the slack that is used, as daemons may not know of each newcomer
+/// yet.
+constexpr double kSlackUsed = 0.8;
 
 }  // namespace
 
+double RetryShare(double aSlack, RetrySharer aSharer) {
+  const double used = aSlack * kSlackUsed;
+  const auto daemons =
+      static_cast<double>(std::max(aSharer.daemons, kFewestDaemons));
+  if (used >= daemons) {
+    return used / daemons;
+  }
+  return static_cast<double>(aSharer.place + 1) <= used ? 1 : 0;
+}
+
 void RetryBudget::OnRequest() {
   this->saved =
       std::min(this->settings.most, this->saved + this->settings.perRequest);
 }
 
 bool RetryBudget::TakeRetry(double aKept) {
-  if (this->saved < 1 + aKept * this->settings.most) {
+  if (this->saved < 1 + std::floor(aKept * this->settings.most)) {
     return false;
   }
   this->saved -= 1;
--- a/Zincstep/Admission/RetryBudget.h
+++ b/Zincstep/Admission/RetryBudget.h
@@ -14,6 +14,20 @@
   Micros longestPause = 1s;
 };
 
+/// One of several daemons that divide a bound on retries among them.
+struct RetrySharer {
+  /// How many there are.
+  std::size_t daemons = 1;
+  /// How many come before this one, in an order that all of them agree on.
+  std::size_t place = 0;
+};
+
+/// Retries that a daemon may save up of `aSlack`, which is for all of them.
+///
+/// Where there are more daemons than retries a part of one would be none: the
+/// first of them have a whole one.
+double RetryShare(double aSlack, RetrySharer aSharer);
+
 /// Bounds retries to a share of first tries, whatever goes wrong.
 ///
 /// Each first try puts a part of a retry into the budget and each retry
@@ -27,7 +41,8 @@
   /// A request is tried for the first time.
   void OnRequest();
   /// Takes one retry out of the budget; false where there is none beyond
-  /// `aKept`, a share of the most, which is left for work that matters more.
+  /// `aKept`, a share of the most, which is left for work that matters more, in
+  /// whole retries.
   bool TakeRetry(double aKept = 0);
   /// Sets how many retries may be saved up, as a share of a common bound
   /// changes with the number of those who share it.
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -27,12 +27,6 @@
 /// Margin of the bound on withdrawn keys for what lies between the check of
 /// a proof and the start of the request at an upstream.
 constexpr Micros kRevocationMargin = 300ms;
-/// Fewest daemons that the retry slack is divided by: one that knows of no
-/// other may be cut off from them.
-constexpr std::size_t kFewestDaemons = 8;
-/// Part of the operators' slack that is used, as daemons may not know of
-/// each newcomer yet.
-constexpr double kRetrySlackUsed = 0.8;
 /// Part of the operators' retry ratio that is used: the rest covers
 /// requests that arrive in one window and are repeated in the next.
 constexpr double kRetryRatioUsed = 0.8;
@@ -44,19 +38,13 @@
 /// whoever writes it there may not have heard of it.
 constexpr Micros kUnlistedPause = 1s;
 
-/// Retries that one of so many daemons may save up.
-double RetryShare(double aSlack, std::size_t aDaemons) {
-  return aSlack * kRetrySlackUsed /
-         static_cast<double>(std::max(aDaemons, kFewestDaemons));
-}
-
 RelaySettings MakeRelaySettings(const EdgeSettings& aSettings) {
   RelaySettings settings;
   settings.failureDomain = aSettings.failureDomain;
   settings.longestProofAge = aSettings.keyRevocation - kRevocationMargin;
   settings.failsClosed = aSettings.failsClosed;
   settings.retries.perRequest = aSettings.retryRatio * kRetryRatioUsed;
-  settings.retries.most = RetryShare(aSettings.retrySlack, 0);
+  settings.retries.most = RetryShare(aSettings.retrySlack, {});
   return settings;
 }
 
@@ -220,6 +208,7 @@
   CrashLedger crashes{CrashLedgerSettings{}};
   CrashWatch crashWatch;
   BlockList blockList;
+  RetrySharer retrySharer;
   /// `PeerMembers::Changes` when other parts last heard of the members.
   std::uint64_t knownMembers = 0;
   Instant lastLook{};
@@ -295,8 +284,12 @@
   }
   this->knownMembers = this->peers.Members().Changes();
   std::map<std::string, std::string> domains;
+  // By hash: the first ones by name may all stand in one failure domain.
+  const std::uint64_t ownPlace = Hash64(this->settings.name);
+  this->retrySharer = {this->peers.Daemons(), 0};
   for (const auto& [name, member] : this->peers.Members().All()) {
     domains[name] = member.failureDomain;
+    this->retrySharer.place += Hash64(name) < ownPlace ? 1 : 0;
   }
   this->limits.SetDaemons(std::move(domains));
 }
@@ -466,7 +459,7 @@
   this->KeepBlocked();
   this->held.Tick(this->HeldBytes());
   this->relaySettings.retries.most =
-      RetryShare(this->settings.retrySlack, this->peers.Daemons());
+      RetryShare(this->settings.retrySlack, this->retrySharer);
   for (auto& [service, budget] : this->budgets) {
     budget.SetMost(this->relaySettings.retries.most);
   }
