--- a/Zincstep/Cluster/ClusterView.cpp
+++ b/Zincstep/Cluster/ClusterView.cpp
@@ -22,6 +22,23 @@
 /// is old.
 constexpr Micros kGoneRemembered = 60s;
 
+/// Upstreams that may change at once and have a line each: thousands that are
+/// listed, or get their layers, took a tenth of a second of a small VM.
+constexpr std::size_t kMostLogged = 64;
+
+void LogChanged(const UpstreamEntry& aEntry, StoreRevision aRevision) {
+  LogInfo("upstream_changed",
+          {{"upstream", aEntry.id},
+           {"service", aEntry.service},
+           {"address", aEntry.address},
+           {"failure_domain", aEntry.failureDomain},
+           {"state", NameIn(kAvailabilityNames, aEntry.state)},
+           {"first_layer", aEntry.layers.first},
+           {"last_layer", aEntry.layers.last},
+           {"born", aEntry.born},
+           {"revision", aRevision.number}});
+}
+
 }  // namespace
 
 ClusterView::ClusterView(const ClusterDecoder& aDecoder,
@@ -85,16 +102,9 @@
   if (isRestored) {
     this->KeepLeaving(*decoded);
   }
-  LogInfo("upstream_changed",
-          {{"upstream", decoded->id},
-           {"service", decoded->service},
-           {"address", decoded->address},
-           {"failure_domain", decoded->failureDomain},
-           {"state", NameIn(kAvailabilityNames, decoded->state)},
-           {"first_layer", decoded->layers.first},
-           {"last_layer", decoded->layers.last},
-           {"born", decoded->born},
-           {"revision", aItem.revision.number}});
+  if (this->logsEach || decoded->state != Availability::Ready) {
+    LogChanged(*decoded, aItem.revision);
+  }
   this->directory.Put(std::move(*decoded), this->clock.Now());
   if (const UpstreamPtr upstream = this->directory.Find(aItem.key)) {
     if (isRestored) {
@@ -104,6 +114,20 @@
   }
 }
 
+void ClusterView::PutAll(const std::vector<StoreItem>& aItems, ToldBy aToldBy,
+                         StoreRevision aAt) {
+  this->logsEach = aItems.size() <= kMostLogged;
+  for (const StoreItem& item : aItems) {
+    this->Put(item, aToldBy);
+  }
+  if (!this->logsEach) {
+    LogInfo("upstreams_listed", {{"entries", aItems.size()},
+                                 {"at", aAt.number},
+                                 {"upstreams", this->directory.All().size()}});
+  }
+  this->logsEach = true;
+}
+
 Instant ClusterView::GraceEnd() const {
   return this->storeBackAt ? *this->storeBackAt + kReturnGrace
                            : this->clock.Now();
@@ -181,10 +205,7 @@
     return;
   }
   this->NoteEra(aRange.at);
-  const ToldBy told = this->ToldByList(aRange.at);
-  for (const StoreItem& item : aRange.items) {
-    this->Put(item, told);
-  }
+  this->PutAll(aRange.items, this->ToldByList(aRange.at), aRange.at);
   for (const std::string& id : this->entries.AbsentFrom(aRange.items)) {
     this->Missing(id, aRange.at, this->GraceEnd());
   }
@@ -198,9 +219,7 @@
   this->NoteEra(aCopy.at);
   const ToldBy told = this->ToldByList(aCopy.at);
   this->RemoveTold(this->entries.TakenBy(aCopy), aCopy);
-  for (const StoreItem& item : aCopy.items) {
-    this->Put(item, told);
-  }
+  this->PutAll(aCopy.items, told, aCopy.at);
   this->entries.Complete(aCopy);
 }
 
--- a/Zincstep/Cluster/ClusterView.h
+++ b/Zincstep/Cluster/ClusterView.h
@@ -183,6 +183,9 @@
     RestoredList,
   };
   void Put(const StoreItem& aItem, ToldBy aToldBy = ToldBy::News);
+  /// All entries of a list, or of its changes, as of that revision.
+  void PutAll(const std::vector<StoreItem>& aItems, ToldBy aToldBy,
+              StoreRevision aAt);
   /// How entries of a list as of that revision are told.
   ToldBy ToldByList(StoreRevision aAt) const;
   /// An entry of a restored list takes nothing back that was known of leaving.
@@ -214,6 +217,8 @@
   /// Upstreams' entries as the store holds them, by id.
   ItemList entries;
   std::set<std::string> wrongEntries;
+  /// Whether each changed upstream has a log line of its own.
+  bool logsEach = true;
   PrefixMirror daemons;
   std::optional<Instant> listsProvenAt;
   /// Upstreams whose entries went while the store was away: when they count as
