Reach of upstreams: refusals for lack of a path are told from those for lack of room

Change: ReachOf counts the upstreams of a service that take requests directly and those of them that are suspect; ReachMonitor logs service_unreachable and service_reachable and sets zincstep_unreachable_upstreams; refusals say "no upstream can be reached" where half of them or more are suspect. No decision changes.

--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -9,6 +9,7 @@
 #include "Zincstep/Edge/PeerProtocol.h"
 #include "Zincstep/Edge/PlanThread.h"
 #include "Zincstep/Relay/DomainRecoveryMonitor.h"
+#include "Zincstep/Relay/ReachMonitor.h"
 
 namespace zincstep {
 
@@ -93,6 +94,7 @@
                   this->clock),
         survey(LoadSurveySettings{}, this->clock.Now()),
         domainRecovery(this->prober, this->clock, this->random),
+        reach(this->clock, this->metrics),
         connections(ConnectionPoolSettings{}, this->clock),
         relay(
             RelayContext{aLoop,
@@ -280,6 +282,7 @@
   LoadSurvey survey;
   bool isSurveyDue = false;
   DomainRecoveryMonitor domainRecovery;
+  ReachMonitor reach;
   ConnectionPool connections;
   Relay relay;
   CapacityGossip capacityGossip{relay.Capacity()};
@@ -592,6 +595,9 @@
   this->store.Tick();
   this->limits.Tick();
   this->domainRecovery.Tick(this->view.Directory());
+  if (const auto table = this->view.Table()) {
+    this->reach.Tick(*table, this->view.Directory());
+  }
   this->controller.Tick();
   this->peers.Tick();
   this->UpdateBlockList();
--- a/Zincstep/Pool/Pool.h
+++ b/Zincstep/Pool/Pool.h
@@ -22,3 +22,4 @@
 #include "Zincstep/Pool/ServiceChooser.h"
 #include "Zincstep/Pool/UpstreamControl.h"
 #include "Zincstep/Pool/UpstreamDirectory.h"
+#include "Zincstep/Pool/UpstreamReach.h"
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -314,6 +314,13 @@
   return isCallLimited;
 }
 
+bool Exchange::IsCutOff() const {
+  return ReachOf(this->context.view.Directory().OfService(
+                     this->request.service->name),
+                 this->Now())
+      .IsCutOff();
+}
+
 bool Exchange::IsAwaitingUpstreams() const {
   return !this->context.view.KnowsUpstreams() &&
          this->Now() - this->request.message.readAt <
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -132,6 +132,8 @@
   /// Sets `callWait` to the shortest wait among the service's upstreams that
   /// only their call limit excludes. Returns false if there are none.
   bool UpdateCallWait(bool aIsFirstOfChain);
+  /// Whether this daemon reaches few of the service's upstreams or none.
+  bool IsCutOff() const;
   /// Whether this daemon just started and its list of upstreams is still due.
   bool IsAwaitingUpstreams() const;
   /// Whether a response belongs to another request, or was modified in
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -46,7 +46,9 @@
   this->UpdateCallWait(false)
       ? this->Refuse(ErrorKind::Overloaded,
                      "the call limits of the upstreams are reached")
-      : this->Refuse(ErrorKind::NoCapacity, "no upstream is usable");
+      : this->Refuse(ErrorKind::NoCapacity, this->IsCutOff()
+                                                ? "no upstream can be reached"
+                                                : "no upstream is usable");
 }
 
 void ServiceExchange::EndCall() {
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -250,7 +250,9 @@
   // A request that has not begun completes sooner by a retry of its caller:
   // waiting here for even a fifth of the objective cost 0.02 of score.
   if (!this->headSent || now - this->waitingSince >= kCallerPatience) {
-    this->Fail("no chain covers all layers with room for the request");
+    this->Fail(this->IsCutOff()
+                   ? "no upstream can be reached"
+                   : "no chain covers all layers with room for the request");
   }
 }
 
