Failing: soak with daemons that are partitioned from all upstreams (RECOVER)

What callers see: 503 for every first attempt at these daemons. The soak's daemon has a link of its own to each upstream, so that single daemons can be partitioned: open connections silent, reset or alive, new ones hanging or refused; during the faults and, twice, from 3 s after the start of the partition on, where first attempts are counted by the users' rule.

--- a/SoakTests/FaultProxy.cpp
+++ b/SoakTests/FaultProxy.cpp
@@ -138,9 +138,17 @@
 };
 
 FaultProxy::FaultProxy(asio::io_context& aLoop, std::uint16_t aTarget)
+    : FaultProxy(aLoop, TcpEndpoint(asio::ip::address_v4::loopback(), 0),
+                 aTarget) {}
+
+FaultProxy::FaultProxy(asio::io_context& aLoop, const TcpEndpoint& aListen,
+                       std::uint16_t aTarget)
     : loop(aLoop),
-      acceptor(aLoop, TcpEndpoint(asio::ip::address_v4::loopback(), 0)),
+      acceptor(aLoop),
+      endpoint(aListen),
       target(asio::ip::address_v4::loopback(), aTarget) {
+  this->Listen(asio::socket_base::max_listen_connections);
+  this->endpoint = this->acceptor.local_endpoint();
   this->Accept();
 }
 
@@ -162,16 +170,49 @@
   }
 }
 
+void FaultProxy::SetNewConnections(NewConnections aBehaviour) {
+  this->generation += 1;
+  this->fillers.clear();
+  asio::error_code ignored;  // It may be closed already.
+  this->acceptor.close(ignored);
+  switch (aBehaviour) {
+    case NewConnections::Accepted:
+      this->Listen(asio::socket_base::max_listen_connections);
+      this->Accept();
+      break;
+    case NewConnections::Refused:
+      break;
+    case NewConnections::Hang:
+      this->Listen(0);
+      this->FillQueue();
+      break;
+  }
+}
+
+void FaultProxy::Listen(int aBacklog) {
+  this->acceptor.open(this->endpoint.protocol());
+  this->acceptor.set_option(asio::socket_base::reuse_address(true));
+  this->acceptor.bind(this->endpoint);
+  this->acceptor.listen(aBacklog);
+}
+
+void FaultProxy::FillQueue() {
+  // The kernel queues one connection more than the backlog, which is 0.
+  constexpr int kFillers = 2;
+  for (int i = 0; i < kFillers; ++i) {
+    this->fillers.push_back(std::make_shared<TcpSocket>(this->loop));
+    this->fillers.back()->async_connect(
+        this->endpoint,
+        [socket = this->fillers.back()](const asio::error_code&) {});
+  }
+}
+
 void FaultProxy::BlackholeOpen() {
   for (const auto& connection : this->connections) {
     connection->Blackhole();
   }
 }
 
-std::uint16_t FaultProxy::Port() const {
-  return this->acceptor.local_endpoint().port();
-}
-
 bool FaultProxy::CanForward(bool aIsToTarget) const {
   return this->state == LinkState::Up ||
          (this->state == LinkState::OneWay && aIsToTarget);
@@ -179,8 +220,10 @@
 
 void FaultProxy::Accept() {
   this->acceptor.async_accept(
-      [this](const asio::error_code& aError, TcpSocket aSocket) {
-        if (aError == asio::error::operation_aborted) {
+      [this, accepting = this->generation](const asio::error_code& aError,
+                                           TcpSocket aSocket) {
+        if (aError == asio::error::operation_aborted ||
+            accepting != this->generation) {
           return;
         }
         if (!aError && this->state == LinkState::Reset) {
--- a/SoakTests/FaultProxy.h
+++ b/SoakTests/FaultProxy.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_set>
+#include <vector>
 
 #include "Zincstep/Net/TcpSocket.h"
 
@@ -21,14 +22,27 @@
   Reset,
 };
 
+/// What happens to new connections to a proxy.
+enum class NewConnections {
+  Accepted,
+  Refused,
+  /// The handshake does not complete.
+  Hang,
+};
+
 /// Forwards loopback connections to one port and injects network faults.
 class FaultProxy {
  public:
+  /// Listens on any port of 127.0.0.1.
   FaultProxy(asio::io_context& aLoop, std::uint16_t aTarget);
+  FaultProxy(asio::io_context& aLoop, const TcpEndpoint& aListen,
+             std::uint16_t aTarget);
   ~FaultProxy();
 
   /// Changes the state; `Reset` resets all open connections at once.
   void SetState(LinkState aState);
+  /// Open connections are not affected.
+  void SetNewConnections(NewConnections aBehaviour);
   /// Sets how long new connections stay open in the `Reset` state before they
   /// are reset, as with a proxy in front of a process that has exited.
   void SetResetDelay(Micros aDelay) { this->resetDelay = aDelay; }
@@ -41,7 +55,7 @@
   void BlackholeOpen();
   /// Delays each chunk of bytes in both directions.
   void SetDelay(Micros aDelay) { this->delay = aDelay; }
-  std::uint16_t Port() const;
+  std::uint16_t Port() const { return this->endpoint.port(); }
   std::string Address() const {
     return "127.0.0.1:" + std::to_string(this->Port());
   }
@@ -49,6 +63,9 @@
  private:
   class Connection;
 
+  void Listen(int aBacklog);
+  /// Fills the listening socket's queue, so that further handshakes hang.
+  void FillQueue();
   void Accept();
   /// Resets a connection after the reset delay.
   void ResetLater(TcpSocket aSocket);
@@ -56,6 +73,11 @@
 
   asio::io_context& loop;
   asio::ip::tcp::acceptor acceptor;
+  TcpEndpoint endpoint;
+  /// Incremented whenever the acceptor is closed.
+  int generation = 0;
+  /// Connections that keep the queue full.
+  std::vector<std::shared_ptr<TcpSocket>> fillers;
   TcpEndpoint target;
   LinkState state = LinkState::Up;
   Micros delay{0};
--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -22,6 +22,8 @@
     "  --late-links    links of exited upstreams accept, then reset later\n"
     "  --quick-restarts  crashed upstreams restart at once\n"
     "  --restores      the store is restored from backups meanwhile\n"
+    "  --partitions    daemons are partitioned from all upstreams; needs\n"
+    "                  zincstep-soak-edge as the daemon\n"
     "Exit status: 0 all passed, 1 an invariant was violated, 2 usage error.\n";
 
 }  // namespace
@@ -41,6 +43,7 @@
                             {"late-links", no_argument, nullptr, 'k'},
                             {"quick-restarts", no_argument, nullptr, 'q'},
                             {"restores", no_argument, nullptr, 'r'},
+                            {"partitions", no_argument, nullptr, 'p'},
                             {nullptr, 0, nullptr, 0}};
   for (int flag = 0;
        (flag = getopt_long(aCount, aArguments, "", options, nullptr)) != -1;) {
@@ -78,6 +81,9 @@
       case 'r':
         settings.hasRestores = true;
         break;
+      case 'p':
+        settings.hasPartitions = true;
+        break;
       default:
         std::fputs(kUsage, stderr);
         return 2;
--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -37,9 +37,17 @@
     TcpEndpoint address;
     /// Set while a fault keeps it down; the fault's end clears this.
     bool isDown = false;
+    /// Whether it is partitioned from all upstreams.
+    bool isPartitioned = false;
     /// Request kinds completed since the last call of `WaitUntilServed`.
     std::array<bool, 3> completed{};
   };
+  /// A request as its caller sent it first.
+  struct FirstAttempt {
+    std::string id;
+    /// Whether its daemon was partitioned from all upstreams.
+    bool isPartitioned = false;
+  };
   struct Heal {
     Instant at;
     std::function<void()> action;
@@ -91,6 +99,17 @@
   void CheckRetryAfter(const SoakUpstream& aOther);
   /// Sets a limit at one upstream of each service and returns these.
   std::vector<SoakUpstream*> SetLimits();
+  /// Gives each daemon a link of its own to each upstream.
+  void AddDaemonLinks();
+  /// Draws the daemons to partition: some, a whole failure domain, or all but
+  /// one.
+  std::vector<Daemon*> DrawPartitioned();
+  void InjectPartition(Instant aNow);
+  void PartitionFromUpstreams(const std::vector<Daemon*>& aDaemons);
+  void EndPartition(const std::vector<Daemon*>& aDaemons);
+  /// Checks that daemons without a path to upstreams serve first attempts
+  /// nearly as often as the others.
+  void CheckPartitionedDaemons();
   /// Kills all daemons at once; they are restarted.
   void KillAllDaemons();
   /// Partitions all daemons from the store for longer than a revoked key may
@@ -126,6 +145,8 @@
   Random restoreRandom;
   /// The same for delayed resets and quick restarts.
   Random linkRandom;
+  /// The same for partitions from upstreams.
+  Random partitionRandom;
   SoakStore store;
   SoakCaller callers;
   InvariantChecker checker;
@@ -139,6 +160,9 @@
   Instant nextFault{};
   Instant nextBlackhole{};
   Instant nextRestore{};
+  Instant nextPartition{};
+  /// Set while first attempts are recorded.
+  std::optional<std::vector<FirstAttempt>> firstAttempts;
   bool isInjecting = false;
   int version = 1;
   /// Whether the key of organisation `other` has been revoked.
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -83,6 +83,7 @@
       blackholeRandom(Hash64("silence", aSettings.seed)),
       restoreRandom(Hash64("restore", aSettings.seed)),
       linkRandom(Hash64("link", aSettings.seed)),
+      partitionRandom(Hash64("partition", aSettings.seed)),
       store(this->loop, this->clock),
       callers(this->loop, this->clock),
       timer(this->loop) {
@@ -97,6 +98,9 @@
     }
   }
   this->AddDaemons();
+  if (this->settings.hasPartitions) {
+    this->AddDaemonLinks();
+  }
 }
 
 void Soak::AddUpstream(const std::string& aService, const std::string& aDomain,
@@ -142,6 +146,7 @@
              std::to_string(
                  kRetrySlackPerDaemon *
                  std::max(kMinSlackDaemons, this->settings.daemons))},
+            {"ZINCSTEP_SOAK_LINK_HOST", host},
             {"ZINCSTEP_STOP_GRACE_S", "3"}});
     this->daemons.push_back(std::move(daemon));
   }
@@ -161,6 +166,7 @@
   this->isInjecting = true;
   this->nextBlackhole = this->clock.Now() + this->DrawBlackholeInterval();
   this->nextRestore = this->clock.Now() + kMinRestoreInterval;
+  this->nextPartition = this->clock.Now();
   this->loop.run_for(this->settings.faults);
   this->isInjecting = false;
   this->HealAll();
@@ -173,6 +179,10 @@
   this->CheckPlannedStop();
   this->CheckBlackholedStreams();
   this->CheckBlackholedLoss();
+  if (this->settings.hasPartitions) {
+    this->CheckPartitionedDaemons();
+    this->CheckPartitionedDaemons();
+  }
   if (this->settings.hasCrashingRequest) {
     this->CheckCrashingRequest();
   }
@@ -240,6 +250,10 @@
                                        kRestoreIntervalSpread);
     this->RestoreStore();
   }
+  if (this->isInjecting && this->settings.hasPartitions &&
+      now >= this->nextPartition) {
+    this->InjectPartition(now);
+  }
   if (this->isInjecting && now >= this->nextBlackhole) {
     this->nextBlackhole = now + this->DrawBlackholeInterval();
     this->BlackholeOpenConnections();
@@ -272,8 +286,12 @@
   constexpr int kRequestsPerOther = 5;
   const std::size_t pick = this->random.Below(this->daemons.size());
   const auto kind = static_cast<RequestKind>(this->random.Below(3));
-  this->Send(*this->daemons[pick], kind,
-             this->random.Below(kRequestsPerOther) == 0);
+  Daemon& daemon = *this->daemons[pick];
+  const std::string id =
+      this->Send(daemon, kind, this->random.Below(kRequestsPerOther) == 0);
+  if (this->firstAttempts) {
+    this->firstAttempts->push_back({id, daemon.isPartitioned});
+  }
 }
 
 std::string Soak::Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther,
--- a/SoakTests/SoakRun.h
+++ b/SoakTests/SoakRun.h
@@ -29,6 +29,9 @@
   bool hasQuickRestarts = false;
   /// Whether the store is restored from backups during the run.
   bool hasRestores = false;
+  /// Whether daemons are partitioned from all upstreams. Needs the daemon
+  /// program of the soak, `zincstep-soak-edge`.
+  bool hasPartitions = false;
 };
 
 /// Result of one run.
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -75,7 +75,8 @@
                            SoakStore& aStore, InvariantChecker& aChecker,
                            UpstreamsByAddress& aPeers, std::string aName,
                            std::string aService, std::string aDomain)
-    : clock(aClock),
+    : loop(aLoop),
+      clock(aClock),
       store(aStore),
       checker(aChecker),
       peers(aPeers),
@@ -93,6 +94,27 @@
   this->Restart();
 }
 
+void SoakUpstream::AddDaemonLink(const std::string& aHost) {
+  const std::uint16_t port = this->proxy->Port();
+  auto link = std::make_unique<FaultProxy>(
+      this->loop, TcpEndpoint(asio::ip::make_address(aHost), port), port);
+  this->peers[aHost + ":" + std::to_string(port)] = this;
+  this->daemonLinks[aHost] = std::move(link);
+}
+
+void SoakUpstream::Partition(const std::string& aHost, LinkState aOpen,
+                             NewConnections aNew) {
+  FaultProxy& link = *this->daemonLinks.at(aHost);
+  link.SetState(aOpen);
+  link.SetNewConnections(aNew);
+}
+
+void SoakUpstream::Reconnect(const std::string& aHost) {
+  FaultProxy& link = *this->daemonLinks.at(aHost);
+  link.SetState(LinkState::Up);
+  link.SetNewConnections(NewConnections::Accepted);
+}
+
 void SoakUpstream::Kill(bool aIsBlackholed) {
   if (!this->isAlive) {
     return;
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -37,6 +37,14 @@
                InvariantChecker& aChecker, UpstreamsByAddress& aPeers,
                std::string aName, std::string aService, std::string aDomain);
 
+  /// Adds a link of its own for the daemon at `aHost`, which uses that host as
+  /// the upstream's address.
+  void AddDaemonLink(const std::string& aHost);
+  /// Partitions the daemon at `aHost` from this upstream.
+  void Partition(const std::string& aHost, LinkState aOpen,
+                 NewConnections aNew);
+  /// Ends the partition.
+  void Reconnect(const std::string& aHost);
   /// Ends this incarnation. With `aIsBlackholed` its link blackholes
   /// connections instead of resetting them.
   void Kill(bool aIsBlackholed);
@@ -103,6 +111,7 @@
   std::string FindMissingMember(const std::string& aPath) const;
   bool HoldsLayers(LayerRange aLayers) const;
 
+  asio::io_context& loop;
   const Clock& clock;
   SoakStore& store;
   InvariantChecker& checker;
@@ -112,6 +121,8 @@
   std::string domain;
   CallerListener listener;
   std::unique_ptr<FaultProxy> proxy;
+  /// Links of single daemons to `proxy`, by the daemon's host.
+  std::map<std::string, std::unique_ptr<FaultProxy>> daemonLinks;
   std::vector<Stream> streams;
   /// Connections of requests that will crash this upstream.
   std::vector<std::shared_ptr<CallerConnection>> crashingConnections;
