Forward requests to another daemon while no upstream can be reached (RECOVER)

What callers saw: a daemon that was partitioned from all upstreams refused every request with 503 within a millisecond or so, for as long as the partition lasted, while every other daemon could have served it. Cause: a request could reach upstreams only from the daemon that had read it; with all first stages and plain upstreams suspect the choice was empty, and an empty choice meant a refusal. Class: one's own path taken for the state of the upstreams. Change: ForwardExchange sends the caller's request, with the time left, the last event and the runs so far, to another daemon's forward port, which treats it as its own but never forwards it again. Whom: ForwardChooser, by how daemons have handled forwarded requests; own domain first unless most of it refuses. When: where a request is about to be refused, or starts, and at least half of the upstreams that take requests are suspect, or two in a row accept no connection; the latter also holds where open connections still work and clear every suspicion. ReachProber detects the end by new connections. Interrupted streams continue through the other daemon after their last event. Refusals for lack of a path are upstream_unreachable. Ruled out: not ready (a whole zone may be affected, and callers then fail to connect), a longer wait, waiting for the partition to end.

--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -122,6 +122,7 @@
   const std::string callers = ":" + std::to_string(FreePort(this->loop));
   const std::string admin = ":" + std::to_string(FreePort(this->loop));
   const std::string peers = ":" + std::to_string(FreePort(this->loop));
+  const std::string forwards = ":" + std::to_string(FreePort(this->loop));
   for (int i = 0; i < this->settings.daemons; ++i) {
     auto daemon = std::make_unique<Daemon>();
     const std::string host = "127.0.0." + std::to_string(kFirstAddress + i);
@@ -137,6 +138,7 @@
             {"ZINCSTEP_LISTEN", host + callers},
             {"ZINCSTEP_ADMIN_LISTEN", host + admin},
             {"ZINCSTEP_PEER_LISTEN", host + peers},
+            {"ZINCSTEP_FORWARD_LISTEN", host + forwards},
             {"ZINCSTEP_STORE", daemon->storeLink->Address()},
             {"ZINCSTEP_SEEDS",
              "127.0.0." + std::to_string(kFirstAddress) + peers},
--- a/UnitTests/RelayFixture.h
+++ b/UnitTests/RelayFixture.h
@@ -99,10 +99,10 @@
   /// Starts the relay without a configuration, like a daemon after its start.
   void Begin() {
     relay = std::make_unique<Relay>(RelayContext{
-        loop,          settings,       *dialect, view,   countedControl,
-        clock,         random,         metrics,  prober, crashes,
-        crashDetector, connectionPool, limits,   chains, services,
-        demand,        statistics,     budgets,  stop,   [] {}});
+        loop,   settings, *dialect, view,    countedControl, clock,
+        random, metrics,  prober,   crashes, crashDetector,  connectionPool,
+        limits, chains,   services, demand,  statistics,     budgets,
+        stop,   reach,    forwards, [] {}});
     listener = std::make_unique<CallerListener>(loop, *relay, clock);
     CPPUNIT_ASSERT(listener->Start("127.0.0.1:0").has_value());
   }
@@ -131,6 +131,8 @@
   ConnectionPool connectionPool{ConnectionPoolSettings{}, clock};
   std::map<std::string, RetryBudget> budgets;
   StopPolicy stop{StopPolicySettings{}};
+  ReachMonitor reach{clock, metrics};
+  ForwardChooser forwards{ForwardChooserSettings{}, clock, random};
   std::unique_ptr<Relay> relay;
   std::unique_ptr<CallerListener> listener;
   std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -9,7 +9,7 @@
 #include "Zincstep/Edge/PeerProtocol.h"
 #include "Zincstep/Edge/PlanThread.h"
 #include "Zincstep/Relay/DomainRecoveryMonitor.h"
-#include "Zincstep/Relay/ReachMonitor.h"
+#include "Zincstep/Relay/ReachProber.h"
 
 namespace zincstep {
 
@@ -33,6 +33,8 @@
 /// that arrive in one window and are retried in the next.
 constexpr double kRetryRatioUsed = 0.8;
 
+/// Bytes of header that a forwarding daemon may add to a request.
+constexpr std::size_t kForwardedHeaderBytes = 256;
 /// Time that a starting daemon waits for peers before it trusts the
 /// configuration of the store, which may have lost a version that the peers
 /// know.
@@ -95,6 +97,8 @@
         survey(LoadSurveySettings{}, this->clock.Now()),
         domainRecovery(this->prober, this->clock, this->random),
         reach(this->clock, this->metrics),
+        reachProber(this->reach, this->control, this->clock, this->random),
+        forwards(MakeForwardSettings(aSettings), this->clock, this->random),
         connections(ConnectionPoolSettings{}, this->clock),
         relay(
             RelayContext{aLoop,
@@ -116,11 +120,14 @@
                          this->statistics,
                          this->budgets,
                          this->stop,
+                         this->reach,
+                         this->forwards,
                          [this] { this->OnSuspicion(Provenance::Observed); }}),
         admin([this] { return this->IsReady(); },
               [this] { return this->MetricsText(); },
               [this] { return this->StatusText(); }),
         callers(aLoop, this->relay, this->clock),
+        forwarded(aLoop, this->relay.ForwardedRequests(), this->clock),
         admins(aLoop, this->admin, this->clock),
         plans(aLoop, PlacementSettings{}),
         controller(MakeControllerSettings(aSettings), this->store,
@@ -188,6 +195,13 @@
     return settings;
   }
 
+  static ForwardChooserSettings MakeForwardSettings(
+      const EdgeSettings& aSettings) {
+    ForwardChooserSettings settings;
+    settings.failureDomain = aSettings.failureDomain;
+    return settings;
+  }
+
   static LoadStatisticsSettings MakeStatisticsSettings(
       const EdgeSettings& aSettings) {
     LoadStatisticsSettings settings;
@@ -226,6 +240,8 @@
   /// Writes blocked requests to the store, or reports them to the placement
   /// leader that writes them.
   void UpdateBlockList();
+  /// Applies the known members to the choice of daemons to forward to.
+  void UpdateForwardPeers();
   void OnSuspicion(Provenance aProvenance);
   /// Runs the load survey in the next turn of the loop, when the whole list of
   /// upstreams is known.
@@ -283,11 +299,15 @@
   bool isSurveyDue = false;
   DomainRecoveryMonitor domainRecovery;
   ReachMonitor reach;
+  ReachProber reachProber;
+  ForwardChooser forwards;
   ConnectionPool connections;
   Relay relay;
   CapacityGossip capacityGossip{relay.Capacity()};
   AdminHandler admin;
   CallerListener callers;
+  /// Requests that other daemons forward.
+  CallerListener forwarded;
   CallerListener admins;
   PlanThread plans;
   PlacementController controller;
@@ -303,6 +323,9 @@
   if (started) {
     started = this->admins.Start(this->settings.adminListen);
   }
+  if (started && !this->settings.forwardListen.empty()) {
+    started = this->forwarded.Start(this->settings.forwardListen);
+  }
   if (started) {
     started = this->peers.Start();
   }
@@ -363,9 +386,26 @@
     this->retryParticipant.rank += Hash64(name) < ownHash ? 1 : 0;
   }
   this->limits.SetDaemons(std::move(domains));
+  this->UpdateForwardPeers();
   this->chains.SetKnowsOwnCallers(!this->peers.ReportsToAll());
 }
 
+void EdgeDaemon::UpdateForwardPeers() {
+  const std::string& own = this->settings.forwardListen;
+  std::vector<ForwardPeer> all;
+  if (!own.empty()) {
+    const std::string port = own.substr(own.rfind(':'));
+    for (const auto& [name, member] : this->peers.Members().All()) {
+      const std::string& address = member.address;
+      const std::string forward = address.substr(0, address.rfind(':')) + port;
+      if (ParseEndpoint(forward)) {
+        all.push_back({name, forward, member.failureDomain});
+      }
+    }
+  }
+  this->forwards.SetPeers(all);
+}
+
 void EdgeDaemon::OnStoreRestored(std::uint64_t aBefore, std::uint64_t aEra) {
   const auto validationAge = this->view.ValidationAge();
   LogWarning("store_restored",
@@ -456,7 +496,11 @@
 }
 
 void EdgeDaemon::OnConfiguration() {
-  this->callers.SetLimits(this->view.Table()->Configuration().limits);
+  const CallerLimits& limits = this->view.Table()->Configuration().limits;
+  this->callers.SetLimits(limits);
+  CallerLimits forwardedLimits = limits;
+  forwardedLimits.maxHeaderBytes += kForwardedHeaderBytes;
+  this->forwarded.SetLimits(forwardedLimits);
   this->relay.ScheduleTick();
   this->peers.OnConfiguration();
 }
@@ -590,6 +634,7 @@
     this->callers.CloseIdle();
   }
   this->callers.Tick();
+  this->forwarded.Tick();
   this->admins.Tick();
   this->view.Tick();
   this->store.Tick();
@@ -597,6 +642,7 @@
   this->domainRecovery.Tick(this->view.Directory());
   if (const auto table = this->view.Table()) {
     this->reach.Tick(*table, this->view.Directory());
+    this->reachProber.Tick(*table, this->view.Directory());
   }
   this->controller.Tick();
   this->peers.Tick();
@@ -623,7 +669,8 @@
   of(BufferKind::ToPeers) = this->peers.BytesToPeers();
   of(BufferKind::FromPeers) = this->peers.BytesFromPeers();
   of(BufferKind::PackedLists) = this->peers.BytesPacked();
-  of(BufferKind::ToCallers) = this->callers.PendingBytes();
+  of(BufferKind::ToCallers) =
+      this->callers.PendingBytes() + this->forwarded.PendingBytes();
   return bytes;
 }
 
--- a/Zincstep/Edge/EdgeSettings.cpp
+++ b/Zincstep/Edge/EdgeSettings.cpp
@@ -37,6 +37,9 @@
                  "address for readiness and metrics", true);
   reader.Address("peer-listen", settings.peerListen,
                  "address for other daemons", true);
+  reader.Address("forward-listen", settings.forwardListen,
+                 "address for requests that other daemons forward; the same "
+                 "port on each VM");
   reader.Address("store", settings.store, "address of the platform's store",
                  true);
   reader.Text("seeds", settings.seeds,
--- a/Zincstep/Edge/EdgeSettings.h
+++ b/Zincstep/Edge/EdgeSettings.h
@@ -17,6 +17,9 @@
   std::string adminListen;
   /// host:port for other edge daemons.
   std::string peerListen;
+  /// host:port for requests that other daemons forward, with the same port on
+  /// each VM; empty: requests are not forwarded.
+  std::string forwardListen;
   /// host:port of the platform's store.
   std::string store;
   /// Comma-separated host:port of daemons to discover others from. The ports
--- a/Zincstep/Net/SingleCall.h
+++ b/Zincstep/Net/SingleCall.h
@@ -89,6 +89,8 @@
 
   /// Whether bytes of the request may have been sent.
   bool HasSent() const { return this->hasSent; }
+  /// Whether the call reused a connection.
+  bool IsReused() const { return this->isReused; }
   /// Whether the call reused a connection and has received no byte on it.
   bool IsReusedAndUnanswered() const {
     return this->isReused && !this->parser.HasBegun();
--- a/Zincstep/Pool/UpstreamReach.h
+++ b/Zincstep/Pool/UpstreamReach.h
@@ -26,6 +26,8 @@
   }
 };
 
+/// Whether a ready upstream takes requests directly.
+bool TakesRequests(const LiveUpstream& aUpstream);
 /// Returns the reach of a service's upstreams.
 UpstreamReach ReachOf(const std::vector<UpstreamPtr>& aUpstreams, Instant aNow);
 
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -33,7 +33,9 @@
 }
 
 Exchange::Exchange(RelayContext& aContext, AdmittedRequest aRequest)
-    : context(aContext), request(std::move(aRequest)) {}
+    : context(aContext), request(std::move(aRequest)) {
+  this->runs = this->request.priorRuns;
+}
 
 void Exchange::CountArrival(double aTokens) {
   this->context.statistics.OnArrival(this->counted, this->request.priority,
@@ -51,7 +53,9 @@
   const std::optional<ModelShape>& model = this->request.service->model;
   Micros after =
       std::min(ErrorInfoFor(aKind).retryAfter, settings.busyRetryAfter);
-  if (aKind == ErrorKind::NoCapacity && model) {
+  const bool isCapacityLost =
+      aKind == ErrorKind::NoCapacity || aKind == ErrorKind::UpstreamUnreachable;
+  if (isCapacityLost && model) {
     after =
         FromSeconds(ToSeconds(model->loadTime) * settings.noCapacityRetryLoads);
   }
@@ -245,6 +249,9 @@
 }
 
 void Exchange::ApplyNotice(const ResponseInfo& aInfo) {
+  if (this->call && !this->call->IsReused()) {
+    this->context.reach.OnConnected(this->request.service->name);
+  }
   // A response to another request may be surplus data, and outdated.
   if (aInfo.requestId == this->request.info.id) {
     this->context.limits.OnNotice(this->upstream, aInfo.notice, this->sentAt);
@@ -314,11 +321,67 @@
   return isCallLimited;
 }
 
+UpstreamReach Exchange::Reach() const {
+  return ReachOf(
+      this->context.view.Directory().OfService(this->request.service->name),
+      this->Now());
+}
+
 bool Exchange::IsCutOff() const {
-  return ReachOf(this->context.view.Directory().OfService(
-                     this->request.service->name),
-                 this->Now())
-      .IsCutOff();
+  const UpstreamReach reach = this->Reach();
+  return reach.IsCutOff() || this->context.reach.FailsToConnect(
+                                 this->request.service->name, reach.listed);
+}
+
+bool Exchange::SkipsUpstreams() const {
+  const UpstreamReach reach = this->Reach();
+  const bool isUnreachable =
+      reach.listed > 0 && reach.unreachable == reach.listed;
+  return isUnreachable || this->context.reach.FailsToConnect(
+                              this->request.service->name, reach.listed);
+}
+
+bool Exchange::TryHandOver() {
+  const std::string& service = this->request.service->name;
+  const bool mayForward = !this->isDone && !this->request.isForwarded &&
+                          (!this->mayHaveRun || this->MayRunAgain()) &&
+                          this->Now() < this->request.deadline;
+  if (!mayForward || !this->IsCutOff() || this->IsBlocked() ||
+      !this->context.forwards.Choose(service, {})) {
+    return false;
+  }
+  ZINCSTEP_ASSERT(!this->call);
+  const ExchangeProgress progress = this->TakeProgress();
+  this->isDone = true;
+  this->OnFinished();
+  const UpstreamReach reach = this->Reach();
+  LogInfo("request_handed_over", {{"request", this->request.info.id},
+                                  {"service", service},
+                                  {"unreachable", reach.unreachable},
+                                  {"listed", reach.listed},
+                                  {"runs", this->runs}});
+  this->context.metrics.Count("zincstep_requests_handed_over_total",
+                              {{"service", service}});
+  this->context.handOver(this->request, progress);
+  return true;
+}
+
+ExchangeProgress Exchange::TakeProgress() {
+  ExchangeProgress progress;
+  progress.counted = this->counted;
+  progress.mayHaveRun = this->mayHaveRun;
+  progress.runs = this->runs;
+  progress.sends = this->sends;
+  progress.waited = this->waited;
+  progress.firstEventDelay = this->firstEventDelay;
+  progress.maxEventGap = this->maxEventGap;
+  return progress;
+}
+
+void Exchange::OnNotConnected() {
+  this->Suspect(*this->upstream);
+  this->context.reach.OnNotConnected(this->request.service->name,
+                                     *this->upstream);
 }
 
 bool Exchange::IsAwaitingUpstreams() const {
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "Zincstep/Net/SingleCall.h"
+#include "Zincstep/Relay/EventSplitter.h"
 #include "Zincstep/Relay/RelayContext.h"
 
 namespace zincstep {
@@ -21,6 +22,10 @@
   int priority = 0;
   /// Deadline of the final response.
   Instant deadline;
+  /// Whether another daemon forwarded it; then it is not forwarded again.
+  bool isForwarded = false;
+  /// Runs that may have begun before it was forwarded here.
+  int priorRuns = 0;
 
   /// Identifies the request; equal for all attempts of a caller at it.
   RequestIdentity Identity() const {
@@ -39,6 +44,23 @@
   Silent,
 };
 
+/// What an exchange has done of a request that it hands over.
+struct ExchangeProgress {
+  LoadStatistics::Entry counted;
+  bool mayHaveRun = false;
+  int runs = 0;
+  int sends = 0;
+  Micros waited{0};
+  Micros firstEventDelay{0};
+  Micros maxEventGap{0};
+  /// Set for a stream: the events that were forwarded to the caller.
+  std::optional<EventSplitter> events;
+  /// Whether the caller has received the head of the response.
+  bool headSent = false;
+  /// When events were last forwarded to the caller.
+  Instant lastForwardedAt{};
+};
+
 /// Handles one request from its admission to its final response.
 ///
 /// Subclasses send the request to upstreams. `mayHaveRun` records whether any
@@ -132,8 +154,22 @@
   /// Sets `callWait` to the shortest wait among the service's upstreams that
   /// only their call limit excludes. Returns false if there are none.
   bool UpdateCallWait(bool aIsFirstOfChain);
+  /// Returns how many of the service's upstreams this daemon reaches.
+  UpstreamReach Reach() const;
   /// Whether this daemon reaches few of the service's upstreams or none.
   bool IsCutOff() const;
+  /// Whether a request is forwarded before any upstream is tried.
+  bool SkipsUpstreams() const;
+  /// Hands the request over to be forwarded to another daemon, if this one is
+  /// cut off from the service and the request may be sent again. Returns
+  /// whether that ended this exchange; there must be no call in progress.
+  bool TryHandOver();
+  /// Whether the request may run once more after a run that may have begun.
+  virtual bool MayRunAgain() const = 0;
+  /// Called before the request is handed over; returns what was done of it.
+  virtual ExchangeProgress TakeProgress();
+  /// Marks the upstream as suspect, as no connection to it was established.
+  void OnNotConnected();
   /// Whether this daemon just started and its list of upstreams is still due.
   bool IsAwaitingUpstreams() const;
   /// Whether a response belongs to another request, or was modified in
--- /dev/null
+++ b/Zincstep/Relay/ForwardExchange.cpp
@@ -0,0 +1,327 @@
+#include "Zincstep/Relay/ForwardExchange.h"
+
+#include <algorithm>
+#include <array>
+
+namespace zincstep {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kFirstClientError = 400;
+constexpr int kFirstServerError = 500;
+/// Statuses by which a daemon promises that it has not run the request.
+constexpr std::array kNotRunStatuses{408, 421, 429, 503};
+/// Daemons asked for one request, in sequence; most refuse within a round trip.
+constexpr std::size_t kMaxPeers = 16;
+/// Daemons that have no room, after which the request is refused: others of
+/// their failure domain know of the same room.
+constexpr int kMaxRoomRefusals = 2;
+/// Callers abandon a stream without events after this time at the earliest.
+constexpr Micros kCallerPatience = 2s;
+
+/// Whether a daemon that refuses for this reason says nothing of the room at
+/// upstreams.
+bool IsOwnReason(std::string_view aKind) {
+  constexpr std::array kOwnReasons{
+      ErrorKind::UpstreamUnreachable, ErrorKind::Stopping, ErrorKind::NotReady,
+      ErrorKind::UnknownRoute, ErrorKind::Unauthenticated};
+  return std::any_of(
+      kOwnReasons.begin(), kOwnReasons.end(),
+      [&](ErrorKind aOne) { return ErrorInfoFor(aOne).name == aKind; });
+}
+
+}  // namespace
+
+ForwardExchange::ForwardExchange(RelayContext& aContext,
+                                 AdmittedRequest aRequest,
+                                 ExchangeProgress aProgress)
+    : Exchange(aContext, std::move(aRequest)),
+      events(aProgress.events.value_or(EventSplitter(std::nullopt))),
+      hasEvents(aProgress.events.has_value()),
+      headSent(aProgress.headSent),
+      lastForwardedAt(aProgress.lastForwardedAt) {
+  this->counted = aProgress.counted;
+  this->mayHaveRun = aProgress.mayHaveRun;
+  this->runs = aProgress.runs;
+  this->sends = aProgress.sends;
+  this->waited = aProgress.waited;
+  this->firstEventDelay = aProgress.firstEventDelay;
+  this->maxEventGap = aProgress.maxEventGap;
+}
+
+void ForwardExchange::TryPeer() {
+  const std::string& service = this->request.service->name;
+  const bool mayAsk =
+      this->tried.size() < kMaxPeers && this->roomRefusals < kMaxRoomRefusals;
+  const auto chosen = mayAsk
+                          ? this->context.forwards.Choose(service, this->tried)
+                          : std::nullopt;
+  chosen ? this->SendTo(*chosen) : this->OnNoPeer();
+}
+
+void ForwardExchange::SendTo(const ForwardPeer& aPeer) {
+  this->peer = aPeer;
+  this->tried.push_back(aPeer.name);
+  this->isWaiting = false;
+  this->head = HttpHead{};
+  this->responseInfo = ResponseInfo{};
+  this->isInvalidResponse = false;
+  this->body.clear();
+  this->sentAt = this->lastProgress = this->Now();
+  this->context.statistics.OnSent(this->counted, aPeer.failureDomain,
+                                  this->sentAt);
+  this->context.metrics.Count("zincstep_forwards_total");
+  this->context.forwards.OnStarted(aPeer.name);
+  const auto endpoint = ParseEndpoint(aPeer.address);
+  ZINCSTEP_ASSERT(endpoint.has_value());
+  this->call = std::make_shared<SingleCall>(this->context.loop, *this);
+  this->call->Start(*endpoint,
+                    this->context.dialect.WriteDaemonRequest(
+                        {this->request.message,
+                         this->request.deadline - this->sentAt,
+                         this->hasEvents ? this->events.LastId() : std::nullopt,
+                         {{kRunsHeader, std::to_string(this->runs)}}}),
+                    this->context.settings.connectTimeout);
+}
+
+void ForwardExchange::LeavePeer() {
+  if (!this->peer.name.empty()) {
+    this->context.forwards.OnEnded(this->peer.name);
+    this->peer = ForwardPeer{};
+  }
+}
+
+bool ForwardExchange::IsStream() const {
+  return this->hasEvents && this->head.status == kOk;
+}
+
+void ForwardExchange::OnResponseHead(HttpHead aHead) {
+  this->responseInfo = this->context.dialect.ReadResponse(aHead);
+  this->isInvalidResponse = this->IsInvalidResponse(aHead, this->responseInfo);
+  this->head = std::move(aHead);
+}
+
+void ForwardExchange::OnResponseBody(std::string_view aPart) {
+  if (this->isInvalidResponse) {
+    return;
+  }
+  if (this->IsStream()) {
+    this->pendingEvents += this->events.Append(aPart);
+  } else {
+    this->body.append(aPart);
+  }
+}
+
+void ForwardExchange::OnResponsePause() {
+  const Instant now = this->Now();
+  this->lastProgress = now;
+  if (this->pendingEvents.empty()) {
+    return;
+  }
+  CallerConnection& connection = *this->request.connection;
+  if (this->headSent) {
+    const Micros gap = now - this->lastForwardedAt;
+    this->maxEventGap = std::max(this->maxEventGap, gap);
+    if (gap > this->request.route->longestPause) {
+      this->context.statistics.OnLongGap(this->counted);
+    }
+  } else {
+    this->headSent = true;
+    this->firstEventDelay = now - this->request.message.readAt;
+    if (this->firstEventDelay > this->request.route->latencyObjective) {
+      this->context.statistics.OnLateFirstEvent(this->counted);
+    }
+    connection.BeginChunks(this->head.status, ForwardedHeaders(this->head));
+  }
+  connection.AppendChunk(this->pendingEvents);
+  this->pendingEvents.clear();
+  this->lastForwardedAt = now;
+  if (connection.PendingBytes() > this->context.settings.maxPendingBytes) {
+    this->isReadingPaused = true;
+    this->call->SetReading(false);
+  }
+}
+
+void ForwardExchange::OnCallEnd(SingleCallEnd aEnd) {
+  this->call.reset();
+  const std::string& service = this->request.service->name;
+  if (aEnd == SingleCallEnd::NotConnected) {
+    this->context.forwards.OnNoResponse(this->peer.name);
+    this->LeavePeer();
+    this->TryPeer();
+    return;
+  }
+  if (aEnd != SingleCallEnd::Complete || this->isInvalidResponse) {
+    this->context.forwards.OnNoResponse(this->peer.name);
+    this->OnRunInterrupted("the response of the other daemon was truncated");
+    return;
+  }
+  if (this->IsRefusal()) {
+    this->OnPeerRefused();
+    return;
+  }
+  this->context.forwards.OnServed(this->peer.name, service);
+  if (this->IsStream()) {
+    this->EndStream();
+  } else if (this->headSent) {
+    this->OnRunInterrupted("the other daemon could not continue the stream");
+  } else {
+    this->LeavePeer();
+    this->mayHaveRun = true;
+    this->runs += 1;
+    this->ForwardResponse(this->head, this->body);
+  }
+}
+
+bool ForwardExchange::IsRefusal() const {
+  if (this->responseInfo.isSealed) {
+    return false;
+  }
+  const int status = this->head.status;
+  // The other daemon may not know of the latest route or key yet.
+  const bool isRejection =
+      status >= kFirstClientError && status < kFirstServerError;
+  return isRejection ||
+         std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) !=
+             kNotRunStatuses.end();
+}
+
+void ForwardExchange::OnPeerRefused() {
+  this->context.metrics.Count("zincstep_forwards_refused_total");
+  LogInfo("forward_refused", {{"request", this->request.info.id},
+                              {"daemon", this->peer.name},
+                              {"status", this->head.status},
+                              {"kind", this->body}});
+  this->context.forwards.OnRefused(this->peer.name,
+                                   this->request.service->name);
+  if (!IsOwnReason(this->body)) {
+    this->roomRefusals += 1;
+    this->peerRetryAfter = this->responseInfo.notice.backoff;
+  }
+  this->LeavePeer();
+  this->TryPeer();
+}
+
+void ForwardExchange::EndStream() {
+  if (this->events.HasGap() || this->events.HasPartial() ||
+      !this->events.HasForwarded()) {
+    this->OnRunInterrupted("the stream ended early or skipped an event");
+    return;
+  }
+  this->LeavePeer();
+  this->runs += 1;
+  this->OnRunCompleted();
+  this->request.connection->EndChunks();
+  this->Finish("answered", "success");
+}
+
+bool ForwardExchange::CanRunAgain() const {
+  const Route& route = *this->request.route;
+  const bool isRepeatable = this->hasEvents
+                                ? route.isResumable && !this->events.HasGap()
+                                : route.kind == RouteKind::Safe;
+  return isRepeatable && this->runs < route.maxAttempts;
+}
+
+void ForwardExchange::OnRunInterrupted(const char* aReason) {
+  this->LeavePeer();
+  this->CancelCall();
+  this->mayHaveRun = true;
+  this->sends += 1;
+  this->runs += 1;
+  this->pendingEvents.clear();
+  const double reserved =
+      this->headSent ? 0 : this->context.settings.reservedForStreams;
+  if (!this->CanRunAgain() || !this->TryAcquireRetry(reserved)) {
+    this->Fail(aReason);
+    return;
+  }
+  this->events.BeginRun();
+  this->TryPeer();
+}
+
+void ForwardExchange::OnNoPeer() {
+  if (!this->headSent) {
+    this->Fail("no daemon reaches an upstream with room");
+    return;
+  }
+  this->isWaiting = true;
+  this->tried.clear();
+  this->roomRefusals = 0;
+  if (this->Now() - this->lastForwardedAt >= kCallerPatience) {
+    this->Fail("no daemon can continue the stream");
+  }
+}
+
+void ForwardExchange::Fail(const char* aReason) {
+  this->LeavePeer();
+  this->CancelCall();
+  if (this->headSent) {
+    this->request.connection->Abort();
+    this->Finish("cut", aReason);
+    return;
+  }
+  if (this->mayHaveRun) {
+    this->Refuse(ErrorKind::UpstreamFailed, aReason);
+    return;
+  }
+  this->Refuse(this->IsBlocked()        ? ErrorKind::RequestBlocked
+               : this->roomRefusals > 0 ? ErrorKind::Overloaded
+                                        : ErrorKind::UpstreamUnreachable,
+               aReason);
+}
+
+void ForwardExchange::OnCallerDisconnected() {
+  this->LeavePeer();
+  Exchange::OnCallerDisconnected();
+}
+
+Micros ForwardExchange::SilenceLimit() const {
+  const Micros limit = this->context.settings.silentConnectionTimeout;
+  return this->headSent
+             ? limit
+             : std::max(limit, 2 * this->request.route->latencyObjective);
+}
+
+void ForwardExchange::OnTick(Instant aNow) {
+  if (this->IsDone()) {
+    return;
+  }
+  if (aNow >= this->request.deadline) {
+    const bool mayRun =
+        this->mayHaveRun || (this->call && this->call->HasSent());
+    if (this->headSent) {
+      this->Fail("deadline exceeded during the stream");
+      return;
+    }
+    this->LeavePeer();
+    this->Refuse(mayRun ? ErrorKind::DeadlineDuringRun : ErrorKind::NoCapacity,
+                 "deadline exceeded");
+    return;
+  }
+  if (this->isWaiting) {
+    this->TryPeer();
+    return;
+  }
+  if (!this->call) {
+    return;
+  }
+  if (this->isReadingPaused) {
+    if (this->request.connection->PendingBytes() <
+        this->context.settings.maxPendingBytes / 2) {
+      this->isReadingPaused = false;
+      this->lastProgress = aNow;
+      this->call->SetReading(true);
+    }
+    return;
+  }
+  const bool isSilent = aNow - this->lastProgress >= this->SilenceLimit();
+  // The other daemon may be stopped or its link down.
+  if (isSilent && this->call->HasSent() && this->CanRunAgain()) {
+    this->context.forwards.OnNoResponse(this->peer.name);
+    this->OnRunInterrupted("the other daemon is silent");
+  }
+}
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Relay/ForwardExchange.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <vector>
+
+#include "Zincstep/Relay/Exchange.h"
+#include "Zincstep/Relay/ForwardChooser.h"
+
+namespace zincstep {
+
+/// Header with the number of runs of a forwarded request that may have begun.
+inline constexpr const char* kRunsHeader = "zincstep-runs";
+
+/// Exchange through another daemon, which sends the request to upstreams in
+/// place of this one.
+///
+/// The other daemon receives the caller's request unmodified but for the time
+/// left, and checks key and route itself. It never forwards the request again,
+/// so that a request takes one hop between daemons at most.
+class ForwardExchange final : public Exchange {
+ public:
+  ForwardExchange(RelayContext& aContext, AdmittedRequest aRequest,
+                  ExchangeProgress aProgress);
+
+  void Start() override { this->TryPeer(); }
+  void OnTick(Instant aNow) override;
+  void OnCallerDisconnected() override;
+
+  void OnResponseHead(HttpHead aHead) override;
+  void OnResponseBody(std::string_view aPart) override;
+  void OnResponsePause() override;
+  void OnCallEnd(SingleCallEnd aEnd) override;
+
+ private:
+  bool HasResponseBegun() const override {
+    return !this->responseInfo.requestId.empty();
+  }
+  void Abandon(const char* aReason) override { this->Fail(aReason); }
+  std::optional<Micros> ScheduledRetryAfter(ErrorKind) override {
+    return this->peerRetryAfter;
+  }
+  void TryPeer();
+  void SendTo(const ForwardPeer& aPeer);
+  /// Ends the count of this request at the current peer.
+  void LeavePeer();
+  /// Whether the peer responded that it has not run the request.
+  bool IsRefusal() const;
+  /// The peer has not run the request.
+  void OnPeerRefused();
+  /// The peer may have run the request, and its response is not complete.
+  void OnRunInterrupted(const char* aReason);
+  void EndStream();
+  /// Whether the request may run once more.
+  bool CanRunAgain() const;
+  bool MayRunAgain() const override { return this->CanRunAgain(); }
+  /// No daemon is left to forward to.
+  void OnNoPeer();
+  void Fail(const char* aReason);
+  bool IsStream() const;
+  /// Time without progress after which a request that may run again is sent to
+  /// another daemon.
+  Micros SilenceLimit() const;
+
+  EventSplitter events;
+  bool hasEvents;
+  bool headSent;
+  Instant lastForwardedAt;
+  /// Current daemon; empty name: none.
+  ForwardPeer peer;
+  std::vector<std::string> tried;
+  /// Daemons that reach the upstreams and lack room.
+  int roomRefusals = 0;
+  std::optional<Micros> peerRetryAfter;
+  HttpHead head;
+  ResponseInfo responseInfo;
+  bool isInvalidResponse = false;
+  bool isReadingPaused = false;
+  /// Waits for a daemon to forward an interrupted stream to.
+  bool isWaiting = false;
+  std::string body;
+  std::string pendingEvents;
+  Instant lastProgress;
+};
+
+}  // namespace zincstep
--- a/Zincstep/Relay/ReachMonitor.h
+++ b/Zincstep/Relay/ReachMonitor.h
@@ -2,13 +2,18 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "Zincstep/Pool/Pool.h"
 #include "Zincstep/Telemetry/Telemetry.h"
 
 namespace zincstep {
 
-/// Logs and counts the services whose upstreams this daemon can't reach.
+/// Knows the services whose upstreams this daemon can't reach.
+///
+/// Suspicions alone don't show that: where open connections still work, their
+/// responses clear the suspicion of an upstream to which no new connection can
+/// be established.
 class ReachMonitor {
  public:
   ReachMonitor(const Clock& aClock, Metrics& aMetrics)
@@ -19,14 +24,32 @@
   void Tick(const RouteTable& aTable, const UpstreamDirectory& aDirectory);
   /// Whether this daemon was cut off from a service at the last tick.
   bool IsCutOff(const std::string& aService) const {
-    return this->cutOffSince.contains(aService);
+    return this->outages.contains(aService);
   }
 
+  /// Records that an upstream has accepted a new connection.
+  void OnConnected(const std::string& aService);
+  /// Records that no connection to an upstream was established.
+  void OnNotConnected(const std::string& aService,
+                      const LiveUpstream& aUpstream);
+  /// Whether several upstreams in a row could not be connected to, or the only
+  /// one of `aListed`.
+  bool FailsToConnect(const std::string& aService, std::size_t aListed) const;
+
  private:
+  /// Time for which this daemon has been cut off from a service.
+  struct Outage {
+    Instant since{};
+    Instant lastConnectedAt{};
+  };
+
   const Clock& clock;
   Metrics& metrics;
   /// By service; only those that this daemon is cut off from.
-  std::map<std::string, Instant> cutOffSince;
+  std::map<std::string, Outage> outages;
+  /// Upstreams in a row to which no connection was established, by service; at
+  /// most `kMinFailures` each.
+  std::map<std::string, std::vector<std::uint64_t>> failedConnects;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -1,7 +1,9 @@
 #include "Zincstep/Relay/Relay.h"
 
 #include <algorithm>
+#include <cstdlib>
 
+#include "Zincstep/Relay/ForwardExchange.h"
 #include "Zincstep/Relay/ServiceExchange.h"
 #include "Zincstep/Relay/StreamExchange.h"
 
@@ -63,13 +65,13 @@
                               blocked});
 }
 
-Result<AdmittedRequest> Relay::Admit(
-    const std::shared_ptr<CallerConnection>& aConnection,
-    CallerMessage aMessage) const {
+Result<AdmittedRequest> Relay::Admit(ArrivedRequest aRequest) const {
   AdmittedRequest request;
-  request.connection = aConnection;
-  request.info = this->context.dialect.ReadRequest(aMessage.head);
-  request.message = std::move(aMessage);
+  request.connection = std::move(aRequest.connection);
+  request.info = this->context.dialect.ReadRequest(aRequest.message.head);
+  request.message = std::move(aRequest.message);
+  request.isForwarded = aRequest.forwardedRuns.has_value();
+  request.priorRuns = aRequest.forwardedRuns.value_or(0);
   request.table = this->context.view.Table();
   if (!request.table) {
     return Fail(ErrorKind::NotReady, "no configuration received yet");
@@ -111,16 +113,51 @@
 
 void Relay::OnRequest(const std::shared_ptr<CallerConnection>& aConnection,
                       CallerMessage aMessage) {
-  const Micros waited = this->context.clock.Now() - aMessage.readAt;
+  this->OnArrived({aConnection, std::move(aMessage), std::nullopt});
+}
+
+void Relay::ForwardedHandler::OnRequest(
+    const std::shared_ptr<CallerConnection>& aConnection,
+    CallerMessage aMessage) {
+  HttpHeaders& headers = aMessage.head.headers;
+  const std::string runs(FindHeader(headers, kRunsHeader));
+  std::erase_if(headers, [](const HttpHeader& aHeader) {
+    return SameHeaderName(aHeader.name, kRunsHeader);
+  });
+  this->relay.OnArrived(
+      {aConnection, std::move(aMessage), std::max(std::atoi(runs.c_str()), 0)});
+}
+
+void Relay::ForwardToDaemon(const AdmittedRequest& aRequest,
+                            const ExchangeProgress& aProgress) {
+  this->handingOver += 1;
+  auto exchange =
+      std::make_shared<ForwardExchange>(this->context, aRequest, aProgress);
+  asio::post(this->context.loop, [this, exchange = std::move(exchange)] {
+    this->handingOver -= 1;
+    const auto& connection = exchange->Request().connection;
+    if (connection->IsClosed()) {
+      exchange->OnCallerDisconnected();
+      return;
+    }
+    this->exchanges[connection.get()] = exchange;
+    exchange->Start();
+  });
+}
+
+void Relay::OnArrived(ArrivedRequest aRequest) {
+  const Micros waited = this->context.clock.Now() - aRequest.message.readAt;
   if (!this->context.view.Table() &&
       waited < this->context.settings.initialStateTimeout) {
-    this->deferred.push_back({aConnection, std::move(aMessage)});
+    this->deferred.push_back(std::move(aRequest));
     return;
   }
-  const std::string id = this->context.dialect.ReadRequest(aMessage.head).id;
-  auto admitted = this->Admit(aConnection, std::move(aMessage));
+  const std::string id =
+      this->context.dialect.ReadRequest(aRequest.message.head).id;
+  const std::shared_ptr<CallerConnection> connection = aRequest.connection;
+  auto admitted = this->Admit(std::move(aRequest));
   if (!admitted) {
-    this->RefuseUnadmitted(*aConnection, id, admitted.error());
+    this->RefuseUnadmitted(*connection, id, admitted.error());
     return;
   }
   std::shared_ptr<Exchange> exchange;
@@ -133,7 +170,7 @@
     exchange =
         std::make_shared<ServiceExchange>(this->context, std::move(*admitted));
   }
-  this->exchanges[aConnection.get()] = exchange;
+  this->exchanges[connection.get()] = exchange;
   exchange->Start();
   if (this->capacity.HasWaiting()) {
     this->StartWaiting();
@@ -164,12 +201,12 @@
 
 void Relay::ProcessDeferred(Instant aNow) {
   const bool isConfigured = this->context.view.Table() != nullptr;
-  std::vector<DeferredRequest> waiting;
+  std::vector<ArrivedRequest> waiting;
   waiting.swap(this->deferred);
-  for (DeferredRequest& request : waiting) {
+  for (ArrivedRequest& request : waiting) {
     const Micros waited = aNow - request.message.readAt;
     if (isConfigured || waited >= this->context.settings.initialStateTimeout) {
-      this->OnRequest(request.connection, std::move(request.message));
+      this->OnArrived(std::move(request));
     } else {
       this->deferred.push_back(std::move(request));
     }
@@ -177,7 +214,7 @@
 }
 
 void Relay::OnCallerDisconnected(CallerConnection& aConnection) {
-  std::erase_if(this->deferred, [&](const DeferredRequest& aOne) {
+  std::erase_if(this->deferred, [&](const ArrivedRequest& aOne) {
     return aOne.connection.get() == &aConnection;
   });
   const auto found = this->exchanges.find(&aConnection);
--- a/Zincstep/Relay/Relay.h
+++ b/Zincstep/Relay/Relay.h
@@ -22,6 +22,10 @@
       : context(std::move(aContext)),
         capacity(this->context, [this] { this->ScheduleStarts(); }) {
     this->context.capacity = &this->capacity;
+    this->context.handOver = [this](const AdmittedRequest& aRequest,
+                                    const ExchangeProgress& aProgress) {
+      this->ForwardToDaemon(aRequest, aProgress);
+    };
   }
   Relay(const Relay&) = delete;
   Relay& operator=(const Relay&) = delete;
@@ -29,6 +33,8 @@
   void OnRequest(const std::shared_ptr<CallerConnection>& aConnection,
                  CallerMessage aMessage) override;
   void OnCallerDisconnected(CallerConnection& aConnection) override;
+  /// Handles the requests that other daemons forward here.
+  CallerHandler& ForwardedRequests() { return this->forwardedRequests; }
   /// Checks all timeouts; call several times per second.
   void Tick();
 
@@ -44,13 +50,39 @@
   void OnBlocked(RequestFingerprint aRequest);
   /// Number of exchanges and deferred requests that have not ended.
   std::size_t Active() const {
-    return this->exchanges.size() + this->deferred.size();
+    return this->exchanges.size() + this->deferred.size() + this->handingOver;
   }
 
  private:
-  Result<AdmittedRequest> Admit(
-      const std::shared_ptr<CallerConnection>& aConnection,
-      CallerMessage aMessage) const;
+  /// Passes requests from other daemons to the relay.
+  class ForwardedHandler final : public CallerHandler {
+   public:
+    explicit ForwardedHandler(Relay& aRelay) : relay(aRelay) {}
+
+    void OnRequest(const std::shared_ptr<CallerConnection>& aConnection,
+                   CallerMessage aMessage) override;
+    void OnCallerDisconnected(CallerConnection& aConnection) override {
+      this->relay.OnCallerDisconnected(aConnection);
+    }
+
+   private:
+    Relay& relay;
+  };
+
+  /// A request before its admission.
+  struct ArrivedRequest {
+    std::shared_ptr<CallerConnection> connection;
+    CallerMessage message;
+    /// Set if another daemon forwarded it: the runs that may have begun.
+    std::optional<int> forwardedRuns;
+  };
+
+  void OnArrived(ArrivedRequest aRequest);
+  Result<AdmittedRequest> Admit(ArrivedRequest aRequest) const;
+  /// Continues a request through another daemon in the next turn of the loop,
+  /// as its former exchange is still in use.
+  void ForwardToDaemon(const AdmittedRequest& aRequest,
+                       const ExchangeProgress& aProgress);
   Result<void> CheckKey(AdmittedRequest& aRequest) const;
   Result<void> CheckCrashes(const AdmittedRequest& aRequest) const;
   void RefuseUnadmitted(CallerConnection& aConnection, const std::string& aId,
@@ -66,15 +98,13 @@
   /// them after `RelaySettings::initialStateTimeout`.
   void ProcessDeferred(Instant aNow);
 
-  /// A request that arrived before this daemon's first configuration.
-  struct DeferredRequest {
-    std::shared_ptr<CallerConnection> connection;
-    CallerMessage message;
-  };
-
   RelayContext context;
   CapacityScheduler capacity;
-  std::vector<DeferredRequest> deferred;
+  ForwardedHandler forwardedRequests{*this};
+  /// Requests that arrived before this daemon's first configuration.
+  std::vector<ArrivedRequest> deferred;
+  /// Requests whose next exchange has not been started yet.
+  std::size_t handingOver = 0;
   bool isTickScheduled = false;
   Instant lastTickAt{};
   bool areStartsScheduled = false;
--- a/Zincstep/Relay/RelayContext.h
+++ b/Zincstep/Relay/RelayContext.h
@@ -9,7 +9,9 @@
 #include "Zincstep/Net/ConnectionPool.h"
 #include "Zincstep/Relay/CapacityScheduler.h"
 #include "Zincstep/Relay/CrashDetector.h"
+#include "Zincstep/Relay/ForwardChooser.h"
 #include "Zincstep/Relay/LoadStatistics.h"
+#include "Zincstep/Relay/ReachMonitor.h"
 #include "Zincstep/Relay/RelayDialect.h"
 #include "Zincstep/Relay/StopPolicy.h"
 #include "Zincstep/Relay/UpstreamProber.h"
@@ -92,6 +94,9 @@
   }
 };
 
+struct AdmittedRequest;
+struct ExchangeProgress;
+
 /// State shared by all exchanges of a daemon.
 struct RelayContext {
   asio::io_context& loop;
@@ -120,11 +125,18 @@
   std::map<std::string, RetryBudget>& budgets;
   /// Decides which new requests are accepted while the daemon stops.
   const StopPolicy& stopPolicy;
+  /// Services that this daemon can't reach, and the daemons that may serve
+  /// their requests instead.
+  ReachMonitor& reach;
+  ForwardChooser& forwards;
   /// Called when an exchange marks an upstream as suspect.
   std::function<void()> onSuspicion;
   RepairStatistics repairs{};
   /// Order of requests while room is scarce; set by the relay.
   CapacityScheduler* capacity = nullptr;
+  /// Continues a request through another daemon; set by the relay.
+  std::function<void(const AdmittedRequest&, const ExchangeProgress&)>
+      handOver{};
 
   RetryBudget& BudgetOf(const std::string& aService) {
     return this->budgets.try_emplace(aService, this->settings.retries)
--- a/Zincstep/Relay/RelayDialect.h
+++ b/Zincstep/Relay/RelayDialect.h
@@ -49,6 +49,16 @@
   const PoolChain* chain = nullptr;
 };
 
+/// A request to be encoded for another daemon.
+struct DaemonRequest {
+  const CallerMessage& message;
+  /// Time left until the caller's deadline.
+  Micros timeout{};
+  std::optional<std::uint64_t> lastEventId;
+  /// Headers added for the other daemon.
+  HttpHeaders added;
+};
+
 /// Load that an upstream states in the head of a response.
 struct ServerLoad {
   int running = 0;
@@ -85,6 +95,10 @@
   virtual RelayRequest ReadRequest(const HttpHead& aHead) const = 0;
   /// Returns the encoded request, head and body.
   virtual std::string WriteRequest(const ForwardedRequest& aRequest) const = 0;
+  /// Returns the encoded request, head and body, for another daemon: the
+  /// caller's own, with its key.
+  virtual std::string WriteDaemonRequest(
+      const DaemonRequest& aRequest) const = 0;
   virtual ResponseInfo ReadResponse(const HttpHead& aHead) const = 0;
   /// Returns the headers of a response that this daemon generates for request
   /// `aId`.
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -10,7 +10,12 @@
 
 void ServiceExchange::Start() {
   this->CountArrival(0);
-  this->context.BudgetOf(this->request.service->name).OnRequest();
+  if (!this->request.isForwarded) {
+    this->context.BudgetOf(this->request.service->name).OnRequest();
+  }
+  if (this->SkipsUpstreams() && this->TryHandOver()) {
+    return;
+  }
   this->TrySend();
 }
 
@@ -24,6 +29,9 @@
   if (this->isWaiting) {
     return;
   }
+  if (!chosen && this->TryHandOver()) {
+    return;
+  }
   if (!chosen) {
     this->mayHaveRun
         ? this->Refuse(ErrorKind::UpstreamFailed, "no other upstream is left")
@@ -43,12 +51,14 @@
 }
 
 void ServiceExchange::RefuseUnsent() {
-  this->UpdateCallWait(false)
-      ? this->Refuse(ErrorKind::Overloaded,
-                     "the call limits of the upstreams are reached")
-      : this->Refuse(ErrorKind::NoCapacity, this->IsCutOff()
-                                                ? "no upstream can be reached"
-                                                : "no upstream is usable");
+  if (this->UpdateCallWait(false)) {
+    this->Refuse(ErrorKind::Overloaded,
+                 "the call limits of the upstreams are reached");
+  } else if (this->IsCutOff()) {
+    this->Refuse(ErrorKind::UpstreamUnreachable, "no upstream can be reached");
+  } else {
+    this->Refuse(ErrorKind::NoCapacity, "no upstream is usable");
+  }
 }
 
 void ServiceExchange::EndCall() {
@@ -123,7 +133,10 @@
   this->EndCall();
   this->call.reset();
   if (aEnd == SingleCallEnd::NotConnected) {
-    this->Suspect(*this->upstream);
+    this->OnNotConnected();
+    if (this->TryHandOver()) {
+      return;
+    }
     this->TryAcquireResend() ? this->TrySend()
                              : this->OnNotRun("no connection");
     return;
--- a/Zincstep/Relay/ServiceExchange.h
+++ b/Zincstep/Relay/ServiceExchange.h
@@ -36,6 +36,7 @@
   void OnFailure(const char* aReason);
   void OnNotRun(const char* aReason);
   bool CanRunAgain() const;
+  bool MayRunAgain() const override { return this->CanRunAgain(); }
 
   std::vector<UpstreamPtr> tried;
   HttpHead head;
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -47,8 +47,14 @@
 void StreamExchange::Start() {
   this->lastProgress = this->Now();
   this->CountArrival(this->tokens);
-  this->context.BudgetOf(this->request.service->name).OnRequest();
-  this->context.demand.OnRequest(this->tokens, this->lastProgress);
+  // A forwarded request counts at the daemon that read it.
+  if (!this->request.isForwarded) {
+    this->context.BudgetOf(this->request.service->name).OnRequest();
+    this->context.demand.OnRequest(this->tokens, this->lastProgress);
+  }
+  if (this->SkipsUpstreams() && this->TryHandOver()) {
+    return;
+  }
   this->isScheduled = this->context.capacity->Schedules(*this->request.service);
   this->isScheduled ? this->WaitForRoom() : this->TryChain();
 }
@@ -87,8 +93,20 @@
   return this->isCounted ? WaiterStart::Started : WaiterStart::Ended;
 }
 
+ExchangeProgress StreamExchange::TakeProgress() {
+  this->Release();
+  ExchangeProgress progress = Exchange::TakeProgress();
+  progress.events = this->splitter;
+  progress.headSent = this->headSent;
+  progress.lastForwardedAt = this->lastForwardedAt;
+  return progress;
+}
+
 void StreamExchange::OnNoRoom(const char* aReason) {
   this->waitingId.reset();
+  if (this->TryHandOver()) {
+    return;
+  }
   this->waited = this->Now() - this->request.message.readAt;
   this->context.metrics.Count(
       "zincstep_room_refusals_total",
@@ -247,6 +265,9 @@
   if (this->IsAwaitingUpstreams()) {
     return;
   }
+  if (!this->needsRetry && this->TryHandOver()) {
+    return;
+  }
   // A request that has not begun completes sooner by a retry of its caller:
   // waiting here for even a fifth of the objective cost 0.02 of score.
   if (!this->headSent || now - this->waitingSince >= kCallerPatience) {
@@ -279,6 +300,9 @@
   if (this->chain.empty() && this->UpdateCallWait(true)) {
     return ErrorKind::Overloaded;
   }
+  if (this->IsCutOff()) {
+    return ErrorKind::UpstreamUnreachable;
+  }
   // If a chain seemed to have room, the known state was outdated and is updated
   // within tenths of a second; capacity returns only once layers are loaded.
   return this->chain.empty() ? ErrorKind::NoCapacity : ErrorKind::Overloaded;
@@ -371,7 +395,10 @@
   const Instant now = this->Now();
   this->call.reset();
   if (aEnd == SingleCallEnd::NotConnected) {
-    this->Suspect(*this->upstream);
+    this->OnNotConnected();
+    if (this->TryHandOver()) {
+      return;
+    }
     this->TryAcquireResend() ? this->TryChain() : this->OnNotRun();
     return;
   }
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -43,6 +43,8 @@
   bool HasResponseBegun() const override { return this->hasRunEvents; }
   void Abandon(const char* aReason) override { this->Fail(aReason); }
   void OnFinished() override;
+  bool MayRunAgain() const override { return this->CanResume(); }
+  ExchangeProgress TakeProgress() override;
   std::optional<Micros> ScheduledRetryAfter(ErrorKind aKind) override;
   void OnNotRunRefusal(ErrorKind aKind, Micros aRetryAfter) override;
   /// Adds the request to those that wait for room.
