Crashes are recorded only where another upstream can be reached

What callers risk: three such records block a request for every caller, and a daemon without a path to upstreams records one for each run it loses. Cause: a refused or silent connection was taken for the end of the upstream, whatever the daemon's own path. Change: before a crash is recorded on such evidence, another upstream of the service has to accept a connection; else the probe goes on and ends without a record. A new incarnation or a removed entry counts as before, as does a service with one upstream.

--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -350,6 +350,9 @@
       });
   this->controller.SetMayCampaign([this] { return this->follower.IsDirect(); });
   this->peers.SetCapacityGossip(this->capacityGossip);
+  this->crashDetector.SetUpstreams([this](const std::string& aService) {
+    return this->view.Directory().OfService(aService);
+  });
   this->controller.SetDemand([this] { return this->peers.Demand(); });
   this->eras.SetOnRestored([this](std::uint64_t aBefore, std::uint64_t aEra) {
     this->OnStoreRestored(aBefore, aEra);
--- a/Zincstep/Relay/CrashDetector.cpp
+++ b/Zincstep/Relay/CrashDetector.cpp
@@ -94,7 +94,7 @@
       break;
     case Liveness::Dropped:
       if (this->RecordUnanswered(aUpstream)) {
-        this->OnEnded(aUpstream, "it closes connections");
+        this->OnNotReached(aUpstream, "it closes connections");
       } else {
         this->SendProbe(aUpstream);
       }
@@ -121,18 +121,64 @@
 void CrashDetector::OnConnectionResult(std::uint64_t aUpstream,
                                        Liveness aLiveness) {
   if (aLiveness == Liveness::Ended) {
-    this->OnEnded(aUpstream, "it refuses connections");
+    this->OnNotReached(aUpstream, "it refuses connections");
   } else if (aLiveness == Liveness::Unknown) {
     this->ScheduleRetry(this->pendingProbes.at(aUpstream));
   } else if (this->RecordUnanswered(aUpstream)) {
-    this->OnEnded(aUpstream, aLiveness == Liveness::Dropped
-                                 ? "it closes connections"
-                                 : "connections time out");
+    this->OnNotReached(aUpstream, aLiveness == Liveness::Dropped
+                                      ? "it closes connections"
+                                      : "connections time out");
   } else {
     this->ProbeConnection(aUpstream);
   }
 }
 
+void CrashDetector::OnNotReached(std::uint64_t aUpstream, const char* aReason) {
+  PendingProbe& probe = this->pendingProbes.at(aUpstream);
+  this->MarkSuspect(probe.upstream);
+  const UpstreamPtr witness = this->ChooseWitness(probe);
+  if (!witness) {
+    if (probe.unreachableWitnesses.empty()) {
+      this->OnEnded(aUpstream, aReason);
+    } else {
+      probe.unreachableWitnesses.clear();
+      this->ScheduleRetry(probe);
+    }
+    return;
+  }
+  this->check.ProbePath(
+      witness, probe.timeout,
+      [this, aUpstream, aReason, witness](bool aIsReached) {
+        if (aIsReached) {
+          this->OnEnded(aUpstream, aReason);
+          return;
+        }
+        PendingProbe& pending = this->pendingProbes.at(aUpstream);
+        pending.unreachableWitnesses.push_back(witness->Number());
+        this->ScheduleRetry(pending);
+      });
+}
+
+UpstreamPtr CrashDetector::ChooseWitness(const PendingProbe& aProbe) const {
+  if (!this->upstreamsOf) {
+    return nullptr;
+  }
+  const auto& excluded = aProbe.unreachableWitnesses;
+  UpstreamPtr best;
+  for (const UpstreamPtr& other :
+       this->upstreamsOf(aProbe.upstream->Entry().service)) {
+    const bool isExcluded = other == aProbe.upstream ||
+                            other->IsDeregistered() ||
+                            std::find(excluded.begin(), excluded.end(),
+                                      other->Number()) != excluded.end();
+    if (!isExcluded &&
+        (!best || other->LastResponseAt() > best->LastResponseAt())) {
+      best = other;
+    }
+  }
+  return best;
+}
+
 bool CrashDetector::RecordUnanswered(std::uint64_t aUpstream) {
   PendingProbe& probe = this->pendingProbes.at(aUpstream);
   probe.unansweredCount += 1;
@@ -184,7 +230,7 @@
   const std::vector<LostRun> expired(probe.runs.begin(), firstRecent);
   probe.runs.erase(probe.runs.begin(), firstRecent);
   this->ResolveRuns(probe, expired, "upstream_end_unproven",
-                    "it accepts connections and is still registered");
+                    "no crash was shown, and it is still registered");
   for (const LostRun& run : probe.runs) {
     this->tracker.OnSuspected({run.request, aUpstream});
   }
@@ -209,7 +255,7 @@
   ended.runs.insert(ended.runs.end(), ended.laterRuns.begin(),
                     ended.laterRuns.end());
   this->RecordCrashes(ended, aReason);
-  this->MarkSuspect(ended);
+  this->MarkSuspect(ended.upstream);
 }
 
 void CrashDetector::ResolveRuns(const PendingProbe& aProbe,
@@ -249,12 +295,11 @@
   }
 }
 
-void CrashDetector::MarkSuspect(const PendingProbe& aProbe) {
-  const UpstreamPtr& upstream = aProbe.upstream;
+void CrashDetector::MarkSuspect(const UpstreamPtr& aUpstream) {
   const Instant now = this->clock.Now();
-  if (!upstream->IsSuspect(now)) {
-    upstream->Suspect(now);
-    LogInfo("upstream_suspected", {{"upstream", upstream->Entry().id},
+  if (!aUpstream->IsSuspect(now)) {
+    aUpstream->Suspect(now);
+    LogInfo("upstream_suspected", {{"upstream", aUpstream->Entry().id},
                                    {"reason", "it crashed during a request"}});
     this->listener.OnUpstreamSuspected();
   }
--- a/Zincstep/Relay/CrashDetector.h
+++ b/Zincstep/Relay/CrashDetector.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+#include <string>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -34,9 +36,19 @@
 /// after the other.
 class CrashDetector {
  public:
+  using UpstreamsOf =
+      std::function<std::vector<UpstreamPtr>(const std::string&)>;
+
   CrashDetector(CrashTracker& aTracker, UpstreamControl& aControl,
                 const Clock& aClock, CrashListener& aListener);
 
+  /// Sets the function that returns the upstreams of a service. From then on a
+  /// failed connection shows a crash only if another upstream of the service
+  /// accepts one: else this daemon may have lost its path to all of them.
+  void SetUpstreams(UpstreamsOf aUpstreams) {
+    this->upstreamsOf = std::move(aUpstreams);
+  }
+
   /// Records that a run of the request was lost before any of its response
   /// arrived, and starts to probe the upstream.
   void OnRunLost(RequestFingerprint aRequest, const UpstreamPtr& aUpstream);
@@ -74,6 +86,8 @@
     std::optional<Instant> nextAt;
     /// Consecutive attempts without a response.
     int unansweredCount = 0;
+    /// Other upstreams that accepted no connection either, by number.
+    std::vector<std::uint64_t> unreachableWitnesses;
   };
 
   void SendProbe(std::uint64_t aUpstream);
@@ -88,6 +102,13 @@
   /// Resolves runs whose probe stayed inconclusive for too long, by whether
   /// the upstream is still registered.
   void ExpireRuns(std::uint64_t aUpstream);
+  /// The upstream accepts no connection. Records a crash if another upstream
+  /// does, or if there is no other.
+  void OnNotReached(std::uint64_t aUpstream, const char* aReason);
+  /// Returns another upstream of the same service that has not been found
+  /// unreachable in this probe, the last one that responded; null if there is
+  /// none.
+  UpstreamPtr ChooseWitness(const PendingProbe& aProbe) const;
   /// The upstream is alive.
   void OnAlive(std::uint64_t aUpstream, const char* aReason);
   /// The upstream crashed or restarted.
@@ -98,11 +119,12 @@
                    const char* aReason);
   /// Records a crash for each run of the probe and notifies the listener.
   void RecordCrashes(const PendingProbe& aProbe, const char* aReason);
-  void MarkSuspect(const PendingProbe& aProbe);
+  void MarkSuspect(const UpstreamPtr& aUpstream);
 
   /// Requests whose crashes this daemon observed itself. Peers recorded them
   /// on its report, so it also has to report when such a request is cleared.
   std::unordered_set<RequestFingerprint> locallyObserved;
+  UpstreamsOf upstreamsOf;
   CrashTracker& tracker;
   const Clock& clock;
   CrashListener& listener;
--- a/Zincstep/Relay/LivenessCheck.cpp
+++ b/Zincstep/Relay/LivenessCheck.cpp
@@ -44,4 +44,13 @@
       });
 }
 
+void LivenessCheck::ProbePath(const UpstreamPtr& aUpstream, Micros aTimeout,
+                              std::function<void(bool)> aDone) {
+  this->control.ProbeConnection(
+      aUpstream->Entry(), aTimeout,
+      [done = std::move(aDone)](Reachability aReachability) {
+        done(aReachability == Reachability::Reached);
+      });
+}
+
 }  // namespace zincstep
--- a/Zincstep/Relay/LivenessCheck.h
+++ b/Zincstep/Relay/LivenessCheck.h
@@ -48,6 +48,9 @@
   /// Never shows `Alive`.
   void ProbeConnection(const UpstreamPtr& aUpstream, Micros aTimeout,
                        Callback aDone);
+  /// Tests whether an upstream accepts a new connection.
+  void ProbePath(const UpstreamPtr& aUpstream, Micros aTimeout,
+                 std::function<void(bool)> aDone);
 
  private:
   /// Result of a probe without response whose timeout had to be noticed by
