A placement leader without a path to upstreams gives the leadership up

What operators would see: nothing is placed for as long as the leader is partitioned from all upstreams, since it reaches the store, renews its lease and sends orders that arrive nowhere. Cause: the leadership depends on the store's lease alone. Change: ReachProber probes unreachable upstreams and, in turn, others of the service; four probes in a row that reach none show a lost path, which a crash of many upstreams does not. The leader then ends its lease, and a daemon without a path does not campaign. Where all daemons that follow the store directly lack the path, the others campaign after two seconds, one rank after the other.

--- a/Zincstep/Cluster/PlacementController.cpp
+++ b/Zincstep/Cluster/PlacementController.cpp
@@ -33,6 +33,16 @@
 
 void PlacementController::OnLeaderChanged(const std::string& aName) {
   this->leader = aName;
+  if (!aName.empty()) {
+    this->leaderlessSince.reset();
+  } else if (!this->leaderlessSince) {
+    this->leaderlessSince = this->clock.Now();
+  }
+}
+
+Micros PlacementController::LeaderlessTime() const {
+  return this->leaderlessSince ? this->clock.Now() - *this->leaderlessSince
+                               : Micros{0};
 }
 
 void PlacementController::Tick() {
@@ -40,11 +50,16 @@
   if (this->isStopping) {
     return;
   }
-  if (this->guard.IsHeld(now)) {
+  const bool canOrder = !this->hasPath || this->hasPath();
+  if (this->guard.IsHeld(now) && !canOrder) {
+    this->EndLease("no upstream can be reached");
+    this->orders.Clear();
+  } else if (this->guard.IsHeld(now)) {
     if (now >= this->guard.RenewAt()) {
       this->RenewLeadership();
     }
-  } else if (this->leader.empty() || this->leader == this->settings.name) {
+  } else if (canOrder &&
+             (this->leader.empty() || this->leader == this->settings.name)) {
     this->AcquireLeadership();
   }
   if (this->guard.MayIssueOrders(now)) {
@@ -54,12 +69,16 @@
 
 void PlacementController::Stop() {
   this->isStopping = true;
-  if (!this->guard.IsHeld(this->clock.Now())) {
-    return;
+  if (this->guard.IsHeld(this->clock.Now())) {
+    this->EndLease("the daemon stops");
   }
+}
+
+void PlacementController::EndLease(const char* aReason) {
   this->guard.OnLeaseLost();
-  this->store.End(this->lease, [](const Result<bool>& aEnded) {
-    LogInfo("placement_duty_given_up", {{"told", aEnded.has_value()}});
+  this->store.End(this->lease, [aReason](const Result<bool>& aEnded) {
+    LogInfo("placement_duty_given_up",
+            {{"told", aEnded.has_value()}, {"reason", aReason}});
   });
 }
 
--- a/Zincstep/Cluster/PlacementController.h
+++ b/Zincstep/Cluster/PlacementController.h
@@ -70,6 +70,13 @@
   void SetMayCampaign(std::function<bool()> aMayCampaign) {
     this->mayCampaign = std::move(aMayCampaign);
   }
+  /// Sets the function that returns whether this daemon can send orders. A
+  /// leader that can't gives up the leadership, as another may.
+  void SetHasPath(std::function<bool()> aHasPath) {
+    this->hasPath = std::move(aHasPath);
+  }
+  /// Returns for how long no daemon has been the leader, as far as known.
+  Micros LeaderlessTime() const;
   /// Sets the function that returns the demand of all callers in tokens in
   /// flight, if known.
   void SetDemand(std::function<std::optional<ObservedDemand>()> aDemand) {
@@ -91,6 +98,8 @@
 
  private:
   void AcquireLeadership();
+  /// Ends the lease, so that another daemon can acquire the leadership at once.
+  void EndLease(const char* aReason);
   void RenewLeadership();
   /// State of a service's running or last plan.
   struct PlanState {
@@ -149,6 +158,9 @@
   bool isStoreCallPending = false;
   bool isStopping = false;
   std::function<bool()> mayCampaign;
+  std::function<bool()> hasPath;
+  /// None while a daemon is the leader.
+  std::optional<Instant> leaderlessSince;
   std::function<std::optional<ObservedDemand>()> demand;
   Instant nextAttemptAt{};
   /// How an empty pool has grown.
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -33,6 +33,10 @@
 /// that arrive in one window and are retried in the next.
 constexpr double kRetryRatioUsed = 0.8;
 
+/// Time without a placement leader after which daemons that do not follow the
+/// store directly campaign, and the interval between their ranks.
+constexpr Micros kLeaderlessTimeout = 2s;
+constexpr Micros kCampaignInterval = 1s;
 /// Bytes of header that a forwarding daemon may add to a request.
 constexpr std::size_t kForwardedHeaderBytes = 256;
 /// Time that a starting daemon waits for peers before it trusts the
@@ -240,6 +244,8 @@
   /// Writes blocked requests to the store, or reports them to the placement
   /// leader that writes them.
   void UpdateBlockList();
+  /// Whether this daemon can reach upstreams of each model, to order layers.
+  bool HasPathToModels() const;
   /// Applies the known members to the choice of daemons to forward to.
   void UpdateForwardPeers();
   void OnSuspicion(Provenance aProvenance);
@@ -348,7 +354,15 @@
         this->peers.OnBootstrapEntries(aDaemons);
         return this->peers.Members().HasDiscoveredPeers();
       });
-  this->controller.SetMayCampaign([this] { return this->follower.IsDirect(); });
+  this->controller.SetMayCampaign([this] {
+    // If all daemons that follow the store directly lack a path to upstreams,
+    // the others may campaign, one rank after the other.
+    const auto rank = static_cast<int>(this->peers.Members().Rank());
+    return this->follower.IsDirect() ||
+           this->controller.LeaderlessTime() >=
+               kLeaderlessTimeout + rank * kCampaignInterval;
+  });
+  this->controller.SetHasPath([this] { return this->HasPathToModels(); });
   this->peers.SetCapacityGossip(this->capacityGossip);
   this->crashDetector.SetUpstreams([this](const std::string& aService) {
     return this->view.Directory().OfService(aService);
@@ -393,6 +407,18 @@
   this->chains.SetKnowsOwnCallers(!this->peers.ReportsToAll());
 }
 
+bool EdgeDaemon::HasPathToModels() const {
+  const auto table = this->view.Table();
+  if (!table) {
+    return true;
+  }
+  const auto& services = table->Configuration().services;
+  return std::none_of(
+      services.begin(), services.end(), [this](const RoutedService& aService) {
+        return aService.model && this->reach.HasLostPath(aService.name);
+      });
+}
+
 void EdgeDaemon::UpdateForwardPeers() {
   const std::string& own = this->settings.forwardListen;
   std::vector<ForwardPeer> all;
--- a/Zincstep/Relay/ReachMonitor.cpp
+++ b/Zincstep/Relay/ReachMonitor.cpp
@@ -8,6 +8,8 @@
 
 /// A single upstream may have crashed.
 constexpr std::size_t kMinFailures = 2;
+/// Consecutive probes without a connection that show a lost path.
+constexpr int kMinFailedProbes = 4;
 
 }  // namespace
 
@@ -36,6 +38,20 @@
          found->second.size() >= std::min(kMinFailures, aListed);
 }
 
+void ReachMonitor::OnProbed(const std::string& aService, bool aIsReached) {
+  const auto outage = this->outages.find(aService);
+  if (outage != this->outages.end()) {
+    int& failed = outage->second.failedProbes;
+    failed = aIsReached ? 0 : failed + 1;
+  }
+}
+
+bool ReachMonitor::HasLostPath(const std::string& aService) const {
+  const auto outage = this->outages.find(aService);
+  return outage != this->outages.end() &&
+         outage->second.failedProbes >= kMinFailedProbes;
+}
+
 void ReachMonitor::Tick(const RouteTable& aTable,
                         const UpstreamDirectory& aDirectory) {
   const Instant now = this->clock.Now();
@@ -57,7 +73,7 @@
                           this->FailsToConnect(service.name, reach.listed) ||
                           (wasCutOff && reach.listed > 0 && !hasContact);
     if (isCutOff) {
-      current[service.name] = wasCutOff ? known->second : Outage{now, {}};
+      current[service.name] = wasCutOff ? known->second : Outage{now, {}, 0};
     }
     if (isCutOff && !wasCutOff) {
       LogWarning("service_unreachable", {{"service", service.name},
--- a/Zincstep/Relay/ReachMonitor.h
+++ b/Zincstep/Relay/ReachMonitor.h
@@ -36,11 +36,20 @@
   /// one of `aListed`.
   bool FailsToConnect(const std::string& aService, std::size_t aListed) const;
 
+  /// Records whether an upstream of a service accepted the connection of a
+  /// probe.
+  void OnProbed(const std::string& aService, bool aIsReached);
+  /// Whether no upstream of a service, of several that were probed, accepts
+  /// connections from this daemon. If some do, the others have crashed.
+  bool HasLostPath(const std::string& aService) const;
+
  private:
   /// Time for which this daemon has been cut off from a service.
   struct Outage {
     Instant since{};
     Instant lastConnectedAt{};
+    /// Consecutive probes that reached no upstream.
+    int failedProbes = 0;
   };
 
   const Clock& clock;
--- a/Zincstep/Relay/ReachProber.cpp
+++ b/Zincstep/Relay/ReachProber.cpp
@@ -1,5 +1,7 @@
 #include "Zincstep/Relay/ReachProber.h"
 
+#include <algorithm>
+
 namespace zincstep {
 
 namespace {
@@ -7,6 +9,8 @@
 /// Interval between probes of a service, which bounds the time to detect that
 /// it can be reached again.
 constexpr Micros kInterval = 500ms;
+/// The same until the loss of the path is known.
+constexpr Micros kInitialInterval = 100ms;
 /// Many round trips.
 constexpr Micros kTimeout = 60ms;
 
@@ -33,45 +37,57 @@
                         const UpstreamDirectory& aDirectory) {
   const Instant now = this->clock.Now();
   Probe& probe = this->probes[aService];
-  probe.nextAt = now + kInterval;
-  std::vector<UpstreamPtr> direct;
+  probe.nextAt =
+      now + (this->reach.HasLostPath(aService) ? kInterval : kInitialInterval);
   std::vector<UpstreamPtr> unreachable;
+  std::vector<UpstreamPtr> witnesses;
   for (const UpstreamPtr& upstream : aDirectory.OfService(aService)) {
-    if (TakesRequests(*upstream)) {
-      direct.push_back(upstream);
-      if (upstream->IsSuspect(now)) {
-        unreachable.push_back(upstream);
-      }
-    }
+    const bool isUnreachable =
+        TakesRequests(*upstream) && upstream->IsSuspect(now);
+    (isUnreachable ? unreachable : witnesses).push_back(upstream);
   }
-  const auto& candidates = unreachable.empty() ? direct : unreachable;
-  if (candidates.empty() || (unreachable.empty() && probe.wasReached)) {
-    probe.wasReached = false;
-    return;
+  // Those that no probe has failed at tell most.
+  const auto firstSuspect = std::stable_partition(
+      witnesses.begin(), witnesses.end(),
+      [now](const UpstreamPtr& aOne) { return !aOne->IsSuspect(now); });
+  if (firstSuspect != witnesses.begin()) {
+    witnesses.erase(firstSuspect, witnesses.end());
   }
-  const UpstreamPtr upstream =
-      candidates[this->random.Below(candidates.size())];
-  probe.isPending = true;
+  const bool asksWitness =
+      !witnesses.empty() && (probe.isWitnessNext || unreachable.empty());
+  probe.isWitnessNext = !asksWitness;
+  const auto& candidates = asksWitness ? witnesses : unreachable;
+  if (!candidates.empty()) {
+    this->Send(aService, candidates[this->random.Below(candidates.size())],
+               aDirectory);
+  }
+}
+
+void ReachProber::Send(const std::string& aService,
+                       const UpstreamPtr& aUpstream,
+                       const UpstreamDirectory& aDirectory) {
+  this->probes[aService].isPending = true;
   this->control.ProbeConnection(
-      upstream->Entry(), kTimeout,
-      [this, aService, upstream, &aDirectory](Reachability aReachability) {
-        this->OnResult(aService, upstream, aReachability, aDirectory);
+      aUpstream->Entry(), kTimeout,
+      [this, aService, aUpstream, &aDirectory](Reachability aReachability) {
+        this->OnResult(aService, aUpstream,
+                       aReachability == Reachability::Reached, aDirectory);
       });
 }
 
 void ReachProber::OnResult(const std::string& aService,
-                           const UpstreamPtr& aUpstream,
-                           Reachability aReachability,
+                           const UpstreamPtr& aUpstream, bool aIsReached,
                            const UpstreamDirectory& aDirectory) {
-  Probe& probe = this->probes[aService];
-  probe.isPending = false;
-  probe.wasReached = aReachability == Reachability::Reached;
-  if (!probe.wasReached) {
+  this->probes[aService].isPending = false;
+  this->reach.OnProbed(aService, aIsReached);
+  if (!aIsReached || !TakesRequests(*aUpstream)) {
     return;
   }
   this->reach.OnConnected(aService);
-  aUpstream->ClearSuspicion();
-  this->Start(aService, aDirectory);
+  if (aUpstream->IsSuspect(this->clock.Now())) {
+    aUpstream->ClearSuspicion();
+    this->Start(aService, aDirectory);
+  }
 }
 
 }  // namespace zincstep
--- a/Zincstep/Relay/ReachProber.h
+++ b/Zincstep/Relay/ReachProber.h
@@ -25,17 +25,18 @@
  private:
   struct Probe {
     bool isPending = false;
-    /// Whether the last one reached its upstream, so that the next one follows
-    /// at once.
-    bool wasReached = false;
+    /// Whether the next one goes to an upstream that is not known to be
+    /// unreachable.
+    bool isWitnessNext = false;
     Instant nextAt{};
   };
 
-  /// Probes one unreachable upstream of a service, or any if there is none.
+  /// Probes one of a service's unreachable upstreams, or another as a witness.
   void Start(const std::string& aService, const UpstreamDirectory& aDirectory);
+  void Send(const std::string& aService, const UpstreamPtr& aUpstream,
+            const UpstreamDirectory& aDirectory);
   void OnResult(const std::string& aService, const UpstreamPtr& aUpstream,
-                Reachability aReachability,
-                const UpstreamDirectory& aDirectory);
+                bool aIsReached, const UpstreamDirectory& aDirectory);
 
   ReachMonitor& reach;
   UpstreamControl& control;
