--- /dev/null
+++ b/UnitTests/ForwardedRequestTest.cpp
@@ -0,0 +1,403 @@
+#include <algorithm>
+
+#include "RelayFixture.h"
+
+namespace zincstep {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr const char* kRuns = "zincstep-runs";
+
+HttpHeaders OwnHeaders(const CallerMessage& aMessage) {
+  return {{"X-Attempt-Id",
+           std::string(FindHeader(aMessage.head.headers, "X-Attempt-Id"))}};
+}
+
+}  // namespace
+
+/// Requests at a daemon that reaches no upstream, or that others forward to it.
+class ForwardedRequestTest final : public RelayFixture {
+  CPPUNIT_TEST_SUITE(ForwardedRequestTest);
+  CPPUNIT_TEST(Request_NoUpstreamReached_IsServedByPeer);
+  CPPUNIT_TEST(Request_Forwarded_ArrivesWithKeyAndTimeLeft);
+  CPPUNIT_TEST(Request_PeerRefuses_IsSentToAnother);
+  CPPUNIT_TEST(Request_PeerDoesNotKnowTheKey_IsSentToAnother);
+  CPPUNIT_TEST(Request_PeerIsDown_IsSentToAnother);
+  CPPUNIT_TEST(Request_AllPeersRefuse_IsRefusedAsNotRun);
+  CPPUNIT_TEST(Request_TwoPeersLackRoom_IsRefusedWithTheirRetryAfter);
+  CPPUNIT_TEST(Request_UpstreamRefuses_IsNotForwarded);
+  CPPUNIT_TEST(Request_OneOfThreeUpstreamsUnreachable_IsNotForwarded);
+  CPPUNIT_TEST(Request_NewConnectionsFailBesideOpenStreams_IsForwarded);
+  CPPUNIT_TEST(Unsafe_PeerBreaksOff_IsNotSentAgain);
+  CPPUNIT_TEST(Unsafe_PeerAnswersOfFailedRun_AnswerIsForwarded);
+  CPPUNIT_TEST(Safe_PeerBreaksOff_IsSentToAnother);
+  CPPUNIT_TEST(Stream_UpstreamLostMidway_ContinuesAtPeerAfterLastEvent);
+  CPPUNIT_TEST(Stream_PeerLostMidway_ContinuesAtAnother);
+  CPPUNIT_TEST(Stream_PeerFallsSilent_ContinuesAtAnother);
+  CPPUNIT_TEST(Caller_DisconnectsDuringForward_EndsItAtPeer);
+  CPPUNIT_TEST(Forwarded_NoUpstreamReached_IsNotForwardedAgain);
+  CPPUNIT_TEST(Forwarded_UnknownKey_IsRejected);
+  CPPUNIT_TEST(Forwarded_AttemptsUsedBefore_AreCounted);
+  CPPUNIT_TEST(Forwarded_Request_ReachesUpstreamWithoutTheHopsHeader);
+  CPPUNIT_TEST_SUITE_END();
+
+  std::vector<ForwardPeer> known;
+  std::vector<std::unique_ptr<ScriptedUpstream>> peers;
+  std::unique_ptr<CallerListener> forwarded;
+
+  /// Lists an upstream that refuses connections.
+  void ListUnreachable(const std::string& aService) {
+    ScriptedUpstream closed(loop, clock, [](const auto&, const auto&) {});
+    const std::string address = closed.Address();
+    closed.Close();
+    this->List(aService, address);
+  }
+
+  /// Adds another daemon that handles forwarded requests as scripted.
+  ScriptedUpstream& AddPeer(ScriptedUpstream::Script aScript) {
+    peers.push_back(
+        std::make_unique<ScriptedUpstream>(loop, clock, std::move(aScript)));
+    known.push_back(
+        {"peer" + std::to_string(peers.size()), peers.back()->Address(), ""});
+    forwards.SetPeers(known);
+    return *peers.back();
+  }
+
+  ScriptedUpstream& AddServingPeer() {
+    return this->AddPeer([](const auto& aTo, const auto& aMessage) {
+      AnswerWhole(aTo, aMessage, SealedHeaders(aMessage));
+    });
+  }
+
+  /// Adds a daemon that refuses with a 503 of its own of this kind.
+  ScriptedUpstream& AddRefusingPeer(const char* aKind) {
+    return this->AddPeer([aKind](const auto& aTo, const auto& aMessage) {
+      HttpHeaders headers = OwnHeaders(aMessage);
+      headers.push_back({"Retry-After", "0.125"});
+      aTo->Answer(kUnavailable, headers, aKind);
+    });
+  }
+
+  std::size_t SeenByPeers() const {
+    std::size_t seen = 0;
+    for (const auto& peer : peers) {
+      seen += peer->seen.size();
+    }
+    return seen;
+  }
+
+  /// Sends a request to the address for other daemons.
+  Result<HttpResponse> AskForwarded(const std::string& aRequest) {
+    forwarded = std::make_unique<CallerListener>(
+        loop, relay->ForwardedRequests(), clock);
+    CPPUNIT_ASSERT(forwarded->Start("127.0.0.1:0").has_value());
+    std::optional<Result<HttpResponse>> answer;
+    FetchResponse(loop, {asio::ip::address_v4::loopback(), forwarded->Port()},
+                  aRequest, 10s, [&](Result<HttpResponse> aAnswer) {
+                    answer = std::move(aAnswer);
+                  });
+    this->RunUntil([&] { return answer.has_value(); });
+    return *answer;
+  }
+
+  static std::string WithRuns(std::string aRequest, int aRuns) {
+    const std::string header =
+        std::string(kRuns) + ": " + std::to_string(aRuns) + "\r\n";
+    return aRequest.insert(aRequest.find("\r\n") + 2, header);
+  }
+
+ public:
+  void Request_NoUpstreamReached_IsServedByPeer() {
+    this->ListUnreachable("plain");
+    this->ListUnreachable("model");
+    this->AddServingPeer();
+    for (const char* path : {"/safe/x", "/unsafe/x", "/llm/x"}) {
+      const auto answer = this->Ask(this->Request(path));
+      CPPUNIT_ASSERT(answer.has_value());
+      CPPUNIT_ASSERT_EQUAL(kOk, answer->status);
+      CPPUNIT_ASSERT_EQUAL(
+          std::string("seal"),
+          std::string(FindHeader(answer->headers, "X-Response-Seal")));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, this->SeenByPeers());
+  }
+
+  void Request_Forwarded_ArrivesWithKeyAndTimeLeft() {
+    this->ListUnreachable("plain");
+    const ScriptedUpstream& peer = this->AddServingPeer();
+    this->Ask(this->Request("/unsafe/x?q=1"));
+    const HttpHead& head = peer.seen.at(0);
+    CPPUNIT_ASSERT_EQUAL(std::string("/unsafe/x?q=1"), head.target);
+    const auto header = [&](const char* aName) {
+      return std::string(FindHeader(head.headers, aName));
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("Bearer key1"), header("Authorization"));
+    CPPUNIT_ASSERT_EQUAL(std::string("r1"), header("X-Attempt-Id"));
+    CPPUNIT_ASSERT_EQUAL(std::string("h"), header("Host"));
+    CPPUNIT_ASSERT_EQUAL(std::string("0"), header(kRuns));
+    // The caller waits for 3 s, the route's timeout is 2 s.
+    const int left = std::stoi(header("X-Deadline-Ms"));
+    CPPUNIT_ASSERT(left > 0 && left <= 2000);
+  }
+
+  void Request_PeerRefuses_IsSentToAnother() {
+    this->ListUnreachable("plain");
+    this->AddRefusingPeer("upstream_unreachable");
+    this->AddRefusingPeer("stopping");
+    this->AddServingPeer();
+    for (int i = 0; i < 3; ++i) {
+      CPPUNIT_ASSERT_EQUAL(kOk, this->Ask(this->Request("/unsafe/x"))->status);
+    }
+    // Daemons that refused are not asked again at once.
+    CPPUNIT_ASSERT(peers[0]->seen.size() <= 1 && peers[1]->seen.size() <= 1);
+  }
+
+  void Request_PeerDoesNotKnowTheKey_IsSentToAnother() {
+    this->ListUnreachable("plain");
+    this->AddPeer([](const auto& aTo, const auto& aMessage) {
+      aTo->Answer(401, OwnHeaders(aMessage), "unauthenticated");
+    });
+    this->AddServingPeer();
+    CPPUNIT_ASSERT_EQUAL(kOk, this->Ask(this->Request("/unsafe/x"))->status);
+  }
+
+  void Request_PeerIsDown_IsSentToAnother() {
+    this->ListUnreachable("plain");
+    this->AddServingPeer().Close();
+    this->AddServingPeer();
+    for (int i = 0; i < 4; ++i) {
+      CPPUNIT_ASSERT_EQUAL(kOk, this->Ask(this->Request("/unsafe/x"))->status);
+    }
+  }
+
+  void Request_AllPeersRefuse_IsRefusedAsNotRun() {
+    this->ListUnreachable("plain");
+    this->AddRefusingPeer("upstream_unreachable");
+    this->AddRefusingPeer("upstream_unreachable");
+    const auto answer = this->Ask(this->Request("/unsafe/x"));
+    CPPUNIT_ASSERT_EQUAL(kUnavailable, answer->status);
+    CPPUNIT_ASSERT_EQUAL(std::string("upstream_unreachable"), answer->body);
+    CPPUNIT_ASSERT(!FindHeader(answer->headers, "Retry-After").empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->SeenByPeers());
+  }
+
+  void Request_TwoPeersLackRoom_IsRefusedWithTheirRetryAfter() {
+    this->ListUnreachable("plain");
+    for (int i = 0; i < 4; ++i) {
+      this->AddRefusingPeer("no_capacity");
+    }
+    const auto answer = this->Ask(this->Request("/unsafe/x"));
+    CPPUNIT_ASSERT_EQUAL(kUnavailable, answer->status);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("0.125"),
+        std::string(FindHeader(answer->headers, "Retry-After")));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->SeenByPeers());
+  }
+
+  void Request_UpstreamRefuses_IsNotForwarded() {
+    this->AddUpstream("plain", [](const auto& aTo, const auto& aMessage) {
+      HttpHeaders headers = SealedHeaders(aMessage);
+      headers.push_back({"X-Not-Executed", "1"});
+      aTo->Answer(kUnavailable, headers, "");
+    });
+    this->AddServingPeer();
+    CPPUNIT_ASSERT_EQUAL(kUnavailable,
+                         this->Ask(this->Request("/unsafe/x"))->status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->SeenByPeers());
+  }
+
+  void Request_OneOfThreeUpstreamsUnreachable_IsNotForwarded() {
+    this->AddSound("plain");
+    this->AddSound("plain");
+    this->ListUnreachable("plain");
+    this->AddServingPeer();
+    for (int i = 0; i < 12; ++i) {
+      CPPUNIT_ASSERT_EQUAL(kOk, this->Ask(this->Request("/unsafe/x"))->status);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->SeenByPeers());
+  }
+
+  // Events of streams on open connections clear the suspicion of upstreams that
+  // accept no new ones.
+  void Request_NewConnectionsFailBesideOpenStreams_IsForwarded() {
+    for (int i = 0; i < 3; ++i) {
+      this->ListUnreachable("plain");
+    }
+    this->AddServingPeer();
+    for (int i = 0; i < 6; ++i) {
+      CPPUNIT_ASSERT_EQUAL(kOk, this->Ask(this->Request("/unsafe/x"))->status);
+      for (const UpstreamPtr& upstream : view.Directory().OfService("plain")) {
+        upstream->OnResponse(clock.Now());
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, this->SeenByPeers());
+  }
+
+  void Unsafe_PeerBreaksOff_IsNotSentAgain() {
+    this->ListUnreachable("plain");
+    for (int i = 0; i < 2; ++i) {
+      this->AddPeer([](const auto& aTo, const auto&) { aTo->Abort(); });
+    }
+    const auto answer = this->Ask(this->Request("/unsafe/x"));
+    CPPUNIT_ASSERT_EQUAL(kBadGateway, answer->status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->SeenByPeers());
+  }
+
+  void Unsafe_PeerAnswersOfFailedRun_AnswerIsForwarded() {
+    this->ListUnreachable("plain");
+    this->AddPeer([](const auto& aTo, const auto& aMessage) {
+      aTo->Answer(kBadGateway, OwnHeaders(aMessage), "answer_incomplete");
+    });
+    this->AddServingPeer();
+    const auto answer = this->Ask(this->Request("/unsafe/x"));
+    const bool wasFirst = !peers[0]->seen.empty();
+    CPPUNIT_ASSERT_EQUAL(wasFirst ? kBadGateway : kOk, answer->status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->SeenByPeers());
+  }
+
+  void Safe_PeerBreaksOff_IsSentToAnother() {
+    this->ListUnreachable("plain");
+    this->AddPeer([](const auto& aTo, const auto&) { aTo->Abort(); });
+    this->AddServingPeer();
+    for (int i = 0; i < 4; ++i) {
+      CPPUNIT_ASSERT_EQUAL(kOk, this->Ask(this->Request("/safe/x"))->status);
+    }
+  }
+
+  void Stream_UpstreamLostMidway_ContinuesAtPeerAfterLastEvent() {
+    ScriptedUpstream* first = nullptr;
+    first = &this->AddUpstream(
+        "model", [this](const auto& aTo, const auto& aMessage) {
+          if (aMessage.head.target == "/report") {
+            aTo->Abort();
+            return;
+          }
+          aTo->BeginChunks(kOk, SealedHeaders(aMessage));
+          aTo->AppendChunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+          asio::post(loop, [this] { upstreams[0]->Close(); });
+        });
+    ScriptedUpstream& peer =
+        this->AddPeer([](const auto& aTo, const auto& aMessage) {
+          aTo->BeginChunks(kOk, SealedHeaders(aMessage));
+          aTo->AppendChunk("id: 3\ndata: c\n\n");
+          aTo->EndChunks();
+        });
+    const auto answer = this->Ask(this->Attempt("/llm/x"));
+    CPPUNIT_ASSERT(answer.has_value());
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"),
+        answer->body);
+    CPPUNIT_ASSERT(first->IsClosed());
+    const HttpHeaders& headers = peer.seen.at(0).headers;
+    CPPUNIT_ASSERT_EQUAL(std::string("2"),
+                         std::string(FindHeader(headers, "Last-Event-Id")));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"),
+                         std::string(FindHeader(headers, kRuns)));
+  }
+
+  /// Adds two daemons; the one that is asked first sends an event and then
+  /// `aThen`, the other completes the stream.
+  void AddInterruptingPeers(
+      const std::function<void(const ConnectionPtr&)>& aThen) {
+    const auto asked = std::make_shared<int>(0);
+    for (int i = 0; i < 2; ++i) {
+      this->AddPeer([asked, aThen](const auto& aTo, const auto& aMessage) {
+        *asked += 1;
+        aTo->BeginChunks(kOk, SealedHeaders(aMessage));
+        if (*asked == 1) {
+          aTo->AppendChunk("id: 1\ndata: a\n\n");
+          aThen(aTo);
+          return;
+        }
+        aTo->AppendChunk("id: 2\ndata: b\n\n");
+        aTo->EndChunks();
+      });
+    }
+  }
+
+  void CheckInterruptedStream() {
+    this->ListUnreachable("model");
+    const auto answer = this->Ask(this->Attempt("/llm/x"));
+    CPPUNIT_ASSERT(answer.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+                         answer->body);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->SeenByPeers());
+  }
+
+  void Stream_PeerLostMidway_ContinuesAtAnother() {
+    this->AddInterruptingPeers(
+        [](const ConnectionPtr& aTo) { aTo->CloseWhenSent(); });
+    this->CheckInterruptedStream();
+  }
+
+  void Stream_PeerFallsSilent_ContinuesAtAnother() {
+    this->AddInterruptingPeers([](const ConnectionPtr&) {});
+    this->CheckInterruptedStream();
+  }
+
+  void Caller_DisconnectsDuringForward_EndsItAtPeer() {
+    this->ListUnreachable("model");
+    ScriptedUpstream& peer =
+        this->AddPeer([](const auto& aTo, const auto& aMessage) {
+          aTo->BeginChunks(kOk, SealedHeaders(aMessage));
+          aTo->AppendChunk("id: 1\ndata: a\n\n");
+        });
+    TcpSocket caller(loop);
+    caller.connect({asio::ip::address_v4::loopback(), listener->Port()});
+    asio::write(caller, asio::buffer(this->Attempt("/llm/x")));
+    this->RunUntil([&] { return !peer.seen.empty(); });
+    caller.close();
+    this->RunUntil([&] { return peer.disconnects > 0; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, relay->Active());
+  }
+
+  void Forwarded_NoUpstreamReached_IsNotForwardedAgain() {
+    this->ListUnreachable("plain");
+    this->AddServingPeer();
+    const auto answer = this->AskForwarded(this->Request("/unsafe/x"));
+    CPPUNIT_ASSERT_EQUAL(kUnavailable, answer->status);
+    CPPUNIT_ASSERT_EQUAL(std::string("upstream_unreachable"), answer->body);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->SeenByPeers());
+  }
+
+  void Forwarded_UnknownKey_IsRejected() {
+    this->AddSound("plain");
+    const auto answer = this->AskForwarded(this->Request("/safe/x", "nokey"));
+    CPPUNIT_ASSERT_EQUAL(401, answer->status);
+  }
+
+  // The route permits two runs.
+  void Forwarded_AttemptsUsedBefore_AreCounted() {
+    const ScriptedUpstream& upstream = this->AddUpstream(
+        "plain", [](const auto& aTo, const auto&) { aTo->Abort(); });
+    this->AddUpstream("plain",
+                      [](const auto& aTo, const auto&) { aTo->Abort(); });
+    const auto answer =
+        this->AskForwarded(WithRuns(this->Request("/safe/x"), 1));
+    CPPUNIT_ASSERT_EQUAL(kBadGateway, answer->status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         upstream.seen.size() + upstreams[1]->seen.size());
+  }
+
+  void Forwarded_Request_ReachesUpstreamWithoutTheHopsHeader() {
+    const ScriptedUpstream& upstream =
+        this->AddUpstream("plain", [](const auto& aTo, const auto& aMessage) {
+          AnswerWhole(aTo, aMessage, SealedHeaders(aMessage));
+        });
+    const auto answer =
+        this->AskForwarded(WithRuns(this->Request("/unsafe/x"), 0));
+    CPPUNIT_ASSERT_EQUAL(kOk, answer->status);
+    const HttpHeaders& headers = upstream.seen.at(0).headers;
+    CPPUNIT_ASSERT(FindHeader(headers, kRuns).empty());
+    CPPUNIT_ASSERT(FindHeader(headers, "Authorization").empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("acme"),
+                         std::string(FindHeader(headers, "X-Tenant")));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ForwardedRequestTest);
+
+}  // namespace zincstep
--- a/Zincstep/Relay/ReachProber.cpp
+++ b/Zincstep/Relay/ReachProber.cpp
@@ -78,7 +78,8 @@
 void ReachProber::OnResult(const std::string& aService,
                            const UpstreamPtr& aUpstream, bool aIsReached,
                            const UpstreamDirectory& aDirectory) {
-  this->probes[aService].isPending = false;
+  Probe& probe = this->probes[aService];
+  probe.isPending = false;
   this->reach.OnProbed(aService, aIsReached);
   if (!aIsReached || !TakesRequests(*aUpstream)) {
     return;
@@ -86,6 +87,7 @@
   this->reach.OnConnected(aService);
   if (aUpstream->IsSuspect(this->clock.Now())) {
     aUpstream->ClearSuspicion();
+    probe.isWitnessNext = false;
     this->Start(aService, aDirectory);
   }
 }
