--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -132,6 +132,8 @@
   /// Takes the store down for a moment and restores it from a backup.
   void RestoreStore();
 
+  /// Daemons up to which the rate of requests does not depend on their number.
+  static constexpr int kBaselineDaemons = 4;
   static constexpr int kPlainUpstreams = 2;
   static constexpr int kModelUpstreams = 5;
 
--- a/UnitTests/CrashDetectorTest.cpp
+++ b/UnitTests/CrashDetectorTest.cpp
@@ -13,10 +13,6 @@
 class CrashDetectorTest : public CppUnit::TestFixture, private CrashListener {
   CPPUNIT_TEST_SUITE(CrashDetectorTest);
   CPPUNIT_TEST(RunLost_ConnectionRefused_IsCrash);
-  CPPUNIT_TEST(RunLost_OtherUpstreamUnreachableToo_IsInconclusive);
-  CPPUNIT_TEST(RunLost_OtherUpstreamAccepts_IsCrash);
-  CPPUNIT_TEST(RunLost_OtherUpstreamUnreachableForLong_IsNoCrash);
-  CPPUNIT_TEST(RunLost_FirstWitnessUnreachable_AsksAnother);
   CPPUNIT_TEST(RunLost_ConnectionAccepted_IsInconclusive);
   CPPUNIT_TEST(RunLost_FirstConnectionTimesOut_IsProbedAgain);
   CPPUNIT_TEST(RunLost_TimeoutNoticedLate_IsInconclusive);
@@ -109,59 +105,6 @@
     CPPUNIT_ASSERT_EQUAL(1, blocked);
   }
 
-  /// Lists other upstreams of the service besides `upstream`.
-  void List(const std::vector<UpstreamPtr>& aOthers) {
-    std::vector<UpstreamPtr> all{upstream};
-    all.insert(all.end(), aOthers.begin(), aOthers.end());
-    detector.SetUpstreams([all](const std::string&) { return all; });
-  }
-
-  void RunLost_OtherUpstreamUnreachableToo_IsInconclusive() {
-    List({MakeUpstream("i2")});
-    detector.OnRunLost(kPoison, upstream);
-    control.FinishConnect(Reachability::Refused);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, control.connected.size());
-    control.FinishConnect(Reachability::Refused);
-    CPPUNIT_ASSERT(crashes.empty() && tracker.IsEmpty());
-    // It can't be reached from here, whatever the reason.
-    CPPUNIT_ASSERT(upstream->IsSuspect(clock.Now()));
-  }
-
-  void RunLost_OtherUpstreamAccepts_IsCrash() {
-    List({MakeUpstream("i2")});
-    detector.OnRunLost(kPoison, upstream);
-    control.FinishConnect(Reachability::Refused);
-    CPPUNIT_ASSERT(crashes.empty());
-    control.FinishConnect(Reachability::Reached);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, crashes.size());
-    CPPUNIT_ASSERT(tracker.HasCrashes(kPoison));
-  }
-
-  void RunLost_OtherUpstreamUnreachableForLong_IsNoCrash() {
-    List({MakeUpstream("i2")});
-    detector.OnRunLost(kPoison, upstream);
-    for (int i = 0; i < 40; ++i) {
-      if (control.HasPendingConnect()) {
-        control.FinishConnect(Reachability::Refused);
-      }
-      this->AdvanceAndTick(kRetryDelay);
-    }
-    CPPUNIT_ASSERT(crashes.empty() && tracker.IsEmpty());
-  }
-
-  void RunLost_FirstWitnessUnreachable_AsksAnother() {
-    List({MakeUpstream("i2"), MakeUpstream("i3")});
-    detector.OnRunLost(kPoison, upstream);
-    control.FinishConnect(Reachability::Refused);
-    control.FinishConnect(Reachability::Silent);
-    this->AdvanceAndTick(kRetryDelay);
-    control.FinishConnect(Reachability::Refused);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, control.connected.size());
-    CPPUNIT_ASSERT(control.connected[1] != control.connected[3]);
-    control.FinishConnect(Reachability::Reached);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, crashes.size());
-  }
-
   void RunLost_ConnectionAccepted_IsInconclusive() {
     detector.OnRunLost(kPoison, upstream);
     control.FinishConnect(Reachability::Reached);
--- a/UnitTests/ForwardedRequestTest.cpp
+++ b/UnitTests/ForwardedRequestTest.cpp
@@ -18,7 +18,7 @@
 
 }  // namespace
 
-/// Requests at a daemon that reaches no upstream, or that others forward to it.
+/// Requests at a daemon that reaches no upstream.
 class ForwardedRequestTest final : public RelayFixture {
   CPPUNIT_TEST_SUITE(ForwardedRequestTest);
   CPPUNIT_TEST(Request_NoUpstreamReached_IsServedByPeer);
@@ -38,15 +38,10 @@
   CPPUNIT_TEST(Stream_PeerLostMidway_ContinuesAtAnother);
   CPPUNIT_TEST(Stream_PeerFallsSilent_ContinuesAtAnother);
   CPPUNIT_TEST(Caller_DisconnectsDuringForward_EndsItAtPeer);
-  CPPUNIT_TEST(Forwarded_NoUpstreamReached_IsNotForwardedAgain);
-  CPPUNIT_TEST(Forwarded_UnknownKey_IsRejected);
-  CPPUNIT_TEST(Forwarded_AttemptsUsedBefore_AreCounted);
-  CPPUNIT_TEST(Forwarded_Request_ReachesUpstreamWithoutTheHopsHeader);
   CPPUNIT_TEST_SUITE_END();
 
   std::vector<ForwardPeer> known;
   std::vector<std::unique_ptr<ScriptedUpstream>> peers;
-  std::unique_ptr<CallerListener> forwarded;
 
   /// Lists an upstream that refuses connections.
   void ListUnreachable(const std::string& aService) {
@@ -89,26 +84,6 @@
     return seen;
   }
 
-  /// Sends a request to the address for other daemons.
-  Result<HttpResponse> AskForwarded(const std::string& aRequest) {
-    forwarded = std::make_unique<CallerListener>(
-        loop, relay->ForwardedRequests(), clock);
-    CPPUNIT_ASSERT(forwarded->Start("127.0.0.1:0").has_value());
-    std::optional<Result<HttpResponse>> answer;
-    FetchResponse(loop, {asio::ip::address_v4::loopback(), forwarded->Port()},
-                  aRequest, 10s, [&](Result<HttpResponse> aAnswer) {
-                    answer = std::move(aAnswer);
-                  });
-    this->RunUntil([&] { return answer.has_value(); });
-    return *answer;
-  }
-
-  static std::string WithRuns(std::string aRequest, int aRuns) {
-    const std::string header =
-        std::string(kRuns) + ": " + std::to_string(aRuns) + "\r\n";
-    return aRequest.insert(aRequest.find("\r\n") + 2, header);
-  }
-
  public:
   void Request_NoUpstreamReached_IsServedByPeer() {
     this->ListUnreachable("plain");
@@ -353,49 +328,6 @@
     this->RunUntil([&] { return peer.disconnects > 0; });
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, relay->Active());
   }
-
-  void Forwarded_NoUpstreamReached_IsNotForwardedAgain() {
-    this->ListUnreachable("plain");
-    this->AddServingPeer();
-    const auto answer = this->AskForwarded(this->Request("/unsafe/x"));
-    CPPUNIT_ASSERT_EQUAL(kUnavailable, answer->status);
-    CPPUNIT_ASSERT_EQUAL(std::string("upstream_unreachable"), answer->body);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->SeenByPeers());
-  }
-
-  void Forwarded_UnknownKey_IsRejected() {
-    this->AddSound("plain");
-    const auto answer = this->AskForwarded(this->Request("/safe/x", "nokey"));
-    CPPUNIT_ASSERT_EQUAL(401, answer->status);
-  }
-
-  // The route permits two runs.
-  void Forwarded_AttemptsUsedBefore_AreCounted() {
-    const ScriptedUpstream& upstream = this->AddUpstream(
-        "plain", [](const auto& aTo, const auto&) { aTo->Abort(); });
-    this->AddUpstream("plain",
-                      [](const auto& aTo, const auto&) { aTo->Abort(); });
-    const auto answer =
-        this->AskForwarded(WithRuns(this->Request("/safe/x"), 1));
-    CPPUNIT_ASSERT_EQUAL(kBadGateway, answer->status);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                         upstream.seen.size() + upstreams[1]->seen.size());
-  }
-
-  void Forwarded_Request_ReachesUpstreamWithoutTheHopsHeader() {
-    const ScriptedUpstream& upstream =
-        this->AddUpstream("plain", [](const auto& aTo, const auto& aMessage) {
-          AnswerWhole(aTo, aMessage, SealedHeaders(aMessage));
-        });
-    const auto answer =
-        this->AskForwarded(WithRuns(this->Request("/unsafe/x"), 0));
-    CPPUNIT_ASSERT_EQUAL(kOk, answer->status);
-    const HttpHeaders& headers = upstream.seen.at(0).headers;
-    CPPUNIT_ASSERT(FindHeader(headers, kRuns).empty());
-    CPPUNIT_ASSERT(FindHeader(headers, "Authorization").empty());
-    CPPUNIT_ASSERT_EQUAL(std::string("acme"),
-                         std::string(FindHeader(headers, "X-Tenant")));
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ForwardedRequestTest);
--- /dev/null
+++ b/Zincstep/Edge/EdgeComponents.h
@@ -0,0 +1,25 @@
+#pragma once
+
+/// \file
+/// Settings of the edge daemon's components, derived from its own.
+
+#include "Zincstep/Edge/EdgeSettings.h"
+#include "Zincstep/Relay/Relay.h"
+
+namespace zincstep {
+
+/// Name of the placement leadership's key, under the daemons' prefix.
+inline constexpr const char* kPlacementLeaseKey = "placement-duty";
+
+RelaySettings MakeRelaySettings(const EdgeSettings& aSettings);
+ChainChooserSettings MakeChooserSettings(const EdgeSettings& aSettings);
+PlacementControllerSettings MakeControllerSettings(
+    const EdgeSettings& aSettings);
+CallLimitSettings MakeLimitSettings(const EdgeSettings& aSettings);
+StoreFollowerSettings MakeFollowerSettings(const EdgeSettings& aSettings,
+                                           const ClusterKeys& aKeys);
+ForwardChooserSettings MakeForwardSettings(const EdgeSettings& aSettings);
+LoadStatisticsSettings MakeStatisticsSettings(const EdgeSettings& aSettings);
+StopPolicySettings MakeStopSettings(const EdgeSettings& aSettings);
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -0,0 +1,178 @@
+#include "Zincstep/Edge/EdgeProcess.h"
+
+#include <csignal>
+
+namespace zincstep {
+
+namespace {
+
+/// Interval between checks of time limits while requests run: a third of the
+/// shortest limit, at 40 wake-ups per second.
+constexpr Micros kBusyTick = 25ms;
+/// Interval between checks of time limits while no request runs.
+constexpr Micros kIdleTick = 100ms;
+/// A tick that is this late is logged: the VM was suspended or the process did
+/// not run. That tick also ends everything that has timed out meanwhile.
+constexpr Micros kMinLoggedGap = 1s;
+/// Interval of all periodic work other than time limits of requests, such as
+/// placement and gossip.
+constexpr Micros kPeriodicTick = 250ms;
+/// Time without a placement leader after which daemons that do not follow the
+/// store directly campaign, and the interval between their ranks.
+constexpr Micros kLeaderlessTimeout = 2s;
+constexpr Micros kCampaignInterval = 1s;
+/// Time that a starting daemon waits for peers before it trusts the
+/// configuration of the store, which may have lost a version that the peers
+/// know.
+constexpr Micros kPeerTimeout = 600ms;
+
+}  // namespace
+
+Result<void> EdgeProcess::Start() {
+  auto started = this->callers.Start(this->settings.listen);
+  if (started) {
+    started = this->admins.Start(this->settings.adminListen);
+  }
+  if (started && !this->settings.forwardListen.empty()) {
+    started = this->forwarded.Start(this->settings.forwardListen);
+  }
+  if (started) {
+    started = this->peers.Start();
+  }
+  if (!started) {
+    return started;
+  }
+  // The placement leader reads lost upstreams from the store itself.
+  this->follower.SetHasFreshSyncSource([this] {
+    return this->peers.Members().HasFreshSyncSource() &&
+           !this->controller.IsLeader();
+  });
+  this->follower.SetMayQueryStore([this] {
+    return this->peers.Members().MayQueryStore() || this->controller.IsLeader();
+  });
+  this->follower.SetHasSyncSource(
+      [this] { return this->peers.Members().HasSyncSource(); });
+  this->follower.SetRank([this] { return this->peers.Members().Rank(); });
+  this->follower.SetOnBootstrapDaemons(
+      [this](const std::vector<StoreItem>& aDaemons) {
+        this->peers.OnBootstrapEntries(aDaemons);
+        return this->peers.Members().HasDiscoveredPeers();
+      });
+  this->controller.SetMayCampaign([this] {
+    // If all daemons that follow the store directly lack a path to upstreams,
+    // the others may campaign, one rank after the other.
+    const auto rank = static_cast<int>(this->peers.Members().Rank());
+    return this->follower.IsDirect() ||
+           this->controller.LeaderlessTime() >=
+               kLeaderlessTimeout + rank * kCampaignInterval;
+  });
+  this->controller.SetHasPath([this] { return this->HasPathToModels(); });
+  this->peers.SetCapacityGossip(this->capacityGossip);
+  this->crashDetector.SetUpstreams([this](const std::string& aService) {
+    return this->view.Directory().OfService(aService);
+  });
+  this->controller.SetDemand([this] { return this->peers.Demand(); });
+  this->eras.SetOnRestored([this](std::uint64_t aBefore, std::uint64_t aEra) {
+    this->OnStoreRestored(aBefore, aEra);
+  });
+  if (!this->peers.IsAlone()) {
+    this->view.AwaitPeers(this->clock.Now() + kPeerTimeout);
+  }
+  this->follower.Start(!this->peers.IsAlone());
+  this->WaitForSignal();
+  this->OnFastTick();
+  this->OnPeriodicTick();
+  LogInfo("started", {{"name", this->settings.name},
+                      {"failure_domain", this->settings.failureDomain},
+                      {"listen", this->settings.listen},
+                      {"store", this->settings.store}});
+  return {};
+}
+
+void EdgeProcess::WaitForSignal() {
+  this->signals.async_wait([this](const asio::error_code& aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal == SIGHUP) {
+      LogInfo("settings_unchanged",
+              {{"reason", "settings come with the start of the process"}});
+    } else if (!this->stop.IsStopping()) {
+      this->stop.Begin(this->clock.Now());
+      this->controller.Stop();
+      this->peers.BeginStop();
+      this->callers.DisableKeepAlive();
+      LogInfo("stopping", {{"active", this->relay.Active()}});
+    }
+    this->WaitForSignal();
+  });
+}
+
+void EdgeProcess::DetectSuspension() {
+  const Instant now = this->clock.Now();
+  const Micros gap = now - this->lastTickAt;
+  if (this->lastTickAt != Instant{} && gap >= kMinLoggedGap) {
+    const auto age = this->view.ValidationAge();
+    LogWarning("time_passed_unseen", {{"gap_ms", gap / 1ms},
+                                      {"active", this->relay.Active()},
+                                      {"proof_age_ms", age ? *age / 1ms : -1}});
+    this->connections.Clear();
+  }
+  this->lastTickAt = now;
+}
+
+void EdgeProcess::OnFastTick() {
+  this->DetectSuspension();
+  this->relay.Tick();
+  this->SurveyLoad();
+  if (this->stop.CanExit(this->relay.Active(), this->clock.Now())) {
+    this->loop.stop();
+    return;
+  }
+  this->fastTimer.expires_after(this->relay.Active() > 0 ? kBusyTick
+                                                         : kIdleTick);
+  this->fastTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      this->OnFastTick();
+    }
+  });
+}
+
+void EdgeProcess::OnPeriodicTick() {
+  if (this->stop.ShouldCloseIdle(this->clock.Now())) {
+    this->callers.CloseIdle();
+  }
+  this->callers.Tick();
+  this->forwarded.Tick();
+  this->admins.Tick();
+  this->view.Tick();
+  this->store.Tick();
+  this->limits.Tick();
+  this->domainRecovery.Tick(this->view.Directory());
+  if (const auto table = this->view.Table()) {
+    this->reach.Tick(*table, this->view.Directory());
+    this->reachProber.Tick(*table, this->view.Directory());
+  }
+  this->controller.Tick();
+  this->peers.Tick();
+  this->UpdateBlockList();
+  this->bufferedMemory.Tick(this->BufferedBytes());
+  this->relaySettings.retries.capacity =
+      RetryShare(this->settings.retrySlack, this->retryParticipant);
+  for (auto& [service, budget] : this->budgets) {
+    budget.SetCapacity(this->relaySettings.retries.capacity);
+  }
+  this->periodicTimer.expires_after(kPeriodicTick);
+  this->periodicTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      this->OnPeriodicTick();
+    }
+  });
+}
+
+void EdgeProcess::Stop() {
+  this->peers.Stop();
+  LogInfo("stopped", {{"active", this->relay.Active()}});
+}
+
+}  // namespace zincstep
--- /dev/null
+++ b/Zincstep/Edge/EdgeProcess.h
@@ -0,0 +1,225 @@
+#pragma once
+
+#include "Zincstep/Edge/AdminHandler.h"
+#include "Zincstep/Edge/BlockList.h"
+#include "Zincstep/Edge/BufferedMemory.h"
+#include "Zincstep/Edge/DaemonEntry.h"
+#include "Zincstep/Edge/EdgeAdapters.h"
+#include "Zincstep/Edge/EdgeComponents.h"
+#include "Zincstep/Edge/PeerProtocol.h"
+#include "Zincstep/Edge/PlanThread.h"
+#include "Zincstep/Relay/DomainRecoveryMonitor.h"
+#include "Zincstep/Relay/ReachProber.h"
+
+namespace zincstep {
+
+/// Connects all components of the daemon on one event loop.
+///
+/// Callers, upstreams and the store share this thread instead of having one
+/// each: a VM has a quarter of a core, each wake-up has its cost, and an event
+/// that crosses threads takes two wake-ups. Peers, placement plans and the log
+/// have threads of their own.
+class EdgeProcess final : private ClusterListener, private CrashListener {
+ public:
+  EdgeProcess(const EdgeSettings& aSettings, asio::io_context& aLoop,
+              EdgeAdapters aAdapters, StoreEraTracker& aEras)
+      : settings(aSettings),
+        loop(aLoop),
+        eras(aEras),
+        adapters(std::move(aAdapters)),
+        relaySettings(MakeRelaySettings(aSettings)),
+        random(Hash64(aSettings.name,
+                      static_cast<std::uint64_t>(
+                          this->clock.Now().time_since_epoch().count()))),
+        view(*this->adapters.decoder, *this, this->clock),
+        store(*this->adapters.store, this->metrics, this->clock),
+        follower(aLoop, this->store,
+                 MakeFollowerSettings(aSettings, this->adapters.keys),
+                 this->view, this->clock),
+        chains(MakeChooserSettings(aSettings)),
+        services(ServiceChooserSettings{}),
+        statistics(MakeStatisticsSettings(aSettings)),
+        stop(MakeStopSettings(aSettings)),
+        limits(MakeLimitSettings(aSettings), this->clock, this->metrics,
+               [this](const std::vector<LimitNotice>& aNotices) {
+                 this->peers.Broadcast(LimitGossip{aNotices});
+               }),
+        control(*this->adapters.control, this->view.Directory(), this->limits,
+                this->clock),
+        prober(
+            UpstreamProberSettings{}, this->control, this->clock,
+            [this](Provenance aProvenance) { this->OnSuspicion(aProvenance); }),
+        crashDetector(this->crashes, this->control, this->clock, *this),
+        blockList(aSettings.storePrefix, this->store, this->crashes,
+                  this->clock),
+        survey(LoadSurveySettings{}, this->clock.Now()),
+        domainRecovery(this->prober, this->clock, this->random),
+        reach(this->clock, this->metrics),
+        reachProber(this->reach, this->control, this->clock, this->random),
+        forwards(MakeForwardSettings(aSettings), this->clock, this->random),
+        connections(ConnectionPoolSettings{}, this->clock),
+        relay(
+            RelayContext{aLoop,
+                         this->relaySettings,
+                         *this->adapters.dialect,
+                         this->view,
+                         this->control,
+                         this->clock,
+                         this->random,
+                         this->metrics,
+                         this->prober,
+                         this->crashes,
+                         this->crashDetector,
+                         this->connections,
+                         this->limits,
+                         this->chains,
+                         this->services,
+                         this->demand,
+                         this->statistics,
+                         this->budgets,
+                         this->stop,
+                         this->reach,
+                         this->forwards,
+                         [this] { this->OnSuspicion(Provenance::Observed); }}),
+        admin([this] { return this->IsReady(); },
+              [this] { return this->MetricsText(); },
+              [this] { return this->StatusText(); }),
+        callers(aLoop, this->relay, this->clock),
+        forwarded(aLoop, this->relay.ForwardedRequests(), this->clock),
+        admins(aLoop, this->admin, this->clock),
+        plans(aLoop, PlacementSettings{}),
+        controller(MakeControllerSettings(aSettings), this->store,
+                   this->control, this->view, this->plans, this->clock),
+        peers(
+            aLoop, aSettings, this->store, this->view, this->clock,
+            this->random, this->metrics, aEras,
+            [this](const UpstreamPtr& aUpstream) {
+              aUpstream->loss.OnPeerSuspicion(this->clock.Now());
+              this->prober.Verify(aUpstream);
+              if (this->settings.features.repairEstimate != FeatureMode::Off) {
+                // Streams that are silent already can leave it now.
+                this->relay.ScheduleTick();
+              }
+            },
+            [this](const CrashGossip& aGossip, const std::string& aFrom) {
+              this->OnPeerCrashes(aGossip, aFrom);
+            },
+            [this](const LimitGossip& aGossip, const std::string& aReporter,
+                   const std::string& aFrom) {
+              this->OnPeerLimits(aGossip, aReporter, aFrom);
+            },
+            [this] { return this->demand.Tokens(this->clock.Now()); }),
+        bufferedMemory(this->metrics, this->clock),
+        fastTimer(aLoop),
+        periodicTimer(aLoop),
+        signals(aLoop, SIGTERM, SIGINT, SIGHUP) {}
+
+  Result<void> Start();
+  /// Stops the peer protocol, after the loop has ended.
+  void Stop();
+
+ private:
+  void OnConfiguration() override;
+  void OnUpstream(const UpstreamPtr&) override {
+    this->SurveyLoadSoon();
+    this->relay.ScheduleStarts();
+  }
+  void OnDaemonEntries() override;
+  void OnCrashes(const std::vector<UpstreamCrash>& aCrashes) override;
+  void OnCleared(RequestFingerprint aRequest) override;
+  void OnBlocked(RequestFingerprint aRequest) override;
+  void OnUpstreamSuspected() override {
+    this->OnSuspicion(Provenance::Observed);
+  }
+  /// Applies a report of requests that crash upstreams from the peer that
+  /// listens at `aFrom`.
+  void OnPeerCrashes(const CrashGossip& aGossip, const std::string& aFrom);
+  /// Applies a report of upstreams' rate limits from the peer that listens at
+  /// `aFrom`.
+  void OnPeerLimits(const LimitGossip& aGossip, const std::string& aReporter,
+                    const std::string& aFrom);
+  /// Handles a store that was restored from a backup: known state stays in use
+  /// until it is updated, and this daemon's entries are written again.
+  void OnStoreRestored(std::uint64_t aBefore, std::uint64_t aEra);
+  /// Writes blocked requests to the store, or reports them to the placement
+  /// leader that writes them.
+  void UpdateBlockList();
+  /// Whether this daemon can reach upstreams of each model, to order layers.
+  bool HasPathToModels() const;
+  /// Applies the known members to the choice of daemons to forward to.
+  void UpdateForwardPeers();
+  void OnSuspicion(Provenance aProvenance);
+  /// Runs the load survey in the next turn of the loop, when the whole list of
+  /// upstreams is known.
+  void SurveyLoadSoon();
+  /// Requests the reports that the load survey asks for now.
+  void SurveyLoad();
+  void OnSurveyReport(const UpstreamPtr& aUpstream,
+                      const Result<UpstreamReport>& aReport);
+  void WaitForSignal();
+  /// Detects by the time since the last tick that this VM was suspended.
+  void DetectSuspension();
+  void OnFastTick();
+  void OnPeriodicTick();
+  /// Bytes that this daemon buffers, by purpose.
+  BufferedMemory::Bytes BufferedBytes() const;
+  bool IsReady() const;
+  std::string MetricsText();
+  /// Returns the load of this daemon and of the first stages of its failure
+  /// domain as JSON, for operators.
+  std::string StatusText() const;
+
+  const EdgeSettings& settings;
+  asio::io_context& loop;
+  StoreEraTracker& eras;
+  EdgeAdapters adapters;
+  SystemClock clock;
+  RelaySettings relaySettings;
+  Random random;
+  Metrics metrics;
+  std::map<std::string, RetryBudget> budgets;
+  ClusterView view;
+  CountedStore store;
+  StoreFollower follower;
+  ChainChooser chains;
+  ServiceChooser services;
+  DemandMeter demand;
+  LoadStatistics statistics;
+  StopPolicy stop;
+  CallLimits limits;
+  CountedControl control;
+  UpstreamProber prober;
+  CrashTracker crashes{CrashTrackerSettings{}};
+  CrashDetector crashDetector;
+  BlockList blockList;
+  RetryParticipant retryParticipant;
+  /// `PeerMembers::Changes` as of the last update of `limits` and
+  /// `retryParticipant`.
+  std::uint64_t lastMemberChanges = 0;
+  Instant lastTickAt{};
+  /// When unlisted requests are reported again.
+  Instant nextUnlistedReport{};
+  LoadSurvey survey;
+  bool isSurveyDue = false;
+  DomainRecoveryMonitor domainRecovery;
+  ReachMonitor reach;
+  ReachProber reachProber;
+  ForwardChooser forwards;
+  ConnectionPool connections;
+  Relay relay;
+  CapacityGossip capacityGossip{relay.Capacity()};
+  AdminHandler admin;
+  CallerListener callers;
+  /// Requests that other daemons forward.
+  CallerListener forwarded;
+  CallerListener admins;
+  PlanThread plans;
+  PlacementController controller;
+  PeerProtocol peers;
+  BufferedMemory bufferedMemory;
+  asio::steady_timer fastTimer;
+  asio::steady_timer periodicTimer;
+  asio::signal_set signals;
+};
+
+}  // namespace zincstep
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -321,69 +321,6 @@
   return isCallLimited;
 }
 
-UpstreamReach Exchange::Reach() const {
-  return ReachOf(
-      this->context.view.Directory().OfService(this->request.service->name),
-      this->Now());
-}
-
-bool Exchange::IsCutOff() const {
-  const UpstreamReach reach = this->Reach();
-  return reach.IsCutOff() || this->context.reach.FailsToConnect(
-                                 this->request.service->name, reach.listed);
-}
-
-bool Exchange::SkipsUpstreams() const {
-  const UpstreamReach reach = this->Reach();
-  const bool isUnreachable =
-      reach.listed > 0 && reach.unreachable == reach.listed;
-  return isUnreachable || this->context.reach.FailsToConnect(
-                              this->request.service->name, reach.listed);
-}
-
-bool Exchange::TryHandOver() {
-  const std::string& service = this->request.service->name;
-  const bool mayForward = !this->isDone && !this->request.isForwarded &&
-                          (!this->mayHaveRun || this->MayRunAgain()) &&
-                          this->Now() < this->request.deadline;
-  if (!mayForward || !this->IsCutOff() || this->IsBlocked() ||
-      !this->context.forwards.Choose(service, {})) {
-    return false;
-  }
-  ZINCSTEP_ASSERT(!this->call);
-  const ExchangeProgress progress = this->TakeProgress();
-  this->isDone = true;
-  this->OnFinished();
-  const UpstreamReach reach = this->Reach();
-  LogInfo("request_handed_over", {{"request", this->request.info.id},
-                                  {"service", service},
-                                  {"unreachable", reach.unreachable},
-                                  {"listed", reach.listed},
-                                  {"runs", this->runs}});
-  this->context.metrics.Count("zincstep_requests_handed_over_total",
-                              {{"service", service}});
-  this->context.handOver(this->request, progress);
-  return true;
-}
-
-ExchangeProgress Exchange::TakeProgress() {
-  ExchangeProgress progress;
-  progress.counted = this->counted;
-  progress.mayHaveRun = this->mayHaveRun;
-  progress.runs = this->runs;
-  progress.sends = this->sends;
-  progress.waited = this->waited;
-  progress.firstEventDelay = this->firstEventDelay;
-  progress.maxEventGap = this->maxEventGap;
-  return progress;
-}
-
-void Exchange::OnNotConnected() {
-  this->Suspect(*this->upstream);
-  this->context.reach.OnNotConnected(this->request.service->name,
-                                     *this->upstream);
-}
-
 bool Exchange::IsAwaitingUpstreams() const {
   return !this->context.view.KnowsUpstreams() &&
          this->Now() - this->request.message.readAt <
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -6,22 +6,15 @@
 
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kFirstServerError = 500;
 /// Expected tokens of a running answer as a share of the callers' estimate. On
 /// average it has half its length so far, and the mean length is well above the
 /// estimate, which is a median.
 constexpr double kExpectedOutputShare = 0.6;
-/// Weight of the newest gap in the moving average of a stream.
-constexpr double kEventGapWeight = 0.1;
 /// An upstream with a smaller share of its memory reserved should have had
 /// room; its refusal is recorded.
 constexpr double kLowUsageShare = 0.35;
 /// Callers abandon a stream without events after this time at the earliest.
 constexpr Micros kCallerPatience = 2s;
-/// Time after an accepted reroute in which events of the former chain may still
-/// arrive.
-constexpr Micros kInFlightTime = 15ms;
 
 }  // namespace
 
@@ -59,40 +52,6 @@
   this->isScheduled ? this->WaitForRoom() : this->TryChain();
 }
 
-ScheduledRequest StreamExchange::Scheduled() const {
-  return {this->request.service, this->request.priority,
-          this->request.organisation, this->tokens};
-}
-
-void StreamExchange::WaitForRoom() {
-  const std::uint64_t id = this->context.capacity->Enter(
-      std::static_pointer_cast<StreamExchange>(this->shared_from_this()),
-      this->Scheduled(),
-      {this->request.message.readAt, this->request.route->latencyObjective,
-       this->request.deadline},
-      this->request.message.body.size(),
-      [this] { return this->Fingerprint(); });
-  if (!this->IsDone()) {
-    this->waitingId = id;
-  }
-}
-
-WaiterStart StreamExchange::OnRoom(const std::vector<UpstreamPtr>& aUpstreams) {
-  const std::optional<std::uint64_t> id = std::exchange(this->waitingId, {});
-  this->waited = this->Now() - this->request.message.readAt;
-  // The request may have been found to crash upstreams while it waited.
-  if (this->IsBlocked()) {
-    this->Fail("the request crashes upstreams");
-    return WaiterStart::Ended;
-  }
-  if (!this->StartChain(aUpstreams)) {
-    this->waitingId = id;
-    return WaiterStart::NoChain;
-  }
-  this->isCounted = !this->IsDone();
-  return this->isCounted ? WaiterStart::Started : WaiterStart::Ended;
-}
-
 ExchangeProgress StreamExchange::TakeProgress() {
   this->Release();
   ExchangeProgress progress = Exchange::TakeProgress();
@@ -102,85 +61,6 @@
   return progress;
 }
 
-void StreamExchange::OnNoRoom(const char* aReason) {
-  this->waitingId.reset();
-  if (this->TryHandOver()) {
-    return;
-  }
-  this->waited = this->Now() - this->request.message.readAt;
-  this->context.metrics.Count(
-      "zincstep_room_refusals_total",
-      {{"priority", std::to_string(this->request.priority)},
-       {"reason", aReason}});
-  this->Refuse(this->NotRunKind(), aReason);
-}
-
-void StreamExchange::OnFinished() {
-  if (this->waitingId) {
-    this->context.capacity->Leave(this->request.service->name,
-                                  *std::exchange(this->waitingId, {}));
-  }
-  if (std::exchange(this->isCounted, false)) {
-    this->context.capacity->OnEnded(this->Scheduled());
-  }
-}
-
-std::optional<Micros> StreamExchange::ScheduledRetryAfter(ErrorKind aKind) {
-  const bool isLackOfRoom =
-      aKind == ErrorKind::NoCapacity || aKind == ErrorKind::Overloaded;
-  return this->isScheduled && isLackOfRoom
-             ? this->context.capacity->RetryAfter(this->Scheduled())
-             : std::nullopt;
-}
-
-void StreamExchange::OnNotRunRefusal(ErrorKind aKind, Micros aRetryAfter) {
-  const bool isLackOfRoom =
-      aKind == ErrorKind::NoCapacity || aKind == ErrorKind::Overloaded;
-  if (this->isScheduled && isLackOfRoom) {
-    this->context.capacity->OnRefused(this->request.service->name,
-                                      this->Fingerprint(), aRetryAfter);
-  }
-}
-
-void StreamExchange::Reserve(const PoolChain& aChain) {
-  this->ReleaseWork();
-  this->CountAt(aChain.front().upstream);
-  for (const PoolHop& hop : aChain) {
-    const double amount = this->tokens * hop.layers.Size();
-    hop.upstream->localWork += amount;
-    this->reserved.emplace_back(hop.upstream, amount);
-  }
-}
-
-void StreamExchange::Release() {
-  this->CountAt(nullptr);
-  this->ReleaseWork();
-}
-
-void StreamExchange::CountAt(const UpstreamPtr& aUpstream) {
-  // A rerouted request stays at its first stage and is not a new start.
-  if (aUpstream == this->countedAt) {
-    return;
-  }
-  if (this->countedAt) {
-    this->countedAt->firstStage.OnEnded();
-  }
-  if (aUpstream) {
-    aUpstream->firstStage.OnStarted(this->Now());
-  }
-  this->countedAt = aUpstream;
-}
-
-void StreamExchange::ReleaseWork() {
-  for (const auto& [holder, amount] : this->reserved) {
-    holder->localWork -= amount;
-  }
-  this->reserved.clear();
-  if (this->isScheduled) {
-    this->context.capacity->OnWorkChanged(this->request.service->name);
-  }
-}
-
 void StreamExchange::TryChain() {
   const bool isStarted = this->StartChain(
       this->context.view.Directory().OfService(this->request.service->name));
@@ -313,134 +193,6 @@
   Exchange::OnCallerDisconnected();
 }
 
-bool StreamExchange::IsStream() const { return this->head.status == kOk; }
-
-void StreamExchange::OnResponseHead(HttpHead aHead) {
-  this->responseInfo = this->context.dialect.ReadResponse(aHead);
-  this->isInvalidResponse = this->IsInvalidResponse(aHead, this->responseInfo);
-  this->head = std::move(aHead);
-  this->ApplyNotice(this->responseInfo);
-  const auto& load = this->responseInfo.load;
-  // A response to another request may be surplus data, and outdated.
-  if (load && this->responseInfo.requestId == this->request.info.id) {
-    this->upstream->firstStage.Announce(
-        {load->running, load->queued, this->Now()});
-  }
-}
-
-void StreamExchange::OnResponseBody(std::string_view aPart) {
-  if (this->isInvalidResponse) {
-    return;
-  }
-  if (!this->IsStream()) {
-    this->body.append(aPart);
-    return;
-  }
-  const std::string events = this->splitter.Append(aPart);
-  this->hasRunEvents = this->hasRunEvents || !events.empty();
-  this->pendingEvents += events;
-}
-
-void StreamExchange::OnResponsePause() {
-  if (this->pendingEvents.empty()) {
-    return;
-  }
-  const Instant now = this->Now();
-  if (this->isReading && now - this->readingSince >= kInFlightTime) {
-    if (this->readingSince == Instant{}) {
-      this->context.repairs.OnFirstEvent(now - this->sentAt);
-    }
-    this->isReading = false;
-    this->isMigrating = false;
-  }
-  CallerConnection& connection = *this->request.connection;
-  if (this->headSent) {
-    const Micros pause = now - this->lastForwardedAt;
-    this->maxEventGap = std::max(this->maxEventGap, pause);
-    if (pause > this->request.route->longestPause) {
-      this->context.statistics.OnLongGap(this->counted);
-    }
-    // The first gap is the initial average.
-    const double share = this->averageEventGap > 0 ? kEventGapWeight : 1;
-    this->averageEventGap += share * (ToSeconds(pause) - this->averageEventGap);
-  } else {
-    this->headSent = true;
-    this->firstEventDelay = now - this->request.message.readAt;
-    if (this->isScheduled) {
-      this->context.capacity->OnFirstEvent(this->request.service->name,
-                                           now - this->sentAt);
-    }
-    this->context.metrics.Observe("zincstep_first_event_seconds",
-                                  ToSeconds(this->firstEventDelay));
-    this->context.demand.OnFirstEvent(now - this->sentAt, this->expectedWait);
-    if (this->firstEventDelay > this->request.route->latencyObjective) {
-      this->context.statistics.OnLateFirstEvent(this->counted);
-    }
-    connection.BeginChunks(this->head.status, ForwardedHeaders(this->head));
-    for (const PoolHop& hop : this->chain) {
-      hop.upstream->OnAccepted();
-    }
-  }
-  connection.AppendChunk(this->pendingEvents);
-  this->pendingEvents.clear();
-  this->lastForwardedAt = now;
-  this->lastProgress = now;
-  if (connection.PendingBytes() > this->context.settings.maxPendingBytes) {
-    this->isReadingPaused = true;
-    this->call->SetReading(false);
-  }
-}
-
-void StreamExchange::OnCallEnd(SingleCallEnd aEnd) {
-  const Instant now = this->Now();
-  this->call.reset();
-  if (aEnd == SingleCallEnd::NotConnected) {
-    this->OnNotConnected();
-    if (this->TryHandOver()) {
-      return;
-    }
-    this->TryAcquireResend() ? this->TryChain() : this->OnNotRun();
-    return;
-  }
-  const bool isComplete =
-      aEnd == SingleCallEnd::Complete && !this->isInvalidResponse;
-  if (isComplete && this->responseInfo.isNotRun) {
-    this->upstream->OnResponse(now);
-    this->OnRefused(this->responseInfo, this->head.status);
-    this->Exclude(this->responseInfo.atFault.empty()
-                      ? this->upstream->Entry().address
-                      : this->responseInfo.atFault,
-                  now, false);
-    this->OnNotRun();
-    return;
-  }
-  this->mayHaveRun = true;
-  this->runs += 1;
-  if (isComplete && this->IsStream()) {
-    this->EndStream();
-  } else if (isComplete && !this->headSent &&
-             this->head.status < kFirstServerError) {
-    this->Release();
-    this->ForwardResponse(this->head, this->body);
-  } else {
-    this->OnRunLost("the stream was truncated");
-    this->OnLost("the stream was truncated");
-  }
-}
-
-void StreamExchange::EndStream() {
-  if (this->splitter.HasGap() || this->splitter.HasPartial() ||
-      !this->splitter.HasForwarded()) {
-    this->OnLost("the stream ended early or skipped an event");
-    return;
-  }
-  this->Release();
-  this->OnRunCompleted();
-  this->context.demand.OnCompleted(this->Now() - this->request.message.readAt);
-  this->request.connection->EndChunks();
-  this->Finish("answered", this->repairs > 0 ? "repaired" : "success");
-}
-
 void StreamExchange::Exclude(const std::string& aAddress, Instant aNow,
                              bool aIsDead) {
   for (const PoolHop& hop : this->chain) {
