Reach of upstreams: counted for a request only where the service may be cut off

The check at the start of each request looked at every upstream of the service, 1,700 at the users' size. It now asks the monitor's state first.

--- a/Zincstep/Relay/ExchangeHandOver.cpp
+++ b/Zincstep/Relay/ExchangeHandOver.cpp
@@ -19,6 +19,10 @@
 }
 
 bool Exchange::SkipsUpstreams() const {
+  // Counting the upstreams for each request would be slow.
+  if (!this->context.reach.MayBeCutOff(this->request.service->name)) {
+    return false;
+  }
   const UpstreamReach reach = this->Reach();
   const bool isUnreachable =
       reach.listed > 0 && reach.unreachable == reach.listed;
--- a/Zincstep/Relay/ReachMonitor.h
+++ b/Zincstep/Relay/ReachMonitor.h
@@ -27,6 +27,11 @@
     return this->outages.contains(aService);
   }
 
+  /// Whether it was, or a connection to one of the service's upstreams has
+  /// failed since.
+  bool MayBeCutOff(const std::string& aService) const {
+    return this->IsCutOff(aService) || this->failedConnects.contains(aService);
+  }
   /// Records that an upstream has accepted a new connection.
   void OnConnected(const std::string& aService);
   /// Records that no connection to an upstream was established.
