--- a/Zincstep/Relay/ForwardExchange.cpp
+++ b/Zincstep/Relay/ForwardExchange.cpp
@@ -35,7 +35,7 @@
 
 ForwardExchange::ForwardExchange(RelayContext& aContext,
                                  AdmittedRequest aRequest,
-                                 ExchangeProgress aProgress)
+                                 const ExchangeProgress& aProgress)
     : Exchange(aContext, std::move(aRequest)),
       events(aProgress.events.value_or(EventSplitter(std::nullopt))),
       hasEvents(aProgress.events.has_value()),
--- a/Zincstep/Relay/ForwardExchange.h
+++ b/Zincstep/Relay/ForwardExchange.h
@@ -19,7 +19,7 @@
 class ForwardExchange final : public Exchange {
  public:
   ForwardExchange(RelayContext& aContext, AdmittedRequest aRequest,
-                  ExchangeProgress aProgress);
+                  const ExchangeProgress& aProgress);
 
   void Start() override { this->TryPeer(); }
   void OnTick(Instant aNow) override;
