--- a/SoakTests/SoakChecks.cpp
+++ b/SoakTests/SoakChecks.cpp
@@ -18,7 +18,6 @@
 constexpr Micros kDrainNoticeTime = 4s;
 /// How long its requests are checked from then on.
 constexpr Micros kDrainObservationTime = 2s;
-
 /// Caller timeout where a stream must complete; generous, as above.
 constexpr Micros kLongCallerTimeout = 15s;
 /// Streams that each of the first few daemons has open when its connections
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -249,9 +249,6 @@
 }
 
 void Exchange::ApplyNotice(const ResponseInfo& aInfo) {
-  if (this->call && !this->call->IsReused()) {
-    this->context.reach.OnConnected(this->request.service->name);
-  }
   // A response to another request may be surplus data, and outdated.
   if (aInfo.requestId == this->request.info.id) {
     this->context.limits.OnNotice(this->upstream, aInfo.notice, this->sentAt);
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -168,6 +168,9 @@
   virtual bool MayRunAgain() const = 0;
   /// Called before the request is handed over; returns what was done of it.
   virtual ExchangeProgress TakeProgress();
+  /// Records that the upstream responds on the current call's connection, which
+  /// shows a path to the service if that is a new one.
+  void OnConnected();
   /// Marks the upstream as suspect, as no connection to it was established.
   void OnNotConnected();
   /// Whether this daemon just started and its list of upstreams is still due.
--- a/Zincstep/Relay/ExchangeHandOver.cpp
+++ b/Zincstep/Relay/ExchangeHandOver.cpp
@@ -67,6 +67,12 @@
   return progress;
 }
 
+void Exchange::OnConnected() {
+  if (this->call && !this->call->IsReused()) {
+    this->context.reach.OnConnected(this->request.service->name);
+  }
+}
+
 void Exchange::OnNotConnected() {
   this->Suspect(*this->upstream);
   this->context.reach.OnNotConnected(this->request.service->name,
--- a/Zincstep/Relay/ForwardExchange.cpp
+++ b/Zincstep/Relay/ForwardExchange.cpp
@@ -67,6 +67,7 @@
   this->head = HttpHead{};
   this->responseInfo = ResponseInfo{};
   this->isInvalidResponse = false;
+  this->isReadingPaused = false;
   this->body.clear();
   this->sentAt = this->lastProgress = this->Now();
   this->context.statistics.OnSent(this->counted, aPeer.failureDomain,
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -108,6 +108,7 @@
 void ServiceExchange::OnResponseHead(HttpHead aHead) {
   this->head = std::move(aHead);
   this->responseInfo = this->context.dialect.ReadResponse(this->head);
+  this->OnConnected();
   this->ApplyNotice(this->responseInfo);
 }
 
--- a/Zincstep/Relay/StreamResponse.cpp
+++ b/Zincstep/Relay/StreamResponse.cpp
@@ -25,6 +25,7 @@
   this->responseInfo = this->context.dialect.ReadResponse(aHead);
   this->isInvalidResponse = this->IsInvalidResponse(aHead, this->responseInfo);
   this->head = std::move(aHead);
+  this->OnConnected();
   this->ApplyNotice(this->responseInfo);
   const auto& load = this->responseInfo.load;
   // A response to another request may be surplus data, and outdated.
