Soak: each run has a loopback network of its own

All runs used 127.0.0.10 and on, so that a port which was free at 127.0.0.1 could be in use at another run's daemon. Now the network comes from the process id.

--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -1,5 +1,7 @@
 #include "SoakTests/Soak.h"
 
+#include <unistd.h>
+
 namespace zincstep::soak {
 
 namespace {
@@ -32,10 +34,20 @@
 constexpr Micros kMinRestoreInterval = 2s;
 constexpr Micros kRestoreIntervalSpread = 5s;
 constexpr int kOk = 200;
-/// The daemons' addresses start at 127.0.0.10, so that all use the same ports,
-/// as on the platform.
+/// Number of the first daemon's address in its network.
 constexpr int kFirstAddress = 10;
 
+/// Returns the address of a daemon. Each has one of its own, so that all use
+/// the same ports, as on the platform; each run has a network of its own, as a
+/// port that is free here may be in use at the address of another run's daemon.
+std::string HostOf(int aDaemon) {
+  constexpr int kNetworks = 250;
+  const int run = ::getpid();
+  return "127." + std::to_string(1 + run / kNetworks % kNetworks) + "." +
+         std::to_string(run % kNetworks) + "." +
+         std::to_string(kFirstAddress + aDaemon);
+}
+
 std::uint16_t FreePort(asio::io_context& aLoop) {
   const asio::ip::tcp::acceptor probe(
       aLoop, TcpEndpoint(asio::ip::address_v4::loopback(), 0));
@@ -110,7 +122,7 @@
   const std::string forwards = ":" + std::to_string(FreePort(this->loop));
   for (int i = 0; i < this->settings.daemons; ++i) {
     auto daemon = std::make_unique<Daemon>();
-    const std::string host = "127.0.0." + std::to_string(kFirstAddress + i);
+    const std::string host = HostOf(i);
     daemon->storeLink =
         std::make_unique<FaultProxy>(this->loop, this->store.Port());
     daemon->address = ParseEndpoint(host + callers).value();
@@ -125,8 +137,7 @@
             {"ZINCSTEP_PEER_LISTEN", host + peers},
             {"ZINCSTEP_FORWARD_LISTEN", host + forwards},
             {"ZINCSTEP_STORE", daemon->storeLink->Address()},
-            {"ZINCSTEP_SEEDS",
-             "127.0.0." + std::to_string(kFirstAddress) + peers},
+            {"ZINCSTEP_SEEDS", HostOf(0) + peers},
             {"ZINCSTEP_KEY_REVOCATION_MS",
              std::to_string(kKeyRevocation / 1ms)},
             {"ZINCSTEP_RETRY_SLACK",
