--- a/Zincstep/Pool/UpstreamReach.h
+++ b/Zincstep/Pool/UpstreamReach.h
@@ -19,8 +19,8 @@
   Instant lastResponseAt{};
 
   bool operator==(const UpstreamReach&) const = default;
-  /// Whether this daemon reaches at most half of them: more than crash at once,
-  /// so that its own path may be the cause.
+  /// Whether this daemon reaches at most half of them, so that its own path may
+  /// be the cause; a crash of as many looks the same.
   bool IsCutOff() const {
     return this->unreachable > 0 && 2 * this->unreachable >= this->listed;
   }
--- a/Zincstep/Relay/ReachProber.cpp
+++ b/Zincstep/Relay/ReachProber.cpp
@@ -11,7 +11,7 @@
 constexpr Micros kInterval = 500ms;
 /// The same until the loss of the path is known.
 constexpr Micros kInitialInterval = 100ms;
-/// Many round trips.
+/// Timeout of a probe: many round trips.
 constexpr Micros kTimeout = 60ms;
 
 }  // namespace
@@ -46,7 +46,7 @@
         TakesRequests(*upstream) && upstream->IsSuspect(now);
     (isUnreachable ? unreachable : witnesses).push_back(upstream);
   }
-  // Those that no probe has failed at tell most.
+  // One that is not suspect is most likely to be alive.
   const auto firstSuspect = std::stable_partition(
       witnesses.begin(), witnesses.end(),
       [now](const UpstreamPtr& aOne) { return !aOne->IsSuspect(now); });
