--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -157,11 +157,7 @@
   this->peers.Tick();
   this->UpdateBlockList();
   this->bufferedMemory.Tick(this->BufferedBytes());
-  this->relaySettings.retries.capacity =
-      RetryShare(this->settings.retrySlack, this->retryParticipant);
-  for (auto& [service, budget] : this->budgets) {
-    budget.SetCapacity(this->relaySettings.retries.capacity);
-  }
+  this->UpdateRetryShare();
   this->periodicTimer.expires_after(kPeriodicTick);
   this->periodicTimer.async_wait([this](const asio::error_code& aError) {
     if (!aError) {
@@ -170,6 +166,21 @@
   });
 }
 
+void EdgeProcess::UpdateRetryShare() {
+  const double share =
+      RetryShare(this->settings.retrySlack, this->retryParticipant);
+  if (share == this->relaySettings.retries.capacity) {
+    return;
+  }
+  LogInfo("retry_share", {{"daemons", this->retryParticipant.daemons},
+                          {"rank", this->retryParticipant.rank},
+                          {"most", share}});
+  this->relaySettings.retries.capacity = share;
+  for (auto& [service, budget] : this->budgets) {
+    budget.SetCapacity(share);
+  }
+}
+
 void EdgeProcess::Stop() {
   this->peers.Stop();
   LogInfo("stopped", {{"active", this->relay.Active()}});
--- a/Zincstep/Edge/EdgeProcess.h
+++ b/Zincstep/Edge/EdgeProcess.h
@@ -161,6 +161,8 @@
   void DetectSuspension();
   void OnFastTick();
   void OnPeriodicTick();
+  /// Applies this daemon's share of the retry limit to its budgets.
+  void UpdateRetryShare();
   /// Bytes that this daemon buffers, by purpose.
   BufferedMemory::Bytes BufferedBytes() const;
   bool IsReady() const;
--- a/Zincstep/Edge/EdgeReports.cpp
+++ b/Zincstep/Edge/EdgeReports.cpp
@@ -47,6 +47,12 @@
   this->metrics.Set(
       "zincstep_blocked_requests",
       static_cast<double>(this->crashes.Blocked(this->clock.Now()).size()));
+  this->metrics.Set("zincstep_retry_capacity",
+                    this->relaySettings.retries.capacity);
+  for (const auto& [service, budget] : this->budgets) {
+    this->metrics.Set("zincstep_retry_budget", budget.Available(),
+                      {{"service", service}});
+  }
   this->bufferedMemory.Report(this->BufferedBytes());
   this->metrics.Set("zincstep_placement_duty",
                     this->controller.IsLeader() ? 1 : 0);
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -291,6 +291,10 @@
   }
   RetryBudget& budget = this->context.BudgetOf(this->request.service->name);
   const bool isAccepted = budget.TryAcquireRetry(aReserved);
+  if (isAccepted) {
+    this->context.metrics.Count("zincstep_retries_total",
+                                {{"service", this->request.service->name}});
+  }
   if (!isAccepted && !this->isRetryDenialLogged) {
     this->isRetryDenialLogged = true;
     this->context.metrics.Count("zincstep_retries_denied_total");
