--- a/UnitTests/AdmissionTest.cpp
+++ b/UnitTests/AdmissionTest.cpp
@@ -140,9 +140,10 @@
       for (std::size_t rank = 0; rank < daemons; ++rank) {
         const double share = RetryShare(kSlack, {daemons, rank});
         sum += share;
-        RetryBudgetSettings settings;
-        settings.capacity = share;
-        withRetry += RetryBudget(settings).TryAcquireRetry(0.5) ? 1 : 0;
+        RetryWindowSettings settings;
+        settings.burst = share;
+        withRetry +=
+            RetryWindow(settings).TryAcquireRetry(this->now, 0.5) ? 1 : 0;
       }
       CPPUNIT_ASSERT(sum <= kSlack);
       CPPUNIT_ASSERT(withRetry >= std::min<std::size_t>(daemons, 832));
--- a/UnitTests/CrashingRequestTest.cpp
+++ b/UnitTests/CrashingRequestTest.cpp
@@ -142,7 +142,7 @@
 
   void Stream_LostBesideCrashingRequest_IsServedEachTime() {
     this->AddUpstreams("model");
-    settings.retries.capacity = 100;
+    settings.retries.burst = 100;
     for (int i = 0; i < kMaxCrashes; ++i) {
       shouldHoldNext = true;
       std::optional<Result<HttpResponse>> answer;
--- a/UnitTests/EarlyRequestTest.cpp
+++ b/UnitTests/EarlyRequestTest.cpp
@@ -91,9 +91,9 @@
   // retries were denied while a tenth of the budget of all daemons was used.
   void Service_ConnectionsRefused_SpendNoRetryBudget() {
     this->Configure(kRelayConfig);
-    RetryBudgetSettings spent;
-    spent.capacity = 0.5;
-    budgets.emplace("plain", spent);
+    RetryWindowSettings spent;
+    spent.burst = 0.5;
+    retryWindows.emplace("plain", spent);
     for (int i = 0; i < settings.maxSends - 1; ++i) {
       this->List("plain", "127.0.0.1:" + std::to_string(1 + i));
     }
--- a/UnitTests/RelayFixture.h
+++ b/UnitTests/RelayFixture.h
@@ -101,7 +101,7 @@
     relay = std::make_unique<Relay>(RelayContext{
         loop,   settings, *dialect, view,    countedControl, clock,
         random, metrics,  prober,   crashes, crashDetector,  connectionPool,
-        limits, chains,   services, demand,  statistics,     budgets,
+        limits, chains,   services, demand,  statistics,     retryWindows,
         stop,   reach,    forwards, [] {}});
     listener = std::make_unique<CallerListener>(loop, *relay, clock);
     CPPUNIT_ASSERT(listener->Start("127.0.0.1:0").has_value());
@@ -129,7 +129,7 @@
   DemandMeter demand;
   LoadStatistics statistics{LoadStatisticsSettings{}};
   ConnectionPool connectionPool{ConnectionPoolSettings{}, clock};
-  std::map<std::string, RetryBudget> budgets;
+  std::map<std::string, RetryWindow> retryWindows;
   StopPolicy stop{StopPolicySettings{}};
   ReachMonitor reach{clock, metrics};
   ForwardChooser forwards{ForwardChooserSettings{}, clock, random};
--- a/UnitTests/RelayTest.cpp
+++ b/UnitTests/RelayTest.cpp
@@ -191,9 +191,9 @@
   // Guards against streams that have begun being truncated at once while the
   // retry budget is exhausted.
   void Stream_TruncatedWithoutRetryBudget_WaitsForBudget() {
-    RetryBudgetSettings spent;
-    spent.capacity = 0.5;
-    budgets.emplace("model", spent);
+    RetryWindowSettings spent;
+    spent.burst = 0.5;
+    retryWindows.emplace("model", spent);
     int runs = 0;
     asio::steady_timer refill(loop);
     for (int i = 0; i < 2; ++i) {
@@ -208,10 +208,10 @@
         asio::post(loop, [aTo] { aTo->CloseWhenSent(); });
         refill.expires_after(200ms);
         refill.async_wait([&](const asio::error_code&) {
-          RetryBudget& budget = budgets.at("model");
-          budget.SetCapacity(10);
+          RetryWindow& retries = retryWindows.at("model");
+          retries.SetBurst(10);
           for (int request = 0; request < 100; ++request) {
-            budget.OnRequest();
+            retries.OnRequest(clock.Now());
           }
         });
       });
--- a/UnitTests/RepairReplayTest.cpp
+++ b/UnitTests/RepairReplayTest.cpp
@@ -79,16 +79,16 @@
     this->pool = InitialPlacement(this->model, pool);
     this->readsEnd.resize(this->pool.size());
     this->isLost.resize(this->pool.size());
-    RetryBudgetSettings budget;
-    budget.perRequest = kRetryRatio;
+    RetryWindowSettings retries;
+    retries.perRequest = kRetryRatio;
     for (int i = 0; i < aDaemons; ++i) {
       Daemon daemon;
       daemon.domain = std::string(1, static_cast<char>('a' + i % 3));
       daemon.tickPhase = this->Span(this->random.Unit() * 25);
-      budget.capacity = RetryShare(
+      retries.burst = RetryShare(
           kRetrySlack,
           {static_cast<std::size_t>(aDaemons), static_cast<std::size_t>(i)});
-      daemon.budget = std::make_unique<RetryBudget>(budget);
+      daemon.retries = std::make_unique<RetryWindow>(retries);
       for (const PlacedUpstream& one : this->pool) {
         UpstreamEntry entry;
         entry.id = one.id;
@@ -133,8 +133,8 @@
       }
     }
     for (const Daemon& daemon : this->daemons) {
-      this->outcome.leastBudget =
-          std::min(this->outcome.leastBudget, daemon.budget->Available());
+      this->outcome.leastBudget = std::min(
+          this->outcome.leastBudget, daemon.retries->Available(this->now));
     }
     return this->outcome;
   }
@@ -144,7 +144,7 @@
     std::string domain;
     std::vector<UpstreamPtr> view;
     Micros tickPhase{0};
-    std::unique_ptr<RetryBudget> budget;
+    std::unique_ptr<RetryWindow> retries;
     std::vector<double> reported;
   };
   struct Stream {
@@ -198,7 +198,7 @@
   bool StartStream() {
     const std::size_t number = this->random.Below(this->daemons.size());
     Daemon& daemon = this->daemons[number];
-    daemon.budget->OnRequest();
+    daemon.retries->OnRequest(this->now);
     const auto chain =
         this->chooser.Choose(this->model, daemon.view, daemon.domain, kTokens,
                              this->now, this->random);
@@ -400,7 +400,7 @@
 
   bool MayRunAnew(const Stream& aStream) const {
     return aStream.attempts < kMaxAttempts &&
-           this->daemons[aStream.daemon].budget->Available() >= 1;
+           this->daemons[aStream.daemon].retries->Available(this->now) >= 1;
   }
 
   void OnOrdered(std::size_t aStream, const PoolChain& aChain) {
@@ -448,7 +448,7 @@
         daemon, aPrefersOtherDomain
                     ? stream.chain.front().upstream->Entry().failureDomain
                     : std::string());
-    if (!chain || !daemon.budget->TryAcquireRetry()) {
+    if (!chain || !daemon.retries->TryAcquireRetry(this->now)) {
       stream.isWaiting = true;
       stream.lacksRetry = chain.has_value();
       return false;
--- a/UnitTests/RetryRestartReplayTest.cpp
+++ b/UnitTests/RetryRestartReplayTest.cpp
@@ -21,36 +21,37 @@
   double requests = 0;
 };
 
-/// Daemons of which each acquires every retry that its budget permits, as if
+/// Daemons of which each acquires every retry that its window permits, as if
 /// upstreams failed all that they run.
 class RetryReplay {
  public:
   RetryReplay(std::size_t aDaemons, double aSlack) : slack(aSlack) {
-    this->budgets.resize(aDaemons, this->NewBudget());
+    this->daemons.resize(aDaemons, this->NewProcess(true));
   }
 
-  /// Replaces a daemon's process, which then knows of no other daemon.
+  /// Replaces a daemon's process, as a kill does.
   void Restart(std::size_t aDaemon) {
-    this->budgets[aDaemon] = this->NewBudget();
+    this->daemons[aDaemon] = this->NewProcess(false);
   }
 
   void Step() {
     ReplayStep step;
     this->arrivals += kRequestsPerSecond / kStepsPerSecond;
-    for (std::size_t rank = 0; rank < this->budgets.size(); ++rank) {
-      RetryBudget& budget = this->budgets[rank];
+    for (std::size_t rank = 0; rank < this->daemons.size(); ++rank) {
+      RetryWindow& retries = this->daemons[rank];
       // Members are known within a step of the start.
-      budget.SetCapacity(RetryShare(this->slack, {this->budgets.size(), rank}));
+      retries.SetBurst(RetryShare(this->slack, {this->daemons.size(), rank}));
       for (double due = this->arrivals; due >= 1; due -= 1) {
-        budget.OnRequest();
+        retries.OnRequest(this->now);
         step.requests += 1;
       }
-      while (budget.TryAcquireRetry()) {
+      while (retries.TryAcquireRetry(this->now)) {
         step.retries += 1;
       }
     }
     this->arrivals -= static_cast<int>(this->arrivals);
     this->steps.push_back(step);
+    this->now += Micros{1s} / kStepsPerSecond;
   }
 
   /// Returns by how many retries the worst window exceeds the limit; the
@@ -76,15 +77,17 @@
   }
 
  private:
-  RetryBudget NewBudget() const {
+  RetryWindow NewProcess(bool aIsFirstStart) const {
     EdgeSettings settings;
     settings.retryRatio = kRatio;
     settings.retrySlack = this->slack;
-    return RetryBudget(MakeRelaySettings(settings).retries);
+    settings.isFirstStart = aIsFirstStart;
+    return RetryWindow(MakeRelaySettings(settings, this->now).retries);
   }
 
   double slack;
-  std::vector<RetryBudget> budgets;
+  Instant now{Micros{100s}};
+  std::vector<RetryWindow> daemons;
   std::vector<ReplayStep> steps;
   double arrivals = 0;
 };
@@ -111,7 +114,7 @@
     for (const Deployment& deployment : kDeployments) {
       RetryReplay replay(deployment.daemons, deployment.slack);
       replay.Step();
-      CPPUNIT_ASSERT(replay.Retries() >= 0.6 * deployment.slack);
+      CPPUNIT_ASSERT(replay.Retries() >= 0.5 * deployment.slack);
       for (int step = 1; step < kSeconds * kStepsPerSecond; ++step) {
         replay.Step();
       }
--- a/UnitTests/StreamRepairTest.cpp
+++ b/UnitTests/StreamRepairTest.cpp
@@ -273,10 +273,10 @@
   // Guards against more runs than the route or the retry budget permits.
   void LostMember_NoRetryOrAttemptLeft_IsRerouted() {
     for (const bool hasRetry : {false, true}) {
-      RetryBudgetSettings spent;
-      spent.capacity = hasRetry ? 10 : 0.5;
-      budgets.clear();
-      budgets.emplace("model", spent);
+      RetryWindowSettings spent;
+      spent.burst = hasRetry ? 10 : 0.5;
+      retryWindows.clear();
+      retryWindows.emplace("model", spent);
       this->Reconfigure(ConfigWithReadRate(hasRetry ? 1 : 2));
       this->LoseBusyMember();
       this->RunUntil([&] {
@@ -337,9 +337,9 @@
   }
 
   void LeavingFirstUpstream_NoRetry_Stays() {
-    RetryBudgetSettings spent;
-    spent.capacity = 0.5;
-    budgets.emplace("model", spent);
+    RetryWindowSettings spent;
+    spent.burst = 0.5;
+    retryWindows.emplace("model", spent);
     this->SendEvents();
     const UpstreamPtr leaving = this->AddStreaming({0, 2});
     this->StartStream();
--- a/UnitTests/UpstreamRestTest.cpp
+++ b/UnitTests/UpstreamRestTest.cpp
@@ -49,7 +49,7 @@
   void CheckRequests(const std::string& aService, const std::string& aPath) {
     const ScriptedUpstream& backingOff = this->AddBackingOff(aService);
     this->AddSound(aService);
-    settings.retries.capacity = kRequests;
+    settings.retries.burst = kRequests;
     for (int i = 0; i < kRequests; ++i) {
       CPPUNIT_ASSERT_EQUAL(200, this->Ask(this->Attempt(aPath))->status);
     }
@@ -151,7 +151,7 @@
           const auto& all = view.Directory().OfService("model");
           limits.OnNotice(all.front(), {{}, 8s}, clock.Now());
         });
-    settings.retries.capacity = 10;
+    settings.retries.burst = 10;
     std::optional<Result<HttpResponse>> answer;
     FetchResponse(
         loop, {asio::ip::address_v4::loopback(), this->listener->Port()},
--- a/Zincstep/Admission/Admission.h
+++ b/Zincstep/Admission/Admission.h
@@ -12,3 +12,5 @@
 #include "Zincstep/Admission/PriorityHeadroom.h"
 #include "Zincstep/Admission/RequestFingerprint.h"
 #include "Zincstep/Admission/RetryBudget.h"
+#include "Zincstep/Admission/RetryShare.h"
+#include "Zincstep/Admission/RetryWindow.h"
--- a/Zincstep/Edge/EdgeComponents.cpp
+++ b/Zincstep/Edge/EdgeComponents.cpp
@@ -15,13 +15,18 @@
 
 }  // namespace
 
-RelaySettings MakeRelaySettings(const EdgeSettings& aSettings) {
+RelaySettings MakeRelaySettings(const EdgeSettings& aSettings,
+                                Instant aStartedAt) {
   RelaySettings settings;
   settings.failureDomain = aSettings.failureDomain;
   settings.maxValidationAge = aSettings.keyRevocation - kRevocationMargin;
   settings.failsClosed = aSettings.failsClosed;
+  settings.retries.window = FromSeconds(aSettings.retryWindowSeconds);
   settings.retries.perRequest = aSettings.retryRatio * kRetryRatioUsed;
-  settings.retries.capacity = RetryShare(aSettings.retrySlack, {});
+  settings.retries.burst = RetryShare(aSettings.retrySlack, {});
+  if (!aSettings.isFirstStart) {
+    settings.retries.burstFrom = aStartedAt + settings.retries.window;
+  }
   settings.drainNotice = aSettings.drainNotice;
   settings.features = aSettings.features;
   return settings;
--- a/Zincstep/Edge/EdgeComponents.h
+++ b/Zincstep/Edge/EdgeComponents.h
@@ -11,7 +11,8 @@
 /// Name of the placement leadership's key, under the daemons' prefix.
 inline constexpr const char* kPlacementLeaseKey = "placement-duty";
 
-RelaySettings MakeRelaySettings(const EdgeSettings& aSettings);
+RelaySettings MakeRelaySettings(const EdgeSettings& aSettings,
+                                Instant aStartedAt);
 ChainChooserSettings MakeChooserSettings(const EdgeSettings& aSettings);
 PlacementControllerSettings MakeControllerSettings(
     const EdgeSettings& aSettings);
--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -169,15 +169,15 @@
 void EdgeProcess::UpdateRetryShare() {
   const double share =
       RetryShare(this->settings.retrySlack, this->retryParticipant);
-  if (share == this->relaySettings.retries.capacity) {
+  if (share == this->relaySettings.retries.burst) {
     return;
   }
   LogInfo("retry_share", {{"daemons", this->retryParticipant.daemons},
                           {"rank", this->retryParticipant.rank},
-                          {"most", share}});
-  this->relaySettings.retries.capacity = share;
-  for (auto& [service, budget] : this->budgets) {
-    budget.SetCapacity(share);
+                          {"burst", share}});
+  this->relaySettings.retries.burst = share;
+  for (auto& [service, retries] : this->retryWindows) {
+    retries.SetBurst(share);
   }
 }
 
--- a/Zincstep/Edge/EdgeProcess.h
+++ b/Zincstep/Edge/EdgeProcess.h
@@ -27,7 +27,7 @@
         loop(aLoop),
         eras(aEras),
         adapters(std::move(aAdapters)),
-        relaySettings(MakeRelaySettings(aSettings)),
+        relaySettings(MakeRelaySettings(aSettings, this->clock.Now())),
         random(Hash64(aSettings.name,
                       static_cast<std::uint64_t>(
                           this->clock.Now().time_since_epoch().count()))),
@@ -76,7 +76,7 @@
                          this->services,
                          this->demand,
                          this->statistics,
-                         this->budgets,
+                         this->retryWindows,
                          this->stop,
                          this->reach,
                          this->forwards,
@@ -179,7 +179,7 @@
   RelaySettings relaySettings;
   Random random;
   Metrics metrics;
-  std::map<std::string, RetryBudget> budgets;
+  std::map<std::string, RetryWindow> retryWindows;
   ClusterView view;
   CountedStore store;
   StoreFollower follower;
--- a/Zincstep/Edge/EdgeReports.cpp
+++ b/Zincstep/Edge/EdgeReports.cpp
@@ -47,10 +47,10 @@
   this->metrics.Set(
       "zincstep_blocked_requests",
       static_cast<double>(this->crashes.Blocked(this->clock.Now()).size()));
-  this->metrics.Set("zincstep_retry_capacity",
-                    this->relaySettings.retries.capacity);
-  for (const auto& [service, budget] : this->budgets) {
-    this->metrics.Set("zincstep_retry_budget", budget.Available(),
+  this->metrics.Set("zincstep_retry_burst", this->relaySettings.retries.burst);
+  for (const auto& [service, retries] : this->retryWindows) {
+    this->metrics.Set("zincstep_retries_left",
+                      retries.Available(this->clock.Now()),
                       {{"service", service}});
   }
   this->bufferedMemory.Report(this->BufferedBytes());
--- a/Zincstep/Edge/EdgeSettings.cpp
+++ b/Zincstep/Edge/EdgeSettings.cpp
@@ -28,6 +28,7 @@
 EdgeSettings ReadEdgeSettings(int aArgumentCount, char** aArguments) {
   EdgeSettings settings;
   std::string failsClosed = "true";
+  std::string firstStart = "false";
   SettingsReader reader("zincstep-edge", "");
   reader.Text("name", settings.name, "name of this VM", true);
   reader.Text("failure-domain", settings.failureDomain,
@@ -58,6 +59,10 @@
                 "retries as a share of requests");
   reader.Number("retry-slack", settings.retrySlack, 0, 1e6,
                 "retries beyond that, for all daemons together");
+  reader.Number("retry-window-s", settings.retryWindowSeconds, 1, 600,
+                "seconds in which the retries are counted");
+  reader.Text("first-start", firstStart,
+              "true: no daemon has run before, so that all retries are left");
   reader.Number("link-mbps", settings.linkMbps, 0.001, 1e7,
                 "link of this VM, in Mbit/s");
   reader.Number("memory-mb", settings.memoryMb, 16, 1e7,
@@ -79,6 +84,7 @@
               "trace, debug, info, warn, error or off");
   ReadOrExit(reader, aArgumentCount, aArguments);
   settings.failsClosed = IsTrue(failsClosed);
+  settings.isFirstStart = IsTrue(firstStart);
   return settings;
 }
 
--- a/Zincstep/Edge/EdgeSettings.h
+++ b/Zincstep/Edge/EdgeSettings.h
@@ -40,6 +40,11 @@
   double retryRatio = 0.2;
   /// Retries beyond that share, for all daemons together.
   double retrySlack = 200;
+  /// Length of the window in which retries are limited, in seconds.
+  double retryWindowSeconds = 10;
+  /// Whether all daemons start for the first time, so that none of them had a
+  /// former process that may have used retries.
+  bool isFirstStart = false;
   /// Link of this VM, in Mbit/s.
   double linkMbps = 1000;
   /// Memory limit of the process, in MB.
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -289,8 +289,9 @@
   if (!this->TryAcquireResend()) {
     return false;
   }
-  RetryBudget& budget = this->context.BudgetOf(this->request.service->name);
-  const bool isAccepted = budget.TryAcquireRetry(aReserved);
+  const Instant now = this->Now();
+  RetryWindow& retries = this->context.RetriesOf(this->request.service->name);
+  const bool isAccepted = retries.TryAcquireRetry(now, aReserved);
   if (isAccepted) {
     this->context.metrics.Count("zincstep_retries_total",
                                 {{"service", this->request.service->name}});
@@ -298,10 +299,9 @@
   if (!isAccepted && !this->isRetryDenialLogged) {
     this->isRetryDenialLogged = true;
     this->context.metrics.Count("zincstep_retries_denied_total");
-    LogInfo("retry_denied",
-            {{"request", this->request.info.id},
-             {"saved", budget.Available()},
-             {"most", this->context.settings.retries.capacity}});
+    LogInfo("retry_denied", {{"request", this->request.info.id},
+                             {"left", retries.Available(now)},
+                             {"burst", this->context.settings.retries.burst}});
   }
   return isAccepted;
 }
--- a/Zincstep/Relay/RelayContext.h
+++ b/Zincstep/Relay/RelayContext.h
@@ -27,9 +27,9 @@
   Micros maxValidationAge = 4800ms;
   /// Whether keys are refused without such a validation.
   bool failsClosed = true;
-  /// Retry budget of each service: a share of the requests plus this daemon's
-  /// part of a burst that all daemons divide among them.
-  RetryBudgetSettings retries;
+  /// Limit on the retries of each service: a share of the requests plus this
+  /// daemon's part of a burst that all daemons divide among them.
+  RetryWindowSettings retries;
   /// Connect timeout; exceeding it counts as a failure of the upstream. Round
   /// trips take under 2 ms; a lost SYN is retransmitted only after 1 s.
   Micros connectTimeout = 250ms;
@@ -67,7 +67,7 @@
   Micros initialStateTimeout = 1s;
   /// Maximum number of sends per request, including refused ones.
   int maxSends = 6;
-  /// Share of the retry budget reserved for streams that have begun. Callers
+  /// Share of the retry burst reserved for streams that have begun. Callers
   /// can retry a request that has not begun, but not a stream.
   double reservedForStreams = 0.5;
   /// Bytes buffered for a slow caller at which reading from the upstream stops.
@@ -122,7 +122,7 @@
   /// Counts for operators.
   LoadStatistics& statistics;
   /// Keyed by service.
-  std::map<std::string, RetryBudget>& budgets;
+  std::map<std::string, RetryWindow>& retryWindows;
   /// Decides which new requests are accepted while the daemon stops.
   const StopPolicy& stopPolicy;
   /// Services that this daemon can't reach, and the daemons that may serve
@@ -138,8 +138,8 @@
   std::function<void(const AdmittedRequest&, const ExchangeProgress&)>
       handOver{};
 
-  RetryBudget& BudgetOf(const std::string& aService) {
-    return this->budgets.try_emplace(aService, this->settings.retries)
+  RetryWindow& RetriesOf(const std::string& aService) {
+    return this->retryWindows.try_emplace(aService, this->settings.retries)
         .first->second;
   }
 };
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -11,7 +11,7 @@
 void ServiceExchange::Start() {
   this->CountArrival(0);
   if (!this->request.isForwarded) {
-    this->context.BudgetOf(this->request.service->name).OnRequest();
+    this->context.RetriesOf(this->request.service->name).OnRequest(this->Now());
   }
   if (this->SkipsUpstreams() && this->TryHandOver()) {
     return;
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -42,7 +42,8 @@
   this->CountArrival(this->tokens);
   // A forwarded request counts at the daemon that read it.
   if (!this->request.isForwarded) {
-    this->context.BudgetOf(this->request.service->name).OnRequest();
+    this->context.RetriesOf(this->request.service->name)
+        .OnRequest(this->lastProgress);
     this->context.demand.OnRequest(this->tokens, this->lastProgress);
   }
   if (this->SkipsUpstreams() && this->TryHandOver()) {
--- a/Zincstep/Relay/StreamRepair.cpp
+++ b/Zincstep/Relay/StreamRepair.cpp
@@ -309,7 +309,8 @@
   const RelaySettings& settings = this->context.settings;
   return this->headSent && this->CanResume() &&
          this->sends < settings.maxSends && aNow < this->request.deadline &&
-         this->context.BudgetOf(this->request.service->name).Available() >= 1;
+         this->context.RetriesOf(this->request.service->name).Available(aNow) >=
+             1;
 }
 
 RepairInput StreamExchange::ObserveRepair(Instant aNow) const {
