Shares of the retry limit grow a window after daemons have left (BUDGET)

Cause: a daemon's share of the slack is divided by the daemons known now, while the limit counts what was sent within the last window, also by daemons that have left since. In a replay of 26 daemons of which a third leaves every 2 s the shares of one window sum to more than the slack.

Change: RetryShareHistory applies the lowest share of the last window. Joining daemons lower the others' shares at once, as before.

Test: Retries_DaemonsLeave_StayWithinLimit failed before, passes; the four others of RetryRestartTests pass.

--- a/UnitTests/RetryRestartReplayTest.cpp
+++ b/UnitTests/RetryRestartReplayTest.cpp
@@ -34,13 +34,21 @@
     this->daemons[aDaemon] = this->NewProcess(false);
   }
 
+  /// Ends the last daemons; the others know of it at once.
+  void Leave(std::size_t aCount) {
+    this->daemons.resize(this->daemons.size() - aCount,
+                         this->NewProcess(false));
+  }
+
+  std::size_t Daemons() const { return this->daemons.size(); }
+
   void Step() {
     ReplayStep step;
     this->arrivals += kRequestsPerSecond / kStepsPerSecond;
     for (std::size_t rank = 0; rank < this->daemons.size(); ++rank) {
-      RetryWindow& retries = this->daemons[rank];
-      // Members are known within a step of the start.
-      retries.SetBurst(RetryShare(this->slack, {this->daemons.size(), rank}));
+      RetryWindow& retries = this->daemons[rank].retries;
+      retries.SetBurst(this->daemons[rank].shares.Update(
+          RetryShare(this->slack, {this->daemons.size(), rank}), this->now));
       for (double due = this->arrivals; due >= 1; due -= 1) {
         retries.OnRequest(this->now);
         step.requests += 1;
@@ -77,17 +85,24 @@
   }
 
  private:
-  RetryWindow NewProcess(bool aIsFirstStart) const {
+  struct Process {
+    RetryWindow retries;
+    RetryShareHistory shares;
+  };
+
+  Process NewProcess(bool aIsFirstStart) const {
     EdgeSettings settings;
     settings.retryRatio = kRatio;
     settings.retrySlack = this->slack;
     settings.isFirstStart = aIsFirstStart;
-    return RetryWindow(MakeRelaySettings(settings, this->now).retries);
+    const RetryWindowSettings limit =
+        MakeRelaySettings(settings, this->now).retries;
+    return {RetryWindow(limit), RetryShareHistory(limit.window)};
   }
 
   double slack;
   Instant now{Micros{100s}};
-  std::vector<RetryWindow> daemons;
+  std::vector<Process> daemons;
   std::vector<ReplayStep> steps;
   double arrivals = 0;
 };
@@ -107,6 +122,7 @@
   CPPUNIT_TEST(Retries_AllRestartInOneWindow_StayWithinLimit);
   CPPUNIT_TEST(Retries_AllRestartEverySecond_StayWithinLimit);
   CPPUNIT_TEST(Retries_RollingRestart_StayWithinLimit);
+  CPPUNIT_TEST(Retries_DaemonsLeave_StayWithinLimit);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -144,6 +160,14 @@
     });
   }
 
+  void Retries_DaemonsLeave_StayWithinLimit() {
+    this->Play([](RetryReplay& aReplay, std::size_t, int aStep) {
+      if (aStep % (2 * kStepsPerSecond) == 0 && aReplay.Daemons() > 8) {
+        aReplay.Leave(aReplay.Daemons() / 3);
+      }
+    });
+  }
+
  private:
   static void RestartAll(RetryReplay& aReplay, std::size_t aDaemons) {
     for (std::size_t daemon = 0; daemon < aDaemons; ++daemon) {
--- a/Zincstep/Admission/RetryShare.cpp
+++ b/Zincstep/Admission/RetryShare.cpp
@@ -25,4 +25,15 @@
   return static_cast<double>(aParticipant.rank + 1) <= usableSlack ? 1 : 0;
 }
 
+double RetryShareHistory::Update(double aShare, Instant aNow) {
+  while (!this->rising.empty() && this->rising.back().share >= aShare) {
+    this->rising.pop_back();
+  }
+  this->rising.push_back({aShare, aNow});
+  while (aNow - this->rising.front().at > this->window) {
+    this->rising.pop_front();
+  }
+  return this->rising.front().share;
+}
+
 }  // namespace zincstep
--- a/Zincstep/Admission/RetryShare.h
+++ b/Zincstep/Admission/RetryShare.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <cstddef>
+#include <deque>
+
+#include "Zincstep/Core/Core.h"
 
 namespace zincstep {
 
@@ -20,4 +23,25 @@
 /// none.
 double RetryShare(double aSlack, RetryParticipant aParticipant);
 
+/// Delays the growth of a daemon's share by a window: daemons that have left
+/// may have used theirs in it.
+class RetryShareHistory {
+ public:
+  explicit RetryShareHistory(Micros aWindow) : window(aWindow) {}
+
+  /// Records the share at `aNow`. Returns the lowest of the last window.
+  double Update(double aShare, Instant aNow);
+
+ private:
+  struct Entry {
+    double share = 0;
+    /// Last time that the share was as low.
+    Instant at;
+  };
+
+  Micros window;
+  /// Shares that may still become the lowest, in increasing order.
+  std::deque<Entry> rising;
+};
+
 }  // namespace zincstep
--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -167,8 +167,9 @@
 }
 
 void EdgeProcess::UpdateRetryShare() {
-  const double share =
-      RetryShare(this->settings.retrySlack, this->retryParticipant);
+  const double share = this->retryShares.Update(
+      RetryShare(this->settings.retrySlack, this->retryParticipant),
+      this->clock.Now());
   if (share == this->relaySettings.retries.burst) {
     return;
   }
--- a/Zincstep/Edge/EdgeProcess.h
+++ b/Zincstep/Edge/EdgeProcess.h
@@ -195,6 +195,7 @@
   CrashDetector crashDetector;
   BlockList blockList;
   RetryParticipant retryParticipant;
+  RetryShareHistory retryShares{this->relaySettings.retries.window};
   /// `PeerMembers::Changes` as of the last update of `limits` and
   /// `retryParticipant`.
   std::uint64_t lastMemberChanges = 0;
