A forwarded request runs once at each daemon (BUDGET)

A daemon without a path forwarded a stream; the other ran it twice and gave up; the first counted that as one run and had it run a third time.

Cause: both daemons decide on further runs, and the number that the other made is not known where its response breaks off.

Change: the other daemon is told of all runs but one as used. A failed run that it reports is repeated by the daemon that read the request, which had left that to the other; a stream that breaks off midway no longer marks the other daemon as failing, as its upstream may be the cause.

--- a/UnitTests/ForwardedRequestTest.cpp
+++ b/UnitTests/ForwardedRequestTest.cpp
@@ -34,6 +34,9 @@
   CPPUNIT_TEST(Unsafe_PeerBreaksOff_IsNotSentAgain);
   CPPUNIT_TEST(Unsafe_PeerAnswersOfFailedRun_AnswerIsForwarded);
   CPPUNIT_TEST(Safe_PeerBreaksOff_IsSentToAnother);
+  CPPUNIT_TEST(Safe_Forwarded_MayRunOnceAtPeer);
+  CPPUNIT_TEST(Safe_RunAtPeerFails_RunsOnceMore);
+  CPPUNIT_TEST(Safe_RunsAtPeersFail_RunsUpToMaxAttempts);
   CPPUNIT_TEST(Stream_UpstreamLostMidway_ContinuesAtPeerAfterLastEvent);
   CPPUNIT_TEST(Stream_PeerLostMidway_ContinuesAtAnother);
   CPPUNIT_TEST(Stream_PeerFallsSilent_ContinuesAtAnother);
@@ -242,6 +245,48 @@
     }
   }
 
+  // Guards against more runs than the route permits: 23 streams ran three times
+  // with two permitted, as the other daemon's runs were counted as one.
+  void Safe_Forwarded_MayRunOnceAtPeer() {
+    this->ListUnreachable("plain");
+    const ScriptedUpstream& peer = this->AddServingPeer();
+    this->Ask(this->Request("/safe/x"));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("1"),
+        std::string(FindHeader(peer.seen.at(0).headers, kRuns)));
+  }
+
+  /// Adds daemons of which the first `aFailures` requests are answered with a
+  /// failed run.
+  void AddFailingPeers(int aFailures) {
+    const auto asked = std::make_shared<int>(0);
+    for (int i = 0; i < 3; ++i) {
+      this->AddPeer([asked, aFailures](const auto& aTo, const auto& aMessage) {
+        *asked += 1;
+        if (*asked <= aFailures) {
+          aTo->Answer(kBadGateway, OwnHeaders(aMessage), "answer_incomplete");
+        } else {
+          AnswerWhole(aTo, aMessage, SealedHeaders(aMessage));
+        }
+      });
+    }
+  }
+
+  void Safe_RunAtPeerFails_RunsOnceMore() {
+    this->ListUnreachable("plain");
+    this->AddFailingPeers(1);
+    CPPUNIT_ASSERT_EQUAL(kOk, this->Ask(this->Request("/safe/x"))->status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->SeenByPeers());
+  }
+
+  void Safe_RunsAtPeersFail_RunsUpToMaxAttempts() {
+    this->ListUnreachable("plain");
+    this->AddFailingPeers(3);
+    CPPUNIT_ASSERT_EQUAL(kBadGateway,
+                         this->Ask(this->Request("/safe/x"))->status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->SeenByPeers());
+  }
+
   void Stream_UpstreamLostMidway_ContinuesAtPeerAfterLastEvent() {
     ScriptedUpstream* first = nullptr;
     first = &this->AddUpstream(
--- a/Zincstep/Relay/ForwardExchange.cpp
+++ b/Zincstep/Relay/ForwardExchange.cpp
@@ -82,10 +82,14 @@
                         {this->request.message,
                          this->request.deadline - this->sentAt,
                          this->hasEvents ? this->events.LastId() : std::nullopt,
-                         {{kRunsHeader, std::to_string(this->runs)}}}),
+                         {{kRunsHeader, std::to_string(this->RunsStated())}}}),
                     this->context.settings.connectTimeout);
 }
 
+int ForwardExchange::RunsStated() const {
+  return std::max(this->runs, this->request.route->maxAttempts - 1);
+}
+
 void ForwardExchange::LeavePeer() {
   if (!this->peer.name.empty()) {
     this->context.forwards.OnEnded(this->peer.name);
@@ -154,7 +158,10 @@
     return;
   }
   if (aEnd != SingleCallEnd::Complete || this->isInvalidResponse) {
-    this->context.forwards.OnNoResponse(this->peer.name);
+    // A truncated stream may also show the loss of the other's upstream.
+    if (!this->IsStream() || this->isInvalidResponse) {
+      this->context.forwards.OnNoResponse(this->peer.name);
+    }
     this->OnRunInterrupted("the response of the other daemon was truncated");
     return;
   }
@@ -168,11 +175,24 @@
   } else if (this->headSent) {
     this->OnRunInterrupted("the other daemon could not continue the stream");
   } else {
+    this->OnAnswer();
+  }
+}
+
+void ForwardExchange::OnAnswer() {
+  this->mayHaveRun = true;
+  this->runs += 1;
+  if (this->head.status >= kFirstServerError && this->CanRunAgain() &&
+      this->TryAcquireRetry(this->context.settings.reservedForStreams)) {
+    // The other daemon is sound, its upstream was not.
+    std::erase(this->tried, this->peer.name);
     this->LeavePeer();
-    this->mayHaveRun = true;
-    this->runs += 1;
-    this->ForwardResponse(this->head, this->body);
+    this->events.BeginRun();
+    this->TryPeer();
+    return;
   }
+  this->LeavePeer();
+  this->ForwardResponse(this->head, this->body);
 }
 
 bool ForwardExchange::IsRefusal() const {
--- a/Zincstep/Relay/ForwardExchange.h
+++ b/Zincstep/Relay/ForwardExchange.h
@@ -41,6 +41,12 @@
   void TryPeer();
   void SendTo(const ForwardPeer& aPeer);
   /// Ends the count of this request at the current peer.
+  /// Runs that the other daemon is told of: all that the route permits but one.
+  /// How often a daemon ran the request that did not complete it is not known
+  /// here, so each runs it once and further runs are decided here.
+  int RunsStated() const;
+  /// Forwards a whole response, or runs the request again if that may help.
+  void OnAnswer();
   void LeavePeer();
   /// Whether the peer responded that it has not run the request.
   bool IsRefusal() const;
