A request forwarded again after upstreams refused it takes a retry (BUDGET)

Cause: a daemon that forwards a request asked the next daemon for nothing after one whose upstreams had refused it, though the operators count each arrival beyond the first. By reading; up to two such sends for a request.

Change: a retry of the daemon that read the request is taken first; a stream that has begun waits for one as elsewhere. Refusals for other reasons (no path, stopping, no chain) had no send and are free.

Test: Request_PeersUpstreamsRefuse_TakesRetryForAnotherPeer failed before; PartitionedDaemonTests 56 of 56.

--- a/UnitTests/ForwardedRequestTest.cpp
+++ b/UnitTests/ForwardedRequestTest.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(Request_PeerIsDown_IsSentToAnother);
   CPPUNIT_TEST(Request_AllPeersRefuse_IsRefusedAsNotRun);
   CPPUNIT_TEST(Request_TwoPeersLackRoom_IsRefusedWithTheirRetryAfter);
+  CPPUNIT_TEST(Request_PeersUpstreamsRefuse_TakesRetryForAnotherPeer);
   CPPUNIT_TEST(Request_UpstreamRefuses_IsNotForwarded);
   CPPUNIT_TEST(Request_OneOfThreeUpstreamsUnreachable_IsNotForwarded);
   CPPUNIT_TEST(Request_NewConnectionsFailBesideOpenStreams_IsForwarded);
@@ -175,6 +176,20 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->SeenByPeers());
   }
 
+  // Guards against sends that no retry is taken for: the other daemon's
+  // upstreams have received the request before.
+  void Request_PeersUpstreamsRefuse_TakesRetryForAnotherPeer() {
+    this->ListUnreachable("plain");
+    this->AddRefusingPeer("overloaded");
+    this->AddRefusingPeer("overloaded");
+    RetryWindowSettings spent;
+    spent.burst = 0.5;
+    retryWindows.emplace("plain", spent);
+    const auto answer = this->Ask(this->Request("/unsafe/x"));
+    CPPUNIT_ASSERT_EQUAL(kUnavailable, answer->status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->SeenByPeers());
+  }
+
   void Request_UpstreamRefuses_IsNotForwarded() {
     this->AddUpstream("plain", [](const auto& aTo, const auto& aMessage) {
       HttpHeaders headers = SealedHeaders(aMessage);
--- a/Zincstep/Relay/ForwardExchange.cpp
+++ b/Zincstep/Relay/ForwardExchange.cpp
@@ -221,7 +221,16 @@
     this->peerRetryAfter = this->responseInfo.notice.backoff;
   }
   this->LeavePeer();
-  this->TryPeer();
+  // Only then may upstreams have received the request and refused it.
+  this->needsRetry = this->body == ErrorInfoFor(ErrorKind::Overloaded).name;
+  this->TryNextPeer();
+}
+
+void ForwardExchange::TryNextPeer() {
+  const double reserved =
+      this->headSent ? 0 : this->context.settings.reservedForStreams;
+  this->needsRetry = this->needsRetry && !this->TryAcquireRetry(reserved);
+  this->needsRetry ? this->OnNoPeer() : this->TryPeer();
 }
 
 void ForwardExchange::EndStream() {
@@ -322,7 +331,7 @@
     return;
   }
   if (this->isWaiting) {
-    this->TryPeer();
+    this->TryNextPeer();
     return;
   }
   if (!this->call) {
--- a/Zincstep/Relay/ForwardExchange.h
+++ b/Zincstep/Relay/ForwardExchange.h
@@ -39,6 +39,8 @@
     return this->peerRetryAfter;
   }
   void TryPeer();
+  /// Sends the request to another daemon, with a retry if that is needed.
+  void TryNextPeer();
   void SendTo(const ForwardPeer& aPeer);
   /// Ends the count of this request at the current peer.
   /// Runs that the other daemon is told of: all that the route permits but one.
@@ -82,6 +84,8 @@
   bool isReadingPaused = false;
   /// Waits for a daemon to forward an interrupted stream to.
   bool isWaiting = false;
+  /// Upstreams of the last daemon may have received the request.
+  bool needsRetry = false;
   std::string body;
   std::string pendingEvents;
   Instant lastProgress;
