--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -224,6 +224,7 @@
                        {"fingerprint", TextOf(this->Fingerprint())},
                        {"upstream", this->upstream->Entry().id},
                        {"reason", aReason},
+                       {"parts", this->request.info.promptParts},
                        {"has_events", this->HasResponseBegun()},
                        {"ran_ms", (this->Now() - this->sentAt) / 1ms}});
   // Of 25 crashed upstreams, 21 had only one to four requests, of up to 82, in
--- a/Zincstep/Relay/RelayDialect.h
+++ b/Zincstep/Relay/RelayDialect.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "Zincstep/Net/CallerConnection.h"
 #include "Zincstep/Pool/Pool.h"
@@ -31,8 +32,14 @@
   /// Last event that the caller has received, if it resumes a stream.
   std::optional<std::uint64_t> lastEventId;
   TokenUse tokens;
+  /// Ids of the parts of the prompt that other requests may share, in order;
+  /// at most `kMaxPromptParts`.
+  std::vector<std::string> promptParts;
 };
 
+/// Parts of a prompt that are considered; callers may name more.
+inline constexpr std::size_t kMaxPromptParts = 16;
+
 /// A request to be encoded for an upstream.
 struct ForwardedRequest {
   const CallerMessage& message;
