--- a/UnitTests/BlockListTest.cpp
+++ b/UnitTests/BlockListTest.cpp
@@ -5,8 +5,8 @@
 namespace zincstep {
 namespace {
 
-constexpr RequestFingerprint kRequest{1};
-constexpr RequestFingerprint kOther{2};
+constexpr Fingerprint kRequest{1};
+constexpr Fingerprint kOther{2};
 
 /// A store of one item with conditional writes.
 class OneItemStore final : public AsyncStore {
@@ -59,12 +59,12 @@
     BlockList list;
     const Clock& clock;
 
-    void Block(RequestFingerprint aRequest) {
+    void Block(Fingerprint aRequest) {
       for (std::uint64_t upstream = 1; upstream <= 3; ++upstream) {
         this->crashes.OnCrash({aRequest, upstream}, this->clock.Now());
       }
     }
-    bool Blocks(RequestFingerprint aRequest) const {
+    bool Blocks(Fingerprint aRequest) const {
       return this->crashes.BlockedFor(aRequest, this->clock.Now()) > Micros{0};
     }
   };
--- a/UnitTests/CapacityQueueTest.cpp
+++ b/UnitTests/CapacityQueueTest.cpp
@@ -200,7 +200,7 @@
 
   void Refused_ReturnsAsTold_IsKnown() {
     RefusedRequests refused;
-    const RequestFingerprint request{7};
+    const Fingerprint request{7};
     refused.OnRefused(request, 500ms, this->now);
     const auto historyAfter = [&](Micros aTime) {
       return refused.HistoryOf(request, this->now + aTime);
@@ -208,19 +208,19 @@
     CPPUNIT_ASSERT(historyAfter(100ms) == RefusalHistory::ReturnedEarly);
     CPPUNIT_ASSERT(historyAfter(500ms) == RefusalHistory::Waited);
     CPPUNIT_ASSERT(historyAfter(11s) == RefusalHistory::None);
-    CPPUNIT_ASSERT(refused.HistoryOf(RequestFingerprint{8}, this->now) ==
+    CPPUNIT_ASSERT(refused.HistoryOf(Fingerprint{8}, this->now) ==
                    RefusalHistory::None);
   }
 
   void Refused_MoreThanMaximum_ForgetsOldest() {
     RefusedRequests refused;
     for (std::uint64_t id = 1; id <= 10'000; ++id) {
-      refused.OnRefused(RequestFingerprint{id}, 500ms, this->now);
+      refused.OnRefused(Fingerprint{id}, 500ms, this->now);
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{4096}, refused.Size());
-    CPPUNIT_ASSERT(refused.HistoryOf(RequestFingerprint{1}, this->now) ==
+    CPPUNIT_ASSERT(refused.HistoryOf(Fingerprint{1}, this->now) ==
                    RefusalHistory::None);
-    CPPUNIT_ASSERT(refused.HistoryOf(RequestFingerprint{10'000}, this->now) !=
+    CPPUNIT_ASSERT(refused.HistoryOf(Fingerprint{10'000}, this->now) !=
                    RefusalHistory::None);
   }
 };
--- a/UnitTests/CrashDetectorHistoryTest.cpp
+++ b/UnitTests/CrashDetectorHistoryTest.cpp
@@ -147,9 +147,9 @@
     /// All incarnations, by `LiveUpstream::Number`.
     std::map<std::uint64_t, UpstreamPtr> all;
     /// Lost runs: the request and the incarnation.
-    std::set<std::pair<RequestFingerprint, std::uint64_t>> lost;
+    std::set<std::pair<Fingerprint, std::uint64_t>> lost;
     /// Those lost to a crash.
-    std::set<std::pair<RequestFingerprint, std::uint64_t>> ended;
+    std::set<std::pair<Fingerprint, std::uint64_t>> ended;
 
     /// Crashed upstreams, and when they are deregistered.
     std::vector<std::pair<UpstreamPtr, Instant>> deregistering;
@@ -163,15 +163,15 @@
     }
   };
 
-  std::set<std::pair<RequestFingerprint, std::uint64_t>> crashes;
+  std::set<std::pair<Fingerprint, std::uint64_t>> crashes;
 
   void OnCrashes(const std::vector<UpstreamCrash>& aCrashes) override {
     for (const UpstreamCrash& crash : aCrashes) {
       crashes.insert({crash.request, crash.upstream});
     }
   }
-  void OnCleared(RequestFingerprint) override {}
-  void OnBlocked(RequestFingerprint) override {}
+  void OnCleared(Fingerprint) override {}
+  void OnBlocked(Fingerprint) override {}
   void OnUpstreamSuspected() override {}
 
   /// Makes the next incarnation of an upstream; half are of a plain service.
@@ -204,7 +204,7 @@
   /// Loses a run, to a crash of its upstream or without one.
   static void LoseRun(History& aHistory, std::int64_t aStep) {
     const std::size_t place = aHistory.random.Below(kUpstreams);
-    const RequestFingerprint request{1 + aHistory.random.Below(kRequests)};
+    const Fingerprint request{1 + aHistory.random.Below(kRequests)};
     UpstreamPtr& upstream = aHistory.upstreams[place];
     if (aHistory.tracker.BlockedFor(request, aHistory.clock.Now()) > 0us) {
       return;
@@ -257,7 +257,7 @@
       CPPUNIT_ASSERT(aHistory.StateOf(run.second) != UpstreamState::Alive);
     }
     for (std::size_t i = 0; i < kRequests; ++i) {
-      const RequestFingerprint request{1 + i};
+      const Fingerprint request{1 + i};
       const auto ends = std::count_if(
           crashes.begin(), crashes.end(),
           [&](const auto& aOne) { return aOne.first == request; });
--- a/UnitTests/CrashDetectorTest.cpp
+++ b/UnitTests/CrashDetectorTest.cpp
@@ -6,8 +6,8 @@
 namespace zincstep {
 namespace {
 
-constexpr RequestFingerprint kPoison{1};
-constexpr RequestFingerprint kUnrelated{2};
+constexpr Fingerprint kPoison{1};
+constexpr Fingerprint kUnrelated{2};
 
 /// Runs the detector with probes whose results the test chooses.
 class CrashDetectorTest : public CppUnit::TestFixture, private CrashListener {
@@ -55,8 +55,8 @@
   void OnCrashes(const std::vector<UpstreamCrash>& aCrashes) override {
     crashes.insert(crashes.end(), aCrashes.begin(), aCrashes.end());
   }
-  void OnCleared(RequestFingerprint) override { cleared += 1; }
-  void OnBlocked(RequestFingerprint) override { blocked += 1; }
+  void OnCleared(Fingerprint) override { cleared += 1; }
+  void OnBlocked(Fingerprint) override { blocked += 1; }
   void OnUpstreamSuspected() override { suspicions += 1; }
 
   FakeClock clock;
@@ -339,11 +339,10 @@
     constexpr std::uint64_t kMany = 20'000;
     for (std::uint64_t i = 0; i < kMany; ++i) {
       clock.Advance(1us);
-      detector.OnCrash({RequestFingerprint{1000 + i}, i}, Provenance::Observed);
+      detector.OnCrash({Fingerprint{1000 + i}, i}, Provenance::Observed);
     }
-    CPPUNIT_ASSERT(!detector.OnClearedByPeer(RequestFingerprint{1000}));
-    CPPUNIT_ASSERT(
-        detector.OnClearedByPeer(RequestFingerprint{1000 + kMany - 1}));
+    CPPUNIT_ASSERT(!detector.OnClearedByPeer(Fingerprint{1000}));
+    CPPUNIT_ASSERT(detector.OnClearedByPeer(Fingerprint{1000 + kMany - 1}));
   }
 };
 
--- a/UnitTests/CrashReplayTest.cpp
+++ b/UnitTests/CrashReplayTest.cpp
@@ -31,7 +31,7 @@
       const auto count = static_cast<std::size_t>(aPerSecond * ToSeconds(aFor));
       for (std::size_t i = 0; i < count; ++i) {
         this->lastRequest += 1;
-        const RequestFingerprint request{this->lastRequest};
+        const Fingerprint request{this->lastRequest};
         this->ScheduleAfter(this->RandomBelow(aFor), [this, request, daemon] {
           this->Send({request, daemon, kRuns, kAttempts, false});
         });
@@ -78,13 +78,13 @@
   int sentAfterBlock = 0;
 
  private:
-  static constexpr RequestFingerprint kPoison{0};
+  static constexpr Fingerprint kPoison{0};
   static constexpr int kRuns = 2;
   static constexpr int kAttempts = 3;
   static constexpr Micros kMaxReportDelay = 400ms;
 
   struct Request {
-    RequestFingerprint fingerprint{};
+    Fingerprint fingerprint{};
     std::size_t daemon = 0;
     int runsLeft = 0;
     int attemptsLeft = 0;
@@ -158,7 +158,7 @@
       return;
     }
     run.isDone = true;
-    const RequestFingerprint request = run.request.fingerprint;
+    const Fingerprint request = run.request.fingerprint;
     if (this->trackers[run.request.daemon].OnCompleted(request, this->now)) {
       this->Broadcast(run.request.daemon,
                       [request](CrashTracker& aTracker, Instant) {
--- a/UnitTests/CrashTrackerTest.cpp
+++ b/UnitTests/CrashTrackerTest.cpp
@@ -5,8 +5,8 @@
 namespace zincstep {
 namespace {
 
-constexpr RequestFingerprint kPoison{1};
-constexpr RequestFingerprint kOther{2};
+constexpr Fingerprint kPoison{1};
+constexpr Fingerprint kOther{2};
 
 class CrashTrackerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashTrackerTest);
@@ -31,13 +31,13 @@
   CrashTracker tracker{settings};
   Instant now{Micros{100s}};
 
-  void CrashThree(RequestFingerprint aRequest) {
+  void CrashThree(Fingerprint aRequest) {
     for (std::uint64_t upstream = 1; upstream <= 3; ++upstream) {
       tracker.OnCrash({aRequest, upstream}, now);
     }
   }
 
-  bool IsBlocked(RequestFingerprint aRequest) {
+  bool IsBlocked(Fingerprint aRequest) {
     return tracker.BlockedFor(aRequest, now) > Micros{0};
   }
 
@@ -60,7 +60,7 @@
   }
 
   void Fingerprint_Text_RoundTrips() {
-    const RequestFingerprint one{0x0123456789abcdefULL};
+    const Fingerprint one{0x0123456789abcdefULL};
     CPPUNIT_ASSERT_EQUAL(std::string("0123456789abcdef"), TextOf(one));
     CPPUNIT_ASSERT(ParseFingerprint(TextOf(one)) == one);
     for (const char* wrong : {"", "123", "0123456789abcdeg",
@@ -111,11 +111,11 @@
   void Completion_ManyOthers_EvictsOldestFirst() {
     tracker.OnCompleted(kPoison, now);
     for (std::uint64_t i = 0; i < settings.maxCompleted; ++i) {
-      tracker.OnCompleted(RequestFingerprint{1000 + i}, now);
+      tracker.OnCompleted(Fingerprint{1000 + i}, now);
     }
     this->CrashThree(kPoison);
     CPPUNIT_ASSERT(this->IsBlocked(kPoison));
-    CPPUNIT_ASSERT(tracker.OnCrash({RequestFingerprint{1001}, 1}, now) ==
+    CPPUNIT_ASSERT(tracker.OnCrash({Fingerprint{1001}, 1}, now) ==
                    CrashVerdict::Ignored);
   }
 
@@ -152,10 +152,10 @@
     this->CrashThree(kPoison);
     for (std::uint64_t i = 0; i < 2 * settings.maxRequests; ++i) {
       now += 1us;
-      tracker.OnCrash({RequestFingerprint{1000 + i}, i}, now);
+      tracker.OnCrash({Fingerprint{1000 + i}, i}, now);
     }
     CPPUNIT_ASSERT(this->IsBlocked(kPoison));
-    CPPUNIT_ASSERT(!tracker.HasCrashes(RequestFingerprint{1000}));
+    CPPUNIT_ASSERT(!tracker.HasCrashes(Fingerprint{1000}));
   }
 
   // While three suspected crashes were being checked, the same request was
--- a/UnitTests/CrashWitnessTest.cpp
+++ b/UnitTests/CrashWitnessTest.cpp
@@ -6,7 +6,7 @@
 namespace zincstep {
 namespace {
 
-constexpr RequestFingerprint kPoison{1};
+constexpr Fingerprint kPoison{1};
 /// At least the delay between the first two attempts of a probe.
 constexpr Micros kRetryDelay = 100ms;
 
@@ -29,8 +29,8 @@
   void OnCrashes(const std::vector<UpstreamCrash>& aCrashes) override {
     crashes.insert(crashes.end(), aCrashes.begin(), aCrashes.end());
   }
-  void OnCleared(RequestFingerprint) override {}
-  void OnBlocked(RequestFingerprint) override {}
+  void OnCleared(Fingerprint) override {}
+  void OnBlocked(Fingerprint) override {}
   void OnUpstreamSuspected() override {}
 
   FakeClock clock;
--- a/UnitTests/EdgePeerMessageTest.cpp
+++ b/UnitTests/EdgePeerMessageTest.cpp
@@ -117,13 +117,13 @@
   }
 
   void Message_Crashes_RoundTrip() {
-    const auto message = ReadBack(
-        CrashGossip{{{RequestFingerprint{7}, 8}}, {RequestFingerprint{9}}});
+    const auto message =
+        ReadBack(CrashGossip{{{Fingerprint{7}, 8}}, {Fingerprint{9}}});
     const auto& gossip = std::get<CrashGossip>(message.body);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, gossip.crashes.size());
-    CPPUNIT_ASSERT(gossip.crashes[0].request == RequestFingerprint{7});
+    CPPUNIT_ASSERT(gossip.crashes[0].request == Fingerprint{7});
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, gossip.crashes[0].upstream);
-    CPPUNIT_ASSERT(gossip.cleared == std::vector{RequestFingerprint{9}});
+    CPPUNIT_ASSERT(gossip.cleared == std::vector{Fingerprint{9}});
   }
 
   void Message_Limits_RoundTrip() {
--- a/UnitTests/PriorityReplay.cpp
+++ b/UnitTests/PriorityReplay.cpp
@@ -203,8 +203,8 @@
       this->now +
       this->load.objectives[static_cast<std::size_t>(request.priority)] -
       daemon.capacity->UsualFirstEvent(this->model);
-  const RefusalHistory history = daemon.capacity->Refused().HistoryOf(
-      RequestFingerprint{aRequest}, this->now);
+  const RefusalHistory history =
+      daemon.capacity->Refused().HistoryOf(Fingerprint{aRequest}, this->now);
   for (const std::uint64_t refused :
        daemon.capacity->Add(waiting, history, this->InputOf(request.daemon))) {
     this->Refuse(refused - 1, true);
@@ -375,8 +375,7 @@
         ToSeconds(std::max(kMinRetryAfter, expected.value_or(1s))) * share);
   }
   after = std::min(after, kMaxRetryAfter);
-  daemon.capacity->Refused().OnRefused(RequestFingerprint{aRequest}, after,
-                                       this->now);
+  daemon.capacity->Refused().OnRefused(Fingerprint{aRequest}, after, this->now);
   // With few daemons, some retries come back to the same one.
   request.daemon = this->random.Below(this->daemons.size());
   this->At(this->now + (request.returnsEarly ? 5ms : after),
--- a/UnitTests/RelayFixture.h
+++ b/UnitTests/RelayFixture.h
@@ -238,10 +238,8 @@
   void OnUpstream(const UpstreamPtr&) override {}
   void OnDaemonEntries() override {}
   void OnCrashes(const std::vector<UpstreamCrash>&) override {}
-  void OnCleared(RequestFingerprint) override {}
-  void OnBlocked(RequestFingerprint aRequest) override {
-    relay->OnBlocked(aRequest);
-  }
+  void OnCleared(Fingerprint) override {}
+  void OnBlocked(Fingerprint aRequest) override { relay->OnBlocked(aRequest); }
   void OnUpstreamSuspected() override {}
 };
 
--- a/Zincstep/Admission/CrashTracker.cpp
+++ b/Zincstep/Admission/CrashTracker.cpp
@@ -37,7 +37,7 @@
                                                 : CrashVerdict::Counted;
 }
 
-bool CrashTracker::OnCompleted(RequestFingerprint aRequest, Instant aNow) {
+bool CrashTracker::OnCompleted(Fingerprint aRequest, Instant aNow) {
   const bool isNew = this->completedAt.insert_or_assign(aRequest, aNow).second;
   if (isNew) {
     this->completionOrder.push_back(aRequest);
@@ -49,19 +49,19 @@
   return this->Clear(aRequest);
 }
 
-bool CrashTracker::HasCompletedRecently(RequestFingerprint aRequest,
+bool CrashTracker::HasCompletedRecently(Fingerprint aRequest,
                                         Instant aNow) const {
   const auto found = this->completedAt.find(aRequest);
   return found != this->completedAt.end() &&
          aNow - found->second < this->settings.completedRetention;
 }
 
-void CrashTracker::SetBlockList(const std::set<RequestFingerprint>& aRequests,
+void CrashTracker::SetBlockList(const std::set<Fingerprint>& aRequests,
                                 Instant aNow) {
   std::erase_if(this->records, [&](const auto& aEntry) {
     return aEntry.second.isListed && !aRequests.contains(aEntry.first);
   });
-  for (const RequestFingerprint request : aRequests) {
+  for (const Fingerprint request : aRequests) {
     Record& record = this->records[request];
     if (!record.isListed) {
       record.isListed = true;
@@ -70,8 +70,7 @@
   }
 }
 
-Micros CrashTracker::BlockedFor(RequestFingerprint aRequest,
-                                Instant aNow) const {
+Micros CrashTracker::BlockedFor(Fingerprint aRequest, Instant aNow) const {
   const auto found = this->records.find(aRequest);
   if (found == this->records.end() || !this->IsBlocked(found->second)) {
     return this->HasPendingBlock(aRequest, aNow)
@@ -81,8 +80,7 @@
   return std::max(Micros{0}, this->ExpiryOf(found->second) - aNow);
 }
 
-bool CrashTracker::HasPendingBlock(RequestFingerprint aRequest,
-                                   Instant aNow) const {
+bool CrashTracker::HasPendingBlock(Fingerprint aRequest, Instant aNow) const {
   const auto suspects = this->suspected.find(aRequest);
   if (suspects == this->suspected.end() ||
       this->HasCompletedRecently(aRequest, aNow)) {
@@ -97,8 +95,8 @@
   return incarnations.size() >= this->settings.maxCrashes;
 }
 
-std::set<RequestFingerprint> CrashTracker::Blocked(Instant aNow) const {
-  std::set<RequestFingerprint> blocked;
+std::set<Fingerprint> CrashTracker::Blocked(Instant aNow) const {
+  std::set<Fingerprint> blocked;
   for (const auto& [request, record] : this->records) {
     if (this->IsBlocked(record) && aNow < this->ExpiryOf(record)) {
       blocked.insert(request);
--- a/Zincstep/Admission/CrashTracker.h
+++ b/Zincstep/Admission/CrashTracker.h
@@ -6,7 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "Zincstep/Admission/RequestFingerprint.h"
+#include "Zincstep/Admission/Fingerprint.h"
 #include "Zincstep/Core/Core.h"
 
 namespace zincstep {
@@ -51,7 +51,7 @@
 
 /// A crash of an upstream while it ran a request.
 struct UpstreamCrash {
-  RequestFingerprint request{};
+  Fingerprint request{};
   /// The upstream's incarnation, as `LiveUpstream::Number`.
   std::uint64_t upstream = 0;
 };
@@ -82,21 +82,18 @@
   CrashVerdict OnCrash(const UpstreamCrash& aCrash, Instant aNow);
   /// Clears a request that completed successfully on this daemon. Returns
   /// whether crashes were recorded for it.
-  bool OnCompleted(RequestFingerprint aRequest, Instant aNow);
+  bool OnCompleted(Fingerprint aRequest, Instant aNow);
   /// Clears a request that completed successfully on another daemon. Returns
   /// whether crashes were recorded for it.
-  bool Clear(RequestFingerprint aRequest) {
-    return this->records.erase(aRequest) > 0;
-  }
+  bool Clear(Fingerprint aRequest) { return this->records.erase(aRequest) > 0; }
   /// Replaces the block list, which all daemons share through the store.
   /// Requests that are no longer listed are cleared: they completed on another
   /// daemon, or their block has expired.
-  void SetBlockList(const std::set<RequestFingerprint>& aRequests,
-                    Instant aNow);
+  void SetBlockList(const std::set<Fingerprint>& aRequests, Instant aNow);
 
   /// Whether no crash is recorded for any request.
   bool IsEmpty() const { return this->records.empty(); }
-  bool HasCrashes(RequestFingerprint aRequest) const {
+  bool HasCrashes(Fingerprint aRequest) const {
     return this->records.contains(aRequest);
   }
   /// Whether any request can be blocked; if not, callers can skip computing
@@ -106,9 +103,9 @@
   }
   /// Time for which a request must not run, because it is blocked or has
   /// suspected crashes; 0 if it may run.
-  Micros BlockedFor(RequestFingerprint aRequest, Instant aNow) const;
+  Micros BlockedFor(Fingerprint aRequest, Instant aNow) const;
   /// All requests that are blocked at `aNow`.
-  std::set<RequestFingerprint> Blocked(Instant aNow) const;
+  std::set<Fingerprint> Blocked(Instant aNow) const;
   /// Crashes of the blocked requests that are not on the shared block list.
   std::vector<UpstreamCrash> UnlistedCrashes(Instant aNow) const;
   /// Removes expired records. Call periodically.
@@ -123,8 +120,8 @@
   };
 
   /// Whether the suspected crashes, if confirmed, would block the request.
-  bool HasPendingBlock(RequestFingerprint aRequest, Instant aNow) const;
-  bool HasCompletedRecently(RequestFingerprint aRequest, Instant aNow) const;
+  bool HasPendingBlock(Fingerprint aRequest, Instant aNow) const;
+  bool HasCompletedRecently(Fingerprint aRequest, Instant aNow) const;
   bool IsBlocked(const Record& aRecord) const {
     return aRecord.isListed ||
            aRecord.crashed.size() >= this->settings.maxCrashes;
@@ -137,13 +134,13 @@
   void EvictIfFull();
 
   CrashTrackerSettings settings;
-  std::unordered_map<RequestFingerprint, Record> records;
+  std::unordered_map<Fingerprint, Record> records;
   /// Incarnations whose crash is suspected but not yet confirmed.
-  std::unordered_map<RequestFingerprint, std::set<std::uint64_t>> suspected;
+  std::unordered_map<Fingerprint, std::set<std::uint64_t>> suspected;
   /// Time of each request's last successful completion. `completionOrder` has
   /// the keys, oldest first, and determines which is evicted.
-  std::unordered_map<RequestFingerprint, Instant> completedAt;
-  std::deque<RequestFingerprint> completionOrder;
+  std::unordered_map<Fingerprint, Instant> completedAt;
+  std::deque<Fingerprint> completionOrder;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Admission/RequestFingerprint.cpp
+++ b/Zincstep/Admission/Fingerprint.cpp
@@ -1,4 +1,4 @@
-#include "Zincstep/Admission/RequestFingerprint.h"
+#include "Zincstep/Admission/Fingerprint.h"
 
 #include <array>
 #include <charconv>
@@ -26,7 +26,7 @@
 
 }  // namespace
 
-RequestFingerprint FingerprintOf(const RequestIdentity& aIdentity) {
+Fingerprint FingerprintOf(const RequestIdentity& aIdentity) {
   std::string text;
   text.reserve(aIdentity.body.size() + aIdentity.target.size() +
                aIdentity.host.size() + aIdentity.organisation.size() +
@@ -42,20 +42,20 @@
   return *fingerprint;
 }
 
-std::string TextOf(RequestFingerprint aFingerprint) {
+std::string TextOf(Fingerprint aFingerprint) {
   std::array<char, kHexDigits + 1> text{};
   std::snprintf(text.data(), text.size(), "%016" PRIx64,
                 static_cast<std::uint64_t>(aFingerprint));
   return text.data();
 }
 
-std::optional<RequestFingerprint> ParseFingerprint(std::string_view aText) {
+std::optional<Fingerprint> ParseFingerprint(std::string_view aText) {
   std::uint64_t value = 0;
   const char* end = aText.data() + aText.size();
   const auto read = std::from_chars(aText.data(), end, value, kHexBase);
   const bool isNumber = read.ec == std::errc{} && read.ptr == end;
   return isNumber && aText.size() == kHexDigits
-             ? std::optional(RequestFingerprint{value})
+             ? std::optional(Fingerprint{value})
              : std::nullopt;
 }
 
--- a/Zincstep/Admission/RequestFingerprint.h
+++ b/Zincstep/Admission/Fingerprint.h
@@ -11,7 +11,7 @@
 ///
 /// Each attempt has an id of its own. All attempts with the same method, host,
 /// target, organisation and body have the same fingerprint, at every daemon.
-enum class RequestFingerprint : std::uint64_t {};
+enum class Fingerprint : std::uint64_t {};
 
 /// Parts of a request that make up its fingerprint. The last event id of a
 /// resumed stream is not one of them: a caller that resumes a stream repeats
@@ -28,12 +28,12 @@
 
 /// Returns the first 64 bits of a SHA-256, so that a caller cannot construct a
 /// request that matches another organisation's.
-RequestFingerprint FingerprintOf(const RequestIdentity& aIdentity);
+Fingerprint FingerprintOf(const RequestIdentity& aIdentity);
 
 /// Returns the fingerprint as 16 hexadecimal digits, for logs and the store.
-std::string TextOf(RequestFingerprint aFingerprint);
+std::string TextOf(Fingerprint aFingerprint);
 
 /// Parses the format of `TextOf`; `nullopt` if the text is invalid.
-std::optional<RequestFingerprint> ParseFingerprint(std::string_view aText);
+std::optional<Fingerprint> ParseFingerprint(std::string_view aText);
 
 }  // namespace zincstep
--- a/Zincstep/Edge/BlockList.cpp
+++ b/Zincstep/Edge/BlockList.cpp
@@ -16,23 +16,22 @@
 constexpr std::size_t kMaxListed = 1000;
 constexpr const char* kField = "blocked";
 
-std::string EncodeList(const std::set<RequestFingerprint>& aRequests) {
+std::string EncodeList(const std::set<Fingerprint>& aRequests) {
   nlohmann::json texts = nlohmann::json::array();
-  for (const RequestFingerprint request : aRequests) {
+  for (const Fingerprint request : aRequests) {
     texts.push_back(TextOf(request));
   }
   return nlohmann::json{{kField, texts}}.dump();
 }
 
-std::optional<std::set<RequestFingerprint>> ParseList(
-    const std::string& aText) {
+std::optional<std::set<Fingerprint>> ParseList(const std::string& aText) {
   const auto json = nlohmann::json::parse(aText, nullptr, false);
   const bool isList =
       json.is_object() && json.contains(kField) && json.at(kField).is_array();
   if (!isList) {
     return std::nullopt;
   }
-  std::set<RequestFingerprint> requests;
+  std::set<Fingerprint> requests;
   for (const auto& element : json.at(kField)) {
     const auto request = element.is_string()
                              ? ParseFingerprint(element.get<std::string>())
@@ -76,7 +75,7 @@
                               {"requests", requests->size()}});
   this->listed = *requests;
   // Blocks that the backup lacks stay active and are written again.
-  std::set<RequestFingerprint> blocked = std::move(this->listedBeforeRestore);
+  std::set<Fingerprint> blocked = std::move(this->listedBeforeRestore);
   this->listedBeforeRestore.clear();
   blocked.insert(requests->begin(), requests->end());
   this->crashes.SetBlockList(blocked, this->clock.Now());
@@ -94,7 +93,7 @@
   if (this->isWriting || now < this->nextAttempt) {
     return;
   }
-  std::set<RequestFingerprint> blocked = this->crashes.Blocked(now);
+  std::set<Fingerprint> blocked = this->crashes.Blocked(now);
   while (blocked.size() > kMaxListed) {
     blocked.erase(blocked.begin());
   }
--- a/Zincstep/Edge/BlockList.h
+++ b/Zincstep/Edge/BlockList.h
@@ -39,10 +39,10 @@
   CrashTracker& crashes;
   const Clock& clock;
   /// The list as stored, and its revision; none if it was never written.
-  std::set<RequestFingerprint> listed;
+  std::set<Fingerprint> listed;
   StoreRevision revision;
   /// What was listed before the store was restored from a backup.
-  std::set<RequestFingerprint> listedBeforeRestore;
+  std::set<Fingerprint> listedBeforeRestore;
   bool isWriting = false;
   Instant nextAttempt{};
 };
--- a/Zincstep/Edge/EdgeEvents.cpp
+++ b/Zincstep/Edge/EdgeEvents.cpp
@@ -91,11 +91,11 @@
   this->peers.Broadcast(CrashGossip{aCrashes, {}});
 }
 
-void EdgeProcess::OnCleared(RequestFingerprint aRequest) {
+void EdgeProcess::OnCleared(Fingerprint aRequest) {
   this->peers.Broadcast(CrashGossip{{}, {aRequest}});
 }
 
-void EdgeProcess::OnBlocked(RequestFingerprint aRequest) {
+void EdgeProcess::OnBlocked(Fingerprint aRequest) {
   this->relay.OnBlocked(aRequest);
 }
 
@@ -114,7 +114,7 @@
     // completed the request would broadcast it.
     this->peers.Send(aFrom, std::move(unrelated));
   }
-  for (const RequestFingerprint request : aGossip.cleared) {
+  for (const Fingerprint request : aGossip.cleared) {
     if (this->crashDetector.OnClearedByPeer(request)) {
       this->peers.Broadcast(CrashGossip{{}, {request}});
     }
--- a/Zincstep/Edge/EdgePeerMessage.cpp
+++ b/Zincstep/Edge/EdgePeerMessage.cpp
@@ -172,7 +172,7 @@
                            crash.upstream);
     }
     std::vector<std::uint64_t> cleared;
-    for (const RequestFingerprint request : aGossip.cleared) {
+    for (const Fingerprint request : aGossip.cleared) {
       cleared.push_back(static_cast<std::uint64_t>(request));
     }
     return edgewire::CreateCrashGossipDirect(this->builder, &crashes, &cleared)
@@ -304,12 +304,12 @@
   if (aTable.crashes() != nullptr) {
     for (const edgewire::UpstreamCrash* crash : *aTable.crashes()) {
       gossip.crashes.push_back(
-          {RequestFingerprint{crash->request()}, crash->upstream()});
+          {Fingerprint{crash->request()}, crash->upstream()});
     }
   }
   if (aTable.cleared() != nullptr) {
     for (const std::uint64_t request : *aTable.cleared()) {
-      gossip.cleared.push_back(RequestFingerprint{request});
+      gossip.cleared.push_back(Fingerprint{request});
     }
   }
   return gossip;
--- a/Zincstep/Edge/EdgePeerMessage.h
+++ b/Zincstep/Edge/EdgePeerMessage.h
@@ -106,7 +106,7 @@
 struct CrashGossip {
   std::vector<UpstreamCrash> crashes;
   /// Requests that were suspected before and have now completed.
-  std::vector<RequestFingerprint> cleared;
+  std::vector<Fingerprint> cleared;
 };
 
 /// Rate limits that upstreams have announced, sent to all daemons.
--- a/Zincstep/Edge/EdgeProcess.h
+++ b/Zincstep/Edge/EdgeProcess.h
@@ -126,8 +126,8 @@
   }
   void OnDaemonEntries() override;
   void OnCrashes(const std::vector<UpstreamCrash>& aCrashes) override;
-  void OnCleared(RequestFingerprint aRequest) override;
-  void OnBlocked(RequestFingerprint aRequest) override;
+  void OnCleared(Fingerprint aRequest) override;
+  void OnBlocked(Fingerprint aRequest) override;
   void OnUpstreamSuspected() override {
     this->OnSuspicion(Provenance::Observed);
   }
--- a/Zincstep/Relay/CapacityScheduler.cpp
+++ b/Zincstep/Relay/CapacityScheduler.cpp
@@ -87,7 +87,7 @@
 std::uint64_t CapacityScheduler::Enter(
     std::shared_ptr<CapacityWaiter> aWaiter, const ScheduledRequest& aRequest,
     const ScheduledTimes& aTimes, std::size_t aBodyBytes,
-    const std::function<RequestFingerprint()>& aFingerprint) {
+    const std::function<Fingerprint()>& aFingerprint) {
   const std::string& service = aRequest.service->name;
   ServiceCapacity& capacity = this->CapacityOf(service);
   const CapacityInput input = this->InputOf(*aRequest.service);
@@ -180,8 +180,7 @@
 }
 
 void CapacityScheduler::OnRefused(const std::string& aService,
-                                  RequestFingerprint aRequest,
-                                  Micros aRetryAfter) {
+                                  Fingerprint aRequest, Micros aRetryAfter) {
   this->CapacityOf(aService).Refused().OnRefused(aRequest, aRetryAfter,
                                                  this->context.clock.Now());
 }
--- a/Zincstep/Relay/CapacityScheduler.h
+++ b/Zincstep/Relay/CapacityScheduler.h
@@ -70,7 +70,7 @@
   std::uint64_t Enter(std::shared_ptr<CapacityWaiter> aWaiter,
                       const ScheduledRequest& aRequest,
                       const ScheduledTimes& aTimes, std::size_t aBodyBytes,
-                      const std::function<RequestFingerprint()>& aFingerprint);
+                      const std::function<Fingerprint()>& aFingerprint);
   /// Removes a request that waits.
   void Leave(const std::string& aService, std::uint64_t aId);
   /// Records that a request that was started has ended.
@@ -83,7 +83,7 @@
   std::optional<Micros> RetryAfter(const ScheduledRequest& aRequest);
   /// Remembers a refused request, so that it precedes others if it returns as
   /// told.
-  void OnRefused(const std::string& aService, RequestFingerprint aRequest,
+  void OnRefused(const std::string& aService, Fingerprint aRequest,
                  Micros aRetryAfter);
 
   /// Starts and refuses waiting requests. `aReservedTokens` returns the tokens
--- a/Zincstep/Relay/CrashDetector.cpp
+++ b/Zincstep/Relay/CrashDetector.cpp
@@ -33,7 +33,7 @@
       listener(aListener),
       check(aControl, aClock, kMaxTimeoutLateness) {}
 
-void CrashDetector::OnRunLost(RequestFingerprint aRequest,
+void CrashDetector::OnRunLost(Fingerprint aRequest,
                               const UpstreamPtr& aUpstream) {
   const std::uint64_t number = aUpstream->Number();
   const LostRun run{aRequest, this->clock.Now()};
@@ -310,7 +310,7 @@
   const CrashVerdict verdict = this->tracker.OnCrash(aCrash, this->clock.Now());
   if (verdict != CrashVerdict::Ignored && aProvenance == Provenance::Observed) {
     if (this->locallyObserved.size() >= kMaxLocallyObserved) {
-      std::erase_if(this->locallyObserved, [this](RequestFingerprint aRequest) {
+      std::erase_if(this->locallyObserved, [this](Fingerprint aRequest) {
         return !this->tracker.HasCrashes(aRequest);
       });
     }
@@ -325,7 +325,7 @@
   return verdict;
 }
 
-void CrashDetector::OnRequestCompleted(RequestFingerprint aRequest) {
+void CrashDetector::OnRequestCompleted(Fingerprint aRequest) {
   if (!this->tracker.OnCompleted(aRequest, this->clock.Now())) {
     return;
   }
@@ -334,7 +334,7 @@
   this->listener.OnCleared(aRequest);
 }
 
-bool CrashDetector::OnClearedByPeer(RequestFingerprint aRequest) {
+bool CrashDetector::OnClearedByPeer(Fingerprint aRequest) {
   if (this->tracker.Clear(aRequest)) {
     LogInfo("request_cleared", {{"fingerprint", TextOf(aRequest)}});
   }
--- a/Zincstep/Relay/CrashDetector.h
+++ b/Zincstep/Relay/CrashDetector.h
@@ -19,9 +19,9 @@
   /// This daemon observed that an upstream crashed under these requests.
   virtual void OnCrashes(const std::vector<UpstreamCrash>& aCrashes) = 0;
   /// A request with recorded crashes completed successfully on this daemon.
-  virtual void OnCleared(RequestFingerprint aRequest) = 0;
+  virtual void OnCleared(Fingerprint aRequest) = 0;
   /// The request is blocked: it must not run from now on.
-  virtual void OnBlocked(RequestFingerprint aRequest) = 0;
+  virtual void OnBlocked(Fingerprint aRequest) = 0;
   /// This daemon marked an upstream as suspect.
   virtual void OnUpstreamSuspected() = 0;
 };
@@ -51,24 +51,24 @@
 
   /// Records that a run of the request was lost before any of its response
   /// arrived, and starts to probe the upstream.
-  void OnRunLost(RequestFingerprint aRequest, const UpstreamPtr& aUpstream);
+  void OnRunLost(Fingerprint aRequest, const UpstreamPtr& aUpstream);
   /// Records that the upstream ran a request that was sent to it at `aSentAt`.
   void OnUpstreamResponded(const LiveUpstream& aUpstream, Instant aSentAt);
   /// Records that the request completed successfully on this daemon.
-  void OnRequestCompleted(RequestFingerprint aRequest);
+  void OnRequestCompleted(Fingerprint aRequest);
   /// Records a crash that this daemon observed or a peer reported.
   CrashVerdict OnCrash(const UpstreamCrash& aCrash, Provenance aProvenance);
   /// Records that the request completed successfully on another daemon.
   /// Returns true if this daemon had observed a crash under the request, so
   /// that it must forward the update to the other daemons.
-  bool OnClearedByPeer(RequestFingerprint aRequest);
+  bool OnClearedByPeer(Fingerprint aRequest);
   /// Sends the probes that are due; call several times per second.
   void Tick();
 
  private:
   /// A run that ended without a response.
   struct LostRun {
-    RequestFingerprint request{};
+    Fingerprint request{};
     Instant at;
   };
 
@@ -123,7 +123,7 @@
 
   /// Requests whose crashes this daemon observed itself. Peers recorded them
   /// on its report, so it also has to report when such a request is cleared.
-  std::unordered_set<RequestFingerprint> locallyObserved;
+  std::unordered_set<Fingerprint> locallyObserved;
   UpstreamsOf upstreamsOf;
   CrashTracker& tracker;
   const Clock& clock;
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -206,7 +206,7 @@
   }
 }
 
-RequestFingerprint Exchange::Fingerprint() {
+Fingerprint Exchange::OwnFingerprint() {
   if (!this->fingerprint) {
     this->fingerprint = FingerprintOf(this->request.Identity());
   }
@@ -216,12 +216,12 @@
 bool Exchange::IsBlocked() {
   const CrashTracker& crashes = this->context.crashes;
   return crashes.MayBlock() &&
-         crashes.BlockedFor(this->Fingerprint(), this->Now()) > Micros{0};
+         crashes.BlockedFor(this->OwnFingerprint(), this->Now()) > Micros{0};
 }
 
 void Exchange::OnRunLost(const char* aReason) {
   LogInfo("run_lost", {{"request", this->request.info.id},
-                       {"fingerprint", TextOf(this->Fingerprint())},
+                       {"fingerprint", TextOf(this->OwnFingerprint())},
                        {"upstream", this->upstream->Entry().id},
                        {"reason", aReason},
                        {"parts", this->request.info.promptParts},
@@ -230,7 +230,8 @@
   // Of 25 crashed upstreams, 21 had only one to four requests, of up to 82, in
   // this state; so the request that caused the crash is among few.
   if (!this->HasResponseBegun()) {
-    this->context.crashDetector.OnRunLost(this->Fingerprint(), this->upstream);
+    this->context.crashDetector.OnRunLost(this->OwnFingerprint(),
+                                          this->upstream);
   }
 }
 
@@ -257,12 +258,12 @@
 }
 
 void Exchange::OnRunCompleted() {
-  this->context.crashDetector.OnRequestCompleted(this->Fingerprint());
+  this->context.crashDetector.OnRequestCompleted(this->OwnFingerprint());
 }
 
-void Exchange::OnBlocked(RequestFingerprint aRequest) {
+void Exchange::OnBlocked(Fingerprint aRequest) {
   if (this->isDone || !this->call || this->HasResponseBegun() ||
-      this->Fingerprint() != aRequest) {
+      this->OwnFingerprint() != aRequest) {
     return;
   }
   this->Abandon("the request crashes upstreams");
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -92,7 +92,7 @@
 
   /// Abandons this exchange if it runs the blocked request and nothing of the
   /// current run's response has arrived.
-  void OnBlocked(RequestFingerprint aRequest);
+  void OnBlocked(Fingerprint aRequest);
 
   bool IsDone() const { return this->isDone; }
   const AdmittedRequest& Request() const { return this->request; }
@@ -140,7 +140,7 @@
   /// Records that a run completed successfully.
   void OnRunCompleted();
   /// Fingerprint of the request; the same for all attempts at it.
-  RequestFingerprint Fingerprint();
+  Fingerprint OwnFingerprint();
   /// Whether the request is blocked because it crashes upstreams.
   bool IsBlocked();
   /// Marks an upstream as suspect, as it did not respond.
@@ -214,7 +214,7 @@
  private:
   bool isDone = false;
   /// Computed on first use, as it costs some microseconds.
-  std::optional<RequestFingerprint> fingerprint;
+  std::optional<Fingerprint> fingerprint;
   /// An exhausted retry budget is logged once per request.
   bool isRetryDenialLogged = false;
 };
--- a/Zincstep/Relay/RefusedRequests.cpp
+++ b/Zincstep/Relay/RefusedRequests.cpp
@@ -27,7 +27,7 @@
   }
 }
 
-void RefusedRequests::OnRefused(RequestFingerprint aRequest, Micros aRetryAfter,
+void RefusedRequests::OnRefused(Fingerprint aRequest, Micros aRetryAfter,
                                 Instant aNow) {
   const Instant expiresAt = aNow + kRetention;
   this->records[aRequest] = {aNow + aRetryAfter - kReturnTolerance, expiresAt};
@@ -35,7 +35,7 @@
   this->Prune(aNow);
 }
 
-RefusalHistory RefusedRequests::HistoryOf(RequestFingerprint aRequest,
+RefusalHistory RefusedRequests::HistoryOf(Fingerprint aRequest,
                                           Instant aNow) const {
   const auto found = this->records.find(aRequest);
   if (found == this->records.end() || aNow >= found->second.expiresAt) {
--- a/Zincstep/Relay/RefusedRequests.h
+++ b/Zincstep/Relay/RefusedRequests.h
@@ -20,10 +20,10 @@
 class RefusedRequests {
  public:
   /// Records a refusal with the Retry-After that the caller was told.
-  void OnRefused(RequestFingerprint aRequest, Micros aRetryAfter, Instant aNow);
-  RefusalHistory HistoryOf(RequestFingerprint aRequest, Instant aNow) const;
+  void OnRefused(Fingerprint aRequest, Micros aRetryAfter, Instant aNow);
+  RefusalHistory HistoryOf(Fingerprint aRequest, Instant aNow) const;
   /// Removes a request that has started.
-  void OnStarted(RequestFingerprint aRequest) { this->records.erase(aRequest); }
+  void OnStarted(Fingerprint aRequest) { this->records.erase(aRequest); }
   /// Whether there are none; fingerprints need not be computed then.
   bool IsEmpty(Instant aNow) const {
     return this->order.empty() || aNow >= this->order.back().expiresAt;
@@ -32,7 +32,7 @@
 
  private:
   struct Expiry {
-    RequestFingerprint request;
+    Fingerprint request;
     Instant expiresAt;
   };
   struct Record {
@@ -44,7 +44,7 @@
   /// Removes expired records, and the oldest ones beyond the maximum.
   void Prune(Instant aNow);
 
-  std::unordered_map<RequestFingerprint, Record> records;
+  std::unordered_map<Fingerprint, Record> records;
   /// Oldest first; an entry whose record was renewed or removed is ignored.
   std::deque<Expiry> order;
 };
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -55,7 +55,7 @@
   if (!crashes.MayBlock()) {
     return {};
   }
-  const RequestFingerprint request = FingerprintOf(aRequest.Identity());
+  const Fingerprint request = FingerprintOf(aRequest.Identity());
   const Micros blocked = crashes.BlockedFor(request, this->context.clock.Now());
   if (blocked == Micros{0}) {
     return {};
@@ -224,7 +224,7 @@
   }
 }
 
-void Relay::OnBlocked(RequestFingerprint aRequest) {
+void Relay::OnBlocked(Fingerprint aRequest) {
   std::vector<std::shared_ptr<Exchange>> all;
   for (const auto& [connection, exchange] : this->exchanges) {
     all.push_back(exchange);
