--- a/UnitTests/CrashDetectorHistoryTest.cpp
+++ b/UnitTests/CrashDetectorHistoryTest.cpp
@@ -167,7 +167,7 @@
 
   void OnCrashes(const std::vector<UpstreamCrash>& aCrashes) override {
     for (const UpstreamCrash& crash : aCrashes) {
-      crashes.insert({crash.request, crash.upstream});
+      crashes.insert({crash.candidate, crash.upstream});
     }
   }
   void OnCleared(Fingerprint) override {}
@@ -221,7 +221,7 @@
       aHistory.ended.insert({request, upstream->Number()});
     }
     aHistory.lost.insert({request, upstream->Number()});
-    aHistory.detector.OnRunLost(request, upstream);
+    aHistory.detector.OnRunLost({request, {}}, upstream);
     if (state != UpstreamState::Alive && aHistory.random.Below(2) == 0) {
       // The list announces the next incarnation.
       upstream->SetEnded(aHistory.clock.Now());
--- a/UnitTests/CrashDetectorTest.cpp
+++ b/UnitTests/CrashDetectorTest.cpp
@@ -91,7 +91,7 @@
   void setUp() override { clock.Advance(100s); }
 
   void RunLost_ConnectionRefused_IsCrash() {
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     control.FinishConnect(Reachability::Refused);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, crashes.size());
     CPPUNIT_ASSERT_EQUAL(upstream->Number(), crashes[0].upstream);
@@ -99,21 +99,21 @@
     CPPUNIT_ASSERT(upstream->IsSuspect(clock.Now()));
     CPPUNIT_ASSERT_EQUAL(1, suspicions);
     for (const char* id : {"i2", "i3"}) {
-      detector.OnRunLost(kPoison, MakeUpstream(id));
+      detector.OnRunLost({kPoison, {}}, MakeUpstream(id));
       control.FinishConnect(Reachability::Refused);
     }
     CPPUNIT_ASSERT_EQUAL(1, blocked);
   }
 
   void RunLost_ConnectionAccepted_IsInconclusive() {
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     control.FinishConnect(Reachability::Reached);
     CPPUNIT_ASSERT(crashes.empty() && tracker.IsEmpty());
     CPPUNIT_ASSERT(!upstream->IsSuspect(clock.Now()));
   }
 
   void RunLost_FirstConnectionTimesOut_IsProbedAgain() {
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     control.FinishConnect(Reachability::Silent);
     CPPUNIT_ASSERT(crashes.empty());
     control.FinishConnect(Reachability::Silent);
@@ -121,7 +121,7 @@
   }
 
   void RunLost_TimeoutNoticedLate_IsInconclusive() {
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     control.FinishConnect(Reachability::Silent);
     clock.Advance(1s);
     control.FinishConnect(Reachability::Silent);
@@ -130,8 +130,8 @@
 
   void RunLost_WhileReportIsPending_IsProbedAnew() {
     // The pending report may have been sent before the crash.
-    detector.OnRunLost(kUnrelated, member);
-    detector.OnRunLost(kPoison, member);
+    detector.OnRunLost({kUnrelated, {}}, member);
+    detector.OnRunLost({kPoison, {}}, member);
     control.Answer(1);
     CPPUNIT_ASSERT(tracker.IsEmpty());
     control.FailReport(ErrorKind::UpstreamUnreachable);
@@ -142,8 +142,8 @@
 
   void RunLost_WhileInconclusive_SharesTheProbe() {
     // The accepted connection clears neither request.
-    detector.OnRunLost(kUnrelated, upstream);
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kUnrelated, {}}, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     control.FinishConnect(Reachability::Reached);
     CPPUNIT_ASSERT(tracker.IsEmpty());
     this->AdvanceAndTick(kRetryDelay);
@@ -154,16 +154,16 @@
 
   void Completion_OfRequestWithCrash_IsReportedOnce() {
     detector.OnCrash({kPoison, 1}, Provenance::Reported);
-    detector.OnRequestCompleted(kUnrelated);
+    detector.OnRequestCompleted({kUnrelated, {}});
     CPPUNIT_ASSERT_EQUAL(0, cleared);
-    detector.OnRequestCompleted(kPoison);
-    detector.OnRequestCompleted(kPoison);
+    detector.OnRequestCompleted({kPoison, {}});
+    detector.OnRequestCompleted({kPoison, {}});
     CPPUNIT_ASSERT_EQUAL(1, cleared);
   }
 
   void Completion_BeforeTheCrash_RecordsNoCrash() {
-    detector.OnRequestCompleted(kUnrelated);
-    detector.OnRunLost(kUnrelated, upstream);
+    detector.OnRequestCompleted({kUnrelated, {}});
+    detector.OnRunLost({kUnrelated, {}}, upstream);
     control.FinishConnect(Reachability::Refused);
     CPPUNIT_ASSERT(crashes.empty() && tracker.IsEmpty());
     // The upstream has crashed nevertheless.
@@ -173,7 +173,7 @@
   }
 
   void Cleared_ByPeerWithLocalCrash_IsForwarded() {
-    detector.OnRunLost(kUnrelated, upstream);
+    detector.OnRunLost({kUnrelated, {}}, upstream);
     control.FinishConnect(Reachability::Refused);
     CPPUNIT_ASSERT(detector.OnClearedByPeer(kUnrelated));
     CPPUNIT_ASSERT(!tracker.HasCrashes(kUnrelated));
@@ -183,7 +183,7 @@
   }
 
   void RunLost_ConnectionAccepted_IsProbedAgain() {
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     control.FinishConnect(Reachability::Reached);
     detector.Tick();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, control.connected.size());
@@ -194,7 +194,7 @@
   }
 
   void RunLost_TimeoutNoticedLate_IsProbedAgain() {
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     clock.Advance(1s);
     control.FinishConnect(Reachability::Silent);
     this->AdvanceAndTick(kRetryDelay);
@@ -204,7 +204,7 @@
   }
 
   void RunLost_ConnectionsDroppedInARow_IsCrash() {
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     control.FinishConnect(Reachability::Dropped);
     control.FinishConnect(Reachability::Reached);
     this->AdvanceAndTick(kRetryDelay);
@@ -215,7 +215,7 @@
   }
 
   void RunLost_ReportReceived_IsNoCrash() {
-    detector.OnRunLost(kPoison, member);
+    detector.OnRunLost({kPoison, {}}, member);
     CPPUNIT_ASSERT(control.connected.empty());
     control.Answer(1);
     this->AdvanceAndTick(10s);
@@ -224,7 +224,7 @@
   }
 
   void RunLost_AnotherIncarnationReports_IsCrash() {
-    detector.OnRunLost(kPoison, member);
+    detector.OnRunLost({kPoison, {}}, member);
     control.FailReport(ErrorKind::UpstreamEnded);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, crashes.size());
     CPPUNIT_ASSERT(control.connected.empty());
@@ -233,7 +233,7 @@
   // A proxy in front of a crashed upstream accepts connections, and closes them
   // on a request.
   void RunLost_ReportsDroppedTwice_IsCrash() {
-    detector.OnRunLost(kPoison, member);
+    detector.OnRunLost({kPoison, {}}, member);
     control.FailReport(ErrorKind::ResponseIncomplete);
     CPPUNIT_ASSERT(crashes.empty());
     control.FailReport(ErrorKind::ResponseIncomplete);
@@ -242,7 +242,7 @@
 
   // The kernel accepts connections for a stopped process, which may continue.
   void RunLost_AcceptsWithoutReport_IsProbedAgain() {
-    detector.OnRunLost(kPoison, member);
+    detector.OnRunLost({kPoison, {}}, member);
     control.FailReport(ErrorKind::DeadlineDuringRun);
     control.FinishConnect(Reachability::Reached);
     CPPUNIT_ASSERT(crashes.empty());
@@ -253,20 +253,20 @@
 
   void RunLost_UpstreamBackingOff_GetsNoReportQuery() {
     member->BackOffUntil(clock.Now() + 1s);
-    detector.OnRunLost(kPoison, member);
+    detector.OnRunLost({kPoison, {}}, member);
     CPPUNIT_ASSERT(control.probed.empty());
     control.FinishConnect(Reachability::Refused);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, crashes.size());
   }
 
   void RunLost_InconclusiveForLong_IsNoCrash() {
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     this->KeepInconclusive();
     CPPUNIT_ASSERT(crashes.empty() && !tracker.MayBlock());
   }
 
   void RunLost_InconclusiveAndDeregistered_IsCrash() {
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     upstream->SetDeregistered(clock.Now());
     this->KeepInconclusive();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, crashes.size());
@@ -275,9 +275,9 @@
   // Guards against expiring a later loss together with an earlier one although
   // the upstream crashed in between.
   void RunLost_LateInPendingProbe_HasFullDuration() {
-    detector.OnRunLost(kUnrelated, upstream);
+    detector.OnRunLost({kUnrelated, {}}, upstream);
     this->KeepInconclusive(2900ms);
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     this->KeepInconclusive(1s);
     upstream->SetDeregistered(clock.Now());
     this->KeepInconclusive(3s);
@@ -287,7 +287,7 @@
   }
 
   void RunLost_UpstreamRestarts_IsCrashAtOnce() {
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     control.FinishConnect(Reachability::Reached);
     upstream->SetEnded(clock.Now());
     detector.Tick();
@@ -296,13 +296,13 @@
 
   void RunLost_AfterUpstreamRestarted_IsCrashWithoutProbe() {
     member->SetEnded(clock.Now());
-    detector.OnRunLost(kPoison, member);
+    detector.OnRunLost({kPoison, {}}, member);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, crashes.size());
     CPPUNIT_ASSERT(control.probed.empty() && control.connected.empty());
   }
 
   void Response_ToRequestSentAfterLoss_ShowsAlive() {
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     const Instant lostAt = clock.Now();
     control.FinishConnect(Reachability::Reached);
     detector.OnUpstreamResponded(*upstream, lostAt - 1ms);
@@ -317,7 +317,7 @@
     entry.id = "i1";
     entry.startTimeMs = 7;
     const auto startTimeMs = std::make_shared<LiveUpstream>(entry);
-    detector.OnRunLost(kPoison, startTimeMs);
+    detector.OnRunLost({kPoison, {}}, startTimeMs);
     control.FinishConnect(Reachability::Reached);
     detector.OnUpstreamResponded(*startTimeMs, clock.Now() + 1ms);
     CPPUNIT_ASSERT(tracker.MayBlock());
@@ -326,7 +326,7 @@
   void Request_WithThreePendingProbes_IsBlocked() {
     for (const char* id : {"i1", "i2", "i3"}) {
       CPPUNIT_ASSERT(tracker.BlockedFor(kPoison, clock.Now()) == 0us);
-      detector.OnRunLost(kPoison, MakeUpstream(id));
+      detector.OnRunLost({kPoison, {}}, MakeUpstream(id));
       control.FinishConnect(Reachability::Reached);
     }
     CPPUNIT_ASSERT(tracker.BlockedFor(kPoison, clock.Now()) > 0us);
--- a/UnitTests/CrashReplayTest.cpp
+++ b/UnitTests/CrashReplayTest.cpp
@@ -201,7 +201,7 @@
   void RecordCrash(const UpstreamCrash& aCrash, std::size_t aDaemon) {
     this->ScheduleAfter(5ms, [this, aCrash, aDaemon] {
       this->trackers[aDaemon].OnCrash(aCrash, this->now);
-      if (aCrash.request == kPoison && this->poisonCrashes >= 3 &&
+      if (aCrash.candidate == kPoison && this->poisonCrashes >= 3 &&
           !this->blockedAt) {
         this->blockedAt = this->now + kMaxReportDelay;
       }
--- a/UnitTests/CrashTrackerTest.cpp
+++ b/UnitTests/CrashTrackerTest.cpp
@@ -25,6 +25,13 @@
   CPPUNIT_TEST(Suspected_MaxCrashes_IsBlockedUntilResolved);
   CPPUNIT_TEST(Suspected_WithRecordedCrashes_AddsToThem);
   CPPUNIT_TEST(Suspected_CompletedRecently_IsNotBlocked);
+  CPPUNIT_TEST(Completion_Repeated_IsEvictedByTheLastOne);
+  CPPUNIT_TEST(Part_CrashesUnderOneOrganisation_BlockNoOther);
+  CPPUNIT_TEST(Part_FiveCrashesUnderAll_BlockEveryOrganisation);
+  CPPUNIT_TEST(Part_CarriedInAllCrashesOfAnother_BlocksWithItOnly);
+  CPPUNIT_TEST(Part_CarriedInOneCrashMore_Blocks);
+  CPPUNIT_TEST(Part_OnBlockListOnly_Blocks);
+  CPPUNIT_TEST(Parts_NamedTwice_AreOneCandidate);
   CPPUNIT_TEST_SUITE_END();
 
   CrashTrackerSettings settings;
@@ -192,6 +199,89 @@
     }
     CPPUNIT_ASSERT(!this->IsBlocked(kOther));
   }
+
+  static CrashCandidates Carrying(const std::string& aOrganisation,
+                                  const std::vector<std::string>& aParts) {
+    static int number = 0;
+    number += 1;
+    const std::string body = std::to_string(number);
+    return CandidatesOf({"POST", "h", "/p/", aOrganisation, body}, "model",
+                        aParts);
+  }
+
+  /// Records a crash of each upstream under a request of its own.
+  void CrashUnder(const std::string& aOrganisation,
+                  const std::vector<std::string>& aParts,
+                  const std::vector<std::uint64_t>& aUpstreams) {
+    for (const std::uint64_t upstream : aUpstreams) {
+      Carrying(aOrganisation, aParts).ForEach([&](Fingerprint aOne) {
+        tracker.OnCrash({aOne, upstream}, now);
+      });
+    }
+  }
+
+  bool MayRun(const std::string& aOrganisation,
+              const std::vector<std::string>& aParts) {
+    return !tracker.FindBlock(Carrying(aOrganisation, aParts), now);
+  }
+
+  void Completion_Repeated_IsEvictedByTheLastOne() {
+    settings.maxCompleted = 2;
+    tracker = CrashTracker{settings};
+    tracker.OnCompleted(kPoison, now);
+    now += 1s;
+    tracker.OnCompleted(kOther, now);
+    now += 1s;
+    tracker.OnCompleted(kPoison, now);
+    tracker.OnCompleted(Fingerprint{3}, now);
+    CPPUNIT_ASSERT(tracker.OnCrash({kPoison, 1}, now) == CrashVerdict::Ignored);
+    CPPUNIT_ASSERT(tracker.OnCrash({kOther, 1}, now) == CrashVerdict::Counted);
+  }
+
+  void Part_CrashesUnderOneOrganisation_BlockNoOther() {
+    this->CrashUnder("acme", {"p"}, {1, 2, 3});
+    CPPUNIT_ASSERT(!this->MayRun("acme", {"b", "p"}));
+    CPPUNIT_ASSERT(this->MayRun("other", {"b", "p"}));
+    CPPUNIT_ASSERT(this->MayRun("acme", {"b"}));
+  }
+
+  void Part_FiveCrashesUnderAll_BlockEveryOrganisation() {
+    this->CrashUnder("acme", {"p"}, {1, 2});
+    this->CrashUnder("other", {"p"}, {3, 4});
+    CPPUNIT_ASSERT(this->MayRun("third", {"p"}));
+    this->CrashUnder("third", {"p"}, {5});
+    CPPUNIT_ASSERT(!this->MayRun("third", {"p"}));
+    CPPUNIT_ASSERT(!this->MayRun("fourth", {"p"}));
+  }
+
+  // Guards against refusing sound requests that share a part with all those
+  // that crashed upstreams.
+  void Part_CarriedInAllCrashesOfAnother_BlocksWithItOnly() {
+    this->CrashUnder("acme", {"a", "p"}, {1, 2, 3});
+    CPPUNIT_ASSERT(this->MayRun("acme", {"a"}));
+    CPPUNIT_ASSERT(this->MayRun("acme", {"a", "b"}));
+    CPPUNIT_ASSERT(!this->MayRun("acme", {"a", "p"}));
+  }
+
+  void Part_CarriedInOneCrashMore_Blocks() {
+    this->CrashUnder("acme", {"a", "p"}, {1, 2, 3});
+    this->CrashUnder("acme", {"b", "p"}, {4});
+    CPPUNIT_ASSERT(!this->MayRun("acme", {"p"}));
+    CPPUNIT_ASSERT(this->MayRun("acme", {"a"}));
+  }
+
+  void Part_OnBlockListOnly_Blocks() {
+    const CrashCandidates one = Carrying("acme", {"p"});
+    tracker.SetBlockList({one.parts.begin(), one.parts.end()}, now);
+    CPPUNIT_ASSERT(!this->MayRun("acme", {"p"}));
+    CPPUNIT_ASSERT(this->MayRun("acme", {"a"}));
+  }
+
+  void Parts_NamedTwice_AreOneCandidate() {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                         Carrying("acme", {"p", "p"}).parts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Carrying("", {"p"}).parts.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashTrackerTest);
--- a/UnitTests/CrashWitnessTest.cpp
+++ b/UnitTests/CrashWitnessTest.cpp
@@ -57,7 +57,7 @@
 
   void RunLost_OtherUpstreamUnreachableToo_IsInconclusive() {
     List({MakeUpstream("i2")});
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     control.FinishConnect(Reachability::Refused);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, control.connected.size());
     control.FinishConnect(Reachability::Refused);
@@ -68,7 +68,7 @@
 
   void RunLost_OtherUpstreamAccepts_IsCrash() {
     List({MakeUpstream("i2")});
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     control.FinishConnect(Reachability::Refused);
     CPPUNIT_ASSERT(crashes.empty());
     control.FinishConnect(Reachability::Reached);
@@ -78,7 +78,7 @@
 
   void RunLost_OtherUpstreamUnreachableForLong_IsNoCrash() {
     List({MakeUpstream("i2")});
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     for (int i = 0; i < 40; ++i) {
       if (control.HasPendingConnect()) {
         control.FinishConnect(Reachability::Refused);
@@ -90,7 +90,7 @@
 
   void RunLost_FirstWitnessUnreachable_AsksAnother() {
     List({MakeUpstream("i2"), MakeUpstream("i3")});
-    detector.OnRunLost(kPoison, upstream);
+    detector.OnRunLost({kPoison, {}}, upstream);
     control.FinishConnect(Reachability::Refused);
     control.FinishConnect(Reachability::Silent);
     this->AdvanceAndTick(kRetryDelay);
--- a/UnitTests/EdgePeerMessageTest.cpp
+++ b/UnitTests/EdgePeerMessageTest.cpp
@@ -121,7 +121,7 @@
         ReadBack(CrashGossip{{{Fingerprint{7}, 8}}, {Fingerprint{9}}});
     const auto& gossip = std::get<CrashGossip>(message.body);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, gossip.crashes.size());
-    CPPUNIT_ASSERT(gossip.crashes[0].request == Fingerprint{7});
+    CPPUNIT_ASSERT(gossip.crashes[0].candidate == Fingerprint{7});
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, gossip.crashes[0].upstream);
     CPPUNIT_ASSERT(gossip.cleared == std::vector{Fingerprint{9}});
   }
--- a/Zincstep/Admission/CrashTracker.cpp
+++ b/Zincstep/Admission/CrashTracker.cpp
@@ -6,13 +6,13 @@
 
 void CrashTracker::OnSuspected(const UpstreamCrash& aCrash) {
   const bool hasRoom = this->suspected.size() < this->settings.maxRequests;
-  if (hasRoom || this->suspected.contains(aCrash.request)) {
-    this->suspected[aCrash.request].insert(aCrash.upstream);
+  if (hasRoom || this->suspected.contains(aCrash.candidate)) {
+    this->suspected[aCrash.candidate].insert(aCrash.upstream);
   }
 }
 
 void CrashTracker::OnSuspicionResolved(const UpstreamCrash& aCrash) {
-  const auto found = this->suspected.find(aCrash.request);
+  const auto found = this->suspected.find(aCrash.candidate);
   if (found == this->suspected.end()) {
     return;
   }
@@ -23,32 +23,46 @@
 }
 
 CrashVerdict CrashTracker::OnCrash(const UpstreamCrash& aCrash, Instant aNow) {
-  if (this->HasCompletedRecently(aCrash.request, aNow)) {
+  if (this->HasCompletedRecently(aCrash.candidate, aNow)) {
     return CrashVerdict::Ignored;
   }
   this->EvictIfFull();
-  Record& record = this->records[aCrash.request];
-  const bool wasBlocked = this->IsBlocked(record);
-  if (record.crashed.size() < this->settings.maxCrashes &&
+  Record& record = this->records[aCrash.candidate];
+  const bool wasBlocked = this->IsBlocked(aCrash.candidate, record);
+  if (record.crashed.size() < this->settings.maxRecorded &&
       record.crashed.insert(aCrash.upstream).second) {
     record.lastCrash = aNow;
   }
-  return !wasBlocked && this->IsBlocked(record) ? CrashVerdict::Blocked
-                                                : CrashVerdict::Counted;
+  return !wasBlocked && this->IsBlocked(aCrash.candidate, record)
+             ? CrashVerdict::Blocked
+             : CrashVerdict::Counted;
 }
 
 bool CrashTracker::OnCompleted(Fingerprint aRequest, Instant aNow) {
   const bool isNew = this->completedAt.insert_or_assign(aRequest, aNow).second;
   if (isNew) {
-    this->completionOrder.push_back(aRequest);
+    this->completionOrder.emplace_back(aRequest, aNow);
   }
   if (this->completionOrder.size() > this->settings.maxCompleted) {
-    this->completedAt.erase(this->completionOrder.front());
-    this->completionOrder.pop_front();
+    this->EvictCompleted();
   }
   return this->Clear(aRequest);
 }
 
+void CrashTracker::EvictCompleted() {
+  // One that completed again since it was queued is queued anew.
+  while (true) {
+    const auto [oldest, queuedAt] = this->completionOrder.front();
+    this->completionOrder.pop_front();
+    const Instant last = this->completedAt.at(oldest);
+    if (last == queuedAt) {
+      this->completedAt.erase(oldest);
+      return;
+    }
+    this->completionOrder.emplace_back(oldest, last);
+  }
+}
+
 bool CrashTracker::HasCompletedRecently(Fingerprint aRequest,
                                         Instant aNow) const {
   const auto found = this->completedAt.find(aRequest);
@@ -72,12 +86,45 @@
 
 Micros CrashTracker::BlockedFor(Fingerprint aRequest, Instant aNow) const {
   const auto found = this->records.find(aRequest);
-  if (found == this->records.end() || !this->IsBlocked(found->second)) {
+  if (found == this->records.end() ||
+      !this->IsBlocked(aRequest, found->second)) {
     return this->HasPendingBlock(aRequest, aNow)
                ? this->settings.suspectedRetryAfter
                : Micros{0};
   }
-  return std::max(Micros{0}, this->ExpiryOf(found->second) - aNow);
+  return std::max(Micros{0}, this->ExpiryOf(aRequest, found->second) - aNow);
+}
+
+std::optional<CrashBlock> CrashTracker::FindBlock(
+    const CrashCandidates& aCarried, Instant aNow) const {
+  std::optional<CrashBlock> longest;
+  aCarried.ForEach([&](Fingerprint aCandidate) {
+    const Micros remaining = this->BlockedFor(aCandidate, aNow);
+    if (remaining <= (longest ? longest->remaining : Micros{0}) ||
+        this->IsExplained(aCandidate, aCarried)) {
+      return;
+    }
+    longest = CrashBlock{aCandidate, remaining};
+  });
+  return longest;
+}
+
+bool CrashTracker::IsExplained(Fingerprint aPart,
+                               const CrashCandidates& aCarried) const {
+  const auto part = this->records.find(aPart);
+  // The crashes of those known from the block list alone are not known.
+  if (KindOf(aPart) == FingerprintKind::Request ||
+      part == this->records.end() || part->second.crashed.empty()) {
+    return false;
+  }
+  const std::set<std::uint64_t>& crashed = part->second.crashed;
+  return std::any_of(
+      this->records.begin(), this->records.end(), [&](const auto& aEntry) {
+        const auto& [other, record] = aEntry;
+        return this->IsBlocked(other, record) && !aCarried.Contains(other) &&
+               std::includes(record.crashed.begin(), record.crashed.end(),
+                             crashed.begin(), crashed.end());
+      });
 }
 
 bool CrashTracker::HasPendingBlock(Fingerprint aRequest, Instant aNow) const {
@@ -92,13 +139,14 @@
     incarnations.insert(recorded->second.crashed.begin(),
                         recorded->second.crashed.end());
   }
-  return incarnations.size() >= this->settings.maxCrashes;
+  return incarnations.size() >= this->LimitOf(aRequest);
 }
 
 std::set<Fingerprint> CrashTracker::Blocked(Instant aNow) const {
   std::set<Fingerprint> blocked;
   for (const auto& [request, record] : this->records) {
-    if (this->IsBlocked(record) && aNow < this->ExpiryOf(record)) {
+    if (this->IsBlocked(request, record) &&
+        aNow < this->ExpiryOf(request, record)) {
       blocked.insert(request);
     }
   }
@@ -108,8 +156,9 @@
 std::vector<UpstreamCrash> CrashTracker::UnlistedCrashes(Instant aNow) const {
   std::vector<UpstreamCrash> crashes;
   for (const auto& [request, record] : this->records) {
-    const bool isUnlisted = !record.isListed && this->IsBlocked(record) &&
-                            aNow < this->ExpiryOf(record);
+    const bool isUnlisted = !record.isListed &&
+                            this->IsBlocked(request, record) &&
+                            aNow < this->ExpiryOf(request, record);
     if (!isUnlisted) {
       continue;
     }
@@ -122,7 +171,7 @@
 
 void CrashTracker::Tick(Instant aNow) {
   std::erase_if(this->records, [&](const auto& aEntry) {
-    return aNow >= this->ExpiryOf(aEntry.second);
+    return aNow >= this->ExpiryOf(aEntry.first, aEntry.second);
   });
 }
 
@@ -133,10 +182,11 @@
   const auto victim = std::min_element(
       this->records.begin(), this->records.end(),
       [this](const auto& aLeft, const auto& aRight) {
-        const auto rank = [this](const Record& aRecord) {
-          return std::pair(this->IsBlocked(aRecord), aRecord.lastCrash);
+        const auto rank = [this](const auto& aEntry) {
+          return std::pair(this->IsBlocked(aEntry.first, aEntry.second),
+                           aEntry.second.lastCrash);
         };
-        return rank(aLeft.second) < rank(aRight.second);
+        return rank(aLeft) < rank(aRight);
       });
   this->records.erase(victim);
 }
--- a/Zincstep/Admission/CrashTracker.h
+++ b/Zincstep/Admission/CrashTracker.h
@@ -2,8 +2,10 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "Zincstep/Admission/Fingerprint.h"
@@ -19,6 +21,11 @@
   /// in which a third of the pool crashed four times, a value of 1 refused 226
   /// of 29,096 attempts of unrelated requests; 3 refused none.
   std::size_t maxCrashes = 3;
+  /// The same for a part of prompts over all organisations. One organisation
+  /// can't reach it alone, as its own use of the part is blocked before.
+  std::size_t maxCrashesOfAll = 5;
+  /// Crashes that are recorded of one request or part.
+  std::size_t maxRecorded = 16;
   /// Time after which a blocked request may run again, since the upstreams may
   /// run a fixed version by then. Each trial can crash `maxCrashes` upstreams.
   Micros blockDuration = 600s;
@@ -32,7 +39,7 @@
   /// Number of completed requests that are remembered, and for how long. Many
   /// callers can send the same request, so that it runs on several upstreams
   /// that crash at once.
-  std::size_t maxCompleted = 4096;
+  std::size_t maxCompleted = 16384;
   Micros completedRetention = 60s;
   /// Retry-After of requests that are refused while a suspected crash is being
   /// confirmed; most checks take less time.
@@ -49,15 +56,23 @@
   Blocked,
 };
 
-/// A crash of an upstream while it ran a request.
+/// A crash of an upstream while it ran a request, or one with a part.
 struct UpstreamCrash {
-  Fingerprint request{};
+  Fingerprint candidate{};
   /// The upstream's incarnation, as `LiveUpstream::Number`.
   std::uint64_t upstream = 0;
 };
 
+/// A request or part that must not run.
+struct CrashBlock {
+  Fingerprint candidate{};
+  /// Time until it may run again.
+  Micros remaining{0};
+};
+
 /// Counts the upstream crashes that happened while a request ran, and blocks
-/// poison requests: those that crash every upstream that runs them.
+/// poison requests: those that crash every upstream that runs them, alone or by
+/// a part of their prompts that others have too.
 ///
 /// Retry limits and budgets apply to one attempt or to a whole service, so that
 /// a poison request whose caller repeats it could crash one upstream after the
@@ -68,6 +83,10 @@
 /// ignore crashes for the same request for `completedRetention`. Without this,
 /// three upstreams that crashed within 60 ms blocked requests that all callers
 /// shared, for ten minutes (one of 23 soak seeds).
+///
+/// Requests with a poison part share other parts with sound ones. A blocked
+/// part therefore blocks no request that lacks what explains its crashes:
+/// another blocked request or part that was carried in all of them.
 class CrashTracker {
  public:
   explicit CrashTracker(CrashTrackerSettings aSettings) : settings(aSettings) {}
@@ -104,6 +123,9 @@
   /// Time for which a request must not run, because it is blocked or has
   /// suspected crashes; 0 if it may run.
   Micros BlockedFor(Fingerprint aRequest, Instant aNow) const;
+  /// Returns what blocks a request that carries these, if anything does.
+  std::optional<CrashBlock> FindBlock(const CrashCandidates& aCarried,
+                                      Instant aNow) const;
   /// All requests that are blocked at `aNow`.
   std::set<Fingerprint> Blocked(Instant aNow) const;
   /// Crashes of the blocked requests that are not on the shared block list.
@@ -122,25 +144,35 @@
   /// Whether the suspected crashes, if confirmed, would block the request.
   bool HasPendingBlock(Fingerprint aRequest, Instant aNow) const;
   bool HasCompletedRecently(Fingerprint aRequest, Instant aNow) const;
-  bool IsBlocked(const Record& aRecord) const {
+  /// Number of crashes that block a request or part.
+  std::size_t LimitOf(Fingerprint aCandidate) const {
+    return KindOf(aCandidate) == FingerprintKind::Part
+               ? this->settings.maxCrashesOfAll
+               : this->settings.maxCrashes;
+  }
+  bool IsBlocked(Fingerprint aCandidate, const Record& aRecord) const {
     return aRecord.isListed ||
-           aRecord.crashed.size() >= this->settings.maxCrashes;
+           aRecord.crashed.size() >= this->LimitOf(aCandidate);
   }
-  Instant ExpiryOf(const Record& aRecord) const {
-    return aRecord.lastCrash + (this->IsBlocked(aRecord)
+  /// Whether all recorded crashes of a part also carried another blocked
+  /// candidate, which is not one of `aCarried`.
+  bool IsExplained(Fingerprint aPart, const CrashCandidates& aCarried) const;
+  Instant ExpiryOf(Fingerprint aCandidate, const Record& aRecord) const {
+    return aRecord.lastCrash + (this->IsBlocked(aCandidate, aRecord)
                                     ? this->settings.blockDuration
                                     : this->settings.crashRetention);
   }
   void EvictIfFull();
+  void EvictCompleted();
 
   CrashTrackerSettings settings;
   std::unordered_map<Fingerprint, Record> records;
   /// Incarnations whose crash is suspected but not yet confirmed.
   std::unordered_map<Fingerprint, std::set<std::uint64_t>> suspected;
-  /// Time of each request's last successful completion. `completionOrder` has
-  /// the keys, oldest first, and determines which is evicted.
+  /// Time of each last successful completion. `completionOrder` has the keys
+  /// by the time of an earlier one, and determines which is evicted.
   std::unordered_map<Fingerprint, Instant> completedAt;
-  std::deque<Fingerprint> completionOrder;
+  std::deque<std::pair<Fingerprint, Instant>> completionOrder;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Admission/Fingerprint.cpp
+++ b/Zincstep/Admission/Fingerprint.cpp
@@ -1,5 +1,6 @@
 #include "Zincstep/Admission/Fingerprint.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cinttypes>
@@ -24,8 +25,25 @@
   aText += aPart;
 }
 
+/// Bits that hold the kind, above those of the digest.
+constexpr int kKindShift = 62;
+constexpr std::uint64_t kDigestMask = (std::uint64_t{1} << kKindShift) - 1;
+
+Fingerprint MakeFingerprint(FingerprintKind aKind, const std::string& aText) {
+  const std::string digest = Sha256Hex(aText).substr(0, kHexDigits);
+  const auto parsed = ParseFingerprint(digest);
+  ZINCSTEP_ASSERT(parsed.has_value());
+  return Fingerprint{(static_cast<std::uint64_t>(*parsed) & kDigestMask) |
+                     (static_cast<std::uint64_t>(aKind) << kKindShift)};
+}
+
 }  // namespace
 
+FingerprintKind KindOf(Fingerprint aFingerprint) {
+  return static_cast<FingerprintKind>(
+      static_cast<std::uint64_t>(aFingerprint) >> kKindShift);
+}
+
 Fingerprint FingerprintOf(const RequestIdentity& aIdentity) {
   std::string text;
   text.reserve(aIdentity.body.size() + aIdentity.target.size() +
@@ -36,10 +54,43 @@
   AppendPart(text, aIdentity.target);
   AppendPart(text, aIdentity.organisation);
   AppendPart(text, aIdentity.body);
-  const std::string digest = Sha256Hex(text).substr(0, kHexDigits);
-  const auto fingerprint = ParseFingerprint(digest);
-  ZINCSTEP_ASSERT(fingerprint.has_value());
-  return *fingerprint;
+  return MakeFingerprint(FingerprintKind::Request, text);
+}
+
+Fingerprint FingerprintOf(const PartIdentity& aIdentity) {
+  std::string text;
+  AppendPart(text, aIdentity.service);
+  AppendPart(text, aIdentity.organisation);
+  AppendPart(text, aIdentity.id);
+  return MakeFingerprint(aIdentity.organisation.empty()
+                             ? FingerprintKind::Part
+                             : FingerprintKind::OrganisationPart,
+                         text);
+}
+
+bool CrashCandidates::Contains(Fingerprint aOne) const {
+  return this->request == aOne ||
+         std::find(this->parts.begin(), this->parts.end(), aOne) !=
+             this->parts.end();
+}
+
+CrashCandidates CandidatesOf(const RequestIdentity& aIdentity,
+                             std::string_view aService,
+                             const std::vector<std::string>& aParts) {
+  CrashCandidates candidates{FingerprintOf(aIdentity), {}};
+  const auto add = [&](const PartIdentity& aPart) {
+    const Fingerprint part = FingerprintOf(aPart);
+    if (!candidates.Contains(part)) {
+      candidates.parts.push_back(part);
+    }
+  };
+  for (const std::string& id : aParts) {
+    add({aService, "", id});
+    if (!aIdentity.organisation.empty()) {
+      add({aService, aIdentity.organisation, id});
+    }
+  }
+  return candidates;
 }
 
 std::string TextOf(Fingerprint aFingerprint) {
--- a/Zincstep/Edge/EdgeEvents.cpp
+++ b/Zincstep/Edge/EdgeEvents.cpp
@@ -106,7 +106,7 @@
     const CrashVerdict verdict =
         this->crashDetector.OnCrash(crash, Provenance::Reported);
     if (verdict == CrashVerdict::Ignored) {
-      unrelated.cleared.push_back(crash.request);
+      unrelated.cleared.push_back(crash.candidate);
     }
   }
   if (!unrelated.cleared.empty()) {
--- a/Zincstep/Edge/EdgePeerMessage.cpp
+++ b/Zincstep/Edge/EdgePeerMessage.cpp
@@ -168,7 +168,7 @@
   fb::Offset<void> operator()(const CrashGossip& aGossip) {
     std::vector<edgewire::UpstreamCrash> crashes;
     for (const UpstreamCrash& crash : aGossip.crashes) {
-      crashes.emplace_back(static_cast<std::uint64_t>(crash.request),
+      crashes.emplace_back(static_cast<std::uint64_t>(crash.candidate),
                            crash.upstream);
     }
     std::vector<std::uint64_t> cleared;
--- a/Zincstep/Relay/CrashDetector.cpp
+++ b/Zincstep/Relay/CrashDetector.cpp
@@ -33,11 +33,25 @@
       listener(aListener),
       check(aControl, aClock, kMaxTimeoutLateness) {}
 
-void CrashDetector::OnRunLost(Fingerprint aRequest,
+void CrashDetector::RecordSuspicions(const CrashCandidates& aCandidates,
+                                     std::uint64_t aUpstream) {
+  aCandidates.ForEach([&](Fingerprint aOne) {
+    this->tracker.OnSuspected({aOne, aUpstream});
+  });
+}
+
+void CrashDetector::ResolveSuspicions(const CrashCandidates& aCandidates,
+                                      std::uint64_t aUpstream) {
+  aCandidates.ForEach([&](Fingerprint aOne) {
+    this->tracker.OnSuspicionResolved({aOne, aUpstream});
+  });
+}
+
+void CrashDetector::OnRunLost(const CrashCandidates& aCandidates,
                               const UpstreamPtr& aUpstream) {
   const std::uint64_t number = aUpstream->Number();
-  const LostRun run{aRequest, this->clock.Now()};
-  this->tracker.OnSuspected({aRequest, number});
+  const LostRun run{aCandidates, this->clock.Now()};
+  this->RecordSuspicions(aCandidates, number);
   const auto found = this->pendingProbes.find(number);
   if (found != this->pendingProbes.end()) {
     PendingProbe& probe = found->second;
@@ -232,7 +246,7 @@
   this->ResolveRuns(probe, expired, "upstream_end_unproven",
                     "no crash was shown, and it is still registered");
   for (const LostRun& run : probe.runs) {
-    this->tracker.OnSuspected({run.request, aUpstream});
+    this->RecordSuspicions(run.candidates, aUpstream);
   }
   if (probe.runs.empty()) {
     this->pendingProbes.erase(aUpstream);
@@ -245,7 +259,7 @@
   this->ResolveRuns(resolved, resolved.runs, "upstream_lives_after_loss",
                     aReason);
   for (const LostRun& run : resolved.laterRuns) {
-    this->OnRunLost(run.request, resolved.upstream);
+    this->OnRunLost(run.candidates, resolved.upstream);
   }
 }
 
@@ -266,7 +280,7 @@
                    {"asked_ms", (this->clock.Now() - aRuns.front().at) / 1ms},
                    {"requests", aRuns.size()}});
   for (const LostRun& run : aRuns) {
-    this->tracker.OnSuspicionResolved({run.request, aProbe.upstream->Number()});
+    this->ResolveSuspicions(run.candidates, aProbe.upstream->Number());
   }
 }
 
@@ -275,20 +289,29 @@
   const UpstreamPtr& upstream = aProbe.upstream;
   std::vector<UpstreamCrash> crashes;
   for (const LostRun& run : aProbe.runs) {
-    const UpstreamCrash crash{run.request, upstream->Number()};
-    this->tracker.OnSuspicionResolved(crash);
-    const bool isUnrelated =
-        this->OnCrash(crash, Provenance::Observed) == CrashVerdict::Ignored;
+    this->ResolveSuspicions(run.candidates, upstream->Number());
+    std::vector<std::string> counted;
+    run.candidates.ForEach([&](Fingerprint aOne) {
+      const UpstreamCrash crash{aOne, upstream->Number()};
+      const bool isUnrelated =
+          this->OnCrash(crash, Provenance::Observed) == CrashVerdict::Ignored;
+      const auto isRecorded = [&](const UpstreamCrash& aOther) {
+        return aOther.candidate == aOne;
+      };
+      if (isUnrelated ||
+          std::any_of(crashes.begin(), crashes.end(), isRecorded)) {
+        return;
+      }
+      crashes.push_back(crash);
+      counted.push_back(TextOf(aOne));
+    });
     LogInfo("upstream_ended_under",
-            {{"fingerprint", TextOf(run.request)},
+            {{"fingerprint", TextOf(run.candidates.request)},
              {"upstream", upstream->Entry().id},
              {"reason", aReason},
              {"asked_ms", (this->clock.Now() - run.at) / 1ms},
-             {"answered_lately", isUnrelated},
+             {"counted", counted},
              {"beside", aProbe.runs.size() - 1}});
-    if (!isUnrelated) {
-      crashes.push_back(crash);
-    }
   }
   if (!crashes.empty()) {
     this->listener.OnCrashes(crashes);
@@ -314,24 +337,29 @@
         return !this->tracker.HasCrashes(aRequest);
       });
     }
-    this->locallyObserved.insert(aCrash.request);
+    this->locallyObserved.insert(aCrash.candidate);
   }
   if (verdict == CrashVerdict::Blocked) {
+    const FingerprintKind kind = KindOf(aCrash.candidate);
     LogWarning("request_blocked",
-               {{"fingerprint", TextOf(aCrash.request)},
+               {{"fingerprint", TextOf(aCrash.candidate)},
+                {"kind", NameIn(kFingerprintKindNames, kind)},
                 {"told", aProvenance == Provenance::Reported}});
-    this->listener.OnBlocked(aCrash.request);
+    this->listener.OnBlocked(aCrash.candidate);
   }
   return verdict;
 }
 
-void CrashDetector::OnRequestCompleted(Fingerprint aRequest) {
-  if (!this->tracker.OnCompleted(aRequest, this->clock.Now())) {
-    return;
-  }
-  this->locallyObserved.erase(aRequest);
-  LogInfo("request_cleared", {{"fingerprint", TextOf(aRequest)}});
-  this->listener.OnCleared(aRequest);
+void CrashDetector::OnRequestCompleted(const CrashCandidates& aCandidates) {
+  const Instant now = this->clock.Now();
+  aCandidates.ForEach([&](Fingerprint aOne) {
+    if (!this->tracker.OnCompleted(aOne, now)) {
+      return;
+    }
+    this->locallyObserved.erase(aOne);
+    LogInfo("request_cleared", {{"fingerprint", TextOf(aOne)}});
+    this->listener.OnCleared(aOne);
+  });
 }
 
 bool CrashDetector::OnClearedByPeer(Fingerprint aRequest) {
--- a/Zincstep/Relay/CrashDetector.h
+++ b/Zincstep/Relay/CrashDetector.h
@@ -51,11 +51,12 @@
 
   /// Records that a run of the request was lost before any of its response
   /// arrived, and starts to probe the upstream.
-  void OnRunLost(Fingerprint aRequest, const UpstreamPtr& aUpstream);
+  void OnRunLost(const CrashCandidates& aCandidates,
+                 const UpstreamPtr& aUpstream);
   /// Records that the upstream ran a request that was sent to it at `aSentAt`.
   void OnUpstreamResponded(const LiveUpstream& aUpstream, Instant aSentAt);
-  /// Records that the request completed successfully on this daemon.
-  void OnRequestCompleted(Fingerprint aRequest);
+  /// Records that a request with these completed successfully on this daemon.
+  void OnRequestCompleted(const CrashCandidates& aCandidates);
   /// Records a crash that this daemon observed or a peer reported.
   CrashVerdict OnCrash(const UpstreamCrash& aCrash, Provenance aProvenance);
   /// Records that the request completed successfully on another daemon.
@@ -68,7 +69,7 @@
  private:
   /// A run that ended without a response.
   struct LostRun {
-    Fingerprint request{};
+    CrashCandidates candidates;
     Instant at;
   };
 
@@ -90,6 +91,10 @@
     std::vector<std::uint64_t> unreachableWitnesses;
   };
 
+  void RecordSuspicions(const CrashCandidates& aCandidates,
+                        std::uint64_t aUpstream);
+  void ResolveSuspicions(const CrashCandidates& aCandidates,
+                         std::uint64_t aUpstream);
   void SendProbe(std::uint64_t aUpstream);
   void OnReportResult(std::uint64_t aUpstream, Liveness aLiveness);
   void ProbeConnection(std::uint64_t aUpstream);
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -206,22 +206,22 @@
   }
 }
 
-Fingerprint Exchange::OwnFingerprint() {
-  if (!this->fingerprint) {
-    this->fingerprint = FingerprintOf(this->request.Identity());
+const CrashCandidates& Exchange::Candidates() {
+  if (!this->candidates) {
+    this->candidates = this->request.Candidates();
   }
-  return *this->fingerprint;
+  return *this->candidates;
 }
 
 bool Exchange::IsBlocked() {
   const CrashTracker& crashes = this->context.crashes;
   return crashes.MayBlock() &&
-         crashes.BlockedFor(this->OwnFingerprint(), this->Now()) > Micros{0};
+         crashes.FindBlock(this->Candidates(), this->Now()).has_value();
 }
 
 void Exchange::OnRunLost(const char* aReason) {
   LogInfo("run_lost", {{"request", this->request.info.id},
-                       {"fingerprint", TextOf(this->OwnFingerprint())},
+                       {"fingerprint", TextOf(this->Candidates().request)},
                        {"upstream", this->upstream->Entry().id},
                        {"reason", aReason},
                        {"parts", this->request.info.promptParts},
@@ -230,8 +230,7 @@
   // Of 25 crashed upstreams, 21 had only one to four requests, of up to 82, in
   // this state; so the request that caused the crash is among few.
   if (!this->HasResponseBegun()) {
-    this->context.crashDetector.OnRunLost(this->OwnFingerprint(),
-                                          this->upstream);
+    this->context.crashDetector.OnRunLost(this->Candidates(), this->upstream);
   }
 }
 
@@ -258,12 +257,12 @@
 }
 
 void Exchange::OnRunCompleted() {
-  this->context.crashDetector.OnRequestCompleted(this->OwnFingerprint());
+  this->context.crashDetector.OnRequestCompleted(this->Candidates());
 }
 
-void Exchange::OnBlocked(Fingerprint aRequest) {
+void Exchange::OnBlocked(Fingerprint aBlocked) {
   if (this->isDone || !this->call || this->HasResponseBegun() ||
-      this->OwnFingerprint() != aRequest) {
+      !this->Candidates().Contains(aBlocked) || !this->IsBlocked()) {
     return;
   }
   this->Abandon("the request crashes upstreams");
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -27,10 +27,12 @@
   /// Runs that may have begun before it was forwarded here.
   int priorRuns = 0;
 
-  /// Identifies the request; equal for all attempts of a caller at it.
-  RequestIdentity Identity() const {
-    return {this->message.head.method, this->info.host,
-            this->message.head.target, this->organisation, this->message.body};
+  /// What may crash upstreams; equal for all attempts of a caller at it.
+  CrashCandidates Candidates() const {
+    return CandidatesOf(
+        {this->message.head.method, this->info.host, this->message.head.target,
+         this->organisation, this->message.body},
+        this->service->name, this->info.promptParts);
   }
 };
 
@@ -90,9 +92,9 @@
   /// Returns the upstream whose report this exchange needs, or null.
   virtual UpstreamPtr UpstreamToQuery(Instant) { return nullptr; }
 
-  /// Abandons this exchange if it runs the blocked request and nothing of the
-  /// current run's response has arrived.
-  void OnBlocked(Fingerprint aRequest);
+  /// Abandons this exchange if its request is blocked for this fingerprint and
+  /// nothing of the current run's response has arrived.
+  void OnBlocked(Fingerprint aBlocked);
 
   bool IsDone() const { return this->isDone; }
   const AdmittedRequest& Request() const { return this->request; }
@@ -139,8 +141,9 @@
   void ApplyNotice(const ResponseInfo& aInfo);
   /// Records that a run completed successfully.
   void OnRunCompleted();
-  /// Fingerprint of the request; the same for all attempts at it.
-  Fingerprint OwnFingerprint();
+  /// What the request carries that may crash upstreams; the same for all
+  /// attempts at it.
+  const CrashCandidates& Candidates();
   /// Whether the request is blocked because it crashes upstreams.
   bool IsBlocked();
   /// Marks an upstream as suspect, as it did not respond.
@@ -214,7 +217,7 @@
  private:
   bool isDone = false;
   /// Computed on first use, as it costs some microseconds.
-  std::optional<Fingerprint> fingerprint;
+  std::optional<CrashCandidates> candidates;
   /// An exhausted retry budget is logged once per request.
   bool isRetryDenialLogged = false;
 };
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -55,14 +55,17 @@
   if (!crashes.MayBlock()) {
     return {};
   }
-  const Fingerprint request = FingerprintOf(aRequest.Identity());
-  const Micros blocked = crashes.BlockedFor(request, this->context.clock.Now());
-  if (blocked == Micros{0}) {
+  const auto block =
+      crashes.FindBlock(aRequest.Candidates(), this->context.clock.Now());
+  if (!block) {
     return {};
   }
-  return tl::unexpected(Error{ErrorKind::RequestBlocked,
-                              "upstreams crashed under " + TextOf(request),
-                              blocked});
+  return tl::unexpected(Error{
+      ErrorKind::RequestBlocked,
+      "upstreams crashed under " +
+          std::string(NameIn(kFingerprintKindNames, KindOf(block->candidate))) +
+          " " + TextOf(block->candidate),
+      block->remaining});
 }
 
 Result<AdmittedRequest> Relay::Admit(ArrivedRequest aRequest) const {
@@ -90,16 +93,16 @@
   if (!key) {
     return tl::unexpected(key.error());
   }
-  const Result<void> crashes = this->CheckCrashes(request);
-  if (!crashes) {
-    return tl::unexpected(crashes.error());
-  }
   request.service =
       request.table->Choose(*request.route, this->context.random.Unit());
   if (request.service == nullptr) {
     return Fail(ErrorKind::NoCapacity,
                 "the service of the route is not declared");
   }
+  const Result<void> crashes = this->CheckCrashes(request);
+  if (!crashes) {
+    return tl::unexpected(crashes.error());
+  }
   const bool isStream = request.service->model.has_value();
   if (!this->context.stopPolicy.Accepts(isStream, request.message.readAt)) {
     return Fail(ErrorKind::Stopping,
@@ -224,13 +227,13 @@
   }
 }
 
-void Relay::OnBlocked(Fingerprint aRequest) {
+void Relay::OnBlocked(Fingerprint aBlocked) {
   std::vector<std::shared_ptr<Exchange>> all;
   for (const auto& [connection, exchange] : this->exchanges) {
     all.push_back(exchange);
   }
   for (const auto& exchange : all) {
-    exchange->OnBlocked(aRequest);
+    exchange->OnBlocked(aBlocked);
   }
 }
 
--- a/Zincstep/Relay/Relay.h
+++ b/Zincstep/Relay/Relay.h
@@ -47,7 +47,7 @@
   CapacityScheduler& Capacity() { return this->capacity; }
   /// Abandons the exchanges of a request that is blocked because it crashes
   /// upstreams.
-  void OnBlocked(Fingerprint aRequest);
+  void OnBlocked(Fingerprint aBlocked);
   /// Number of exchanges and deferred requests that have not ended.
   std::size_t Active() const {
     return this->exchanges.size() + this->deferred.size() + this->handingOver;
--- a/Zincstep/Relay/StreamCapacity.cpp
+++ b/Zincstep/Relay/StreamCapacity.cpp
@@ -19,7 +19,7 @@
       {this->request.message.readAt, this->request.route->latencyObjective,
        this->request.deadline},
       this->request.message.body.size(),
-      [this] { return this->OwnFingerprint(); });
+      [this] { return this->Candidates().request; });
   if (!this->IsDone()) {
     this->waitingId = id;
   }
@@ -77,7 +77,7 @@
       aKind == ErrorKind::NoCapacity || aKind == ErrorKind::Overloaded;
   if (this->isScheduled && isLackOfRoom) {
     this->context.capacity->OnRefused(this->request.service->name,
-                                      this->OwnFingerprint(), aRetryAfter);
+                                      this->Candidates().request, aRetryAfter);
   }
 }
 
