A stream that ends in order before its first event may be a crash (BUDGET)

A stream that ended so inside an event or before the first was continued elsewhere, but no crash was looked for, as only truncated responses counted as lost runs: a crashed process whose kernel closes its connections would have been overlooked. Found by reading.

Change: such a run is lost like a truncated one; its upstream is probed.

Test: UnframedResponseTests; Stream_ClosedBeforeFirstEvent_IsPossibleCrash failed before, the six others (end of connection at an event's end, within an event, before the first, by reset; plain responses) passed on the code before as well.

--- a/Zincstep/Relay/StreamResponse.cpp
+++ b/Zincstep/Relay/StreamResponse.cpp
@@ -138,7 +138,10 @@
 void StreamExchange::EndStream() {
   if (this->splitter.HasGap() || this->splitter.HasPartial() ||
       !this->splitter.HasForwarded()) {
-    this->OnLost("the stream ended early or skipped an event");
+    constexpr const char* kReason =
+        "the stream ended early or skipped an event";
+    this->OnRunLost(kReason);
+    this->OnLost(kReason);
     return;
   }
   this->Release();
