Soak: requests that share a part of their prompts and crash upstreams

--crashing-part sends, beside sound requests that share another part and the caller with them, requests with a marked part, no two alike, of two organisations at random daemons; upstreams crash 50 ms after they begin on one, and restart. All daemons are killed midway.

--- a/SoakTests/InvariantChecker.cpp
+++ b/SoakTests/InvariantChecker.cpp
@@ -68,13 +68,24 @@
   }
 }
 
-std::size_t InvariantChecker::SendsAfterDetection(Micros aDetectionTime) const {
-  constexpr std::size_t kDetectionCrashes = 3;
-  if (this->crashes.size() < kDetectionCrashes) {
+void InvariantChecker::ClearCrashes() {
+  this->crashes.clear();
+  this->crashingSends.clear();
+}
+
+std::optional<Instant> InvariantChecker::CrashedAt(std::size_t aNumber) const {
+  return this->crashes.empty()
+             ? std::nullopt
+             : std::optional(
+                   this->crashes[std::min(aNumber, this->crashes.size()) - 1]);
+}
+
+std::size_t InvariantChecker::SendsAfterDetection(std::size_t aCrashes,
+                                                  Micros aDetectionTime) const {
+  if (this->crashes.size() < aCrashes) {
     return 0;
   }
-  const Instant detectedAt =
-      this->crashes[kDetectionCrashes - 1] + aDetectionTime;
+  const Instant detectedAt = this->crashes[aCrashes - 1] + aDetectionTime;
   return static_cast<std::size_t>(
       std::count_if(this->crashingSends.begin(), this->crashingSends.end(),
                     [detectedAt](Instant aAt) { return aAt > detectedAt; }));
--- a/SoakTests/InvariantChecker.h
+++ b/SoakTests/InvariantChecker.h
@@ -54,9 +54,15 @@
     this->crashingSends.push_back(aAt);
   }
   void OnUpstreamCrash(Instant aAt) { this->crashes.push_back(aAt); }
-  /// Returns how often the crashing request was sent later than
-  /// `aDetectionTime` after its third crash.
-  std::size_t SendsAfterDetection(Micros aDetectionTime) const;
+  /// Forgets the crashes and the crashing requests so far.
+  void ClearCrashes();
+  /// Returns how often crashing requests were sent later than `aDetectionTime`
+  /// after the crash of number `aCrashes`.
+  std::size_t SendsAfterDetection(std::size_t aCrashes,
+                                  Micros aDetectionTime) const;
+  /// When the crash of that number, from 1, happened; the last one if there
+  /// were fewer, none if there was none.
+  std::optional<Instant> CrashedAt(std::size_t aNumber) const;
   std::size_t Crashes() const { return this->crashes.size(); }
   /// Requests with keys of that organisation must not run if they are sent
   /// after `aNotAfter`.
--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -18,6 +18,8 @@
     "  --seconds N     fault injection time per seed (10)\n"
     "  --daemons N     number of daemons (4)\n"
     "  --crashing      at the end, a request that crashes upstreams\n"
+    "  --crashing-part at the end, requests with a part that crashes "
+    "upstreams\n"
     "  --limits        at the end, upstreams set limits or Retry-After\n"
     "  --late-links    links of exited upstreams accept, then reset later\n"
     "  --quick-restarts  crashed upstreams restart at once\n"
@@ -39,6 +41,7 @@
                             {"seconds", required_argument, nullptr, 't'},
                             {"daemons", required_argument, nullptr, 'c'},
                             {"crashing", no_argument, nullptr, 'x'},
+                            {"crashing-part", no_argument, nullptr, 'y'},
                             {"limits", no_argument, nullptr, 'm'},
                             {"late-links", no_argument, nullptr, 'k'},
                             {"quick-restarts", no_argument, nullptr, 'q'},
@@ -69,6 +72,9 @@
       case 'x':
         settings.hasCrashingRequest = true;
         break;
+      case 'y':
+        settings.hasCrashingPart = true;
+        break;
       case 'm':
         settings.hasLimits = true;
         break;
--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -22,6 +22,13 @@
 /// four layers, two of which fit on one upstream.
 std::string Configuration(int aVersion, bool aHasOther);
 
+/// What distinguishes a request from the usual ones of its kind.
+struct RequestExtras {
+  const char* path = nullptr;
+  /// Parts of the prompt before its last one.
+  std::string parts;
+};
+
 /// One run: daemon processes, stand-ins, callers, faults and checks, all on one
 /// event loop.
 class Soak {
@@ -62,7 +69,7 @@
   void SendNext();
   std::string Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther,
                    Micros aTimeout = kCallerTimeout,
-                   const char* aPath = nullptr);
+                   const RequestExtras& aExtras = {});
   void OnResponse(const std::string& aId, RequestKind aKind, Daemon& aDaemon,
                   const Result<HttpResponse>& aResponse);
   void Inject();
@@ -90,6 +97,15 @@
   /// daemons, also after all daemons have been killed.
   void CheckCrashingRequest();
   void SendCrashing(Micros aFor);
+  /// Sends requests that share one part of their prompts, no two alike, which
+  /// crash each upstream that runs them, beside sound ones that share another
+  /// part with them. Checks the number of the first, and that the others are
+  /// served; also after all daemons have been killed.
+  void CheckCrashingPart();
+  /// Sends sound requests, and beside them crashing ones if `aIsCrashing`.
+  std::vector<std::string> SendParts(Micros aFor, bool aIsCrashing);
+  /// Share of the requests that were completed.
+  double CompletedShare(const std::vector<std::string>& aIds) const;
   /// Checks that upstreams that set a rate limit get no more calls than that
   /// from all daemons together, and are used again once the limit is removed.
   void CheckLimits();
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -184,6 +184,9 @@
   if (this->settings.hasCrashingRequest) {
     this->CheckCrashingRequest();
   }
+  if (this->settings.hasCrashingPart) {
+    this->CheckCrashingPart();
+  }
   if (this->settings.hasLimits) {
     this->CheckLimits();
   }
@@ -293,10 +296,11 @@
 }
 
 std::string Soak::Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther,
-                       Micros aTimeout, const char* aPath) {
+                       Micros aTimeout, const RequestExtras& aExtras) {
   constexpr std::array kPaths{"/safe/x", "/unsafe/x", "/llm/x"};
-  const std::string path =
-      aPath != nullptr ? aPath : kPaths[static_cast<std::size_t>(aKind)];
+  const std::string path = aExtras.path != nullptr
+                               ? aExtras.path
+                               : kPaths[static_cast<std::size_t>(aKind)];
   this->lastRequest += 1;
   const std::string id = "r" + std::to_string(this->lastRequest);
   // Half of the requests use connections that stay open until the process
@@ -304,13 +308,18 @@
   const bool reusesConnection = this->lastRequest % 2 == 0;
   this->checker.OnRequestSent(id, aKind, aIsOther ? "other" : "acme",
                               this->clock.Now());
+  const std::string body = aExtras.parts.empty() ? "{}" : id;
+  const std::string prompt =
+      aExtras.parts.empty()
+          ? ""
+          : "X-Prompt-Prefix: " + aExtras.parts + "," + id + ":10\r\n";
   const std::string text =
       "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id +
       "\r\nX-Deadline-Ms: " + std::to_string(aTimeout / 1ms) +
       "\r\nAuthorization: Bearer " + (aIsOther ? "key2" : "key1") +
       "\r\nX-Token-Usage: 10,60\r\n" +
-      (reusesConnection ? "" : "Connection: close\r\n") +
-      "Content-Length: 2\r\n\r\n{}";
+      (reusesConnection ? "" : "Connection: close\r\n") + prompt +
+      "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   this->callers.Send(
       aDaemon.address, text, reusesConnection, aTimeout,
       [this, id, aKind, &aDaemon](const Result<HttpResponse>& aResponse) {
--- a/SoakTests/SoakRun.h
+++ b/SoakTests/SoakRun.h
@@ -19,6 +19,8 @@
   int daemons = 4;
   /// Whether a request that crashes upstreams is sent at the end.
   bool hasCrashingRequest = false;
+  /// Whether requests that share a crashing part are sent at the end.
+  bool hasCrashingPart = false;
   /// Whether upstreams set rate limits at the end.
   bool hasLimits = false;
   /// Whether links of exited upstreams accept connections and reset them
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -273,7 +273,9 @@
                               BodyFor(request));
     return;
   }
-  if (aMessage.head.target == kCrashingPath) {
+  const std::string parts = GetHeader(aMessage, "X-Prompt-Prefix");
+  if (aMessage.head.target == kCrashingPath ||
+      parts.find(std::string(kCrashingPart) + ",") != std::string::npos) {
     this->checker.OnCrashingRequestSent(this->clock.Now());
     this->checker.WriteEvent("crashing_request",
                              {{"request", request}, {"upstream", this->id}});
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -18,6 +18,8 @@
 
 /// A request with this path crashes each upstream that starts to run it.
 inline constexpr const char* kCrashingPath = "/llm/crash";
+/// So does one with this part before the last one of its prompt.
+inline constexpr const char* kCrashingPart = "bad:20";
 
 /// Returns the body of a complete response to a request.
 std::string BodyFor(const std::string& aId);
