--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -40,6 +40,13 @@
   void OnCallEnd(SingleCallEnd aEnd) override;
 
  private:
+  /// Time without events after which a suspect member is replaced: a few usual
+  /// gaps, so that a false suspicion does no harm.
+  static constexpr Micros kMemberTimeout = 80ms;
+  /// A member that is deregistered or releases its layers may still serve its
+  /// running requests, so it is replaced only after this time without events.
+  static constexpr Micros kDepartedTimeout = 400ms;
+
   bool HasResponseBegun() const override { return this->hasRunEvents; }
   void Abandon(const char* aReason) override { this->Fail(aReason); }
   void OnFinished() override;
