Soak: arrivals are compared with the retry limit in each run; names

The soak's upstreams record each arrival; at the end the arrivals beyond the first of their request are compared, by service and for all daemons together, with 0.2 of the requests plus the slack in any 10 s. Checked to fail: with a limit of 0 and 2 it reports both services.

CrashTracker: what it counts against is a candidate, not always a request. The relay's comments speak of retries and the burst in place of a budget. No change of behaviour; EdgeTests 537, CrashingPartTests 8, RetryRestartTests 5, PartitionedDaemonTests 56 passed.

--- a/SoakTests/InvariantChecker.cpp
+++ b/SoakTests/InvariantChecker.cpp
@@ -22,8 +22,58 @@
 void InvariantChecker::OnRequestSent(const std::string& aId, RequestKind aKind,
                                      const std::string& aOrganisation,
                                      Instant aAt) {
-  this->requests[aId] = {aKind, aOrganisation, aAt, 0,
-                         ReportedOutcome::Unknown};
+  this->requests[aId] = {aKind, aOrganisation,           aAt, 0,
+                         0,     ReportedOutcome::Unknown};
+  this->arrivals[ServiceOf(aKind)].sent.push_back(aAt);
+}
+
+void InvariantChecker::OnArrival(const std::string& aId, Instant aAt) {
+  const auto found = this->requests.find(aId);
+  if (found == this->requests.end()) {
+    return;  // Reported when it runs.
+  }
+  Record& record = found->second;
+  record.arrivals += 1;
+  if (record.arrivals > 1) {
+    this->arrivals[ServiceOf(record.kind)].repeated.push_back(aAt);
+  }
+}
+
+void InvariantChecker::SetRetryLimit(double aRatio, double aSlack,
+                                     Micros aWindow) {
+  this->retryRatio = aRatio;
+  this->retrySlack = aSlack;
+  this->retryWindow = aWindow;
+}
+
+void InvariantChecker::CheckRetries() {
+  const auto countIn = [this](const std::vector<Instant>& aTimes,
+                              Instant aEnd) {
+    const auto first = std::upper_bound(aTimes.begin(), aTimes.end(),
+                                        aEnd - this->retryWindow);
+    const auto last = std::upper_bound(first, aTimes.end(), aEnd);
+    return static_cast<double>(last - first);
+  };
+  for (const auto& [service, times] : this->arrivals) {
+    for (const Instant end : times.repeated) {
+      // A request may be repeated in the window after that of its first
+      // arrival.
+      const double sent =
+          std::max({countIn(times.sent, end),
+                    countIn(times.sent, end - this->retryWindow / 2),
+                    countIn(times.sent, end - this->retryWindow)});
+      const double repeated = countIn(times.repeated, end);
+      if (repeated > this->retryRatio * sent + this->retrySlack) {
+        this->AddViolation(
+            "service " + service + " got " +
+            std::to_string(static_cast<int>(repeated)) +
+            " arrivals beyond the first of their request within " +
+            std::to_string(this->retryWindow / 1s) + " s, for " +
+            std::to_string(static_cast<int>(sent)) + " requests");
+        break;
+      }
+    }
+  }
 }
 
 void InvariantChecker::OnRequestRun(const std::string& aId,
@@ -92,6 +142,7 @@
 }
 
 std::vector<std::string> InvariantChecker::Close() {
+  this->CheckRetries();
   for (const auto& [id, record] : this->requests) {
     const bool mayNotRepeat = record.kind == RequestKind::Unsafe;
     if (mayNotRepeat && record.reported == ReportedOutcome::NotRun &&
--- a/SoakTests/InvariantChecker.h
+++ b/SoakTests/InvariantChecker.h
@@ -37,6 +37,11 @@
                      const std::string& aOrganisation, Instant aAt);
   /// Records that an upstream starts to run the request.
   void OnRequestRun(const std::string& aId, const std::string& aOrganisation);
+  /// Records that the request has reached an upstream, which may refuse it.
+  void OnArrival(const std::string& aId, Instant aAt);
+  /// Limits the arrivals beyond the first of their request to a share of the
+  /// requests and a slack, for each service in any window.
+  void SetRetryLimit(double aRatio, double aSlack, Micros aWindow);
   /// Records the outcome that the caller received.
   void OnRequestEnd(const std::string& aId, ReportedOutcome aReported);
   /// Records that the caller's connection broke before the response was
@@ -89,9 +94,27 @@
     std::string organisation;
     Instant sentAt;
     int runs = 0;
+    int arrivals = 0;
     ReportedOutcome reported = ReportedOutcome::Unknown;
   };
 
+  /// Requests to one service, and arrivals beyond their first, in the order of
+  /// time.
+  struct ServiceArrivals {
+    std::vector<Instant> sent;
+    std::vector<Instant> repeated;
+  };
+
+  static std::string ServiceOf(RequestKind aKind) {
+    return aKind == RequestKind::Stream ? "model" : "plain";
+  }
+  /// Checks the limit in the windows that end at a repeated arrival.
+  void CheckRetries();
+
+  double retryRatio = 0;
+  double retrySlack = 0;
+  Micros retryWindow{0};
+  std::map<std::string, ServiceArrivals> arrivals;
   std::ofstream events;
   std::map<std::string, Record> requests;
   std::vector<std::string> truncated;
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -22,6 +22,8 @@
 /// budget.
 constexpr int kRetrySlackPerDaemon = 25;
 constexpr int kMinSlackDaemons = 8;
+constexpr double kRetryRatio = 0.2;
+constexpr Micros kRetryWindow = 10s;
 /// All daemons have the current upstream lists by then: three validations.
 constexpr Micros kSettleTime = 2100ms;
 /// Delay after which a late link resets connections to an exited upstream.
@@ -120,6 +122,9 @@
   const std::string admin = ":" + std::to_string(FreePort(this->loop));
   const std::string peers = ":" + std::to_string(FreePort(this->loop));
   const std::string forwards = ":" + std::to_string(FreePort(this->loop));
+  const int retrySlack =
+      kRetrySlackPerDaemon * std::max(kMinSlackDaemons, this->settings.daemons);
+  this->checker.SetRetryLimit(kRetryRatio, retrySlack, kRetryWindow);
   for (int i = 0; i < this->settings.daemons; ++i) {
     auto daemon = std::make_unique<Daemon>();
     const std::string host = HostOf(i);
@@ -140,10 +145,9 @@
             {"ZINCSTEP_SEEDS", HostOf(0) + peers},
             {"ZINCSTEP_KEY_REVOCATION_MS",
              std::to_string(kKeyRevocation / 1ms)},
-            {"ZINCSTEP_RETRY_SLACK",
-             std::to_string(
-                 kRetrySlackPerDaemon *
-                 std::max(kMinSlackDaemons, this->settings.daemons))},
+            {"ZINCSTEP_RETRY_RATIO", std::to_string(kRetryRatio)},
+            {"ZINCSTEP_RETRY_SLACK", std::to_string(retrySlack)},
+            {"ZINCSTEP_RETRY_WINDOW_S", std::to_string(kRetryWindow / 1s)},
             {"ZINCSTEP_SOAK_LINK_HOST", host},
             {"ZINCSTEP_STOP_GRACE_S", "3"}});
     this->daemons.push_back(std::move(daemon));
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -243,6 +243,7 @@
 void SoakUpstream::Run(const std::shared_ptr<CallerConnection>& aConnection,
                        const CallerMessage& aMessage) {
   const std::string request = GetHeader(aMessage, "X-Attempt-Id");
+  this->checker.OnArrival(request, this->clock.Now());
   const std::string path = GetHeader(aMessage, "Path");
   const std::string missing = this->FindMissingMember(path);
   if (this->retryAfter) {
--- a/Zincstep/Admission/CrashTracker.cpp
+++ b/Zincstep/Admission/CrashTracker.cpp
@@ -38,15 +38,16 @@
              : CrashVerdict::Counted;
 }
 
-bool CrashTracker::OnCompleted(Fingerprint aRequest, Instant aNow) {
-  const bool isNew = this->completedAt.insert_or_assign(aRequest, aNow).second;
+bool CrashTracker::OnCompleted(Fingerprint aCandidate, Instant aNow) {
+  const bool isNew =
+      this->completedAt.insert_or_assign(aCandidate, aNow).second;
   if (isNew) {
-    this->completionOrder.emplace_back(aRequest, aNow);
+    this->completionOrder.emplace_back(aCandidate, aNow);
   }
   if (this->completionOrder.size() > this->settings.maxCompleted) {
     this->EvictCompleted();
   }
-  return this->Clear(aRequest);
+  return this->Clear(aCandidate);
 }
 
 void CrashTracker::EvictCompleted() {
@@ -63,20 +64,20 @@
   }
 }
 
-bool CrashTracker::HasCompletedRecently(Fingerprint aRequest,
+bool CrashTracker::HasCompletedRecently(Fingerprint aCandidate,
                                         Instant aNow) const {
-  const auto found = this->completedAt.find(aRequest);
+  const auto found = this->completedAt.find(aCandidate);
   return found != this->completedAt.end() &&
          aNow - found->second < this->settings.completedRetention;
 }
 
-void CrashTracker::SetBlockList(const std::set<Fingerprint>& aRequests,
+void CrashTracker::SetBlockList(const std::set<Fingerprint>& aListed,
                                 Instant aNow) {
   std::erase_if(this->records, [&](const auto& aEntry) {
-    return aEntry.second.isListed && !aRequests.contains(aEntry.first);
+    return aEntry.second.isListed && !aListed.contains(aEntry.first);
   });
-  for (const Fingerprint request : aRequests) {
-    Record& record = this->records[request];
+  for (const Fingerprint candidate : aListed) {
+    Record& record = this->records[candidate];
     if (!record.isListed) {
       record.isListed = true;
       record.lastCrash = aNow;
@@ -84,15 +85,15 @@
   }
 }
 
-Micros CrashTracker::BlockedFor(Fingerprint aRequest, Instant aNow) const {
-  const auto found = this->records.find(aRequest);
+Micros CrashTracker::BlockedFor(Fingerprint aCandidate, Instant aNow) const {
+  const auto found = this->records.find(aCandidate);
   if (found == this->records.end() ||
-      !this->IsBlocked(aRequest, found->second)) {
-    return this->HasPendingBlock(aRequest, aNow)
+      !this->IsBlocked(aCandidate, found->second)) {
+    return this->HasPendingBlock(aCandidate, aNow)
                ? this->settings.suspectedRetryAfter
                : Micros{0};
   }
-  return std::max(Micros{0}, this->ExpiryOf(aRequest, found->second) - aNow);
+  return std::max(Micros{0}, this->ExpiryOf(aCandidate, found->second) - aNow);
 }
 
 std::optional<CrashBlock> CrashTracker::FindBlock(
@@ -127,27 +128,27 @@
       });
 }
 
-bool CrashTracker::HasPendingBlock(Fingerprint aRequest, Instant aNow) const {
-  const auto suspects = this->suspected.find(aRequest);
+bool CrashTracker::HasPendingBlock(Fingerprint aCandidate, Instant aNow) const {
+  const auto suspects = this->suspected.find(aCandidate);
   if (suspects == this->suspected.end() ||
-      this->HasCompletedRecently(aRequest, aNow)) {
+      this->HasCompletedRecently(aCandidate, aNow)) {
     return false;
   }
   std::set<std::uint64_t> incarnations = suspects->second;
-  if (const auto recorded = this->records.find(aRequest);
+  if (const auto recorded = this->records.find(aCandidate);
       recorded != this->records.end()) {
     incarnations.insert(recorded->second.crashed.begin(),
                         recorded->second.crashed.end());
   }
-  return incarnations.size() >= this->LimitOf(aRequest);
+  return incarnations.size() >= this->LimitOf(aCandidate);
 }
 
 std::set<Fingerprint> CrashTracker::Blocked(Instant aNow) const {
   std::set<Fingerprint> blocked;
-  for (const auto& [request, record] : this->records) {
-    if (this->IsBlocked(request, record) &&
-        aNow < this->ExpiryOf(request, record)) {
-      blocked.insert(request);
+  for (const auto& [candidate, record] : this->records) {
+    if (this->IsBlocked(candidate, record) &&
+        aNow < this->ExpiryOf(candidate, record)) {
+      blocked.insert(candidate);
     }
   }
   return blocked;
@@ -155,15 +156,15 @@
 
 std::vector<UpstreamCrash> CrashTracker::UnlistedCrashes(Instant aNow) const {
   std::vector<UpstreamCrash> crashes;
-  for (const auto& [request, record] : this->records) {
+  for (const auto& [candidate, record] : this->records) {
     const bool isUnlisted = !record.isListed &&
-                            this->IsBlocked(request, record) &&
-                            aNow < this->ExpiryOf(request, record);
+                            this->IsBlocked(candidate, record) &&
+                            aNow < this->ExpiryOf(candidate, record);
     if (!isUnlisted) {
       continue;
     }
     for (const std::uint64_t upstream : record.crashed) {
-      crashes.push_back({request, upstream});
+      crashes.push_back({candidate, upstream});
     }
   }
   return crashes;
--- a/Zincstep/Admission/CrashTracker.h
+++ b/Zincstep/Admission/CrashTracker.h
@@ -101,19 +101,21 @@
   CrashVerdict OnCrash(const UpstreamCrash& aCrash, Instant aNow);
   /// Clears a request that completed successfully on this daemon. Returns
   /// whether crashes were recorded for it.
-  bool OnCompleted(Fingerprint aRequest, Instant aNow);
+  bool OnCompleted(Fingerprint aCandidate, Instant aNow);
   /// Clears a request that completed successfully on another daemon. Returns
   /// whether crashes were recorded for it.
-  bool Clear(Fingerprint aRequest) { return this->records.erase(aRequest) > 0; }
+  bool Clear(Fingerprint aCandidate) {
+    return this->records.erase(aCandidate) > 0;
+  }
   /// Replaces the block list, which all daemons share through the store.
   /// Requests that are no longer listed are cleared: they completed on another
   /// daemon, or their block has expired.
-  void SetBlockList(const std::set<Fingerprint>& aRequests, Instant aNow);
+  void SetBlockList(const std::set<Fingerprint>& aListed, Instant aNow);
 
   /// Whether no crash is recorded for any request.
   bool IsEmpty() const { return this->records.empty(); }
-  bool HasCrashes(Fingerprint aRequest) const {
-    return this->records.contains(aRequest);
+  bool HasCrashes(Fingerprint aCandidate) const {
+    return this->records.contains(aCandidate);
   }
   /// Whether any request can be blocked; if not, callers can skip computing
   /// the fingerprint.
@@ -122,7 +124,7 @@
   }
   /// Time for which a request must not run, because it is blocked or has
   /// suspected crashes; 0 if it may run.
-  Micros BlockedFor(Fingerprint aRequest, Instant aNow) const;
+  Micros BlockedFor(Fingerprint aCandidate, Instant aNow) const;
   /// Returns what blocks a request that carries these, if anything does.
   std::optional<CrashBlock> FindBlock(const CrashCandidates& aCarried,
                                       Instant aNow) const;
@@ -142,8 +144,8 @@
   };
 
   /// Whether the suspected crashes, if confirmed, would block the request.
-  bool HasPendingBlock(Fingerprint aRequest, Instant aNow) const;
-  bool HasCompletedRecently(Fingerprint aRequest, Instant aNow) const;
+  bool HasPendingBlock(Fingerprint aCandidate, Instant aNow) const;
+  bool HasCompletedRecently(Fingerprint aCandidate, Instant aNow) const;
   /// Number of crashes that block a request or part.
   std::size_t LimitOf(Fingerprint aCandidate) const {
     return KindOf(aCandidate) == FingerprintKind::Part
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -148,11 +148,11 @@
   bool IsBlocked();
   /// Marks an upstream as suspect, as it did not respond.
   void Suspect(LiveUpstream& aUpstream);
-  /// Acquires a retry if the send count and the retry budget permit it;
-  /// `aReserved` is the share of the budget that this retry may not use.
+  /// Acquires a retry if the send count and the retry window permit it;
+  /// `aReserved` is the share of the burst that this retry may not use.
   bool TryAcquireRetry(double aReserved);
   /// Whether the request may be sent again after a failed connection attempt.
-  /// Spends no retry budget, as the upstream received nothing.
+  /// Takes no retry, as the upstream received nothing.
   bool TryAcquireResend();
   /// Sets `callWait` to the shortest wait among the service's upstreams that
   /// only their call limit excludes. Returns false if there are none.
@@ -218,7 +218,7 @@
   bool isDone = false;
   /// Computed on first use, as it costs some microseconds.
   std::optional<CrashCandidates> candidates;
-  /// An exhausted retry budget is logged once per request.
+  /// A denied retry is logged once per request.
   bool isRetryDenialLogged = false;
 };
 
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -222,7 +222,7 @@
 }
 
 void StreamExchange::OnNotRun() {
-  if (this->TryAcquireRetry(this->ReservedBudget())) {
+  if (this->TryAcquireRetry(this->ReservedRetries())) {
     this->TryChain();
   } else if (this->headSent) {
     this->WaitForRetry();
@@ -231,7 +231,7 @@
   }
 }
 
-double StreamExchange::ReservedBudget() const {
+double StreamExchange::ReservedRetries() const {
   return this->headSent ? 0 : this->context.settings.reservedForStreams;
 }
 
@@ -255,7 +255,7 @@
 void StreamExchange::Resume(const char* aReason) {
   const bool mayResume = this->CanResume();
   const bool hasRetry =
-      mayResume && this->TryAcquireRetry(this->ReservedBudget());
+      mayResume && this->TryAcquireRetry(this->ReservedRetries());
   if (this->call && !hasRetry) {
     return;  // A stalled stream may continue by itself.
   }
@@ -301,7 +301,7 @@
   }
   if (this->isWaiting) {
     this->needsRetry =
-        this->needsRetry && !this->TryAcquireRetry(this->ReservedBudget());
+        this->needsRetry && !this->TryAcquireRetry(this->ReservedRetries());
     this->needsRetry ? this->WaitForChain() : this->TryChain();
     return;
   }
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -65,10 +65,10 @@
   /// Estimates the first event of a request that is sent now to `aFirst`.
   void ExpectFirstEvent(const LiveUpstream& aFirst);
   void WaitForChain();
-  /// Waits for the retry budget; for streams that have begun.
+  /// Waits for a retry; for streams that have begun.
   void WaitForRetry();
-  /// Share of the retry budget that this exchange may not use.
-  double ReservedBudget() const;
+  /// Share of the retry burst that this exchange may not use.
+  double ReservedRetries() const;
   /// Counts this request's work at the members of a chain instead of at those
   /// of a former one, and the request at the first.
   void Reserve(const PoolChain& aChain);
@@ -175,7 +175,7 @@
   /// Whether it has started and counts as one of its organisation's.
   bool isCounted = false;
   bool isWaiting = false;
-  /// Waits for the retry budget, not only for a chain.
+  /// Waits for a retry, not only for a chain.
   bool needsRetry = false;
   bool isRepairing = false;
   bool isReadingPaused = false;
