--- a/review/standins.py
+++ b/review/standins.py
@@ -22,16 +22,22 @@
 PROGRAM = "target/EdgeDaemon/zincstep-edge"
 
 
-def free_ports(count):
-    """Returns ports that are free on all loopback addresses used here."""
-    sockets = []
-    for _ in range(count):
-        one = socket.socket()
-        one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        one.bind(("0.0.0.0", 0))
-        sockets.append(one)
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
+def free_ports(count, hosts=(HOST,)):
+    """Returns ports that are free on each of the hosts."""
+    ports = []
+    held = []
+    while len(ports) < count:
+        port = 0
+        try:
+            for host in hosts:
+                one = socket.socket()
+                held.append(one)
+                one.bind((host, port))
+                port = one.getsockname()[1]
+            ports.append(port)
+        except OSError:  # In use on another host.
+            pass
+    for one in held:
         one.close()
     return ports
 
@@ -153,8 +159,9 @@
         while True:
             await asyncio.sleep(0.1)
             now = time.monotonic()
-            for lease in [l for l, (_, end) in self.leases.items() if end < now]:
-                self.end_lease(lease)
+            for lease, (_, end) in list(self.leases.items()):
+                if end < now:
+                    self.end_lease(lease)
 
     async def serve(self, reader, writer):
         try:
