Review case 3: a stopping daemon accepts what it can't answer

Requests that are deferred without a configuration, and requests to plain services that take longer than 1.5 s, are cut when the daemon exits (rule LOST).

--- a/review/2/case.py
+++ b/review/3/case.py
@@ -21,8 +21,8 @@
 ROUTE_TIMEOUT_MS = 2000
 DEADLINE_MS = 4000
 # Within the time-out of the route.
-WORK_S = (1.6, 1.85)
-ORDERS_PER_S = 24
+WORK_S = (1.7, 1.9)
+ORDERS_PER_S = 48
 FIRST_STOP_S = 3.0
 GAP_S = 1.0
 STOPPED = 2
@@ -176,8 +176,8 @@
     store.put_json("op/config", standins.configuration(
         1, [standins.route("receipts", "/receipts/", "unsafe", SERVICE,
                            ROUTE_TIMEOUT_MS, 1)], [SERVICE], TENANTS, 120))
-    ports = standins.free_ports(4)
     hosts = [f"127.0.0.{11 + i}" for i in range(DAEMONS)]
+    ports = standins.free_ports(4, hosts)
     seeds = [f"{host}:{ports[2]}" for host in hosts]
     daemons = [standins.Daemon(f"edge-{i + 1}", ZONE, host, ports, store.port,
                                seeds, folder, standins.DAROVNA_OPS_GROWN)
--- a/review/2/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 command -v python3 >/dev/null || exit 2
-exec python3 review/2/case.py
+exec python3 review/3/case.py
