Failing: a stopping daemon accepts requests that it can't answer (LOST)

What callers see: their connection closes without a status, after the daemon has read the whole request, in one half after a replica has run the order.

A request that is deferred without a configuration passes StopPolicy only when it is admitted, up to 1 s later. StopPolicy takes 1.5 s for every request to a plain service. The exit itself answers nobody, so that any other wait (for the first list of upstreams, in the queue for room, for another daemon) ends the same way. The log lines request_refused and request_ended, or their absence after "stopping", distinguish the three: no further line is needed.

StoppingDaemonTests fails in both tests: Active() is 1 where CanExit() is true; an order that arrives 1.9 s before the end with a time-out of 2 s gets 200, not 503. The fixture's clock can be set forward; Now() is otherwise as before.

--- a/UnitTests/RelayFixture.h
+++ b/UnitTests/RelayFixture.h
@@ -72,6 +72,17 @@
   }
 }
 
+/// The system's clock, which a test may set forward.
+class ForwardableClock final : public Clock {
+ public:
+  Instant Now() const override { return this->system.Now() + this->offset; }
+  void Advance(Micros aDuration) { this->offset += aDuration; }
+
+ private:
+  SystemClock system;
+  Micros offset{0};
+};
+
 /// A configuration with a safe, an unsafe and a streaming route.
 inline constexpr const char* kRelayConfig = R"({"configVersion":1,"routes":[
  {"name":"s","hostname":"h","pathPrefix":"/safe/","routeType":"safe",
@@ -108,7 +119,7 @@
   }
 
   asio::io_context loop{1};
-  SystemClock clock;
+  ForwardableClock clock;
   std::unique_ptr<RelayDialect> dialect = platform::MakeDialect();
   std::unique_ptr<ClusterDecoder> decoder = platform::MakeDecoder();
   std::unique_ptr<UpstreamControl> control =
