--- a/Zincstep/Core/Error.cpp
+++ b/Zincstep/Core/Error.cpp
@@ -31,6 +31,8 @@
     ErrorInfo{K::NoCapacity, "no_capacity", 503, O::NotRun, 2s},
     ErrorInfo{K::NotReady, "not_ready", 503, O::NotRun, 1s},
     ErrorInfo{K::Stopping, "stopping", 503, O::NotRun, 1s},
+    ErrorInfo{K::StoppedDuringRun, "stopped_during_run", 502, O::MayHaveRun,
+              0s},
     ErrorInfo{K::DeadlineBeforeRun, "deadline_before_run", 504, O::NotRun, 0s},
     ErrorInfo{K::DeadlineDuringRun, "deadline_during_run", 504, O::MayHaveRun,
               0s},
--- a/Zincstep/Core/Error.h
+++ b/Zincstep/Core/Error.h
@@ -33,6 +33,7 @@
   NoCapacity,
   NotReady,
   Stopping,
+  StoppedDuringRun,
   DeadlineBeforeRun,
   DeadlineDuringRun,
   UpstreamUnreachable,
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -265,7 +265,15 @@
       !this->Candidates().Contains(aBlocked) || !this->IsBlocked()) {
     return;
   }
-  this->Abandon("the request crashes upstreams");
+  this->Abandon(ErrorKind::RequestBlocked, ErrorKind::UpstreamFailed,
+                "the request crashes upstreams");
+}
+
+void Exchange::EndForExit() {
+  if (!this->isDone) {
+    this->Abandon(ErrorKind::Stopping, ErrorKind::StoppedDuringRun,
+                  "the daemon exits");
+  }
 }
 
 void Exchange::Suspect(LiveUpstream& aUpstream) {
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -95,6 +95,9 @@
   /// Abandons this exchange if its request is blocked for this fingerprint and
   /// nothing of the current run's response has arrived.
   void OnBlocked(Fingerprint aBlocked);
+  /// Gives the request its final response as the process is about to exit: that
+  /// it has not run, or that it may have. A stream that has begun is truncated.
+  void EndForExit();
 
   bool IsDone() const { return this->isDone; }
   const AdmittedRequest& Request() const { return this->request; }
@@ -130,8 +133,11 @@
   /// Whether any of the current run's response has arrived. A request that
   /// crashes its upstream does so before that.
   virtual bool HasResponseBegun() const = 0;
-  /// Ends the exchange and cancels the current run, which may have begun.
-  virtual void Abandon(const char* aReason) = 0;
+  /// Ends the exchange and cancels the current run, which may have begun. The
+  /// caller gets `aNotRun` if no upstream has the request, or else
+  /// `aMayHaveRun`.
+  virtual void Abandon(ErrorKind aNotRun, ErrorKind aMayHaveRun,
+                       const char* aReason) = 0;
   /// Records that the current run ended without a complete response.
   void OnRunLost(const char* aReason);
   /// Records that the upstream refused the request. Marks the upstream as ended
--- a/Zincstep/Relay/ForwardExchange.cpp
+++ b/Zincstep/Relay/ForwardExchange.cpp
@@ -284,7 +284,20 @@
   }
 }
 
+ErrorKind ForwardExchange::NotRunKind() {
+  if (this->IsBlocked()) {
+    return ErrorKind::RequestBlocked;
+  }
+  return this->roomRefusals > 0 ? ErrorKind::Overloaded
+                                : ErrorKind::UpstreamUnreachable;
+}
+
 void ForwardExchange::Fail(const char* aReason) {
+  this->Abandon(this->NotRunKind(), ErrorKind::UpstreamFailed, aReason);
+}
+
+void ForwardExchange::Abandon(ErrorKind aNotRun, ErrorKind aMayHaveRun,
+                              const char* aReason) {
   this->LeavePeer();
   this->CancelCall();
   if (this->headSent) {
@@ -292,14 +305,7 @@
     this->Finish("cut", aReason);
     return;
   }
-  if (this->mayHaveRun) {
-    this->Refuse(ErrorKind::UpstreamFailed, aReason);
-    return;
-  }
-  this->Refuse(this->IsBlocked()        ? ErrorKind::RequestBlocked
-               : this->roomRefusals > 0 ? ErrorKind::Overloaded
-                                        : ErrorKind::UpstreamUnreachable,
-               aReason);
+  this->Refuse(this->mayHaveRun ? aMayHaveRun : aNotRun, aReason);
 }
 
 void ForwardExchange::OnCallerDisconnected() {
--- a/Zincstep/Relay/ForwardExchange.h
+++ b/Zincstep/Relay/ForwardExchange.h
@@ -34,7 +34,8 @@
   bool HasResponseBegun() const override {
     return !this->responseInfo.requestId.empty();
   }
-  void Abandon(const char* aReason) override { this->Fail(aReason); }
+  void Abandon(ErrorKind aNotRun, ErrorKind aMayHaveRun,
+               const char* aReason) override;
   std::optional<Micros> ScheduledRetryAfter(ErrorKind) override {
     return this->peerRetryAfter;
   }
@@ -63,6 +64,7 @@
   /// No daemon is left to forward to.
   void OnNoPeer();
   void Fail(const char* aReason);
+  ErrorKind NotRunKind();
   bool IsStream() const;
   /// Time without progress after which a request that may run again is sent to
   /// another daemon.
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -143,15 +143,24 @@
       exchange->OnCallerDisconnected();
       return;
     }
+    if (this->context.stopPolicy.MustEndRequests(this->context.clock.Now())) {
+      exchange->EndForExit();
+      return;
+    }
     this->exchanges[connection.get()] = exchange;
     exchange->Start();
   });
 }
 
+bool Relay::MayDefer(const ArrivedRequest& aRequest, Instant aNow) const {
+  const Micros remaining = aRequest.message.readAt +
+                           this->context.settings.initialStateTimeout - aNow;
+  return !this->context.view.Table() && remaining > Micros{0} &&
+         this->context.stopPolicy.MayDefer(remaining, aNow);
+}
+
 void Relay::OnArrived(ArrivedRequest aRequest) {
-  const Micros waited = this->context.clock.Now() - aRequest.message.readAt;
-  if (!this->context.view.Table() &&
-      waited < this->context.settings.initialStateTimeout) {
+  if (this->MayDefer(aRequest, this->context.clock.Now())) {
     this->deferred.push_back(std::move(aRequest));
     return;
   }
@@ -202,20 +211,23 @@
   aConnection.Answer(answer.status, headers, answer.name);
 }
 
-void Relay::ProcessDeferred(Instant aNow) {
-  const bool isConfigured = this->context.view.Table() != nullptr;
+void Relay::ProcessDeferred() {
   std::vector<ArrivedRequest> waiting;
   waiting.swap(this->deferred);
   for (ArrivedRequest& request : waiting) {
-    const Micros waited = aNow - request.message.readAt;
-    if (isConfigured || waited >= this->context.settings.initialStateTimeout) {
-      this->OnArrived(std::move(request));
-    } else {
-      this->deferred.push_back(std::move(request));
-    }
+    this->OnArrived(std::move(request));
   }
 }
 
+void Relay::EndForExit() {
+  // Those that were deferred are refused, as none may be deferred any longer.
+  this->ProcessDeferred();
+  for (auto& [connection, exchange] : this->exchanges) {
+    exchange->EndForExit();
+  }
+  this->exchanges.clear();
+}
+
 void Relay::OnCallerDisconnected(CallerConnection& aConnection) {
   std::erase_if(this->deferred, [&](const ArrivedRequest& aOne) {
     return aOne.connection.get() == &aConnection;
@@ -239,7 +251,11 @@
 
 void Relay::Tick() {
   const Instant now = this->context.clock.Now();
-  this->ProcessDeferred(now);
+  if (this->context.stopPolicy.MustEndRequests(now)) {
+    this->EndForExit();
+    return;
+  }
+  this->ProcessDeferred();
   this->CollectLossEvidence(now);
   // `OnTick` may end its exchange; ended ones are erased after the loop.
   for (auto& [connection, exchange] : this->exchanges) {
--- a/Zincstep/Relay/Relay.h
+++ b/Zincstep/Relay/Relay.h
@@ -94,9 +94,13 @@
   /// Starts waiting requests, after the streams that have begun and wait for a
   /// chain.
   void StartWaiting();
+  /// Whether the request waits for this daemon's first configuration.
+  bool MayDefer(const ArrivedRequest& aRequest, Instant aNow) const;
+  /// Gives all requests their final response.
+  void EndForExit();
   /// Admits the deferred requests once there is a configuration, or refuses
   /// them after `RelaySettings::initialStateTimeout`.
-  void ProcessDeferred(Instant aNow);
+  void ProcessDeferred();
 
   RelayContext context;
   CapacityScheduler capacity;
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -116,12 +116,13 @@
   this->body.append(aPart);
 }
 
-void ServiceExchange::Abandon(const char* aReason) {
-  this->EndCall();
+void ServiceExchange::Abandon(ErrorKind aNotRun, ErrorKind aMayHaveRun,
+                              const char* aReason) {
+  if (this->call) {
+    this->EndCall();
+  }
   this->CancelCall();
-  this->Refuse(
-      this->mayHaveRun ? ErrorKind::UpstreamFailed : ErrorKind::RequestBlocked,
-      aReason);
+  this->Refuse(this->mayHaveRun ? aMayHaveRun : aNotRun, aReason);
 }
 
 bool ServiceExchange::CanRunAgain() const {
--- a/Zincstep/Relay/ServiceExchange.h
+++ b/Zincstep/Relay/ServiceExchange.h
@@ -26,7 +26,8 @@
   bool HasResponseBegun() const override {
     return !this->responseInfo.requestId.empty();
   }
-  void Abandon(const char* aReason) override;
+  void Abandon(ErrorKind aNotRun, ErrorKind aMayHaveRun,
+               const char* aReason) override;
   void TrySend();
   /// Refuses a request for which no upstream can be chosen.
   void RefuseUnsent();
--- a/Zincstep/Relay/StopPolicy.cpp
+++ b/Zincstep/Relay/StopPolicy.cpp
@@ -8,9 +8,11 @@
   }
   const Micros needed =
       aIsStream ? this->settings.maxStreamTime : this->settings.maxServiceTime;
-  const Instant end =
-      *this->begunAt + this->settings.gracePeriod - this->settings.killMargin;
-  return aNow + needed <= end;
+  return aNow + needed <= this->EndOfRequests();
+}
+
+bool StopPolicy::MustEndRequests(Instant aNow) const {
+  return this->begunAt && aNow >= this->EndOfRequests();
 }
 
 bool StopPolicy::ShouldCloseIdle(Instant aNow) const {
@@ -22,11 +24,9 @@
   if (!this->begunAt) {
     return false;
   }
-  const Micros stopping = aNow - *this->begunAt;
-  if (stopping >= this->settings.gracePeriod - this->settings.killMargin) {
-    return true;
-  }
-  return aActive == 0 && stopping >= this->settings.balancerRemovalDelay;
+  return this->MustEndRequests(aNow) ||
+         (aActive == 0 &&
+          aNow - *this->begunAt >= this->settings.balancerRemovalDelay);
 }
 
 }  // namespace zincstep
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -159,6 +159,11 @@
 }
 
 void StreamExchange::Fail(const char* aReason) {
+  this->Abandon(this->NotRunKind(), ErrorKind::UpstreamFailed, aReason);
+}
+
+void StreamExchange::Abandon(ErrorKind aNotRun, ErrorKind aMayHaveRun,
+                             const char* aReason) {
   this->CancelCall();
   this->Release();
   if (this->headSent) {
@@ -166,9 +171,7 @@
     this->Finish("cut", aReason);
     return;
   }
-  this->Refuse(
-      this->mayHaveRun ? ErrorKind::UpstreamFailed : this->NotRunKind(),
-      aReason);
+  this->Refuse(this->mayHaveRun ? aMayHaveRun : aNotRun, aReason);
 }
 
 ErrorKind StreamExchange::NotRunKind() {
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -48,7 +48,8 @@
   static constexpr Micros kDepartedTimeout = 400ms;
 
   bool HasResponseBegun() const override { return this->hasRunEvents; }
-  void Abandon(const char* aReason) override { this->Fail(aReason); }
+  void Abandon(ErrorKind aNotRun, ErrorKind aMayHaveRun,
+               const char* aReason) override;
   void OnFinished() override;
   bool MayRunAgain() const override { return this->CanResume(); }
   ExchangeProgress TakeProgress() override;
