A stopping daemon accepts what can end before its exit (LOST, orders)

What callers saw: orders sent 5.6 to 6.0 s after the SIGTERM were run by a replica, and their connections closed without an answer after 1.5 to 1.9 s.

Cause: StopPolicy took one time for every request to a plain service, 1.5 s, and one for every stream, 5 s, whatever its route does.

A request that may not run twice is accepted only if it ends in any case. A repeatable one is accepted if nearly all (0.99) of its route end in time; as long as the balancer sends new connections here, if most (0.8) do.

Considered: handing such a request over to another daemon. Its response would have to come through this process, which exits as early; a refusal as not run is served by the next daemon at once.

--- a/UnitTests/StopPolicyTest.cpp
+++ b/UnitTests/StopPolicyTest.cpp
@@ -10,6 +10,8 @@
   CPPUNIT_TEST(Accepts_NotStopping_IsTrue);
   CPPUNIT_TEST(Accepts_LateStream_IsFalse);
   CPPUNIT_TEST(Accepts_ServiceRequestThatCanComplete_IsTrue);
+  CPPUNIT_TEST(Accepts_OrderOfLongTimeout_OnlyIfItEndsInAnyCase);
+  CPPUNIT_TEST(Accepts_RepeatableRequest_ByUsualDuration);
   CPPUNIT_TEST(ShouldCloseIdle_AfterBalancerRemoval_IsTrue);
   CPPUNIT_TEST(CanExit_ActiveRequests_WaitsForGracePeriod);
   CPPUNIT_TEST(CanExit_BeforeBalancerRemoval_IsFalse);
@@ -18,9 +20,18 @@
   StopPolicy policy{StopPolicySettings{}};
   Instant start{Micros{100s}};
 
+  static ExpectedDuration Stream() { return {20s, std::nullopt, true, true}; }
+  static ExpectedDuration Request(std::optional<UsualDurations> aUsual) {
+    return {6s, aUsual, true, false};
+  }
+  static ExpectedDuration Order(Micros aTimeout) {
+    return {aTimeout, UsualDurations{20ms, 30ms}, false, false};
+  }
+
  public:
   void Accepts_NotStopping_IsTrue() {
-    CPPUNIT_ASSERT(policy.Accepts(true, start));
+    CPPUNIT_ASSERT(policy.Accepts(Stream(), start));
+    CPPUNIT_ASSERT(policy.Accepts(Order(60s), start));
     CPPUNIT_ASSERT(!policy.IsStopping());
   }
 
@@ -28,14 +39,41 @@
   // SIGTERM was truncated at the end of the grace period.
   void Accepts_LateStream_IsFalse() {
     policy.Begin(start);
-    CPPUNIT_ASSERT(policy.Accepts(true, start + 1s));
-    CPPUNIT_ASSERT(!policy.Accepts(true, start + 6600ms));
+    CPPUNIT_ASSERT(policy.Accepts(Stream(), start + 1s));
+    CPPUNIT_ASSERT(!policy.Accepts(Stream(), start + 6600ms));
   }
 
   void Accepts_ServiceRequestThatCanComplete_IsTrue() {
     policy.Begin(start);
-    CPPUNIT_ASSERT(policy.Accepts(false, start + 5s));
-    CPPUNIT_ASSERT(!policy.Accepts(false, start + 7s));
+    CPPUNIT_ASSERT(policy.Accepts(Request({}), start + 5s));
+    CPPUNIT_ASSERT(!policy.Accepts(Request({}), start + 7s));
+  }
+
+  // Guards against a fixed time for all requests: an order that took 1.9 s of
+  // its 2 s was accepted 1.5 s before the end.
+  void Accepts_OrderOfLongTimeout_OnlyIfItEndsInAnyCase() {
+    policy.Begin(start);
+    for (const Micros timeout : {200ms, 2000ms, 7400ms, 20000ms}) {
+      for (Micros since{0}; since < 8s; since += 100ms) {
+        const bool canEnd = since + timeout <= 7500ms;
+        CPPUNIT_ASSERT_EQUAL(canEnd,
+                             policy.Accepts(Order(timeout), start + since));
+      }
+    }
+  }
+
+  void Accepts_RepeatableRequest_ByUsualDuration() {
+    policy.Begin(start);
+    const UsualDurations fast{20ms, 100ms};
+    CPPUNIT_ASSERT(policy.Accepts(Request(fast), start + 7300ms));
+    CPPUNIT_ASSERT(!policy.Accepts(Request(fast), start + 7450ms));
+    const UsualDurations slow{4s, 5s};
+    // As long as the balancer sends new connections, most have to end.
+    CPPUNIT_ASSERT(policy.Accepts(Request(slow), start + 2500ms));
+    CPPUNIT_ASSERT(!policy.Accepts(Request(slow), start + 2700ms));
+    // Its deadline ends it earlier than usual.
+    CPPUNIT_ASSERT(
+        policy.Accepts(Request(UsualDurations{60s, 90s}), start + 1s));
   }
 
   void ShouldCloseIdle_AfterBalancerRemoval_IsTrue() {
--- a/UnitTests/StoppingDaemonTest.cpp
+++ b/UnitTests/StoppingDaemonTest.cpp
@@ -8,9 +8,22 @@
   CPPUNIT_TEST_SUITE(StoppingDaemonTest);
   CPPUNIT_TEST(Exit_DeferredRequest_HasItsAnswer);
   CPPUNIT_TEST(Order_MayOutlastStop_IsRefusedAsNotRun);
+  CPPUNIT_TEST(Exit_RandomRequests_HaveTheirAnswers);
+  CPPUNIT_TEST(Exit_RandomRequestsBeforeConfiguration_HaveTheirAnswers);
   CPPUNIT_TEST_SUITE_END();
 
+  /// What an upstream does with a request.
+  enum class Behavior { Answers, AnswersLate, Refuses, Hangs, Breaks };
+  /// A request of a random history.
+  struct Asked {
+    bool isStream = false;
+    std::optional<Result<HttpResponse>> answer;
+  };
+
   const StopPolicySettings policy{};
+  Random draw{11};
+  std::vector<std::pair<ConnectionPtr, CallerMessage>> held;
+  std::vector<std::shared_ptr<Asked>> asked;
 
   /// Time from the stop signal until running requests are ended.
   Micros StopDuration() const {
@@ -23,9 +36,118 @@
     clock.Advance(this->StopDuration() - aRemaining);
   }
 
+  void AddRandomUpstream(const std::string& aService) {
+    this->AddUpstream(aService, [this](const auto& aTo,
+                                       const CallerMessage& aMessage) {
+      if (aMessage.head.target == "/report") {
+        AnswerWhole(aTo, aMessage, {});
+        return;
+      }
+      switch (static_cast<Behavior>(draw.Below(5))) {
+        case Behavior::Answers:
+          AnswerWhole(aTo, aMessage, SealedHeaders(aMessage));
+          break;
+        case Behavior::AnswersLate:
+          held.emplace_back(aTo, aMessage);
+          break;
+        case Behavior::Refuses:
+          aTo->Answer(
+              503,
+              {{"X-Attempt-Id",
+                std::string(FindHeader(aMessage.head.headers, "X-Attempt-Id"))},
+               {"X-Not-Executed", "1"}},
+              "");
+          break;
+        case Behavior::Hangs:
+          if (aMessage.head.target.starts_with("/llm/")) {
+            aTo->BeginChunks(200, SealedHeaders(aMessage));
+            aTo->AppendChunk("id: 1\ndata: a\n\n");
+          }
+          break;
+        case Behavior::Breaks:
+          aTo->Abort();
+          break;
+      }
+    });
+  }
+
+  void ReleaseHeld() {
+    for (const auto& [connection, message] : std::exchange(held, {})) {
+      if (!connection->IsClosed()) {
+        AnswerWhole(connection, message, SealedHeaders(message));
+      }
+    }
+  }
+
+  void AskRandom() {
+    constexpr std::array kPaths{"/safe/x", "/unsafe/x", "/llm/x"};
+    const std::size_t kind = draw.Below(kPaths.size());
+    const auto one = std::make_shared<Asked>();
+    one->isStream = kind == 2;
+    asked.push_back(one);
+    FetchResponse(loop, {asio::ip::address_v4::loopback(), listener->Port()},
+                  this->Attempt(kPaths[kind]), 60s,
+                  [one](Result<HttpResponse> aAnswer) {
+                    one->answer = std::move(aAnswer);
+                  });
+  }
+
+  /// Plays a stop, with requests in each tenth of a second and a configuration
+  /// from `aConfiguredAt` on; checks that each has a complete response.
+  void PlayStop(Micros aConfiguredAt) {
+    stop = StopPolicy{policy};
+    stop.Begin(clock.Now());
+    const Instant begin = clock.Now();
+    while (!stop.MustEndRequests(clock.Now())) {
+      this->AskRandom();
+      loop.run_for(2ms);
+      if (draw.Below(8) == 0) {
+        this->ReleaseHeld();
+      }
+      if (clock.Now() - begin >= aConfiguredAt) {
+        this->Configure(kRelayConfig);
+      }
+      clock.Advance(100ms);
+      relay->Tick();
+    }
+    relay->Tick();
+    CPPUNIT_ASSERT(stop.CanExit(relay->Active(), clock.Now()));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, relay->Active());
+    this->RunUntil([&] {
+      return std::all_of(asked.begin(), asked.end(), [](const auto& aOne) {
+        return aOne->answer.has_value();
+      });
+    });
+    for (const auto& one : asked) {
+      CPPUNIT_ASSERT(one->answer->has_value() || one->isStream);
+    }
+    asked.clear();
+  }
+
  public:
   void setUp() override { this->Begin(); }
 
+  // Guards against any state of a request in which the exit leaves it without
+  // an answer.
+  void Exit_RandomRequests_HaveTheirAnswers() {
+    this->Configure(kRelayConfig);
+    for (const char* service : {"plain", "plain", "model", "model"}) {
+      this->AddRandomUpstream(service);
+    }
+    for (int round = 0; round < 8; ++round) {
+      this->PlayStop(0s);
+      held.clear();
+    }
+  }
+
+  void Exit_RandomRequestsBeforeConfiguration_HaveTheirAnswers() {
+    this->AddRandomUpstream("plain");
+    this->AddRandomUpstream("model");
+    for (const Micros configuredAt : {60000ms, 60000ms, 7200ms, 0ms}) {
+      this->PlayStop(configuredAt);
+    }
+  }
+
   // Guards against exiting without an answer to a request that waits for the
   // first configuration: its caller's connection was closed.
   void Exit_DeferredRequest_HasItsAnswer() {
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -82,6 +82,9 @@
     headers.push_back(RetryAfterHeader(after));
     this->OnNotRunRefusal(aKind, after);
   }
+  if (aKind == ErrorKind::DeadlineDuringRun) {
+    this->RecordDuration();
+  }
   this->context.metrics.Count("zincstep_refusals_total",
                               {{"kind", std::string(answer.name)}});
   this->context.statistics.OnRefused(this->counted, aKind);
@@ -257,9 +260,16 @@
 }
 
 void Exchange::OnRunCompleted() {
+  this->RecordDuration();
   this->context.crashDetector.OnRequestCompleted(this->Candidates());
 }
 
+void Exchange::RecordDuration() {
+  const Instant now = this->Now();
+  this->context.durations.OnEnded(this->request.route->name,
+                                  now - this->request.message.readAt, now);
+}
+
 void Exchange::OnBlocked(Fingerprint aBlocked) {
   if (this->isDone || !this->call || this->HasResponseBegun() ||
       !this->Candidates().Contains(aBlocked) || !this->IsBlocked()) {
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -145,6 +145,9 @@
   void OnRefused(const ResponseInfo& aInfo, int aStatus);
   /// Applies the call limits that a response head names for the upstream.
   void ApplyNotice(const ResponseInfo& aInfo);
+  /// Records how long the request took, for the decision which requests a
+  /// stopping daemon accepts.
+  void RecordDuration();
   /// Records that a run completed successfully.
   void OnRunCompleted();
   /// What the request carries that may crash upstreams; the same for all
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -68,6 +68,19 @@
       block->remaining});
 }
 
+ExpectedDuration Relay::ExpectedOf(const AdmittedRequest& aRequest,
+                                   Instant aNow) const {
+  const Route& route = *aRequest.route;
+  ExpectedDuration expected;
+  expected.maximum = aRequest.deadline - aNow;
+  expected.usual = this->context.durations.Usual(route.name, aNow);
+  expected.isStream =
+      route.kind == RouteKind::Streaming && aRequest.service->model.has_value();
+  expected.isRepeatable =
+      expected.isStream ? route.isResumable : route.kind == RouteKind::Safe;
+  return expected;
+}
+
 Result<AdmittedRequest> Relay::Admit(ArrivedRequest aRequest) const {
   AdmittedRequest request;
   request.connection = std::move(aRequest.connection);
@@ -103,14 +116,14 @@
   if (!crashes) {
     return tl::unexpected(crashes.error());
   }
-  const bool isStream = request.service->model.has_value();
-  if (!this->context.stopPolicy.Accepts(isStream, request.message.readAt)) {
-    return Fail(ErrorKind::Stopping,
-                "the request could not complete before the stop");
-  }
   const Micros timeout = request.info.timeout.value_or(kDefaultTimeout);
   request.deadline =
       request.message.readAt + std::min(timeout, request.route->timeout);
+  const Instant now = this->context.clock.Now();
+  if (!this->context.stopPolicy.Accepts(this->ExpectedOf(request, now), now)) {
+    return Fail(ErrorKind::Stopping,
+                "the request could not complete before the stop");
+  }
   return request;
 }
 
--- a/Zincstep/Relay/Relay.h
+++ b/Zincstep/Relay/Relay.h
@@ -78,6 +78,8 @@
   };
 
   void OnArrived(ArrivedRequest aRequest);
+  ExpectedDuration ExpectedOf(const AdmittedRequest& aRequest,
+                              Instant aNow) const;
   Result<AdmittedRequest> Admit(ArrivedRequest aRequest) const;
   /// Continues a request through another daemon in the next turn of the loop,
   /// as its former exchange is still in use.
--- a/Zincstep/Relay/RelayContext.h
+++ b/Zincstep/Relay/RelayContext.h
@@ -13,6 +13,7 @@
 #include "Zincstep/Relay/LoadStatistics.h"
 #include "Zincstep/Relay/ReachMonitor.h"
 #include "Zincstep/Relay/RelayDialect.h"
+#include "Zincstep/Relay/RouteDurations.h"
 #include "Zincstep/Relay/StopPolicy.h"
 #include "Zincstep/Relay/UpstreamProber.h"
 #include "Zincstep/Telemetry/Telemetry.h"
@@ -132,6 +133,7 @@
   /// Called when an exchange marks an upstream as suspect.
   std::function<void()> onSuspicion;
   RepairStatistics repairs{};
+  RouteDurations durations{RouteDurationsSettings{}};
   /// Order of requests while room is scarce; set by the relay.
   CapacityScheduler* capacity = nullptr;
   /// Continues a request through another daemon; set by the relay.
--- a/Zincstep/Relay/StopPolicy.cpp
+++ b/Zincstep/Relay/StopPolicy.cpp
@@ -1,14 +1,27 @@
 #include "Zincstep/Relay/StopPolicy.h"
 
+#include <algorithm>
+
 namespace zincstep {
 
-bool StopPolicy::Accepts(bool aIsStream, Instant aNow) const {
-  if (!this->begunAt) {
-    return true;
+UsualDurations StopPolicy::InitialDurations(
+    const ExpectedDuration& aExpected) const {
+  return aExpected.isStream ? UsualDurations{this->settings.initialStreamTime,
+                                             aExpected.maximum}
+                            : UsualDurations{this->settings.initialServiceTime,
+                                             this->settings.initialServiceTime};
+}
+
+bool StopPolicy::Accepts(const ExpectedDuration& aExpected,
+                         Instant aNow) const {
+  if (!aExpected.isRepeatable) {
+    return this->CanEnd(aExpected.maximum, aNow);
   }
-  const Micros needed =
-      aIsStream ? this->settings.maxStreamTime : this->settings.maxServiceTime;
-  return aNow + needed <= this->EndOfRequests();
+  const UsualDurations usual =
+      aExpected.usual.value_or(this->InitialDurations(aExpected));
+  const Micros duration =
+      this->ShouldCloseIdle(aNow) ? usual.nearlyAll : usual.most;
+  return this->CanEnd(std::min(duration, aExpected.maximum), aNow);
 }
 
 bool StopPolicy::MustEndRequests(Instant aNow) const {
--- a/Zincstep/Relay/StopPolicy.h
+++ b/Zincstep/Relay/StopPolicy.h
@@ -2,7 +2,7 @@
 
 #include <optional>
 
-#include "Zincstep/Core/Core.h"
+#include "Zincstep/Relay/RouteDurations.h"
 
 namespace zincstep {
 
@@ -15,11 +15,21 @@
   Micros balancerRemovalDelay = 2600ms;
   /// Time before the kill at which all requests get their final response.
   Micros killMargin = 500ms;
-  /// Usual maximum duration of a stream; the kill would truncate one accepted
-  /// later than this before it.
-  Micros maxStreamTime = 5s;
-  /// Usual maximum duration of a request to a plain service.
-  Micros maxServiceTime = 1500ms;
+  /// Durations that are expected as long as too few requests of a route are
+  /// known: of most streams, and of nearly all requests to a plain service.
+  Micros initialStreamTime = 5s;
+  Micros initialServiceTime = 1500ms;
+};
+
+/// What is known of the time that a new request takes.
+struct ExpectedDuration {
+  /// Time until its caller or its route gives up.
+  Micros maximum{0};
+  /// Of recent requests of its route; none if too few are known.
+  std::optional<UsualDurations> usual;
+  /// Whether it may run again elsewhere if it is ended here.
+  bool isRepeatable = false;
+  bool isStream = false;
 };
 
 /// Decides what a daemon still does after its stop signal.
@@ -33,12 +43,15 @@
   /// Records the time of the stop signal.
   void Begin(Instant aNow) { this->begunAt = aNow; }
   bool IsStopping() const { return this->begunAt.has_value(); }
-  /// Whether to accept a new request: a stream, or one to a plain service.
-  bool Accepts(bool aIsStream, Instant aNow) const;
+  /// Whether to accept a new request. One that is not repeatable must end in
+  /// any case, a repeatable one as nearly all of its route do. As long as the
+  /// load balancer sends new connections here, it is enough if most of them
+  /// end, as their callers may have no other daemon.
+  bool Accepts(const ExpectedDuration& aExpected, Instant aNow) const;
   /// Whether to keep a request until what it waits for may have arrived, for at
   /// most `aWait`; afterwards a request to a plain service still has its time.
   bool MayDefer(Micros aWait, Instant aNow) const {
-    return this->Accepts(false, aNow + aWait);
+    return this->CanEnd(aWait + this->settings.initialServiceTime, aNow);
   }
   /// Whether all requests must get their final response now.
   bool MustEndRequests(Instant aNow) const;
@@ -49,6 +62,10 @@
 
  private:
   StopPolicySettings settings;
+  UsualDurations InitialDurations(const ExpectedDuration& aExpected) const;
+  bool CanEnd(Micros aDuration, Instant aNow) const {
+    return !this->begunAt || aNow + aDuration <= this->EndOfRequests();
+  }
   /// Time by which all requests have ended; only while stopping.
   Instant EndOfRequests() const {
     return *this->begunAt + this->settings.gracePeriod -
