A stopping daemon exits once callers have received their responses

What callers would see: a response that is longer than the socket's buffers is truncated if its reader is slow while its daemon stops.

Cause: CanExit counted requests; one whose response is complete has ended, although up to the whole response may wait in the connection.

Change: CanExit gets the bytes that are not yet written to callers and to daemons that forwarded requests here, and waits for them until 0.1 s before the kill. The last half second is for these writes.

Test: Exit_ResponseToSlowReader_IsSentFirst (16 MiB, a caller that reads later); with CanExit as it was, which does not know of the bytes, it returns true 3 s after the signal with the response unsent (by reading; the former signature has no such argument). StopPolicyTest::CanExit_ResponseNotSent_WaitsForKill.

--- a/UnitTests/StopPolicyTest.cpp
+++ b/UnitTests/StopPolicyTest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(ShouldCloseIdle_AfterBalancerRemoval_IsTrue);
   CPPUNIT_TEST(CanExit_ActiveRequests_WaitsForGracePeriod);
   CPPUNIT_TEST(CanExit_BeforeBalancerRemoval_IsFalse);
+  CPPUNIT_TEST(CanExit_ResponseNotSent_WaitsForKill);
   CPPUNIT_TEST_SUITE_END();
 
   StopPolicy policy{StopPolicySettings{}};
@@ -85,14 +86,21 @@
 
   void CanExit_ActiveRequests_WaitsForGracePeriod() {
     policy.Begin(start);
-    CPPUNIT_ASSERT(!policy.CanExit(1, start + 7s));
-    CPPUNIT_ASSERT(policy.CanExit(1, start + 7500ms));
+    CPPUNIT_ASSERT(!policy.CanExit(1, 0, start + 7s));
+    CPPUNIT_ASSERT(policy.CanExit(1, 0, start + 7500ms));
   }
 
   void CanExit_BeforeBalancerRemoval_IsFalse() {
     policy.Begin(start);
-    CPPUNIT_ASSERT(!policy.CanExit(0, start + 1s));
-    CPPUNIT_ASSERT(policy.CanExit(0, start + 3s));
+    CPPUNIT_ASSERT(!policy.CanExit(0, 0, start + 1s));
+    CPPUNIT_ASSERT(policy.CanExit(0, 0, start + 3s));
+  }
+
+  void CanExit_ResponseNotSent_WaitsForKill() {
+    policy.Begin(start);
+    CPPUNIT_ASSERT(!policy.CanExit(0, 1, start + 3s));
+    CPPUNIT_ASSERT(!policy.CanExit(1, 1, start + 7500ms));
+    CPPUNIT_ASSERT(policy.CanExit(1, 1, start + 7900ms));
   }
 };
 
--- a/UnitTests/StoppingDaemonTest.cpp
+++ b/UnitTests/StoppingDaemonTest.cpp
@@ -8,6 +8,7 @@
   CPPUNIT_TEST_SUITE(StoppingDaemonTest);
   CPPUNIT_TEST(Exit_DeferredRequest_HasItsAnswer);
   CPPUNIT_TEST(Order_MayOutlastStop_IsRefusedAsNotRun);
+  CPPUNIT_TEST(Exit_ResponseToSlowReader_IsSentFirst);
   CPPUNIT_TEST(Exit_RandomRequests_HaveTheirAnswers);
   CPPUNIT_TEST(Exit_RandomRequestsBeforeConfiguration_HaveTheirAnswers);
   CPPUNIT_TEST_SUITE_END();
@@ -111,7 +112,7 @@
       relay->Tick();
     }
     relay->Tick();
-    CPPUNIT_ASSERT(stop.CanExit(relay->Active(), clock.Now()));
+    CPPUNIT_ASSERT(stop.CanExit(relay->Active(), 0, clock.Now()));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, relay->Active());
     this->RunUntil([&] {
       return std::all_of(asked.begin(), asked.end(), [](const auto& aOne) {
@@ -127,6 +128,29 @@
  public:
   void setUp() override { this->Begin(); }
 
+  // Guards against exiting while a caller reads its response: it was truncated.
+  void Exit_ResponseToSlowReader_IsSentFirst() {
+    this->Configure(kRelayConfig);
+    const std::string body(16 << 20, 'x');
+    this->AddUpstream("plain", [&](const auto& aTo, const auto& aMessage) {
+      aTo->Answer(200, SealedHeaders(aMessage), body);
+    });
+    asio::ip::tcp::socket caller(loop);
+    caller.connect({asio::ip::address_v4::loopback(), listener->Port()});
+    asio::write(caller, asio::buffer(this->Request("/safe/")));
+    this->RunUntil([&] { return listener->PendingBytes() > 0; });
+    stop.Begin(clock.Now());
+    clock.Advance(3s);
+    relay->Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, relay->Active());
+    CPPUNIT_ASSERT(!stop.CanExit(0, listener->PendingBytes(), clock.Now()));
+    std::vector<char> read(body.size());
+    asio::async_read(caller, asio::buffer(read),
+                     [](const asio::error_code&, std::size_t) {});
+    this->RunUntil([&] { return listener->PendingBytes() == 0; });
+    CPPUNIT_ASSERT(stop.CanExit(0, listener->PendingBytes(), clock.Now()));
+  }
+
   // Guards against any state of a request in which the exit leaves it without
   // an answer.
   void Exit_RandomRequests_HaveTheirAnswers() {
@@ -159,7 +183,7 @@
         [&] { return relay->Active() == 1 || caller.available() > 0; });
     clock.Advance(700ms);
     relay->Tick();
-    CPPUNIT_ASSERT(stop.CanExit(relay->Active(), clock.Now()));
+    CPPUNIT_ASSERT(stop.CanExit(relay->Active(), 0, clock.Now()));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, relay->Active());
     this->RunUntil([&] { return caller.available() > 0; });
     std::string status(12, ' ');
--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -125,7 +125,9 @@
   this->DetectSuspension();
   this->relay.Tick();
   this->SurveyLoad();
-  if (this->stop.CanExit(this->relay.Active(), this->clock.Now())) {
+  const std::size_t unsent =
+      this->callers.PendingBytes() + this->forwarded.PendingBytes();
+  if (this->stop.CanExit(this->relay.Active(), unsent, this->clock.Now())) {
     this->loop.stop();
     return;
   }
--- a/Zincstep/Relay/StopPolicy.cpp
+++ b/Zincstep/Relay/StopPolicy.cpp
@@ -33,13 +33,19 @@
          aNow - *this->begunAt >= this->settings.balancerRemovalDelay;
 }
 
-bool StopPolicy::CanExit(std::size_t aActive, Instant aNow) const {
+bool StopPolicy::CanExit(std::size_t aActive, std::size_t aUnsent,
+                         Instant aNow) const {
   if (!this->begunAt) {
     return false;
   }
-  return this->MustEndRequests(aNow) ||
-         (aActive == 0 &&
-          aNow - *this->begunAt >= this->settings.balancerRemovalDelay);
+  const Micros stopping = aNow - *this->begunAt;
+  if (stopping >= this->settings.gracePeriod - this->settings.exitMargin) {
+    return true;
+  }
+  const bool hasEnded =
+      this->MustEndRequests(aNow) ||
+      (aActive == 0 && stopping >= this->settings.balancerRemovalDelay);
+  return hasEnded && aUnsent == 0;
 }
 
 }  // namespace zincstep
--- a/Zincstep/Relay/StopPolicy.h
+++ b/Zincstep/Relay/StopPolicy.h
@@ -15,6 +15,9 @@
   Micros balancerRemovalDelay = 2600ms;
   /// Time before the kill at which all requests get their final response.
   Micros killMargin = 500ms;
+  /// Time before the kill at which the process exits although callers have not
+  /// received all of their responses.
+  Micros exitMargin = 100ms;
   /// Durations that are expected as long as too few requests of a route are
   /// known: of most streams, and of nearly all requests to a plain service.
   Micros initialStreamTime = 5s;
@@ -57,8 +60,9 @@
   bool MustEndRequests(Instant aNow) const;
   /// Whether to close connections that have no request.
   bool ShouldCloseIdle(Instant aNow) const;
-  /// Whether the process may exit with `aActive` requests still running.
-  bool CanExit(std::size_t aActive, Instant aNow) const;
+  /// Whether the process may exit with `aActive` requests still running and
+  /// `aUnsent` bytes of responses that callers have not received yet.
+  bool CanExit(std::size_t aActive, std::size_t aUnsent, Instant aNow) const;
 
  private:
   StopPolicySettings settings;
