Soak: overlapping stops beside slow orders, and without a configuration

`--stops`: two daemons stop 0.5 s apart while plain upstreams take 1.8 s of a grace of 3 s; then all daemons restart without the store and stop 0.1 s apart. Callers send requests of all kinds each 50 ms, on open connections too, until the processes have exited. Checked: no order or safe request that ran, or was sent over 0.2 s before, ends without an answer.

--- a/SoakTests/InvariantChecker.cpp
+++ b/SoakTests/InvariantChecker.cpp
@@ -7,6 +7,14 @@
 
 namespace zincstep::soak {
 
+namespace {
+
+/// Time after which a daemon has read a request that was sent to it: a lost
+/// connection says nothing of a request that is younger.
+constexpr Micros kMaxReadTime = 200ms;
+
+}  // namespace
+
 void InvariantChecker::WriteEvent(const char* aEvent, nlohmann::json aFields) {
   const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
@@ -111,13 +119,26 @@
 }
 
 void InvariantChecker::CheckTruncated(const std::string& aCause) {
-  for (const std::string& id : this->truncated) {
+  for (const auto& [id, at] : this->truncated) {
     if (this->requests.at(id).runs > 0) {
       this->AddViolation("request " + id + " ran and was truncated " + aCause);
     }
   }
 }
 
+void InvariantChecker::CheckAnswered(const std::string& aCause) {
+  for (const auto& [id, at] : this->truncated) {
+    const Record& request = this->requests.at(id);
+    const Micros waited = at - request.sentAt;
+    if (request.kind != RequestKind::Stream &&
+        (request.runs > 0 || waited > kMaxReadTime)) {
+      this->AddViolation("request " + id + " got no answer " + aCause +
+                         ", after " + std::to_string(waited / 1ms) +
+                         " ms and " + std::to_string(request.runs) + " runs");
+    }
+  }
+}
+
 void InvariantChecker::ClearCrashes() {
   this->crashes.clear();
   this->crashingSends.clear();
--- a/SoakTests/InvariantChecker.h
+++ b/SoakTests/InvariantChecker.h
@@ -46,13 +46,16 @@
   void OnRequestEnd(const std::string& aId, ReportedOutcome aReported);
   /// Records that the caller's connection broke before the response was
   /// complete.
-  void OnResponseTruncated(const std::string& aId) {
-    this->truncated.push_back(aId);
+  void OnResponseTruncated(const std::string& aId, Instant aAt) {
+    this->truncated.push_back({aId, aAt});
   }
   void ClearTruncated() { this->truncated.clear(); }
   /// Checks that no request that ran was truncated since `ClearTruncated`;
   /// `aCause` names, for the message, what must not truncate responses.
   void CheckTruncated(const std::string& aCause);
+  /// The same, also for requests that had been sent for some time: the daemon
+  /// must have read these. Streams may be truncated.
+  void CheckAnswered(const std::string& aCause);
   /// Record that the crashing request has reached an upstream, and that it has
   /// crashed one.
   void OnCrashingRequestSent(Instant aAt) {
@@ -98,6 +101,11 @@
     ReportedOutcome reported = ReportedOutcome::Unknown;
   };
 
+  struct Truncated {
+    std::string id;
+    Instant at;
+  };
+
   /// Requests to one service, and arrivals beyond their first, in the order of
   /// time.
   struct ServiceArrivals {
@@ -117,7 +125,7 @@
   std::map<std::string, ServiceArrivals> arrivals;
   std::ofstream events;
   std::map<std::string, Record> requests;
-  std::vector<std::string> truncated;
+  std::vector<Truncated> truncated;
   std::map<std::string, Instant> revoked;
   std::vector<std::string> violations;
   std::vector<Instant> crashingSends;
--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -24,6 +24,7 @@
     "  --late-links    links of exited upstreams accept, then reset later\n"
     "  --quick-restarts  crashed upstreams restart at once\n"
     "  --restores      the store is restored from backups meanwhile\n"
+    "  --stops         at the end, overlapping stops of daemons\n"
     "  --partitions    daemons are partitioned from all upstreams; needs\n"
     "                  zincstep-soak-edge as the daemon\n"
     "Exit status: 0 all passed, 1 an invariant was violated, 2 usage error.\n";
@@ -47,6 +48,7 @@
                             {"quick-restarts", no_argument, nullptr, 'q'},
                             {"restores", no_argument, nullptr, 'r'},
                             {"partitions", no_argument, nullptr, 'p'},
+                            {"stops", no_argument, nullptr, 'o'},
                             {nullptr, 0, nullptr, 0}};
   for (int flag = 0;
        (flag = getopt_long(aCount, aArguments, "", options, nullptr)) != -1;) {
@@ -90,6 +92,9 @@
       case 'p':
         settings.hasPartitions = true;
         break;
+      case 'o':
+        settings.hasStops = true;
+        break;
       default:
         std::fputs(kUsage, stderr);
         return 2;
--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -86,6 +86,15 @@
   /// Checks that a daemon that is stopped truncates no response to a request
   /// that an upstream has started.
   void CheckPlannedStop();
+  /// Stops two daemons one after the other while plain upstreams take most of
+  /// the grace period; checks that each order that was read has an answer.
+  void CheckOverlappingStops();
+  /// The same with all daemons, which have just started without the store.
+  void CheckStopsWithoutConfiguration();
+  /// Stops the first `aCount` daemons, `aGap` apart, while callers send them
+  /// requests of all kinds until the processes have exited.
+  void StopUnderLoad(std::size_t aCount, Micros aGap);
+  void SendToDaemons(std::size_t aCount);
   /// Checks that streams complete although all open connections are
   /// blackholed while they run.
   void CheckBlackholedStreams();
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -185,6 +185,10 @@
     this->CheckPartitionedDaemons();
     this->CheckPartitionedDaemons();
   }
+  if (this->settings.hasStops) {
+    this->CheckOverlappingStops();
+    this->CheckStopsWithoutConfiguration();
+  }
   if (this->settings.hasCrashingRequest) {
     this->CheckCrashingRequest();
   }
@@ -337,7 +341,7 @@
   constexpr std::array kNotRun{408, 421, 429, 503};
   if (!aResponse) {
     if (aResponse.error().kind == ErrorKind::ResponseIncomplete) {
-      this->checker.OnResponseTruncated(aId);
+      this->checker.OnResponseTruncated(aId, this->clock.Now());
     }
     return;  // Truncated or late: the outcome is unknown.
   }
--- a/SoakTests/SoakRun.h
+++ b/SoakTests/SoakRun.h
@@ -34,6 +34,9 @@
   /// Whether daemons are partitioned from all upstreams. Needs the daemon
   /// program of the soak, `zincstep-soak-edge`.
   bool hasPartitions = false;
+  /// Whether daemons are stopped one after the other at the end, beside slow
+  /// plain upstreams and without a configuration.
+  bool hasStops = false;
 };
 
 /// Result of one run.
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -123,6 +123,9 @@
   for (const auto& connection : std::exchange(this->crashingConnections, {})) {
     connection->Abort();
   }
+  for (const DelayedResponse& one : std::exchange(this->delayed, {})) {
+    one.connection->Abort();
+  }
   const std::vector<Stream> all = std::move(this->streams);
   this->streams.clear();
   for (const Stream& stream : all) {
@@ -268,10 +271,11 @@
                                " after the notice period of its drain");
   }
   if (this->service != "model") {
-    this->DropsResponseTo(request)
-        ? aConnection->Abort()
-        : aConnection->Answer(kOk, this->AddLimitHeader(SealedHeaders(request)),
-                              BodyFor(request));
+    this->delayed.push_back(
+        {this->clock.Now() + this->responseDelay, aConnection, request});
+    if (this->responseDelay == Micros{0}) {
+      this->SendDelayed(this->clock.Now());
+    }
     return;
   }
   const std::string parts = GetHeader(aMessage, "X-Prompt-Prefix");
@@ -301,6 +305,30 @@
                            this->clock.Now()});
 }
 
+void SoakUpstream::Respond(CallerConnection& aConnection,
+                           const std::string& aRequest) {
+  this->DropsResponseTo(aRequest)
+      ? aConnection.Abort()
+      : aConnection.Answer(kOk, this->AddLimitHeader(SealedHeaders(aRequest)),
+                           BodyFor(aRequest));
+}
+
+void SoakUpstream::SendDelayed(Instant aNow) {
+  std::vector<DelayedResponse> due;
+  std::erase_if(this->delayed, [&](DelayedResponse& aOne) {
+    const bool isDue = aNow >= aOne.at;
+    if (isDue) {
+      due.push_back(std::move(aOne));
+    }
+    return isDue;
+  });
+  for (const DelayedResponse& one : due) {
+    if (!one.connection->IsClosed()) {
+      this->Respond(*one.connection, one.request);
+    }
+  }
+}
+
 void SoakUpstream::CrashOrRestart(Instant aNow) {
   if (this->crashAt && aNow >= *this->crashAt) {
     this->crashAt.reset();
@@ -323,6 +351,7 @@
 void SoakUpstream::Tick() {
   const Instant now = this->clock.Now();
   this->CrashOrRestart(now);
+  this->SendDelayed(now);
   if (this->isAlive && this->loading && now >= this->loadedAt) {
     this->layers = *this->loading;
     this->loading.reset();
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -71,6 +71,8 @@
   void SetRetryAfter(std::optional<Micros> aRetryAfter) {
     this->retryAfter = aRetryAfter;
   }
+  /// From now on a plain upstream responds after this delay.
+  void SetResponseDelay(Micros aDelay) { this->responseDelay = aDelay; }
   /// Whether daemons may send it requests: a plain upstream, or the first of a
   /// chain.
   bool AcceptsRequests() const;
@@ -96,6 +98,15 @@
     Instant lastProgressAt;
   };
 
+  /// A response of a plain upstream that is due later.
+  struct DelayedResponse {
+    Instant at;
+    std::shared_ptr<CallerConnection> connection;
+    std::string request;
+  };
+
+  void Respond(CallerConnection& aConnection, const std::string& aRequest);
+  void SendDelayed(Instant aNow);
   /// Adds the limit header, if a limit is set.
   HttpHeaders AddLimitHeader(HttpHeaders aHeaders) const;
   void CrashOrRestart(Instant aNow);
@@ -126,6 +137,8 @@
   /// Links of single daemons to `proxy`, by the daemon's host.
   std::map<std::string, std::unique_ptr<FaultProxy>> daemonLinks;
   std::vector<Stream> streams;
+  std::vector<DelayedResponse> delayed;
+  Micros responseDelay{0};
   /// Connections of requests that will crash this upstream.
   std::vector<std::shared_ptr<CallerConnection>> crashingConnections;
   std::string id;
