--- a/Zincstep/Net/ConnectionPool.h
+++ b/Zincstep/Net/ConnectionPool.h
@@ -31,11 +31,12 @@
 
 /// Pool of idle connections to upstreams.
 ///
-/// A connection enters the pool only after a complete response without surplus
-/// bytes, and is reused only if nothing was received on it since: surplus bytes
-/// belong to no request, and a close is detected before the call is sent. A
-/// connection that no longer responds cannot be detected; users of the pool
-/// find it by a timeout and call `Quarantine`.
+/// A connection enters the pool only after a completely written request and a
+/// complete response without surplus bytes, and is reused only if nothing was
+/// received on it since: surplus bytes belong to no request, and a close is
+/// detected before the call is sent. A connection that no longer responds
+/// cannot be detected; users of the pool find it by a timeout and call
+/// `Quarantine`.
 class ConnectionPool {
  public:
   ConnectionPool(ConnectionPoolSettings aSettings, const Clock& aClock)
--- a/Zincstep/Net/SingleCall.cpp
+++ b/Zincstep/Net/SingleCall.cpp
@@ -201,9 +201,10 @@
 void SingleCall::Write() {
   auto self = this->shared_from_this();
   asio::async_write(this->socket, asio::buffer(this->request),
-                    [self](const asio::error_code&, std::size_t) {
+                    [self](const asio::error_code& aError, std::size_t) {
                       // The read reports a lost connection; a response may
                       // still be readable.
+                      self->isRequestWritten = !aError;
                     });
 }
 
@@ -253,7 +254,9 @@
 }
 
 void SingleCall::ReturnConnection(bool aHasSurplus) {
-  if (this->pooled && !aHasSurplus) {
+  // An upstream may respond before it has read the whole request. The rest is
+  // not sent any more, so that another request must not follow.
+  if (this->pooled && this->isRequestWritten && !aHasSurplus) {
     this->pooled->pool->Put(this->pooled->upstream, std::move(this->socket),
                             this->responseHead);
   }
--- a/Zincstep/Net/SingleCall.h
+++ b/Zincstep/Net/SingleCall.h
@@ -99,7 +99,8 @@
  private:
   void Connect(const Endpoint& aEndpoint, Micros aTimeout);
   void OnConnect(const asio::error_code& aError);
-  /// Returns the connection to the pool if there were no surplus bytes.
+  /// Returns the connection to the pool if the request was written completely
+  /// and the response had no surplus bytes.
   void ReturnConnection(bool aHasSurplus);
   void Write();
   void Read();
@@ -120,6 +121,7 @@
   HttpHead responseHead;
   bool isReused = false;
   bool hasSent = false;
+  bool isRequestWritten = false;
   bool isReading = false;
   bool isReadEnabled = true;
 };
