A caller's connection discards what follows its last response

What callers would see: while a rejection or the response to `Connection: close` waits for a slow reader, what they send next is read as a request; after a body over the limit each further part of it gets another 413, after `Connection: close` a second request is run.

Cause: FinishResponse made the connection ready for the next request also where the response was its last; only the socket's close, after the write, ended that.

Change: a connection whose last response is complete discards its input, and reads on only to notice that the caller closes.

Test: CallerConnectionTest::Body_RestAfterRejection_IsNoRequest (16,777,536 bytes pending instead of 16,777,364: a second rejection) and Request_AfterLastOfConnection_IsNotRun (2 requests instead of 1) failed on the former code and pass; EdgeTests 547 of 547, StoppingDaemonTests 5 of 5.

--- a/UnitTests/CallerConnectionTest.cpp
+++ b/UnitTests/CallerConnectionTest.cpp
@@ -11,12 +11,15 @@
  public:
   void OnRequest(const std::shared_ptr<CallerConnection>& aConnection,
                  CallerMessage aMessage) override {
+    this->requests += 1;
     this->bodyBytes = aMessage.body.size();
-    aConnection->Answer(200, {}, "ok");
+    aConnection->Answer(200, {}, this->response);
   }
   void OnCallerDisconnected(CallerConnection&) override {}
 
   std::size_t bodyBytes = 0;
+  int requests = 0;
+  std::string response = "ok";
 };
 
 class CallerConnectionTest : public CppUnit::TestFixture {
@@ -27,6 +30,8 @@
   CPPUNIT_TEST(Body_SlowButProgressing_IsServed);
   CPPUNIT_TEST(Body_Stalled_Is408);
   CPPUNIT_TEST(Connection_IdleBeforeFirstByte_ClosesAtIdleTimeout);
+  CPPUNIT_TEST(Body_RestAfterRejection_IsNoRequest);
+  CPPUNIT_TEST(Request_AfterLastOfConnection_IsNotRun);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context loop;
@@ -147,6 +152,30 @@
     CPPUNIT_ASSERT(this->IsClosed());
     CPPUNIT_ASSERT_EQUAL(std::string(), this->Received());
   }
+
+  // Guards against answering or running what follows the last request of a
+  // connection, as long as the caller has not received the last response.
+  void Body_RestAfterRejection_IsNoRequest() {
+    handler.response = std::string(16 << 20, 'x');
+    this->Send("GET / HTTP/1.1\r\n\r\n");
+    CPPUNIT_ASSERT(listener.PendingBytes() > handler.response.size() / 4);
+    this->Send("POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n" +
+               std::string(limits.maxBodyBytes + 1, 'x'));
+    while (loop.poll() > 0) {
+    }
+    const std::size_t pending = listener.PendingBytes();
+    this->Send("rest of the body\r\n");
+    this->Send("GET /in-body HTTP/1.1\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(pending, listener.PendingBytes());
+    CPPUNIT_ASSERT_EQUAL(1, handler.requests);
+  }
+
+  void Request_AfterLastOfConnection_IsNotRun() {
+    handler.response = std::string(16 << 20, 'x');
+    this->Send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    this->Send("GET /second HTTP/1.1\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(1, handler.requests);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerConnectionTest);
--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -72,7 +72,9 @@
     }
     return;
   }
-  this->unparsed.append(this->buffer.data(), aSize);
+  if (!this->hasLastResponse) {
+    this->unparsed.append(this->buffer.data(), aSize);
+  }
   if (!this->isBusy) {
     this->ParseNext();
   }
@@ -194,8 +196,12 @@
   this->isBusy = false;
   this->lastActive = this->clock.Now();
   this->parser.Reset();
+  if (this->closesAfterResponse) {
+    this->hasLastResponse = true;
+    this->unparsed.clear();
+  }
   this->Flush();
-  if (!this->closesAfterResponse && !this->unparsed.empty()) {
+  if (!this->unparsed.empty()) {
     // Deferred: the handler is still inside the call that sent the response.
     asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
       if (!self->isBusy) {
--- a/Zincstep/Net/CallerConnection.h
+++ b/Zincstep/Net/CallerConnection.h
@@ -108,6 +108,8 @@
   bool isBusy = false;
   bool isClosed = false;
   bool closesAfterResponse = false;
+  /// The last response is complete; what is received from now on is discarded.
+  bool hasLastResponse = false;
   bool closesAfterWrite = false;
   bool isBodyTooLarge = false;
 };
