--- a/UnitTests/CrashingStreamTest.cpp
+++ b/UnitTests/CrashingStreamTest.cpp
@@ -23,6 +23,7 @@
   static constexpr Micros kDetectionTime = 3s;
 
   std::size_t crashCount = 0;
+  std::array<bool, kUpstreams> hasCrashed{};
   int sends = 0;
   asio::steady_timer timer{loop};
 
@@ -43,6 +44,10 @@
     for (std::size_t i = 0; i < kUpstreams; ++i) {
       this->AddUpstream("model", [=, this](const auto& aTo,
                                            const auto& aMessage) {
+        if (hasCrashed[i]) {
+          aTo->Abort();  // It is closed in the next turn of the loop.
+          return;
+        }
         const std::string_view parts =
             FindHeader(aMessage.head.headers, "X-Prompt-Prefix");
         const bool isBad = parts.find("bad:40,") != std::string_view::npos;
@@ -61,6 +66,7 @@
         timer.expires_after(aDelay);
         timer.async_wait([this, i, aTo](const asio::error_code&) {
           crashCount += 1;
+          hasCrashed[i] = true;
           aTo->CloseWhenSent();
           asio::post(loop, [this, i] { upstreams[i]->Close(); });
         });
--- a/UnitTests/RelayTest.cpp
+++ b/UnitTests/RelayTest.cpp
@@ -168,6 +168,10 @@
     int runs = 0;
     for (int i = 0; i < 2; ++i) {
       this->AddUpstream("model", [&](const auto& aTo, const auto& aMessage) {
+        if (aMessage.head.target == "/report") {
+          AnswerWhole(aTo, aMessage, {});
+          return;
+        }
         runs += 1;
         aTo->BeginChunks(200, SealedHeaders(aMessage));
         if (runs == 1) {
@@ -198,6 +202,10 @@
     asio::steady_timer refill(loop);
     for (int i = 0; i < 2; ++i) {
       this->AddUpstream("model", [&](const auto& aTo, const auto& aMessage) {
+        if (aMessage.head.target == "/report") {
+          AnswerWhole(aTo, aMessage, {});
+          return;
+        }
         runs += 1;
         aTo->BeginChunks(200, SealedHeaders(aMessage));
         aTo->AppendChunk("id: " + std::to_string(runs) + "\ndata: a\n\n");
@@ -226,6 +234,10 @@
     std::size_t runs = 0;
     for (int i = 0; i < 4; ++i) {
       this->AddUpstream("model", [&](const auto& aTo, const auto& aMessage) {
+        if (aMessage.head.target == "/report") {
+          AnswerWhole(aTo, aMessage, {});
+          return;
+        }
         runs += 1;
         aTo->BeginChunks(200, SealedHeaders(aMessage));
         aTo->AppendChunk("id: " + std::to_string(runs) + "\ndata: a\n\n");
--- a/Zincstep/Admission/CrashTracker.cpp
+++ b/Zincstep/Admission/CrashTracker.cpp
@@ -1,9 +1,18 @@
 #include "Zincstep/Admission/CrashTracker.h"
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 
 namespace zincstep {
 
+namespace {
+
+/// Weight of the former crashes when another one is counted.
+constexpr double kCrashDecay = 0.95;
+
+}  // namespace
+
 void CrashTracker::OnSuspected(const UpstreamCrash& aCrash) {
   const bool hasRoom = this->suspected.size() < this->settings.maxRequests;
   if (hasRoom || this->suspected.contains(aCrash.candidate)) {
@@ -28,14 +37,61 @@
   }
   this->EvictIfFull();
   Record& record = this->records[aCrash.candidate];
-  const bool wasBlocked = this->IsBlocked(aCrash.candidate, record);
+  const bool wasBlocked = IsBlocked(record);
   if (record.crashed.size() < this->settings.maxRecorded &&
       record.crashed.insert(aCrash.upstream).second) {
+    record.firstCrash = record.crashed.size() == 1 ? aNow : record.firstCrash;
     record.lastCrash = aNow;
   }
-  return !wasBlocked && this->IsBlocked(aCrash.candidate, record)
-             ? CrashVerdict::Blocked
-             : CrashVerdict::Counted;
+  if (aCrash.evidence == CrashEvidence::NoResponse &&
+      record.crashed.contains(aCrash.upstream)) {
+    record.crashedFirst.insert(aCrash.upstream);
+  }
+  record.isBlocked =
+      record.isBlocked ||
+      record.crashedFirst.size() >= this->LimitOf(aCrash.candidate) ||
+      (record.crashed.size() >= this->LimitOf(aCrash.candidate) &&
+       this->IsImprobable(record));
+  return !wasBlocked && IsBlocked(record) ? CrashVerdict::Blocked
+                                          : CrashVerdict::Counted;
+}
+
+void CrashTracker::CountCrash(std::uint64_t aUpstream, std::size_t aLost,
+                              std::size_t aRunning, Instant aNow) {
+  while (!this->crashTimes.empty() &&
+         (this->crashTimes.size() >= this->settings.maxCrashTimes ||
+          aNow - this->crashTimes.front().first >=
+              this->settings.crashTimeRetention)) {
+    this->crashTimes.pop_front();
+  }
+  const bool isKnown =
+      std::any_of(this->crashTimes.begin(), this->crashTimes.end(),
+                  [&](const auto& aOne) { return aOne.second == aUpstream; });
+  if (!isKnown) {
+    this->crashTimes.emplace_back(aNow, aUpstream);
+    this->lostSum *= kCrashDecay;
+    this->runningSum =
+        this->runningSum * kCrashDecay + static_cast<double>(aRunning);
+  }
+  this->lostSum += static_cast<double>(aLost);
+}
+
+bool CrashTracker::IsImprobable(const Record& aRecord) const {
+  const auto first = std::find_if(
+      this->crashTimes.begin(), this->crashTimes.end(),
+      [&](const auto& aOne) { return aOne.first >= aRecord.firstCrash; });
+  const auto present = static_cast<double>(aRecord.crashed.size());
+  const double all =
+      std::max(present, static_cast<double>(this->crashTimes.end() - first));
+  // Probability that one crash ends a given request.
+  const double share =
+      std::min(1.0, (1 + this->lostSum) /
+                        (this->settings.assumedRunning + this->runningSum));
+  // Upper bound of the binomial distribution's tail.
+  const double choices = std::lgamma(all + 1) - std::lgamma(present + 1) -
+                         std::lgamma(all - present + 1);
+  return choices + present * std::log(share) <
+         std::log(this->settings.maxChance);
 }
 
 bool CrashTracker::OnCompleted(Fingerprint aCandidate, Instant aNow) {
@@ -87,13 +143,12 @@
 
 Micros CrashTracker::BlockedFor(Fingerprint aCandidate, Instant aNow) const {
   const auto found = this->records.find(aCandidate);
-  if (found == this->records.end() ||
-      !this->IsBlocked(aCandidate, found->second)) {
+  if (found == this->records.end() || !IsBlocked(found->second)) {
     return this->HasPendingBlock(aCandidate, aNow)
                ? this->settings.suspectedRetryAfter
                : Micros{0};
   }
-  return std::max(Micros{0}, this->ExpiryOf(aCandidate, found->second) - aNow);
+  return std::max(Micros{0}, this->ExpiryOf(found->second) - aNow);
 }
 
 std::optional<CrashBlock> CrashTracker::FindBlock(
@@ -114,15 +169,22 @@
                                const CrashCandidates& aCarried) const {
   const auto part = this->records.find(aPart);
   // The crashes of those known from the block list alone are not known.
-  if (KindOf(aPart) == FingerprintKind::Request ||
-      part == this->records.end() || part->second.crashed.empty()) {
+  if (part == this->records.end() || part->second.crashed.empty()) {
+    return false;
+  }
+  // A whole request that crashes its upstreams before any event is blocked
+  // whatever else is.
+  const bool isBlockedByBegun =
+      part->second.isBlocked &&
+      part->second.crashedFirst.size() < this->LimitOf(aPart);
+  if (KindOf(aPart) == FingerprintKind::Request && !isBlockedByBegun) {
     return false;
   }
   const std::set<std::uint64_t>& crashed = part->second.crashed;
   return std::any_of(
       this->records.begin(), this->records.end(), [&](const auto& aEntry) {
         const auto& [other, record] = aEntry;
-        return this->IsBlocked(other, record) && !aCarried.Contains(other) &&
+        return IsBlocked(record) && !aCarried.Contains(other) &&
                std::includes(record.crashed.begin(), record.crashed.end(),
                              crashed.begin(), crashed.end());
       });
@@ -137,8 +199,8 @@
   std::set<std::uint64_t> incarnations = suspects->second;
   if (const auto recorded = this->records.find(aCandidate);
       recorded != this->records.end()) {
-    incarnations.insert(recorded->second.crashed.begin(),
-                        recorded->second.crashed.end());
+    incarnations.insert(recorded->second.crashedFirst.begin(),
+                        recorded->second.crashedFirst.end());
   }
   return incarnations.size() >= this->LimitOf(aCandidate);
 }
@@ -146,8 +208,7 @@
 std::set<Fingerprint> CrashTracker::Blocked(Instant aNow) const {
   std::set<Fingerprint> blocked;
   for (const auto& [candidate, record] : this->records) {
-    if (this->IsBlocked(candidate, record) &&
-        aNow < this->ExpiryOf(candidate, record)) {
+    if (IsBlocked(record) && aNow < this->ExpiryOf(record)) {
       blocked.insert(candidate);
     }
   }
@@ -157,14 +218,16 @@
 std::vector<UpstreamCrash> CrashTracker::UnlistedCrashes(Instant aNow) const {
   std::vector<UpstreamCrash> crashes;
   for (const auto& [candidate, record] : this->records) {
-    const bool isUnlisted = !record.isListed &&
-                            this->IsBlocked(candidate, record) &&
-                            aNow < this->ExpiryOf(candidate, record);
+    const bool isUnlisted =
+        !record.isListed && IsBlocked(record) && aNow < this->ExpiryOf(record);
     if (!isUnlisted) {
       continue;
     }
     for (const std::uint64_t upstream : record.crashed) {
-      crashes.push_back({candidate, upstream});
+      crashes.push_back({candidate, upstream,
+                         record.crashedFirst.contains(upstream)
+                             ? CrashEvidence::NoResponse
+                             : CrashEvidence::ResponseBegun});
     }
   }
   return crashes;
@@ -172,7 +235,7 @@
 
 void CrashTracker::Tick(Instant aNow) {
   std::erase_if(this->records, [&](const auto& aEntry) {
-    return aNow >= this->ExpiryOf(aEntry.first, aEntry.second);
+    return aNow >= this->ExpiryOf(aEntry.second);
   });
 }
 
@@ -184,8 +247,9 @@
       this->records.begin(), this->records.end(),
       [this](const auto& aLeft, const auto& aRight) {
         const auto rank = [this](const auto& aEntry) {
-          return std::pair(this->IsBlocked(aEntry.first, aEntry.second),
-                           aEntry.second.lastCrash);
+          return std::tuple(IsBlocked(aEntry.second),
+                            !aEntry.second.crashedFirst.empty(),
+                            aEntry.second.lastCrash);
         };
         return rank(aLeft) < rank(aRight);
       });
--- a/Zincstep/Admission/CrashTracker.h
+++ b/Zincstep/Admission/CrashTracker.h
@@ -26,6 +26,15 @@
   std::size_t maxCrashesOfAll = 5;
   /// Crashes that are recorded of one request or part.
   std::size_t maxRecorded = 16;
+  /// Maximum probability of the crashes that block a request of whose responses
+  /// some had arrived, if it had no part in them.
+  double maxChance = 1e-4;
+  /// Running requests of this daemon that are assumed besides those it had at
+  /// past crashes, of which one was lost.
+  double assumedRunning = 20;
+  /// Crashes that are remembered, and for how long.
+  std::size_t maxCrashTimes = 256;
+  Micros crashTimeRetention = 120s;
   /// Time after which a blocked request may run again, since the upstreams may
   /// run a fixed version by then. Each trial can crash `maxCrashes` upstreams.
   Micros blockDuration = 600s;
@@ -56,11 +65,21 @@
   Blocked,
 };
 
+/// What a lost run shows of the request that it ran.
+enum class CrashEvidence {
+  /// Nothing of its response had arrived: true of few requests that run on an
+  /// upstream at a time.
+  NoResponse,
+  /// Some of its response had arrived, as of most requests.
+  ResponseBegun,
+};
+
 /// A crash of an upstream while it ran a request, or one with a part.
 struct UpstreamCrash {
   Fingerprint candidate{};
   /// The upstream's incarnation, as `LiveUpstream::Number`.
   std::uint64_t upstream = 0;
+  CrashEvidence evidence = CrashEvidence::NoResponse;
 };
 
 /// A request or part that must not run.
@@ -84,6 +103,11 @@
 /// three upstreams that crashed within 60 ms blocked requests that all callers
 /// shared, for ten minutes (one of 23 soak seeds).
 ///
+/// A poison request may deliver much of its response first. Then nothing
+/// distinguishes it from the other requests on its upstream but that it loses
+/// every run. Such crashes block it once that is improbable for a sound
+/// request.
+///
 /// Requests with a poison part share other parts with sound ones. A blocked
 /// part therefore blocks no request that lacks what explains its crashes:
 /// another blocked request or part that was carried in all of them.
@@ -97,6 +121,11 @@
   void OnSuspected(const UpstreamCrash& aCrash);
   /// Removes a suspicion: the check has ended, with or without a result.
   void OnSuspicionResolved(const UpstreamCrash& aCrash);
+  /// Records that an upstream crashed, which ended `aLost` of the `aRunning`
+  /// requests that this daemon had running; called before `OnCrash`. Only the
+  /// first call for an upstream counts the running ones.
+  void CountCrash(std::uint64_t aUpstream, std::size_t aLost,
+                  std::size_t aRunning, Instant aNow);
   /// Records a crash that this daemon observed or that a peer reported.
   CrashVerdict OnCrash(const UpstreamCrash& aCrash, Instant aNow);
   /// Clears a request that completed successfully on this daemon. Returns
@@ -139,8 +168,13 @@
   struct Record {
     /// Incarnations that crashed while they ran the request.
     std::set<std::uint64_t> crashed;
+    /// Those of them of whose response nothing had arrived.
+    std::set<std::uint64_t> crashedFirst;
+    Instant firstCrash{};
     Instant lastCrash{};
     bool isListed = false;
+    /// Whether enough crashes were recorded.
+    bool isBlocked = false;
   };
 
   /// Whether the suspected crashes, if confirmed, would block the request.
@@ -152,15 +186,18 @@
                ? this->settings.maxCrashesOfAll
                : this->settings.maxCrashes;
   }
-  bool IsBlocked(Fingerprint aCandidate, const Record& aRecord) const {
-    return aRecord.isListed ||
-           aRecord.crashed.size() >= this->LimitOf(aCandidate);
+  /// Whether the request was present in more of the crashes since its first one
+  /// than is probable by chance.
+  bool IsImprobable(const Record& aRecord) const;
+  static bool IsBlocked(const Record& aRecord) {
+    return aRecord.isListed || aRecord.isBlocked;
   }
-  /// Whether all recorded crashes of a part also carried another blocked
-  /// candidate, which is not one of `aCarried`.
+  /// Whether all recorded crashes of a part, or of a request of whose responses
+  /// some had arrived, also carried another blocked candidate, which is not one
+  /// of `aCarried`.
   bool IsExplained(Fingerprint aPart, const CrashCandidates& aCarried) const;
-  Instant ExpiryOf(Fingerprint aCandidate, const Record& aRecord) const {
-    return aRecord.lastCrash + (this->IsBlocked(aCandidate, aRecord)
+  Instant ExpiryOf(const Record& aRecord) const {
+    return aRecord.lastCrash + (IsBlocked(aRecord)
                                     ? this->settings.blockDuration
                                     : this->settings.crashRetention);
   }
@@ -175,6 +212,11 @@
   /// by the time of an earlier one, and determines which is evicted.
   std::unordered_map<Fingerprint, Instant> completedAt;
   std::deque<std::pair<Fingerprint, Instant>> completionOrder;
+  /// Recent crashes of any upstream, oldest first.
+  std::deque<std::pair<Instant, std::uint64_t>> crashTimes;
+  /// Sums over all crashes, with exponential decay by their number.
+  double lostSum = 0;
+  double runningSum = 0;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Edge/EdgePeerDecoder.cpp
+++ b/Zincstep/Edge/EdgePeerDecoder.cpp
@@ -120,14 +120,20 @@
   return gossip;
 }
 
-CrashGossip ReadCrashes(const edgewire::CrashGossip& aTable) {
-  CrashGossip gossip;
-  if (aTable.crashes() != nullptr) {
-    for (const edgewire::UpstreamCrash* crash : *aTable.crashes()) {
-      gossip.crashes.push_back(
-          {Fingerprint{crash->request()}, crash->upstream()});
+void AppendCrashes(const fb::Vector<const edgewire::UpstreamCrash*>* aCrashes,
+                   CrashEvidence aEvidence, CrashGossip& aGossip) {
+  if (aCrashes != nullptr) {
+    for (const edgewire::UpstreamCrash* crash : *aCrashes) {
+      aGossip.crashes.push_back(
+          {Fingerprint{crash->request()}, crash->upstream(), aEvidence});
     }
   }
+}
+
+CrashGossip ReadCrashes(const edgewire::CrashGossip& aTable) {
+  CrashGossip gossip;
+  AppendCrashes(aTable.crashes(), CrashEvidence::NoResponse, gossip);
+  AppendCrashes(aTable.crashes_begun(), CrashEvidence::ResponseBegun, gossip);
   if (aTable.cleared() != nullptr) {
     for (const std::uint64_t request : *aTable.cleared()) {
       gossip.cleared.push_back(Fingerprint{request});
--- a/Zincstep/Edge/EdgePeerEncoder.cpp
+++ b/Zincstep/Edge/EdgePeerEncoder.cpp
@@ -145,15 +145,18 @@
 
   fb::Offset<void> operator()(const CrashGossip& aGossip) {
     std::vector<edgewire::UpstreamCrash> crashes;
+    std::vector<edgewire::UpstreamCrash> begun;
     for (const UpstreamCrash& crash : aGossip.crashes) {
-      crashes.emplace_back(static_cast<std::uint64_t>(crash.candidate),
-                           crash.upstream);
+      (crash.evidence == CrashEvidence::NoResponse ? crashes : begun)
+          .emplace_back(static_cast<std::uint64_t>(crash.candidate),
+                        crash.upstream);
     }
     std::vector<std::uint64_t> cleared;
     for (const Fingerprint request : aGossip.cleared) {
       cleared.push_back(static_cast<std::uint64_t>(request));
     }
-    return edgewire::CreateCrashGossipDirect(this->builder, &crashes, &cleared)
+    return edgewire::CreateCrashGossipDirect(this->builder, &crashes, &cleared,
+                                             &begun)
         .Union();
   }
 
--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -71,6 +71,8 @@
   this->crashDetector.SetUpstreams([this](const std::string& aService) {
     return this->view.Directory().OfService(aService);
   });
+  this->crashDetector.SetRunningRequests(
+      [this] { return this->relay.Active(); });
   this->controller.SetDemand([this] { return this->peers.Demand(); });
   this->eras.SetOnRestored([this](std::uint64_t aBefore, std::uint64_t aEra) {
     this->OnStoreRestored(aBefore, aEra);
--- a/Zincstep/Edge/Generated/EdgePeer_generated.h
+++ b/Zincstep/Edge/Generated/EdgePeer_generated.h
@@ -1144,7 +1144,8 @@
   typedef CrashGossipBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CRASHES = 4,
-    VT_CLEARED = 6
+    VT_CLEARED = 6,
+    VT_CRASHES_BEGUN = 8
   };
   const flatbuffers::Vector<const zincstep::edgewire::UpstreamCrash *> *crashes() const {
     return GetPointer<const flatbuffers::Vector<const zincstep::edgewire::UpstreamCrash *> *>(VT_CRASHES);
@@ -1152,12 +1153,17 @@
   const flatbuffers::Vector<uint64_t> *cleared() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_CLEARED);
   }
+  const flatbuffers::Vector<const zincstep::edgewire::UpstreamCrash *> *crashes_begun() const {
+    return GetPointer<const flatbuffers::Vector<const zincstep::edgewire::UpstreamCrash *> *>(VT_CRASHES_BEGUN);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
            VerifyOffset(verifier, VT_CLEARED) &&
            verifier.VerifyVector(cleared()) &&
+           VerifyOffset(verifier, VT_CRASHES_BEGUN) &&
+           verifier.VerifyVector(crashes_begun()) &&
            verifier.EndTable();
   }
 };
@@ -1172,6 +1178,9 @@
   void add_cleared(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cleared) {
     fbb_.AddOffset(CrashGossip::VT_CLEARED, cleared);
   }
+  void add_crashes_begun(flatbuffers::Offset<flatbuffers::Vector<const zincstep::edgewire::UpstreamCrash *>> crashes_begun) {
+    fbb_.AddOffset(CrashGossip::VT_CRASHES_BEGUN, crashes_begun);
+  }
   explicit CrashGossipBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1186,8 +1195,10 @@
 inline flatbuffers::Offset<CrashGossip> CreateCrashGossip(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<const zincstep::edgewire::UpstreamCrash *>> crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cleared = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cleared = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const zincstep::edgewire::UpstreamCrash *>> crashes_begun = 0) {
   CrashGossipBuilder builder_(_fbb);
+  builder_.add_crashes_begun(crashes_begun);
   builder_.add_cleared(cleared);
   builder_.add_crashes(crashes);
   return builder_.Finish();
@@ -1196,13 +1207,16 @@
 inline flatbuffers::Offset<CrashGossip> CreateCrashGossipDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<zincstep::edgewire::UpstreamCrash> *crashes = nullptr,
-    const std::vector<uint64_t> *cleared = nullptr) {
+    const std::vector<uint64_t> *cleared = nullptr,
+    const std::vector<zincstep::edgewire::UpstreamCrash> *crashes_begun = nullptr) {
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<zincstep::edgewire::UpstreamCrash>(*crashes) : 0;
   auto cleared__ = cleared ? _fbb.CreateVector<uint64_t>(*cleared) : 0;
+  auto crashes_begun__ = crashes_begun ? _fbb.CreateVectorOfStructs<zincstep::edgewire::UpstreamCrash>(*crashes_begun) : 0;
   return zincstep::edgewire::CreateCrashGossip(
       _fbb,
       crashes__,
-      cleared__);
+      cleared__,
+      crashes_begun__);
 }
 
 struct LimitGossip FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Zincstep/Relay/CrashDetector.cpp
+++ b/Zincstep/Relay/CrashDetector.cpp
@@ -20,6 +20,9 @@
 /// Maximum duration of an inconclusive probe. By then the entry of a crashed
 /// upstream has been removed from the list.
 constexpr Micros kMaxProbeDuration = 3s;
+/// Maximum number of runs of one upstream that count although some of their
+/// response had arrived. Each is reported to all daemons.
+constexpr std::size_t kMaxBegunRuns = 128;
 /// Size of `locallyObserved` at which requests that the tracker no longer has
 /// are removed. Bounds its memory, as callers can send new requests at will.
 constexpr std::size_t kMaxLocallyObserved = 8192;
@@ -33,29 +36,41 @@
       listener(aListener),
       check(aControl, aClock, kMaxTimeoutLateness) {}
 
-void CrashDetector::RecordSuspicions(const CrashCandidates& aCandidates,
+void CrashDetector::RecordSuspicions(const LostRun& aRun,
                                      std::uint64_t aUpstream) {
-  aCandidates.ForEach([&](Fingerprint aOne) {
-    this->tracker.OnSuspected({aOne, aUpstream});
-  });
+  if (aRun.evidence == CrashEvidence::NoResponse) {
+    aRun.candidates.ForEach([&](Fingerprint aOne) {
+      this->tracker.OnSuspected({aOne, aUpstream});
+    });
+  }
 }
 
-void CrashDetector::ResolveSuspicions(const CrashCandidates& aCandidates,
+void CrashDetector::ResolveSuspicions(const LostRun& aRun,
                                       std::uint64_t aUpstream) {
-  aCandidates.ForEach([&](Fingerprint aOne) {
-    this->tracker.OnSuspicionResolved({aOne, aUpstream});
-  });
+  if (aRun.evidence == CrashEvidence::NoResponse) {
+    aRun.candidates.ForEach([&](Fingerprint aOne) {
+      this->tracker.OnSuspicionResolved({aOne, aUpstream});
+    });
+  }
+}
+
+void CrashDetector::AddRun(std::vector<LostRun>& aRuns, const LostRun& aRun) {
+  if (aRun.evidence == CrashEvidence::NoResponse ||
+      aRuns.size() < kMaxBegunRuns) {
+    aRuns.push_back(aRun);
+  }
 }
 
 void CrashDetector::OnRunLost(const CrashCandidates& aCandidates,
-                              const UpstreamPtr& aUpstream) {
+                              const UpstreamPtr& aUpstream,
+                              CrashEvidence aEvidence) {
   const std::uint64_t number = aUpstream->Number();
-  const LostRun run{aCandidates, this->clock.Now()};
-  this->RecordSuspicions(aCandidates, number);
+  const LostRun run{aCandidates, this->clock.Now(), aEvidence};
+  this->RecordSuspicions(run, number);
   const auto found = this->pendingProbes.find(number);
   if (found != this->pendingProbes.end()) {
     PendingProbe& probe = found->second;
-    (probe.nextAt ? probe.runs : probe.laterRuns).push_back(run);
+    AddRun(probe.nextAt ? probe.runs : probe.laterRuns, run);
     return;
   }
   PendingProbe& probe = this->pendingProbes[number];
@@ -246,7 +261,7 @@
   this->ResolveRuns(probe, expired, "upstream_end_unproven",
                     "no crash was shown, and it is still registered");
   for (const LostRun& run : probe.runs) {
-    this->RecordSuspicions(run.candidates, aUpstream);
+    this->RecordSuspicions(run, aUpstream);
   }
   if (probe.runs.empty()) {
     this->pendingProbes.erase(aUpstream);
@@ -259,7 +274,7 @@
   this->ResolveRuns(resolved, resolved.runs, "upstream_lives_after_loss",
                     aReason);
   for (const LostRun& run : resolved.laterRuns) {
-    this->OnRunLost(run.candidates, resolved.upstream);
+    this->OnRunLost(run.candidates, resolved.upstream, run.evidence);
   }
 }
 
@@ -268,6 +283,11 @@
   this->pendingProbes.erase(aUpstream);
   ended.runs.insert(ended.runs.end(), ended.laterRuns.begin(),
                     ended.laterRuns.end());
+  // A candidate of several runs counts by the strongest evidence.
+  std::stable_partition(ended.runs.begin(), ended.runs.end(),
+                        [](const LostRun& aRun) {
+                          return aRun.evidence == CrashEvidence::NoResponse;
+                        });
   this->RecordCrashes(ended, aReason);
   this->MarkSuspect(ended.upstream);
 }
@@ -280,7 +300,7 @@
                    {"asked_ms", (this->clock.Now() - aRuns.front().at) / 1ms},
                    {"requests", aRuns.size()}});
   for (const LostRun& run : aRuns) {
-    this->ResolveSuspicions(run.candidates, aProbe.upstream->Number());
+    this->ResolveSuspicions(run, aProbe.upstream->Number());
   }
 }
 
@@ -288,11 +308,14 @@
                                   const char* aReason) {
   const UpstreamPtr& upstream = aProbe.upstream;
   std::vector<UpstreamCrash> crashes;
+  this->tracker.CountCrash(upstream->Number(), aProbe.runs.size(),
+                           this->runningRequests() + aProbe.runs.size(),
+                           this->clock.Now());
   for (const LostRun& run : aProbe.runs) {
-    this->ResolveSuspicions(run.candidates, upstream->Number());
+    this->ResolveSuspicions(run, upstream->Number());
     std::vector<std::string> counted;
     run.candidates.ForEach([&](Fingerprint aOne) {
-      const UpstreamCrash crash{aOne, upstream->Number()};
+      const UpstreamCrash crash{aOne, upstream->Number(), run.evidence};
       const bool isUnrelated =
           this->OnCrash(crash, Provenance::Observed) == CrashVerdict::Ignored;
       const auto isRecorded = [&](const UpstreamCrash& aOther) {
@@ -311,6 +334,7 @@
              {"reason", aReason},
              {"asked_ms", (this->clock.Now() - run.at) / 1ms},
              {"counted", counted},
+             {"has_events", run.evidence == CrashEvidence::ResponseBegun},
              {"beside", aProbe.runs.size() - 1}});
   }
   if (!crashes.empty()) {
@@ -330,7 +354,11 @@
 
 CrashVerdict CrashDetector::OnCrash(const UpstreamCrash& aCrash,
                                     Provenance aProvenance) {
-  const CrashVerdict verdict = this->tracker.OnCrash(aCrash, this->clock.Now());
+  const Instant now = this->clock.Now();
+  if (aProvenance == Provenance::Reported) {
+    this->tracker.CountCrash(aCrash.upstream, 0, this->runningRequests(), now);
+  }
+  const CrashVerdict verdict = this->tracker.OnCrash(aCrash, now);
   if (verdict != CrashVerdict::Ignored && aProvenance == Provenance::Observed) {
     if (this->locallyObserved.size() >= kMaxLocallyObserved) {
       std::erase_if(this->locallyObserved, [this](Fingerprint aRequest) {
--- a/Zincstep/Relay/CrashDetector.h
+++ b/Zincstep/Relay/CrashDetector.h
@@ -49,10 +49,17 @@
     this->upstreamsOf = std::move(aUpstreams);
   }
 
-  /// Records that a run of the request was lost before any of its response
-  /// arrived, and starts to probe the upstream.
+  /// Sets the function that returns the number of requests that this daemon has
+  /// running.
+  void SetRunningRequests(std::function<std::size_t()> aRunning) {
+    this->runningRequests = std::move(aRunning);
+  }
+
+  /// Records that a run of the request was lost, and starts to probe the
+  /// upstream.
   void OnRunLost(const CrashCandidates& aCandidates,
-                 const UpstreamPtr& aUpstream);
+                 const UpstreamPtr& aUpstream,
+                 CrashEvidence aEvidence = CrashEvidence::NoResponse);
   /// Records that the upstream ran a request that was sent to it at `aSentAt`.
   void OnUpstreamResponded(const LiveUpstream& aUpstream, Instant aSentAt);
   /// Records that a request with these completed successfully on this daemon.
@@ -67,10 +74,11 @@
   void Tick();
 
  private:
-  /// A run that ended without a response.
+  /// A run that ended without a complete response.
   struct LostRun {
     CrashCandidates candidates;
     Instant at;
+    CrashEvidence evidence = CrashEvidence::NoResponse;
   };
 
   /// Pending probe of one upstream.
@@ -91,10 +99,12 @@
     std::vector<std::uint64_t> unreachableWitnesses;
   };
 
-  void RecordSuspicions(const CrashCandidates& aCandidates,
-                        std::uint64_t aUpstream);
-  void ResolveSuspicions(const CrashCandidates& aCandidates,
-                         std::uint64_t aUpstream);
+  /// Only a run without a response makes its request suspected: most others
+  /// that an upstream runs have no part in its crash.
+  void RecordSuspicions(const LostRun& aRun, std::uint64_t aUpstream);
+  void ResolveSuspicions(const LostRun& aRun, std::uint64_t aUpstream);
+  /// Adds a run to a probe, unless it has enough of that kind.
+  static void AddRun(std::vector<LostRun>& aRuns, const LostRun& aRun);
   void SendProbe(std::uint64_t aUpstream);
   void OnReportResult(std::uint64_t aUpstream, Liveness aLiveness);
   void ProbeConnection(std::uint64_t aUpstream);
@@ -130,6 +140,7 @@
   /// on its report, so it also has to report when such a request is cleared.
   std::unordered_set<Fingerprint> locallyObserved;
   UpstreamsOf upstreamsOf;
+  std::function<std::size_t()> runningRequests = [] { return 0; };
   CrashTracker& tracker;
   const Clock& clock;
   CrashListener& listener;
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -230,11 +230,10 @@
                        {"parts", this->request.info.promptParts},
                        {"has_events", this->HasResponseBegun()},
                        {"ran_ms", (this->Now() - this->sentAt) / 1ms}});
-  // Of 25 crashed upstreams, 21 had only one to four requests, of up to 82, in
-  // this state; so the request that caused the crash is among few.
-  if (!this->HasResponseBegun()) {
-    this->context.crashDetector.OnRunLost(this->Candidates(), this->upstream);
-  }
+  this->context.crashDetector.OnRunLost(this->Candidates(), this->upstream,
+                                        this->HasResponseBegun()
+                                            ? CrashEvidence::ResponseBegun
+                                            : CrashEvidence::NoResponse);
 }
 
 void Exchange::OnRefused(const ResponseInfo& aInfo, int aStatus) {
