--- a/Zincstep/Relay/RouteDurations.h
+++ b/Zincstep/Relay/RouteDurations.h
@@ -29,7 +29,7 @@
   std::uint32_t minSamples = 20;
   double mostShare = 0.8;
   double nearlyAllShare = 0.99;
-  /// Number of routes that are tracked, with some 500 bytes each. Routes beyond
+  /// Number of routes that are tracked, with some 800 bytes each. Routes beyond
   /// it have no known duration.
   std::size_t maxRoutes = 1024;
 };
