--- a/Zincstep/Admission/CrashTracker.h
+++ b/Zincstep/Admission/CrashTracker.h
@@ -104,9 +104,9 @@
 /// shared, for ten minutes (one of 23 soak seeds).
 ///
 /// A poison request may deliver much of its response first. Then nothing
-/// distinguishes it from the other requests on its upstream but that it loses
-/// every run. Such crashes block it once that is improbable for a sound
-/// request.
+/// distinguishes it from the others on its upstream but that it is present in
+/// crash after crash. Such crashes block it once it was present in more of the
+/// recent ones than a request is by chance.
 ///
 /// Requests with a poison part share other parts with sound ones. A blocked
 /// part therefore blocks no request that lacks what explains its crashes:
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -119,8 +119,9 @@
   const Micros timeout = request.info.timeout.value_or(kDefaultTimeout);
   request.deadline =
       request.message.readAt + std::min(timeout, request.route->timeout);
+  const StopPolicy& stop = this->context.stopPolicy;
   const Instant now = this->context.clock.Now();
-  if (!this->context.stopPolicy.Accepts(this->ExpectedOf(request, now), now)) {
+  if (stop.IsStopping() && !stop.Accepts(this->ExpectedOf(request, now), now)) {
     return Fail(ErrorKind::Stopping,
                 "the request could not complete before the stop");
   }
--- a/Zincstep/Relay/Relay.h
+++ b/Zincstep/Relay/Relay.h
@@ -78,6 +78,7 @@
   };
 
   void OnArrived(ArrivedRequest aRequest);
+  /// What is known of the time that the request takes; for a stopping daemon.
   ExpectedDuration ExpectedOf(const AdmittedRequest& aRequest,
                               Instant aNow) const;
   Result<AdmittedRequest> Admit(ArrivedRequest aRequest) const;
