--- a/SoakTests/InvariantChecker.cpp
+++ b/SoakTests/InvariantChecker.cpp
@@ -12,6 +12,13 @@
 /// Time after which a daemon has read a request that was sent to it: a lost
 /// connection says nothing of a request that is younger.
 constexpr Micros kMaxReadTime = 200ms;
+/// The operators' tolerances: requests that run on more upstreams than their
+/// route permits, and arrivals whose upstream is given more time than remains
+/// by more than `kTimeTolerance`, of those and of all late repeats.
+constexpr int kToleratedRuns = 3;
+constexpr int kToleratedTimes = 20;
+constexpr double kToleratedTimesShare = 0.2;
+constexpr Micros kTimeTolerance = 500ms;
 
 }  // namespace
 
@@ -30,12 +37,16 @@
 void InvariantChecker::OnRequestSent(const std::string& aId, RequestKind aKind,
                                      const std::string& aOrganisation,
                                      Instant aAt) {
-  this->requests[aId] = {aKind, aOrganisation,           aAt, 0,
-                         0,     ReportedOutcome::Unknown};
+  Record record;
+  record.kind = aKind;
+  record.organisation = aOrganisation;
+  record.sentAt = aAt;
+  this->requests[aId] = std::move(record);
   this->arrivals[ServiceOf(aKind)].sent.push_back(aAt);
 }
 
-void InvariantChecker::OnArrival(const std::string& aId, Instant aAt) {
+void InvariantChecker::OnArrival(const std::string& aId, Instant aAt,
+                                 std::optional<Micros> aTimeout) {
   const auto found = this->requests.find(aId);
   if (found == this->requests.end()) {
     return;  // Reported when it runs.
@@ -45,6 +56,27 @@
   if (record.arrivals > 1) {
     this->arrivals[ServiceOf(record.kind)].repeated.push_back(aAt);
   }
+  if (record.kind != RequestKind::Stream && record.timeout > Micros{0}) {
+    this->CountTime(record, aAt, aTimeout);
+  }
+}
+
+void InvariantChecker::CountTime(Record& aRecord, Instant aAt,
+                                 std::optional<Micros> aTimeout) {
+  const bool isFirst = aRecord.arrivals == 1;
+  const Instant end = aAt + aTimeout.value_or(Micros{0});
+  if (isFirst) {
+    aRecord.firstArrival = aAt;
+    aRecord.firstEnd = end;
+  }
+  const bool isLate = aAt > aRecord.firstArrival + kTimeTolerance;
+  const Instant allowedEnd =
+      std::max(aRecord.firstEnd, aRecord.sentAt + aRecord.timeout);
+  const bool isTooLong = !aTimeout ||
+                         *aTimeout > aRecord.timeout + kTimeTolerance ||
+                         (isLate && end > allowedEnd + kTimeTolerance);
+  this->lateRepeats += isLate ? 1 : 0;
+  this->excessTimes += isTooLong ? 1 : 0;
 }
 
 void InvariantChecker::SetRetryLimit(double aRatio, double aSlack,
@@ -54,7 +86,8 @@
   this->retryWindow = aWindow;
 }
 
-void InvariantChecker::CheckRetries() {
+InvariantChecker::RetryLoad InvariantChecker::MaxRetryLoad(
+    const ServiceArrivals& aTimes) const {
   const auto countIn = [this](const std::vector<Instant>& aTimes,
                               Instant aEnd) {
     const auto first = std::upper_bound(aTimes.begin(), aTimes.end(),
@@ -62,28 +95,77 @@
     const auto last = std::upper_bound(first, aTimes.end(), aEnd);
     return static_cast<double>(last - first);
   };
+  RetryLoad most;
+  for (const Instant end : aTimes.repeated) {
+    // A request may be repeated in the window after that of its first arrival.
+    const double sent =
+        std::max({countIn(aTimes.sent, end),
+                  countIn(aTimes.sent, end - this->retryWindow / 2),
+                  countIn(aTimes.sent, end - this->retryWindow)});
+    const RetryLoad load{sent, countIn(aTimes.repeated, end),
+                         this->retryRatio * sent + this->retrySlack};
+    if (most.limit == 0 ||
+        load.repeated - load.limit > most.repeated - most.limit) {
+      most = load;
+    }
+  }
+  return most;
+}
+
+void InvariantChecker::CheckRetries() {
   for (const auto& [service, times] : this->arrivals) {
-    for (const Instant end : times.repeated) {
-      // A request may be repeated in the window after that of its first
-      // arrival.
-      const double sent =
-          std::max({countIn(times.sent, end),
-                    countIn(times.sent, end - this->retryWindow / 2),
-                    countIn(times.sent, end - this->retryWindow)});
-      const double repeated = countIn(times.repeated, end);
-      if (repeated > this->retryRatio * sent + this->retrySlack) {
-        this->AddViolation(
-            "service " + service + " got " +
-            std::to_string(static_cast<int>(repeated)) +
-            " arrivals beyond the first of their request within " +
-            std::to_string(this->retryWindow / 1s) + " s, for " +
-            std::to_string(static_cast<int>(sent)) + " requests");
-        break;
-      }
+    const RetryLoad most = this->MaxRetryLoad(times);
+    if (most.repeated > most.limit) {
+      this->AddViolation("service " + service + " got " +
+                         std::to_string(static_cast<int>(most.repeated)) +
+                         " arrivals beyond the first of their request within " +
+                         std::to_string(this->retryWindow / 1s) + " s, for " +
+                         std::to_string(static_cast<int>(most.sent)) +
+                         " requests");
     }
   }
 }
 
+int InvariantChecker::ExcessRequests() const {
+  return static_cast<int>(std::count_if(
+      this->requests.begin(), this->requests.end(), [this](const auto& aOne) {
+        const Record& record = aOne.second;
+        const auto most = this->maxRuns.find(record.kind);
+        return most != this->maxRuns.end() && record.runs > most->second;
+      }));
+}
+
+void InvariantChecker::CheckTimes() {
+  const int excess = this->ExcessRequests();
+  if (excess > kToleratedRuns) {
+    this->AddViolation(std::to_string(excess) +
+                       " requests ran on more upstreams than their route "
+                       "permits");
+  }
+  if (this->excessTimes > kToleratedTimes &&
+      this->excessTimes >
+          kToleratedTimesShare * (this->excessTimes + this->lateRepeats)) {
+    this->AddViolation("upstreams were given more time than remained " +
+                       std::to_string(this->excessTimes) + " times; " +
+                       std::to_string(this->lateRepeats) +
+                       " requests were sent again late");
+  }
+}
+
+std::string InvariantChecker::RetrySummary() const {
+  std::string text;
+  for (const auto& [service, times] : this->arrivals) {
+    const RetryLoad most = this->MaxRetryLoad(times);
+    text += service + ": " + std::to_string(static_cast<int>(most.repeated)) +
+            " repeated for " + std::to_string(static_cast<int>(most.sent)) +
+            " requests, limit " + std::to_string(static_cast<int>(most.limit)) +
+            ", " + std::to_string(times.repeated.size()) + " in all; ";
+  }
+  return text + "too many runs " + std::to_string(this->ExcessRequests()) +
+         "; too much time " + std::to_string(this->excessTimes) + " of " +
+         std::to_string(this->lateRepeats) + " late repeats";
+}
+
 void InvariantChecker::OnRequestRun(const std::string& aId,
                                     const std::string& aOrganisation) {
   const auto found = this->requests.find(aId);
@@ -164,6 +246,7 @@
 
 std::vector<std::string> InvariantChecker::Close() {
   this->CheckRetries();
+  this->CheckTimes();
   for (const auto& [id, record] : this->requests) {
     const bool mayNotRepeat = record.kind == RequestKind::Unsafe;
     if (mayNotRepeat && record.reported == ReportedOutcome::NotRun &&
--- a/SoakTests/InvariantChecker.h
+++ b/SoakTests/InvariantChecker.h
@@ -37,8 +37,18 @@
                      const std::string& aOrganisation, Instant aAt);
   /// Records that an upstream starts to run the request.
   void OnRequestRun(const std::string& aId, const std::string& aOrganisation);
-  /// Records that the request has reached an upstream, which may refuse it.
-  void OnArrival(const std::string& aId, Instant aAt);
+  /// Sets how long the caller of the request waits.
+  void SetTimeout(const std::string& aId, Micros aTimeout) {
+    this->requests.at(aId).timeout = aTimeout;
+  }
+  /// Records that the request has reached an upstream, which may refuse it;
+  /// `aTimeout` is the time that the upstream was given, if any.
+  void OnArrival(const std::string& aId, Instant aAt,
+                 std::optional<Micros> aTimeout);
+  /// Sets the most upstreams that may run one request of a kind.
+  void SetMaxRuns(RequestKind aKind, int aRuns) {
+    this->maxRuns[aKind] = aRuns;
+  }
   /// Limits the arrivals beyond the first of their request to a share of the
   /// requests and a slack, for each service in any window.
   void SetRetryLimit(double aRatio, double aSlack, Micros aWindow);
@@ -86,6 +96,8 @@
   std::vector<std::string> Close();
 
   std::size_t Requests() const { return this->requests.size(); }
+  /// Returns one line with what `Close` compares with the limits.
+  std::string RetrySummary() const;
   std::size_t CompletedRequests() const;
   bool IsCompleted(const std::string& aId) const {
     return this->requests.at(aId).reported == ReportedOutcome::Completed;
@@ -98,6 +110,10 @@
     Instant sentAt;
     int runs = 0;
     int arrivals = 0;
+    Micros timeout{0};
+    Instant firstArrival{};
+    /// End of the time that the first upstream was given.
+    Instant firstEnd{};
     ReportedOutcome reported = ReportedOutcome::Unknown;
   };
 
@@ -116,13 +132,31 @@
   static std::string ServiceOf(RequestKind aKind) {
     return aKind == RequestKind::Stream ? "model" : "plain";
   }
+  /// Counts an arrival whose upstream was given more time than its caller
+  /// waits.
+  void CountTime(Record& aRecord, Instant aAt, std::optional<Micros> aTimeout);
+  /// Requests to and repeated arrivals at one service in the window that is
+  /// nearest to its limit, or furthest above it.
+  struct RetryLoad {
+    double sent = 0;
+    double repeated = 0;
+    double limit = 0;
+  };
+  RetryLoad MaxRetryLoad(const ServiceArrivals& aTimes) const;
   /// Checks the limit in the windows that end at a repeated arrival.
   void CheckRetries();
+  void CheckTimes();
+  int ExcessRequests() const;
 
   double retryRatio = 0;
   double retrySlack = 0;
   Micros retryWindow{0};
   std::map<std::string, ServiceArrivals> arrivals;
+  std::map<RequestKind, int> maxRuns;
+  /// Arrivals of requests that are no streams: those late after the first one,
+  /// and those whose upstream was given too much time.
+  int lateRepeats = 0;
+  int excessTimes = 0;
   std::ofstream events;
   std::map<std::string, Record> requests;
   std::vector<Truncated> truncated;
--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -17,6 +17,7 @@
     "  --seeds N       number of consecutive seeds (1)\n"
     "  --seconds N     fault injection time per seed (10)\n"
     "  --daemons N     number of daemons (4)\n"
+    "  --upstreams N   upstreams of the model in each of two domains (5)\n"
     "  --crashing      at the end, a request that crashes upstreams\n"
     "  --crashing-part at the end, requests with a part that crashes "
     "upstreams\n"
@@ -25,6 +26,8 @@
     "  --quick-restarts  crashed upstreams restart at once\n"
     "  --restores      the store is restored from backups meanwhile\n"
     "  --stops         at the end, overlapping stops of daemons\n"
+    "  --failures      at the end, upstreams that fail most requests beside\n"
+    "                  faults of daemons\n"
     "  --partitions    daemons are partitioned from all upstreams; needs\n"
     "                  zincstep-soak-edge as the daemon\n"
     "Exit status: 0 all passed, 1 an invariant was violated, 2 usage error.\n";
@@ -41,6 +44,8 @@
                             {"seeds", required_argument, nullptr, 'n'},
                             {"seconds", required_argument, nullptr, 't'},
                             {"daemons", required_argument, nullptr, 'c'},
+                            {"upstreams", required_argument, nullptr, 'u'},
+                            {"failures", no_argument, nullptr, 'f'},
                             {"crashing", no_argument, nullptr, 'x'},
                             {"crashing-part", no_argument, nullptr, 'y'},
                             {"limits", no_argument, nullptr, 'm'},
@@ -71,6 +76,12 @@
       case 'c':
         settings.daemons = std::atoi(optarg);
         break;
+      case 'u':
+        settings.modelUpstreams = std::atoi(optarg);
+        break;
+      case 'f':
+        settings.hasFailures = true;
+        break;
       case 'x':
         settings.hasCrashingRequest = true;
         break;
@@ -100,7 +111,8 @@
         return 2;
     }
   }
-  if (settings.daemon.empty() || logs.empty() || settings.daemons < 1) {
+  if (settings.daemon.empty() || logs.empty() || settings.daemons < 1 ||
+      settings.modelUpstreams < 1) {
     std::fputs(kUsage, stderr);
     return 2;
   }
@@ -118,6 +130,7 @@
                 outcome.requests, outcome.completedRequests,
                 outcome.faults.size(),
                 outcome.violations.empty() ? "passed" : "FAILED");
+    std::printf("  retries: %s\n", outcome.retries.c_str());
     for (const std::string& line : outcome.violations) {
       std::printf("  broken: %s\n", line.c_str());
     }
--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -95,6 +95,14 @@
   /// requests of all kinds until the processes have exited.
   void StopUnderLoad(std::size_t aCount, Micros aGap);
   void SendToDaemons(std::size_t aCount);
+  /// Sends requests at the rate of a deployment while upstreams fail most of
+  /// them; faults of the daemons overlap. Callers repeat at once.
+  void CheckFailingUpstreams();
+  void FailUpstreams(UpstreamFailure aFailure, double aShare);
+  /// Kills, stops, pauses or partitions from the store a share of the daemons.
+  void InjectAtManyDaemons();
+  /// Sends the request of a caller again that repeats at once.
+  void RepeatFailed(RequestKind aKind, const Result<HttpResponse>& aResponse);
   /// Checks that streams complete although all open connections are
   /// blackholed while they run.
   void CheckBlackholedStreams();
@@ -160,7 +168,6 @@
   /// Daemons up to which the rate of requests does not depend on their number.
   static constexpr int kBaselineDaemons = 4;
   static constexpr int kPlainUpstreams = 2;
-  static constexpr int kModelUpstreams = 5;
 
   SoakSettings settings;
   asio::io_context loop{1};
@@ -191,6 +198,8 @@
   /// Set while first attempts are recorded.
   std::optional<std::vector<FirstAttempt>> firstAttempts;
   bool isInjecting = false;
+  /// Whether callers repeat at once what fails.
+  bool repeatsFailed = false;
   int version = 1;
   /// Whether the key of organisation `other` has been revoked.
   bool isRevoked = false;
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -23,6 +23,9 @@
 constexpr int kRetrySlackPerDaemon = 25;
 constexpr int kMinSlackDaemons = 8;
 constexpr double kRetryRatio = 0.2;
+/// `maxAttempts` of the routes.
+constexpr int kMaxSafeRuns = 2;
+constexpr int kMaxStreamRuns = 3;
 constexpr Micros kRetryWindow = 10s;
 /// All daemons have the current upstream lists by then: three validations.
 constexpr Micros kSettleTime = 2100ms;
@@ -92,7 +95,7 @@
     for (int i = 0; i < kPlainUpstreams; ++i) {
       this->AddUpstream("plain", domain, i);
     }
-    for (int i = 0; i < kModelUpstreams; ++i) {
+    for (int i = 0; i < this->settings.modelUpstreams; ++i) {
       this->AddUpstream("model", domain, i);
     }
   }
@@ -125,6 +128,8 @@
   const int retrySlack =
       kRetrySlackPerDaemon * std::max(kMinSlackDaemons, this->settings.daemons);
   this->checker.SetRetryLimit(kRetryRatio, retrySlack, kRetryWindow);
+  this->checker.SetMaxRuns(RequestKind::Safe, kMaxSafeRuns);
+  this->checker.SetMaxRuns(RequestKind::Stream, kMaxStreamRuns);
   for (int i = 0; i < this->settings.daemons; ++i) {
     auto daemon = std::make_unique<Daemon>();
     const std::string host = HostOf(i);
@@ -185,6 +190,9 @@
     this->CheckPartitionedDaemons();
     this->CheckPartitionedDaemons();
   }
+  if (this->settings.hasFailures) {
+    this->CheckFailingUpstreams();
+  }
   if (this->settings.hasStops) {
     this->CheckOverlappingStops();
     this->CheckStopsWithoutConfiguration();
@@ -201,6 +209,7 @@
   // Rejected requests must not run later either.
   this->loop.run_for(kCallerTimeout);
   this->outcome.violations = this->checker.Close();
+  this->outcome.retries = this->checker.RetrySummary();
   this->outcome.requests = this->checker.Requests();
   this->outcome.completedRequests = this->checker.CompletedRequests();
   return std::move(this->outcome);
@@ -316,6 +325,7 @@
   const bool reusesConnection = this->lastRequest % 2 == 0;
   this->checker.OnRequestSent(id, aKind, aIsOther ? "other" : "acme",
                               this->clock.Now());
+  this->checker.SetTimeout(id, aTimeout);
   const std::string body = aExtras.parts.empty() ? "{}" : id;
   const std::string prompt =
       aExtras.parts.empty()
@@ -339,6 +349,7 @@
 void Soak::OnResponse(const std::string& aId, RequestKind aKind,
                       Daemon& aDaemon, const Result<HttpResponse>& aResponse) {
   constexpr std::array kNotRun{408, 421, 429, 503};
+  this->RepeatFailed(aKind, aResponse);
   if (!aResponse) {
     if (aResponse.error().kind == ErrorKind::ResponseIncomplete) {
       this->checker.OnResponseTruncated(aId, this->clock.Now());
--- a/SoakTests/SoakRun.h
+++ b/SoakTests/SoakRun.h
@@ -17,6 +17,8 @@
   /// How long faults are injected.
   Micros faults = 10s;
   int daemons = 4;
+  /// Upstreams of the model in each of the two failure domains.
+  int modelUpstreams = 5;
   /// Whether a request that crashes upstreams is sent at the end.
   bool hasCrashingRequest = false;
   /// Whether requests that share a crashing part are sent at the end.
@@ -37,6 +39,9 @@
   /// Whether daemons are stopped one after the other at the end, beside slow
   /// plain upstreams and without a configuration.
   bool hasStops = false;
+  /// Whether upstreams fail most of what they run at the end, while daemons are
+  /// killed, stopped, paused and partitioned from the store.
+  bool hasFailures = false;
 };
 
 /// Result of one run.
@@ -47,6 +52,8 @@
   std::vector<std::string> faults;
   /// Violated invariants; empty if the run passed.
   std::vector<std::string> violations;
+  /// What was compared with the limits on retries.
+  std::string retries;
 };
 
 /// Runs daemon processes against stand-ins of the store and the upstreams,
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -123,6 +123,9 @@
   for (const auto& connection : std::exchange(this->crashingConnections, {})) {
     connection->Abort();
   }
+  for (const auto& connection : std::exchange(this->silentConnections, {})) {
+    connection->Abort();
+  }
   for (const DelayedResponse& one : std::exchange(this->delayed, {})) {
     one.connection->Abort();
   }
@@ -246,7 +249,15 @@
 void SoakUpstream::Run(const std::shared_ptr<CallerConnection>& aConnection,
                        const CallerMessage& aMessage) {
   const std::string request = GetHeader(aMessage, "X-Attempt-Id");
-  this->checker.OnArrival(request, this->clock.Now());
+  const std::string timeout = GetHeader(aMessage, "X-Deadline-Ms");
+  this->checker.OnArrival(
+      request, this->clock.Now(),
+      timeout.empty()
+          ? std::nullopt
+          : std::optional(Micros{1ms} * std::atoll(timeout.c_str())));
+  if (this->FailRequest(aConnection, aMessage, request)) {
+    return;
+  }
   const std::string path = GetHeader(aMessage, "Path");
   const std::string missing = this->FindMissingMember(path);
   if (this->retryAfter) {
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -13,6 +13,30 @@
 
 class SoakUpstream;
 
+/// How an upstream fails a request.
+enum class UpstreamFailure {
+  None,
+  /// It refuses the request without running it.
+  Refusal,
+  /// It runs the request and resets the connection.
+  Reset,
+  /// It runs the request and responds with a server error.
+  Error,
+  /// It runs the request and never responds.
+  Silence,
+  /// One of these for each request.
+  Mixed,
+};
+
+inline constexpr NameTable<UpstreamFailure, 6> kUpstreamFailureNames{{
+    {UpstreamFailure::None, "none"},
+    {UpstreamFailure::Refusal, "refusal"},
+    {UpstreamFailure::Reset, "reset"},
+    {UpstreamFailure::Error, "error"},
+    {UpstreamFailure::Silence, "silence"},
+    {UpstreamFailure::Mixed, "mixed"},
+}};
+
 /// All upstreams, by the address in their entries.
 using UpstreamsByAddress = std::map<std::string, SoakUpstream*>;
 
@@ -71,6 +95,11 @@
   void SetRetryAfter(std::optional<Micros> aRetryAfter) {
     this->retryAfter = aRetryAfter;
   }
+  /// From now on it fails this share of the requests that arrive.
+  void SetFailure(UpstreamFailure aFailure, double aShare) {
+    this->failure = aFailure;
+    this->failureShare = aShare;
+  }
   /// From now on a plain upstream responds after this delay.
   void SetResponseDelay(Micros aDelay) { this->responseDelay = aDelay; }
   /// Whether daemons may send it requests: a plain upstream, or the first of a
@@ -105,6 +134,11 @@
     std::string request;
   };
 
+  /// How it fails the request.
+  UpstreamFailure FailureOf(const std::string& aRequest) const;
+  /// Fails the request; returns false if it is to be served.
+  bool FailRequest(const std::shared_ptr<CallerConnection>& aConnection,
+                   const CallerMessage& aMessage, const std::string& aRequest);
   void Respond(CallerConnection& aConnection, const std::string& aRequest);
   void SendDelayed(Instant aNow);
   /// Adds the limit header, if a limit is set.
@@ -139,6 +173,10 @@
   std::vector<Stream> streams;
   std::vector<DelayedResponse> delayed;
   Micros responseDelay{0};
+  UpstreamFailure failure = UpstreamFailure::None;
+  double failureShare = 0;
+  /// Connections of requests that get no response.
+  std::vector<std::shared_ptr<CallerConnection>> silentConnections;
   /// Connections of requests that will crash this upstream.
   std::vector<std::shared_ptr<CallerConnection>> crashingConnections;
   std::string id;
