Responses whose head or body never ends are rejected

Callers saw: a request to a plain service whose upstream sends bytes without end got 504 at its route's time-out, and a safe one never ran elsewhere, while the daemon buffered all that came; a process that outgrows its VM is killed with all its requests.

Cause: the relay's three exchanges appended to a string until the call ended by itself; only the buffered calls (store, reports, orders) had a bound. Class: a wait for the end of a message that has a bound in time, but none in size.

Change: a listener may reject a part of a body; the call then ends as Rejected, which the exchanges treat as a lost run, so that a request that may run again does so at once and others get 502. An event of a stream is bounded by 1 MiB, the interim responses before the final one by 16. The bytes are visible as held_bytes, from_upstreams.

Ruled out as insufficient: a bound for each response alone (2,000 requests of 4 MiB are 8 GB); a bound for all alone (one upstream could use up what sound responses need).

--- a/SoakTests/SoakCaller.cpp
+++ b/SoakTests/SoakCaller.cpp
@@ -40,8 +40,9 @@
     this->response.headers = std::move(aHead.headers);
   }
 
-  void OnResponseBody(std::string_view aPart) override {
+  bool OnResponseBody(std::string_view aPart) override {
     this->response.body.append(aPart);
+    return true;
   }
 
   void OnCallEnd(SingleCallEnd aEnd) override {
--- a/Zincstep/Edge/BufferedMemory.cpp
+++ b/Zincstep/Edge/BufferedMemory.cpp
@@ -43,6 +43,7 @@
                          {"from_peers", kind(BufferKind::FromPeers)},
                          {"packed_lists", kind(BufferKind::PackedLists)},
                          {"to_callers", kind(BufferKind::ToCallers)},
+                         {"from_upstreams", kind(BufferKind::FromUpstreams)},
                          {"sum", aSum}});
 }
 
--- a/Zincstep/Edge/BufferedMemory.h
+++ b/Zincstep/Edge/BufferedMemory.h
@@ -17,13 +17,16 @@
   PackedLists,
   /// Response bytes that callers have not read yet.
   ToCallers,
+  /// Long response bodies of upstreams that are not complete yet.
+  FromUpstreams,
 };
 
-inline constexpr NameTable<BufferKind, 4> kBufferKindNames{{
+inline constexpr NameTable<BufferKind, 5> kBufferKindNames{{
     {BufferKind::ToPeers, "to_peers"},
     {BufferKind::FromPeers, "from_peers"},
     {BufferKind::PackedLists, "packed_lists"},
     {BufferKind::ToCallers, "to_callers"},
+    {BufferKind::FromUpstreams, "from_upstreams"},
 }};
 
 /// Logs and exports how many bytes are buffered for which purpose.
--- a/Zincstep/Edge/EdgeComponents.cpp
+++ b/Zincstep/Edge/EdgeComponents.cpp
@@ -12,6 +12,10 @@
 /// Share of the operators' retry ratio that is used. The rest covers requests
 /// that arrive in one window and are retried in the next.
 constexpr double kRetryRatioUsed = 0.8;
+/// Share of a VM's memory that buffered responses may occupy. A buffer that
+/// grows may hold twice its size, and is copied once it is complete.
+constexpr double kBufferedResponseShare = 0.125;
+constexpr double kBytesPerMb = 1 << 20;
 
 }  // namespace
 
@@ -28,6 +32,8 @@
     settings.retries.burstFrom = aStartedAt + settings.retries.window;
   }
   settings.drainNotice = aSettings.drainNotice;
+  settings.maxBufferedBytes = static_cast<std::size_t>(
+      aSettings.memoryMb * kBytesPerMb * kBufferedResponseShare);
   settings.features = aSettings.features;
   return settings;
 }
--- a/Zincstep/Edge/EdgeReports.cpp
+++ b/Zincstep/Edge/EdgeReports.cpp
@@ -15,6 +15,7 @@
   of(BufferKind::PackedLists) = this->peers.BytesPacked();
   of(BufferKind::ToCallers) =
       this->callers.PendingBytes() + this->forwarded.PendingBytes();
+  of(BufferKind::FromUpstreams) = this->relay.BufferedResponseBytes();
   return bytes;
 }
 
--- a/Zincstep/Net/HttpParser.cpp
+++ b/Zincstep/Net/HttpParser.cpp
@@ -6,6 +6,8 @@
 
 /// A status below this is an interim response, followed by the final one.
 constexpr int kFirstFinalStatus = 200;
+/// Maximum number of interim responses to one request.
+constexpr int kMaxInterimResponses = 16;
 
 }  // namespace
 
@@ -21,6 +23,7 @@
   this->parser.data = this;
   this->head = HttpHead{};
   this->headBytes = 0;
+  this->interimResponses = 0;
   this->lastWasValue = true;
   this->hasBegun = false;
   this->hasHead = false;
@@ -113,7 +116,8 @@
     this->head = HttpHead{};
     this->hasHead = false;
     this->lastWasValue = true;
-    return 0;
+    this->interimResponses += 1;
+    return this->interimResponses <= kMaxInterimResponses ? 0 : 1;
   }
   this->isComplete = true;
   http_parser_pause(&this->parser, 1);
--- a/Zincstep/Net/HttpParser.h
+++ b/Zincstep/Net/HttpParser.h
@@ -53,7 +53,8 @@
 
   /// Parses up to the end of the message and returns the bytes consumed.
   ///
-  /// Fails with `BadRequest` if the bytes are not valid HTTP/1.1, or with
+  /// Fails with `BadRequest` if the bytes are not valid HTTP/1.1 or too many
+  /// interim responses precede the final one, or with
   /// `RequestTooLarge` if the head exceeds the limit.
   Result<std::size_t> Feed(std::string_view aBytes);
   /// Signals the end of the stream; returns whether the message is complete.
@@ -85,6 +86,7 @@
   HttpHead head;
   std::size_t maxHeadBytes = 64 << 10;
   std::size_t headBytes = 0;
+  int interimResponses = 0;
   bool lastWasValue = true;
   bool hasBegun = false;
   bool hasHead = false;
--- a/Zincstep/Net/SingleCall.cpp
+++ b/Zincstep/Net/SingleCall.cpp
@@ -54,16 +54,12 @@
     this->response.headers = std::move(aHead.headers);
   }
 
-  void OnResponseBody(std::string_view aPart) override {
+  bool OnResponseBody(std::string_view aPart) override {
     if (this->response.body.size() + aPart.size() > kMaxBufferedBodyBytes) {
-      // A shortened list of the store would be taken for complete.
-      this->call->Cancel();
-      this->Finish(Fail(ErrorKind::ResponseIncomplete,
-                        "the body exceeds " +
-                            std::to_string(kMaxBufferedBodyBytes) + " bytes"));
-      return;
+      return false;
     }
     this->response.body.append(aPart);
+    return true;
   }
 
   void OnCallEnd(SingleCallEnd aEnd) override {
@@ -75,6 +71,12 @@
       this->Send(std::nullopt);
       return;
     }
+    if (aEnd == SingleCallEnd::Rejected) {
+      this->Finish(Fail(ErrorKind::ResponseIncomplete,
+                        "the body exceeds " +
+                            std::to_string(kMaxBufferedBodyBytes) + " bytes"));
+      return;
+    }
     this->Finish(Fail(aEnd == SingleCallEnd::NotConnected
                           ? ErrorKind::UpstreamUnreachable
                           : ErrorKind::ResponseIncomplete,
@@ -239,6 +241,10 @@
   if (this->listener == nullptr) {
     return;
   }
+  if (this->isRejected) {
+    this->End(SingleCallEnd::Rejected);
+    return;
+  }
   this->listener->OnResponsePause();
   if (this->listener == nullptr) {
     return;
@@ -272,8 +278,8 @@
 }
 
 void SingleCall::OnBody(std::string_view aPart) {
-  if (this->listener != nullptr) {
-    this->listener->OnResponseBody(aPart);
+  if (this->listener != nullptr && !this->isRejected) {
+    this->isRejected = !this->listener->OnResponseBody(aPart);
   }
 }
 
--- a/Zincstep/Net/SingleCall.h
+++ b/Zincstep/Net/SingleCall.h
@@ -23,13 +23,16 @@
   Broken,
   /// The received bytes are not a valid HTTP response.
   BadResponse,
+  /// The listener rejected a part of the body.
+  Rejected,
 };
 
-inline constexpr NameTable<SingleCallEnd, 4> kSingleCallEndNames{{
+inline constexpr NameTable<SingleCallEnd, 5> kSingleCallEndNames{{
     {SingleCallEnd::Complete, "complete"},
     {SingleCallEnd::NotConnected, "not_connected"},
     {SingleCallEnd::Broken, "broken"},
     {SingleCallEnd::BadResponse, "bad_answer"},
+    {SingleCallEnd::Rejected, "rejected"},
 }};
 
 /// Receives the response of a call, on the loop's thread.
@@ -39,8 +42,9 @@
 
   /// Called with the head of the response.
   virtual void OnResponseHead(HttpHead aHead) = 0;
-  /// Called with a part of the response's body.
-  virtual void OnResponseBody(std::string_view aPart) = 0;
+  /// Called with a part of the response's body. Returns false to reject it, for
+  /// example as it is too long; the call then ends as `Rejected`.
+  virtual bool OnResponseBody(std::string_view aPart) = 0;
   /// Called when all bytes of one read were passed on; the time to flush them.
   virtual void OnResponsePause() {}
   /// Called once when the call has ended; its last event.
@@ -122,6 +126,7 @@
   bool isReused = false;
   bool hasSent = false;
   bool isRequestWritten = false;
+  bool isRejected = false;
   bool isReading = false;
   bool isReadEnabled = true;
 };
--- a/Zincstep/Relay/EventSplitter.h
+++ b/Zincstep/Relay/EventSplitter.h
@@ -23,6 +23,10 @@
   void BeginRun();
   /// Whether bytes of a partial event are buffered.
   bool HasPartial() const { return !this->partial.empty(); }
+  /// Whether the partial event is longer than any event may be.
+  bool IsPartialTooLong() const {
+    return this->partial.size() > kMaxEventBytes;
+  }
   /// Id of the last forwarded event.
   std::optional<std::uint64_t> LastId() const { return this->lastId; }
   /// Whether the new run skipped an event, so that the stream must not go on.
@@ -31,6 +35,8 @@
   bool HasForwarded() const { return this->hasForwarded; }
 
  private:
+  static constexpr std::size_t kMaxEventBytes = 1 << 20;
+
   void Forward(std::string_view aEvent, std::string& aOut);
 
   std::string partial;
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -346,6 +346,21 @@
              this->context.settings.initialStateTimeout;
 }
 
+const char* Exchange::LostReasonOf(SingleCallEnd aEnd) {
+  switch (aEnd) {
+    case SingleCallEnd::Complete:
+      return "the response belongs to another request";
+    case SingleCallEnd::Rejected:
+      return "the response exceeds the maximum size";
+    case SingleCallEnd::BadResponse:
+      return "the response is not valid HTTP";
+    case SingleCallEnd::NotConnected:
+    case SingleCallEnd::Broken:
+      break;
+  }
+  return "the response was truncated";
+}
+
 bool Exchange::IsInvalidResponse(const HttpHead& aHead,
                                  const ResponseInfo& aInfo) const {
   const bool isSuccess =
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -187,6 +187,13 @@
   void OnNotConnected();
   /// Whether this daemon just started and its list of upstreams is still due.
   bool IsAwaitingUpstreams() const;
+  /// Returns an empty buffer for a response's body.
+  BodyBuffer MakeBodyBuffer() const {
+    return {this->context.responseBytes,
+            this->context.settings.maxResponseBytes};
+  }
+  /// Why a run whose call ended so has no usable response; for the log.
+  static const char* LostReasonOf(SingleCallEnd aEnd);
   /// Whether a response belongs to another request, or was modified in
   /// transit.
   bool IsInvalidResponse(const HttpHead& aHead,
--- a/Zincstep/Relay/ForwardExchange.cpp
+++ b/Zincstep/Relay/ForwardExchange.cpp
@@ -68,7 +68,7 @@
   this->responseInfo = ResponseInfo{};
   this->isInvalidResponse = false;
   this->isReadingPaused = false;
-  this->body.clear();
+  this->body.Clear();
   this->sentAt = this->lastProgress = this->Now();
   this->context.statistics.OnSent(this->counted, aPeer.failureDomain,
                                   this->sentAt);
@@ -107,15 +107,15 @@
   this->head = std::move(aHead);
 }
 
-void ForwardExchange::OnResponseBody(std::string_view aPart) {
+bool ForwardExchange::OnResponseBody(std::string_view aPart) {
   if (this->isInvalidResponse) {
-    return;
+    return false;
   }
-  if (this->IsStream()) {
-    this->pendingEvents += this->events.Append(aPart);
-  } else {
-    this->body.append(aPart);
+  if (!this->IsStream()) {
+    return this->body.Append(aPart);
   }
+  this->pendingEvents += this->events.Append(aPart);
+  return !this->events.IsPartialTooLong();
 }
 
 void ForwardExchange::OnResponsePause() {
@@ -162,7 +162,10 @@
     if (!this->IsStream() || this->isInvalidResponse) {
       this->context.forwards.OnNoResponse(this->peer.name);
     }
-    this->OnRunInterrupted("the response of the other daemon was truncated");
+    this->OnRunInterrupted(
+        aEnd == SingleCallEnd::Rejected
+            ? LostReasonOf(aEnd)
+            : "the response of the other daemon was truncated");
     return;
   }
   if (this->IsRefusal()) {
@@ -192,7 +195,7 @@
     return;
   }
   this->LeavePeer();
-  this->ForwardResponse(this->head, this->body);
+  this->ForwardResponse(this->head, this->body.Text());
 }
 
 bool ForwardExchange::IsRefusal() const {
@@ -213,16 +216,17 @@
   LogInfo("forward_refused", {{"request", this->request.info.id},
                               {"daemon", this->peer.name},
                               {"status", this->head.status},
-                              {"kind", this->body}});
+                              {"kind", this->body.Text()}});
   this->context.forwards.OnRefused(this->peer.name,
                                    this->request.service->name);
-  if (!IsOwnReason(this->body)) {
+  if (!IsOwnReason(this->body.Text())) {
     this->roomRefusals += 1;
     this->peerRetryAfter = this->responseInfo.notice.backoff;
   }
   this->LeavePeer();
   // Only then may upstreams have received the request and refused it.
-  this->needsRetry = this->body == ErrorInfoFor(ErrorKind::Overloaded).name;
+  this->needsRetry =
+      this->body.Text() == ErrorInfoFor(ErrorKind::Overloaded).name;
   this->TryNextPeer();
 }
 
--- a/Zincstep/Relay/ForwardExchange.h
+++ b/Zincstep/Relay/ForwardExchange.h
@@ -26,7 +26,7 @@
   void OnCallerDisconnected() override;
 
   void OnResponseHead(HttpHead aHead) override;
-  void OnResponseBody(std::string_view aPart) override;
+  bool OnResponseBody(std::string_view aPart) override;
   void OnResponsePause() override;
   void OnCallEnd(SingleCallEnd aEnd) override;
 
@@ -88,7 +88,7 @@
   bool isWaiting = false;
   /// Upstreams of the last daemon may have received the request.
   bool needsRetry = false;
-  std::string body;
+  BodyBuffer body = this->MakeBodyBuffer();
   std::string pendingEvents;
   Instant lastProgress;
 };
--- a/Zincstep/Relay/Relay.h
+++ b/Zincstep/Relay/Relay.h
@@ -48,6 +48,10 @@
   /// Abandons the exchanges of a request that is blocked because it crashes
   /// upstreams.
   void OnBlocked(Fingerprint aBlocked);
+  /// Bytes of long response bodies that are not complete yet.
+  std::size_t BufferedResponseBytes() const {
+    return this->context.responseBytes->UsedBytes();
+  }
   /// Number of exchanges and deferred requests that have not ended.
   std::size_t Active() const {
     return this->exchanges.size() + this->deferred.size() + this->handingOver;
--- a/Zincstep/Relay/RelayContext.h
+++ b/Zincstep/Relay/RelayContext.h
@@ -3,9 +3,11 @@
 #include <asio.hpp>
 #include <functional>
 #include <map>
+#include <memory>
 
 #include "Zincstep/Admission/Admission.h"
 #include "Zincstep/Cluster/Cluster.h"
+#include "Zincstep/Net/BodyBuffer.h"
 #include "Zincstep/Net/ConnectionPool.h"
 #include "Zincstep/Relay/CapacityScheduler.h"
 #include "Zincstep/Relay/CrashDetector.h"
@@ -73,6 +75,10 @@
   double reservedForStreams = 0.5;
   /// Bytes buffered for a slow caller at which reading from the upstream stops.
   std::size_t maxPendingBytes = 256 << 10;
+  /// Maximum size of a buffered response body: that of a request's body.
+  std::size_t maxResponseBytes = 4 << 20;
+  /// The same for all buffered responses together, but for short ones.
+  std::size_t maxBufferedBytes = 32 << 20;
   /// Time for which an upstream that announced its departure still serves its
   /// running requests.
   Micros drainNotice = 2s;
@@ -134,6 +140,9 @@
   std::function<void()> onSuspicion;
   RepairStatistics repairs{};
   RouteDurations durations{RouteDurationsSettings{}};
+  /// Shared by the buffered responses; exchanges may outlive this context.
+  std::shared_ptr<ByteBudget> responseBytes =
+      std::make_shared<ByteBudget>(this->settings.maxBufferedBytes);
   /// Order of requests while room is scarce; set by the relay.
   CapacityScheduler* capacity = nullptr;
   /// Continues a request through another daemon; set by the relay.
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -41,7 +41,7 @@
   this->tried.push_back(chosen);
   this->head = HttpHead{};
   this->responseInfo = ResponseInfo{};
-  this->body.clear();
+  this->body.Clear();
   chosen->localWork += 1;
   this->Send(chosen, nullptr, std::nullopt);
   if (!this->call) {
@@ -112,8 +112,8 @@
   this->ApplyNotice(this->responseInfo);
 }
 
-void ServiceExchange::OnResponseBody(std::string_view aPart) {
-  this->body.append(aPart);
+bool ServiceExchange::OnResponseBody(std::string_view aPart) {
+  return this->body.Append(aPart);
 }
 
 void ServiceExchange::Abandon(ErrorKind aNotRun, ErrorKind aMayHaveRun,
@@ -147,9 +147,7 @@
       this->IsInvalidResponse(this->head, this->responseInfo)) {
     this->mayHaveRun = true;
     this->runs += 1;
-    const char* reason = aEnd == SingleCallEnd::Complete
-                             ? "the response belongs to another request"
-                             : "the response was truncated";
+    const char* reason = LostReasonOf(aEnd);
     this->OnRunLost(reason);
     this->OnFailure(reason);
     return;
@@ -175,7 +173,7 @@
     this->TrySend();
     return;
   }
-  this->ForwardResponse(this->head, this->body);
+  this->ForwardResponse(this->head, this->body.Text());
 }
 
 void ServiceExchange::OnNotRun(const char* aReason) {
--- a/Zincstep/Relay/ServiceExchange.h
+++ b/Zincstep/Relay/ServiceExchange.h
@@ -19,7 +19,7 @@
   void OnCallerDisconnected() override;
 
   void OnResponseHead(HttpHead aHead) override;
-  void OnResponseBody(std::string_view aPart) override;
+  bool OnResponseBody(std::string_view aPart) override;
   void OnCallEnd(SingleCallEnd aEnd) override;
 
  private:
@@ -42,7 +42,7 @@
   std::vector<UpstreamPtr> tried;
   HttpHead head;
   ResponseInfo responseInfo;
-  std::string body;
+  BodyBuffer body = this->MakeBodyBuffer();
   /// Waits for the daemon's first list of upstreams.
   bool isWaiting = false;
 };
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -103,7 +103,7 @@
   }
   this->head = HttpHead{};
   this->responseInfo = ResponseInfo{};
-  this->body.clear();
+  this->body.Clear();
   this->isInvalidResponse = false;
   this->hasRunEvents = false;
   this->isReading = true;
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -35,7 +35,7 @@
   void OnNoRoom(const char* aReason) override;
 
   void OnResponseHead(HttpHead aHead) override;
-  void OnResponseBody(std::string_view aPart) override;
+  bool OnResponseBody(std::string_view aPart) override;
   void OnResponsePause() override;
   void OnCallEnd(SingleCallEnd aEnd) override;
 
@@ -164,7 +164,7 @@
   /// Complete events to be forwarded together.
   std::string pendingEvents;
   /// Body of a response that is not a stream.
-  std::string body;
+  BodyBuffer body = this->MakeBodyBuffer();
   bool isInvalidResponse = false;
   bool headSent = false;
   /// The current run has delivered complete events.
--- a/Zincstep/Relay/StreamResponse.cpp
+++ b/Zincstep/Relay/StreamResponse.cpp
@@ -35,17 +35,17 @@
   }
 }
 
-void StreamExchange::OnResponseBody(std::string_view aPart) {
+bool StreamExchange::OnResponseBody(std::string_view aPart) {
   if (this->isInvalidResponse) {
-    return;
+    return false;
   }
   if (!this->IsStream()) {
-    this->body.append(aPart);
-    return;
+    return this->body.Append(aPart);
   }
   const std::string events = this->splitter.Append(aPart);
   this->hasRunEvents = this->hasRunEvents || !events.empty();
   this->pendingEvents += events;
+  return !this->splitter.IsPartialTooLong();
 }
 
 void StreamExchange::OnResponsePause() {
@@ -128,10 +128,11 @@
   } else if (isComplete && !this->headSent &&
              this->head.status < kFirstServerError) {
     this->Release();
-    this->ForwardResponse(this->head, this->body);
+    this->ForwardResponse(this->head, this->body.Text());
   } else {
-    this->OnRunLost("the stream was truncated");
-    this->OnLost("the stream was truncated");
+    const char* reason = LostReasonOf(aEnd);
+    this->OnRunLost(reason);
+    this->OnLost(reason);
   }
 }
 
