--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -29,6 +29,15 @@
   std::string parts;
 };
 
+/// Faults of the daemons while upstreams fail.
+enum class DaemonFaults {
+  None,
+  /// All are killed several times within a retry window.
+  Kills,
+  /// Of all kinds, at random daemons.
+  Drawn,
+};
+
 /// One run: daemon processes, stand-ins, callers, faults and checks, all on one
 /// event loop.
 class Soak {
@@ -98,6 +107,9 @@
   /// Sends requests at the rate of a deployment while upstreams fail most of
   /// them; faults of the daemons overlap. Callers repeat at once.
   void CheckFailingUpstreams();
+  void SendWhileFailing(UpstreamFailure aFailure, DaemonFaults aFaults);
+  /// Sends one request: a stream in nine of ten cases.
+  void SendAsDeployment();
   void FailUpstreams(UpstreamFailure aFailure, double aShare);
   /// Kills, stops, pauses or partitions from the store a share of the daemons.
   void InjectAtManyDaemons();
--- a/SoakTests/SoakFailures.cpp
+++ b/SoakTests/SoakFailures.cpp
@@ -14,12 +14,15 @@
 constexpr int kUnavailable = 503;
 /// Share of the requests that fail, and how long they do.
 constexpr double kFailureShare = 0.8;
-constexpr Micros kFailureTime = 14s;
+constexpr Micros kFailureTime = 12s;
 /// One request each; nine in ten are streams.
 constexpr Micros kSendInterval = 10ms;
 constexpr std::size_t kRequestsPerPlain = 10;
 constexpr Micros kMinFaultInterval = 400ms;
 constexpr Micros kFaultIntervalSpread = 2500ms;
+/// Between two kills of all daemons: several within a retry window, each with
+/// time to serve requests.
+constexpr Micros kKillInterval = 2500ms;
 /// Callers that repeat at once have at most so many repeats in a run of the
 /// loop.
 constexpr std::size_t kRepeatingCallers = 4;
@@ -112,38 +115,47 @@
   });
 }
 
-void Soak::CheckFailingUpstreams() {
-  constexpr std::array kFailures{
-      UpstreamFailure::Mixed, UpstreamFailure::Refusal, UpstreamFailure::Reset};
-  for (const UpstreamFailure failure : kFailures) {
-    this->FailUpstreams(failure, kFailureShare);
-    this->repeatsFailed = true;
-    const Instant end = this->clock.Now() + kFailureTime;
-    Instant nextAt = this->clock.Now() + kMinFaultInterval;
-    while (this->clock.Now() < end) {
-      const std::size_t pick = this->linkRandom.Below(this->daemons.size());
-      const bool isPlain = this->linkRandom.Below(kRequestsPerPlain) == 0;
-      this->Send(*this->daemons[pick],
-                 !isPlain                         ? RequestKind::Stream
-                 : this->linkRandom.Below(2) == 0 ? RequestKind::Safe
-                                                  : RequestKind::Unsafe,
-                 false);
-      if (this->clock.Now() >= nextAt) {
-        nextAt =
-            this->clock.Now() +
-            DrawFrom(this->linkRandom, kMinFaultInterval, kFaultIntervalSpread);
-        this->InjectAtManyDaemons();
+void Soak::SendAsDeployment() {
+  Daemon& daemon = *this->daemons[this->linkRandom.Below(this->daemons.size())];
+  const bool isStream = this->linkRandom.Below(kRequestsPerPlain) > 0;
+  const auto plain =
+      this->linkRandom.Below(2) == 0 ? RequestKind::Safe : RequestKind::Unsafe;
+  this->Send(daemon, isStream ? RequestKind::Stream : plain, false);
+}
+
+void Soak::SendWhileFailing(UpstreamFailure aFailure, DaemonFaults aFaults) {
+  this->FailUpstreams(aFailure, kFailureShare);
+  this->repeatsFailed = true;
+  const Instant end = this->clock.Now() + kFailureTime;
+  Instant nextAt = this->clock.Now() + kMinFaultInterval;
+  while (this->clock.Now() < end) {
+    this->SendAsDeployment();
+    if (this->clock.Now() >= nextAt && aFaults == DaemonFaults::Drawn) {
+      nextAt = this->clock.Now() + DrawFrom(this->linkRandom, kMinFaultInterval,
+                                            kFaultIntervalSpread);
+      this->InjectAtManyDaemons();
+    } else if (this->clock.Now() >= nextAt && aFaults == DaemonFaults::Kills) {
+      nextAt = this->clock.Now() + kKillInterval;
+      this->RecordFault("kill all daemons");
+      for (const auto& daemon : this->daemons) {
+        daemon->process->Signal(SIGKILL);
       }
-      this->loop.run_for(kSendInterval);
-    }
-    this->repeatsFailed = false;
-    this->HealAll();
-    this->FailUpstreams(UpstreamFailure::None, 0);
-    if (!this->WaitUntilServed()) {
-      this->checker.AddViolation(
-          "service did not recover after upstreams failed");
     }
+    this->loop.run_for(kSendInterval);
+  }
+  this->repeatsFailed = false;
+  this->HealAll();
+  this->FailUpstreams(UpstreamFailure::None, 0);
+  if (!this->WaitUntilServed()) {
+    this->checker.AddViolation(
+        "service did not recover after upstreams failed");
   }
 }
 
+void Soak::CheckFailingUpstreams() {
+  this->SendWhileFailing(UpstreamFailure::Refusal, DaemonFaults::None);
+  this->SendWhileFailing(UpstreamFailure::Reset, DaemonFaults::Kills);
+  this->SendWhileFailing(UpstreamFailure::Mixed, DaemonFaults::Drawn);
+  this->SendWhileFailing(UpstreamFailure::Refusal, DaemonFaults::Drawn);
+}
 }  // namespace zincstep::soak
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -296,6 +296,13 @@
     this->checker.WriteEvent("crashing_request",
                              {{"request", request}, {"upstream", this->id}});
     this->crashAt = this->crashAt.value_or(this->clock.Now() + kCrashDelay);
+    if (aMessage.head.target != kCrashingPath &&
+        Hash64(request + "event") % 2 == 0) {
+      auto crashing = SealedHeaders(request);
+      crashing.push_back({"Content-Type", "text/event-stream"});
+      aConnection->BeginChunks(kOk, crashing);
+      aConnection->AppendChunk(EventFor(request, 1));
+    }
     this->crashingConnections.push_back(aConnection);
     return;
   }
