--- a/Zincstep/Admission/CrashTracker.cpp
+++ b/Zincstep/Admission/CrashTracker.cpp
@@ -40,10 +40,7 @@
   const bool wasBlocked = IsBlocked(record);
   if (record.crashed.size() < this->settings.maxRecorded &&
       record.crashed.insert(aCrash.upstream).second) {
-    const Instant crashedAt = this->TimeOf(aCrash.upstream, aNow);
-    record.firstCrash = record.crashed.size() == 1
-                            ? crashedAt
-                            : std::min(record.firstCrash, crashedAt);
+    record.firstCrash = record.crashed.size() == 1 ? aNow : record.firstCrash;
     record.lastCrash = aNow;
   }
   if (aCrash.evidence == CrashEvidence::NoResponse &&
@@ -67,10 +64,10 @@
               this->settings.crashTimeRetention)) {
     this->crashTimes.pop_front();
   }
-  const bool isNew =
-      std::none_of(this->crashTimes.begin(), this->crashTimes.end(),
-                   [&](const auto& aOne) { return aOne.second == aUpstream; });
-  if (isNew) {
+  const bool isKnown =
+      std::any_of(this->crashTimes.begin(), this->crashTimes.end(),
+                  [&](const auto& aOne) { return aOne.second == aUpstream; });
+  if (!isKnown) {
     this->crashTimes.emplace_back(aNow, aUpstream);
     this->lostSum *= kCrashDecay;
     this->runningSum =
@@ -79,13 +76,6 @@
   this->lostSum += static_cast<double>(aLost);
 }
 
-Instant CrashTracker::TimeOf(std::uint64_t aUpstream, Instant aNow) const {
-  const auto found =
-      std::find_if(this->crashTimes.begin(), this->crashTimes.end(),
-                   [&](const auto& aOne) { return aOne.second == aUpstream; });
-  return found != this->crashTimes.end() ? found->first : aNow;
-}
-
 bool CrashTracker::IsImprobable(const Record& aRecord) const {
   const auto first = std::find_if(
       this->crashTimes.begin(), this->crashTimes.end(),
--- a/Zincstep/Admission/CrashTracker.h
+++ b/Zincstep/Admission/CrashTracker.h
@@ -170,7 +170,6 @@
     std::set<std::uint64_t> crashed;
     /// Those of them of whose response nothing had arrived.
     std::set<std::uint64_t> crashedFirst;
-    /// Time of the earliest of these crashes, also if it was reported later.
     Instant firstCrash{};
     Instant lastCrash{};
     bool isListed = false;
@@ -187,8 +186,6 @@
                ? this->settings.maxCrashesOfAll
                : this->settings.maxCrashes;
   }
-  /// When the crash of an upstream was counted; `aNow` if it was not.
-  Instant TimeOf(std::uint64_t aUpstream, Instant aNow) const;
   /// Whether the request was present in more of the crashes since its first one
   /// than is probable by chance.
   bool IsImprobable(const Record& aRecord) const;
