--- a/SoakTests/InvariantChecker.cpp
+++ b/SoakTests/InvariantChecker.cpp
@@ -45,35 +45,34 @@
   this->arrivals[ServiceOf(aKind)].sent.push_back(aAt);
 }
 
-void InvariantChecker::OnArrival(const std::string& aId, Instant aAt,
-                                 std::optional<Micros> aTimeout) {
-  const auto found = this->requests.find(aId);
+void InvariantChecker::OnArrival(const UpstreamArrival& aArrival) {
+  const auto found = this->requests.find(aArrival.request);
   if (found == this->requests.end()) {
     return;  // Reported when it runs.
   }
   Record& record = found->second;
   record.arrivals += 1;
   if (record.arrivals > 1) {
-    this->arrivals[ServiceOf(record.kind)].repeated.push_back(aAt);
+    this->arrivals[ServiceOf(record.kind)].repeated.push_back(aArrival.at);
   }
   if (record.kind != RequestKind::Stream && record.timeout > Micros{0}) {
-    this->CountTime(record, aAt, aTimeout);
+    this->CountTime(record, aArrival);
   }
 }
 
-void InvariantChecker::CountTime(Record& aRecord, Instant aAt,
-                                 std::optional<Micros> aTimeout) {
-  const bool isFirst = aRecord.arrivals == 1;
-  const Instant end = aAt + aTimeout.value_or(Micros{0});
-  if (isFirst) {
-    aRecord.firstArrival = aAt;
+void InvariantChecker::CountTime(Record& aRecord,
+                                 const UpstreamArrival& aArrival) {
+  const auto& [request, at, timeout, isHeldUp] = aArrival;
+  const Instant end = at + timeout.value_or(Micros{0});
+  if (aRecord.arrivals == 1) {
+    aRecord.firstArrival = at;
     aRecord.firstEnd = end;
   }
-  const bool isLate = aAt > aRecord.firstArrival + kTimeTolerance;
+  const bool isLate = !isHeldUp && at > aRecord.firstArrival + kTimeTolerance;
   const Instant allowedEnd =
       std::max(aRecord.firstEnd, aRecord.sentAt + aRecord.timeout);
-  const bool isTooLong = !aTimeout ||
-                         *aTimeout > aRecord.timeout + kTimeTolerance ||
+  const bool isTooLong = !timeout ||
+                         *timeout > aRecord.timeout + kTimeTolerance ||
                          (isLate && end > allowedEnd + kTimeTolerance);
   this->lateRepeats += isLate ? 1 : 0;
   this->excessTimes += isTooLong ? 1 : 0;
--- a/SoakTests/InvariantChecker.h
+++ b/SoakTests/InvariantChecker.h
@@ -23,6 +23,16 @@
   NotRun,
 };
 
+/// A request that has reached an upstream, which may refuse it.
+struct UpstreamArrival {
+  std::string request;
+  Instant at;
+  /// The time that the upstream was given, if any.
+  std::optional<Micros> timeout;
+  /// Whether it may have been sent long before.
+  bool isHeldUp = false;
+};
+
 /// Records what callers and upstreams observe and checks invariants on it.
 class InvariantChecker {
  public:
@@ -41,10 +51,7 @@
   void SetTimeout(const std::string& aId, Micros aTimeout) {
     this->requests.at(aId).timeout = aTimeout;
   }
-  /// Records that the request has reached an upstream, which may refuse it;
-  /// `aTimeout` is the time that the upstream was given, if any.
-  void OnArrival(const std::string& aId, Instant aAt,
-                 std::optional<Micros> aTimeout);
+  void OnArrival(const UpstreamArrival& aArrival);
   /// Sets the most upstreams that may run one request of a kind.
   void SetMaxRuns(RequestKind aKind, int aRuns) {
     this->maxRuns[aKind] = aRuns;
@@ -134,7 +141,7 @@
   }
   /// Counts an arrival whose upstream was given more time than its caller
   /// waits.
-  void CountTime(Record& aRecord, Instant aAt, std::optional<Micros> aTimeout);
+  void CountTime(Record& aRecord, const UpstreamArrival& aArrival);
   /// Requests to and repeated arrivals at one service in the window that is
   /// nearest to its limit, or furthest above it.
   struct RetryLoad {
--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -28,6 +28,7 @@
     "  --stops         at the end, overlapping stops of daemons\n"
     "  --failures      at the end, upstreams that fail most requests beside\n"
     "                  faults of daemons\n"
+    "  --stopped-upstreams  at the end, upstreams are stopped for 16 s\n"
     "  --partitions    daemons are partitioned from all upstreams; needs\n"
     "                  zincstep-soak-edge as the daemon\n"
     "Exit status: 0 all passed, 1 an invariant was violated, 2 usage error.\n";
@@ -46,6 +47,7 @@
                             {"daemons", required_argument, nullptr, 'c'},
                             {"upstreams", required_argument, nullptr, 'u'},
                             {"failures", no_argument, nullptr, 'f'},
+                            {"stopped-upstreams", no_argument, nullptr, 'w'},
                             {"crashing", no_argument, nullptr, 'x'},
                             {"crashing-part", no_argument, nullptr, 'y'},
                             {"limits", no_argument, nullptr, 'm'},
@@ -82,6 +84,9 @@
       case 'f':
         settings.hasFailures = true;
         break;
+      case 'w':
+        settings.hasStoppedUpstreams = true;
+        break;
       case 'x':
         settings.hasCrashingRequest = true;
         break;
--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -108,6 +108,10 @@
   /// them; faults of the daemons overlap. Callers repeat at once.
   void CheckFailingUpstreams();
   void SendWhileFailing(UpstreamFailure aFailure, DaemonFaults aFaults);
+  /// Sends requests at the rate of a deployment while upstreams are stopped:
+  /// the kernel keeps what is sent to them until they continue.
+  void CheckStoppedUpstreams();
+  void SendWhileStopped(double aShare);
   /// Sends one request: a stream in nine of ten cases.
   void SendAsDeployment();
   void FailUpstreams(UpstreamFailure aFailure, double aShare);
--- a/SoakTests/SoakFailures.cpp
+++ b/SoakTests/SoakFailures.cpp
@@ -23,6 +23,10 @@
 /// Between two kills of all daemons: several within a retry window, each with
 /// time to serve requests.
 constexpr Micros kKillInterval = 2500ms;
+/// How long upstreams are stopped, which is more than a retry window, and the
+/// share of them where not all are.
+constexpr Micros kStoppedTime = 16s;
+constexpr double kStoppedShare = 0.6;
 /// Callers that repeat at once have at most so many repeats in a run of the
 /// loop.
 constexpr std::size_t kRepeatingCallers = 4;
@@ -152,6 +156,35 @@
   }
 }
 
+void Soak::SendWhileStopped(double aShare) {
+  this->RecordFault("upstreams stopped, share " + std::to_string(aShare));
+  std::vector<SoakUpstream*> stopped;
+  for (const auto& upstream : this->upstreams) {
+    if (this->linkRandom.Unit() < aShare) {
+      upstream->Stop();
+      stopped.push_back(upstream.get());
+    }
+  }
+  const Instant end = this->clock.Now() + kStoppedTime;
+  while (this->clock.Now() < end) {
+    this->SendAsDeployment();
+    this->loop.run_for(kSendInterval);
+  }
+  this->RecordFault("they continue");
+  for (SoakUpstream* upstream : stopped) {
+    upstream->Continue();
+  }
+  if (!this->WaitUntilServed()) {
+    this->checker.AddViolation(
+        "service did not recover after upstreams were stopped");
+  }
+}
+
+void Soak::CheckStoppedUpstreams() {
+  this->SendWhileStopped(1);
+  this->SendWhileStopped(kStoppedShare);
+}
+
 void Soak::CheckFailingUpstreams() {
   this->SendWhileFailing(UpstreamFailure::Refusal, DaemonFaults::None);
   this->SendWhileFailing(UpstreamFailure::Reset, DaemonFaults::Kills);
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -193,6 +193,9 @@
   if (this->settings.hasFailures) {
     this->CheckFailingUpstreams();
   }
+  if (this->settings.hasStoppedUpstreams) {
+    this->CheckStoppedUpstreams();
+  }
   if (this->settings.hasStops) {
     this->CheckOverlappingStops();
     this->CheckStopsWithoutConfiguration();
--- a/SoakTests/SoakRun.h
+++ b/SoakTests/SoakRun.h
@@ -42,6 +42,8 @@
   /// Whether upstreams fail most of what they run at the end, while daemons are
   /// killed, stopped, paused and partitioned from the store.
   bool hasFailures = false;
+  /// Whether upstreams are stopped for longer than a retry window at the end.
+  bool hasStoppedUpstreams = false;
 };
 
 /// Result of one run.
--- a/SoakTests/SoakStops.cpp
+++ b/SoakTests/SoakStops.cpp
@@ -20,7 +20,8 @@
 /// Time after a start by which a daemon reads requests.
 constexpr Micros kStartTime = 400ms;
 constexpr Micros kSendInterval = 50ms;
-/// Generous, as the machine may be busy.
+/// A daemon exits within its grace period (3 s) after its signal; generous, as
+/// the machine may be busy.
 constexpr Micros kExitTimeout = 12s;
 
 }  // namespace
@@ -34,24 +35,32 @@
 
 void Soak::StopUnderLoad(std::size_t aCount, Micros aGap) {
   const Instant begin = this->clock.Now();
-  std::size_t stopped = 0;
+  std::vector<Instant> signalledAt;
   const auto isRunning = [](const auto& aDaemon) {
     return aDaemon->process->IsRunning();
   };
+  const auto isOverdue = [&](std::size_t aDaemon) {
+    return this->clock.Now() - signalledAt[aDaemon] >= kExitTimeout &&
+           isRunning(this->daemons[aDaemon]);
+  };
   const auto end = this->daemons.begin() + static_cast<std::ptrdiff_t>(aCount);
-  while (std::any_of(this->daemons.begin(), end, isRunning) &&
-         this->clock.Now() - begin < kExitTimeout) {
-    if (stopped < aCount && this->clock.Now() - begin >= aGap * stopped) {
-      Daemon& daemon = *this->daemons[stopped];
+  bool hasOverdue = false;
+  while (!hasOverdue && std::any_of(this->daemons.begin(), end, isRunning)) {
+    const std::size_t next = signalledAt.size();
+    if (next < aCount && this->clock.Now() - begin >= aGap * next) {
+      Daemon& daemon = *this->daemons[next];
       this->RecordFault("stop of " + daemon.address.address().to_string());
       daemon.isDown = true;
       daemon.process->Signal(SIGTERM);
-      stopped += 1;
+      signalledAt.push_back(this->clock.Now());
     }
     this->SendToDaemons(aCount);
     this->loop.run_for(kSendInterval);
+    for (std::size_t i = 0; i < signalledAt.size(); ++i) {
+      hasOverdue = hasOverdue || isOverdue(i);
+    }
   }
-  if (std::any_of(this->daemons.begin(), end, isRunning)) {
+  if (hasOverdue) {
     this->checker.AddViolation("a stopped daemon has not exited");
   }
   this->loop.run_for(kSendInterval);
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -20,6 +20,9 @@
 /// from there to the restart.
 constexpr Micros kCrashDelay = 50ms;
 constexpr Micros kDefaultRestartDelay = 800ms;
+/// The operators count no request as late that a link held up so shortly
+/// before.
+constexpr Micros kHeldTime = 3s;
 /// A chain with a lost member stalls for this long, then its connection is
 /// aborted.
 constexpr Micros kStallTimeout = 2s;
@@ -137,6 +140,19 @@
   this->store.Remove("servers/" + this->id);
 }
 
+void SoakUpstream::Stop() {
+  if (this->isAlive) {
+    this->proxy->SetState(LinkState::Blackholed);
+  }
+}
+
+void SoakUpstream::Continue() {
+  if (this->isAlive) {
+    this->proxy->SetState(LinkState::Up);
+    this->heldUntil = this->clock.Now() + kHeldTime;
+  }
+}
+
 void SoakUpstream::Restart() {
   this->Kill(false);
   this->incarnation += 1;
@@ -250,11 +266,13 @@
                        const CallerMessage& aMessage) {
   const std::string request = GetHeader(aMessage, "X-Attempt-Id");
   const std::string timeout = GetHeader(aMessage, "X-Deadline-Ms");
+  const Instant now = this->clock.Now();
   this->checker.OnArrival(
-      request, this->clock.Now(),
-      timeout.empty()
-          ? std::nullopt
-          : std::optional(Micros{1ms} * std::atoll(timeout.c_str())));
+      {request, now,
+       timeout.empty()
+           ? std::nullopt
+           : std::optional(Micros{1ms} * std::atoll(timeout.c_str())),
+       now < this->heldUntil});
   if (this->FailRequest(aConnection, aMessage, request)) {
     return;
   }
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -95,6 +95,10 @@
   void SetRetryAfter(std::optional<Micros> aRetryAfter) {
     this->retryAfter = aRetryAfter;
   }
+  /// Stops the process as SIGSTOP does: connections are accepted, and what is
+  /// sent on them is read once it continues.
+  void Stop();
+  void Continue();
   /// From now on it fails this share of the requests that arrive.
   void SetFailure(UpstreamFailure aFailure, double aShare) {
     this->failure = aFailure;
@@ -173,6 +177,8 @@
   std::vector<Stream> streams;
   std::vector<DelayedResponse> delayed;
   Micros responseDelay{0};
+  /// Until then requests may arrive that were sent while it was stopped.
+  Instant heldUntil{};
   UpstreamFailure failure = UpstreamFailure::None;
   double failureShare = 0;
   /// Connections of requests that get no response.
