--- a/UnitTests/PromptPartReplayTest.cpp
+++ b/UnitTests/PromptPartReplayTest.cpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <numeric>
 #include <optional>
 #include <queue>
 
@@ -38,12 +39,18 @@
   std::size_t upstreams = 100;
   /// Whether one half of the daemons never receives the other's reports.
   bool isPartitioned = false;
+  /// Length of the response of a poison request, from its first event to its
+  /// last; none: it never completes. A run that is resumed has the rest.
+  std::optional<Micros> poisonLength;
 };
 
 class PartReplay {
  public:
   PartReplay(std::size_t aDaemons, ReplayFaults aFaults, std::uint64_t aSeed)
       : faults(aFaults), random(aSeed), upSince(aFaults.upstreams, Instant{}) {
+    this->lives.resize(aFaults.upstreams);
+    std::iota(this->lives.begin(), this->lives.end(), std::uint64_t{1});
+    this->incarnation = aFaults.upstreams;
     for (std::size_t i = 0; i < aDaemons; ++i) {
       this->trackers.emplace_back(CrashTrackerSettings{});
     }
@@ -89,10 +96,14 @@
     /// Number of its poison part; none: it is sound.
     std::optional<std::size_t> poison;
     int runsLeft = 2;
+    /// Rest of its response.
+    Micros remaining{0};
   };
   struct Running {
     Request request;
     std::size_t upstream = 0;
+    /// Incarnation of the upstream.
+    std::uint64_t life = 0;
     Instant firstEventAt;
     bool isDone = false;
   };
@@ -140,7 +151,8 @@
     }
     const RequestIdentity identity{"POST", "h", "/llm/", organisation, body};
     return {CandidatesOf(identity, "model", parts),
-            this->random.Below(this->trackers.size()), aPoison, 2};
+            this->random.Below(this->trackers.size()), aPoison, 2,
+            this->faults.poisonLength.value_or(Micros{0})};
   }
 
   void SendSound() {
@@ -173,12 +185,18 @@
         drawn * drawn * static_cast<double>(up.size()))];
     const std::size_t number = this->running.size();
     const Micros firstEvent = 50ms + this->RandomBelow(100ms);
-    this->running.push_back(
-        {aRequest, upstream, this->now + firstEvent, false});
+    this->running.push_back({aRequest, upstream, this->lives[upstream],
+                             this->now + firstEvent, false});
     if (aRequest.poison) {
       this->OnPoisonSent(*aRequest.poison);
+      if (this->faults.poisonLength) {
+        this->ScheduleAfter(firstEvent + aRequest.remaining,
+                            [this, number] { this->Complete(number); });
+      }
       this->ScheduleAfter(
-          firstEvent + this->RandomBelow(this->faults.maxCrashDelay),
+          firstEvent + (this->faults.poisonLength
+                            ? this->faults.maxCrashDelay
+                            : this->RandomBelow(this->faults.maxCrashDelay)),
           [this, number] { this->CrashByPoison(number); });
     } else {
       this->ScheduleAfter(1s + this->RandomBelow(4s),
@@ -200,8 +218,8 @@
 
   void CrashByPoison(std::size_t aNumber) {
     const Running& run = this->running[aNumber];
-    if (run.isDone) {
-      return;
+    if (this->lives[run.upstream] != run.life) {
+      return;  // It has crashed already.
     }
     const std::size_t part = *run.request.poison;
     this->poisonCrashes += 1;
@@ -226,7 +244,8 @@
     }
     this->upSince[aUpstream] = this->now + 3s;
     this->incarnation += 1;
-    const std::uint64_t incarnationNow = this->incarnation;
+    const std::uint64_t incarnationNow =
+        std::exchange(this->lives[aUpstream], this->incarnation);
     for (std::size_t i = 0; i < this->running.size(); ++i) {
       Running& run = this->running[i];
       if (run.isDone || run.upstream != aUpstream) {
@@ -234,7 +253,8 @@
       }
       run.isDone = true;
       this->runningOf[run.request.daemon] -= 1;
-      const Request request = run.request;
+      Request request = run.request;
+      request.remaining -= std::max(Micros{0}, this->now - run.firstEventAt);
       this->Suspect(request, incarnationNow,
                     this->now <= run.firstEventAt
                         ? CrashEvidence::NoResponse
@@ -332,6 +352,8 @@
   Random random;
   Instant now{};
   std::vector<Instant> upSince;
+  /// Incarnations, by upstream.
+  std::vector<std::uint64_t> lives;
   std::deque<CrashTracker> trackers;
   std::deque<Running> running;
   /// Runs that have not ended, by daemon.
@@ -353,6 +375,7 @@
   CPPUNIT_TEST(SoundRequests_AfterRestartOfAll_AreServed);
   CPPUNIT_TEST(PoisonPart_CrashingAfterEvents_IsNotSentOnceBlocked);
   CPPUNIT_TEST(PoisonPart_CrashingAfterEvents_BesideOtherCrashes_IsBlocked);
+  CPPUNIT_TEST(PoisonPart_CompletingBeforeItsCrash_IsBlocked);
   CPPUNIT_TEST(PoisonPart_BesideManyStreams_IsBlocked);
   CPPUNIT_TEST(PoisonPart_PartitionedDaemons_EachSideBlocksIt);
   CPPUNIT_TEST_SUITE_END();
@@ -418,6 +441,18 @@
     CheckSends({1, 2, 0.33, false, 300ms}, 24, 12);
   }
 
+  // Guards against taking a completion for a proof that the part is sound: a
+  // resumed run, or a short one, ends before its upstream crashes.
+  void PoisonPart_CompletingBeforeItsCrash_IsBlocked() {
+    for (const Micros delay : {300ms, 700ms, 1500ms}) {
+      for (const double length : {0.9, 1.2, 1.7, 3.0}) {
+        ReplayFaults faults{1, 2, 0, false, delay};
+        faults.poisonLength = FromSeconds(length * ToSeconds(delay));
+        CheckSends(faults, 24, 12);
+      }
+    }
+  }
+
   void PoisonPart_BesideManyStreams_IsBlocked() {
     CheckSends({1, 2, 0, false, 300ms, 12}, 24, 12);
   }
