Log why a run is lost: a response of another request, a failed upstream

Found by reading the diff. EndlessResponseTests 12 of 12; UnframedResponseTests and PartitionedDaemonTests pass.

--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -346,10 +346,13 @@
              this->context.settings.initialStateTimeout;
 }
 
-const char* Exchange::LostReasonOf(SingleCallEnd aEnd) {
+const char* Exchange::LostReasonOf(SingleCallEnd aEnd, bool aIsInvalid) {
+  if (aIsInvalid) {
+    return "the response belongs to another request";
+  }
   switch (aEnd) {
     case SingleCallEnd::Complete:
-      return "the response belongs to another request";
+      return "the upstream failed";
     case SingleCallEnd::Rejected:
       return "the response exceeds the maximum size";
     case SingleCallEnd::BadResponse:
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -192,8 +192,9 @@
     return {this->context.responseBytes,
             this->context.settings.maxResponseBytes};
   }
-  /// Why a run whose call ended so has no usable response; for the log.
-  static const char* LostReasonOf(SingleCallEnd aEnd);
+  /// Why a run whose call ended so has no usable response, for the log;
+  /// `aIsInvalid`: as `IsInvalidResponse` says.
+  static const char* LostReasonOf(SingleCallEnd aEnd, bool aIsInvalid);
   /// Whether a response belongs to another request, or was modified in
   /// transit.
   bool IsInvalidResponse(const HttpHead& aHead,
--- a/Zincstep/Relay/ForwardExchange.cpp
+++ b/Zincstep/Relay/ForwardExchange.cpp
@@ -164,7 +164,7 @@
     }
     this->OnRunInterrupted(
         aEnd == SingleCallEnd::Rejected
-            ? LostReasonOf(aEnd)
+            ? LostReasonOf(aEnd, this->isInvalidResponse)
             : "the response of the other daemon was truncated");
     return;
   }
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -147,7 +147,7 @@
       this->IsInvalidResponse(this->head, this->responseInfo)) {
     this->mayHaveRun = true;
     this->runs += 1;
-    const char* reason = LostReasonOf(aEnd);
+    const char* reason = LostReasonOf(aEnd, aEnd == SingleCallEnd::Complete);
     this->OnRunLost(reason);
     this->OnFailure(reason);
     return;
--- a/Zincstep/Relay/StreamResponse.cpp
+++ b/Zincstep/Relay/StreamResponse.cpp
@@ -130,7 +130,7 @@
     this->Release();
     this->ForwardResponse(this->head, this->body.Text());
   } else {
-    const char* reason = LostReasonOf(aEnd);
+    const char* reason = LostReasonOf(aEnd, this->isInvalidResponse);
     this->OnRunLost(reason);
     this->OnLost(reason);
   }
