The soak reports daemons that end by themselves

Cause: a daemon that had ended was started again without a word, so that no soak could find an exit, an abort or a fatal signal of its own. Change: the soak's process keeps each wait status; an end that was neither asked for by SIGTERM nor by SIGKILL is a violation.

--- a/SoakTests/DaemonProcess.cpp
+++ b/SoakTests/DaemonProcess.cpp
@@ -58,21 +58,26 @@
   const int error = posix_spawnp(&this->pid, arguments.front(), &files, nullptr,
                                  arguments.data(), variables.data());
   posix_spawn_file_actions_destroy(&files);
+  this->isStopped = false;
+  this->isKilled = false;
   if (error != 0) {
     this->pid = -1;
   }
   return error == 0;
 }
 
-void DaemonProcess::Signal(int aSignal) const {
+void DaemonProcess::Signal(int aSignal) {
   if (this->pid > 0) {
+    this->isStopped = this->isStopped || aSignal == SIGTERM;
+    this->isKilled = this->isKilled || aSignal == SIGKILL;
     ::kill(this->pid, aSignal);
   }
 }
 
 bool DaemonProcess::IsRunning() {
-  if (this->pid > 0 && ::waitpid(this->pid, nullptr, WNOHANG) == this->pid) {
-    this->pid = -1;
+  int status = 0;
+  if (this->pid > 0 && ::waitpid(this->pid, &status, WNOHANG) == this->pid) {
+    this->OnEnd(status);
   }
   return this->pid > 0;
 }
@@ -80,8 +85,22 @@
 void DaemonProcess::Kill() {
   if (this->IsRunning()) {
     this->Signal(SIGKILL);
-    ::waitpid(this->pid, nullptr, 0);
-    this->pid = -1;
+    int status = 0;
+    ::waitpid(this->pid, &status, 0);
+    this->OnEnd(status);
+  }
+}
+
+void DaemonProcess::OnEnd(int aStatus) {
+  this->pid = -1;
+  const bool isExit = WIFEXITED(aStatus);
+  const int code = isExit ? WEXITSTATUS(aStatus) : WTERMSIG(aStatus);
+  const bool isExpected = isExit ? this->isStopped && code == 0
+                                 : (this->isKilled && code == SIGKILL) ||
+                                       (this->isStopped && code == SIGTERM);
+  if (!isExpected) {
+    this->unexpectedEnds.push_back((isExit ? "exit " : "signal ") +
+                                   std::to_string(code));
   }
 }
 
--- a/SoakTests/DaemonProcess.h
+++ b/SoakTests/DaemonProcess.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace zincstep::soak {
 
@@ -22,17 +23,30 @@
   /// started.
   bool Start();
   /// Sends a signal if the process is running.
-  void Signal(int aSignal) const;
+  void Signal(int aSignal);
   /// Returns whether the process is running; reaps it if it has exited.
   bool IsRunning();
   /// Kills the process and waits for it to exit.
   void Kill();
+  /// Returns how the process ended, such as "exit 1" or "signal 6", each time
+  /// that it was neither killed nor stopped. A stop ends with status 0, or with
+  /// SIGTERM if the process had not installed its handler yet.
+  const std::vector<std::string>& UnexpectedEnds() const {
+    return this->unexpectedEnds;
+  }
 
  private:
+  /// Records an end by its wait status.
+  void OnEnd(int aStatus);
+
   std::string program;
   std::string log;
   std::map<std::string, std::string> environment;
   pid_t pid = -1;
+  /// Whether this process has been sent a signal to stop, or to be killed.
+  bool isStopped = false;
+  bool isKilled = false;
+  std::vector<std::string> unexpectedEnds;
 };
 
 }  // namespace zincstep::soak
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -225,6 +225,11 @@
   }
   // Rejected requests must not run later either.
   this->loop.run_for(kCallerTimeout);
+  for (const auto& daemon : this->daemons) {
+    for (const std::string& end : daemon->process->UnexpectedEnds()) {
+      this->checker.AddViolation("a daemon ended by itself: " + end);
+    }
+  }
   this->outcome.violations = this->checker.Close();
   this->outcome.retries = this->checker.RetrySummary();
   this->outcome.requests = this->checker.Requests();
