Settings: an empty variable counts as not set, milliseconds may have a fraction (FAULT)

Callers saw: a system that does not start, each daemon ends with exit 2. Cause: a platform that has no value for a setting sets its variable to an empty text, and writes whole numbers as 2000.0; both were refused. Evidence: Start_EmptySettings_CountAsNotSet and Start_FractionalMilliseconds_AreRead failed before and pass now. A required setting that is empty is refused as before, and flags are read as before.

--- a/Zincstep/Settings/SettingsReader.cpp
+++ b/Zincstep/Settings/SettingsReader.cpp
@@ -3,6 +3,7 @@
 #include <getopt.h>
 
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 #include <cstdlib>
 
@@ -112,12 +113,15 @@
   option.description = aDescription;
   option.defaultText = std::to_string(aTarget.count() / 1000) + " ms";
   option.parse = [&aTarget, aMin, aMax](const std::string& aText) {
-    std::int64_t millis = 0;
+    double millis = 0;
     const bool isParsed = ReadNumber(aText, millis);
-    aTarget = Micros{millis * 1000};
-    const bool isInRange = isParsed && millis >= aMin && millis <= aMax;
-    return isInRange ? std::string()
-                     : "integer milliseconds " + RangeText(aMin, aMax);
+    const bool isInRange = isParsed && millis >= static_cast<double>(aMin) &&
+                           millis <= static_cast<double>(aMax);
+    if (!isInRange) {
+      return "milliseconds " + RangeText(aMin, aMax);
+    }
+    aTarget = Micros{std::llround(millis * 1000)};
+    return std::string();
   };
   this->Add(std::move(option));
 }
@@ -174,7 +178,8 @@
   for (Option& option : this->options) {
     const std::string variable = VariableName(option.name);
     const char* value = std::getenv(variable.c_str());
-    if (!option.isSet && value != nullptr) {
+    // Platforms set a variable that they have no value for to an empty text.
+    if (!option.isSet && value != nullptr && *value != '\0') {
       this->ApplyValue(option, value, variable);
     }
     if (!option.isSet && option.isRequired) {
