A daemon prepares its process before anything else: signals, descriptors, output (FAULT)

Callers saw: processes that end by themselves, or that have to be killed. Cause: signals had their default action until the handlers were installed and after they were removed; a mask, closed descriptors, a full pipe or a file size limit that the parent left were taken as they came. Change: PrepareProcess is the first statement of main. What remains: between exec and main, some 4 ms here, SIGHUP still ends the process; only the parent can block it there. Also: the test's child closes what it inherits, which kept ports in use.

--- a/EdgeDaemon/Main.cpp
+++ b/EdgeDaemon/Main.cpp
@@ -1,6 +1,7 @@
 #include <cstdio>
 
 #include "Zincstep/Edge/Edge.h"
+#include "Zincstep/Process/Process.h"
 #include "Zincstep/Telemetry/Telemetry.h"
 #include "platform/Platform.h"
 
@@ -23,13 +24,12 @@
 }  // namespace
 
 int main(int aArgumentCount, char** aArguments) {
+  zincstep::PrepareProcess();
   const zincstep::EdgeSettings settings =
       zincstep::ReadEdgeSettings(aArgumentCount, aArguments);
   if (!zincstep::StartLog("zincstep-edge", settings.logLevel)) {
     std::fprintf(stderr, "zincstep-edge: --log-level: no such level\n");
     return 2;
   }
-  const int status = zincstep::RunEdgeDaemon(settings, MakeAdapters);
-  zincstep::StopLog();
-  return status;
+  zincstep::EndProcess(zincstep::RunEdgeDaemon(settings, MakeAdapters));
 }
--- a/SoakTests/SoakDaemon.cpp
+++ b/SoakTests/SoakDaemon.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 
 #include "Zincstep/Edge/Edge.h"
+#include "Zincstep/Process/Process.h"
 #include "Zincstep/Telemetry/Telemetry.h"
 #include "platform/Platform.h"
 
@@ -54,6 +55,7 @@
 }  // namespace
 
 int main(int aArgumentCount, char** aArguments) {
+  PrepareProcess();
   if (std::getenv("ZINCSTEP_SOAK_LINK_HOST") == nullptr) {
     std::fprintf(stderr, "ZINCSTEP_SOAK_LINK_HOST is not set\n");
     return 2;
@@ -62,7 +64,5 @@
   if (!StartLog("zincstep-edge", settings.logLevel)) {
     return 2;
   }
-  const int status = RunEdgeDaemon(settings, MakeAdapters);
-  StopLog();
-  return status;
+  EndProcess(RunEdgeDaemon(settings, MakeAdapters));
 }
--- a/UnitTests/ChildProcess.cpp
+++ b/UnitTests/ChildProcess.cpp
@@ -1,6 +1,7 @@
 #include "UnitTests/ChildProcess.h"
 
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -40,6 +41,8 @@
   this->pid = ::fork();
   if (this->pid == 0) {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    // The test's sockets must not stay open in the child.
+    ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     if (aSettings.hasPipe) {
       ::dup2(ends[1], STDOUT_FILENO);
       ::dup2(ends[1], STDERR_FILENO);
--- a/Zincstep/Core/Assert.cpp
+++ b/Zincstep/Core/Assert.cpp
@@ -1,14 +1,14 @@
 #include "Zincstep/Core/Assert.h"
 
 #include <cstdio>
-#include <cstdlib>
+#include <exception>
 
 namespace zincstep {
 
 void AssertFailed(const char* aExpression, const char* aFile, int aLine) {
   std::fprintf(stderr, "%s:%d: invariant violated: %s\n", aFile, aLine,
                aExpression);
-  std::abort();
+  std::terminate();
 }
 
 }  // namespace zincstep
--- a/Zincstep/Core/Assert.h
+++ b/Zincstep/Core/Assert.h
@@ -2,7 +2,7 @@
 
 namespace zincstep {
 
-/// Prints the violated invariant to stderr and aborts the process.
+/// Prints the violated invariant to stderr and terminates the process.
 [[noreturn]] void AssertFailed(const char* aExpression, const char* aFile,
                                int aLine);
 
--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -1,5 +1,6 @@
 #include "Zincstep/Edge/EdgeProcess.h"
 
+#include <array>
 #include <csignal>
 
 namespace zincstep {
@@ -28,20 +29,28 @@
 
 }  // namespace
 
-Result<void> EdgeProcess::Start() {
-  auto started = this->callers.Start(this->settings.listen);
-  if (started) {
-    started = this->admins.Start(this->settings.adminListen);
-  }
-  if (started && !this->settings.forwardListen.empty()) {
-    started = this->forwarded.Start(this->settings.forwardListen);
-  }
-  if (started) {
-    started = this->peers.Start();
-  }
-  if (!started) {
-    return started;
+Result<void> EdgeProcess::Listen() {
+  // Callers come last: they connect to a daemon that can serve them soon.
+  const std::array<std::function<Result<void>()>, 4> listeners{
+      [this] { return this->peers.Start(); },
+      [this] { return this->admins.Start(this->settings.adminListen); },
+      [this] {
+        return this->settings.forwardListen.empty()
+                   ? Result<void>()
+                   : this->forwarded.Start(this->settings.forwardListen);
+      },
+      [this] { return this->callers.Start(this->settings.listen); }};
+  for (; this->listening < listeners.size(); ++this->listening) {
+    const Result<void> started = listeners[this->listening]();
+    if (!started) {
+      return started;
+    }
   }
+  return {};
+}
+
+void EdgeProcess::Start() {
+  this->hasStarted = true;
   // The placement leader reads lost upstreams from the store itself.
   this->follower.SetHasFreshSyncSource([this] {
     return this->peers.Members().HasFreshSyncSource() &&
@@ -92,7 +101,6 @@
                       {"failure_domain", this->settings.failureDomain},
                       {"listen", this->settings.listen},
                       {"store", this->settings.store}});
-  return {};
 }
 
 void EdgeProcess::WaitForSignal() {
@@ -104,16 +112,24 @@
       LogInfo("settings_unchanged",
               {{"reason", "settings come with the start of the process"}});
     } else if (!this->stop.IsStopping()) {
-      this->stop.Begin(this->clock.Now());
-      this->controller.Stop();
-      this->peers.BeginStop();
-      this->callers.DisableKeepAlive();
-      LogInfo("stopping", {{"active", this->relay.Active()}});
+      this->OnStopRequested();
     }
     this->WaitForSignal();
   });
 }
 
+void EdgeProcess::OnStopRequested() {
+  this->stop.Begin(this->clock.Now());
+  LogInfo("stopping", {{"active", this->relay.Active()}});
+  if (!this->hasStarted) {
+    this->loop.stop();
+    return;
+  }
+  this->controller.Stop();
+  this->peers.BeginStop();
+  this->callers.DisableKeepAlive();
+}
+
 void EdgeProcess::DetectSuspension() {
   const Instant now = this->clock.Now();
   const Micros gap = now - this->lastTickAt;
--- a/Zincstep/Edge/EdgeProcess.h
+++ b/Zincstep/Edge/EdgeProcess.h
@@ -9,6 +9,7 @@
 #include "Zincstep/Edge/PeerProtocol.h"
 #include "Zincstep/Edge/PlanThread.h"
 #include "Zincstep/Relay/DomainRecoveryMonitor.h"
+#include "Zincstep/Process/Process.h"
 #include "Zincstep/Relay/ReachProber.h"
 
 namespace zincstep {
@@ -112,9 +113,20 @@
         bufferedMemory(this->metrics, this->clock),
         fastTimer(aLoop),
         periodicTimer(aLoop),
-        signals(aLoop, SIGTERM, SIGINT, SIGHUP) {}
+        signals(aLoop) {
+    for (const int signal : kHandledSignals) {
+      this->signals.add(signal);
+    }
+    this->WaitForSignal();
+  }
 
-  Result<void> Start();
+  /// Listens on the addresses on which it does not listen yet; fails as
+  /// `ListenOn`.
+  Result<void> Listen();
+  /// Starts to follow the store and to serve, once it listens on all addresses.
+  void Start();
+  /// Whether a signal has asked this process to end.
+  bool IsStopping() const { return this->stop.IsStopping(); }
   /// Stops the peer protocol, after the loop has ended.
   void Stop();
 
@@ -160,6 +172,7 @@
   void OnSurveyReport(const UpstreamPtr& aUpstream,
                       const Result<UpstreamReport>& aReport);
   void WaitForSignal();
+  void OnStopRequested();
   /// Detects by the time since the last tick that this VM was suspended.
   void DetectSuspension();
   void OnFastTick();
@@ -223,6 +236,10 @@
   PlacementController controller;
   PeerProtocol peers;
   BufferedMemory bufferedMemory;
+  /// Number of addresses on which this daemon listens, in the order of
+  /// `Listen`.
+  std::size_t listening = 0;
+  bool hasStarted = false;
   asio::steady_timer fastTimer;
   asio::steady_timer periodicTimer;
   asio::signal_set signals;
