A daemon waits for an address that is in use (FAULT)

Callers saw: a daemon that does not start, or ends again and again: exit 1. Cause: a listener cannot bind while another process's outgoing connection has its port as its local one, for 60 s after its end too, or while a predecessor still listens. The daemon ended at once and was started again. Change: ListenOn is the one place that opens a listener, reports the first error, and tells an address in use from a wrong one.

--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -1,11 +1,18 @@
 #include "Zincstep/Edge/EdgeDaemon.h"
 
+#include <algorithm>
+
 #include "Zincstep/Edge/EdgeProcess.h"
 
 namespace zincstep {
 
 namespace {
 
+/// Delays between attempts to listen on an address that is in use. A restarted
+/// daemon waits for its predecessor, or for the port of another process's
+/// connection, which may be kept for 60 s after its end.
+constexpr Micros kMinListenDelay = 50ms;
+constexpr Micros kMaxListenDelay = 1s;
 constexpr int kFailedStatus = 1;
 constexpr int kWrongSettingsStatus = 2;
 
@@ -36,6 +43,25 @@
   }
 }
 
+/// Listens on all addresses; waits for those that are in use until a signal
+/// stops the process.
+Result<void> ListenOrStop(EdgeInstance& aInstance) {
+  Micros delay = kMinListenDelay;
+  for (;;) {
+    const Result<void> listening = aInstance.daemon->Listen();
+    if (listening || listening.error().kind != ErrorKind::NotReady) {
+      return listening;
+    }
+    LogWarning("listen_failed", {{"reason", listening.error().message},
+                                 {"retry_ms", delay / 1ms}});
+    aInstance.loop.run_for(delay);
+    if (aInstance.daemon->IsStopping()) {
+      return {};
+    }
+    delay = std::min(2 * delay, kMaxListenDelay);
+  }
+}
+
 }  // namespace
 
 int RunEdgeDaemon(const EdgeSettings& aSettings,
@@ -47,7 +73,7 @@
   }
   EdgeInstance& instance = **made;
   const DeliverSignals delivery;
-  const Result<void> listening = instance.daemon->Listen();
+  const Result<void> listening = ListenOrStop(instance);
   if (!listening) {
     LogError("start_failed", {{"reason", listening.error().message}});
     return kFailedStatus;
--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -296,23 +296,11 @@
     : loop(aLoop), handler(aHandler), clock(aClock), acceptor(aLoop) {}
 
 Result<void> CallerListener::Start(const std::string& aAddress) {
-  const auto endpoint = ParseEndpoint(aAddress);
-  if (!endpoint) {
-    return tl::unexpected(endpoint.error());
-  }
-  asio::error_code error;
-  this->acceptor.open(endpoint->protocol(), error);
-  this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true),
-                            error);
-  this->acceptor.bind(*endpoint, error);
-  if (!error) {
-    this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Fail(ErrorKind::Internal, aAddress + ": " + error.message());
-  }
-  this->Accept();
-  return {};
+  const Result<void> listening = ListenOn(this->acceptor, aAddress);
+  if (listening) {
+    this->Accept();
+  }
+  return listening;
 }
 
 void CallerListener::Accept() {
--- a/Zincstep/Net/CallerConnection.h
+++ b/Zincstep/Net/CallerConnection.h
@@ -120,7 +120,7 @@
   CallerListener(asio::io_context& aLoop, CallerHandler& aHandler,
                  const Clock& aClock);
 
-  /// Starts accepting at `host:port`; fails if it is invalid or in use.
+  /// Starts accepting at `host:port`; fails as `ListenOn`.
   Result<void> Start(const std::string& aAddress);
   /// Sets the limits of all connections, open ones included.
   void SetLimits(const CallerLimits& aLimits) { this->limits = aLimits; }
--- a/Zincstep/Net/TcpSocket.cpp
+++ b/Zincstep/Net/TcpSocket.cpp
@@ -85,6 +85,33 @@
       ->Start(aEndpoint, aTimeout);
 }
 
+Result<void> ListenOn(asio::ip::tcp::acceptor& aAcceptor,
+                      const std::string& aAddress) {
+  const auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    return tl::unexpected(endpoint.error());
+  }
+  asio::error_code error;
+  aAcceptor.open(endpoint->protocol(), error);
+  if (!error) {
+    aAcceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    aAcceptor.bind(*endpoint, error);
+  }
+  if (!error) {
+    aAcceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (!error) {
+    return {};
+  }
+  asio::error_code ignored;  // The acceptor is opened again on a retry.
+  aAcceptor.close(ignored);
+  return Fail(error == asio::error::address_in_use ? ErrorKind::NotReady
+                                                   : ErrorKind::Internal,
+              "cannot listen on " + aAddress + ": " + error.message());
+}
+
 void SetSocketOptions(TcpSocket& aSocket, Micros aTimeout) {
   asio::error_code ignored;  // A closed socket fails on its next use.
   aSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
--- a/Zincstep/Net/TcpSocket.h
+++ b/Zincstep/Net/TcpSocket.h
@@ -15,6 +15,12 @@
 /// `BadRequest`.
 Result<TcpEndpoint> ParseEndpoint(std::string_view aAddress);
 
+/// Listens on `aAddress` (host:port), also while earlier connections to it are
+/// open. Fails with `NotReady` while another socket uses the address, which may
+/// be the local end of an outgoing connection; then `aAcceptor` is closed.
+Result<void> ListenOn(asio::ip::tcp::acceptor& aAcceptor,
+                      const std::string& aAddress);
+
 /// Sets the options of all connections: `TCP_NODELAY`, and `TCP_USER_TIMEOUT`,
 /// which closes a connection whose bytes are unacknowledged for `aTimeout`.
 void SetSocketOptions(TcpSocket& aSocket, Micros aTimeout);
--- a/Zincstep/Peer/AsioPeerTransport.cpp
+++ b/Zincstep/Peer/AsioPeerTransport.cpp
@@ -25,21 +25,10 @@
   ~AsioPeerTransport() override { this->Stop(); }
 
   Result<void> Start() override {
-    const Result<Tcp::endpoint> endpoint = ParseEndpoint(this->settings.listen);
-    if (!endpoint) {
-      return tl::unexpected(endpoint.error());
-    }
-    asio::error_code error;
-    this->acceptor.open(endpoint->protocol(), error);
-    this->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-    this->acceptor.bind(*endpoint, error);
-    if (!error) {
-      this->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-      return Fail(
-          ErrorKind::Internal,
-          "cannot listen on " + this->settings.listen + ": " + error.message());
+    const Result<void> listening =
+        ListenOn(this->acceptor, this->settings.listen);
+    if (!listening) {
+      return listening;
     }
     this->port = this->acceptor.local_endpoint().port();
     this->Accept();
--- a/Zincstep/Peer/PeerTransport.h
+++ b/Zincstep/Peer/PeerTransport.h
@@ -91,7 +91,7 @@
  public:
   virtual ~PeerTransport() = default;
 
-  /// Starts listening; fails if the address is invalid or in use.
+  /// Starts listening; fails as `ListenOn`, and may be called again then.
   virtual Result<void> Start() = 0;
   /// Closes all connections and ends the thread.
   virtual void Stop() = 0;
