A start that fails says why on its last line, also for want of a thread (FAULT)

Change: the hint comes first; the transport returns the error. The end runs the usual exit where the log has been written in time.

--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -23,7 +23,7 @@
   std::unique_ptr<EdgeProcess> daemon;
 };
 
-/// Creates the daemon; `status` of the process is returned if that fails.
+/// Creates the daemon, or returns the exit status if that fails.
 tl::expected<std::unique_ptr<EdgeInstance>, int> MakeInstance(
     const EdgeSettings& aSettings, const MakeEdgeAdapters& aMakeAdapters) {
   try {
--- a/Zincstep/Edge/EdgeProcess.h
+++ b/Zincstep/Edge/EdgeProcess.h
@@ -8,8 +8,8 @@
 #include "Zincstep/Edge/EdgeComponents.h"
 #include "Zincstep/Edge/PeerProtocol.h"
 #include "Zincstep/Edge/PlanThread.h"
-#include "Zincstep/Relay/DomainRecoveryMonitor.h"
 #include "Zincstep/Process/Process.h"
+#include "Zincstep/Relay/DomainRecoveryMonitor.h"
 #include "Zincstep/Relay/ReachProber.h"
 
 namespace zincstep {
--- a/Zincstep/Peer/AsioPeerTransport.cpp
+++ b/Zincstep/Peer/AsioPeerTransport.cpp
@@ -32,7 +32,13 @@
     }
     this->port = this->acceptor.local_endpoint().port();
     this->Accept();
-    this->thread = std::thread([this] { this->loop.run(); });
+    try {
+      this->thread = std::thread([this] { this->loop.run(); });
+    } catch (const std::system_error& error) {
+      return Fail(
+          ErrorKind::Internal,
+          std::string("cannot start the thread of peers: ") + error.what());
+    }
     return {};
   }
 
--- a/Zincstep/Process/Process.cpp
+++ b/Zincstep/Process/Process.cpp
@@ -101,9 +101,10 @@
 }
 
 void EndProcess(int aStatus) {
-  StopLogInTime();
-  // Skips destructors of static objects, which a log thread that cannot write
-  // may still use.
+  if (StopLogInTime()) {
+    std::exit(aStatus);
+  }
+  // Destructors of static objects would wait for the log's thread.
   std::_Exit(aStatus);
 }
 
--- a/Zincstep/Settings/SettingsReader.cpp
+++ b/Zincstep/Settings/SettingsReader.cpp
@@ -239,7 +239,8 @@
                                     char** aArguments) {
   const auto arguments = aReader.Read(aCount, aArguments);
   if (!arguments) {
-    std::fprintf(stderr, "%sTry --help.\n", arguments.error().message.c_str());
+    // The reason is on the last line, which is what is kept of a failed start.
+    std::fprintf(stderr, "See --help.\n%s", arguments.error().message.c_str());
     std::exit(kUsageErrorStatus);
   }
   return *arguments;
--- a/Zincstep/Settings/SettingsReader.h
+++ b/Zincstep/Settings/SettingsReader.h
@@ -14,8 +14,8 @@
 ///
 /// A program declares each setting once, with its default and a description.
 /// The reader generates the help text, parses flags with getopt_long, and reads
-/// a missing flag from the environment variable ZINCSTEP_<FLAG>. It collects
-/// all errors, so that an operator can fix them in one pass.
+/// a missing flag from the environment variable ZINCSTEP_<FLAG>, unless that is
+/// empty. It collects all errors, so that an operator can fix them in one pass.
 class SettingsReader {
  public:
   /// `aUsage` follows the program's name in the help text.
@@ -30,7 +30,7 @@
   /// Declares a number in [aMin, aMax].
   void Number(const char* aName, double& aTarget, double aMin, double aMax,
               const char* aDescription);
-  /// Declares a duration in [aMin, aMax], in integer milliseconds.
+  /// Declares a duration in [aMin, aMax], in milliseconds.
   void Millis(const char* aName, Micros& aTarget, std::int64_t aMin,
               std::int64_t aMax, const char* aDescription);
   /// Declares a boolean: a flag without a value, or 1, true, 0 or false in the
