libcurl's client determines by its own parser whether a response is complete (FAULT)

Cause: a call counted as answered when libcurl reported success, which 7.88 also does for a connection that closes within the head, before the last byte of the last chunk, or after a body whose length it could not represent.

Change: CurlTransfer turns off libcurl's decoding of chunks and passes the lines of heads and the bytes of bodies to HttpParser, the parser of edge daemons. A call is answered only if libcurl reports success and the parser has the final head and the end of its framing. Status and fields are set by a complete final head only, so that those of interim responses and trailers no longer mix with its fields. HTTP/1.1 is set, as the parser reads no other.

Ruled out: an empty line seen by the header callback alone, which leaves the framing, two lengths and unrepresentable ones to libcurl.

--- a/Zincstep/Net/CurlTransfer.cpp
+++ b/Zincstep/Net/CurlTransfer.cpp
@@ -15,8 +15,8 @@
 }
 
 /// Returns what a transfer's end implies for the effect of the request.
-CallEnd CallEndOf(CURLcode aCode, long aRequestBytes) {
-  if (aCode == CURLE_OK) {
+CallEnd CallEndOf(CURLcode aCode, bool aHasResponse, long aRequestBytes) {
+  if (aHasResponse) {
     return CallEnd::Answered;
   }
   if (aRequestBytes == 0) {
@@ -38,9 +38,14 @@
   curl_easy_setopt(this->easy, CURLOPT_PROXY, "");
   curl_easy_setopt(this->easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(this->easy, CURLOPT_PROTOCOLS_STR, "http,https");
-  curl_easy_setopt(this->easy, CURLOPT_WRITEFUNCTION, &CurlTransfer::OnBody);
+  // The parser reads HTTP/1.1, and the chunks as they were sent.
+  curl_easy_setopt(this->easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(this->easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
+  curl_easy_setopt(this->easy, CURLOPT_WRITEFUNCTION,
+                   &CurlTransfer::OnBodyBytes);
   curl_easy_setopt(this->easy, CURLOPT_WRITEDATA, this);
-  curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION, &CurlTransfer::OnHeader);
+  curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION,
+                   &CurlTransfer::OnHeadLine);
   curl_easy_setopt(this->easy, CURLOPT_HEADERDATA, this);
   this->SetMethod();
   this->SetLimits();
@@ -62,6 +67,7 @@
 void CurlTransfer::SetMethod() {
   if (this->call.method == "HEAD") {
     curl_easy_setopt(this->easy, CURLOPT_NOBODY, 1L);
+    this->parser.ExpectNoBody();
     return;
   }
   if (!this->call.body.empty() || this->call.method == "POST") {
@@ -84,44 +90,59 @@
   }
 }
 
-std::size_t CurlTransfer::OnBody(char* aData, std::size_t aSize,
-                                 std::size_t aCount, void* aSelf) {
+std::size_t CurlTransfer::OnBodyBytes(char* aData, std::size_t aSize,
+                                      std::size_t aCount, void* aSelf) {
   auto* self = static_cast<CurlTransfer*>(aSelf);
   const std::size_t bytes = aSize * aCount;
-  if (self->call.streamed && self->onPart) {
-    self->onPart(std::string(aData, bytes));
+  return self->Parse({aData, bytes}) ? bytes : 0;
+}
+
+std::size_t CurlTransfer::OnHeadLine(char* aData, std::size_t aSize,
+                                     std::size_t aCount, void* aSelf) {
+  auto* self = static_cast<CurlTransfer*>(aSelf);
+  const std::size_t bytes = aSize * aCount;
+  if (self->parser.HasHead()) {
+    return bytes;  // A trailer, which the parser reads with the chunks.
+  }
+  return self->Parse({aData, bytes}) ? bytes : 0;
+}
+
+bool CurlTransfer::Parse(std::string_view aBytes) {
+  const auto consumed = this->parser.Feed(aBytes);
+  if (!consumed) {
+    this->result.fault = consumed.error().message;
+  }
+  return consumed.has_value();
+}
+
+void CurlTransfer::OnHead(HttpHead aHead) {
+  this->result.status = aHead.status;
+  this->result.headers = std::move(aHead.headers);
+}
+
+void CurlTransfer::OnBody(std::string_view aPart) {
+  if (this->call.streamed && this->onPart) {
+    this->onPart(std::string(aPart));
   } else {
-    self->result.body.append(aData, bytes);
+    this->result.body.append(aPart);
   }
-  return bytes;
 }
 
-std::size_t CurlTransfer::OnHeader(char* aData, std::size_t aSize,
-                                   std::size_t aCount, void* aSelf) {
-  auto* self = static_cast<CurlTransfer*>(aSelf);
-  const std::string_view line(aData, aSize * aCount);
-  const std::size_t colon = line.find(':');
-  if (colon != std::string_view::npos) {
-    const std::size_t start = line.find_first_not_of(' ', colon + 1);
-    const std::size_t end = line.find_last_not_of("\r\n");
-    const bool isEmpty = start == std::string_view::npos || end < start;
-    self->result.headers.push_back(
-        {std::string(line.substr(0, colon)),
-         isEmpty ? "" : std::string(line.substr(start, end - start + 1))});
+bool CurlTransfer::HasResponse(CURLcode aCode) {
+  if (aCode == CURLE_OK && this->parser.FeedEnd()) {
+    return true;
+  }
+  if (this->result.fault.empty()) {
+    this->result.fault = aCode == CURLE_OK ? "the response is incomplete"
+                                           : curl_easy_strerror(aCode);
   }
-  return line.size();
+  return false;
 }
 
 HttpCallResult CurlTransfer::Finish(CURLcode aCode) {
-  long status = 0;
   long requestBytes = 0;
-  curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo(this->easy, CURLINFO_REQUEST_SIZE, &requestBytes);
-  this->result.status = static_cast<int>(status);
-  this->result.end = CallEndOf(aCode, requestBytes);
-  if (aCode != CURLE_OK) {
-    this->result.fault = curl_easy_strerror(aCode);
-  }
+  this->result.end = CallEndOf(aCode, this->HasResponse(aCode), requestBytes);
   return std::move(this->result);
 }
 
--- a/Zincstep/Net/CurlTransfer.h
+++ b/Zincstep/Net/CurlTransfer.h
@@ -6,17 +6,24 @@
 #include <memory>
 
 #include "Zincstep/Net/HttpClient.h"
+#include "Zincstep/Net/HttpParser.h"
 
 namespace zincstep {
 
 /// One call on an easy handle of libcurl.
-class CurlTransfer {
+///
+/// libcurl connects, sends, reads and reuses connections; what it reads is
+/// passed with its chunks to `HttpParser`, which alone determines whether the
+/// response is complete. libcurl 7.88 also reports success if the connection
+/// closes within the head or before the last byte of the last chunk, takes one
+/// of two different lengths, and ignores a length that it cannot represent.
+class CurlTransfer final : private HttpParserListener {
  public:
   /// Receives the parts of a streamed body.
   using PartCallback = std::function<void(std::string)>;
 
   CurlTransfer(HttpCall aCall, PartCallback aOnPart);
-  ~CurlTransfer();
+  ~CurlTransfer() override;
 
   CurlTransfer(const CurlTransfer&) = delete;
   CurlTransfer& operator=(const CurlTransfer&) = delete;
@@ -30,15 +37,23 @@
  private:
   void SetMethod();
   void SetLimits();
-  static std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount,
-                            void* aSelf);
-  static std::size_t OnHeader(char* aData, std::size_t aSize,
-                              std::size_t aCount, void* aSelf);
+  static std::size_t OnBodyBytes(char* aData, std::size_t aSize,
+                                 std::size_t aCount, void* aSelf);
+  static std::size_t OnHeadLine(char* aData, std::size_t aSize,
+                                std::size_t aCount, void* aSelf);
+  /// Parses bytes; returns false if they are not a valid response.
+  bool Parse(std::string_view aBytes);
+  /// Returns whether the response is complete; records the reason if not.
+  bool HasResponse(CURLcode aCode);
+  void OnHead(HttpHead aHead) override;
+  void OnBody(std::string_view aPart) override;
+  void OnMessageEnd() override {}
 
   HttpCall call;
   PartCallback onPart;
   CURL* easy = nullptr;
   curl_slist* headerList = nullptr;
+  HttpParser parser{HttpSide::Response, *this};
   HttpCallResult result;
 };
 
--- a/Zincstep/Net/HttpClient.h
+++ b/Zincstep/Net/HttpClient.h
@@ -46,10 +46,11 @@
 /// Result of one call.
 struct HttpCallResult {
   CallEnd end = CallEnd::Unknown;
+  /// Status of the final head; 0 if no complete head was received.
   int status = 0;
   HttpHeaders headers;
   std::string body;
-  /// libcurl's error text if there is no complete response.
+  /// Error text of libcurl or of the parser if there is no complete response.
   std::string fault;
 };
 
--- a/Zincstep/Net/HttpParser.cpp
+++ b/Zincstep/Net/HttpParser.cpp
@@ -8,6 +8,8 @@
 constexpr int kFirstFinalStatus = 200;
 /// Maximum number of interim responses to one request.
 constexpr int kMaxInterimResponses = 16;
+/// Result of `on_headers_complete` after which http_parser expects no body.
+constexpr int kSkipBody = 1;
 
 }  // namespace
 
@@ -106,7 +108,7 @@
     }
   }
   this->listener.OnHead(std::move(this->head));
-  return 0;
+  return this->hasNoBody ? kSkipBody : 0;
 }
 
 int HttpParser::OnMessageComplete() {
--- a/Zincstep/Net/HttpParser.h
+++ b/Zincstep/Net/HttpParser.h
@@ -62,6 +62,9 @@
   /// Prepares for the next message on the same stream.
   void Reset();
 
+  /// Expects responses to HEAD, which state the length of a body that does not
+  /// follow.
+  void ExpectNoBody() { this->hasNoBody = true; }
   /// Sets the maximum size of a head, in bytes.
   void SetMaxHeadBytes(std::size_t aBytes) { this->maxHeadBytes = aBytes; }
   /// Whether the current message is complete.
@@ -87,6 +90,7 @@
   std::size_t maxHeadBytes = 64 << 10;
   std::size_t headBytes = 0;
   int interimResponses = 0;
+  bool hasNoBody = false;
   bool lastWasValue = true;
   bool hasBegun = false;
   bool hasHead = false;
