--- a/UnitTests/CutUpstream.h
+++ b/UnitTests/CutUpstream.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <asio.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -21,20 +22,33 @@
   }
 
   /// Responds with `aBytes` and ends the connection. The next `aWholeResponses`
-  /// requests get an empty response on a connection that stays open.
+  /// requests get `Whole` on a connection that stays open.
   void Script(std::string aBytes, CutKind aCut, int aWholeResponses = 0) {
-    this->bytes = std::move(aBytes);
+    this->Script(
+        [bytes = std::move(aBytes)](const std::string&) { return bytes; }, aCut,
+        aWholeResponses);
+  }
+  /// The same with bytes that depend on the head of the request.
+  void Script(std::function<std::string(const std::string&)> aRespond,
+              CutKind aCut, int aWholeResponses = 0) {
+    this->respond = std::move(aRespond);
     this->cut = aCut;
     this->wholeResponses = aWholeResponses;
+    this->requests = 0;
     this->reusedConnections = 0;
   }
 
+  /// A complete response, without a body at first.
+  std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
   asio::ip::tcp::endpoint Endpoint() const {
     return this->acceptor.local_endpoint();
   }
   std::string Address() const {
     return "127.0.0.1:" + std::to_string(this->Endpoint().port());
   }
+  /// Number of requests since the last `Script`.
+  int Requests() const { return this->requests; }
   /// Number of connections with a second request since the last `Script`.
   int ReusedConnections() const { return this->reusedConnections; }
 
@@ -88,19 +102,19 @@
   }
 
   void Respond(const std::shared_ptr<Connection>& aConnection) {
-    aConnection->received.clear();
+    const std::string request = std::exchange(aConnection->received, {});
+    this->requests += 1;
     aConnection->requests += 1;
     this->reusedConnections += aConnection->requests == 2 ? 1 : 0;
     asio::error_code ignored;  // The caller may have closed.
     if (this->wholeResponses > 0) {
       this->wholeResponses -= 1;
-      constexpr std::string_view kEmpty =
-          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-      asio::write(aConnection->socket, asio::buffer(kEmpty), ignored);
+      asio::write(aConnection->socket, asio::buffer(this->whole), ignored);
       this->Read(aConnection);
       return;
     }
-    asio::write(aConnection->socket, asio::buffer(this->bytes), ignored);
+    asio::write(aConnection->socket, asio::buffer(this->respond(request)),
+                ignored);
     if (this->cut == CutKind::Reset) {
       aConnection->socket.set_option(asio::socket_base::linger(true, 0),
                                      ignored);
@@ -109,9 +123,10 @@
   }
 
   asio::ip::tcp::acceptor acceptor;
-  std::string bytes;
+  std::function<std::string(const std::string&)> respond;
   CutKind cut = CutKind::Close;
   int wholeResponses = 0;
+  int requests = 0;
   int reusedConnections = 0;
 };
 
