--- a/UnitTests/CutUpstream.h
+++ b/UnitTests/CutUpstream.h
@@ -17,7 +17,7 @@
 class CutUpstream {
  public:
   explicit CutUpstream(asio::io_context& aLoop)
-      : acceptor(aLoop, {asio::ip::address_v4::loopback(), 0}) {
+      : loop(aLoop), acceptor(aLoop, {asio::ip::address_v4::loopback(), 0}) {
     this->Accept();
   }
 
@@ -47,6 +47,7 @@
   std::string Address() const {
     return "127.0.0.1:" + std::to_string(this->Endpoint().port());
   }
+  asio::io_context& Loop() const { return this->loop; }
   /// Number of requests since the last `Script`.
   int Requests() const { return this->requests; }
   /// Number of connections with a second request since the last `Script`.
@@ -122,6 +123,7 @@
     aConnection->socket.close(ignored);
   }
 
+  asio::io_context& loop;
   asio::ip::tcp::acceptor acceptor;
   std::function<std::string(const std::string&)> respond;
   CutKind cut = CutKind::Close;
