The load tool counts a stream as whole only if its response is complete (FAULT)

Cause: an answer counted as whole from its end marker on, although its response stopped before the last chunk; a response with another status that stopped was not counted as broken.

CutLoadTest: each offset of a stream; before, 5 of 5 answers were counted as whole at offset 114 of the response.

--- a/LoadTool/LoadRun.cpp
+++ b/LoadTool/LoadRun.cpp
@@ -165,10 +165,12 @@
   const auto found = this->openRequests.find(aCall);
   const OpenRequest& request = found->second;
   this->statuses[aResult.status] += 1;
-  if (request.isComplete && request.tokens == request.expectedTokens) {
+  const bool isAnswered = aResult.end == CallEnd::Answered;
+  if (isAnswered && request.isComplete &&
+      request.tokens == request.expectedTokens) {
     this->completed += 1;
     this->total.Add(ToSeconds(now - request.sentAt));
-  } else if (aResult.status == 200 || aResult.status == 0) {
+  } else if (!isAnswered || aResult.status == 200) {
     this->incomplete += 1;
   }
   this->openRequests.erase(found);
