--- a/UnitTests/CallerConnectionTest.cpp
+++ b/UnitTests/CallerConnectionTest.cpp
@@ -13,10 +13,17 @@
                  CallerMessage aMessage) override {
     this->requests += 1;
     this->bodyBytes = aMessage.body.size();
+    if (this->lacksMemory) {
+      throw std::bad_alloc();
+    }
     aConnection->Answer(200, {}, this->response);
   }
-  void OnCallerDisconnected(CallerConnection&) override {}
+  void OnCallerDisconnected(CallerConnection&) override {
+    this->disconnects += 1;
+  }
 
+  bool lacksMemory = false;
+  int disconnects = 0;
   std::size_t bodyBytes = 0;
   int requests = 0;
   std::string response = "ok";
@@ -32,6 +39,7 @@
   CPPUNIT_TEST(Connection_IdleBeforeFirstByte_ClosesAtIdleTimeout);
   CPPUNIT_TEST(Body_RestAfterRejection_IsNoRequest);
   CPPUNIT_TEST(Request_AfterLastOfConnection_IsNotRun);
+  CPPUNIT_TEST(Request_HandlerThrows_ClosesItsConnection);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context loop;
@@ -176,6 +184,21 @@
     this->Send("GET /second HTTP/1.1\r\n\r\n");
     CPPUNIT_ASSERT_EQUAL(1, handler.requests);
   }
+
+  // Guards against a connection that is neither served nor read any more, and
+  // keeps its descriptor for ever.
+  void Request_HandlerThrows_ClosesItsConnection() {
+    handler.lacksMemory = true;
+    CPPUNIT_ASSERT_THROW(this->Send("GET / HTTP/1.1\r\n\r\n"), std::bad_alloc);
+    handler.lacksMemory = false;
+    CPPUNIT_ASSERT(this->IsClosed());
+    CPPUNIT_ASSERT_EQUAL(1, handler.disconnects);
+    caller = TcpSocket(loop);
+    caller.connect({asio::ip::address_v4::loopback(), listener.Port()});
+    loop.run_one();
+    this->Send("GET / HTTP/1.1\r\n\r\n");
+    CPPUNIT_ASSERT(this->Received().starts_with("HTTP/1.1 200 "));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerConnectionTest);
--- a/UnitTests/ProcessLimitsTest.cpp
+++ b/UnitTests/ProcessLimitsTest.cpp
@@ -65,17 +65,21 @@
     return 0;
   }
 
-  void ExpectService(ChildProcess& aDaemon) {
+  bool IsServed() {
     Tcp::socket caller(loop);
-    caller.connect(this->EndpointOf("ZINCSTEP_ADMIN_LISTEN"));
-    asio::write(caller, asio::buffer(std::string_view(
-                            "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n")));
+    asio::error_code error;  // A failure shows in the response.
+    caller.connect(this->EndpointOf("ZINCSTEP_ADMIN_LISTEN"), error);
+    asio::write(caller,
+                asio::buffer(std::string_view(
+                    "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n")),
+                error);
     std::string response;
-    asio::error_code error;
     asio::read_until(caller, asio::dynamic_buffer(response), "\r\n", error);
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(aDaemon.Output(),
-                                 std::string("HTTP/1.1 200 OK"),
-                                 response.substr(0, response.find('\r')));
+    return response.starts_with("HTTP/1.1 200 ");
+  }
+
+  void ExpectService(const ChildProcess& aDaemon) {
+    CPPUNIT_ASSERT_MESSAGE(aDaemon.Output(), this->IsServed());
   }
 
  public:
@@ -115,10 +119,12 @@
       asio::write(peer, asio::buffer(most), ignored);
     }
     CPPUNIT_ASSERT_MESSAGE(daemon.Output(),
-                           daemon.ReadUntil("\"event\":\"handler_failed\""));
-    this->ExpectService(daemon);
+                           daemon.ReadUntil("\"reason\":\"out of memory\""));
     peers.clear();
-    this->ExpectService(daemon);
+    while (!this->IsServed()) {
+      // The daemon returns the memory of one connection after the other.
+      CPPUNIT_ASSERT_MESSAGE(daemon.Output(), !daemon.HasEnded());
+    }
     CPPUNIT_ASSERT_MESSAGE(daemon.Output(), !daemon.HasEnded());
   }
 
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -54,7 +54,7 @@
     }
     LogWarning("listen_failed", {{"reason", listening.error().message},
                                  {"retry_ms", delay / 1ms}});
-    aInstance.loop.run_for(delay);
+    aInstance.daemon->Run([&] { aInstance.loop.run_for(delay); });
     if (aInstance.daemon->IsStopping()) {
       return {};
     }
@@ -80,7 +80,8 @@
   }
   if (!instance.daemon->IsStopping()) {
     instance.daemon->Start();
-    instance.loop.run();
+    while (!instance.daemon->Run([&instance] { instance.loop.run(); })) {
+    }
   }
   instance.daemon->Stop();
   return 0;
--- a/Zincstep/Edge/EdgePeerEncoder.cpp
+++ b/Zincstep/Edge/EdgePeerEncoder.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstring>
 #include <limits>
+#include <new>
 
 #include "Zincstep/Edge/EdgePeerMessage.h"
 #include "Zincstep/Edge/EdgePeerWire.h"
@@ -219,7 +220,9 @@
   const int status = compress2(
       reinterpret_cast<Bytef*>(packed.data() + sizeof(length)), &size,
       reinterpret_cast<const Bytef*>(aText.data()), length, kPackLevel);
-  ZINCSTEP_ASSERT(status == Z_OK);
+  if (status != Z_OK) {
+    throw std::bad_alloc();  // All that can fail with room for the bound.
+  }
   packed.resize(sizeof(length) + size);
   return packed;
 }
--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -108,13 +108,13 @@
     if (aError) {
       return;
     }
+    this->WaitForSignal();
     if (aSignal == SIGHUP) {
       LogInfo("settings_unchanged",
               {{"reason", "settings come with the start of the process"}});
     } else if (!this->stop.IsStopping()) {
       this->OnStopRequested();
     }
-    this->WaitForSignal();
   });
 }
 
@@ -144,6 +144,7 @@
 }
 
 void EdgeProcess::OnFastTick() {
+  this->ScheduleFastTick();
   this->DetectSuspension();
   this->relay.Tick();
   this->SurveyLoad();
@@ -151,8 +152,10 @@
       this->callers.PendingBytes() + this->forwarded.PendingBytes();
   if (this->stop.CanExit(this->relay.Active(), unsent, this->clock.Now())) {
     this->loop.stop();
-    return;
   }
+}
+
+void EdgeProcess::ScheduleFastTick() {
   this->fastTimer.expires_after(this->relay.Active() > 0 ? kBusyTick
                                                          : kIdleTick);
   this->fastTimer.async_wait([this](const asio::error_code& aError) {
@@ -162,7 +165,17 @@
   });
 }
 
+void EdgeProcess::SchedulePeriodicTick() {
+  this->periodicTimer.expires_after(kPeriodicTick);
+  this->periodicTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      this->OnPeriodicTick();
+    }
+  });
+}
+
 void EdgeProcess::OnPeriodicTick() {
+  this->SchedulePeriodicTick();
   if (this->stop.ShouldCloseIdle(this->clock.Now())) {
     this->callers.CloseIdle();
   }
@@ -182,12 +195,6 @@
   this->UpdateBlockList();
   this->bufferedMemory.Tick(this->BufferedBytes());
   this->UpdateRetryShare();
-  this->periodicTimer.expires_after(kPeriodicTick);
-  this->periodicTimer.async_wait([this](const asio::error_code& aError) {
-    if (!aError) {
-      this->OnPeriodicTick();
-    }
-  });
 }
 
 void EdgeProcess::UpdateRetryShare() {
@@ -206,6 +213,12 @@
   }
 }
 
+bool EdgeProcess::Run(const std::function<void()>& aRun) {
+  const bool hasEnded = RunGuarded("events", aRun);
+  this->handlerFailures += hasEnded ? 0 : 1;
+  return hasEnded;
+}
+
 void EdgeProcess::Stop() {
   this->peers.Stop();
   LogInfo("stopped", {{"active", this->relay.Active()}});
--- a/Zincstep/Edge/EdgeProcess.h
+++ b/Zincstep/Edge/EdgeProcess.h
@@ -8,8 +8,8 @@
 #include "Zincstep/Edge/EdgeComponents.h"
 #include "Zincstep/Edge/PeerProtocol.h"
 #include "Zincstep/Edge/PlanThread.h"
-#include "Zincstep/Relay/DomainRecoveryMonitor.h"
 #include "Zincstep/Process/Process.h"
+#include "Zincstep/Relay/DomainRecoveryMonitor.h"
 #include "Zincstep/Relay/ReachProber.h"
 
 namespace zincstep {
@@ -127,6 +127,8 @@
   void Start();
   /// Whether a signal has asked this process to end.
   bool IsStopping() const { return this->stop.IsStopping(); }
+  /// Runs the loop as `RunGuarded`, and counts the exceptions of its handlers.
+  bool Run(const std::function<void()>& aRun);
   /// Stops the peer protocol, after the loop has ended.
   void Stop();
 
@@ -176,7 +178,9 @@
   /// Detects by the time since the last tick that this VM was suspended.
   void DetectSuspension();
   void OnFastTick();
+  void ScheduleFastTick();
   void OnPeriodicTick();
+  void SchedulePeriodicTick();
   /// Applies this daemon's share of the retry limit to its budgets.
   void UpdateRetryShare();
   /// Bytes that this daemon buffers, by purpose.
@@ -240,6 +244,8 @@
   /// `Listen`.
   std::size_t listening = 0;
   bool hasStarted = false;
+  /// Handlers of the loop that threw an exception.
+  std::uint64_t handlerFailures = 0;
   asio::steady_timer fastTimer;
   asio::steady_timer periodicTimer;
   asio::signal_set signals;
--- a/Zincstep/Edge/EdgeReports.cpp
+++ b/Zincstep/Edge/EdgeReports.cpp
@@ -29,6 +29,8 @@
   const auto age = this->view.ValidationAge();
   this->metrics.Set("zincstep_active_requests",
                     static_cast<double>(this->relay.Active()));
+  this->metrics.Set("zincstep_handler_failures",
+                    static_cast<double>(this->handlerFailures));
   this->metrics.Set("zincstep_config_proof_age_seconds",
                     age ? ToSeconds(*age) : -1);
   const auto listsAge = this->view.ListsAge();
--- a/Zincstep/Edge/PlanThread.cpp
+++ b/Zincstep/Edge/PlanThread.cpp
@@ -1,5 +1,7 @@
 #include "Zincstep/Edge/PlanThread.h"
 
+#include "Zincstep/Process/Process.h"
+
 namespace zincstep {
 
 namespace {
@@ -25,7 +27,9 @@
 }
 
 void PlanThread::Run(Work aWork) {
-  PlanOutcome outcome = MakePlan(this->planner, aWork.task);
+  // Without orders the controller plans again later.
+  PlanOutcome outcome;
+  RunGuarded("plans", [&] { outcome = MakePlan(this->planner, aWork.task); });
   asio::post(this->loop, [done = std::move(aWork.done),
                           result = std::move(outcome)]() mutable {
     done(std::move(result));
--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -16,9 +16,6 @@
 /// Added to the idle timeout, so that the connection never closes on a request
 /// of a caller that respects the timeout.
 constexpr Micros kIdleSlack = 1500ms;
-/// Delay after a failed accept, which happens when file descriptors run out.
-constexpr Micros kAcceptRetryDelay = 50ms;
-
 void AppendNumber(std::string& aText, std::size_t aValue, int aBase) {
   char digits[24];
   const auto written =
@@ -55,7 +52,7 @@
       asio::buffer(this->buffer),
       [self](const asio::error_code& aError, std::size_t aSize) {
         self->isReading = false;
-        self->OnRead(aError, aSize);
+        self->CloseOnException([&] { self->OnRead(aError, aSize); });
       });
 }
 
@@ -81,6 +78,19 @@
   this->Read();
 }
 
+void CallerConnection::CloseOnException(const std::function<void()>& aHandle) {
+  try {
+    aHandle();
+  } catch (const std::exception&) {
+    const bool wasBusy = this->isBusy && !this->isClosed;
+    this->Close();
+    if (wasBusy) {
+      this->handler.OnCallerDisconnected(*this);
+    }
+    throw;
+  }
+}
+
 void CallerConnection::ParseNext() {
   if (this->isClosed || this->unparsed.empty()) {
     return;
@@ -205,8 +215,10 @@
     // Deferred: the handler is still inside the call that sent the response.
     asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
       if (!self->isBusy) {
-        self->ParseNext();
-        self->Read();
+        self->CloseOnException([&self] {
+          self->ParseNext();
+          self->Read();
+        });
       }
     });
   }
@@ -223,7 +235,7 @@
   asio::async_write(this->socket, asio::buffer(this->writing),
                     [self](const asio::error_code& aError, std::size_t) {
                       self->isWriting = false;
-                      self->OnWritten(aError);
+                      self->CloseOnException([&] { self->OnWritten(aError); });
                     });
 }
 
@@ -293,38 +305,20 @@
 
 CallerListener::CallerListener(asio::io_context& aLoop, CallerHandler& aHandler,
                                const Clock& aClock)
-    : loop(aLoop), handler(aHandler), clock(aClock), acceptor(aLoop) {}
-
-Result<void> CallerListener::Start(const std::string& aAddress) {
-  const Result<void> listening = ListenOn(this->acceptor, aAddress);
-  if (listening) {
-    this->Accept();
+    : handler(aHandler),
+      clock(aClock),
+      acceptor(aLoop, [this](asio::ip::tcp::socket aSocket) {
+        this->OnConnection(std::move(aSocket));
+      }) {}
+
+void CallerListener::OnConnection(asio::ip::tcp::socket aSocket) {
+  auto connection = std::make_shared<CallerConnection>(
+      std::move(aSocket), this->handler, this->limits, this->clock);
+  if (!this->keepsAlive) {
+    connection->DisableKeepAlive();
   }
-  return listening;
-}
-
-void CallerListener::Accept() {
-  this->acceptor.async_accept(
-      [this](const asio::error_code& aError, asio::ip::tcp::socket aSocket) {
-        if (aError == asio::error::operation_aborted) {
-          return;
-        }
-        if (aError) {
-          auto timer = std::make_shared<asio::steady_timer>(this->loop);
-          timer->expires_after(kAcceptRetryDelay);
-          timer->async_wait(
-              [this, timer](const asio::error_code&) { this->Accept(); });
-          return;
-        }
-        auto connection = std::make_shared<CallerConnection>(
-            std::move(aSocket), this->handler, this->limits, this->clock);
-        if (!this->keepsAlive) {
-          connection->DisableKeepAlive();
-        }
-        this->connections.insert(connection);
-        connection->Start();
-        this->Accept();
-      });
+  this->connections.insert(connection);
+  connection->Start();
 }
 
 void CallerListener::CloseIdle() {
@@ -364,8 +358,4 @@
   return bytes;
 }
 
-std::uint16_t CallerListener::Port() const {
-  return this->acceptor.local_endpoint().port();
-}
-
 }  // namespace zincstep
--- a/Zincstep/Net/CallerConnection.h
+++ b/Zincstep/Net/CallerConnection.h
@@ -2,11 +2,13 @@
 
 #include <array>
 #include <asio.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_set>
 
 #include "Zincstep/Net/CallerLimits.h"
+#include "Zincstep/Net/ConnectionAcceptor.h"
 #include "Zincstep/Net/HttpParser.h"
 
 namespace zincstep {
@@ -78,6 +80,9 @@
  private:
   void Read();
   void OnRead(const asio::error_code& aError, std::size_t aSize);
+  /// Runs a handler of the loop. One that throws leaves nobody who would
+  /// respond or read on, so that the connection is closed.
+  void CloseOnException(const std::function<void()>& aHandle);
   void ParseNext();
   void Reject(const Error& aError);
   void Flush();
@@ -121,7 +126,9 @@
                  const Clock& aClock);
 
   /// Starts accepting at `host:port`; fails as `ListenOn`.
-  Result<void> Start(const std::string& aAddress);
+  Result<void> Start(const std::string& aAddress) {
+    return this->acceptor.Start(aAddress);
+  }
   /// Sets the limits of all connections, open ones included.
   void SetLimits(const CallerLimits& aLimits) { this->limits = aLimits; }
   /// Closes idle connections now and the others after their response.
@@ -136,16 +143,15 @@
   /// Response bytes that are not written to the callers' sockets yet.
   std::size_t PendingBytes() const;
   /// Listening port, once started.
-  std::uint16_t Port() const;
+  std::uint16_t Port() const { return this->acceptor.Port(); }
 
  private:
-  void Accept();
+  void OnConnection(asio::ip::tcp::socket aSocket);
 
-  asio::io_context& loop;
   CallerHandler& handler;
   const Clock& clock;
   CallerLimits limits;
-  asio::ip::tcp::acceptor acceptor;
+  ConnectionAcceptor acceptor;
   std::unordered_set<std::shared_ptr<CallerConnection>> connections;
   bool keepsAlive = true;
 };
--- a/Zincstep/Peer/AsioPeerTransport.cpp
+++ b/Zincstep/Peer/AsioPeerTransport.cpp
@@ -3,9 +3,11 @@
 #include <thread>
 #include <unordered_map>
 
+#include "Zincstep/Net/ConnectionAcceptor.h"
 #include "Zincstep/Net/TcpSocket.h"
 #include "Zincstep/Peer/PeerReceiver.h"
 #include "Zincstep/Peer/PeerSender.h"
+#include "Zincstep/Process/Process.h"
 
 namespace zincstep {
 
@@ -20,20 +22,23 @@
         listener(aListener),
         random(this->settings.seed),
         workGuard(asio::make_work_guard(this->loop)),
-        acceptor(this->loop) {}
+        acceptor(this->loop, [this](Tcp::socket aSocket) {
+          std::make_shared<PeerReceiver>(std::move(aSocket), this->settings,
+                                         this->listener, this->traffic)
+              ->Start();
+        }) {}
 
   ~AsioPeerTransport() override { this->Stop(); }
 
   Result<void> Start() override {
-    const Result<void> listening =
-        ListenOn(this->acceptor, this->settings.listen);
-    if (!listening) {
-      return listening;
+    const Result<void> listening = this->acceptor.Start(this->settings.listen);
+    if (listening) {
+      this->thread = std::thread([this] {
+        while (!RunGuarded("peers", [this] { this->loop.run(); })) {
+        }
+      });
     }
-    this->port = this->acceptor.local_endpoint().port();
-    this->Accept();
-    this->thread = std::thread([this] { this->loop.run(); });
-    return {};
+    return listening;
   }
 
   void Stop() override {
@@ -41,14 +46,13 @@
       return;
     }
     asio::post(this->loop, [this] {
-      asio::error_code ignored;
-      this->acceptor.close(ignored);
+      this->acceptor.Close();
       this->loop.stop();
     });
     this->thread.join();
   }
 
-  std::uint16_t Port() const override { return this->port; }
+  std::uint16_t Port() const override { return this->acceptor.Port(); }
 
   void Send(const std::string& aAddress, PeerFrame aMessage) override {
     asio::post(
@@ -102,21 +106,6 @@
     }
   }
 
-  void Accept() {
-    this->acceptor.async_accept(
-        [this](const asio::error_code& aError, Tcp::socket aSocket) {
-          if (aError == asio::error::operation_aborted) {
-            return;
-          }
-          if (!aError) {
-            std::make_shared<PeerReceiver>(std::move(aSocket), this->settings,
-                                           this->listener, this->traffic)
-                ->Start();
-          }
-          this->Accept();
-        });
-  }
-
   PeerTransportSettings settings;
   PeerListener& listener;
   Random random;
@@ -124,9 +113,8 @@
   QueuedByteCounter totalQueued{this->traffic};
   asio::io_context loop;
   asio::executor_work_guard<asio::io_context::executor_type> workGuard;
-  Tcp::acceptor acceptor;
+  ConnectionAcceptor acceptor;
   std::unordered_map<std::string, std::shared_ptr<PeerSender>> senders;
-  std::uint16_t port = 0;
   std::thread thread;
 };
 
--- a/Zincstep/Peer/PeerReceiver.cpp
+++ b/Zincstep/Peer/PeerReceiver.cpp
@@ -1,11 +1,20 @@
 #include "Zincstep/Peer/PeerReceiver.h"
 
+#include <algorithm>
+#include <new>
+#include <utility>
+
+#include "Zincstep/Telemetry/Telemetry.h"
+
 namespace zincstep {
 
 namespace {
 
 /// Time between checks whether the listener has consumed enough to read on.
 constexpr Micros kConsumptionCheckInterval = 10ms;
+/// Bytes of a message for which memory is taken before any of them arrives;
+/// then as much again as has arrived. A length alone must not cost 8 MB.
+constexpr std::size_t kFirstPartBytes = 16 << 10;
 
 std::size_t DecodeLength(
     const std::array<unsigned char, kPeerLengthBytes>& aBytes) {
@@ -64,28 +73,56 @@
                    });
 }
 
+void PeerReceiver::Close() {
+  this->timer.cancel();
+  asio::error_code ignored;  // There is no recovery from a failed close.
+  this->socket.close(ignored);
+  this->body = std::string();
+}
+
 void PeerReceiver::ReadBody() {
-  const std::size_t length = DecodeLength(this->head);
-  if (length == 0 || length > this->settings.maxMessageBytes) {
+  this->length = DecodeLength(this->head);
+  if (this->length == 0 || this->length > this->settings.maxMessageBytes) {
     this->timer.cancel();
     return;
   }
-  this->body.resize(length);
+  this->ReadBodyPart();
+}
+
+void PeerReceiver::ReadBodyPart() {
+  const std::size_t received = this->body.size();
+  try {
+    this->body.resize(
+        std::min(this->length, std::max(2 * received, kFirstPartBytes)));
+  } catch (const std::bad_alloc&) {
+    // Returns at once what other connections lack. The sender connects again.
+    this->Close();
+    LogWarning("peer_message_dropped",
+               {{"bytes", this->length}, {"reason", "out of memory"}});
+    return;
+  }
   auto self = this->shared_from_this();
-  asio::async_read(this->socket, asio::buffer(this->body),
-                   [self](const asio::error_code& aError, std::size_t) {
-                     if (aError) {
-                       self->timer.cancel();
-                       return;
-                     }
-                     self->traffic.bytesIn +=
-                         self->body.size() + kPeerLengthBytes;
-                     self->traffic.messagesIn += 1;
-                     self->traffic.unconsumedBytes += self->body.size();
-                     self->listener.OnPeerData(std::move(self->body));
-                     self->body = std::string();
-                     self->ReadMessage();
-                   });
+  asio::async_read(
+      this->socket,
+      asio::buffer(this->body.data() + received, this->body.size() - received),
+      [self](const asio::error_code& aError, std::size_t) {
+        if (aError) {
+          self->timer.cancel();
+        } else if (self->body.size() < self->length) {
+          self->ReadBodyPart();
+        } else {
+          self->OnMessage();
+        }
+      });
+}
+
+void PeerReceiver::OnMessage() {
+  const std::size_t size = this->body.size();
+  this->traffic.bytesIn += size + kPeerLengthBytes;
+  this->traffic.messagesIn += 1;
+  this->traffic.unconsumedBytes += size;
+  this->listener.OnPeerData(std::exchange(this->body, {}));
+  this->ReadMessage();
 }
 
 }  // namespace zincstep
--- a/Zincstep/Peer/PeerReceiver.h
+++ b/Zincstep/Peer/PeerReceiver.h
@@ -25,6 +25,9 @@
   void ScheduleRead();
   void ReadMessage();
   void ReadBody();
+  void ReadBodyPart();
+  void OnMessage();
+  void Close();
 
   asio::ip::tcp::socket socket;
   asio::steady_timer timer;
@@ -32,6 +35,9 @@
   PeerListener& listener;
   SharedTraffic& traffic;
   std::array<unsigned char, kPeerLengthBytes> head{};
+  /// Size of the message that is being received.
+  std::size_t length = 0;
+  /// What was received of it, and room for the next part.
   std::string body;
 };
 
--- a/Zincstep/Process/Process.h
+++ b/Zincstep/Process/Process.h
@@ -6,6 +6,8 @@
 #include <array>
 #include <csignal>
 
+#include "Zincstep/Process/RunGuarded.h"
+
 namespace zincstep {
 
 /// Signals that the daemons handle: two to stop, and one that settings may have
