Failing: a caller's size header ends the daemon; numbers from peers are taken as they are

CapacityRelayTest with X-Token-Usage: inf,inf aborts: CapacityQueue.cpp:49, invariant violated: added.has_value(). Three of EdgePeerMessageTest fail.

--- a/UnitTests/CapacityRelayTest.cpp
+++ b/UnitTests/CapacityRelayTest.cpp
@@ -45,6 +45,8 @@
   CPPUNIT_TEST(Request_ObjectiveCannotBeMet_IsRefusedAtOnce);
   CPPUNIT_TEST(Request_ObjectiveCannotBeMetWithRoom_IsServed);
   CPPUNIT_TEST(Requests_SeveralWait_UrgentOneStartsFirst);
+  CPPUNIT_TEST(Requests_SizeIsNoNumberOfTokens_WaitAsIfNotGiven);
+  CPPUNIT_TEST(Request_LongestDeadline_IsServed);
   CPPUNIT_TEST(Caller_DisconnectsWhileWaiting_FreesItsPlace);
   CPPUNIT_TEST(Service_OnePriority_RefusesAtOnceAsBefore);
   CPPUNIT_TEST(Service_OrganisationPriorityAlone_RefusesAtOnceAsBefore);
@@ -118,6 +120,33 @@
     CPPUNIT_ASSERT_EQUAL(std::string(kUrgentPath), this->served[0]);
   }
 
+  // Guards against callers that end the process: the sum of the waiting tokens
+  // was infinite, and the wait computed from it no number.
+  void Requests_SizeIsNoNumberOfTokens_WaitAsIfNotGiven() {
+    std::size_t sent = 0;
+    for (const std::string usage : {"inf,inf", "nan,nan", "1e308,1e308"}) {
+      this->TakeAllRoom();
+      for (int i = 0; i < 3; ++i) {
+        this->AskLater(kUrgentPath, "X-Token-Usage: " + usage +
+                                        "\r\nLength-Hint: " + usage + "\r\n");
+        sent += 1;
+      }
+      this->RunFor(50ms);
+      this->FreeAllRoom();
+      this->RunUntil([&] { return this->answers.size() == sent; });
+    }
+    for (const auto& [path, status] : this->answers) {
+      CPPUNIT_ASSERT_EQUAL(200, status);
+    }
+  }
+
+  // Guards against a deadline that is negative once it is in microseconds.
+  void Request_LongestDeadline_IsServed() {
+    this->AskLater(kUrgentPath, "X-Deadline-Ms: 9223372036854775807\r\n");
+    this->RunUntil([&] { return this->answers.size() == 1; });
+    CPPUNIT_ASSERT_EQUAL(200, this->answers[0].second);
+  }
+
   // A caller that is gone must neither start nor hold a place.
   void Caller_DisconnectsWhileWaiting_FreesItsPlace() {
     this->TakeAllRoom();
@@ -177,11 +206,14 @@
   void TakeAllRoom() { this->Only().AddRemoteWork(kAllRoom); }
   void FreeAllRoom() { this->Only().RemoveRemoteWork(kAllRoom); }
 
-  /// Sends a request without waiting for the response.
-  void AskLater(const std::string& aPath) {
+  /// Sends a request without waiting for the response; `aFields` come before
+  /// the other fields of its head.
+  void AskLater(const std::string& aPath, const std::string& aFields = "") {
+    std::string request = this->Attempt(aPath);
+    request.insert(request.find("\r\n") + 2, aFields);
     FetchResponse(
         this->loop, {asio::ip::address_v4::loopback(), this->listener->Port()},
-        this->Attempt(aPath), 10s, [this, aPath](Result<HttpResponse> aAnswer) {
+        std::move(request), 10s, [this, aPath](Result<HttpResponse> aAnswer) {
           CPPUNIT_ASSERT(aAnswer.has_value());
           this->answers.emplace_back(aPath, aAnswer->status);
         });
--- a/UnitTests/EdgePeerMessageTest.cpp
+++ b/UnitTests/EdgePeerMessageTest.cpp
@@ -14,6 +14,9 @@
   CPPUNIT_TEST(Message_MoreFirstStagesThanTheBound_AreCutOff);
   CPPUNIT_TEST(Message_DemandsByPriority_RoundTrip);
   CPPUNIT_TEST(Message_NonFiniteDemand_IsZero);
+  CPPUNIT_TEST(Message_NonFiniteWork_IsZero);
+  CPPUNIT_TEST(Message_NonFiniteTokens_AreZero);
+  CPPUNIT_TEST(Message_ExcessiveDurations_AreBounded);
   CPPUNIT_TEST(Message_Lists_RoundTrip);
   CPPUNIT_TEST(Message_PackedList_RoundTrips);
   CPPUNIT_TEST(Message_PackedList_IsSixTimesSmaller);
@@ -109,6 +112,41 @@
     CPPUNIT_ASSERT_EQUAL(0.0, read[0].used);
   }
 
+  // Guards against an upstream whose work one damaged report makes infinite:
+  // its wait is converted to a number of microseconds.
+  void Message_NonFiniteWork_IsZero() {
+    constexpr double kNan = std::numeric_limits<double>::quiet_NaN();
+    constexpr double kInfinity = std::numeric_limits<double>::infinity();
+    const auto message =
+        ReadBack(WorkGossip{{{1, kInfinity}, {2, kNan}, {3, -1}}});
+    for (const UpstreamWork& work : std::get<WorkGossip>(message.body).works) {
+      CPPUNIT_ASSERT_EQUAL(0.0, work.work);
+    }
+  }
+
+  void Message_NonFiniteTokens_AreZero() {
+    for (const double tokens : {std::numeric_limits<double>::infinity(),
+                                std::numeric_limits<double>::quiet_NaN()}) {
+      const auto message = ReadBack(DemandGossip{tokens, "a"});
+      CPPUNIT_ASSERT_EQUAL(0.0, std::get<DemandGossip>(message.body).tokens);
+    }
+  }
+
+  // Guards against an overflow of the clock's type, to which they are added.
+  void Message_ExcessiveDurations_AreBounded() {
+    for (const Micros duration : {Micros::min(), Micros::max()}) {
+      ClusterResponse response;
+      response.update.upstreams.emplace().grace = duration;
+      response.update.listsAge = Micros::max();
+      const auto message = ReadBack(response);
+      const ClusterUpdate& update =
+          std::get<ClusterResponse>(message.body).update;
+      CPPUNIT_ASSERT(update.upstreams->grace >= Micros{0});
+      CPPUNIT_ASSERT(update.upstreams->grace <= Micros{24h});
+      CPPUNIT_ASSERT(*update.listsAge <= Micros{24h});
+    }
+  }
+
   void Message_Demand_RoundTrips() {
     const auto message = ReadBack(DemandGossip{91'000, "hall-a"});
     const auto& demand = std::get<DemandGossip>(message.body);
