--- a/UnitTests/CapacityRelayTest.cpp
+++ b/UnitTests/CapacityRelayTest.cpp
@@ -142,7 +142,10 @@
 
   // Guards against a deadline that is negative once it is in microseconds.
   void Request_LongestDeadline_IsServed() {
+    this->TakeAllRoom();
     this->AskLater(kUrgentPath, "X-Deadline-Ms: 9223372036854775807\r\n");
+    this->RunFor(50ms);
+    this->FreeAllRoom();
     this->RunUntil([&] { return this->answers.size() == 1; });
     CPPUNIT_ASSERT_EQUAL(200, this->answers[0].second);
   }
--- a/Zincstep/Edge/EdgePeerDecoder.cpp
+++ b/Zincstep/Edge/EdgePeerDecoder.cpp
@@ -26,11 +26,20 @@
 constexpr fb::uoffset_t kMaxDepth = 64;
 constexpr fb::uoffset_t kMaxTables = 1'000'000;
 
+/// Maximum duration in a message: longer ones overflow the clock's type when
+/// they are added to an instant.
+constexpr Micros kMaxDuration = 24h;
+
 /// Parses a quantity; one that is negative or not finite becomes 0.
 double ReadQuantity(float aValue) {
   return std::isfinite(aValue) && aValue > 0 ? aValue : 0;
 }
 
+/// Parses a duration; one that is negative becomes 0.
+Micros ReadDuration(std::int64_t aMicros) {
+  return std::clamp(Micros{aMicros}, Micros{0}, kMaxDuration);
+}
+
 std::string TextOf(const fb::String* aText) {
   return aText == nullptr ? std::string() : aText->str();
 }
@@ -95,7 +104,8 @@
   gossip.coversDomain = aTable.covers_domain();
   if (aTable.works() != nullptr) {
     for (const edgewire::UpstreamWork* work : *aTable.works()) {
-      gossip.works.push_back({work->upstream(), work->work(), work->suspect(),
+      gossip.works.push_back({work->upstream(), ReadQuantity(work->work()),
+                              work->suspect(),
                               work->pace() * edgewire::kSlowdownStep});
     }
   }
@@ -108,9 +118,7 @@
     return gossip;
   }
   for (const edgewire::UpstreamLimit* limit : *aTable.limits()) {
-    LimitNotice notice{limit->upstream(),
-                       {},
-                       Micros{std::max<std::int64_t>(0, limit->age_us())}};
+    LimitNotice notice{limit->upstream(), {}, ReadDuration(limit->age_us())};
     if (std::isfinite(limit->calls_per_second()) &&
         limit->calls_per_second() >= 0) {
       notice.callsPerSecond = limit->calls_per_second();
@@ -151,7 +159,7 @@
 }
 
 std::optional<Micros> ReadAge(std::int64_t aAge) {
-  return aAge >= 0 ? std::optional<Micros>(aAge) : std::nullopt;
+  return aAge >= 0 ? std::optional(ReadDuration(aAge)) : std::nullopt;
 }
 
 std::optional<ListUpdate> ReadList(const edgewire::EntryList* aTable,
@@ -162,7 +170,7 @@
   ListUpdate update;
   update.at = {aTable->at(), aEra};
   update.isFull = aTable->whole();
-  update.grace = Micros{aTable->grace_us()};
+  update.grace = ReadDuration(aTable->grace_us());
   update.digest = aTable->digest();
   if (aTable->entries() != nullptr) {
     for (const edgewire::Entry* entry : *aTable->entries()) {
@@ -276,7 +284,7 @@
     response.update.upstreams =
         UnpackList(aParts.Next(aTable.upstreams_bytes()), response.era);
     if (response.update.upstreams) {
-      response.update.upstreams->grace = Micros{aTable.packed_grace_us()};
+      response.update.upstreams->grace = ReadDuration(aTable.packed_grace_us());
     }
   }
   if (aTable.daemons_bytes() > 0) {
@@ -317,8 +325,8 @@
     message.body = ReadResponse(
         *response, PackedParts(aBuffer.substr(aBuffer.size() - packed)));
   } else if (const auto* demand = table->body_as_DemandGossip()) {
-    message.body =
-        DemandGossip{demand->tokens(), TextOf(demand->failure_domain())};
+    message.body = DemandGossip{ReadQuantity(demand->tokens()),
+                                TextOf(demand->failure_domain())};
   } else if (const auto* crashes = table->body_as_CrashGossip()) {
     message.body = ReadCrashes(*crashes);
   } else if (const auto* limits = table->body_as_LimitGossip()) {
