What an exception must not leave behind: a list no longer followed, a pass that never ends (FAULT)

Cause: with loops that go on after an exception, a handler that threw ended a chain of calls for good: the store's list was not read or watched again, the configuration not validated, and CapacityScheduler::RunPass counted as running. Change: the list is read again after the usual backoff, the next validation is scheduled before the result is handled, and the pass ends with its scope. A process that aborts without memory for a log line says so on stderr; before, it ended by SIGABRT without any text.

--- a/UnitTests/ProcessLimitsTest.cpp
+++ b/UnitTests/ProcessLimitsTest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(Accept_NoDescriptorLeft_ResumesOnceOthersClose);
   CPPUNIT_TEST(PeerMessages_LargerThanTheMemory_KeepItRunning);
   CPPUNIT_TEST(PeerMessages_AnnouncedOnly_UseNoMemory);
+  CPPUNIT_TEST(CallerBodies_LargerThanTheMemory_KeepItRunning);
   CPPUNIT_TEST_SUITE_END();
 
   /// Enough to start; 20 are in use then.
@@ -78,6 +79,22 @@
     return response.starts_with("HTTP/1.1 200 ");
   }
 
+  /// Limits a process to its present memory and `aBytes` more.
+  static void LimitMemory(const ChildProcess& aProcess, std::size_t aBytes) {
+    const rlim_t size = MemoryOf(aProcess, "VmSize") + aBytes;
+    const rlimit memory{size, size};
+    CPPUNIT_ASSERT_EQUAL(
+        0, ::prlimit(aProcess.Pid(), RLIMIT_AS, &memory, nullptr));
+  }
+
+  /// Waits until the daemon has returned the memory of closed connections.
+  void ExpectServiceSoon(ChildProcess& aDaemon) {
+    while (!this->IsServed()) {
+      CPPUNIT_ASSERT_MESSAGE(aDaemon.Output(), !aDaemon.HasEnded());
+    }
+    CPPUNIT_ASSERT_MESSAGE(aDaemon.Output(), !aDaemon.HasEnded());
+  }
+
   void ExpectService(const ChildProcess& aDaemon) {
     CPPUNIT_ASSERT_MESSAGE(aDaemon.Output(), this->IsServed());
   }
@@ -107,10 +124,7 @@
   void PeerMessages_LargerThanTheMemory_KeepItRunning() {
     ChildProcess daemon(settings);
     CPPUNIT_ASSERT(daemon.ReadUntil("\"event\":\"started\""));
-    const rlim_t size = MemoryOf(daemon, "VmSize") + 4 * kMessageBytes;
-    const rlimit memory{size, size};
-    CPPUNIT_ASSERT_EQUAL(0,
-                         ::prlimit(daemon.Pid(), RLIMIT_AS, &memory, nullptr));
+    LimitMemory(daemon, 4 * kMessageBytes);
     std::vector<Tcp::socket> peers = this->Connect("ZINCSTEP_PEER_LISTEN");
     const std::string most(kMessageBytes - 1, 'x');
     for (Tcp::socket& peer : peers) {
@@ -121,11 +135,27 @@
     CPPUNIT_ASSERT_MESSAGE(daemon.Output(),
                            daemon.ReadUntil("\"reason\":\"out of memory\""));
     peers.clear();
-    while (!this->IsServed()) {
-      // The daemon returns the memory of one connection after the other.
-      CPPUNIT_ASSERT_MESSAGE(daemon.Output(), !daemon.HasEnded());
+    this->ExpectServiceSoon(daemon);
+  }
+
+  void CallerBodies_LargerThanTheMemory_KeepItRunning() {
+    ChildProcess daemon(settings);
+    CPPUNIT_ASSERT(daemon.ReadUntil("\"event\":\"started\""));
+    LimitMemory(daemon, 2 * kMessageBytes);
+    std::vector<Tcp::socket> callers = this->Connect("ZINCSTEP_LISTEN");
+    constexpr std::size_t kBodyBytes = 1 << 20;
+    const std::string request =
+        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+        std::to_string(kBodyBytes + 1) + "\r\n\r\n" +
+        std::string(kBodyBytes, 'x');
+    for (Tcp::socket& caller : callers) {
+      asio::error_code ignored;  // The daemon may close the connection.
+      asio::write(caller, asio::buffer(request), ignored);
     }
-    CPPUNIT_ASSERT_MESSAGE(daemon.Output(), !daemon.HasEnded());
+    CPPUNIT_ASSERT_MESSAGE(daemon.Output(),
+                           daemon.ReadUntil("\"event\":\"handler_failed\""));
+    callers.clear();
+    this->ExpectServiceSoon(daemon);
   }
 
   // Guards against four bytes that cost 8 MB.
--- a/UnitTests/StoreFollowerTest.cpp
+++ b/UnitTests/StoreFollowerTest.cpp
@@ -80,6 +80,7 @@
   CPPUNIT_TEST(Start_OneOfManyDaemons_ReadsOnlyTheDaemons);
   CPPUNIT_TEST(Start_NoDaemonKnown_ReadsTheDaemonsAgain);
   CPPUNIT_TEST(SyncSource_Fresh_MarksTheStoreReachable);
+  CPPUNIT_TEST(Validation_HandlerThrows_IsRepeated);
   CPPUNIT_TEST_SUITE_END();
 
   void OnConfiguration() override {}
@@ -258,6 +259,30 @@
     CPPUNIT_ASSERT_EQUAL(1, store.staleReads);
     CPPUNIT_ASSERT(store.validations < 20);
   }
+
+  // Guards against a daemon that runs on with a configuration that it never
+  // validates again.
+  void Validation_HandlerThrows_IsRepeated() {
+    store.isUnreachable = false;
+    this->Begin(false);
+    bool hasThrown = false;
+    follower->SetMayQueryStore([this, &hasThrown] {
+      // The first call after a validation handles its result.
+      if (store.validations > 0 && !std::exchange(hasThrown, true)) {
+        throw std::bad_alloc();
+      }
+      return true;
+    });
+    int failures = 0;
+    while (failures == 0 || store.validations < 3) {
+      try {
+        loop.run_one();
+      } catch (const std::bad_alloc&) {
+        failures += 1;
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(1, failures);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreFollowerTest);
@@ -301,6 +326,8 @@
 class PrefixFollowerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PrefixFollowerTest);
   CPPUNIT_TEST(CatchUp_ResponseInPages_MissesNothing);
+  CPPUNIT_TEST(List_HandlerThrows_IsReadAgain);
+  CPPUNIT_TEST(Changes_HandlerThrows_ListIsReadAgain);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context loop;
@@ -328,6 +355,39 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{PagedStore::kLast - 1}, received);
     CPPUNIT_ASSERT(follower.IsCompleteTo({PagedStore::kLast}));
   }
+
+  // Guards against a daemon that runs on and follows a list no more.
+  void List_HandlerThrows_IsReadAgain() {
+    int reads = 0;
+    PrefixFollower follower(
+        loop, store, clock, "p/", PrefixFollowerTiming{},
+        [&reads](const StoreRange&) {
+          reads += 1;
+          if (reads == 1) {
+            throw std::bad_alloc();
+          }
+        },
+        [](const StoreEvents&) {}, [] {});
+    follower.Restart();
+    CPPUNIT_ASSERT_THROW(loop.run(), std::bad_alloc);
+    loop.run();
+    CPPUNIT_ASSERT_EQUAL(2, reads);
+  }
+
+  void Changes_HandlerThrows_ListIsReadAgain() {
+    int reads = 0;
+    PrefixFollower follower(
+        loop, store, clock, "p/", PrefixFollowerTiming{},
+        [&reads](const StoreRange&) { reads += 1; },
+        [](const StoreEvents&) { throw std::bad_alloc(); }, [] {});
+    follower.Restart();
+    loop.run();
+    follower.CatchUp({PagedStore::kLast});
+    loop.restart();
+    CPPUNIT_ASSERT_THROW(loop.run(), std::bad_alloc);
+    loop.run();
+    CPPUNIT_ASSERT_EQUAL(2, reads);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PrefixFollowerTest);
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -72,9 +72,14 @@
     }
     this->backoff = this->timing.initialBackoff;
     this->at = aRange->at;
-    this->onRange(WithoutPrefix(std::move(*aRange), this->prefix));
-    this->isWatching = true;
-    this->onCaughtUp();
+    try {
+      this->onRange(WithoutPrefix(std::move(*aRange), this->prefix));
+      this->isWatching = true;
+      this->onCaughtUp();
+    } catch (const std::exception&) {
+      this->RetryLater(aRound);
+      throw;
+    }
     this->Watch(aRound);
   });
 }
@@ -105,7 +110,13 @@
     return;
   }
   const bool hadChanges = !aEvents->events.empty();
-  this->ApplyEvents(std::move(*aEvents));
+  try {
+    this->ApplyEvents(std::move(*aEvents));
+  } catch (const std::exception&) {
+    // Some of the changes may be missing: the list is read again.
+    this->RetryLater(aRound);
+    throw;
+  }
   hadChanges ? this->WatchLater(aRound) : this->Watch(aRound);
 }
 
@@ -149,7 +160,13 @@
     this->at = std::max(this->at, aRevision);
   }
   this->hasMissedChanges = this->hasMissedChanges || hasChanges;
-  this->ApplyEvents(std::move(*aEvents));
+  try {
+    this->ApplyEvents(std::move(*aEvents));
+  } catch (const std::exception&) {
+    this->BeginRound();
+    this->RetryLater(this->round);
+    throw;
+  }
   if (hasChanges && this->at < aRevision) {
     this->CatchUp(aRevision);  // The response may hold only the first changes.
     return;
@@ -329,6 +346,8 @@
   this->store.Commit(std::move(check), [this, checked, startedAt](
                                            Result<StoreCommit> aResult) {
     this->isValidating = false;
+    // First: an exception must not end the validations.
+    this->ValidateAfter(this->settings.validationInterval);
     this->OnValidationResult(checked, startedAt, std::move(aResult));
   });
 }
--- a/Zincstep/Process/Process.cpp
+++ b/Zincstep/Process/Process.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <cstdio>
 #include <cstdlib>
 #include <exception>
 #include <future>
@@ -72,8 +73,13 @@
       reason = "an exception of an unknown type";
     }
   }
-  LogError("process_aborted", {{"reason", reason}});
-  StopLogInTime();
+  try {
+    LogError("process_aborted", {{"reason", reason}});
+    StopLogInTime();
+  } catch (const std::exception&) {
+    // An exception would end the process here, without any text.
+    std::fprintf(stderr, "process aborted: %s\n", reason.c_str());
+  }
   std::abort();
 }
 
--- a/Zincstep/Relay/CapacityScheduler.cpp
+++ b/Zincstep/Relay/CapacityScheduler.cpp
@@ -1,6 +1,7 @@
 #include "Zincstep/Relay/CapacityScheduler.h"
 
 #include <algorithm>
+#include <memory>
 
 #include "Zincstep/Relay/RelayContext.h"
 
@@ -249,6 +250,9 @@
     return;  // The next tick considers what has arrived meanwhile.
   }
   this->isPassRunning = true;
+  // Also by an exception: otherwise no pass would run any more.
+  const std::unique_ptr<bool, void (*)(bool*)> end(
+      &this->isPassRunning, [](bool* aIsRunning) { *aIsRunning = false; });
   this->Refresh();
   for (auto& [name, capacity] : this->capacities) {
     capacity.Tick(this->context.clock.Now());
@@ -266,7 +270,6 @@
     }
     this->RefuseExpired(name, capacity);
   }
-  this->isPassRunning = false;
 }
 
 void CapacityScheduler::SetDomain(std::size_t aDaemons,
