Failing: the faults of the edge daemon's process in the entry daemon and in dials (FAULT)

ProcessTests run the same cases for both daemons, from one fixture with a description of each. Before any change zincstep-entry fails 10 of 18: ended by SIGHUP (signal 1), deaf to SIGTERM after SIGUSR1, runs on for 60 s when nobody reads its output, exit 1 for each port in use, no start_failed for a wrong address, the event loop on descriptor 1, and SIGABRT with 4 descriptors. A listener cannot bind to the local port of a check, a call, a peer connection or a transfer of libcurl, and a dial to its own port connects and looks live.

--- a/UnitTests/ChildProcess.cpp
+++ b/UnitTests/ChildProcess.cpp
@@ -10,7 +10,6 @@
 #include <array>
 #include <chrono>
 #include <thread>
-#include <vector>
 
 namespace zincstep {
 
@@ -33,7 +32,12 @@
   }
   variables.push_back(nullptr);
   std::string program = aSettings.program;
-  std::array<char*, 2> arguments{program.data(), nullptr};
+  std::vector<std::string> words = aSettings.arguments;
+  std::vector<char*> arguments{program.data()};
+  for (std::string& word : words) {
+    arguments.push_back(word.data());
+  }
+  arguments.push_back(nullptr);
   std::array<int, 2> ends{-1, -1};
   if (aSettings.hasPipe && ::pipe2(ends.data(), O_CLOEXEC) != 0) {
     return;
@@ -109,6 +113,16 @@
   return !this->end.empty();
 }
 
+std::string ChildProcess::LastLine() const {
+  const std::size_t end = this->output.find_last_not_of('\n');
+  if (end == std::string::npos) {
+    return "";
+  }
+  const std::size_t before = this->output.rfind('\n', end);
+  const std::size_t start = before == std::string::npos ? 0 : before + 1;
+  return this->output.substr(start, end + 1 - start);
+}
+
 std::string ChildProcess::WaitForEnd() {
   for (int poll = 0; poll < kMaxPolls && !this->HasEnded(); ++poll) {
     this->ReadAvailable();
--- a/UnitTests/ChildProcess.h
+++ b/UnitTests/ChildProcess.h
@@ -5,12 +5,14 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace zincstep {
 
 /// Settings of a child process.
 struct ChildProcessSettings {
   std::string program;
+  std::vector<std::string> arguments;
   std::map<std::string, std::string> environment;
   /// Runs in the child before the program does, to set what it inherits.
   std::function<void()> beforeExec = [] {};
@@ -41,6 +43,8 @@
   std::string WaitForEnd();
   /// The output so far.
   const std::string& Output() const { return this->output; }
+  /// The last line of the output so far.
+  std::string LastLine() const;
 
  private:
   /// Reads what is in the pipe now.
--- a/UnitTests/EdgeChild.h
+++ b/UnitTests/EdgeChild.h
@@ -1,20 +1,27 @@
 #pragma once
 
-#include <array>
-#include <asio.hpp>
-#include <vector>
-
-#include "UnitTests/ChildProcess.h"
+#include "UnitTests/DaemonChild.h"
 
 namespace zincstep {
 
 /// The deployed daemon as a child process, on ports of its own and without a
 /// store.
-struct EdgeChild {
+struct EdgeChild : DaemonChild {
   /// Variables of the four addresses.
   static constexpr std::array kListenVariables{
       "ZINCSTEP_LISTEN", "ZINCSTEP_ADMIN_LISTEN", "ZINCSTEP_PEER_LISTEN",
       "ZINCSTEP_FORWARD_LISTEN"};
+  static constexpr const char* kRequiredVariable = "ZINCSTEP_STORE";
+  /// Variables that may be an empty text.
+  static constexpr std::array kOptionalVariables{
+      "ZINCSTEP_MEMORY_MB",   "ZINCSTEP_LINK_MBPS",
+      "ZINCSTEP_RETRY_RATIO", "ZINCSTEP_DRAIN_NOTICE_MS",
+      "ZINCSTEP_FIRST_START", "ZINCSTEP_FAIL_CLOSED",
+      "ZINCSTEP_LOAD_SURVEY", "ZINCSTEP_SEEDS",
+      "ZINCSTEP_FORWARD_LISTEN"};
+  /// Two variables with durations.
+  static constexpr std::array kMillisVariables{"ZINCSTEP_DRAIN_NOTICE_MS",
+                                               "ZINCSTEP_KEY_REVOCATION_MS"};
 
   /// Returns settings with ports that were free just now.
   static ChildProcessSettings Settings() {
@@ -24,24 +31,9 @@
                             {"ZINCSTEP_FAILURE_DOMAIN", "a"},
                             {"ZINCSTEP_STOP_GRACE_S", "3"},
                             {"ZINCSTEP_STORE", "127.0.0.1:1"}};
-    asio::io_context loop;
-    std::vector<asio::ip::tcp::acceptor> held;
-    for (const char* variable : kListenVariables) {
-      const asio::ip::tcp::endpoint any(asio::ip::address_v4::loopback(), 0);
-      held.emplace_back(loop, any);
-      settings.environment[variable] =
-          "127.0.0.1:" + std::to_string(held.back().local_endpoint().port());
-    }
+    DrawPorts(settings, kListenVariables);
     return settings;
   }
-
-  /// Returns the port that a setting names.
-  static std::uint16_t PortOf(const ChildProcessSettings& aSettings,
-                              const char* aVariable) {
-    const std::string& address = aSettings.environment.at(aVariable);
-    return static_cast<std::uint16_t>(
-        std::stoi(address.substr(address.rfind(':') + 1)));
-  }
 };
 
 }  // namespace zincstep
--- a/UnitTests/ProcessSignalTest.cpp
+++ b/UnitTests/ProcessSignalTest.cpp
@@ -13,10 +13,13 @@
 #include <thread>
 
 #include "UnitTests/EdgeChild.h"
+#include "UnitTests/EntryChild.h"
 
 namespace zincstep {
 namespace {
 
+/// Signals to the daemon that `Child` describes, and what it writes.
+template <class Child>
 class ProcessSignalTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ProcessSignalTest);
   CPPUNIT_TEST(HangUp_BeforeTheStart_KeepsRunning);
@@ -29,7 +32,7 @@
   CPPUNIT_TEST(Output_ReaderIsGone_ExitsWithZero);
   CPPUNIT_TEST_SUITE_END();
 
-  ChildProcessSettings settings = EdgeChild::Settings();
+  ChildProcessSettings settings = Child::Settings();
 
   static void ExpectStop(ChildProcess& aDaemon) {
     aDaemon.Signal(SIGTERM);
@@ -117,16 +120,7 @@
       ::dup2(file, STDOUT_FILENO);
     };
     ChildProcess daemon(settings);
-    asio::io_context loop;
-    asio::ip::tcp::socket caller(loop);
-    const asio::ip::tcp::endpoint endpoint(
-        asio::ip::address_v4::loopback(),
-        EdgeChild::PortOf(settings, "ZINCSTEP_LISTEN"));
-    asio::error_code error = asio::error::connection_refused;
-    while (error && !daemon.HasEnded()) {
-      caller = asio::ip::tcp::socket(loop);
-      caller.connect(endpoint, error);
-    }
+    Child::ConnectTo(daemon, settings, "ZINCSTEP_LISTEN");
     ExpectStop(daemon);
     std::filesystem::remove(log);
   }
@@ -168,7 +162,8 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(ProcessSignalTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(ProcessSignalTest<EdgeChild>);
+CPPUNIT_TEST_SUITE_REGISTRATION(ProcessSignalTest<EntryChild>);
 
 }  // namespace
 }  // namespace zincstep
--- a/UnitTests/ProcessStartTest.cpp
+++ b/UnitTests/ProcessStartTest.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 
 #include "UnitTests/EdgeChild.h"
+#include "UnitTests/EntryChild.h"
 
 namespace zincstep {
 namespace {
@@ -37,12 +38,15 @@
   Tcp::socket socket;
 };
 
+/// Starts of the daemon that `Child` describes.
+template <class Child>
 class ProcessStartTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ProcessStartTest);
   CPPUNIT_TEST(Start_PortUsedByAConnection_WaitsUntilItIsFree);
   CPPUNIT_TEST(Start_PortUsedByAListener_WaitsUntilItIsFree);
   CPPUNIT_TEST(Start_StoppedWhilePortIsInUse_ExitsWithZero);
   CPPUNIT_TEST(Start_AddressOfNoInterface_IsReported);
+  CPPUNIT_TEST(Start_AddressWithoutPort_IsRefused);
   CPPUNIT_TEST(Start_EmptySettings_CountAsNotSet);
   CPPUNIT_TEST(Start_FractionalMilliseconds_AreRead);
   CPPUNIT_TEST(Start_RequiredSettingEmpty_IsRefused);
@@ -50,7 +54,7 @@
   CPPUNIT_TEST(Start_FewDescriptors_RunsOrReportsWhy);
   CPPUNIT_TEST_SUITE_END();
 
-  ChildProcessSettings settings = EdgeChild::Settings();
+  ChildProcessSettings settings = Child::Settings();
 
   void StartsWith(const char* aVariable, const char* aValue) {
     settings.environment[aVariable] = aValue;
@@ -63,8 +67,8 @@
   // Guards against a restart that fails as long as some connection has the
   // port: 60 s for one that was closed.
   void Start_PortUsedByAConnection_WaitsUntilItIsFree() {
-    for (const char* variable : EdgeChild::kListenVariables) {
-      OutgoingConnection other(EdgeChild::PortOf(settings, variable));
+    for (const char* variable : Child::kListenVariables) {
+      OutgoingConnection other(Child::PortOf(settings, variable));
       ChildProcess daemon(settings);
       CPPUNIT_ASSERT_MESSAGE(variable,
                              daemon.ReadUntil("\"event\":\"listen_failed\""));
@@ -76,9 +80,9 @@
 
   void Start_PortUsedByAListener_WaitsUntilItIsFree() {
     asio::io_context loop;
-    for (const char* variable : EdgeChild::kListenVariables) {
+    for (const char* variable : Child::kListenVariables) {
       Tcp::acceptor other(loop, {asio::ip::address_v4::loopback(),
-                                 EdgeChild::PortOf(settings, variable)});
+                                 Child::PortOf(settings, variable)});
       ChildProcess daemon(settings);
       CPPUNIT_ASSERT_MESSAGE(variable,
                              daemon.ReadUntil("\"event\":\"listen_failed\""));
@@ -90,7 +94,7 @@
 
   void Start_StoppedWhilePortIsInUse_ExitsWithZero() {
     OutgoingConnection other(
-        EdgeChild::PortOf(settings, "ZINCSTEP_PEER_LISTEN"));
+        Child::PortOf(settings, "ZINCSTEP_PEER_LISTEN"));
     ChildProcess daemon(settings);
     CPPUNIT_ASSERT(daemon.ReadUntil("\"event\":\"listen_failed\""));
     daemon.Signal(SIGTERM);
@@ -99,33 +103,55 @@
 
   // An address that no wait can make valid is a mistake of the settings.
   void Start_AddressOfNoInterface_IsReported() {
-    settings.environment["ZINCSTEP_LISTEN"] = "no-address:1";
-    ChildProcess daemon(settings);
-    CPPUNIT_ASSERT_EQUAL(std::string("exit 1"), daemon.WaitForEnd());
-    CPPUNIT_ASSERT(daemon.Output().find("start_failed") != std::string::npos);
+    for (const char* variable : Child::kListenVariables) {
+      for (const char* address : {"no-address:1", "192.0.2.1:1"}) {
+        ChildProcessSettings wrong = settings;
+        wrong.environment[variable] = address;
+        ChildProcess daemon(wrong);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(daemon.Output(), std::string("exit 1"),
+                                     daemon.WaitForEnd());
+        CPPUNIT_ASSERT_MESSAGE(daemon.Output(),
+                               daemon.LastLine().find("start_failed") !=
+                                   std::string::npos);
+      }
+    }
+  }
+
+  // Guards against an exception that the port's conversion throws.
+  void Start_AddressWithoutPort_IsRefused() {
+    for (const char* variable : Child::kListenVariables) {
+      for (const char* address :
+           {"127.0.0.1", "127.0.0.1:", ":", "127.0.0.1:99999", "a:b"}) {
+        ChildProcessSettings wrong = settings;
+        wrong.environment[variable] = address;
+        ChildProcess daemon(wrong);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(address, std::string("exit 2"),
+                                     daemon.WaitForEnd());
+        CPPUNIT_ASSERT_MESSAGE(
+            daemon.Output(),
+            daemon.Output().find(variable) != std::string::npos);
+      }
+    }
   }
 
   // Guards against a platform that sets what it has no value for to "".
   void Start_EmptySettings_CountAsNotSet() {
-    for (const char* variable :
-         {"ZINCSTEP_MEMORY_MB", "ZINCSTEP_LINK_MBPS", "ZINCSTEP_RETRY_RATIO",
-          "ZINCSTEP_DRAIN_NOTICE_MS", "ZINCSTEP_FIRST_START",
-          "ZINCSTEP_FAIL_CLOSED", "ZINCSTEP_LOAD_SURVEY", "ZINCSTEP_SEEDS",
-          "ZINCSTEP_FORWARD_LISTEN"}) {
+    for (const char* variable : Child::kOptionalVariables) {
       this->StartsWith(variable, "");
     }
   }
 
   void Start_FractionalMilliseconds_AreRead() {
-    this->StartsWith("ZINCSTEP_DRAIN_NOTICE_MS", "2000.0");
-    this->StartsWith("ZINCSTEP_KEY_REVOCATION_MS", "4999.5");
+    this->StartsWith(Child::kMillisVariables[0], "2000.0");
+    this->StartsWith(Child::kMillisVariables[1], "4999.5");
   }
 
   void Start_RequiredSettingEmpty_IsRefused() {
-    settings.environment["ZINCSTEP_STORE"] = "";
+    settings.environment[Child::kRequiredVariable] = "";
     ChildProcess daemon(settings);
     CPPUNIT_ASSERT_EQUAL(std::string("exit 2"), daemon.WaitForEnd());
-    CPPUNIT_ASSERT(daemon.Output().find("ZINCSTEP_STORE") != std::string::npos);
+    CPPUNIT_ASSERT(daemon.Output().find(Child::kRequiredVariable) !=
+                   std::string::npos);
   }
 
   // Guards against log lines that are written into a socket: the first
@@ -138,16 +164,7 @@
       }
     };
     ChildProcess daemon(settings);
-    asio::io_context loop;
-    Tcp::socket caller(loop);
-    const Tcp::endpoint endpoint(
-        asio::ip::address_v4::loopback(),
-        EdgeChild::PortOf(settings, "ZINCSTEP_ADMIN_LISTEN"));
-    asio::error_code error = asio::error::connection_refused;
-    while (error && !daemon.HasEnded()) {
-      caller = Tcp::socket(loop);
-      caller.connect(endpoint, error);
-    }
+    Child::ConnectTo(daemon, settings, "ZINCSTEP_ADMIN_LISTEN");
     CPPUNIT_ASSERT(!daemon.HasEnded());
     for (const char* descriptor : {"0", "1", "2"}) {
       const std::string link = "/proc/" + std::to_string(daemon.Pid()) +
@@ -180,7 +197,8 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(ProcessStartTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(ProcessStartTest<EdgeChild>);
+CPPUNIT_TEST_SUITE_REGISTRATION(ProcessStartTest<EntryChild>);
 
 }  // namespace
 }  // namespace zincstep
--- a/Zincstep/Net/TcpSocket.cpp
+++ b/Zincstep/Net/TcpSocket.cpp
@@ -112,6 +112,11 @@
               "cannot listen on " + aAddress + ": " + error.message());
 }
 
+void Connect(TcpSocket& aSocket, const TcpEndpoint& aEndpoint,
+             std::function<void(const asio::error_code&)> aDone) {
+  aSocket.async_connect(aEndpoint, std::move(aDone));
+}
+
 void SetSocketOptions(TcpSocket& aSocket, Micros aTimeout) {
   asio::error_code ignored;  // A closed socket fails on its next use.
   aSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
--- a/Zincstep/Net/TcpSocket.h
+++ b/Zincstep/Net/TcpSocket.h
@@ -21,6 +21,11 @@
 Result<void> ListenOn(asio::ip::tcp::acceptor& aAcceptor,
                       const std::string& aAddress);
 
+/// Connects `aSocket` to `aEndpoint` and calls `aDone` later with the result;
+/// `aDone` must keep the socket alive.
+void Connect(TcpSocket& aSocket, const TcpEndpoint& aEndpoint,
+             std::function<void(const asio::error_code&)> aDone);
+
 /// Sets the options of all connections: `TCP_NODELAY`, and `TCP_USER_TIMEOUT`,
 /// which closes a connection whose bytes are unacknowledged for `aTimeout`.
 void SetSocketOptions(TcpSocket& aSocket, Micros aTimeout);
