All outgoing connections leave their local port to listeners; none is to itself (FAULT)

Callers saw: a daemon that cannot listen, for up to 60 s after the end of a connection that had its port; an upstream or a peer that looks live though nobody listens. Cause: dials had no SO_REUSEADDR, without which a listener cannot bind to their local port; and a dial to an ephemeral port on which nobody listens can get that port as its local one. Change: Connect in TcpSocket opens all connections of asio, with the option, and reports a connection to itself as refused after a reset. libcurl sets the option in its socket callback and ends such a transfer before its request. Not covered: a connection of another program without the option still keeps the port.

--- a/Zincstep/Net/CurlTransfer.cpp
+++ b/Zincstep/Net/CurlTransfer.cpp
@@ -1,5 +1,9 @@
 #include "Zincstep/Net/CurlTransfer.h"
 
+#include <sys/socket.h>
+
+#include <cstring>
+
 namespace zincstep {
 
 namespace {
@@ -26,6 +30,23 @@
                                            : CallEnd::Unknown;
 }
 
+/// Sets the option that `Connect` sets, before libcurl connects.
+int OnSocket(void*, curl_socket_t aSocket, curlsocktype) {
+  const int isOn = 1;
+  const int failed =
+      ::setsockopt(aSocket, SOL_SOCKET, SO_REUSEADDR, &isOn, sizeof(isOn));
+  return failed == 0 ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+}
+
+/// Fails a transfer whose connection is connected to itself, before a request is
+/// sent; libcurl closes the connection.
+int OnConnected(void*, char* aRemoteAddress, char* aLocalAddress,
+                int aRemotePort, int aLocalPort) {
+  const bool isSelf = aRemotePort == aLocalPort &&
+                      std::strcmp(aRemoteAddress, aLocalAddress) == 0;
+  return isSelf ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 }  // namespace
 
 CurlTransfer::CurlTransfer(HttpCall aCall, PartCallback aOnPart)
@@ -42,6 +63,8 @@
   curl_easy_setopt(this->easy, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION, &CurlTransfer::OnHeader);
   curl_easy_setopt(this->easy, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(this->easy, CURLOPT_SOCKOPTFUNCTION, &OnSocket);
+  curl_easy_setopt(this->easy, CURLOPT_PREREQFUNCTION, &OnConnected);
   this->SetMethod();
   this->SetLimits();
   // Otherwise libcurl waits 1 s for `100 Continue` before it sends a larger
--- a/Zincstep/Net/SingleCall.cpp
+++ b/Zincstep/Net/SingleCall.cpp
@@ -180,9 +180,9 @@
       self->End(SingleCallEnd::NotConnected);
     }
   });
-  this->socket.async_connect(aEndpoint, [self](const asio::error_code& aError) {
-    self->OnConnect(aError);
-  });
+  zincstep::Connect(
+      this->socket, aEndpoint,
+      [self](const asio::error_code& aError) { self->OnConnect(aError); });
 }
 
 void SingleCall::OnConnect(const asio::error_code& aError) {
--- a/Zincstep/Net/TcpSocket.cpp
+++ b/Zincstep/Net/TcpSocket.cpp
@@ -10,6 +10,15 @@
 
 namespace {
 
+/// Whether both ends of a connection are `aSocket`.
+bool IsConnectedToItself(const TcpSocket& aSocket) {
+  asio::error_code localError;
+  asio::error_code remoteError;
+  const TcpEndpoint local = aSocket.local_endpoint(localError);
+  const TcpEndpoint remote = aSocket.remote_endpoint(remoteError);
+  return !localError && !remoteError && local == remote;
+}
+
 /// One attempt to connect, with its timeout.
 class ReachabilityCheck
     : public std::enable_shared_from_this<ReachabilityCheck> {
@@ -20,9 +29,9 @@
 
   void Start(const TcpEndpoint& aEndpoint, Micros aTimeout) {
     auto self = this->shared_from_this();
-    this->socket.async_connect(
-        aEndpoint,
-        [self](const asio::error_code& aError) { self->OnConnect(aError); });
+    Connect(this->socket, aEndpoint, [self](const asio::error_code& aError) {
+      self->OnConnect(aError);
+    });
     this->timer.expires_after(aTimeout);
     this->timer.async_wait([self](const asio::error_code& aError) {
       if (!aError) {
@@ -114,7 +123,28 @@
 
 void Connect(TcpSocket& aSocket, const TcpEndpoint& aEndpoint,
              std::function<void(const asio::error_code&)> aDone) {
-  aSocket.async_connect(aEndpoint, std::move(aDone));
+  asio::error_code error;
+  if (!aSocket.is_open()) {
+    aSocket.open(aEndpoint.protocol(), error);
+  }
+  if (!error) {
+    aSocket.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (error) {
+    asio::post(aSocket.get_executor(),
+               [error, done = std::move(aDone)] { done(error); });
+    return;
+  }
+  aSocket.async_connect(aEndpoint, [&aSocket, done = std::move(aDone)](
+                                       asio::error_code aError) {
+    if (!aError && IsConnectedToItself(aSocket)) {
+      asio::error_code ignored;  // Resets; the port must be free at once.
+      aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+      aSocket.close(ignored);
+      aError = asio::error::connection_refused;
+    }
+    done(aError);
+  });
 }
 
 void SetSocketOptions(TcpSocket& aSocket, Micros aTimeout) {
--- a/Zincstep/Net/TcpSocket.h
+++ b/Zincstep/Net/TcpSocket.h
@@ -22,7 +22,12 @@
                       const std::string& aAddress);
 
 /// Connects `aSocket` to `aEndpoint` and calls `aDone` later with the result;
-/// `aDone` must keep the socket alive.
+/// `aDone` must keep the socket alive. All outgoing connections are opened here.
+///
+/// Sets `SO_REUSEADDR`: without it a listener cannot bind to the local port of
+/// this connection, until 60 s after its end. A dial to a port of the ephemeral
+/// range on which nobody listens may get that port as its local one and connect
+/// to itself; such a connection is closed and reported as refused.
 void Connect(TcpSocket& aSocket, const TcpEndpoint& aEndpoint,
              std::function<void(const asio::error_code&)> aDone);
 
--- a/Zincstep/Peer/PeerSender.cpp
+++ b/Zincstep/Peer/PeerSender.cpp
@@ -76,15 +76,15 @@
   this->traffic.connects += 1;
   this->socket = asio::ip::tcp::socket(this->timer.get_executor());
   auto self = this->shared_from_this();
-  this->socket.async_connect(this->peer,
-                             [self](const asio::error_code& aError) {
-                               self->timer.cancel();
-                               if (aError) {
-                                 self->StartBackoff();
-                                 return;
-                               }
-                               self->OnOpen();
-                             });
+  zincstep::Connect(this->socket, this->peer,
+                    [self](const asio::error_code& aError) {
+                      self->timer.cancel();
+                      if (aError) {
+                        self->StartBackoff();
+                        return;
+                      }
+                      self->OnOpen();
+                    });
   this->timer.expires_after(this->settings.connectTimeout);
   this->timer.async_wait([self](const asio::error_code& aError) {
     asio::error_code ignored;
