--- a/UnitTests/EdgeChild.h
+++ b/UnitTests/EdgeChild.h
@@ -14,10 +14,10 @@
   static constexpr const char* kRequiredVariable = "ZINCSTEP_STORE";
   /// Variables that may be an empty text.
   static constexpr std::array kOptionalVariables{
-      "ZINCSTEP_MEMORY_MB",   "ZINCSTEP_LINK_MBPS",
-      "ZINCSTEP_RETRY_RATIO", "ZINCSTEP_DRAIN_NOTICE_MS",
-      "ZINCSTEP_FIRST_START", "ZINCSTEP_FAIL_CLOSED",
-      "ZINCSTEP_LOAD_SURVEY", "ZINCSTEP_SEEDS",
+      "ZINCSTEP_MEMORY_MB",     "ZINCSTEP_LINK_MBPS",
+      "ZINCSTEP_RETRY_RATIO",   "ZINCSTEP_DRAIN_NOTICE_MS",
+      "ZINCSTEP_FIRST_START",   "ZINCSTEP_FAIL_CLOSED",
+      "ZINCSTEP_LOAD_SURVEY",   "ZINCSTEP_SEEDS",
       "ZINCSTEP_FORWARD_LISTEN"};
   /// Two variables with durations.
   static constexpr std::array kMillisVariables{"ZINCSTEP_DRAIN_NOTICE_MS",
--- a/UnitTests/ProcessStartTest.cpp
+++ b/UnitTests/ProcessStartTest.cpp
@@ -93,8 +93,7 @@
   }
 
   void Start_StoppedWhilePortIsInUse_ExitsWithZero() {
-    OutgoingConnection other(
-        Child::PortOf(settings, "ZINCSTEP_PEER_LISTEN"));
+    OutgoingConnection other(Child::PortOf(settings, "ZINCSTEP_PEER_LISTEN"));
     ChildProcess daemon(settings);
     CPPUNIT_ASSERT(daemon.ReadUntil("\"event\":\"listen_failed\""));
     daemon.Signal(SIGTERM);
@@ -110,9 +109,9 @@
         ChildProcess daemon(wrong);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(daemon.Output(), std::string("exit 1"),
                                      daemon.WaitForEnd());
-        CPPUNIT_ASSERT_MESSAGE(daemon.Output(),
-                               daemon.LastLine().find("start_failed") !=
-                                   std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(
+            daemon.Output(),
+            daemon.LastLine().find("start_failed") != std::string::npos);
       }
     }
   }
--- a/Zincstep/Entry/EntryDaemon.cpp
+++ b/Zincstep/Entry/EntryDaemon.cpp
@@ -1,11 +1,15 @@
 #include "Zincstep/Entry/EntryDaemon.h"
 
+#include <algorithm>
+#include <atomic>
+#include <charconv>
 #include <csignal>
 #include <cstdio>
 #include <random>
 #include <thread>
 
 #include "Zincstep/Entry/Router.h"
+#include "Zincstep/Process/Process.h"
 
 namespace zincstep {
 
@@ -15,13 +19,17 @@
 /// Delay before the servers stop, so that the last responses are sent.
 constexpr auto kFinalWriteDelay = std::chrono::milliseconds(100);
 
+/// Returns the settings of a server on `aAddress`, whose form the reader of the
+/// settings has checked; the port is 0 if it has none.
 HttpServerSettings ServerSettings(const EntrySettings& aSettings,
                                   const std::string& aAddress) {
   HttpServerSettings settings;
   const std::size_t colon = aAddress.rfind(':');
   settings.address = aAddress.substr(0, colon);
-  settings.port =
-      static_cast<std::uint16_t>(std::stoi(aAddress.substr(colon + 1)));
+  if (colon != std::string::npos) {
+    const char* end = aAddress.data() + aAddress.size();
+    std::from_chars(aAddress.data() + colon + 1, end, settings.port);
+  }
   settings.maxBodyBytes = static_cast<std::size_t>(aSettings.maxBodyBytes);
   settings.maxConnections = static_cast<std::size_t>(aSettings.maxConnections);
   settings.readTimeout = aSettings.readTimeout;
@@ -165,12 +173,16 @@
     transportSettings.listen = this->settings.peerListen;
     transportSettings.seed = this->seed + 1;
     this->transport = MakePeerTransport(transportSettings, this->listeners);
-    for (const Result<void>& started :
-         {this->transport->Start(), this->admin->Start(),
-          this->callers->Start()}) {
-      if (!started) {
-        return started;
-      }
+    // Callers come last: they connect to a daemon that can serve them soon.
+    Result<void> started = this->transport->Start();
+    if (started) {
+      started = this->admin->Start();
+    }
+    if (started) {
+      started = this->callers->Start();
+    }
+    if (!started) {
+      return started;
     }
     EntrySettings& bound = this->settings;
     bound.listen = WithPort(bound.listen, this->callers->Port());
@@ -284,39 +296,125 @@
 
 namespace {
 
-/// Blocks the stop signals in this thread and in the threads that it starts.
-sigset_t BlockSignals() {
+/// Delays between attempts to start while an address is in use, as by a
+/// predecessor or by another process's connection, whose port may be kept for
+/// 60 s after its end.
+constexpr Micros kMinListenDelay = 50ms;
+constexpr Micros kMaxListenDelay = 1s;
+constexpr int kFailedStatus = 1;
+
+sigset_t HandledSignals() {
   sigset_t signals;
   sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGUSR1);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  for (const int signal : kHandledSignals) {
+    sigaddset(&signals, signal);
+  }
   return signals;
 }
 
-}  // namespace
+/// Returns whether a signal asks the process to end; logs one that does not.
+bool IsStop(int aSignal) {
+  if (aSignal == SIGHUP) {
+    LogInfo("settings_unchanged",
+            {{"reason", "settings come with the start of the process"}});
+  }
+  return aSignal == SIGTERM || aSignal == SIGINT;
+}
 
-int RunEntryDaemon(EntrySettings aSettings) {
-  const sigset_t signals = BlockSignals();
-  EntryDaemon daemon(std::move(aSettings));
-  const Result<void> started = daemon.Start();
-  if (!started) {
-    std::fprintf(stderr, "zincstep-entry: %s\n",
-                 started.error().message.c_str());
-    return 1;
+/// Waits for `aDelay`; returns early with true on a signal to stop.
+bool WaitForStop(Micros aDelay) {
+  const sigset_t signals = HandledSignals();
+  const auto until = std::chrono::steady_clock::now() + aDelay;
+  for (;;) {
+    const auto left = std::max<std::chrono::nanoseconds>(
+        until - std::chrono::steady_clock::now(), 0ns);
+    const timespec timeout{left / 1s, (left % 1s).count()};
+    const int signal = sigtimedwait(&signals, nullptr, &timeout);
+    if (signal > 0 && IsStop(signal)) {
+      return true;
+    }
+    if (left == 0ns) {
+      return false;
+    }
   }
-  std::thread waiter([&signals, &daemon] {
+}
+
+/// Receives signals for a daemon on a thread of its own until it is destroyed.
+class SignalThread {
+ public:
+  explicit SignalThread(EntryDaemon& aDaemon)
+      : thread([this, &aDaemon] { this->Run(aDaemon); }) {}
+  ~SignalThread() {
+    this->isEnding = true;
+    // Ends its wait.
+    pthread_kill(this->thread.native_handle(), SIGTERM);
+    this->thread.join();
+  }
+  SignalThread(const SignalThread&) = delete;
+  SignalThread& operator=(const SignalThread&) = delete;
+
+ private:
+  void Run(EntryDaemon& aDaemon) {
+    const sigset_t signals = HandledSignals();
     int signal = 0;
-    while (sigwait(&signals, &signal) == 0 && signal != SIGUSR1) {
-      daemon.RequestStop();
+    while (sigwait(&signals, &signal) == 0 && !this->isEnding) {
+      if (IsStop(signal)) {
+        aDaemon.RequestStop();
+      }
+    }
+  }
+
+  std::atomic<bool> isEnding{false};
+  std::thread thread;
+};
+
+/// Starts a daemon; waits while one of its addresses is in use. Returns null if
+/// a signal stops the process before.
+Result<std::unique_ptr<EntryDaemon>> StartOrStop(
+    const EntrySettings& aSettings) {
+  Micros delay = kMinListenDelay;
+  for (;;) {
+    // Each attempt has a daemon of its own: without its router, events of open
+    // listeners would fill the ring.
+    auto daemon = std::make_unique<EntryDaemon>(aSettings);
+    const Result<void> started = daemon->Start();
+    if (started) {
+      return daemon;
+    }
+    if (started.error().kind != ErrorKind::NotReady) {
+      return tl::unexpected(started.error());
+    }
+    daemon.reset();
+    LogWarning("listen_failed", {{"reason", started.error().message},
+                                 {"retry_ms", delay / 1ms}});
+    if (WaitForStop(delay)) {
+      LogInfo("stopping");
+      return nullptr;
     }
-  });
-  daemon.Wait();
-  pthread_kill(waiter.native_handle(), SIGUSR1);
-  waiter.join();
-  return 0;
+    delay = std::min(2 * delay, kMaxListenDelay);
+  }
+}
+
+}  // namespace
+
+int RunEntryDaemon(EntrySettings aSettings) {
+  LogInfo("starting", {{"vm", aSettings.vm}});
+  try {
+    const auto started = StartOrStop(aSettings);
+    if (!started) {
+      LogError("start_failed", {{"reason", started.error().message}});
+      return kFailedStatus;
+    }
+    if (EntryDaemon* daemon = started->get()) {
+      const SignalThread signals(*daemon);
+      daemon->Wait();
+    }
+    return 0;
+  } catch (const std::exception& error) {
+    // The system has no more descriptors, threads or memory.
+    LogError("start_failed", {{"reason", error.what()}});
+    return kFailedStatus;
+  }
 }
 
 }  // namespace zincstep
--- a/Zincstep/Entry/EntryDaemon.h
+++ b/Zincstep/Entry/EntryDaemon.h
@@ -15,7 +15,8 @@
   EntryDaemon(const EntryDaemon&) = delete;
   EntryDaemon& operator=(const EntryDaemon&) = delete;
 
-  /// Opens the listeners and starts the threads.
+  /// Opens the listeners and starts the threads. Fails as `ListenOn`; the
+  /// object cannot be started again then.
   Result<void> Start();
   /// Starts a graceful stop: the daemon drains, refuses new requests, finishes
   /// the open ones and hands over its claims.
@@ -33,7 +34,8 @@
   std::unique_ptr<Parts> parts;
 };
 
-/// Runs an entry daemon until SIGTERM or SIGINT; returns the exit status.
+/// Runs an entry daemon until SIGTERM or SIGINT, in a process prepared by
+/// `PrepareProcess`; returns the exit status.
 int RunEntryDaemon(EntrySettings aSettings);
 
 }  // namespace zincstep
--- a/Zincstep/Net/CurlTransfer.cpp
+++ b/Zincstep/Net/CurlTransfer.cpp
@@ -38,8 +38,8 @@
   return failed == 0 ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
 }
 
-/// Fails a transfer whose connection is connected to itself, before a request is
-/// sent; libcurl closes the connection.
+/// Fails a transfer whose connection is connected to itself, before a request
+/// is sent; libcurl closes the connection.
 int OnConnected(void*, char* aRemoteAddress, char* aLocalAddress,
                 int aRemotePort, int aLocalPort) {
   const bool isSelf = aRemotePort == aLocalPort &&
--- a/Zincstep/Net/HttpServer.h
+++ b/Zincstep/Net/HttpServer.h
@@ -42,7 +42,7 @@
  public:
   virtual ~HttpServer() = default;
 
-  /// Starts listening; fails if the address is invalid or in use.
+  /// Starts listening; fails as `ListenOn`.
   virtual Result<void> Start() = 0;
   /// Closes all connections and ends the thread.
   virtual void Stop() = 0;
--- a/Zincstep/Net/RestinioServer.cpp
+++ b/Zincstep/Net/RestinioServer.cpp
@@ -1,5 +1,6 @@
 #include <future>
 #include <restinio/all.hpp>
+#include <system_error>
 #include <thread>
 #include <unordered_map>
 
@@ -55,6 +56,8 @@
 
  private:
   std::unique_ptr<Server> MakeServer();
+  /// Returns the error of a start that failed for `aReason`.
+  Result<void> ListenError(ErrorKind aKind, const char* aReason) const;
   restinio::request_handling_status_t OnRequest(
       const restinio::request_handle_t& aRequest);
   Result<void> CheckLimits(const HttpRequest& aRequest) const;
@@ -120,24 +123,32 @@
 }
 
 Result<void> RestinioServer::Start() {
-  this->server = this->MakeServer();
-  std::promise<std::string> startError;
-  this->server->open_async([&startError] { startError.set_value(""); },
-                           [&startError](const std::exception_ptr& aError) {
-                             try {
-                               std::rethrow_exception(aError);
-                             } catch (const std::exception& error) {
-                               startError.set_value(error.what());
-                             }
-                           });
-  this->thread = std::thread([this] { this->server->io_context().run(); });
-  const std::string error = startError.get_future().get();
-  if (error.empty()) {
+  try {
+    this->server = this->MakeServer();
+    const auto opened = std::make_shared<std::promise<void>>();
+    this->server->open_async([opened] { opened->set_value(); },
+                             [opened](std::exception_ptr aError) {
+                               opened->set_exception(std::move(aError));
+                             });
+    this->thread = std::thread([this] { this->server->io_context().run(); });
+    opened->get_future().get();
     return {};
+  } catch (const std::system_error& error) {
+    this->Stop();
+    return this->ListenError(error.code() == asio::error::address_in_use
+                                 ? ErrorKind::NotReady
+                                 : ErrorKind::Internal,
+                             error.what());
+  } catch (const std::exception& error) {
+    this->Stop();
+    return this->ListenError(ErrorKind::Internal, error.what());
   }
-  this->Stop();
-  return Fail(ErrorKind::Internal,
-              "cannot listen on " + this->settings.address + ": " + error);
+}
+
+Result<void> RestinioServer::ListenError(ErrorKind aKind,
+                                         const char* aReason) const {
+  return Fail(aKind, "cannot listen on " + this->settings.address + ":" +
+                         std::to_string(this->settings.port) + ": " + aReason);
 }
 
 void RestinioServer::Stop() {
--- a/Zincstep/Net/TcpSocket.cpp
+++ b/Zincstep/Net/TcpSocket.cpp
@@ -135,16 +135,16 @@
                [error, done = std::move(aDone)] { done(error); });
     return;
   }
-  aSocket.async_connect(aEndpoint, [&aSocket, done = std::move(aDone)](
-                                       asio::error_code aError) {
-    if (!aError && IsConnectedToItself(aSocket)) {
-      asio::error_code ignored;  // Resets; the port must be free at once.
-      aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
-      aSocket.close(ignored);
-      aError = asio::error::connection_refused;
-    }
-    done(aError);
-  });
+  aSocket.async_connect(
+      aEndpoint, [&aSocket, done = std::move(aDone)](asio::error_code aError) {
+        if (!aError && IsConnectedToItself(aSocket)) {
+          asio::error_code ignored;  // Resets; the port must be free at once.
+          aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+          aSocket.close(ignored);
+          aError = asio::error::connection_refused;
+        }
+        done(aError);
+      });
 }
 
 void SetSocketOptions(TcpSocket& aSocket, Micros aTimeout) {
--- a/Zincstep/Net/TcpSocket.h
+++ b/Zincstep/Net/TcpSocket.h
@@ -22,7 +22,8 @@
                       const std::string& aAddress);
 
 /// Connects `aSocket` to `aEndpoint` and calls `aDone` later with the result;
-/// `aDone` must keep the socket alive. All outgoing connections are opened here.
+/// `aDone` must keep the socket alive. All outgoing connections are opened
+/// here.
 ///
 /// Sets `SO_REUSEADDR`: without it a listener cannot bind to the local port of
 /// this connection, until 60 s after its end. A dial to a port of the ephemeral
