The client, the load tool and the stand-ins prepare their process

Callers saw: a client that ends by SIGPIPE in place of the status that scripts read, and stand-ins that have to be killed. Cause: they took signals and descriptors as the parent had left them, and the stand-ins installed their handlers after they listened.

--- a/Client/Main.cpp
+++ b/Client/Main.cpp
@@ -1,4 +1,5 @@
 #include "Client/Commands.h"
+#include "Zincstep/Process/Process.h"
 #include "Zincstep/Settings/Settings.h"
 
 namespace {
@@ -26,6 +27,7 @@
 }  // namespace
 
 int main(int aCount, char** aArguments) {
+  zincstep::PrepareProgram();
   zincstep::client::ClientSettings settings;
   zincstep::SettingsReader reader("zincstep", kUsage);
   reader.Address("platform", settings.platform,
--- a/LoadTool/Main.cpp
+++ b/LoadTool/Main.cpp
@@ -1,9 +1,11 @@
 #include <cstdio>
 
 #include "LoadTool/LoadRun.h"
+#include "Zincstep/Process/Process.h"
 #include "Zincstep/Settings/Settings.h"
 
 int main(int aCount, char** aWords) {
+  zincstep::PrepareProgram();
   zincstep::load::LoadSettings settings;
   std::string targets = "127.0.0.1:8080";
   zincstep::SettingsReader reader("zincstep-load", "[flags]");
--- a/StandIns/EngineMain.cpp
+++ b/StandIns/EngineMain.cpp
@@ -1,11 +1,13 @@
 #include <cstdio>
 
 #include "StandIns/EngineStandIn.h"
+#include "Zincstep/Process/Process.h"
 #include "Zincstep/Settings/Settings.h"
 
 using namespace zincstep;
 
 int main(int aCount, char** aWords) {
+  PrepareProgram();
   standins::EngineStandInSettings settings;
   settings.address = "127.0.0.1:7300";
   std::int64_t first = 0;
@@ -42,13 +44,13 @@
   settings.accelerator.prefillLayerNanos = prefill;
   settings.seed = static_cast<std::uint64_t>(seed);
   standins::EngineStandIn engine(settings);
+  standins::QuitOnSignals(engine.Server());
   const Result<void> started = engine.Start();
   if (!started) {
     std::fprintf(stderr, "standin-engine: %s\n",
                  started.error().message.c_str());
     return 1;
   }
-  standins::QuitOnSignals(engine.Server());
   engine.Run();
   return 0;
 }
--- a/Zincstep/Process/Process.cpp
+++ b/Zincstep/Process/Process.cpp
@@ -46,6 +46,16 @@
   }
 }
 
+/// Replaces what the parent has left: the signals that are blocked, and closed
+/// descriptors.
+void Prepare(const sigset_t& aBlocked) {
+  pthread_sigmask(SIG_SETMASK, &aBlocked, nullptr);
+  for (const int signal : kIgnoredSignals) {
+    std::signal(signal, SIG_IGN);
+  }
+  OpenStandardDescriptors();
+}
+
 /// Runs `StopLog` with a timeout; returns whether it has ended.
 bool StopLogInTime() {
   std::promise<void> stopped;
@@ -80,16 +90,16 @@
 }  // namespace
 
 void PrepareProcess() {
-  const sigset_t handled = HandledSignals();
-  // Replaces the mask that the parent has left.
-  pthread_sigmask(SIG_SETMASK, &handled, nullptr);
-  for (const int signal : kIgnoredSignals) {
-    std::signal(signal, SIG_IGN);
-  }
-  OpenStandardDescriptors();
+  Prepare(HandledSignals());
   std::set_terminate(OnTerminate);
 }
 
+void PrepareProgram() {
+  sigset_t none;
+  sigemptyset(&none);
+  Prepare(none);
+}
+
 DeliverSignals::DeliverSignals() {
   const sigset_t handled = HandledSignals();
   pthread_sigmask(SIG_UNBLOCK, &handled, nullptr);
--- a/Zincstep/Process/Process.h
+++ b/Zincstep/Process/Process.h
@@ -21,6 +21,10 @@
 /// `DeliverSignals`.
 void PrepareProcess();
 
+/// The same for a program that is no daemon: its stop signals are delivered,
+/// and `SIGHUP` has its default action.
+void PrepareProgram();
+
 /// Delivers `kHandledSignals` to this thread, including those held back so far,
 /// for as long as the object exists. Their handlers must be installed before,
 /// and remain until after.
