The soak injects faults of processes: signals, ports in use, odd entries, starts

--process-faults sends series of SIGHUP, SIGUSR1 and SIGUSR2, from the first output of a start on; takes ports of daemons that are down, by a listener or as the local end of a connection; writes odd entries beside the real ones of the store; and starts daemons with an unread output or 200 descriptors. An end that the soak did not ask for is reported with its last log line.

--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -34,6 +34,9 @@
     "  --late-links    links of exited upstreams accept, then reset later\n"
     "  --quick-restarts  crashed upstreams restart at once\n"
     "  --restores      the store is restored from backups meanwhile\n"
+    "  --process-faults  signals, ports in use, odd store entries, and starts\n"
+    "                  with unread output or few descriptors meanwhile\n"
+    "  --shallow-entries  no odd entry is nested 150,000 deep\n"
     "  --stops         at the end, overlapping stops of daemons\n"
     "  --failures      at the end, upstreams that fail most requests beside\n"
     "                  faults of daemons\n"
@@ -73,6 +76,8 @@
       {"restores", no_argument, nullptr, 'r'},
       {"partitions", no_argument, nullptr, 'p'},
       {"stops", no_argument, nullptr, 'o'},
+      {"process-faults", no_argument, nullptr, 'z'},
+      {"shallow-entries", no_argument, nullptr, 'v'},
       {nullptr, 0, nullptr, 0}};
   for (int flag = 0;
        (flag = getopt_long(aCount, aArguments, "", options, nullptr)) != -1;) {
@@ -151,6 +156,12 @@
       case 'p':
         settings.hasPartitions = true;
         break;
+      case 'z':
+        settings.hasProcessFaults = true;
+        break;
+      case 'v':
+        settings.hasShallowEntries = true;
+        break;
       case 'o':
         settings.hasStops = true;
         break;
--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -52,6 +52,10 @@
     std::unique_ptr<FaultProxy> storeLink;
     std::unique_ptr<DaemonProcess> process;
     TcpEndpoint address;
+    /// All addresses that it listens on.
+    std::vector<TcpEndpoint> listening;
+    /// Signals without a meaning that it is still to be sent, one each tick.
+    std::uint64_t signals = 0;
     /// Set while a fault keeps it down; the fault's end clears this.
     bool isDown = false;
     /// Whether it is partitioned from all upstreams.
@@ -178,6 +182,18 @@
   /// Partitions all daemons from the store for longer than a revoked key may
   /// still be accepted, so that none learns of the revocation.
   void PartitionAllFromStore();
+  /// Starts a daemon unless it is running; with faults of processes, under
+  /// conditions drawn for this start, and with signals from its first output
+  /// on.
+  bool StartDaemon(Daemon& aDaemon);
+  /// Sends the signals that are due and injects a fault of processes.
+  void TickProcessFaults(Instant aNow);
+  /// Takes a port of a daemon that is down, or that it kills, by a listener or
+  /// as the local end of a connection.
+  void TakePort(Daemon& aDaemon);
+  /// Writes, changes or removes an entry that is no one's beside the real ones.
+  void WriteOddEntry();
+  std::string DrawOddEntry();
   void RecordFault(const std::string& aFault);
   void ScheduleHeal(std::function<void()> aAction);
   void HealAll();
@@ -211,6 +227,8 @@
   Random linkRandom;
   /// The same for partitions from upstreams.
   Random partitionRandom;
+  /// The same for faults of processes.
+  Random processRandom;
   SoakStore store;
   SoakCaller callers;
   InvariantChecker checker;
@@ -225,6 +243,7 @@
   Instant nextBlackhole{};
   Instant nextRestore{};
   Instant nextPartition{};
+  Instant nextProcessFault{};
   /// Set while first attempts are recorded.
   std::optional<std::vector<FirstAttempt>> firstAttempts;
   bool isInjecting = false;
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -40,6 +40,8 @@
 /// Between two restores of the store.
 constexpr Micros kMinRestoreInterval = 2s;
 constexpr Micros kRestoreIntervalSpread = 5s;
+/// A daemon that ends at each start does so up to 100 times a second.
+constexpr std::size_t kReportedEnds = 5;
 constexpr int kOk = 200;
 /// Number of the first daemon's address in its network.
 constexpr int kFirstAddress = 10;
@@ -97,6 +99,7 @@
       restoreRandom(Hash64("restore", aSettings.seed)),
       linkRandom(Hash64("link", aSettings.seed)),
       partitionRandom(Hash64("partition", aSettings.seed)),
+      processRandom(Hash64("process", aSettings.seed)),
       store(this->loop, this->clock),
       callers(this->loop, this->clock),
       timer(this->loop) {
@@ -147,6 +150,9 @@
     daemon->storeLink =
         std::make_unique<FaultProxy>(this->loop, this->store.Port());
     daemon->address = ParseEndpoint(host + callers).value();
+    for (const std::string& port : {callers, admin, peers, forwards}) {
+      daemon->listening.push_back(ParseEndpoint(host + port).value());
+    }
     const std::string name = "d" + std::to_string(i);
     daemon->process = std::make_unique<DaemonProcess>(
         this->settings.daemon, this->settings.logs + "/" + name + ".log",
@@ -172,7 +178,7 @@
 
 SoakOutcome Soak::Run() {
   for (const auto& daemon : this->daemons) {
-    if (!daemon->process->Start()) {
+    if (!this->StartDaemon(*daemon)) {
       this->checker.AddViolation("a daemon could not be started");
     }
   }
@@ -226,8 +232,11 @@
   // Rejected requests must not run later either.
   this->loop.run_for(kCallerTimeout);
   for (const auto& daemon : this->daemons) {
-    for (const std::string& end : daemon->process->UnexpectedEnds()) {
-      this->checker.AddViolation("a daemon ended by itself: " + end);
+    const auto& ends = daemon->process->UnexpectedEnds();
+    for (std::size_t i = 0; i < std::min(ends.size(), kReportedEnds); ++i) {
+      this->checker.AddViolation("a daemon ended by itself, " +
+                                 std::to_string(i + 1) + " of " +
+                                 std::to_string(ends.size()) + ": " + ends[i]);
     }
   }
   this->outcome.violations = this->checker.Close();
@@ -276,9 +285,12 @@
   }
   for (const auto& daemon : this->daemons) {
     if (!daemon->isDown && !daemon->process->IsRunning()) {
-      daemon->process->Start();
+      this->StartDaemon(*daemon);
     }
   }
+  if (this->settings.hasProcessFaults) {
+    this->TickProcessFaults(now);
+  }
   this->SendDue(now);
   if (this->isInjecting && now >= this->nextFault) {
     this->nextFault = now + this->Draw(kMinFaultInterval, kFaultIntervalSpread);
--- a/SoakTests/SoakRun.h
+++ b/SoakTests/SoakRun.h
@@ -86,6 +86,13 @@
   bool hasFailures = false;
   /// Whether upstreams are stopped for longer than a retry window at the end.
   bool hasStoppedUpstreams = false;
+  /// Whether daemons are sent signals without a meaning, find their ports in
+  /// use, read odd entries in the store, and start with an unread output or few
+  /// descriptors.
+  bool hasProcessFaults = false;
+  /// Whether no odd entry is nested so deeply that a recursive reader runs out
+  /// of stack.
+  bool hasShallowEntries = false;
 };
 
 /// Result of one run.
