--- a/SoakTests/InvariantChecker.cpp
+++ b/SoakTests/InvariantChecker.cpp
@@ -31,7 +31,9 @@
       fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
                   std::chrono::time_point_cast<std::chrono::seconds>(now),
                   now.time_since_epoch().count() % 1000);
-  this->events << aFields.dump() << std::endl;
+  this->events << aFields.dump(-1, ' ', false,
+                               nlohmann::json::error_handler_t::replace)
+               << std::endl;
 }
 
 void InvariantChecker::OnRequestSent(const std::string& aId, RequestKind aKind,
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -40,7 +40,8 @@
 /// Between two restores of the store.
 constexpr Micros kMinRestoreInterval = 2s;
 constexpr Micros kRestoreIntervalSpread = 5s;
-/// A daemon that ends at each start does so up to 100 times a second.
+/// Ends of each daemon that are reported; the log has them all. A daemon that
+/// ends at each start does so up to 100 times a second.
 constexpr std::size_t kReportedEnds = 5;
 constexpr int kOk = 200;
 /// Number of the first daemon's address in its network.
@@ -233,10 +234,13 @@
   this->loop.run_for(kCallerTimeout);
   for (const auto& daemon : this->daemons) {
     const auto& ends = daemon->process->UnexpectedEnds();
-    for (std::size_t i = 0; i < std::min(ends.size(), kReportedEnds); ++i) {
-      this->checker.AddViolation("a daemon ended by itself, " +
-                                 std::to_string(i + 1) + " of " +
-                                 std::to_string(ends.size()) + ": " + ends[i]);
+    for (std::size_t i = 0; i < ends.size(); ++i) {
+      this->checker.WriteEvent("daemon_ended", {{"end", ends[i]}});
+      if (i < kReportedEnds) {
+        this->checker.AddViolation(
+            "a daemon ended by itself, " + std::to_string(i + 1) + " of " +
+            std::to_string(ends.size()) + ": " + ends[i]);
+      }
     }
   }
   this->outcome.violations = this->checker.Close();
