--- a/UnitTests/NestedTextTest.cpp
+++ b/UnitTests/NestedTextTest.cpp
@@ -166,8 +166,8 @@
     for (const std::string& text :
          NestedIn(R"("running":1)", {"layers", "stalled", "born", "x"})) {
       UpstreamEntry entry;
-      entry.id = "i1";
       entry.address = this->Serve(text);
+      entry.id = entry.address;  // Connections are pooled by upstream.
       entry.startTimeMs = 7;
       std::optional<Result<UpstreamReport>> report;
       control->Report(entry, 5s, [&](Result<UpstreamReport> aResult) {
