One parser for JSON of other processes, with limits on nesting and size (FAULT)

Cause: each reader called nlohmann::json::parse itself; a value nested 150,000 levels ended the process when it was copied or destroyed.

Change: Core/ForeignJson scans the text for its nesting (64 levels) before the parser runs, and is used for all texts from outside. It also writes JSON with U+FFFD for bytes that are not UTF-8: nlohmann::json::dump throws on them, which ended the process in calls to the store and in orders. A malformed configuration piece fails instead of throwing.

--- a/Client/Commands.cpp
+++ b/Client/Commands.cpp
@@ -8,6 +8,7 @@
 #include <sstream>
 #include <thread>
 
+#include "Zincstep/Core/ForeignJson.h"
 #include "Zincstep/Net/Net.h"
 
 namespace zincstep::client {
@@ -335,7 +336,7 @@
   if (this->settings.json) {
     Json list = Json::array();
     for (const DomainStatus& domain : *domains) {
-      list.push_back(Json::parse(WriteDomainStatus(domain)));
+      list.push_back(ParseForeignJsonOrThrow(WriteDomainStatus(domain)));
     }
     PrintJson({{"revision", revision}, {"failure_domains", list}});
     return ExitStatus::Ok;
@@ -392,8 +393,8 @@
     return Fail(ErrorKind::PlatformUnavailable,
                 this->settings.daemon + " did not respond: " + result.fault);
   }
-  Json json = Json::parse(result.body, nullptr, false);
-  if (result.status != 200 || !json.is_object()) {
+  Result<Json> json = ParseForeignJson(result.body);
+  if (result.status != 200 || !json || !json->is_object()) {
     return Fail(ErrorKind::BadRequest, result.body);
   }
   return json;
@@ -407,7 +408,7 @@
   if (this->settings.json) {
     PrintJson(*json);
   } else {
-    std::printf("%s\n", json->dump(2).c_str());
+    std::printf("%s\n", WriteJson(*json, 2).c_str());
   }
   return ExitStatus::Ok;
 }
--- a/Client/Console.cpp
+++ b/Client/Console.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "Zincstep/Core/ForeignJson.h"
+
 namespace zincstep::client {
 
 Table::Table(std::vector<std::string> aHeaders) {
@@ -33,7 +35,7 @@
 }
 
 void PrintJson(const nlohmann::json& aJson) {
-  std::printf("%s\n", aJson.dump().c_str());
+  std::printf("%s\n", WriteJson(aJson).c_str());
 }
 
 ExitStatus PrintError(const Error& aError) {
--- a/Zincstep/Config/ConfigurationPieces.cpp
+++ b/Zincstep/Config/ConfigurationPieces.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "Zincstep/Core/ForeignJson.h"
+
 namespace zincstep {
 
 namespace {
@@ -35,10 +37,11 @@
 }
 
 std::string ItemName(const Json& aItem) {
-  if (aItem.is_object() && aItem.contains("name")) {
+  if (aItem.is_object() && aItem.contains("name") &&
+      aItem.at("name").is_string()) {
     return aItem.at("name").get<std::string>();
   }
-  return aItem.dump();
+  return WriteJson(aItem);
 }
 
 std::string BucketName(const std::string& aSection, const std::string& aItem) {
@@ -55,13 +58,16 @@
     if (text == aPieces.texts.end()) {
       continue;
     }
-    const Json piece = Json::parse(text->second);
+    const Result<Json> piece = ParseForeignJson(text->second);
     const std::string section = name.section.substr(0, name.section.find('/'));
-    if (!piece.is_array()) {
-      items[section] = piece;
+    if (!piece) {
+      continue;  // No configuration has it: JoinConfiguration rejects it.
+    }
+    if (!piece->is_array()) {
+      items[section] = *piece;
       continue;
     }
-    for (const Json& item : piece) {
+    for (const Json& item : *piece) {
       items[section + "/" + ItemName(item)] = item;
     }
   }
@@ -70,7 +76,7 @@
 
 void AddPiece(ConfigurationPieces& aPieces, const std::string& aSection,
               const Json& aContent) {
-  const std::string text = aContent.dump();
+  const std::string text = WriteJson(aContent);
   const std::string digest = Sha256Hex(text);
   aPieces.names.push_back({aSection, digest});
   aPieces.texts[digest] = text;
@@ -119,17 +125,25 @@
     }
     const std::size_t slash = name.section.find('/');
     const std::string section = name.section.substr(0, slash);
-    const Json piece = Json::parse(text->second);
+    const Result<Json> piece = ParseForeignJson(text->second);
+    if (!piece) {
+      return Fail(ErrorKind::Internal,
+                  "piece " + name.section + ": " + piece.error().message);
+    }
+    Json& content = root[section];
     if (slash == std::string::npos) {
-      root[section] = piece;
+      content = *piece;
       continue;
     }
-    Json& list = root[section];
-    for (const Json& item : piece) {
-      list.push_back(item);
+    if (!piece->is_array() || !(content.is_null() || content.is_array())) {
+      return Fail(ErrorKind::Internal,
+                  "piece " + name.section + " is not part of a list");
+    }
+    for (const Json& item : *piece) {
+      content.push_back(item);
     }
   }
-  return root.dump(1);
+  return WriteJson(root, 1);
 }
 
 std::vector<ConfigurationChange> CompareConfigurations(
--- a/Zincstep/Control/ConfigurationStore.cpp
+++ b/Zincstep/Control/ConfigurationStore.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "Zincstep/Core/ForeignJson.h"
+
 namespace zincstep {
 
 namespace {
@@ -36,7 +38,7 @@
 
 Result<ConfigurationRoot> ReadRoot(const std::string& aText) {
   try {
-    const Json json = Json::parse(aText);
+    const Json json = ParseForeignJsonOrThrow(aText);
     ConfigurationRoot root;
     root.revision = json.at("revision").get<std::uint64_t>();
     root.acceptedAt = json.at("accepted_at").get<std::int64_t>();
--- a/Zincstep/Control/DomainStatus.cpp
+++ b/Zincstep/Control/DomainStatus.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "Zincstep/Core/ForeignJson.h"
+
 namespace zincstep {
 
 namespace {
@@ -33,7 +35,7 @@
 
 Result<DomainStatus> ReadDomainStatus(const std::string& aText) {
   try {
-    const Json json = Json::parse(aText);
+    const Json json = ParseForeignJsonOrThrow(aText);
     DomainStatus status;
     status.failureDomain = json.at("failure_domain").get<std::string>();
     status.leader = json.at("holder").get<std::string>();
--- a/Zincstep/Edge/BlockList.cpp
+++ b/Zincstep/Edge/BlockList.cpp
@@ -1,8 +1,8 @@
 #include "Zincstep/Edge/BlockList.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
+#include "Zincstep/Core/ForeignJson.h"
 #include "Zincstep/Telemetry/Telemetry.h"
 
 namespace zincstep {
@@ -34,7 +34,7 @@
   for (const auto& [request, upstreams] : aContent.suspected) {
     list[kSuspectedField][TextOf(request)] = upstreams;
   }
-  return list.dump();
+  return WriteJson(list);
 }
 
 std::optional<std::set<Fingerprint>> ParseBlocked(const nlohmann::json& aList) {
@@ -81,9 +81,10 @@
 }
 
 std::optional<BlockList::Content> ParseList(const std::string& aText) {
-  const auto json = nlohmann::json::parse(aText, nullptr, false);
-  const auto blocked = ParseBlocked(json);
-  const auto suspected = blocked ? ParseSuspected(json) : std::nullopt;
+  const auto json =
+      ParseForeignJson(aText, JsonLimits{.maxBytes = kMaxEntryBytes});
+  const auto blocked = json ? ParseBlocked(*json) : std::nullopt;
+  const auto suspected = blocked ? ParseSuspected(*json) : std::nullopt;
   return suspected ? std::optional<BlockList::Content>({*blocked, *suspected})
                    : std::nullopt;
 }
--- a/Zincstep/Edge/DaemonEntry.cpp
+++ b/Zincstep/Edge/DaemonEntry.cpp
@@ -1,6 +1,8 @@
 #include "Zincstep/Edge/DaemonEntry.h"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
+
+#include "Zincstep/Core/ForeignJson.h"
 
 namespace zincstep {
 
@@ -11,6 +13,8 @@
 constexpr const char* kAddressField = "peer";
 constexpr const char* kDomainField = "failure_domain";
 constexpr const char* kLinkField = "link_mbps";
+/// Maximum link; a greater one could not be sent to peers, as a `float`.
+constexpr double kMaxLinkMbps = 1e9;
 
 }  // namespace
 
@@ -23,10 +27,9 @@
 }
 
 std::string DaemonEntry::TextOf(const PeerName& aDaemon) {
-  return nlohmann::json{{kAddressField, aDaemon.address},
-                        {kDomainField, aDaemon.failureDomain},
-                        {kLinkField, aDaemon.linkMbps}}
-      .dump();
+  return WriteJson({{kAddressField, aDaemon.address},
+                    {kDomainField, aDaemon.failureDomain},
+                    {kLinkField, aDaemon.linkMbps}});
 }
 
 std::string DaemonEntry::NameOf(const std::string& aKey) {
@@ -37,19 +40,20 @@
 std::optional<PeerName> DaemonEntry::Parse(const std::string& aKey,
                                            const std::string& aText) {
   const std::string name = NameOf(aKey);
-  const auto json = nlohmann::json::parse(aText, nullptr, false);
+  const auto json =
+      ParseForeignJson(aText, JsonLimits{.maxBytes = kMaxEntryBytes});
   const auto isText = [&json](const char* aField) {
-    return json.is_object() && json.contains(aField) &&
-           json.at(aField).is_string();
+    return json && json->is_object() && json->contains(aField) &&
+           json->at(aField).is_string();
   };
-  if (name.empty() || !isText(kAddressField) || !isText(kDomainField)) {
+  if (!IsPlainName(name) || !isText(kAddressField) || !isText(kDomainField)) {
     return std::nullopt;
   }
-  PeerName daemon{name, json.at(kAddressField).get<std::string>(),
-                  json.at(kDomainField).get<std::string>()};
-  const auto link = json.find(kLinkField);
-  if (link != json.end() && link->is_number()) {
-    daemon.linkMbps = link->get<double>();
+  PeerName daemon{name, json->at(kAddressField).get<std::string>(),
+                  json->at(kDomainField).get<std::string>()};
+  const auto link = json->find(kLinkField);
+  if (link != json->end() && link->is_number()) {
+    daemon.linkMbps = std::clamp(link->get<double>(), 0.0, kMaxLinkMbps);
   }
   return daemon;
 }
--- a/Zincstep/Engine/EngineCodec.cpp
+++ b/Zincstep/Engine/EngineCodec.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "Zincstep/Core/ForeignJson.h"
+
 namespace zincstep {
 
 namespace {
@@ -20,7 +22,7 @@
 }
 
 std::string Encode(const Json& aJson) {
-  return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return WriteJson(aJson);
 }
 
 Json StageToJson(const EngineStage& aStage) {
@@ -49,7 +51,7 @@
 template <class T, class Decode>
 Result<T> ParseJson(std::string_view aText, ErrorKind aKind, Decode aDecode) {
   try {
-    const Json json = Json::parse(aText);
+    const Json json = ParseForeignJsonOrThrow(aText);
     return aDecode(json);
   } catch (const Json::exception& exception) {
     return Fail(aKind, exception.what());
--- a/Zincstep/Entry/CallerRequest.cpp
+++ b/Zincstep/Entry/CallerRequest.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "Zincstep/Core/ForeignJson.h"
+
 namespace zincstep {
 
 namespace {
@@ -199,12 +201,12 @@
 
 Result<CompletionRequest> ReadCompletion(const std::string& aBody,
                                          bool aIsChat) {
-  const Json json = Json::parse(aBody, nullptr, false);
-  if (!json.is_object()) {
+  const Result<Json> json = ParseForeignJson(aBody);
+  if (!json || !json->is_object()) {
     return Fail(ErrorKind::BadRequest, "the body is not a JSON object");
   }
   try {
-    return ReadFields(json, aIsChat);
+    return ReadFields(*json, aIsChat);
   } catch (const Json::exception& error) {
     return Fail(ErrorKind::BadRequest, error.what());
   }
--- a/Zincstep/Entry/DomainController.cpp
+++ b/Zincstep/Entry/DomainController.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "Zincstep/Core/ForeignJson.h"
 #include "Zincstep/Net/Net.h"
 #include "Zincstep/Telemetry/Telemetry.h"
 
@@ -284,10 +285,9 @@
   call.headers = {{"Content-Type", "application/json"}};
   call.timeout = kOrderTimeout;
   call.freshConnection = true;
-  call.body = nlohmann::json{{"fence", this->guard.Fence()},
-                             {"version", aOrder.version},
-                             {"expected_version", aOrder.expectedVersion}}
-                  .dump();
+  call.body = WriteJson({{"fence", this->guard.Fence()},
+                         {"version", aOrder.version},
+                         {"expected_version", aOrder.expectedVersion}});
   const HttpCallResult result = FetchBlocking(call);
   LogInfo("order_sent", {{"upstream", aOrder.upstream},
                          {"version", aOrder.version},
--- a/Zincstep/Entry/ResponseWriter.cpp
+++ b/Zincstep/Entry/ResponseWriter.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "Zincstep/Core/ForeignJson.h"
+
 namespace zincstep {
 
 namespace {
@@ -68,7 +70,7 @@
 }
 
 std::string ErrorEventText(const Error& aError, int aTokens) {
-  Json json = Json::parse(ErrorJson(aError));
+  Json json = ParseForeignJsonOrThrow(ErrorJson(aError));
   json["error"]["tokens"] = aTokens;
   return ServerSentEvent(json);
 }
--- a/Zincstep/Entry/StatusHandler.cpp
+++ b/Zincstep/Entry/StatusHandler.cpp
@@ -2,6 +2,8 @@
 
 #include <sys/resource.h>
 
+#include "Zincstep/Core/ForeignJson.h"
+
 namespace zincstep {
 
 namespace {
@@ -53,14 +55,14 @@
   } else if (path == "/metrics") {
     response = this->MetricsResponse();
   } else if (path == "/v1/status") {
-    response = JsonResponse(this->Status().dump());
+    response = JsonResponse(WriteJson(this->Status()));
   } else if (path == "/v1/upstreams") {
-    response = JsonResponse(this->Upstreams().dump());
+    response = JsonResponse(WriteJson(this->Upstreams()));
   } else if (path == "/v1/organisations") {
-    response = JsonResponse(this->Organisations().dump());
+    response = JsonResponse(WriteJson(this->Organisations()));
   } else if (path == "/v1/chains") {
     response =
-        JsonResponse(this->Chains(QueryValue(aRequest.query, "model")).dump());
+        JsonResponse(WriteJson(this->Chains(QueryValue(aRequest.query, "model"))));
   } else if (path == "/v1/explain") {
     response = this->Explain(aRequest);
   } else if (path == "/v1/drain" && aRequest.method == "POST") {
--- a/Zincstep/Once/MemberLists.cpp
+++ b/Zincstep/Once/MemberLists.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "Zincstep/Core/ForeignJson.h"
+
 namespace zincstep {
 
 namespace {
@@ -67,7 +69,7 @@
 
 Result<MemberLists> ReadMemberLists(const std::string& aText) {
   try {
-    const Json json = Json::parse(aText);
+    const Json json = ParseForeignJsonOrThrow(aText);
     MemberLists lists;
     lists.version = json.at("version").get<std::uint64_t>();
     for (const Json& item : json.at("lists")) {
--- a/Zincstep/Platform/HttpPlatform.cpp
+++ b/Zincstep/Platform/HttpPlatform.cpp
@@ -1,6 +1,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "Zincstep/Core/ForeignJson.h"
 #include "Zincstep/Net/Net.h"
 #include "Zincstep/Platform/KeyValueStore.h"
 
@@ -50,7 +51,7 @@
       return Unavailable(aResult);
     }
     try {
-      return aRead(Json::parse(aResult.body));
+      return aRead(ParseForeignJsonOrThrow(aResult.body));
     } catch (const Json::exception& error) {
       return Fail(ErrorKind::PlatformUnavailable, error.what());
     }
