--- a/Zincstep/Cluster/ClusterView.cpp
+++ b/Zincstep/Cluster/ClusterView.cpp
@@ -27,6 +27,13 @@
 /// small VM.
 constexpr std::size_t kMaxLoggedChanges = 64;
 
+/// Maximum length of a key in the log, in bytes; the store accepts longer ones.
+constexpr std::size_t kMaxLoggedKeyBytes = 256;
+
+std::string ShortKey(const std::string& aKey) {
+  return aKey.substr(0, kMaxLoggedKeyBytes);
+}
+
 void LogChanged(const UpstreamEntry& aEntry, StoreRevision aRevision) {
   LogInfo("upstream_changed",
           {{"upstream", aEntry.id},
@@ -90,10 +97,11 @@
   this->pendingRemovals.erase(aItem.key);
   auto decoded = this->decoder.DecodeUpstream(aItem.key, aItem.value);
   if (!decoded) {
-    LogWarning("upstream_refused", {{"upstream", aItem.key},
+    LogWarning("upstream_refused", {{"upstream", ShortKey(aItem.key)},
                                     {"revision", aItem.revision.number},
                                     {"reason", decoded.error().message}});
     // The upstream that the entry named before can no longer be relied on.
+    this->refusedEntries += 1;
     this->invalidEntries.insert(aItem.key);
     this->Remove(aItem.key);
     return;
--- a/Zincstep/Cluster/ClusterView.h
+++ b/Zincstep/Cluster/ClusterView.h
@@ -173,6 +173,8 @@
   bool KnowsUpstreams() const { return !this->entries.At().IsNone(); }
   /// Number of upstreams' entries that cannot be decoded.
   std::size_t InvalidEntries() const { return this->invalidEntries.size(); }
+  /// Number of revisions of upstreams' entries that could not be decoded.
+  std::uint64_t RefusedEntries() const { return this->refusedEntries; }
   const UpstreamDirectory& Directory() const { return this->directory; }
   /// The daemons' entries.
   const PrefixMirror& Daemons() const { return this->daemons; }
@@ -231,6 +233,7 @@
   /// Upstreams' entries as in the store, by id.
   ItemList entries;
   std::set<std::string> invalidEntries;
+  std::uint64_t refusedEntries = 0;
   /// Whether each changed upstream is logged individually.
   bool logsEach = true;
   PrefixMirror daemons;
--- a/Zincstep/Edge/BlockList.cpp
+++ b/Zincstep/Edge/BlockList.cpp
@@ -133,7 +133,9 @@
   this->revision = aItem.revision;
   const auto content = ParseList(aItem.value);
   if (!content) {
-    LogWarning("block_list_refused", {{"revision", aItem.revision.number},
+    this->refusedEntries += 1;
+    LogWarning("block_list_refused", {{"key", this->prefix + kKey},
+                                      {"revision", aItem.revision.number},
                                       {"reason", "not a list of requests"}});
     return;
   }
--- a/Zincstep/Edge/BlockList.h
+++ b/Zincstep/Edge/BlockList.h
@@ -36,6 +36,9 @@
   /// placement leader.
   void Write();
 
+  /// Number of revisions of the list that could not be parsed.
+  std::uint64_t RefusedEntries() const { return this->refusedEntries; }
+
   /// What the list says.
   struct Content {
     std::set<Fingerprint> blocked;
@@ -45,6 +48,8 @@
   };
 
  private:
+  std::uint64_t refusedEntries = 0;
+
   void ApplyEntry(const StoreItem& aItem);
   /// The list as this daemon would write it.
   Content Current(Instant aNow) const;
--- a/Zincstep/Edge/EdgePeerDecoder.cpp
+++ b/Zincstep/Edge/EdgePeerDecoder.cpp
@@ -154,6 +154,13 @@
   return aAge >= 0 ? std::optional<Micros>(aAge) : std::nullopt;
 }
 
+/// Parses a grace period. It lasts some seconds; one that overflows the clock
+/// is damaged.
+Micros ReadGrace(std::int64_t aGrace) {
+  constexpr Micros kMaxGrace = 1h;
+  return std::clamp(Micros{aGrace}, Micros{0}, kMaxGrace);
+}
+
 std::optional<ListUpdate> ReadList(const edgewire::EntryList* aTable,
                                    std::uint64_t aEra) {
   if (aTable == nullptr) {
@@ -162,7 +169,7 @@
   ListUpdate update;
   update.at = {aTable->at(), aEra};
   update.isFull = aTable->whole();
-  update.grace = Micros{aTable->grace_us()};
+  update.grace = ReadGrace(aTable->grace_us());
   update.digest = aTable->digest();
   if (aTable->entries() != nullptr) {
     for (const edgewire::Entry* entry : *aTable->entries()) {
@@ -276,7 +283,8 @@
     response.update.upstreams =
         UnpackList(aParts.Next(aTable.upstreams_bytes()), response.era);
     if (response.update.upstreams) {
-      response.update.upstreams->grace = Micros{aTable.packed_grace_us()};
+      response.update.upstreams->grace =
+          ReadGrace(aTable.packed_grace_us());
     }
   }
   if (aTable.daemons_bytes() > 0) {
--- a/Zincstep/Edge/EdgeReports.cpp
+++ b/Zincstep/Edge/EdgeReports.cpp
@@ -45,6 +45,16 @@
                     static_cast<double>(this->view.Directory().All().size()));
   this->metrics.Set("zincstep_wrong_entries",
                     static_cast<double>(this->view.InvalidEntries()));
+  const auto countRefused = [this](const char* aKind, std::uint64_t aTotal) {
+    constexpr const char* kName = "zincstep_refused_entries_total";
+    const Metrics::Labels labels{{"kind", aKind}};
+    this->metrics.Count(kName, labels,
+                        static_cast<double>(aTotal) -
+                            this->metrics.CounterValue(kName, labels));
+  };
+  countRefused("upstream", this->view.RefusedEntries());
+  countRefused("daemon", this->peers.Members().RefusedEntries());
+  countRefused("block_list", this->blockList.RefusedEntries());
   this->metrics.Set(
       "zincstep_blocked_requests",
       static_cast<double>(this->crashes.Blocked(this->clock.Now()).size()));
--- a/Zincstep/Edge/PeerMembers.cpp
+++ b/Zincstep/Edge/PeerMembers.cpp
@@ -48,6 +48,10 @@
 /// Number of daemons of a failure domain that a requester is sent: the first,
 /// and two to query if that does not respond.
 constexpr std::size_t kMaxDiscovered = 3;
+/// Maximum number of remembered keys of entries that cannot be parsed.
+constexpr std::size_t kMaxRefusedKeys = 1024;
+/// Maximum length of a key in the log, in bytes; the store accepts longer ones.
+constexpr std::size_t kMaxLoggedKeyBytes = 256;
 
 }  // namespace
 
@@ -161,8 +165,10 @@
   const auto entry = DaemonEntry::Parse(aItem.key, aItem.value);
   if (!entry) {
     this->DropEntry(aItem.key);
+    this->RecordRefused(aItem);
     return;
   }
+  this->refused.erase(aItem.key);
   if (entry->name == this->self.name) {
     this->isListed = true;
     return;
@@ -170,6 +176,25 @@
   this->SetRevision(this->Put(*entry), aItem.revision);
 }
 
+void PeerMembers::RecordRefused(const StoreItem& aItem) {
+  if (DaemonEntry::NameOf(aItem.key).empty()) {
+    return;  // Another kind of entry.
+  }
+  // A bounded number of keys, so that keys that come and go take no memory.
+  if (this->refused.size() >= kMaxRefusedKeys) {
+    this->refused.clear();
+  }
+  StoreRevision& known = this->refused[aItem.key];
+  if (aItem.revision <= known) {
+    return;
+  }
+  known = aItem.revision;
+  this->refusedEntries += 1;
+  LogWarning("daemon_entry_refused",
+             {{"key", aItem.key.substr(0, kMaxLoggedKeyBytes)},
+              {"revision", aItem.revision.number}});
+}
+
 void PeerMembers::OnBootstrapEntries(const std::vector<StoreItem>& aItems) {
   for (const StoreItem& item : aItems) {
     this->ApplyEntry(item);
--- a/Zincstep/Edge/PeerMembers.h
+++ b/Zincstep/Edge/PeerMembers.h
@@ -67,6 +67,8 @@
   const std::map<std::string, Member>& All() const { return this->members; }
   /// Increases whenever a member is added or removed.
   std::uint64_t Changes() const { return this->changes; }
+  /// Number of revisions of members' entries that could not be parsed.
+  std::uint64_t RefusedEntries() const { return this->refusedEntries; }
   /// Returns whether a member is of this failure domain, whose daemons share
   /// most of their upstreams.
   bool IsSameDomain(const Member& aMember) const;
@@ -124,6 +126,8 @@
   /// same VM.
   Member& Put(const PeerName& aPeer);
   void ApplyEntry(const StoreItem& aItem);
+  /// Logs and counts an entry that cannot be parsed, once per revision.
+  void RecordRefused(const StoreItem& aItem);
   /// Clears the entry of a daemon that was removed or is malformed.
   void DropEntry(const std::string& aKey);
   /// Records a live peer, which need not have an entry yet.
@@ -156,6 +160,9 @@
   Instant retainMissingUntil{};
   Instant nextExpiry{};
   std::uint64_t changes = 0;
+  /// Newest revisions of entries that could not be parsed, by key.
+  std::map<std::string, StoreRevision> refused;
+  std::uint64_t refusedEntries = 0;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Net/TcpSocket.cpp
+++ b/Zincstep/Net/TcpSocket.cpp
@@ -133,7 +133,9 @@
   std::uint16_t port = 0;
   const auto parsed =
       std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  if (error || parsed.ec != std::errc{}) {
+  const bool isPort = parsed.ec == std::errc{} &&
+                      parsed.ptr == digits.data() + digits.size();
+  if (error || !isPort) {
     return Fail(
         ErrorKind::BadRequest,
         "address is not an IP address and port: " + std::string(aAddress));
