--- a/Zincstep/Core/ForeignJson.h
+++ b/Zincstep/Core/ForeignJson.h
@@ -27,8 +27,7 @@
 /// it is malformed, too long or nested too deep; a text beyond its limits is
 /// rejected by a scan, without recursion or memory per level.
 ///
-/// All JSON from outside is parsed by the functions of this file
-/// (`scripts/check-style`).
+/// All JSON from outside is parsed by the functions of this file.
 Result<nlohmann::json> ParseForeignJson(std::string_view aText,
                                         JsonLimits aLimits = {});
 /// The same, but also fails where an object has duplicate field names, since it
