--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -36,7 +36,6 @@
     "  --restores      the store is restored from backups meanwhile\n"
     "  --process-faults  signals, ports in use, odd store entries, and starts\n"
     "                  with unread output or few descriptors meanwhile\n"
-    "  --shallow-entries  no odd entry is nested 150,000 deep\n"
     "  --stops         at the end, overlapping stops of daemons\n"
     "  --failures      at the end, upstreams that fail most requests beside\n"
     "                  faults of daemons\n"
@@ -77,7 +76,6 @@
       {"partitions", no_argument, nullptr, 'p'},
       {"stops", no_argument, nullptr, 'o'},
       {"process-faults", no_argument, nullptr, 'z'},
-      {"shallow-entries", no_argument, nullptr, 'v'},
       {nullptr, 0, nullptr, 0}};
   for (int flag = 0;
        (flag = getopt_long(aCount, aArguments, "", options, nullptr)) != -1;) {
@@ -159,9 +157,6 @@
       case 'z':
         settings.hasProcessFaults = true;
         break;
-      case 'v':
-        settings.hasShallowEntries = true;
-        break;
       case 'o':
         settings.hasStops = true;
         break;
--- a/SoakTests/SoakProcess.cpp
+++ b/SoakTests/SoakProcess.cpp
@@ -157,7 +157,7 @@
   const std::string address =
       std::string("127.0.0.1:") + kOddPorts[draw.Below(kOddPorts.size())];
   const std::string backend = draw.Below(4) == 0 ? "model" : "odd";
-  switch (draw.Below(this->settings.hasShallowEntries ? 7 : 8)) {
+  switch (draw.Below(8)) {
     case 0:
       return R"({"backend":"odd","address":)";
     case 1:
--- a/SoakTests/SoakRun.h
+++ b/SoakTests/SoakRun.h
@@ -90,9 +90,6 @@
   /// use, read odd entries in the store, and start with an unread output or few
   /// descriptors.
   bool hasProcessFaults = false;
-  /// Whether no odd entry is nested so deeply that a recursive reader runs out
-  /// of stack.
-  bool hasShallowEntries = false;
 };
 
 /// Result of one run.
--- a/UnitTests/NestedTextTest.cpp
+++ b/UnitTests/NestedTextTest.cpp
@@ -64,8 +64,8 @@
 
   static std::string EntryWith(const std::string& aField,
                                const std::string& aValue) {
-    return std::string("{") + kUpstreamFields + ",\"" + aField + "\":" +
-           aValue + "}";
+    return std::string("{") + kUpstreamFields + ",\"" + aField +
+           "\":" + aValue + "}";
   }
 
  public:
@@ -126,8 +126,7 @@
   void BlockList_Nested_KeepsTheLastList() {
     BlockList list("own/", unusedStore, crashes, clock);
     const auto put = [&](const std::string& aText, std::uint64_t aRevision) {
-      list.OnEntries(
-          {{BlockList::kKey, {BlockList::kKey, aText, aRevision}}});
+      list.OnEntries({{BlockList::kKey, {BlockList::kKey, aText, aRevision}}});
     };
     std::uint64_t revision = 1;
     const std::string valid =
@@ -148,9 +147,8 @@
       std::optional<Result<StoreRange>> range;
       std::optional<Result<StoreEvents>> events;
       std::optional<Result<StoreRevision>> write;
-      store->Range("p", [&](Result<StoreRange> aResult) {
-        range = std::move(aResult);
-      });
+      store->Range(
+          "p", [&](Result<StoreRange> aResult) { range = std::move(aResult); });
       store->Watch("p", {}, 1ms, [&](Result<StoreEvents> aResult) {
         events = std::move(aResult);
       });
@@ -184,10 +182,9 @@
       entry.id = "i1";
       entry.address = this->Serve(text);
       std::optional<Result<OrderOutcome>> outcome;
-      control->Place(entry, {0, 1}, 1, ReleaseMode::AbortRequests,
-                     [&](Result<OrderOutcome> aResult) {
-                       outcome = std::move(aResult);
-                     });
+      control->Place(
+          entry, {0, 1}, 1, ReleaseMode::AbortRequests,
+          [&](Result<OrderOutcome> aResult) { outcome = std::move(aResult); });
       this->RunUntil([&] { return outcome.has_value(); });
       CPPUNIT_ASSERT(*outcome && (*outcome)->atFault.empty());
     }
--- a/UnitTests/NestedTexts.h
+++ b/UnitTests/NestedTexts.h
@@ -28,13 +28,14 @@
           Repeat(R"({"a":)", kObjects) + "1" + Repeat("}", kObjects),
           Repeat(R"([{"a":)", kPairs) + "1" + Repeat("}]", kPairs),
           Repeat("[", 150'000) + Repeat("]", 150'000),
-          Repeat("[", kValueBytes), Repeat(R"({"a":)", kValueBytes / 5)};
+          Repeat("[", kValueBytes),
+          Repeat(R"({"a":)", kValueBytes / 5)};
 }
 
 /// `NestedTexts`, each also as the field `aField` in the object whose other
 /// fields are `aFields`.
-inline std::vector<std::string> NestedIn(const std::string& aFields,
-                                  const std::vector<std::string>& aNames) {
+inline std::vector<std::string> NestedIn(
+    const std::string& aFields, const std::vector<std::string>& aNames) {
   std::vector<std::string> texts = NestedTexts();
   for (const std::string& nested : NestedTexts()) {
     for (const std::string& name : aNames) {
--- a/UnitTests/OddEntryTest.cpp
+++ b/UnitTests/OddEntryTest.cpp
@@ -1,6 +1,6 @@
-// Entries, keys and numbers of other processes that are valid JSON or nearly so,
-// and that the formats do not allow. Each costs its own entry only, and the next
-// change is followed.
+// Entries, keys and numbers of other processes that are valid JSON or nearly
+// so, and that the formats do not allow. Each costs its own entry only, and the
+// next change is followed.
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -64,9 +64,8 @@
   std::optional<Result<StoreRange>> RangeOf(const std::string& aBody) {
     auto store = platform::MakeStore(loop, this->Serve(aBody), eras).value();
     std::optional<Result<StoreRange>> range;
-    store->Range("p", [&](Result<StoreRange> aResult) {
-      range = std::move(aResult);
-    });
+    store->Range(
+        "p", [&](Result<StoreRange> aResult) { range = std::move(aResult); });
     this->RunUntil([&] { return range.has_value(); });
     return range;
   }
@@ -114,8 +113,8 @@
       CPPUNIT_ASSERT(
           !decoder->DecodeUpstream(id, EntryText("10.0.0.1:80", "4")));
     }
-    CPPUNIT_ASSERT(decoder->DecodeUpstream("a/\xc3\xa4-1",
-                                           EntryText("10.0.0.1:80", "4")));
+    CPPUNIT_ASSERT(
+        decoder->DecodeUpstream("a/\xc3\xa4-1", EntryText("10.0.0.1:80", "4")));
   }
 
   void DaemonEntry_OddLink_IsFinite() {
@@ -123,9 +122,9 @@
       const auto daemon = DaemonEntry::Parse(
           "members/a/d1", R"({"peer":"h:1","failure_domain":"a","link_mbps":)" +
                               std::string(number) + "}");
-      CPPUNIT_ASSERT(!daemon || (std::isfinite(daemon->linkMbps) &&
-                                 daemon->linkMbps >= 0 &&
-                                 daemon->linkMbps <= 1e9));
+      CPPUNIT_ASSERT(!daemon ||
+                     (std::isfinite(daemon->linkMbps) &&
+                      daemon->linkMbps >= 0 && daemon->linkMbps <= 1e9));
     }
   }
 
@@ -133,8 +132,8 @@
     for (const std::string& key :
          {std::string("members/a/d\xff"), std::string("members/a/d\n"),
           std::string("members/a/d\xef\xbf\xbd"), std::string("members/a/")}) {
-      CPPUNIT_ASSERT(!DaemonEntry::Parse(
-          key, R"({"peer":"h:1","failure_domain":"a"})"));
+      CPPUNIT_ASSERT(
+          !DaemonEntry::Parse(key, R"({"peer":"h:1","failure_domain":"a"})"));
     }
   }
 
@@ -197,9 +196,9 @@
   }
 
   void StoreList_PageThatEndsWhereItBegan_IsNotReadForEver() {
-    const auto range = this->RangeOf(
-        R"({"at":9,"more":true,"items":[)"
-        R"({"privateKey":"p1","value":"eA==","revision":4}]})");
+    const auto range =
+        this->RangeOf(R"({"at":9,"more":true,"items":[)"
+                      R"({"privateKey":"p1","value":"eA==","revision":4}]})");
     CPPUNIT_ASSERT(range.has_value());
   }
 
@@ -225,10 +224,9 @@
     const UpstreamPtr upstream = view.Directory().Find("i1");
     CPPUNIT_ASSERT(upstream);
     std::optional<Result<OrderOutcome>> outcome;
-    control->Reroute("r\xff", {{upstream, {0, 1}}},
-                     [&](Result<OrderOutcome> aResult) {
-                       outcome = std::move(aResult);
-                     });
+    control->Reroute(
+        "r\xff", {{upstream, {0, 1}}},
+        [&](Result<OrderOutcome> aResult) { outcome = std::move(aResult); });
     this->RunUntil([&] { return outcome.has_value(); });
     CPPUNIT_ASSERT(*outcome);
   }
@@ -237,18 +235,18 @@
     for (const char* number : kOddNumbers) {
       const std::string text(number);
       UpstreamEntry entry;
-      entry.address = this->Serve(
-          R"({"layers":{"from":)" + text + R"(,"targetVersion":)" + text +
-          R"(},"running":)" + text + R"(,"queued":)" + text +
-          R"(,"sequence":)" + text + R"(,"pace":)" + text + "}");
+      entry.address =
+          this->Serve(R"({"layers":{"from":)" + text + R"(,"targetVersion":)" +
+                      text + R"(},"running":)" + text + R"(,"queued":)" + text +
+                      R"(,"sequence":)" + text + R"(,"pace":)" + text + "}");
       entry.id = entry.address;
       std::optional<Result<UpstreamReport>> report;
       control->Report(entry, 5s, [&](Result<UpstreamReport> aResult) {
         report = std::move(aResult);
       });
       this->RunUntil([&] { return report.has_value(); });
-      CPPUNIT_ASSERT_MESSAGE(
-          number, !*report || std::isfinite((*report)->slowdown));
+      CPPUNIT_ASSERT_MESSAGE(number,
+                             !*report || std::isfinite((*report)->slowdown));
     }
   }
 
@@ -274,8 +272,7 @@
 
   void Depth_AtTheLimit_IsParsed() {
     const auto nested = [](std::size_t aDepth) {
-      return std::string(aDepth, '[') + R"("]\"[{")" +
-             std::string(aDepth, ']');
+      return std::string(aDepth, '[') + R"("]\"[{")" + std::string(aDepth, ']');
     };
     CPPUNIT_ASSERT(ParseForeignJson(nested(kMaxJsonDepth)));
     CPPUNIT_ASSERT(!ParseForeignJson(nested(kMaxJsonDepth + 1)));
--- a/Zincstep/Edge/EdgePeerDecoder.cpp
+++ b/Zincstep/Edge/EdgePeerDecoder.cpp
@@ -298,8 +298,7 @@
 <<<<<<< HEAD
       response.update.upstreams->grace = ReadDuration(aTable.packed_grace_us());
 =======
-      response.update.upstreams->grace =
-          ReadGrace(aTable.packed_grace_us());
+      response.update.upstreams->grace = ReadGrace(aTable.packed_grace_us());
 >>>>>>> h-entries
     }
   }
--- a/Zincstep/Engine/EngineCodec.cpp
+++ b/Zincstep/Engine/EngineCodec.cpp
@@ -21,9 +21,7 @@
   return {aJson.at(0).get<int>(), aJson.at(1).get<int>()};
 }
 
-std::string Encode(const Json& aJson) {
-  return WriteJson(aJson);
-}
+std::string Encode(const Json& aJson) { return WriteJson(aJson); }
 
 Json StageToJson(const EngineStage& aStage) {
   Json json{{"address", aStage.address},
--- a/Zincstep/Entry/StatusHandler.cpp
+++ b/Zincstep/Entry/StatusHandler.cpp
@@ -61,8 +61,8 @@
   } else if (path == "/v1/organisations") {
     response = JsonResponse(WriteJson(this->Organisations()));
   } else if (path == "/v1/chains") {
-    response =
-        JsonResponse(WriteJson(this->Chains(QueryValue(aRequest.query, "model"))));
+    response = JsonResponse(
+        WriteJson(this->Chains(QueryValue(aRequest.query, "model"))));
   } else if (path == "/v1/explain") {
     response = this->Explain(aRequest);
   } else if (path == "/v1/drain" && aRequest.method == "POST") {
--- a/Zincstep/Net/TcpSocket.cpp
+++ b/Zincstep/Net/TcpSocket.cpp
@@ -168,8 +168,8 @@
   std::uint16_t port = 0;
   const auto parsed =
       std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  const bool isPort = parsed.ec == std::errc{} &&
-                      parsed.ptr == digits.data() + digits.size();
+  const bool isPort =
+      parsed.ec == std::errc{} && parsed.ptr == digits.data() + digits.size();
   if (error || !isPort) {
     return Fail(
         ErrorKind::BadRequest,
