--- a/Zincstep/Edge/EdgePeerDecoder.cpp
+++ b/Zincstep/Edge/EdgePeerDecoder.cpp
@@ -162,13 +162,6 @@
   return aAge >= 0 ? std::optional(ReadDuration(aAge)) : std::nullopt;
 }
 
-/// Parses a grace period. It lasts some seconds; one that overflows the clock
-/// is damaged.
-Micros ReadGrace(std::int64_t aGrace) {
-  constexpr Micros kMaxGrace = 1h;
-  return std::clamp(Micros{aGrace}, Micros{0}, kMaxGrace);
-}
-
 std::optional<ListUpdate> ReadList(const edgewire::EntryList* aTable,
                                    std::uint64_t aEra) {
   if (aTable == nullptr) {
@@ -177,11 +170,7 @@
   ListUpdate update;
   update.at = {aTable->at(), aEra};
   update.isFull = aTable->whole();
-<<<<<<< HEAD
   update.grace = ReadDuration(aTable->grace_us());
-=======
-  update.grace = ReadGrace(aTable->grace_us());
->>>>>>> h-entries
   update.digest = aTable->digest();
   if (aTable->entries() != nullptr) {
     for (const edgewire::Entry* entry : *aTable->entries()) {
@@ -295,11 +284,7 @@
     response.update.upstreams =
         UnpackList(aParts.Next(aTable.upstreams_bytes()), response.era);
     if (response.update.upstreams) {
-<<<<<<< HEAD
       response.update.upstreams->grace = ReadDuration(aTable.packed_grace_us());
-=======
-      response.update.upstreams->grace = ReadGrace(aTable.packed_grace_us());
->>>>>>> h-entries
     }
   }
   if (aTable.daemons_bytes() > 0) {
