--- a/UnitTests/OddEntryTest.cpp
+++ b/UnitTests/OddEntryTest.cpp
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(StoreList_KeyThatIsNoText_KeepsTheOtherItems);
   CPPUNIT_TEST(StoreList_OddItem_KeepsTheOtherItems);
   CPPUNIT_TEST(StoreList_PageThatEndsWhereItBegan_IsNotReadForEver);
+  CPPUNIT_TEST(StoreList_PageOfOddItems_IsNotTheLast);
   CPPUNIT_TEST(StoreWrite_KeyThatIsNotUtf8_IsSent);
   CPPUNIT_TEST(Order_RequestIdThatIsNotUtf8_IsSent);
   CPPUNIT_TEST(UpstreamReport_OddNumbers_AreClampedOrFail);
@@ -200,6 +201,16 @@
         this->RangeOf(R"({"at":9,"more":true,"items":[)"
                       R"({"privateKey":"p1","value":"eA==","revision":4}]})");
     CPPUNIT_ASSERT(range.has_value());
+    CPPUNIT_ASSERT(!*range);
+  }
+
+  // Guards against a list that seems to end at a page of odd items.
+  void StoreList_PageOfOddItems_IsNotTheLast() {
+    const auto range =
+        this->RangeOf(R"({"at":9,"more":true,"items":[)"
+                      R"({"privateKey":"p1","value":7,"revision":4}]})");
+    CPPUNIT_ASSERT(range.has_value());
+    CPPUNIT_ASSERT(!*range);
   }
 
   // Guards against the exception of `dump`, which ended the process.
