A 204 or 304 has no body, whatever length it states

http_parser waits for the body of a stated length; a 304 may state the length of the 200 (RFC 9110, 8.6). libcurl's client accepted it before it used the parser. Feed_ResponseWithoutBody_IsCompleteWhateverItsLength.

--- a/UnitTests/HttpParserTest.cpp
+++ b/UnitTests/HttpParserTest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(Feed_ContentLengthAndChunks_IsRejected);
   CPPUNIT_TEST(Feed_LongHead_IsTooLarge);
   CPPUNIT_TEST(Feed_InterimResponse_IsSkipped);
+  CPPUNIT_TEST(Feed_ResponseWithoutBody_IsCompleteWhateverItsLength);
   CPPUNIT_TEST(FeedEnd_ResponseWithoutLength_IsComplete);
   CPPUNIT_TEST(FeedEnd_ShortBody_IsNotComplete);
   CPPUNIT_TEST(FeedEnd_ChunksWithoutLastChunk_IsNotComplete);
@@ -81,6 +82,18 @@
     CPPUNIT_ASSERT(parser.IsComplete());
   }
 
+  // Guards against a wait for a body that never follows: a 304 states the
+  // length that a 200 would have.
+  void Feed_ResponseWithoutBody_IsCompleteWhateverItsLength() {
+    for (const char* status : {"204 No Content", "304 Not Modified"}) {
+      HttpParser response(HttpSide::Response, listener);
+      const std::string text =
+          std::string("HTTP/1.1 ") + status + "\r\nContent-Length: 5\r\n\r\n";
+      CPPUNIT_ASSERT(response.Feed(text).has_value());
+      CPPUNIT_ASSERT_MESSAGE(status, response.IsComplete());
+    }
+  }
+
   void FeedEnd_ResponseWithoutLength_IsComplete() {
     HttpParser parser(HttpSide::Response, listener);
     CPPUNIT_ASSERT(parser.Feed("HTTP/1.1 200 OK\r\n\r\nbytes").has_value());
--- a/Zincstep/Net/HttpParser.cpp
+++ b/Zincstep/Net/HttpParser.cpp
@@ -6,6 +6,8 @@
 
 /// A status below this is an interim response, followed by the final one.
 constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 /// Maximum number of interim responses to one request.
 constexpr int kMaxInterimResponses = 16;
 /// Result of `on_headers_complete` after which http_parser expects no body.
@@ -107,8 +109,11 @@
       return 0;
     }
   }
+  // Such a response may state the length of a body that does not follow.
+  const bool isBodiless = this->hasNoBody || this->head.status == kNoContent ||
+                          this->head.status == kNotModified;
   this->listener.OnHead(std::move(this->head));
-  return this->hasNoBody ? kSkipBody : 0;
+  return isBodiless ? kSkipBody : 0;
 }
 
 int HttpParser::OnMessageComplete() {
