--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -16,6 +16,19 @@
 /// Added to the idle timeout, so that the connection never closes on a request
 /// of a caller that respects the timeout.
 constexpr Micros kIdleSlack = 1500ms;
+/// Upper bound of a response's status line, own header fields and chunk frame.
+constexpr std::size_t kMaxFramingBytes = 512;
+
+/// Returns the size of header fields on the wire.
+std::size_t SizeOf(const HttpHeaders& aHeaders) {
+  constexpr std::size_t kSeparatorBytes = 4;
+  std::size_t size = 0;
+  for (const auto& [name, value] : aHeaders) {
+    size += name.size() + value.size() + kSeparatorBytes;
+  }
+  return size;
+}
+
 void AppendNumber(std::string& aText, std::size_t aValue, int aBase) {
   char digits[24];
   const auto written =
@@ -160,12 +173,17 @@
   }
 }
 
+void CallerConnection::Reserve(std::size_t aBytes) {
+  this->pending.reserve(this->pending.size() + aBytes + kMaxFramingBytes);
+}
+
 void CallerConnection::Answer(int aStatus, const HttpHeaders& aHeaders,
                               std::string_view aBody) {
   if (this->isClosed) {
     return;
   }
   ZINCSTEP_ASSERT(this->isBusy);
+  this->Reserve(SizeOf(aHeaders) + aBody.size());
   this->WriteHead(aStatus, aHeaders);
   this->pending += "Content-Length: ";
   AppendNumber(this->pending, aBody.size(), 10);
@@ -179,6 +197,7 @@
     return;
   }
   ZINCSTEP_ASSERT(this->isBusy);
+  this->Reserve(SizeOf(aHeaders));
   this->WriteHead(aStatus, aHeaders);
   this->pending += "Transfer-Encoding: chunked\r\n\r\n";
 }
@@ -187,6 +206,7 @@
   if (this->isClosed || aPart.empty()) {
     return;
   }
+  this->Reserve(aPart.size());
   AppendNumber(this->pending, aPart.size(), 16);
   this->pending += "\r\n";
   this->pending += aPart;
--- a/Zincstep/Net/CallerConnection.h
+++ b/Zincstep/Net/CallerConnection.h
@@ -84,6 +84,10 @@
   /// respond or read on, so that the connection is closed.
   void CloseOnException(const std::function<void()>& aHandle);
   void ParseNext();
+  /// Reserves memory for `aBytes` of a response and its framing. Without it, an
+  /// allocation that fails midway would leave a head without its body, behind
+  /// which another response would be read as that body.
+  void Reserve(std::size_t aBytes);
   void Reject(const Error& aError);
   void Flush();
   void OnWritten(const asio::error_code& aError);
