The log stays open while a process aborts; without a thread it is still written

spdlog::shutdown in the terminate handler freed the logger that other threads use. The handler lets one thread in and waits for the queue instead; so does the end where no thread can be started. Found by review, by reading.

--- a/Zincstep/Process/Process.cpp
+++ b/Zincstep/Process/Process.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
@@ -57,7 +58,8 @@
   OpenStandardDescriptors();
 }
 
-/// Runs `StopLog` with a timeout; returns whether it has ended.
+/// Runs `StopLog` with a timeout; returns whether it has ended. Where no thread
+/// can be started for it, writes the queued lines and returns false.
 bool StopLogInTime() {
   std::promise<void> stopped;
   std::future<void> isStopped = stopped.get_future();
@@ -67,12 +69,18 @@
       done.set_value();
     }).detach();
   } catch (const std::system_error&) {
+    WaitForLog(kFlushTimeout);
     return false;
   }
   return isStopped.wait_for(kFlushTimeout) == std::future_status::ready;
 }
 
 [[noreturn]] void OnTerminate() {
+  static std::atomic_flag isTerminating;
+  while (isTerminating.test_and_set()) {
+    // Another thread ends the process.
+    std::this_thread::sleep_for(kFlushTimeout);
+  }
   std::string reason = "terminated";
   if (const std::exception_ptr current = std::current_exception()) {
     try {
@@ -85,7 +93,8 @@
   }
   try {
     LogError("process_aborted", {{"reason", reason}});
-    StopLogInTime();
+    // The log stays: other threads still use it.
+    WaitForLog(kFlushTimeout);
   } catch (const std::exception&) {
     // An exception would end the process here, without any text.
     std::fprintf(stderr, "process aborted: %s\n", reason.c_str());
--- a/Zincstep/Telemetry/Log.cpp
+++ b/Zincstep/Telemetry/Log.cpp
@@ -5,6 +5,9 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <chrono>
+#include <thread>
+
 namespace zincstep {
 
 namespace {
@@ -60,6 +63,18 @@
 
 void StopLog() { spdlog::shutdown(); }
 
+void WaitForLog(Micros aTimeout) {
+  // The last line that was taken from the queue is written meanwhile.
+  constexpr auto kPollInterval = std::chrono::milliseconds(10);
+  const SystemClock clock;
+  const Instant end = clock.Now() + aTimeout;
+  const auto pool = spdlog::thread_pool();
+  while (pool && pool->queue_size() > 0 && clock.Now() < end) {
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  std::this_thread::sleep_for(kPollInterval);
+}
+
 void LogInfo(const char* aEvent, const nlohmann::json& aFields) {
   Write(spdlog::level::info, aEvent, aFields);
 }
--- a/Zincstep/Telemetry/Log.h
+++ b/Zincstep/Telemetry/Log.h
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "Zincstep/Core/Time.h"
+
 namespace zincstep {
 
 /// Starts the log: JSON lines on stdout, of severity `aLevel` and above.
@@ -19,6 +21,9 @@
 /// afterwards.
 void StopLog();
 
+/// Waits until the queued lines are written, or until the timeout.
+void WaitForLog(Micros aTimeout);
+
 /// Logs an event with its fields as one line, with severity info.
 void LogInfo(const char* aEvent, const nlohmann::json& aFields = {});
 /// Logs an event with severity warn.
