A violated invariant ends the process; a stop does not depend on requests

std::logic_error would be thrown again on each tick. An exception of the requests' work no longer keeps CanExit from being asked. Also: one wait for signals instead of two, and the peers' thread ends before a failed start returns. Found by review; Handler_ViolatesAnInvariant_EndsTheLoop.

--- a/UnitTests/RunGuardedTest.cpp
+++ b/UnitTests/RunGuardedTest.cpp
@@ -2,6 +2,7 @@
 
 #include <asio.hpp>
 #include <new>
+#include <stdexcept>
 
 #include "Zincstep/Process/Process.h"
 
@@ -12,6 +13,7 @@
   CPPUNIT_TEST_SUITE(RunGuardedTest);
   CPPUNIT_TEST(Handler_Throws_OthersStillRun);
   CPPUNIT_TEST(Handler_ThrowsEachTime_IsCalledAgain);
+  CPPUNIT_TEST(Handler_ViolatesAnInvariant_EndsTheLoop);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context loop;
@@ -39,6 +41,12 @@
   }
 
  public:
+  // Guards against a daemon that fails in the same way on each tick for good.
+  void Handler_ViolatesAnInvariant_EndsTheLoop() {
+    asio::post(loop, [] { throw std::out_of_range("no such request"); });
+    CPPUNIT_ASSERT_THROW(this->RunLoop(), std::out_of_range);
+  }
+
   // Guards against one request that ends all others with the process.
   void Handler_Throws_OthersStillRun() {
     asio::post(loop, [] { throw std::bad_alloc(); });
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -76,6 +76,7 @@
   const Result<void> listening = ListenOrStop(instance);
   if (!listening) {
     LogError("start_failed", {{"reason", listening.error().message}});
+    instance.daemon->Stop();
     return kFailedStatus;
   }
   if (!instance.daemon->IsStopping()) {
--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -94,7 +94,6 @@
   }
   this->blockList.ReadAtStart();
   this->follower.Start(!this->peers.IsAlone());
-  this->WaitForSignal();
   this->OnFastTick();
   this->OnPeriodicTick();
   LogInfo("started", {{"name", this->settings.name},
@@ -146,8 +145,11 @@
 void EdgeProcess::OnFastTick() {
   this->ScheduleFastTick();
   this->DetectSuspension();
-  this->relay.Tick();
-  this->SurveyLoad();
+  // A stop ends the process even if the requests' work fails each time.
+  this->Run([this] {
+    this->relay.Tick();
+    this->SurveyLoad();
+  });
   const std::size_t unsent =
       this->callers.PendingBytes() + this->forwarded.PendingBytes();
   if (this->stop.CanExit(this->relay.Active(), unsent, this->clock.Now())) {
--- a/Zincstep/Process/RunGuarded.cpp
+++ b/Zincstep/Process/RunGuarded.cpp
@@ -1,6 +1,7 @@
 #include "Zincstep/Process/RunGuarded.h"
 
 #include <exception>
+#include <stdexcept>
 
 #include "Zincstep/Telemetry/Telemetry.h"
 
@@ -10,6 +11,8 @@
   try {
     aRun();
     return true;
+  } catch (const std::logic_error&) {
+    throw;
   } catch (const std::exception& error) {
     try {
       LogError("handler_failed", {{"loop", aName}, {"reason", error.what()}});
--- a/Zincstep/Process/RunGuarded.h
+++ b/Zincstep/Process/RunGuarded.h
@@ -10,7 +10,8 @@
 /// Nearly all that a handler may throw is a lack of memory, which ends the
 /// work of one connection or request. Ending the process instead cuts all
 /// responses that it relays. A violated invariant still ends it
-/// (`ZINCSTEP_ASSERT`). The exception is logged as `handler_failed` of `aName`.
+/// (`ZINCSTEP_ASSERT`, `std::logic_error`), as it would fail again on each
+/// call. The exception is logged as `handler_failed` of `aName`.
 ///
 /// A periodic handler has to schedule its next call before it does anything
 /// that may throw.
