--- a/Zincstep/Relay/CapacityQueue.cpp
+++ b/Zincstep/Relay/CapacityQueue.cpp
@@ -73,9 +73,15 @@
     this->Forget(shed);
     refused.push_back(shed);
   }
-  this->Enqueue(aRequest, aNow);
   this->lastNumber += 1;
+  // First: an id that is queued without its request would end the process.
   this->requests[aRequest.id] = {aRequest, this->lastNumber, false};
+  try {
+    this->Enqueue(aRequest, aNow);
+  } catch (const std::exception&) {
+    this->requests.erase(aRequest.id);
+    throw;
+  }
   this->bodyBytes += aRequest.bodyBytes;
   return refused;
 }
