--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -48,7 +48,7 @@
 Result<void> ListenOrStop(EdgeInstance& aInstance) {
   Micros delay = kMinListenDelay;
   for (;;) {
-    const Result<void> listening = aInstance.daemon->Listen();
+    Result<void> listening = aInstance.daemon->Listen();
     if (listening || listening.error().kind != ErrorKind::NotReady) {
       return listening;
     }
--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -41,7 +41,7 @@
       },
       [this] { return this->callers.Start(this->settings.listen); }};
   for (; this->listening < listeners.size(); ++this->listening) {
-    const Result<void> started = listeners[this->listening]();
+    Result<void> started = listeners[this->listening]();
     if (!started) {
       return started;
     }
--- a/Zincstep/Entry/EntryDaemon.cpp
+++ b/Zincstep/Entry/EntryDaemon.cpp
@@ -347,7 +347,7 @@
   ~SignalThread() {
     this->isEnding = true;
     // Ends its wait.
-    pthread_kill(this->thread.native_handle(), SIGTERM);
+    pthread_kill(this->thread.native_handle(), SIGINT);
     this->thread.join();
   }
   SignalThread(const SignalThread&) = delete;
--- a/Zincstep/Net/ConnectionAcceptor.cpp
+++ b/Zincstep/Net/ConnectionAcceptor.cpp
@@ -20,7 +20,7 @@
       onConnection(std::move(aOnConnection)) {}
 
 Result<void> ConnectionAcceptor::Start(const std::string& aAddress) {
-  const Result<void> listening = ListenOn(this->acceptor, aAddress);
+  Result<void> listening = ListenOn(this->acceptor, aAddress);
   if (!listening) {
     return listening;
   }
--- a/Zincstep/Peer/AsioPeerTransport.cpp
+++ b/Zincstep/Peer/AsioPeerTransport.cpp
@@ -31,7 +31,7 @@
   ~AsioPeerTransport() override { this->Stop(); }
 
   Result<void> Start() override {
-    const Result<void> listening = this->acceptor.Start(this->settings.listen);
+    Result<void> listening = this->acceptor.Start(this->settings.listen);
     if (!listening) {
       return listening;
     }
