--- a/Zincstep/Core/ForeignJson.cpp
+++ b/Zincstep/Core/ForeignJson.cpp
@@ -165,7 +165,7 @@
                       [](char aCharacter) {
                         const auto byte =
                             static_cast<unsigned char>(aCharacter);
-                        return byte < ' ' || byte == kDelete;
+                        return byte <= ' ' || byte == kDelete;
                       }) &&
          aText.find(kReplacement) == std::string_view::npos &&
          ReplaceInvalidUtf8(aText) == aText;
--- a/Zincstep/Core/ForeignJson.h
+++ b/Zincstep/Core/ForeignJson.h
@@ -48,8 +48,8 @@
 /// written.
 std::string WriteJson(const nlohmann::json& aJson, int aIndent = -1);
 
-/// Whether `aText` can be a name: UTF-8 without control characters and U+FFFD,
-/// and not empty. Names are sent in header fields, where a line break
+/// Whether `aText` can be a name: UTF-8 without control characters, spaces and
+/// U+FFFD, and not empty. Names are sent in header fields, where a line break
 /// would start another field.
 bool IsPlainName(std::string_view aText);
 
--- a/Zincstep/Edge/EdgeDaemon.cpp
+++ b/Zincstep/Edge/EdgeDaemon.cpp
@@ -75,8 +75,8 @@
   const DeliverSignals delivery;
   const Result<void> listening = ListenOrStop(instance);
   if (!listening) {
-    LogError("start_failed", {{"reason", listening.error().message}});
     instance.daemon->Stop();
+    LogError("start_failed", {{"reason", listening.error().message}});
     return kFailedStatus;
   }
   if (!instance.daemon->IsStopping()) {
