A stopping daemon logs its decisions, and the connections that it closes unused

stop_decision: for each request that is read after the signal whether it is accepted, by which of the three bases, the time since the signal, the time left and the time expected. request_ended carries the time since the signal; idle_closed and stopped count the connections that never carried a request. Bounded by the requests of a stop; no decision changes: Decide is the former Accepts with its reason.

--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -179,7 +179,7 @@
 void EdgeProcess::OnPeriodicTick() {
   this->SchedulePeriodicTick();
   if (this->stop.ShouldCloseIdle(this->clock.Now())) {
-    this->callers.CloseIdle();
+    this->CloseIdleConnections();
   }
   this->callers.Tick();
   this->forwarded.Tick();
@@ -199,6 +199,14 @@
   this->UpdateRetryShare();
 }
 
+void EdgeProcess::CloseIdleConnections() {
+  const ClosedConnections closed = this->callers.CloseIdle();
+  if (closed.idle > 0) {
+    LogInfo("idle_closed",
+            {{"connections", closed.idle}, {"unused", closed.unused}});
+  }
+}
+
 void EdgeProcess::UpdateRetryShare() {
   const double share = this->retryShares.Update(
       RetryShare(this->settings.retrySlack, this->retryParticipant),
@@ -223,7 +231,11 @@
 
 void EdgeProcess::Stop() {
   this->peers.Stop();
-  LogInfo("stopped", {{"active", this->relay.Active()}});
+  const auto sinceStop = this->stop.SinceSignal(this->clock.Now());
+  LogInfo("stopped", {{"active", this->relay.Active()},
+                      {"unsent_bytes", this->callers.PendingBytes()},
+                      {"unused_connections", this->callers.Unused()},
+                      {"since_stop_ms", sinceStop ? *sinceStop / 1ms : -1}});
 }
 
 }  // namespace zincstep
--- a/Zincstep/Edge/EdgeProcess.h
+++ b/Zincstep/Edge/EdgeProcess.h
@@ -175,6 +175,8 @@
                       const Result<UpstreamReport>& aReport);
   void WaitForSignal();
   void OnStopRequested();
+  /// Closes callers' connections without a request, and counts them in the log.
+  void CloseIdleConnections();
   /// Detects by the time since the last tick that this VM was suspended.
   void DetectSuspension();
   void OnFastTick();
--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -1,5 +1,6 @@
 #include "Zincstep/Net/CallerConnection.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "Zincstep/Net/SingleCall.h"
@@ -127,6 +128,7 @@
     return;
   }
   this->isBusy = true;
+  this->hasServed = true;
   this->closesAfterResponse =
       this->closesAfterResponse || !this->message.head.keepsAlive;
   this->message.readAt = this->lastActive;
@@ -341,10 +343,25 @@
   connection->Start();
 }
 
-void CallerListener::CloseIdle() {
+ClosedConnections CallerListener::CloseIdle() {
+  ClosedConnections closed;
   for (const auto& connection : this->connections) {
+    const bool wasOpen = !connection->IsClosed();
     connection->CloseWhenDone();
+    if (wasOpen && connection->IsClosed()) {
+      closed.idle += 1;
+      closed.unused += connection->HasServed() ? 0 : 1;
+    }
   }
+  return closed;
+}
+
+std::size_t CallerListener::Unused() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->connections.begin(), this->connections.end(),
+      [](const auto& aConnection) {
+        return !aConnection->IsClosed() && !aConnection->HasServed();
+      }));
 }
 
 void CallerListener::DisableKeepAlive() {
--- a/Zincstep/Net/CallerConnection.h
+++ b/Zincstep/Net/CallerConnection.h
@@ -76,6 +76,8 @@
   /// Whether a request is in progress.
   bool IsBusy() const { return this->isBusy; }
   bool IsClosed() const { return this->isClosed; }
+  /// Whether any request was read.
+  bool HasServed() const { return this->hasServed; }
 
  private:
   void Read();
@@ -116,6 +118,7 @@
   bool isWriting = false;
   bool isBusy = false;
   bool isClosed = false;
+  bool hasServed = false;
   bool closesAfterResponse = false;
   /// The last response is complete; what is received from now on is discarded.
   bool hasLastResponse = false;
@@ -123,6 +126,13 @@
   bool isBodyTooLarge = false;
 };
 
+/// Connections that were closed without a request in progress.
+struct ClosedConnections {
+  std::size_t idle = 0;
+  /// Those of them that never carried a request.
+  std::size_t unused = 0;
+};
+
 /// Accepts callers' connections on one address and owns them.
 class CallerListener {
  public:
@@ -136,7 +146,9 @@
   /// Sets the limits of all connections, open ones included.
   void SetLimits(const CallerLimits& aLimits) { this->limits = aLimits; }
   /// Closes idle connections now and the others after their response.
-  void CloseIdle();
+  ClosedConnections CloseIdle();
+  /// Open connections that never carried a request.
+  std::size_t Unused() const;
   /// Closes each connection after its next response, which carries
   /// `Connection: close`.
   void DisableKeepAlive();
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -135,6 +135,7 @@
   this->context.metrics.Observe("zincstep_request_seconds", ToSeconds(taken));
   const std::string domain =
       this->upstream ? this->upstream->Entry().failureDomain : "";
+  const auto sinceStop = this->context.stopPolicy.SinceSignal(this->Now());
   LogInfo("request_ended",
           {{"request", this->request.info.id},
            {"route", this->request.route->name},
@@ -150,6 +151,7 @@
            {"first_event_ms", this->firstEventDelay / 1ms},
            {"expected_first_event_ms", this->expectedFirstEvent / 1ms},
            {"longest_pause_ms", this->maxEventGap / 1ms},
+           {"since_stop_ms", sinceStop ? *sinceStop / 1ms : -1},
            {"taken_ms", taken / 1ms}});
 }
 
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -119,15 +119,28 @@
   const Micros timeout = request.info.timeout.value_or(kDefaultTimeout);
   request.deadline =
       request.message.readAt + std::min(timeout, request.route->timeout);
-  const StopPolicy& stop = this->context.stopPolicy;
-  const Instant now = this->context.clock.Now();
-  if (stop.IsStopping() && !stop.Accepts(this->ExpectedOf(request, now), now)) {
+  if (this->context.stopPolicy.IsStopping() && !this->AcceptsInStop(request)) {
     return Fail(ErrorKind::Stopping,
                 "the request could not complete before the stop");
   }
   return request;
 }
 
+bool Relay::AcceptsInStop(const AdmittedRequest& aRequest) const {
+  const StopPolicy& stop = this->context.stopPolicy;
+  const Instant now = this->context.clock.Now();
+  const StopDecision decision =
+      stop.Decide(this->ExpectedOf(aRequest, now), now);
+  LogInfo("stop_decision", {{"request", aRequest.info.id},
+                            {"route", aRequest.route->name},
+                            {"accepted", decision.isAccepted},
+                            {"basis", NameIn(kStopBasisNames, decision.basis)},
+                            {"since_stop_ms", *stop.SinceSignal(now) / 1ms},
+                            {"left_ms", stop.TimeLeft(now) / 1ms},
+                            {"expected_ms", decision.expected / 1ms}});
+  return decision.isAccepted;
+}
+
 void Relay::OnRequest(const std::shared_ptr<CallerConnection>& aConnection,
                       CallerMessage aMessage) {
   this->OnArrived({aConnection, std::move(aMessage), std::nullopt});
--- a/Zincstep/Relay/Relay.h
+++ b/Zincstep/Relay/Relay.h
@@ -86,6 +86,8 @@
   ExpectedDuration ExpectedOf(const AdmittedRequest& aRequest,
                               Instant aNow) const;
   Result<AdmittedRequest> Admit(ArrivedRequest aRequest) const;
+  /// Whether a stopping daemon accepts the request; logs the decision.
+  bool AcceptsInStop(const AdmittedRequest& aRequest) const;
   /// Continues a request through another daemon in the next turn of the loop,
   /// as its former exchange is still in use.
   void ForwardToDaemon(const AdmittedRequest& aRequest,
--- a/Zincstep/Relay/StopPolicy.cpp
+++ b/Zincstep/Relay/StopPolicy.cpp
@@ -12,16 +12,23 @@
                                              this->settings.initialServiceTime};
 }
 
-bool StopPolicy::Accepts(const ExpectedDuration& aExpected,
-                         Instant aNow) const {
-  if (!aExpected.isRepeatable) {
-    return this->CanEnd(aExpected.maximum, aNow);
+StopDecision StopPolicy::Decide(const ExpectedDuration& aExpected,
+                                Instant aNow) const {
+  StopDecision decision;
+  decision.expected = aExpected.maximum;
+  if (aExpected.isRepeatable) {
+    const UsualDurations usual =
+        aExpected.usual.value_or(this->InitialDurations(aExpected));
+    const Micros duration =
+        this->ShouldCloseIdle(aNow) ? usual.nearlyAll : usual.most;
+    if (duration < aExpected.maximum) {
+      decision.expected = duration;
+      decision.basis = aExpected.usual ? StopBasis::RouteDurations
+                                       : StopBasis::InitialDurations;
+    }
   }
-  const UsualDurations usual =
-      aExpected.usual.value_or(this->InitialDurations(aExpected));
-  const Micros duration =
-      this->ShouldCloseIdle(aNow) ? usual.nearlyAll : usual.most;
-  return this->CanEnd(std::min(duration, aExpected.maximum), aNow);
+  decision.isAccepted = this->CanEnd(decision.expected, aNow);
+  return decision;
 }
 
 bool StopPolicy::MustEndRequests(Instant aNow) const {
--- a/Zincstep/Relay/StopPolicy.h
+++ b/Zincstep/Relay/StopPolicy.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include "Zincstep/Core/NameTable.h"
 #include "Zincstep/Relay/RouteDurations.h"
 
 namespace zincstep {
@@ -35,6 +36,30 @@
   bool isStream = false;
 };
 
+/// What the decision on a request of a stopping daemon is based on.
+enum class StopBasis {
+  /// The time until the caller or the route gives up.
+  Deadline,
+  /// Recent durations of the route.
+  RouteDurations,
+  /// Initial durations, as too few requests of the route are known.
+  InitialDurations,
+};
+
+inline constexpr NameTable<StopBasis, 3> kStopBasisNames{{
+    {StopBasis::Deadline, "deadline"},
+    {StopBasis::RouteDurations, "route_durations"},
+    {StopBasis::InitialDurations, "initial_durations"},
+}};
+
+/// Whether a request is accepted, and why.
+struct StopDecision {
+  bool isAccepted = true;
+  StopBasis basis = StopBasis::Deadline;
+  /// Time that the request was taken to need.
+  Micros expected{0};
+};
+
 /// Decides what a daemon still does after its stop signal.
 ///
 /// From the signal on the daemon is not ready. It completes the requests that
@@ -50,7 +75,16 @@
   /// any case, a repeatable one as nearly all of its route do. As long as the
   /// load balancer sends new connections here, it is enough if most of them
   /// end, as their callers may have no other daemon.
-  bool Accepts(const ExpectedDuration& aExpected, Instant aNow) const;
+  StopDecision Decide(const ExpectedDuration& aExpected, Instant aNow) const;
+  bool Accepts(const ExpectedDuration& aExpected, Instant aNow) const {
+    return this->Decide(aExpected, aNow).isAccepted;
+  }
+  /// Time since the stop signal; none before it.
+  std::optional<Micros> SinceSignal(Instant aNow) const {
+    return this->begunAt ? std::optional(aNow - *this->begunAt) : std::nullopt;
+  }
+  /// Time until all requests have ended; only while stopping.
+  Micros TimeLeft(Instant aNow) const { return this->EndOfRequests() - aNow; }
   /// Whether to keep a request until what it waits for may have arrived, for at
   /// most `aWait`; afterwards a request to a plain service still has its time.
   bool MayDefer(Micros aWait, Instant aNow) const {
