--- /dev/null
+++ b/UnitTests/LateAcceptanceTest.cpp
@@ -0,0 +1,117 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <cmath>
+#include <numbers>
+
+#include "Zincstep/Relay/StopPolicy.h"
+
+namespace zincstep {
+namespace {
+
+/// Lengths of streams over a history.
+enum class Lengths { Equal, HeavyTail, FewLong, LongerFromSignal, FewSamples };
+
+inline constexpr NameTable<Lengths, 5> kLengthsNames{{
+    {Lengths::Equal, "equal"},
+    {Lengths::HeavyTail, "heavy tail"},
+    {Lengths::FewLong, "few long"},
+    {Lengths::LongerFromSignal, "longer from the signal on"},
+    {Lengths::FewSamples, "few samples"},
+}};
+
+/// Random histories of streams before and during a stop.
+class LateAcceptanceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LateAcceptanceTest);
+  CPPUNIT_TEST(Accepts_StreamReadLate_EndsBeforeExit);
+  CPPUNIT_TEST(Accepts_StreamReadLate_ShortDeadline_IsServed);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr const char* kRoute = "route";
+  static constexpr Micros kDeadline = 20s;
+  static constexpr Micros kHistory = 60s;
+
+  const StopPolicySettings settings{};
+  Random random{7};
+
+  double Normal() {
+    const double radius = std::sqrt(-2 * std::log(1 - this->random.Unit()));
+    return radius * std::cos(2 * std::numbers::pi * this->random.Unit());
+  }
+
+  Micros DrawLength(Lengths aLengths, bool aIsStopping) {
+    double seconds = 0.3;
+    switch (aLengths) {
+      case Lengths::Equal:
+        break;
+      case Lengths::HeavyTail:
+        seconds = 0.5 * std::exp(1.2 * this->Normal());
+        break;
+      case Lengths::FewLong:
+        seconds = this->random.Unit() < 0.008 ? 7 : 0.3;
+        break;
+      case Lengths::LongerFromSignal:
+        seconds = (aIsStopping ? 6 : 1) * (0.2 + this->random.Unit());
+        break;
+      case Lengths::FewSamples:
+        seconds = 1 + 2 * this->random.Unit();
+        break;
+    }
+    return std::min(FromSeconds(seconds), kDeadline);
+  }
+
+  /// Plays a history and a stop; returns the number of streams that were read
+  /// after the balancer's last connection, accepted, and still ran at the end.
+  int CountCut(Lengths aLengths) {
+    RouteDurations durations{RouteDurationsSettings{}};
+    StopPolicy policy{this->settings};
+    const Micros interval = aLengths == Lengths::FewSamples ? 2s : 20ms;
+    Instant now{Micros{100s}};
+    const Instant signal = now + kHistory;
+    const Instant end =
+        signal + this->settings.gracePeriod - this->settings.killMargin;
+    for (; now < signal; now += interval) {
+      durations.OnEnded(kRoute, this->DrawLength(aLengths, false), now);
+    }
+    policy.Begin(signal);
+    int cut = 0;
+    for (now = signal + this->settings.balancerRemovalDelay; now < end;
+         now += interval) {
+      const ExpectedDuration expected{kDeadline, durations.Usual(kRoute, now),
+                                      true, true};
+      const Micros length = this->DrawLength(aLengths, true);
+      cut += policy.Accepts(expected, now) && now + length > end ? 1 : 0;
+    }
+    return cut;
+  }
+
+ public:
+  // Guards against accepting a stream by how long others took: one that was
+  // read 3.3 s after the signal ran for longer, and was truncated at the exit.
+  void Accepts_StreamReadLate_EndsBeforeExit() {
+    for (const auto& [lengths, name] : kLengthsNames) {
+      int cut = 0;
+      for (int history = 0; history < 20; ++history) {
+        cut += this->CountCut(lengths);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(name), 0, cut);
+    }
+  }
+
+  // Guards against refusing everything: what ends in any case is accepted until
+  // it could not.
+  void Accepts_StreamReadLate_ShortDeadline_IsServed() {
+    StopPolicy policy{this->settings};
+    const Instant signal{Micros{100s}};
+    policy.Begin(signal);
+    const ExpectedDuration brief{1500ms, UsualDurations{9s, 9s}, true, true};
+    CPPUNIT_ASSERT(policy.Accepts(brief, signal + 3s));
+    CPPUNIT_ASSERT(policy.Accepts(brief, signal + 6s));
+    CPPUNIT_ASSERT(!policy.Accepts(brief, signal + 6100ms));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LateAcceptanceTest);
+
+}  // namespace
+}  // namespace zincstep
