A stream that is read late is accepted only if it ends in any case (LOST)

What callers saw: streams that were read 2.6 to 3.5 s after the SIGTERM of their daemon ran at an upstream, and were truncated 4 to 5 s later as the process exited.

Cause: StopPolicy promised each of them to end because 0.99 of the recent ones of its route had. A share of others keeps no promise to one request; and a daemon that is asked has 20 to 100 durations at most, from which truncated, abandoned and refused streams are missing, and which are no older than the process.

Change: once the balancer sends no more new connections a stream is accepted only if its deadline or its route's time-out comes before the end, as requests that may not run twice already were. Requests to a plain service keep the shares: they get a complete response whenever they are ended.

--- a/Zincstep/Relay/StopPolicy.cpp
+++ b/Zincstep/Relay/StopPolicy.cpp
@@ -16,7 +16,9 @@
                                 Instant aNow) const {
   StopDecision decision;
   decision.expected = aExpected.maximum;
-  if (aExpected.isRepeatable) {
+  // A stream that has begun can't be given a complete response early.
+  const bool mustEnd = aExpected.isStream && this->ShouldCloseIdle(aNow);
+  if (aExpected.isRepeatable && !mustEnd) {
     const UsualDurations usual =
         aExpected.usual.value_or(this->InitialDurations(aExpected));
     const Micros duration =
