--- a/SoakTests/InvariantChecker.cpp
+++ b/SoakTests/InvariantChecker.cpp
@@ -209,15 +209,33 @@
   }
 }
 
+void InvariantChecker::CheckAnswered(const Truncated& aTruncated,
+                                     const std::string& aCause) {
+  const Record& request = this->requests.at(aTruncated.id);
+  const Micros waited = aTruncated.at - request.sentAt;
+  if (request.runs > 0 || waited > kMaxReadTime) {
+    this->AddViolation("request " + aTruncated.id + " got no answer " + aCause +
+                       ", after " + std::to_string(waited / 1ms) + " ms and " +
+                       std::to_string(request.runs) + " runs");
+  }
+}
+
 void InvariantChecker::CheckAnswered(const std::string& aCause) {
-  for (const auto& [id, at] : this->truncated) {
-    const Record& request = this->requests.at(id);
-    const Micros waited = at - request.sentAt;
-    if (request.kind != RequestKind::Stream &&
-        (request.runs > 0 || waited > kMaxReadTime)) {
-      this->AddViolation("request " + id + " got no answer " + aCause +
-                         ", after " + std::to_string(waited / 1ms) +
-                         " ms and " + std::to_string(request.runs) + " runs");
+  for (const Truncated& one : this->truncated) {
+    if (this->requests.at(one.id).kind != RequestKind::Stream) {
+      this->CheckAnswered(one, aCause);
+    }
+  }
+}
+
+void InvariantChecker::CheckLateStreams(Micros aAge) {
+  for (const Truncated& one : this->truncated) {
+    const Record& request = this->requests.at(one.id);
+    if (request.kind == RequestKind::Stream && request.sinceSignal &&
+        *request.sinceSignal > aAge) {
+      this->CheckAnswered(one, "by a daemon " +
+                                   std::to_string(*request.sinceSignal / 1ms) +
+                                   " ms after its stop signal");
     }
   }
 }
--- a/SoakTests/InvariantChecker.h
+++ b/SoakTests/InvariantChecker.h
@@ -51,6 +51,11 @@
   void SetTimeout(const std::string& aId, Micros aTimeout) {
     this->requests.at(aId).timeout = aTimeout;
   }
+  /// Records for how long the daemon had been stopping when the request was
+  /// sent to it.
+  void SetSinceSignal(const std::string& aId, Micros aSinceSignal) {
+    this->requests.at(aId).sinceSignal = aSinceSignal;
+  }
   void OnArrival(const UpstreamArrival& aArrival);
   /// Sets the most upstreams that may run one request of a kind.
   void SetMaxRuns(RequestKind aKind, int aRuns) {
@@ -73,6 +78,9 @@
   /// The same, also for requests that had been sent for some time: the daemon
   /// must have read these. Streams may be truncated.
   void CheckAnswered(const std::string& aCause);
+  /// The same for streams that were sent later than `aAge` after the stop
+  /// signal of their daemon.
+  void CheckLateStreams(Micros aAge);
   /// Record that the crashing request has reached an upstream, and that it has
   /// crashed one.
   void OnCrashingRequestSent(Instant aAt) {
@@ -118,6 +126,7 @@
     int runs = 0;
     int arrivals = 0;
     Micros timeout{0};
+    std::optional<Micros> sinceSignal;
     Instant firstArrival{};
     /// End of the time that the first upstream was given.
     Instant firstEnd{};
@@ -136,6 +145,8 @@
     std::vector<Instant> repeated;
   };
 
+  /// Adds a violation if the request ran or must have been read.
+  void CheckAnswered(const Truncated& aTruncated, const std::string& aCause);
   static std::string ServiceOf(RequestKind aKind) {
     return aKind == RequestKind::Stream ? "model" : "plain";
   }
--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -37,6 +37,9 @@
     "  --process-faults  signals, ports in use, odd store entries, and starts\n"
     "                  with unread output or few descriptors meanwhile\n"
     "  --stops         at the end, overlapping stops of daemons\n"
+    "  --stream-stops S  the same beside streams of mixed lengths, with a "
+    "grace\n"
+    "                  period of S seconds for all daemons\n"
     "  --failures      at the end, upstreams that fail most requests beside\n"
     "                  faults of daemons\n"
     "  --stopped-upstreams  at the end, upstreams are stopped for 16 s\n"
@@ -75,6 +78,7 @@
       {"restores", no_argument, nullptr, 'r'},
       {"partitions", no_argument, nullptr, 'p'},
       {"stops", no_argument, nullptr, 'o'},
+      {"stream-stops", required_argument, nullptr, 'v'},
       {"process-faults", no_argument, nullptr, 'z'},
       {nullptr, 0, nullptr, 0}};
   for (int flag = 0;
@@ -160,6 +164,10 @@
       case 'o':
         settings.hasStops = true;
         break;
+      case 'v':
+        settings.hasStreamStops = true;
+        settings.stopGrace = zincstep::FromSeconds(std::atof(optarg));
+        break;
       default:
         std::fputs(kUsage, stderr);
         return 2;
@@ -185,6 +193,9 @@
                 outcome.faults.size(),
                 outcome.violations.empty() ? "passed" : "FAILED");
     std::printf("  retries: %s\n", outcome.retries.c_str());
+    if (!outcome.stops.empty()) {
+      std::printf("  stops: %s\n", outcome.stops.c_str());
+    }
     for (const std::string& line : outcome.violations) {
       std::printf("  broken: %s\n", line.c_str());
     }
--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -9,6 +9,7 @@
 #include "SoakTests/SoakCaller.h"
 #include "SoakTests/SoakRun.h"
 #include "SoakTests/SoakUpstream.h"
+#include "SoakTests/StopOutcomes.h"
 #include "Zincstep/Core/Random.h"
 
 namespace zincstep::soak {
@@ -28,6 +29,8 @@
   const char* path = nullptr;
   /// Parts of the prompt before its last one.
   std::string parts;
+  /// Number of events of its stream; 0: as its id gives it.
+  int events = 0;
 };
 
 /// Faults of the daemons while upstreams fail.
@@ -56,6 +59,9 @@
     std::vector<TcpEndpoint> listening;
     /// Signals without a meaning that it is still to be sent, one each tick.
     std::uint64_t signals = 0;
+    /// When it was sent its stop signal, until it may start again; recorded for
+    /// stops under load.
+    std::optional<Instant> signalledAt;
     /// Set while a fault keeps it down; the fault's end clears this.
     bool isDown = false;
     /// Whether it is partitioned from all upstreams.
@@ -111,6 +117,12 @@
   /// requests of all kinds until the processes have exited.
   void StopUnderLoad(std::size_t aCount, Micros aGap);
   void SendToDaemons(std::size_t aCount);
+  /// Stops one daemon, two, and all of them beside streams of mixed lengths
+  /// whose deadline is after the grace period; checks that none that was sent
+  /// late in it is truncated.
+  void CheckStopsBesideStreams();
+  /// Sends a stream to the daemon, and a long one in a few of a hundred cases.
+  void SendMixedStream(Daemon& aDaemon);
   /// Sends requests at the rate of a deployment while upstreams fail most of
   /// them; faults of the daemons overlap. Callers repeat at once.
   void CheckFailingUpstreams();
@@ -214,6 +226,8 @@
   /// Daemons up to which the rate of requests does not depend on their number.
   static constexpr int kBaselineDaemons = 4;
   static constexpr int kPlainUpstreams = 2;
+  /// Upstreams send one event of each stream in it.
+  static constexpr Micros kTickInterval = 10ms;
 
   SoakSettings settings;
   asio::io_context loop{1};
@@ -229,9 +243,12 @@
   Random partitionRandom;
   /// The same for faults of processes.
   Random processRandom;
+  /// The same for lengths of streams beside stops.
+  Random streamRandom;
   SoakStore store;
   SoakCaller callers;
   InvariantChecker checker;
+  StopOutcomes stopOutcomes;
   UpstreamsByAddress byAddress;
   std::vector<std::unique_ptr<SoakUpstream>> upstreams;
   std::vector<std::unique_ptr<Daemon>> daemons;
--- a/SoakTests/SoakCaller.cpp
+++ b/SoakTests/SoakCaller.cpp
@@ -36,6 +36,7 @@
   }
 
   void OnResponseHead(HttpHead aHead) override {
+    this->hasResponse = true;
     this->response.status = aHead.status;
     this->response.headers = std::move(aHead.headers);
   }
@@ -61,7 +62,7 @@
     const auto owner = std::move(this->self);
     this->timer.cancel();
     if (owner) {
-      this->done(aResult);
+      this->done(aResult, {this->call->IsReused(), this->hasResponse});
     }
   }
 
@@ -70,6 +71,7 @@
   SoakCaller::Done done;
   std::shared_ptr<Call> self;
   HttpResponse response;
+  bool hasResponse = false;
 };
 
 ConnectionPoolSettings PoolSettings() {
--- a/SoakTests/SoakCaller.h
+++ b/SoakTests/SoakCaller.h
@@ -7,6 +7,14 @@
 
 namespace zincstep::soak {
 
+/// How far a call got.
+struct CallProgress {
+  /// Whether its connection had carried a request before.
+  bool isReused = false;
+  /// Whether the head of a response was received.
+  bool hasResponse = false;
+};
+
 /// Sends requests over pooled connections, which are reused as long as the
 /// daemon keeps them open. A request is never retried.
 class SoakCaller {
@@ -14,7 +22,8 @@
   /// Fails with `UpstreamUnreachable` if nothing was sent, with
   /// `ResponseIncomplete` if the connection broke, and with
   /// `DeadlineDuringRun` if no response arrived in time.
-  using Done = std::function<void(const Result<HttpResponse>&)>;
+  using Done =
+      std::function<void(const Result<HttpResponse>&, const CallProgress&)>;
 
   SoakCaller(asio::io_context& aLoop, const Clock& aClock);
 
--- /dev/null
+++ b/SoakTests/SoakRequests.cpp
@@ -0,0 +1,153 @@
+/// \file
+/// Requests of the callers and their responses.
+
+#include <algorithm>
+#include <array>
+
+#include "SoakTests/Soak.h"
+
+namespace zincstep::soak {
+
+namespace {
+
+/// Between requests of all callers together, for up to `kBaselineDaemons`. With
+/// more daemons it shrinks to a minimum that the upstreams can sustain.
+constexpr Micros kRequestInterval = 25ms;
+constexpr Micros kMinRequestInterval = 5ms;
+constexpr int kOk = 200;
+
+/// Whether the status means that the request has not run and never will.
+bool IsNotRun(const HttpResponse& aResponse) {
+  constexpr std::array kNotRun{408, 421, 429, 503};
+  return std::find(kNotRun.begin(), kNotRun.end(), aResponse.status) !=
+         kNotRun.end();
+}
+
+StopOutcome StopOutcomeOf(const Result<HttpResponse>& aResponse,
+                          const CallProgress& aProgress) {
+  if (aResponse) {
+    return aResponse->status == kOk ? StopOutcome::Served
+           : IsNotRun(*aResponse)   ? StopOutcome::Refused
+                                    : StopOutcome::Failed;
+  }
+  switch (aResponse.error().kind) {
+    case ErrorKind::UpstreamUnreachable:
+      return StopOutcome::NotConnected;
+    case ErrorKind::ResponseIncomplete:
+      return aProgress.hasResponse ? StopOutcome::Truncated
+             : aProgress.isReused  ? StopOutcome::ClosedKept
+                                   : StopOutcome::ClosedNew;
+    default:
+      return StopOutcome::TimedOut;
+  }
+}
+
+}  // namespace
+
+void Soak::SendDue(Instant aNow) {
+  const Micros interval =
+      std::max(kMinRequestInterval,
+               kRequestInterval * kBaselineDaemons /
+                   std::max(kBaselineDaemons, this->settings.daemons));
+  if (aNow < this->nextRequest) {
+    return;
+  }
+  // Requests missed by a late tick are not made up for.
+  this->nextRequest = std::max(this->nextRequest, aNow - kTickInterval);
+  while (aNow >= this->nextRequest) {
+    this->nextRequest += interval;
+    this->SendNext();
+  }
+}
+
+void Soak::SendNext() {
+  constexpr int kRequestsPerOther = 5;
+  const std::size_t pick = this->random.Below(this->daemons.size());
+  const auto kind = static_cast<RequestKind>(this->random.Below(3));
+  Daemon& daemon = *this->daemons[pick];
+  const std::string id =
+      this->Send(daemon, kind, this->random.Below(kRequestsPerOther) == 0);
+  if (this->firstAttempts) {
+    this->firstAttempts->push_back({id, daemon.isPartitioned});
+  }
+}
+
+std::string Soak::Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther,
+                       Micros aTimeout, const RequestExtras& aExtras) {
+  constexpr std::array kPaths{"/safe/x", "/unsafe/x", "/llm/x"};
+  const std::string path = aExtras.path != nullptr
+                               ? aExtras.path
+                               : kPaths[static_cast<std::size_t>(aKind)];
+  this->lastRequest += 1;
+  std::string id = "r" + std::to_string(this->lastRequest);
+  if (aExtras.events > 0) {
+    id += kEventsSeparator + std::to_string(aExtras.events);
+  }
+  // Half of the requests use connections that stay open until the process
+  // exits.
+  const bool reusesConnection = this->lastRequest % 2 == 0;
+  this->checker.OnRequestSent(id, aKind, aIsOther ? "other" : "acme",
+                              this->clock.Now());
+  this->checker.SetTimeout(id, aTimeout);
+  std::optional<Micros> age;
+  if (aDaemon.signalledAt) {
+    age = this->clock.Now() - *aDaemon.signalledAt;
+    this->checker.SetSinceSignal(id, *age);
+  }
+  const std::string body = aExtras.parts.empty() ? "{}" : id;
+  const std::string prompt =
+      aExtras.parts.empty()
+          ? ""
+          : "X-Prompt-Prefix: " + aExtras.parts + "," + id + ":10\r\n";
+  const std::string text =
+      "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id +
+      "\r\nX-Deadline-Ms: " + std::to_string(aTimeout / 1ms) +
+      "\r\nAuthorization: Bearer " + (aIsOther ? "key2" : "key1") +
+      "\r\nX-Token-Usage: 10,60\r\n" +
+      (reusesConnection ? "" : "Connection: close\r\n") + prompt +
+      "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  this->callers.Send(
+      aDaemon.address, text, reusesConnection, aTimeout,
+      [this, id, aKind, age, &aDaemon](const Result<HttpResponse>& aResponse,
+                                       const CallProgress& aProgress) {
+        if (age) {
+          this->stopOutcomes.Count(*age, StopOutcomeOf(aResponse, aProgress));
+        }
+        this->OnResponse(id, aKind, aDaemon, aResponse);
+      });
+  return id;
+}
+
+void Soak::OnResponse(const std::string& aId, RequestKind aKind,
+                      Daemon& aDaemon, const Result<HttpResponse>& aResponse) {
+  this->RepeatFailed(aKind, aResponse);
+  if (!aResponse) {
+    if (aResponse.error().kind == ErrorKind::ResponseIncomplete) {
+      this->checker.OnResponseTruncated(aId, this->clock.Now());
+    }
+    return;  // Truncated or late: the outcome is unknown.
+  }
+  if (IsNotRun(*aResponse)) {
+    this->checker.OnRequestEnd(aId, ReportedOutcome::NotRun);
+    return;
+  }
+  if (aResponse->status != kOk) {
+    return;
+  }
+  std::string expected = BodyFor(aId);
+  if (aKind == RequestKind::Stream) {
+    expected.clear();
+    for (int event = 1; event <= EventsFor(aId); ++event) {
+      expected += EventFor(aId, event);
+    }
+  }
+  if (aResponse->body != expected ||
+      FindHeader(aResponse->headers, "X-Response-Seal") != "seal-" + aId) {
+    this->checker.AddViolation("request " + aId +
+                               " got a response that does not match it");
+  }
+  this->checker.OnRequestEnd(aId, ReportedOutcome::Completed);
+  aDaemon.completed[static_cast<std::size_t>(aKind)] = true;
+}
+
+}  // namespace zincstep::soak
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -2,17 +2,13 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 
 namespace zincstep::soak {
 
 namespace {
 
-constexpr Micros kTickInterval = 10ms;
-/// Between requests of all callers together, for up to `kBaselineDaemons`. With
-/// more daemons it shrinks to a minimum that the upstreams can sustain.
-constexpr Micros kRequestInterval = 25ms;
-constexpr Micros kMinRequestInterval = 5ms;
 constexpr Micros kMinFaultInterval = 200ms;
 constexpr Micros kFaultIntervalSpread = 500ms;
 /// Timeout for full service at the start and after the last fault; generous,
@@ -43,7 +39,6 @@
 /// Ends of each daemon that are reported; the log has them all. A daemon that
 /// ends at each start does so up to 100 times a second.
 constexpr std::size_t kReportedEnds = 5;
-constexpr int kOk = 200;
 /// Number of the first daemon's address in its network.
 constexpr int kFirstAddress = 10;
 
@@ -101,6 +96,7 @@
       linkRandom(Hash64("link", aSettings.seed)),
       partitionRandom(Hash64("partition", aSettings.seed)),
       processRandom(Hash64("process", aSettings.seed)),
+      streamRandom(Hash64("stream", aSettings.seed)),
       store(this->loop, this->clock),
       callers(this->loop, this->clock),
       timer(this->loop) {
@@ -172,7 +168,8 @@
             {"ZINCSTEP_RETRY_SLACK", std::to_string(retrySlack)},
             {"ZINCSTEP_RETRY_WINDOW_S", std::to_string(kRetryWindow / 1s)},
             {"ZINCSTEP_SOAK_LINK_HOST", host},
-            {"ZINCSTEP_STOP_GRACE_S", "3"}});
+            {"ZINCSTEP_STOP_GRACE_S",
+             std::to_string(ToSeconds(this->settings.stopGrace))}});
     this->daemons.push_back(std::move(daemon));
   }
 }
@@ -218,6 +215,9 @@
     this->CheckOverlappingStops();
     this->CheckStopsWithoutConfiguration();
   }
+  if (this->settings.hasStreamStops) {
+    this->CheckStopsBesideStreams();
+  }
   if (this->settings.hasCrashingRequest) {
     this->CheckCrashingRequest();
   }
@@ -245,6 +245,9 @@
   }
   this->outcome.violations = this->checker.Close();
   this->outcome.retries = this->checker.RetrySummary();
+  if (this->settings.hasStreamStops) {
+    this->outcome.stops = this->stopOutcomes.Table();
+  }
   this->outcome.requests = this->checker.Requests();
   this->outcome.completedRequests = this->checker.CompletedRequests();
   return std::move(this->outcome);
@@ -322,102 +325,6 @@
   });
 }
 
-void Soak::SendDue(Instant aNow) {
-  const Micros interval =
-      std::max(kMinRequestInterval,
-               kRequestInterval * kBaselineDaemons /
-                   std::max(kBaselineDaemons, this->settings.daemons));
-  if (aNow < this->nextRequest) {
-    return;
-  }
-  // Requests missed by a late tick are not made up for.
-  this->nextRequest = std::max(this->nextRequest, aNow - kTickInterval);
-  while (aNow >= this->nextRequest) {
-    this->nextRequest += interval;
-    this->SendNext();
-  }
-}
-
-void Soak::SendNext() {
-  constexpr int kRequestsPerOther = 5;
-  const std::size_t pick = this->random.Below(this->daemons.size());
-  const auto kind = static_cast<RequestKind>(this->random.Below(3));
-  Daemon& daemon = *this->daemons[pick];
-  const std::string id =
-      this->Send(daemon, kind, this->random.Below(kRequestsPerOther) == 0);
-  if (this->firstAttempts) {
-    this->firstAttempts->push_back({id, daemon.isPartitioned});
-  }
-}
-
-std::string Soak::Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther,
-                       Micros aTimeout, const RequestExtras& aExtras) {
-  constexpr std::array kPaths{"/safe/x", "/unsafe/x", "/llm/x"};
-  const std::string path = aExtras.path != nullptr
-                               ? aExtras.path
-                               : kPaths[static_cast<std::size_t>(aKind)];
-  this->lastRequest += 1;
-  const std::string id = "r" + std::to_string(this->lastRequest);
-  // Half of the requests use connections that stay open until the process
-  // exits.
-  const bool reusesConnection = this->lastRequest % 2 == 0;
-  this->checker.OnRequestSent(id, aKind, aIsOther ? "other" : "acme",
-                              this->clock.Now());
-  this->checker.SetTimeout(id, aTimeout);
-  const std::string body = aExtras.parts.empty() ? "{}" : id;
-  const std::string prompt =
-      aExtras.parts.empty()
-          ? ""
-          : "X-Prompt-Prefix: " + aExtras.parts + "," + id + ":10\r\n";
-  const std::string text =
-      "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id +
-      "\r\nX-Deadline-Ms: " + std::to_string(aTimeout / 1ms) +
-      "\r\nAuthorization: Bearer " + (aIsOther ? "key2" : "key1") +
-      "\r\nX-Token-Usage: 10,60\r\n" +
-      (reusesConnection ? "" : "Connection: close\r\n") + prompt +
-      "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  this->callers.Send(
-      aDaemon.address, text, reusesConnection, aTimeout,
-      [this, id, aKind, &aDaemon](const Result<HttpResponse>& aResponse) {
-        this->OnResponse(id, aKind, aDaemon, aResponse);
-      });
-  return id;
-}
-
-void Soak::OnResponse(const std::string& aId, RequestKind aKind,
-                      Daemon& aDaemon, const Result<HttpResponse>& aResponse) {
-  constexpr std::array kNotRun{408, 421, 429, 503};
-  this->RepeatFailed(aKind, aResponse);
-  if (!aResponse) {
-    if (aResponse.error().kind == ErrorKind::ResponseIncomplete) {
-      this->checker.OnResponseTruncated(aId, this->clock.Now());
-    }
-    return;  // Truncated or late: the outcome is unknown.
-  }
-  if (std::find(kNotRun.begin(), kNotRun.end(), aResponse->status) !=
-      kNotRun.end()) {
-    this->checker.OnRequestEnd(aId, ReportedOutcome::NotRun);
-    return;
-  }
-  if (aResponse->status != kOk) {
-    return;
-  }
-  std::string expected = BodyFor(aId);
-  if (aKind == RequestKind::Stream) {
-    expected.clear();
-    for (int event = 1; event <= EventsFor(aId); ++event) {
-      expected += EventFor(aId, event);
-    }
-  }
-  if (aResponse->body != expected ||
-      FindHeader(aResponse->headers, "X-Response-Seal") != "seal-" + aId) {
-    this->checker.AddViolation("request " + aId +
-                               " got a response that does not match it");
-  }
-  this->checker.OnRequestEnd(aId, ReportedOutcome::Completed);
-  aDaemon.completed[static_cast<std::size_t>(aKind)] = true;
-}
-
 SoakOutcome RunSoak(const SoakSettings& aSettings) {
   return Soak(aSettings).Run();
 }
--- a/SoakTests/SoakRun.h
+++ b/SoakTests/SoakRun.h
@@ -81,6 +81,10 @@
   /// Whether daemons are stopped one after the other at the end, beside slow
   /// plain upstreams and without a configuration.
   bool hasStops = false;
+  /// Whether daemons are stopped at the end beside streams of mixed lengths.
+  bool hasStreamStops = false;
+  /// Grace period of the daemons' stops.
+  Micros stopGrace = 3s;
   /// Whether upstreams fail most of what they run at the end, while daemons are
   /// killed, stopped, paused and partitioned from the store.
   bool hasFailures = false;
@@ -102,6 +106,8 @@
   std::vector<std::string> violations;
   /// What was compared with the limits on retries.
   std::string retries;
+  /// Outcomes of the requests to stopping daemons; empty without these stops.
+  std::string stops;
 };
 
 /// Runs daemon processes against stand-ins of the store and the upstreams,
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -58,6 +58,10 @@
 int EventsFor(const std::string& aId) {
   constexpr int kMinEvents = 10;
   constexpr int kEventSpread = 30;
+  const std::size_t separator = aId.find(kEventsSeparator);
+  if (separator != std::string::npos) {
+    return std::stoi(aId.substr(separator + 1));
+  }
   return kMinEvents + static_cast<int>(Hash64(aId) % kEventSpread);
 }
 
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -49,8 +49,11 @@
 
 /// Returns the body of a complete response to a request.
 std::string BodyFor(const std::string& aId);
+/// Precedes the number of events in the id of a request that sets it.
+inline constexpr char kEventsSeparator = '-';
+
 /// Return one event of the response stream to a request, and the number of its
-/// events.
+/// events: the one in its id, or else one drawn by its id.
 std::string EventFor(const std::string& aId, int aNumber);
 int EventsFor(const std::string& aId);
 
