A stopping daemon answers what has arrived or is under way before it closes (LOST)

What callers saw: a request on a connection that was accepted just before was closed without an answer, at the moment at which idle connections are closed, and again at the exit. None had been passed on.

Cause: a connection without a parsed byte counted as idle, although its request lay in the socket's buffer or had been sent; and at the exit the kernel's queue of connections was dropped.

Change: ExpectsRequest: unread bytes, a request that is half read, or no request yet 0.3 s after the accept.

Ruled out: half-closing; a request that crosses it would be read and could not be answered.

--- a/UnitTests/StoppingListenerTest.cpp
+++ b/UnitTests/StoppingListenerTest.cpp
@@ -1,4 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include "Zincstep/Net/CallerConnection.h"
 #include "Zincstep/Net/TcpSocket.h"
@@ -33,7 +35,15 @@
   CallerListener listener{loop, handler, clock};
   TcpSocket caller{loop};
 
-  void Send() { asio::write(caller, asio::buffer(std::string_view(kRequest))); }
+  /// Sends a request, and waits until the other side has received it.
+  void Send() {
+    asio::write(caller, asio::buffer(std::string_view(kRequest)));
+    int unacknowledged = 1;
+    while (unacknowledged > 0) {
+      CPPUNIT_ASSERT_EQUAL(
+          0, ::ioctl(caller.native_handle(), SIOCOUTQ, &unacknowledged));
+    }
+  }
 
   /// Reads until the connection is closed; returns the bytes of the response.
   std::string Response() {
--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -153,13 +153,23 @@
   const std::size_t unsent =
       this->callers.PendingBytes() + this->forwarded.PendingBytes();
   if (this->stop.CanExit(this->relay.Active(), unsent, this->clock.Now())) {
+    this->CloseListenersAndExit();
+  }
+}
+
+void EdgeProcess::CloseListenersAndExit() {
+  this->callers.StopAccepting();
+  this->forwarded.StopAccepting();
+  const bool expectsRequests =
+      this->callers.ExpectsRequests() || this->forwarded.ExpectsRequests();
+  if (!expectsRequests || this->stop.MustExit(this->clock.Now())) {
     this->loop.stop();
   }
 }
 
 void EdgeProcess::ScheduleFastTick() {
-  this->fastTimer.expires_after(this->relay.Active() > 0 ? kBusyTick
-                                                         : kIdleTick);
+  const bool isBusy = this->relay.Active() > 0 || this->stop.IsStopping();
+  this->fastTimer.expires_after(isBusy ? kBusyTick : kIdleTick);
   this->fastTimer.async_wait([this](const asio::error_code& aError) {
     if (!aError) {
       this->OnFastTick();
--- a/Zincstep/Edge/EdgeProcess.h
+++ b/Zincstep/Edge/EdgeProcess.h
@@ -175,6 +175,9 @@
                       const Result<UpstreamReport>& aReport);
   void WaitForSignal();
   void OnStopRequested();
+  /// Accepts no more connections, and ends the loop once the open ones expect
+  /// no request.
+  void CloseListenersAndExit();
   /// Closes callers' connections without a request, and counts them in the log.
   void CloseIdleConnections();
   /// Detects by the time since the last tick that this VM was suspended.
--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -12,6 +12,9 @@
 /// A caller's connection is closed when bytes are unacknowledged for so long;
 /// partitioned callers have given up by then.
 constexpr Micros kUnacknowledgedTimeout = 8s;
+/// Time after its connection within which a caller's first request arrives,
+/// also if a packet is lost once.
+constexpr Micros kFirstRequestTime = 300ms;
 /// Bytes of later requests that are read ahead while one runs.
 constexpr std::size_t kMaxReadAheadBytes = 64 << 10;
 /// Added to the idle timeout, so that the connection never closes on a request
@@ -48,7 +51,8 @@
       limits(aLimits),
       clock(aClock),
       parser(HttpSide::Request, *this),
-      lastActive(aClock.Now()) {
+      openedAt(aClock.Now()),
+      lastActive(openedAt) {
   SetSocketOptions(this->socket, kUnacknowledgedTimeout);
   this->parser.SetMaxHeadBytes(aLimits.maxHeaderBytes);
 }
@@ -128,7 +132,7 @@
     return;
   }
   this->isBusy = true;
-  this->hasServed = true;
+  this->hasReadRequest = true;
   this->closesAfterResponse =
       this->closesAfterResponse || !this->message.head.keepsAlive;
   this->message.readAt = this->lastActive;
@@ -287,11 +291,24 @@
 
 void CallerConnection::CloseWhenDone() {
   this->closesAfterResponse = true;
-  if (!this->isBusy && !this->isWriting && !this->parser.HasBegun()) {
+  const bool isIdle =
+      !this->isBusy && !this->isWriting && !this->parser.HasBegun();
+  if (isIdle && !this->ExpectsRequest()) {
     this->Close();
   }
 }
 
+bool CallerConnection::ExpectsRequest() const {
+  if (this->isClosed || this->isBusy || this->hasLastResponse) {
+    return false;
+  }
+  const bool isNew = !this->hasReadRequest &&
+                     this->clock.Now() - this->openedAt < kFirstRequestTime;
+  asio::error_code error;
+  return isNew || this->parser.HasBegun() ||
+         (this->socket.available(error) > 0 && !error);
+}
+
 void CallerConnection::CheckTimeouts(Instant aNow) {
   if (this->isClosed || this->isBusy || this->isWriting) {
     return;
@@ -350,17 +367,23 @@
     connection->CloseWhenDone();
     if (wasOpen && connection->IsClosed()) {
       closed.idle += 1;
-      closed.unused += connection->HasServed() ? 0 : 1;
+      closed.unused += connection->HasReadRequest() ? 0 : 1;
     }
   }
   return closed;
 }
 
+bool CallerListener::ExpectsRequests() const {
+  return std::any_of(
+      this->connections.begin(), this->connections.end(),
+      [](const auto& aConnection) { return aConnection->ExpectsRequest(); });
+}
+
 std::size_t CallerListener::Unused() const {
   return static_cast<std::size_t>(std::count_if(
       this->connections.begin(), this->connections.end(),
       [](const auto& aConnection) {
-        return !aConnection->IsClosed() && !aConnection->HasServed();
+        return !aConnection->IsClosed() && !aConnection->HasReadRequest();
       }));
 }
 
--- a/Zincstep/Net/CallerConnection.h
+++ b/Zincstep/Net/CallerConnection.h
@@ -63,7 +63,7 @@
   /// Closes once all pending bytes are written; a chunked response is
   /// truncated.
   void CloseWhenSent();
-  /// Closes after the current response, or now if the connection is idle.
+  /// Closes after the next response, or now if no request is expected.
   void CloseWhenDone();
   /// Closes the connection after the next response.
   void DisableKeepAlive() { this->closesAfterResponse = true; }
@@ -76,8 +76,11 @@
   /// Whether a request is in progress.
   bool IsBusy() const { return this->isBusy; }
   bool IsClosed() const { return this->isClosed; }
+  /// Whether a request has arrived that is not read completely, or the first
+  /// one of a new connection may be under way.
+  bool ExpectsRequest() const;
   /// Whether any request was read.
-  bool HasServed() const { return this->hasServed; }
+  bool HasReadRequest() const { return this->hasReadRequest; }
 
  private:
   void Read();
@@ -111,6 +114,7 @@
   std::string unparsed;
   std::string pending;
   std::string writing;
+  Instant openedAt;
   Instant lastActive;
   /// When the first byte of the current request was read.
   Instant begunAt;
@@ -118,7 +122,7 @@
   bool isWriting = false;
   bool isBusy = false;
   bool isClosed = false;
-  bool hasServed = false;
+  bool hasReadRequest = false;
   bool closesAfterResponse = false;
   /// The last response is complete; what is received from now on is discarded.
   bool hasLastResponse = false;
@@ -145,7 +149,13 @@
   }
   /// Sets the limits of all connections, open ones included.
   void SetLimits(const CallerLimits& aLimits) { this->limits = aLimits; }
-  /// Closes idle connections now and the others after their response.
+  /// Accepts the connections that are established already, and no others.
+  void StopAccepting() { this->acceptor.AcceptPendingAndClose(); }
+  /// Whether a connection expects a request; see
+  /// `CallerConnection::ExpectsRequest`.
+  bool ExpectsRequests() const;
+  /// Closes connections that expect no request, and the others after their
+  /// next response.
   ClosedConnections CloseIdle();
   /// Open connections that never carried a request.
   std::size_t Unused() const;
--- a/Zincstep/Net/ConnectionAcceptor.cpp
+++ b/Zincstep/Net/ConnectionAcceptor.cpp
@@ -36,7 +36,25 @@
   this->retryTimer.cancel();
 }
 
+void ConnectionAcceptor::AcceptPendingAndClose() {
+  asio::error_code error;
+  this->acceptor.non_blocking(true, error);
+  // Otherwise `accept` waits for the next one when a connection was aborted.
+  this->acceptor.set_option(asio::socket_base::enable_connection_aborted(true),
+                            error);
+  while (!error || error == asio::error::connection_aborted) {
+    asio::ip::tcp::socket socket = this->acceptor.accept(error);
+    if (!error) {
+      this->onConnection(std::move(socket));
+    }
+  }
+  this->Close();
+}
+
 void ConnectionAcceptor::Accept() {
+  if (!this->acceptor.is_open()) {
+    return;
+  }
   this->acceptor.async_accept([this](const asio::error_code& aError,
                                      asio::ip::tcp::socket aSocket) {
     if (aError == asio::error::operation_aborted) {
--- a/Zincstep/Net/ConnectionAcceptor.h
+++ b/Zincstep/Net/ConnectionAcceptor.h
@@ -21,8 +21,10 @@
 
   /// Starts accepting at `host:port`; fails as `ListenOn`.
   Result<void> Start(const std::string& aAddress);
-  /// Stops accepting.
+  /// Stops accepting; connections in the kernel's queue are reset.
   void Close();
+  /// Accepts the connections in the kernel's queue, then stops accepting.
+  void AcceptPendingAndClose();
   /// Listening port, once started.
   std::uint16_t Port() const { return this->port; }
 
--- a/Zincstep/Relay/StopPolicy.cpp
+++ b/Zincstep/Relay/StopPolicy.cpp
@@ -17,8 +17,8 @@
   StopDecision decision;
   decision.expected = aExpected.maximum;
   // A stream that has begun can't be given a complete response early.
-  const bool mustEnd = aExpected.isStream && this->ShouldCloseIdle(aNow);
-  if (aExpected.isRepeatable && !mustEnd) {
+  const bool needsBound = aExpected.isStream && this->ShouldCloseIdle(aNow);
+  if (aExpected.isRepeatable && !needsBound) {
     const UsualDurations usual =
         aExpected.usual.value_or(this->InitialDurations(aExpected));
     const Micros duration =
@@ -42,19 +42,17 @@
          aNow - *this->begunAt >= this->settings.balancerRemovalDelay;
 }
 
+bool StopPolicy::MustExit(Instant aNow) const {
+  return this->begunAt &&
+         aNow - *this->begunAt >=
+             this->settings.gracePeriod - this->settings.exitMargin;
+}
+
 bool StopPolicy::CanExit(std::size_t aActive, std::size_t aUnsent,
                          Instant aNow) const {
-  if (!this->begunAt) {
-    return false;
-  }
-  const Micros stopping = aNow - *this->begunAt;
-  if (stopping >= this->settings.gracePeriod - this->settings.exitMargin) {
-    return true;
-  }
-  const bool hasEnded =
-      this->MustEndRequests(aNow) ||
-      (aActive == 0 && stopping >= this->settings.balancerRemovalDelay);
-  return hasEnded && aUnsent == 0;
+  const bool hasEnded = this->MustEndRequests(aNow) ||
+                        (aActive == 0 && this->ShouldCloseIdle(aNow));
+  return this->MustExit(aNow) || (hasEnded && aUnsent == 0);
 }
 
 }  // namespace zincstep
--- a/Zincstep/Relay/StopPolicy.h
+++ b/Zincstep/Relay/StopPolicy.h
@@ -96,6 +96,8 @@
   bool MustEndRequests(Instant aNow) const;
   /// Whether to close connections that have no request.
   bool ShouldCloseIdle(Instant aNow) const;
+  /// Whether the process exits whatever is left, as the kill comes next.
+  bool MustExit(Instant aNow) const;
   /// Whether the process may exit with `aActive` requests still running and
   /// `aUnsent` bytes of responses that callers have not received yet.
   bool CanExit(std::size_t aActive, std::size_t aUnsent, Instant aNow) const;
