--- a/UnitTests/StopPolicyTest.cpp
+++ b/UnitTests/StopPolicyTest.cpp
@@ -13,7 +13,7 @@
   CPPUNIT_TEST(Accepts_OrderOfLongTimeout_OnlyIfItEndsInAnyCase);
   CPPUNIT_TEST(Accepts_RepeatableRequest_ByUsualDuration);
   CPPUNIT_TEST(ShouldCloseIdle_AfterBalancerRemoval_IsTrue);
-  CPPUNIT_TEST(CanExit_ActiveRequests_WaitsForGracePeriod);
+  CPPUNIT_TEST(CanExit_ActiveRequests_WaitsForKill);
   CPPUNIT_TEST(CanExit_BeforeBalancerRemoval_IsFalse);
   CPPUNIT_TEST(CanExit_ResponseNotSent_WaitsForKill);
   CPPUNIT_TEST_SUITE_END();
@@ -84,10 +84,14 @@
     CPPUNIT_ASSERT(policy.ShouldCloseIdle(start + 3s));
   }
 
-  void CanExit_ActiveRequests_WaitsForGracePeriod() {
+  // Guards against exiting before a request that was just handed over is ended.
+  void CanExit_ActiveRequests_WaitsForKill() {
     policy.Begin(start);
     CPPUNIT_ASSERT(!policy.CanExit(1, 0, start + 7s));
-    CPPUNIT_ASSERT(policy.CanExit(1, 0, start + 7500ms));
+    CPPUNIT_ASSERT(!policy.CanExit(1, 0, start + 7500ms));
+    CPPUNIT_ASSERT(policy.CanExit(0, 0, start + 7500ms));
+    CPPUNIT_ASSERT(!policy.CanExit(1, 0, start + 7899ms));
+    CPPUNIT_ASSERT(policy.CanExit(1, 0, start + 7900ms));
   }
 
   void CanExit_BeforeBalancerRemoval_IsFalse() {
--- a/Zincstep/Relay/StopPolicy.cpp
+++ b/Zincstep/Relay/StopPolicy.cpp
@@ -50,8 +50,8 @@
 
 bool StopPolicy::CanExit(std::size_t aActive, std::size_t aUnsent,
                          Instant aNow) const {
-  const bool hasEnded = this->MustEndRequests(aNow) ||
-                        (aActive == 0 && this->ShouldCloseIdle(aNow));
+  const bool hasEnded = aActive == 0 && (this->MustEndRequests(aNow) ||
+                                         this->ShouldCloseIdle(aNow));
   return this->MustExit(aNow) || (hasEnded && aUnsent == 0);
 }
 
