--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -118,7 +118,8 @@
 }
 
 void EdgeProcess::OnStopRequested() {
-  this->stop.Begin(this->clock.Now());
+  // The loop may see the signal late, at most since its last tick.
+  this->stop.Begin(this->hasStarted ? this->lastTickAt : this->clock.Now());
   LogInfo("stopping", {{"active", this->relay.Active()}});
   if (!this->hasStarted) {
     this->loop.stop();
