LateAcceptanceTest draws deadlines; postmortem: cause, change, why it was missed

With one deadline past the end of the stop the test accepted nothing on the fixed code, and refusing everything would have passed it (review). Half of the deadlines now end within the stop, and such a stream must be accepted exactly if its deadline does.

--- a/UnitTests/LateAcceptanceTest.cpp
+++ b/UnitTests/LateAcceptanceTest.cpp
@@ -28,7 +28,7 @@
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr const char* kRoute = "route";
-  static constexpr Micros kDeadline = 20s;
+  static constexpr Micros kMaxDeadline = 20s;
   static constexpr Micros kHistory = 60s;
 
   const StopPolicySettings settings{};
@@ -57,11 +57,19 @@
         seconds = 1 + 2 * this->random.Unit();
         break;
     }
-    return std::min(FromSeconds(seconds), kDeadline);
+    return std::min(FromSeconds(seconds), kMaxDeadline);
   }
 
-  /// Plays a history and a stop; returns the number of streams that were read
-  /// after the balancer's last connection, accepted, and still ran at the end.
+  /// Half of the callers wait for less than the stop takes.
+  Micros DrawDeadline() {
+    return this->random.Below(2) == 0
+               ? kMaxDeadline
+               : FromSeconds(0.5 + 7 * this->random.Unit());
+  }
+
+  /// Plays a history and a stop: a stream that is read after the balancer's
+  /// last connection is accepted if its deadline comes before the end. Returns
+  /// the number of accepted streams that still ran then.
   int CountCut(Lengths aLengths) {
     RouteDurations durations{RouteDurationsSettings{}};
     StopPolicy policy{this->settings};
@@ -77,10 +85,14 @@
     int cut = 0;
     for (now = signal + this->settings.balancerRemovalDelay; now < end;
          now += interval) {
-      const ExpectedDuration expected{kDeadline, durations.Usual(kRoute, now),
+      const Micros deadline = this->DrawDeadline();
+      const ExpectedDuration expected{deadline, durations.Usual(kRoute, now),
                                       true, true};
-      const Micros length = this->DrawLength(aLengths, true);
-      cut += policy.Accepts(expected, now) && now + length > end ? 1 : 0;
+      const Micros length =
+          std::min(this->DrawLength(aLengths, true), deadline);
+      const bool isAccepted = policy.Accepts(expected, now);
+      cut += isAccepted && now + length > end ? 1 : 0;
+      CPPUNIT_ASSERT(isAccepted || now + deadline > end);
     }
     return cut;
   }
