--- a/UnitTests/StopReplay.h
+++ b/UnitTests/StopReplay.h
@@ -13,6 +13,7 @@
 
 namespace zincstep {
 
+/// Settings of a replay of stops.
 struct StopReplaySettings {
   std::size_t daemons = 26;
   /// Daemons that are signalled together, and the time between such groups.
