--- a/UnitTests/LocalDomain.cpp
+++ b/UnitTests/LocalDomain.cpp
@@ -136,8 +136,11 @@
 
 EntryDaemon& LocalDomain::AddDaemon(const std::string& aVm,
                                     const std::string& aDomain) {
-  this->daemons.push_back(
-      std::make_unique<EntryDaemon>(this->BaseSettings(aVm, aDomain)));
+  return this->AddDaemon(this->BaseSettings(aVm, aDomain));
+}
+
+EntryDaemon& LocalDomain::AddDaemon(const EntrySettings& aSettings) {
+  this->daemons.push_back(std::make_unique<EntryDaemon>(aSettings));
   EntryDaemon& daemon = *this->daemons.back();
   ZINCSTEP_ASSERT(daemon.Start().has_value());
   this->ListEntry(daemon.Settings());
--- a/UnitTests/LocalDomain.h
+++ b/UnitTests/LocalDomain.h
@@ -66,6 +66,8 @@
   /// Starts a daemon, lists its VM and waits until the daemon is ready.
   EntryDaemon& AddDaemon(const std::string& aVm,
                          const std::string& aDomain = "hall-a");
+  /// The same, with these settings.
+  EntryDaemon& AddDaemon(const EntrySettings& aSettings);
   /// Adds a daemon with these settings to the VM list.
   void ListEntry(const EntrySettings& aSettings);
   /// Applies the current configuration file; returns its revision.
