Entry daemon: requests that are open at the drain limit get a response

Cause: at the limit Router went on to the hand-over and left the requests open; nothing told the handlers. Now it ends them first. A completion or call that may have run gets 502 stopped_during_run, a stream its error event with the number of tokens and its last chunk, and one that waits for its claim, in the queue or for a first call 503 stopping, not run. Repeatable calls are cancelled, the key of an order that may have run is recorded as such before the claims are handed over, and the stages of a chain are released (StreamMachine::OnStop).

With a grace over the limit, requests were accepted until the end of the grace: now until the limit at most (RefusesAll_LimitBeforeGrace_FromLimitOn).

Ruled out: ending requests later than the limit, as the platform may end the VM then (docs/OPERATIONS.md); leaving a running call its true response, which needs the time that is over.

--- a/Zincstep/Entry/EntryContext.h
+++ b/Zincstep/Entry/EntryContext.h
@@ -5,6 +5,7 @@
 #include "Zincstep/Admission/Admission.h"
 #include "Zincstep/Engine/Engine.h"
 #include "Zincstep/Entry/CallerRequest.h"
+#include "Zincstep/Entry/DrainPolicy.h"
 #include "Zincstep/Entry/EntrySettings.h"
 #include "Zincstep/Entry/Snapshot.h"
 #include "Zincstep/Membership/Membership.h"
@@ -36,8 +37,7 @@
   SnapshotPtr snapshot;
   /// The agreed member lists, newest first.
   MemberLists members;
-  /// The daemon was requested to stop.
-  bool stopping = false;
+  DrainPolicy drain{settings.drainGrace, settings.drainLimit};
 
   /// Sends a message to a peer.
   void Send(const std::string& aPeerAddress, PeerBody aBody) {
--- a/Zincstep/Entry/ModelHandler.cpp
+++ b/Zincstep/Entry/ModelHandler.cpp
@@ -338,20 +338,6 @@
   this->Remove(aRequest.id);
 }
 
-void ModelHandler::RefuseWaiting(Request& aRequest, const Error& aError) {
-  if (aRequest.isRestarted) {
-    this->context.Refuse(
-        aRequest.exchange,
-        {ErrorKind::ResponseIncomplete, aError.message, aError.retryAfter});
-    this->claims.Finish(aRequest.id, nullptr);
-  } else {
-    this->context.Refuse(aRequest.exchange, aError);
-    this->claims.Release(aRequest.id);
-  }
-  this->EndSpan(aRequest, std::string(ErrorInfoFor(aError.kind).name));
-  this->Remove(aRequest.id);
-}
-
 void ModelHandler::EndSpan(Request& aRequest, const std::string& aOutcome) {
   aRequest.span.attributes["outcome"] = aOutcome;
   aRequest.span.attributes["organisation"] = aRequest.caller.organisation->name;
--- a/Zincstep/Entry/ModelHandler.h
+++ b/Zincstep/Entry/ModelHandler.h
@@ -41,6 +41,8 @@
   /// Starts queued requests, expires timeouts and frees ended requests; must be
   /// called periodically.
   void OnTick(Instant aNow);
+  /// Gives every request its final response, since the daemon ends.
+  void EndForStop();
 
   /// Number of queued and running requests.
   std::size_t OpenRequests() const { return this->requests.size(); }
--- a/Zincstep/Entry/PeerHandler.cpp
+++ b/Zincstep/Entry/PeerHandler.cpp
@@ -212,7 +212,7 @@
   gossip.revision =
       this->context.snapshot ? this->context.snapshot->revision : 0;
   gossip.membersVersion = this->context.members.version;
-  gossip.stopping = this->context.stopping;
+  gossip.stopping = this->context.drain.IsStopping();
   gossip.handedTo = this->claims.HandedTo();
   gossip.usages = this->context.limits.Demands(now);
   for (const auto& [name, load] : this->localLoads) {
@@ -260,7 +260,7 @@
   local.revision =
       this->context.snapshot ? this->context.snapshot->revision : 0;
   local.isLive = true;
-  local.isStopping = this->context.stopping;
+  local.isStopping = this->context.drain.IsStopping();
   local.lastSeenAt = WallMicrosAt(now, now);
   daemons.push_back(std::move(local));
   for (const PeerInfo* peer : this->context.peers.DomainPeers()) {
@@ -296,12 +296,12 @@
   DomainControllerInput input;
   input.snapshot = this->context.snapshot;
   input.isReader = this->context.peers.IsMine("reader", now);
-  input.isStopping = this->context.stopping;
+  input.isStopping = this->context.drain.IsStopping();
   input.daemons = this->Daemons();
   input.handedTo = this->context.members.handedTo;
   input.leaving.assign(this->context.leavingUpstreams.Leaving().begin(),
                        this->context.leavingUpstreams.Leaving().end());
-  if (!this->context.stopping) {
+  if (!this->context.drain.IsStopping()) {
     input.live.push_back({this->context.member,
                           this->context.settings.failureDomain,
                           this->context.settings.peerListen});
--- a/Zincstep/Entry/Router.cpp
+++ b/Zincstep/Entry/Router.cpp
@@ -141,19 +141,22 @@
     return;
   }
   this->phase = Phase::Draining;
-  this->stopRequestedAt = this->context.clock.Now();
-  this->context.stopping = true;
+  this->context.drain.Begin(this->context.clock.Now());
   this->peers.Gossip();
   LogInfo("stopping", {{"open", this->OpenRequests()}});
 }
 
 void Router::AdvanceStop(Instant aNow) {
-  const Micros elapsed = aNow - this->stopRequestedAt;
-  const bool isPastLimit = elapsed >= this->context.settings.drainLimit;
-  if (this->phase == Phase::Draining &&
-      elapsed >= this->context.settings.drainGrace) {
+  const DrainPolicy& drain = this->context.drain;
+  if (this->phase == Phase::Draining && drain.RefusesAll(aNow)) {
     this->phase = Phase::Refusing;
   }
+  const bool isPastLimit = drain.MustEndRequests(aNow);
+  if (this->phase == Phase::Refusing && isPastLimit) {
+    LogInfo("drain_limit_reached", {{"open", this->OpenRequests()}});
+    this->models.EndForStop();
+    this->services.EndForStop();
+  }
   if (this->phase == Phase::Refusing &&
       (this->OpenRequests() == 0 || isPastLimit)) {
     this->phase = Phase::HandingOver;
--- a/Zincstep/Entry/Router.h
+++ b/Zincstep/Entry/Router.h
@@ -55,7 +55,6 @@
   PeerHandler peers;
   StatusHandler status;
   Phase phase = Phase::Serving;
-  Instant stopRequestedAt;
   Instant handOverStartedAt;
 };
 
--- a/Zincstep/Entry/ServiceHandler.cpp
+++ b/Zincstep/Entry/ServiceHandler.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "Zincstep/Entry/ServiceRequest.h"
+
 namespace zincstep {
 
 namespace {
@@ -33,29 +35,6 @@
 
 }  // namespace
 
-/// One call of a service, from arrival to end.
-struct ServiceHandler::Request {
-  std::uint64_t id = 0;
-  HttpRequest http;
-  CallerInfo caller;
-  SnapshotPtr snapshot;
-  std::string service;
-  BalancerPtr balancer;
-  bool repeatable = false;
-  bool isKeyed = false;
-  bool isCallerDisconnected = false;
-  /// An attempt was sent, so errors must not claim that it was not run.
-  bool mayHaveRun = false;
-  std::uint64_t digest = 0;
-  int attempts = 0;
-  int replica = -1;
-  std::vector<int> failed;
-  CallId call = 0;
-  Instant attemptStartedAt;
-  Instant receivedAt;
-  Span span;
-};
-
 ServiceHandler::ServiceHandler(EntryContext& aContext,
                                ClaimCoordinator& aClaims)
     : context(aContext),
@@ -315,24 +294,6 @@
   this->FailRequest(aRequest, {kind, message, {}});
 }
 
-/// Ends a request without a response; reports it as not run only if that is
-/// certain.
-void ServiceHandler::FailRequest(Request& aRequest, const Error& aError) {
-  if (!aRequest.mayHaveRun) {
-    this->Refuse(aRequest, aError);
-    return;
-  }
-  const bool isPastDeadline =
-      aError.kind == ErrorKind::DeadlineDuringRun ||
-      aRequest.caller.deadline <= this->context.clock.Now();
-  const Error error{
-      isPastDeadline ? ErrorKind::DeadlineDuringRun : ErrorKind::UpstreamFailed,
-      aError.message,
-      {}};
-  this->End(aRequest, ErrorResponse(error), false,
-            std::string(ErrorInfoFor(error.kind).name));
-}
-
 bool ServiceHandler::Retry(Request& aRequest) {
   aRequest.failed.push_back(aRequest.replica);
   if (aRequest.attempts >= kMaxAttempts || aRequest.isCallerDisconnected ||
--- a/Zincstep/Entry/ServiceHandler.h
+++ b/Zincstep/Entry/ServiceHandler.h
@@ -31,6 +31,8 @@
   void SetLeaving(const std::string& aReplica);
   /// Starts the retries that are due; must be called periodically.
   void OnTick(Instant aNow);
+  /// Gives every request its final response, since the daemon ends.
+  void EndForStop();
 
   /// Number of requests that have not ended.
   std::size_t OpenRequests() const { return this->requests.size(); }
--- a/Zincstep/Entry/StatusHandler.cpp
+++ b/Zincstep/Entry/StatusHandler.cpp
@@ -74,7 +74,7 @@
 }
 
 HttpResponse StatusHandler::Ready() const {
-  if (this->context.stopping) {
+  if (this->context.drain.IsStopping()) {
     return ErrorResponse({ErrorKind::Stopping, "this daemon is stopping", {}});
   }
   if (this->context.snapshot == nullptr) {
@@ -134,7 +134,7 @@
       {"failure_domain", this->context.settings.failureDomain},
       {"revision",
        this->context.snapshot ? this->context.snapshot->revision : 0},
-      {"stopping", this->context.stopping},
+      {"stopping", this->context.drain.IsStopping()},
       {"has_duty", controller.isLeader},
       {"fence", controller.fence},
       {"platform_answers", controller.isPlatformReachable},
--- a/Zincstep/Sequence/StreamMachine.cpp
+++ b/Zincstep/Sequence/StreamMachine.cpp
@@ -162,6 +162,16 @@
   return actions;
 }
 
+StreamActions StreamMachine::OnStop() {
+  StreamActions actions;
+  if (this->phase == Phase::Running || this->phase == Phase::WaitingForChain) {
+    this->FailWith(ErrorKind::StoppedDuringRun,
+                   "this daemon stopped before the answer was complete",
+                   actions);
+  }
+  return actions;
+}
+
 std::vector<AttemptStage> StreamMachine::StagesFor(
     const Chain& aNext, const std::vector<bool>& aFailed,
     HopFailure aFailure) const {
--- a/Zincstep/Sequence/StreamMachine.h
+++ b/Zincstep/Sequence/StreamMachine.h
@@ -155,6 +155,8 @@
   StreamActions OnTimer(Instant aNow);
   /// Ends the request on every stage, since its caller has disconnected.
   StreamActions OnCallerDisconnected();
+  /// Fails the request with `StoppedDuringRun`, since its daemon ends.
+  StreamActions OnStop();
 
   /// Whether the request has completed, failed or lost its caller.
   bool IsOver() const { return this->phase == Phase::Over; }
