Entry daemon: a draining daemon accepts only what its deadline ends in time

Cause: for drainGrace every request was accepted; the time that was left was never compared with anything. That is a bound: the queue, the call of a service, retries and the stream all end at the deadline.

Ruled out: durations of earlier requests, as they promise nothing to a single one; refusing all from the signal on, as callers may have no other daemon until the balancer has noticed. The price: with a limit below the default deadline of 120 s, requests without a deadline of their own are refused from the signal on.

Each decision of a stop is one line, stop_decision: id (the exchange), accepted, since_stop_ms, left_ms, bound_ms (null after the grace, when the request is not read). Requests that are refused for another reason before the decision have no line.

--- a/Zincstep/Entry/EntryContext.h
+++ b/Zincstep/Entry/EntryContext.h
@@ -53,6 +53,11 @@
                         {{"kind", std::string(row.name)}});
     this->callers.Respond(aExchange, ErrorResponse(aError));
   }
+
+  /// Whether a request that ends at `aDeadline` at the latest is accepted; none
+  /// if its end is unknown. Logs the decision of a stopping daemon, and refuses
+  /// the request if it is not accepted.
+  bool AcceptsInStop(ExchangeId aExchange, std::optional<Instant> aDeadline);
 };
 
 /// Returns the deadline limits from the settings.
--- a/Zincstep/Entry/ModelHandler.cpp
+++ b/Zincstep/Entry/ModelHandler.cpp
@@ -74,6 +74,9 @@
     this->context.Refuse(aRequest.exchange, completion.error());
     return;
   }
+  if (!this->context.AcceptsInStop(aRequest.exchange, caller->deadline)) {
+    return;
+  }
   auto owned = std::make_unique<Request>();
   Request& request = *owned;
   request.id = ++this->lastRequest;
--- a/Zincstep/Entry/Router.cpp
+++ b/Zincstep/Entry/Router.cpp
@@ -89,8 +89,7 @@
 
 void Router::OnCallerRequest(const HttpRequest& aRequest) {
   if (this->phase != Phase::Serving && this->phase != Phase::Draining) {
-    this->context.Refuse(aRequest.exchange,
-                         {ErrorKind::Stopping, "this daemon is stopping", {}});
+    this->context.AcceptsInStop(aRequest.exchange, std::nullopt);
     return;
   }
   if (this->context.snapshot == nullptr) {
--- a/Zincstep/Entry/ServiceHandler.cpp
+++ b/Zincstep/Entry/ServiceHandler.cpp
@@ -118,6 +118,9 @@
         {ErrorKind::UnknownService, "no service at this path", {}});
     return;
   }
+  if (!this->context.AcceptsInStop(aRequest.exchange, caller->deadline)) {
+    return;
+  }
   auto owned = std::make_unique<Request>();
   Request& request = *owned;
   request.id = ++this->lastRequest;
