Entry daemon: requests that are read last before the exit get a response

Callers of a stopping daemon lost requests that it read in its last 0.1 s, with the default settings too, once the grace was over and no request was open.

Cause: the router ended, then the process waited for a fixed 0.1 s, so that the last responses are sent, and closed its server. In that time the server read on, and nobody took its requests; and nothing showed whether the responses were sent.

Now the router ends in three steps. RefuseRequests: the server closes its listener, refuses what it still reads (503 stopping, Connection: close) and reports that no request follows; the router refuses what is in its ring up to that report; the process waits until the responses are written (HttpServer::Unsent), for 2 s at most, and logs responses_unsent if a caller has not read its own. Requests on open connections are still read for 0.1 s after the listener is closed. EntryDaemon::Abandon no longer waits, as its server is closed already.

--- a/Zincstep/Entry/EntryDaemon.cpp
+++ b/Zincstep/Entry/EntryDaemon.cpp
@@ -16,8 +16,24 @@
 namespace {
 
 constexpr std::size_t kMaxEvents = 1 << 15;
-/// Delay before the servers stop, so that the last responses are sent.
-constexpr auto kFinalWriteDelay = std::chrono::milliseconds(100);
+/// Time after which the servers stop although callers have not read all of
+/// their responses: the platform may end the VM soon after the drain limit.
+constexpr auto kFinalWriteLimit = std::chrono::seconds(2);
+/// Time in which requests on connections that are open at the close of the
+/// listener are still read and refused.
+constexpr auto kLastReadTime = std::chrono::milliseconds(100);
+constexpr auto kFinalWritePoll = std::chrono::milliseconds(5);
+
+/// Waits until all responses of `aServer` are written, up to the limit.
+void WaitForWrites(const HttpServer& aServer) {
+  const auto end = std::chrono::steady_clock::now() + kFinalWriteLimit;
+  while (aServer.Unsent() > 0 && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kFinalWritePoll);
+  }
+  if (const std::size_t unsent = aServer.Unsent(); unsent > 0) {
+    LogWarning("responses_unsent", {{"responses", unsent}});
+  }
+}
 
 /// Returns the settings of a server on `aAddress`, whose form the reader of the
 /// settings has checked; the port is 0 if it has none.
@@ -101,6 +117,7 @@
   void OnCallerDisconnected(ExchangeId aExchange) override {
     this->sink.Put(CallerDisconnectedEvent{aExchange});
   }
+  void OnRequestsEnded() override { this->sink.Put(RequestsEndedEvent{}); }
 
  private:
   EventSink& sink;
@@ -279,7 +296,8 @@
     return;
   }
   this->parts->routerThread.join();
-  std::this_thread::sleep_for(kFinalWriteDelay);
+  std::this_thread::sleep_for(kLastReadTime);
+  WaitForWrites(*this->parts->callers);
   this->parts->callers->Stop();
   this->parts->admin->Stop();
   this->parts->transport->Stop();
@@ -290,7 +308,8 @@
     this->parts->callers->Stop();
     this->parts->transport->Stop();
     this->parts->sink.Put(AbandonEvent{});
-    this->Wait();
+    this->parts->routerThread.join();
+    this->parts->admin->Stop();
   }
 }
 
--- a/Zincstep/Entry/Router.cpp
+++ b/Zincstep/Entry/Router.cpp
@@ -82,6 +82,8 @@
     }
   } else if (std::holds_alternative<StopEvent>(aEvent)) {
     this->OnStop();
+  } else if (std::holds_alternative<RequestsEndedEvent>(aEvent)) {
+    this->OnRequestsEnded();
   } else if (std::holds_alternative<AbandonEvent>(aEvent)) {
     this->phase = Phase::Done;
   }
@@ -161,19 +163,29 @@
     this->phase = Phase::HandingOver;
     this->handOverStartedAt = aNow;
     if (this->claims.TransferClaimsTo(this->peers.Successor())) {
-      this->phase = Phase::Done;
+      this->CloseCallers();
     }
   }
   if (this->phase == Phase::HandingOver) {
     const bool isHandedOver = !this->claims.HandedTo().empty();
     if (isHandedOver || aNow - this->handOverStartedAt >= kHandOverTimeout) {
-      this->phase = Phase::Done;
+      this->CloseCallers();
     }
   }
-  if (this->phase == Phase::Done) {
-    LogInfo("stopped", {{"handed_to", this->claims.HandedTo()},
-                        {"left", this->OpenRequests()}});
-  }
+}
+
+/// Ends the requests of callers. Without it, one that was read between the last
+/// event of the router and the close of the server had no response.
+void Router::CloseCallers() {
+  this->phase = Phase::Closing;
+  this->context.callers.RefuseRequests(
+      ErrorResponse({ErrorKind::Stopping, "this daemon is stopping", {}}));
+}
+
+void Router::OnRequestsEnded() {
+  this->phase = Phase::Done;
+  LogInfo("stopped", {{"handed_to", this->claims.HandedTo()},
+                      {"left", this->OpenRequests()}});
 }
 
 void Router::OnTick() {
--- a/Zincstep/Entry/Router.h
+++ b/Zincstep/Entry/Router.h
@@ -33,8 +33,9 @@
   void Run();
 
  private:
-  /// Phases of a graceful stop.
-  enum class Phase { Serving, Draining, Refusing, HandingOver, Done };
+  /// Phases of a graceful stop. While `Closing`, the callers' server refuses
+  /// new requests, and those that it has passed on before are refused here.
+  enum class Phase { Serving, Draining, Refusing, HandingOver, Closing, Done };
 
   void Handle(RouterEvent& aEvent);
   void OnCallerRequest(const HttpRequest& aRequest);
@@ -42,6 +43,8 @@
   void OnStop();
   void OnTick();
   void AdvanceStop(Instant aNow);
+  void CloseCallers();
+  void OnRequestsEnded();
   std::size_t OpenRequests() const;
 
   EntryContext& context;
--- a/Zincstep/Entry/RouterEvent.h
+++ b/Zincstep/Entry/RouterEvent.h
@@ -49,6 +49,8 @@
   CallId call = 0;
   HttpCallResult result;
 };
+/// No caller's request can follow.
+struct RequestsEndedEvent {};
 /// A newer configuration was accepted.
 struct SnapshotEvent {
   SnapshotPtr snapshot;
@@ -75,6 +77,7 @@
     std::variant<CallerRequestEvent, AdminRequestEvent, CallerDisconnectedEvent,
                  TokenReceivedEvent, AttemptFailedEvent, ProgressEvent,
                  LoadEvent, CallEndEvent, SnapshotEvent, PlanEvent,
-                 DomainControllerEvent, PeerEvent, StopEvent, AbandonEvent>;
+                 DomainControllerEvent, PeerEvent, StopEvent, AbandonEvent,
+                 RequestsEndedEvent>;
 
 }  // namespace zincstep
--- a/Zincstep/Net/HttpServer.h
+++ b/Zincstep/Net/HttpServer.h
@@ -20,6 +20,9 @@
   /// Called when the caller of an open exchange has disconnected; a response is
   /// discarded.
   virtual void OnCallerDisconnected(ExchangeId aExchange) = 0;
+
+  /// Called after `HttpServer::RefuseRequests`, when no request can follow.
+  virtual void OnRequestsEnded() {}
 };
 
 /// Settings of an HTTP server.
@@ -44,6 +47,12 @@
 
   /// Starts listening; fails as `ListenOn`.
   virtual Result<void> Start() = 0;
+  /// Sends `aRefusal` to all requests from now on, which the listener does not
+  /// get, and closes their connections.
+  virtual void RefuseRequests(HttpResponse aRefusal) = 0;
+  /// Number of complete responses that are not written to their connections
+  /// yet.
+  virtual std::size_t Unsent() const = 0;
   /// Closes all connections and ends the thread.
   virtual void Stop() = 0;
   /// Listening port, once started.
--- a/Zincstep/Net/RestinioServer.cpp
+++ b/Zincstep/Net/RestinioServer.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <future>
 #include <restinio/all.hpp>
 #include <system_error>
@@ -45,6 +46,8 @@
   ~RestinioServer() override { this->Stop(); }
 
   Result<void> Start() override;
+  void RefuseRequests(HttpResponse aRefusal) override;
+  std::size_t Unsent() const override { return this->unsent; }
   void Stop() override;
   std::uint16_t Port() const override { return this->port; }
   void Respond(ExchangeId aExchange, HttpResponse aResponse) override;
@@ -62,23 +65,39 @@
       const restinio::request_handle_t& aRequest);
   Result<void> CheckLimits(const HttpRequest& aRequest) const;
   void SendResponse(Exchange& aExchange, const HttpResponse& aResponse);
+  /// Returns the callback of the last write of a response that `unsent` counts.
+  restinio::write_status_cb_t OnWritten() {
+    return [this](const asio::error_code&) { this->unsent -= 1; };
+  }
   void RemoveExchange(ExchangeId aExchange);
   void OnConnectionClosed(ExchangeId aExchange);
 
   /// Runs `aStep` on the server's thread, if the exchange is still open.
   template <class Step>
   void OnThread(ExchangeId aExchange, Step aStep) {
+    this->OnThread(aExchange, std::move(aStep), [] {});
+  }
+  /// The same; runs `aElse` if the exchange is no longer open.
+  template <class Step, class Else>
+  void OnThread(ExchangeId aExchange, Step aStep, Else aElse) {
     asio::post(this->server->io_context(),
-               [this, aExchange, step = std::move(aStep)]() mutable {
+               [this, aExchange, step = std::move(aStep), aElse]() mutable {
                  const auto found = this->exchanges.find(aExchange);
                  if (found != this->exchanges.end()) {
                    step(found->second);
+                 } else {
+                   aElse();
                  }
                });
   }
 
   HttpServerSettings settings;
   HttpRequestListener& listener;
+  /// Declared before the server, whose connections call `OnWritten` when they
+  /// are destroyed.
+  std::atomic<std::size_t> unsent{0};
+  /// Sent to each request, if set.
+  std::optional<HttpResponse> refusal;
   std::unique_ptr<Server> server;
   std::thread thread;
   std::uint16_t port = 0;
@@ -151,6 +170,17 @@
                          std::to_string(this->settings.port) + ": " + aReason);
 }
 
+void RestinioServer::RefuseRequests(HttpResponse aRefusal) {
+  asio::post(this->server->io_context(),
+             [this, response = std::move(aRefusal)]() mutable {
+               this->refusal = std::move(response);
+               // Closes the listener; open connections are still served.
+               this->server->close_async([] {},
+                                         [](const std::exception_ptr&) {});
+               this->listener.OnRequestsEnded();
+             });
+}
+
 void RestinioServer::Stop() {
   if (!this->thread.joinable()) {
     return;
@@ -193,10 +223,17 @@
     const bool hasTooManyFields =
         request.headers.size() > this->settings.maxHeaderFields;
     rejection.status = hasTooManyFields ? 431 : rejection.status;
+    this->unsent += 1;
     this->SendResponse(stored, rejection);
     this->RemoveExchange(id);
     return restinio::request_accepted();
   }
+  if (this->refusal) {
+    this->unsent += 1;
+    this->SendResponse(stored, *this->refusal);
+    this->RemoveExchange(id);
+    return restinio::request_accepted();
+  }
   this->listener.OnRequest(std::move(request));
   return restinio::request_accepted();
 }
@@ -229,7 +266,11 @@
     response.append_header(header.name, header.value);
   }
   response.set_body(aResponse.body);
-  response.done();
+  if (this->refusal) {
+    // A caller that reused the connection would lose its next request.
+    response.connection_close();
+  }
+  response.done(this->OnWritten());
 }
 
 void RestinioServer::RemoveExchange(ExchangeId aExchange) {
@@ -251,11 +292,15 @@
 }
 
 void RestinioServer::Respond(ExchangeId aExchange, HttpResponse aResponse) {
-  this->OnThread(aExchange, [this, aExchange, response = std::move(aResponse)](
-                                Exchange& aOpenExchange) {
-    this->SendResponse(aOpenExchange, response);
-    this->RemoveExchange(aExchange);
-  });
+  this->unsent += 1;
+  this->OnThread(
+      aExchange,
+      [this, aExchange,
+       response = std::move(aResponse)](Exchange& aOpenExchange) {
+        this->SendResponse(aOpenExchange, response);
+        this->RemoveExchange(aExchange);
+      },
+      [this] { this->unsent -= 1; });
 }
 
 void RestinioServer::StartStream(ExchangeId aExchange, int aStatus,
@@ -286,12 +331,18 @@
 }
 
 void RestinioServer::Finish(ExchangeId aExchange) {
-  this->OnThread(aExchange, [this, aExchange](Exchange& aOpenExchange) {
-    if (aOpenExchange.stream) {
-      aOpenExchange.stream->done();
-    }
-    this->RemoveExchange(aExchange);
-  });
+  this->unsent += 1;
+  this->OnThread(
+      aExchange,
+      [this, aExchange](Exchange& aOpenExchange) {
+        if (aOpenExchange.stream) {
+          aOpenExchange.stream->done(this->OnWritten());
+        } else {
+          this->unsent -= 1;
+        }
+        this->RemoveExchange(aExchange);
+      },
+      [this] { this->unsent -= 1; });
 }
 
 void RestinioServer::Abort(ExchangeId aExchange) {
