--- a/Zincstep/Entry/Router.cpp
+++ b/Zincstep/Entry/Router.cpp
@@ -82,6 +82,8 @@
     }
   } else if (std::holds_alternative<StopEvent>(aEvent)) {
     this->OnStop();
+  } else if (std::holds_alternative<RequestsEndedEvent>(aEvent)) {
+    this->OnRequestsEnded();
   } else if (std::holds_alternative<AbandonEvent>(aEvent)) {
     this->phase = Phase::Done;
   }
@@ -89,8 +91,7 @@
 
 void Router::OnCallerRequest(const HttpRequest& aRequest) {
   if (this->phase != Phase::Serving && this->phase != Phase::Draining) {
-    this->context.Refuse(aRequest.exchange,
-                         {ErrorKind::Stopping, "this daemon is stopping", {}});
+    this->context.AcceptsInStop(aRequest.exchange, std::nullopt);
     return;
   }
   if (this->context.snapshot == nullptr) {
@@ -141,37 +142,50 @@
     return;
   }
   this->phase = Phase::Draining;
-  this->stopRequestedAt = this->context.clock.Now();
-  this->context.stopping = true;
+  this->context.drain.Begin(this->context.clock.Now());
   this->peers.Gossip();
   LogInfo("stopping", {{"open", this->OpenRequests()}});
 }
 
 void Router::AdvanceStop(Instant aNow) {
-  const Micros elapsed = aNow - this->stopRequestedAt;
-  const bool isPastLimit = elapsed >= this->context.settings.drainLimit;
-  if (this->phase == Phase::Draining &&
-      elapsed >= this->context.settings.drainGrace) {
+  const DrainPolicy& drain = this->context.drain;
+  if (this->phase == Phase::Draining && drain.RefusesAll(aNow)) {
     this->phase = Phase::Refusing;
   }
+  const bool isPastLimit = drain.MustEndRequests(aNow);
+  if (this->phase == Phase::Refusing && isPastLimit) {
+    LogInfo("drain_limit_reached", {{"open", this->OpenRequests()}});
+    this->models.EndForStop();
+    this->services.EndForStop();
+  }
   if (this->phase == Phase::Refusing &&
       (this->OpenRequests() == 0 || isPastLimit)) {
     this->phase = Phase::HandingOver;
     this->handOverStartedAt = aNow;
     if (this->claims.TransferClaimsTo(this->peers.Successor())) {
-      this->phase = Phase::Done;
+      this->CloseCallers();
     }
   }
   if (this->phase == Phase::HandingOver) {
     const bool isHandedOver = !this->claims.HandedTo().empty();
     if (isHandedOver || aNow - this->handOverStartedAt >= kHandOverTimeout) {
-      this->phase = Phase::Done;
+      this->CloseCallers();
     }
   }
-  if (this->phase == Phase::Done) {
-    LogInfo("stopped", {{"handed_to", this->claims.HandedTo()},
-                        {"left", this->OpenRequests()}});
-  }
+}
+
+/// Ends the requests of callers. Without it, one that was read between the last
+/// event of the router and the close of the server had no response.
+void Router::CloseCallers() {
+  this->phase = Phase::Closing;
+  this->context.callers.RefuseRequests(
+      ErrorResponse({ErrorKind::Stopping, "this daemon is stopping", {}}));
+}
+
+void Router::OnRequestsEnded() {
+  this->phase = Phase::Done;
+  LogInfo("stopped", {{"handed_to", this->claims.HandedTo()},
+                      {"left", this->OpenRequests()}});
 }
 
 void Router::OnTick() {
