--- a/UnitTests/EndlessUpstream.h
+++ b/UnitTests/EndlessUpstream.h
@@ -3,6 +3,7 @@
 #include <asio.hpp>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace zincstep {
 
@@ -30,6 +31,16 @@
            std::to_string(this->acceptor.local_endpoint().port());
   }
 
+  /// Closes all connections and accepts no more.
+  void Close() {
+    this->acceptor.close();
+    for (const auto& weak : this->connections) {
+      if (const auto connection = weak.lock()) {
+        connection->socket.close();
+      }
+    }
+  }
+
   int requests = 0;
   /// Connections that the other side has closed.
   int closed = 0;
@@ -50,7 +61,10 @@
     this->acceptor.async_accept(
         [this](const asio::error_code& aError, asio::ip::tcp::socket aSocket) {
           if (!aError) {
-            this->Read(std::make_shared<Connection>(std::move(aSocket)));
+            const auto connection =
+                std::make_shared<Connection>(std::move(aSocket));
+            this->connections.push_back(connection);
+            this->Read(connection);
             this->Accept();
           }
         });
@@ -110,6 +124,7 @@
   }
 
   asio::ip::tcp::acceptor acceptor;
+  std::vector<std::weak_ptr<Connection>> connections;
   std::string begin;
   std::string block;
 };
