Calls of libcurl's client bound the bodies that they buffer

What callers saw: a service, an engine or a platform that sends a body without end was read and kept until the call's timeout, which is a request's deadline of up to 300 s. The daemon's memory grew as fast as the bytes came, and a request that another replica would have answered ended as 504.

Cause: CurlTransfer appended to a string without a bound; only the relay's and SingleCall's bodies had one.

Change: CurlTransfer buffers in a BodyBuffer. Each call has a maximum (HttpCall::maxBodyBytes: 16 MiB as the edge daemon's buffered calls; 4 MiB for services as its relay; 64 KiB for engines' reports and for responses to orders), and all calls of a client share a ByteBudget that its creator passes in. The entry daemon has two of 32 MiB: one for services and engines, one for the platform, so that failing services can't stop reads of the configuration. Everyone else (operators' client, load tool, stand-ins) shares the process's default of 32 MiB. The budget is atomic now, as blocking calls run on several threads.

A call over a bound ends as Unknown with the fault "the response exceeds the maximum size" or "the responses exceed their maximum size together", its connection is closed and its bytes are released. Only repeatable requests are sent again, as after a truncated response; else the caller gets 502 with the fault (by reading; no test sends such a body through the daemon). The fault is also in the span service_hop and in the line order_sent, which had none.

Ruled out: libcurl's CURLOPT_MAXFILESIZE, which does not count bodies without a length before 8.4; counting only announced lengths, as a body in chunks has none.

--- a/UnitTests/EndlessCallTest.cpp
+++ b/UnitTests/EndlessCallTest.cpp
@@ -49,6 +49,8 @@
   CPPUNIT_TEST(Body_OfError_EndsCall);
   CPPUNIT_TEST(Body_OfBlockingCall_EndsCall);
   CPPUNIT_TEST(Bodies_AtOnce_EndCalls);
+  CPPUNIT_TEST(Budget_Exceeded_EndsCall);
+  CPPUNIT_TEST(Budget_UsedUp_LeavesShortBodies);
   CPPUNIT_TEST(Body_Long_IsAnswered);
   CPPUNIT_TEST(Head_WithoutEnd_EndsCall);
   CPPUNIT_TEST(StatusLine_WithoutEnd_EndsCall);
@@ -66,6 +68,7 @@
   CallEnds ends{loop};
   std::unique_ptr<HttpClient> http = MakeHttpClient();
   std::unique_ptr<EndlessUpstream> endless;
+  CutUpstream upstream{loop};
 
   /// Makes calls that receive `aBegin` and then `aPiece` again and again.
   ///
@@ -99,6 +102,18 @@
     this->CheckClosed();
   }
 
+  /// Makes a call whose response is complete.
+  void FetchWhole(const std::string& aBody) {
+    upstream.Script(kHead + "\r\n" + aBody, CutKind::Close);
+    HttpCall call;
+    call.url = "http://" + upstream.Address() + "/";
+    call.timeout = kNoTimeout;
+    http->Start(std::move(call), ends);
+    while (ends.results.empty()) {
+      loop.run_one();
+    }
+  }
+
   void CheckClosed() {
     while (endless->closed < endless->requests &&
            endless->sentBytes < EndlessUpstream::kMaxBytes) {
@@ -157,20 +172,34 @@
     this->CheckClosed();
   }
 
+  void Budget_Exceeded_EndsCall() {
+    const auto budget = std::make_shared<ByteBudget>(1 << 20);
+    http = MakeHttpClient(budget);
+    this->CheckEnds(kHead + "\r\n", "x");
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("the responses exceed their maximum size together"),
+        ends.results.front().fault);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, budget->UsedBytes());
+  }
+
+  // Guards against long bodies that leave nothing for load reports.
+  void Budget_UsedUp_LeavesShortBodies() {
+    http = MakeHttpClient(std::make_shared<ByteBudget>(0));
+    for (const std::size_t size : {16 << 10, (16 << 10) + 1}) {
+      ends.results.clear();
+      this->FetchWhole(std::string(size, 'x'));
+      CPPUNIT_ASSERT_EQUAL(size == 16 << 10,
+                           ends.results.front().end == CallEnd::Answered);
+    }
+  }
+
   // Guards against a bound that rejects sound responses, or that counts bodies
   // of earlier calls.
   void Body_Long_IsAnswered() {
-    CutUpstream upstream(loop);
     const std::string body(3 << 20, 'x');
-    for (std::size_t i = 1; i <= kCalls; ++i) {
-      upstream.Script(kHead + "\r\n" + body, CutKind::Close);
-      HttpCall call;
-      call.url = "http://" + upstream.Address() + "/";
-      call.timeout = kNoTimeout;
-      http->Start(std::move(call), ends);
-      while (ends.results.size() < i) {
-        loop.run_one();
-      }
+    for (int i = 0; i < kCalls; ++i) {
+      ends.results.clear();
+      this->FetchWhole(body);
       CPPUNIT_ASSERT(ends.results.back().end == CallEnd::Answered);
       CPPUNIT_ASSERT(ends.results.back().body == body);
     }
--- a/Zincstep/Engine/ForwardingEngineClient.cpp
+++ b/Zincstep/Engine/ForwardingEngineClient.cpp
@@ -12,6 +12,8 @@
 constexpr Micros kCallTimeout = 1s;
 constexpr Micros kProbeTimeout = 80ms;
 constexpr Micros kConnectTimeout = 150ms;
+/// Maximum body of an engine's load, progress or acknowledgement, in bytes.
+constexpr std::size_t kMaxReportBytes = 64 << 10;
 /// A longer line is discarded.
 constexpr std::size_t kMaxLineBytes = 1 << 20;
 
@@ -119,6 +121,7 @@
   }
 
   void StartCall(HttpCall aCall, CallContext aContext) {
+    aCall.maxBodyBytes = kMaxReportBytes;
     const std::lock_guard<std::mutex> lock(this->mutex);
     const CallId id = this->http.Start(std::move(aCall), *this);
     this->calls[id] = std::move(aContext);
--- a/Zincstep/Entry/DomainController.cpp
+++ b/Zincstep/Entry/DomainController.cpp
@@ -21,6 +21,8 @@
 constexpr int kNonReaderVmFactor = 10;
 /// Maximum time that an order is in flight; shorter than the lease's margin.
 constexpr Micros kOrderTimeout = 1500ms;
+/// Maximum body of the response to an order, in bytes; only its status is used.
+constexpr std::size_t kMaxOrderResponseBytes = 64 << 10;
 
 MemberListPlannerSettings MemberSettings(const EntrySettings& aSettings) {
   MemberListPlannerSettings settings;
@@ -285,6 +287,7 @@
   call.headers = {{"Content-Type", "application/json"}};
   call.timeout = kOrderTimeout;
   call.freshConnection = true;
+  call.maxBodyBytes = kMaxOrderResponseBytes;
   call.body = WriteJson({{"fence", this->guard.Fence()},
                          {"version", aOrder.version},
                          {"expected_version", aOrder.expectedVersion}});
@@ -292,7 +295,8 @@
   LogInfo("order_sent", {{"upstream", aOrder.upstream},
                          {"version", aOrder.version},
                          {"fence", this->guard.Fence()},
-                         {"status", result.status}});
+                         {"status", result.status},
+                         {"fault", result.fault}});
 }
 
 void DomainController::WriteStatus(Instant aNow) {
--- a/Zincstep/Entry/EntryDaemon.cpp
+++ b/Zincstep/Entry/EntryDaemon.cpp
@@ -19,6 +19,14 @@
 /// Delay before the servers stop, so that the last responses are sent.
 constexpr auto kFinalWriteDelay = std::chrono::milliseconds(100);
 
+/// Maximum of the incomplete responses of services and engines together, above
+/// 16 KiB each, in bytes: that of an edge daemon on the default VM.
+constexpr std::size_t kMaxResponseBytes = 32 << 20;
+/// The same for the platform's, of which three threads await one each.
+/// Separate, so that failing services can't use up what configuration reads
+/// need.
+constexpr std::size_t kMaxPlatformBytes = 32 << 20;
+
 /// Returns the settings of a server on `aAddress`, whose form the reader of the
 /// settings has checked; the port is 0 if it has none.
 HttpServerSettings ServerSettings(const EntrySettings& aSettings,
@@ -129,8 +137,10 @@
   return aSettings.vm + "/" + digits;
 }
 
-PlatformSettings PlatformOf(const EntrySettings& aSettings) {
+PlatformSettings PlatformOf(const EntrySettings& aSettings,
+                            std::shared_ptr<ByteBudget> aResponseBytes) {
   PlatformSettings settings;
+  settings.responseBytes = std::move(aResponseBytes);
   settings.address = aSettings.platform;
   settings.userAgent = "zincstep-entry/" + aSettings.failureDomain;
   return settings;
@@ -192,9 +202,12 @@
   }
 
   void StartThreads() {
-    this->store = MakeHttpKeyValueStore(PlatformOf(this->settings));
-    this->vms = MakeHttpVmList(PlatformOf(this->settings));
-    this->http = MakeHttpClient();
+    const auto platformBytes = std::make_shared<ByteBudget>(kMaxPlatformBytes);
+    this->store =
+        MakeHttpKeyValueStore(PlatformOf(this->settings, platformBytes));
+    this->vms = MakeHttpVmList(PlatformOf(this->settings, platformBytes));
+    this->http =
+        MakeHttpClient(std::make_shared<ByteBudget>(kMaxResponseBytes));
     this->engines = MakeForwardingEngineClient(*this->http, this->listeners);
     this->context.reset(new EntryContext{
         this->settings, this->clock, Random(this->seed + 3), *this->callers,
--- a/Zincstep/Entry/ServiceHandler.cpp
+++ b/Zincstep/Entry/ServiceHandler.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr int kMaxAttempts = 4;
+/// Maximum body of a service's response, in bytes: that of the edge daemon.
+constexpr std::size_t kMaxResponseBytes = 4 << 20;
 constexpr std::uint64_t kFirstRequestSpread = std::uint64_t{1} << 52;
 /// Request headers that are forwarded to a service. Hop-by-hop headers and the
 /// organisation's bearer key are not.
@@ -203,6 +205,7 @@
   call.body = aRequest.http.body;
   call.connectTimeout = 300ms;
   call.timeout = aRemaining;
+  call.maxBodyBytes = kMaxResponseBytes;
   call.freshConnection = !aRequest.repeatable;
   for (const HttpHeader& header : aRequest.http.headers) {
     if (ContainsHeader(kRequestHeaders, header.name)) {
@@ -273,7 +276,8 @@
         request.balancer->Replicas()[static_cast<std::size_t>(request.replica)]
             .name},
        {"try", request.attempts},
-       {"status", aResult.status}});
+       {"status", aResult.status},
+       {"fault", aResult.fault}});
   if (hasResponded) {
     this->OnResponse(request, aResult);
   } else {
--- a/Zincstep/Net/BodyBuffer.cpp
+++ b/Zincstep/Net/BodyBuffer.cpp
@@ -27,4 +27,10 @@
   this->text = std::string();
 }
 
+std::string BodyBuffer::Take() {
+  std::string taken = std::move(this->text);
+  this->Clear();
+  return taken;
+}
+
 }  // namespace zincstep
--- a/Zincstep/Net/BodyBuffer.h
+++ b/Zincstep/Net/BodyBuffer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -8,28 +9,30 @@
 
 namespace zincstep {
 
-/// Bytes that several buffers may occupy together.
+/// Bytes that several buffers may occupy together, on any thread.
 class ByteBudget {
  public:
   explicit ByteBudget(std::size_t aMaxBytes) : maxBytes(aMaxBytes) {}
 
   /// Acquires bytes, or none and returns false if fewer are left.
   bool TryAcquire(std::size_t aBytes) {
-    if (aBytes > this->maxBytes - this->usedBytes) {
-      return false;
-    }
-    this->usedBytes += aBytes;
+    std::size_t used = this->usedBytes;
+    do {
+      if (aBytes > this->maxBytes - used) {
+        return false;
+      }
+    } while (!this->usedBytes.compare_exchange_weak(used, used + aBytes));
     return true;
   }
   void Release(std::size_t aBytes) {
-    ZINCSTEP_ASSERT(aBytes <= this->usedBytes);
-    this->usedBytes -= aBytes;
+    const std::size_t used = this->usedBytes.fetch_sub(aBytes);
+    ZINCSTEP_ASSERT(aBytes <= used);
   }
   std::size_t UsedBytes() const { return this->usedBytes; }
 
  private:
-  std::size_t maxBytes;
-  std::size_t usedBytes = 0;
+  const std::size_t maxBytes;
+  std::atomic<std::size_t> usedBytes{0};
 };
 
 /// The body of a message that is buffered until it is complete.
@@ -49,6 +52,8 @@
   bool Append(std::string_view aPart);
   /// Removes all bytes and releases their memory.
   void Clear();
+  /// Returns the bytes and releases them from the budget.
+  std::string Take();
   const std::string& Text() const { return this->text; }
 
  private:
--- a/Zincstep/Net/CurlClient.cpp
+++ b/Zincstep/Net/CurlClient.cpp
@@ -30,8 +30,10 @@
 /// Client with one multi handle, owned by one thread.
 class CurlClient final : public HttpClient {
  public:
-  CurlClient()
-      : multi(curl_multi_init()), commands(kCommandCapacity, this->wakeEvent) {
+  explicit CurlClient(std::shared_ptr<ByteBudget> aBudget)
+      : budget(std::move(aBudget)),
+        multi(curl_multi_init()),
+        commands(kCommandCapacity, this->wakeEvent) {
     ZINCSTEP_ASSERT(this->multi != nullptr);
     curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
     this->thread = std::thread([this] { this->RunLoop(); });
@@ -97,9 +99,11 @@
     HttpCallListener* listener = aCommand.listener;
     const CallId id = aCommand.id;
     auto transfer = std::make_unique<CurlTransfer>(
-        std::move(aCommand.call), [listener, id](std::string aPart) {
+        std::move(aCommand.call),
+        [listener, id](std::string aPart) {
           listener->OnCallData(id, std::move(aPart));
-        });
+        },
+        this->budget);
     CURL* easy = transfer->Handle();
     this->calls[id] = RunningCall{std::move(transfer), listener};
     this->byHandle[easy] = id;
@@ -139,6 +143,7 @@
     listener->OnCallEnd(id, std::move(aResult));
   }
 
+  std::shared_ptr<ByteBudget> budget;
   CURLM* multi;
   WakeEvent wakeEvent;
   Channel<Command> commands;
@@ -151,8 +156,9 @@
 
 }  // namespace
 
-std::unique_ptr<HttpClient> MakeHttpClient() {
-  return std::make_unique<CurlClient>();
+std::unique_ptr<HttpClient> MakeHttpClient(
+    std::shared_ptr<ByteBudget> aBudget) {
+  return std::make_unique<CurlClient>(std::move(aBudget));
 }
 
 }  // namespace zincstep
--- a/Zincstep/Net/CurlTransfer.cpp
+++ b/Zincstep/Net/CurlTransfer.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+/// Maximum of the incomplete bodies of calls that share the default budget, in
+/// bytes: an eighth of the memory of a daemon's VM, as a buffer may hold twice
+/// its size while it grows, and is copied once.
+constexpr std::size_t kDefaultBudgetBytes = 32 << 20;
+
 /// Runs `curl_global_init` before `main`, since it is not thread-safe.
 struct CurlLibrary {
   CurlLibrary() { curl_global_init(CURL_GLOBAL_DEFAULT); }
@@ -49,9 +54,16 @@
 
 }  // namespace
 
-CurlTransfer::CurlTransfer(HttpCall aCall, PartCallback aOnPart)
+const std::shared_ptr<ByteBudget>& DefaultResponseBudget() {
+  static const auto budget = std::make_shared<ByteBudget>(kDefaultBudgetBytes);
+  return budget;
+}
+
+CurlTransfer::CurlTransfer(HttpCall aCall, PartCallback aOnPart,
+                           std::shared_ptr<ByteBudget> aBudget)
     : call(std::move(aCall)),
       onPart(std::move(aOnPart)),
+      body(std::move(aBudget), this->call.maxBodyBytes),
       easy(curl_easy_init()) {
   ZINCSTEP_ASSERT(this->easy != nullptr);
   curl_easy_setopt(this->easy, CURLOPT_URL, this->call.url.c_str());
@@ -132,10 +144,10 @@
 
 bool CurlTransfer::Parse(std::string_view aBytes) {
   const auto consumed = this->parser.Feed(aBytes);
-  if (!consumed) {
+  if (!consumed && this->result.fault.empty()) {
     this->result.fault = consumed.error().message;
   }
-  return consumed.has_value();
+  return this->result.fault.empty();
 }
 
 void CurlTransfer::OnHead(HttpHead aHead) {
@@ -144,15 +156,26 @@
 }
 
 void CurlTransfer::OnBody(std::string_view aPart) {
+  if (!this->result.fault.empty()) {
+    return;
+  }
   if (this->call.streamed && this->onPart) {
     this->onPart(std::string(aPart));
-  } else {
-    this->result.body.append(aPart);
+    return;
+  }
+  const std::size_t size = this->body.Text().size() + aPart.size();
+  if (!this->body.Append(aPart)) {
+    this->result.fault =
+        size > this->call.maxBodyBytes
+            ? "the response exceeds the maximum size"
+            : "the responses exceed their maximum size together";
+    this->body.Clear();
   }
 }
 
 bool CurlTransfer::HasResponse(CURLcode aCode) {
-  if (aCode == CURLE_OK && this->parser.FeedEnd()) {
+  if (aCode == CURLE_OK && this->result.fault.empty() &&
+      this->parser.FeedEnd()) {
     return true;
   }
   if (this->result.fault.empty()) {
@@ -166,11 +189,13 @@
   long requestBytes = 0;
   curl_easy_getinfo(this->easy, CURLINFO_REQUEST_SIZE, &requestBytes);
   this->result.end = CallEndOf(aCode, this->HasResponse(aCode), requestBytes);
+  this->result.body = this->body.Take();
   return std::move(this->result);
 }
 
-HttpCallResult FetchBlocking(const HttpCall& aCall) {
-  CurlTransfer transfer(aCall, nullptr);
+HttpCallResult FetchBlocking(const HttpCall& aCall,
+                             std::shared_ptr<ByteBudget> aBudget) {
+  CurlTransfer transfer(aCall, nullptr, std::move(aBudget));
   return transfer.Finish(curl_easy_perform(transfer.Handle()));
 }
 
--- a/Zincstep/Net/CurlTransfer.h
+++ b/Zincstep/Net/CurlTransfer.h
@@ -22,7 +22,9 @@
   /// Receives the parts of a streamed body.
   using PartCallback = std::function<void(std::string)>;
 
-  CurlTransfer(HttpCall aCall, PartCallback aOnPart);
+  /// Buffers a body that is not streamed within `aBudget`.
+  CurlTransfer(HttpCall aCall, PartCallback aOnPart,
+               std::shared_ptr<ByteBudget> aBudget = DefaultResponseBudget());
   ~CurlTransfer() override;
 
   CurlTransfer(const CurlTransfer&) = delete;
@@ -41,7 +43,8 @@
                                  std::size_t aCount, void* aSelf);
   static std::size_t OnHeadLine(char* aData, std::size_t aSize,
                                 std::size_t aCount, void* aSelf);
-  /// Parses bytes; returns false if they are not a valid response.
+  /// Parses bytes; returns false if they are not a valid response or exceed a
+  /// bound.
   bool Parse(std::string_view aBytes);
   /// Returns whether the response is complete; records the reason if not.
   bool HasResponse(CURLcode aCode);
@@ -51,6 +54,7 @@
 
   HttpCall call;
   PartCallback onPart;
+  BodyBuffer body;
   CURL* easy = nullptr;
   curl_slist* headerList = nullptr;
   HttpParser parser{HttpSide::Response, *this};
--- a/Zincstep/Net/HttpClient.h
+++ b/Zincstep/Net/HttpClient.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "Zincstep/Core/Core.h"
+#include "Zincstep/Net/BodyBuffer.h"
 #include "Zincstep/Net/HttpMessage.h"
 
 namespace zincstep {
@@ -16,7 +17,8 @@
   Answered,
   /// No byte of the request was sent.
   NotSent,
-  /// The request may have been executed; no complete response was received.
+  /// The request may have been executed; no complete response was received, or
+  /// its body was rejected.
   Unknown,
   /// As `Unknown`, because the timeout expired after bytes of the request were
   /// sent. The caller cannot detect this with a clock of its own, since libcurl
@@ -41,6 +43,10 @@
   bool freshConnection = false;
   /// Pass the body in parts to `OnCallData` instead of in the result.
   bool streamed = false;
+  /// Maximum body in the result, in bytes. A call with a longer one fails at
+  /// once, and its connection is closed. The default is that of a response of
+  /// the edge daemon's store.
+  std::size_t maxBodyBytes = 16 << 20;
 };
 
 /// Result of one call.
@@ -50,7 +56,8 @@
   int status = 0;
   HttpHeaders headers;
   std::string body;
-  /// Error text of libcurl or of the parser if there is no complete response.
+  /// Error text of libcurl, of the parser or of an exceeded bound if there is
+  /// no complete response.
   std::string fault;
 };
 
@@ -79,10 +86,21 @@
   virtual void Cancel(CallId aCall) = 0;
 };
 
+/// Returns the budget that all calls of the process share that get no other
+/// one: 32 MiB for incomplete bodies, above 16 KiB each.
+const std::shared_ptr<ByteBudget>& DefaultResponseBudget();
+
 /// Creates a client on libcurl's multi interface.
-std::unique_ptr<HttpClient> MakeHttpClient();
+///
+/// All bodies that it buffers for results take their bytes from `aBudget`; a
+/// call whose body would exceed it fails at once.
+std::unique_ptr<HttpClient> MakeHttpClient(
+    std::shared_ptr<ByteBudget> aBudget = DefaultResponseBudget());
 
-/// Makes one call and blocks until it has ended.
-HttpCallResult FetchBlocking(const HttpCall& aCall);
+/// Makes one call and blocks until it has ended; buffers its body within
+/// `aBudget`.
+HttpCallResult FetchBlocking(
+    const HttpCall& aCall,
+    std::shared_ptr<ByteBudget> aBudget = DefaultResponseBudget());
 
 }  // namespace zincstep
--- a/Zincstep/Platform/HttpPlatform.cpp
+++ b/Zincstep/Platform/HttpPlatform.cpp
@@ -32,7 +32,7 @@
     call.headers = {{"User-Agent", this->settings.userAgent}};
     call.body = std::move(aBody);
     call.timeout = this->settings.timeout + aExtraTimeout;
-    return FetchBlocking(call);
+    return FetchBlocking(call, this->settings.responseBytes);
   }
 
   static tl::unexpected<Error> Unavailable(const HttpCallResult& aResult) {
--- a/Zincstep/Platform/KeyValueStore.h
+++ b/Zincstep/Platform/KeyValueStore.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Zincstep/Core/Core.h"
+#include "Zincstep/Net/HttpClient.h"
 
 namespace zincstep {
 
@@ -101,6 +102,8 @@
   std::string userAgent = "zincstep/";
   /// Timeout of a call, in addition to the wait of a watch.
   Micros timeout = 3s;
+  /// Budget of the calls' responses, which are up to 16 MiB each.
+  std::shared_ptr<ByteBudget> responseBytes = DefaultResponseBudget();
 };
 
 /// Creates an HTTP client of the key-value service.
