A stream of an engine ends at 1 MiB of what is no event

What callers saw: an engine whose stream has a line without end, lines that are no events, or whose refusal has a body without end was read until the request's deadline, while the router waited for its watch of the hops. In chunks of a few bytes such a line kept the client's thread busy, and with it all calls of the daemon.

Cause: ForwardingEngineClient cleared a line of more than 1 MiB and read on; lines that could not be parsed were ignored for ever; and each part, however small, searched the whole pending line again.

Change: a listener may reject a part of a streamed body, as at SingleCall; the call ends as Unknown and its connection is closed. The engine client rejects a stream once its pending line and its lines that are no events exceed 1 MiB together; the attempt has failed at its first stage, as if the stream had been truncated. Only the new part is searched.

Ruled out: rejecting the first line that is no event, as engines may send lines that this version does not know.

EndlessCallTests: line without end, lines that are no events, refusal without end: 64 MiB sent and not failed before, closed below that now.

--- a/LoadTool/LoadRun.cpp
+++ b/LoadTool/LoadRun.cpp
@@ -143,7 +143,7 @@
                               aRequest.tokens == aRequest.expectedTokens);
 }
 
-void LoadRun::OnCallData(CallId aCall, std::string aPart) {
+bool LoadRun::OnCallData(CallId aCall, std::string aPart) {
   const Instant now = this->clock.Now();
   const std::lock_guard<std::mutex> lock(this->mutex);
   OpenRequest& request = this->openRequests.at(aCall);
@@ -157,6 +157,7 @@
     end = request.partial.find('\n', start);
   }
   request.partial.erase(0, start);
+  return true;
 }
 
 void LoadRun::OnCallEnd(CallId aCall, HttpCallResult aResult) {
--- a/LoadTool/LoadRun.h
+++ b/LoadTool/LoadRun.h
@@ -86,7 +86,7 @@
 
   void SendRequest(std::uint64_t aNumber);
   HttpCall MakeCall(std::uint64_t aNumber, int aTokens);
-  void OnCallData(CallId aCall, std::string aPart) override;
+  bool OnCallData(CallId aCall, std::string aPart) override;
   void OnCallEnd(CallId aCall, HttpCallResult aResult) override;
   void OnLine(OpenRequest& aRequest, std::string_view aLine, Instant aNow);
   int SampleTokenCount();
--- a/StandIns/LoopClient.cpp
+++ b/StandIns/LoopClient.cpp
@@ -11,7 +11,7 @@
   this->pendingCalls[id] = std::move(aDone);
 }
 
-void LoopClient::OnCallData(CallId, std::string) {}
+bool LoopClient::OnCallData(CallId, std::string) { return true; }
 
 void LoopClient::OnCallEnd(CallId aCall, HttpCallResult aResult) {
   Done done;
--- a/StandIns/LoopClient.h
+++ b/StandIns/LoopClient.h
@@ -20,7 +20,7 @@
   void Call(HttpCall aCall, Done aDone);
 
  private:
-  void OnCallData(CallId aCall, std::string aPart) override;
+  bool OnCallData(CallId aCall, std::string aPart) override;
   void OnCallEnd(CallId aCall, HttpCallResult aResult) override;
 
   asio::io_context& loop;
--- a/UnitTests/CutHeadTest.cpp
+++ b/UnitTests/CutHeadTest.cpp
@@ -137,7 +137,10 @@
   }
 
  private:
-  void OnCallData(CallId, std::string aPart) override { this->parts += aPart; }
+  bool OnCallData(CallId, std::string aPart) override {
+    this->parts += aPart;
+    return true;
+  }
 
   void OnCallEnd(CallId, HttpCallResult aResult) override {
     Outcome outcome{aResult.end == CallEnd::Answered, aResult.status,
--- a/UnitTests/EndlessCallTest.cpp
+++ b/UnitTests/EndlessCallTest.cpp
@@ -27,7 +27,7 @@
  public:
   explicit CallEnds(asio::io_context& aLoop) : loop(aLoop) {}
 
-  void OnCallData(CallId, std::string) override {}
+  bool OnCallData(CallId, std::string) override { return true; }
   void OnCallEnd(CallId, HttpCallResult aResult) override {
     asio::post(this->loop, [this, result = std::move(aResult)]() mutable {
       this->results.push_back(std::move(result));
--- a/UnitTests/EndlessEngineTest.cpp
+++ b/UnitTests/EndlessEngineTest.cpp
@@ -43,6 +43,7 @@
 class EndlessEngineTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EndlessEngineTest);
   CPPUNIT_TEST(Attempt_LineWithoutEnd_Fails);
+  CPPUNIT_TEST(Attempt_LineInSmallChunks_Fails);
   CPPUNIT_TEST(Attempt_LinesThatAreNoEvents_Fails);
   CPPUNIT_TEST(Attempt_RefusalWithoutEnd_Fails);
   CPPUNIT_TEST(Load_BodyWithoutEnd_Fails);
@@ -111,6 +112,12 @@
 
   void Attempt_LineWithoutEnd_Fails() { this->CheckAttempt(kHead, "x"); }
 
+  // Guards against a client that searches the whole line for each part.
+  void Attempt_LineInSmallChunks_Fails() {
+    this->CheckAttempt("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                       "8\r\ndata: xx\r\n");
+  }
+
   // Lines that are no events are ignored, but not for ever.
   void Attempt_LinesThatAreNoEvents_Fails() {
     this->CheckAttempt(kHead, std::string(8 << 10, 'x') + "\n");
--- a/Zincstep/Engine/ForwardingEngineClient.cpp
+++ b/Zincstep/Engine/ForwardingEngineClient.cpp
@@ -14,7 +14,8 @@
 constexpr Micros kConnectTimeout = 150ms;
 /// Maximum body of an engine's load, progress or acknowledgement, in bytes.
 constexpr std::size_t kMaxReportBytes = 64 << 10;
-/// A longer line is discarded.
+/// Maximum size of a line of a token stream, and of all lines of a stream
+/// together that are no events, in bytes. An attempt that exceeds it fails.
 constexpr std::size_t kMaxLineBytes = 1 << 20;
 
 enum class CallKind { Attempt, Release, Probe, Load };
@@ -33,6 +34,8 @@
   std::uint64_t request = 0;
   int attempt = 0;
   std::string pendingLine;
+  /// Bytes of the stream's lines that are no events.
+  std::size_t invalidBytes = 0;
   bool hasFailed = false;
   std::shared_ptr<ProbeRound> probe;
   std::size_t probeStage = 0;
@@ -127,14 +130,17 @@
     this->calls[id] = std::move(aContext);
   }
 
-  void OnCallData(CallId aCall, std::string aPart) override {
+  bool OnCallData(CallId aCall, std::string aPart) override {
     CallContext* context = this->Find(aCall);
     if (context == nullptr || context->kind != CallKind::Attempt) {
-      return;
+      return true;
     }
+    // Only the part is searched: a line in chunks of a few bytes would
+    // otherwise occupy the client's thread for minutes.
+    const std::size_t searched = context->pendingLine.size();
     context->pendingLine += aPart;
     std::size_t lineStart = 0;
-    std::size_t lineEnd = context->pendingLine.find('\n');
+    std::size_t lineEnd = context->pendingLine.find('\n', searched);
     while (lineEnd != std::string::npos) {
       const std::string_view buffered = context->pendingLine;
       this->OnLine(*context, buffered.substr(lineStart, lineEnd - lineStart));
@@ -142,14 +148,13 @@
       lineEnd = context->pendingLine.find('\n', lineStart);
     }
     context->pendingLine.erase(0, lineStart);
-    if (context->pendingLine.size() > kMaxLineBytes) {
-      context->pendingLine.clear();
-    }
+    return context->pendingLine.size() + context->invalidBytes <= kMaxLineBytes;
   }
 
   void OnLine(CallContext& aContext, std::string_view aText) {
     Result<EngineLine> line = ReadLine(aText);
     if (!line) {
+      aContext.invalidBytes += aText.size() + 1;
       return;
     }
     if (line->isToken) {
--- a/Zincstep/Entry/EntryDaemon.cpp
+++ b/Zincstep/Entry/EntryDaemon.cpp
@@ -83,7 +83,7 @@
   void OnLoad(const std::string& aUpstream, Result<EngineLoad> aLoad) override {
     this->sink.Put(LoadEvent{aUpstream, std::move(aLoad)});
   }
-  void OnCallData(CallId, std::string) override {}
+  bool OnCallData(CallId, std::string) override { return true; }
   void OnCallEnd(CallId aCall, HttpCallResult aResult) override {
     this->sink.Put(CallEndEvent{aCall, std::move(aResult)});
   }
--- a/Zincstep/Net/CurlClient.cpp
+++ b/Zincstep/Net/CurlClient.cpp
@@ -101,7 +101,7 @@
     auto transfer = std::make_unique<CurlTransfer>(
         std::move(aCommand.call),
         [listener, id](std::string aPart) {
-          listener->OnCallData(id, std::move(aPart));
+          return listener->OnCallData(id, std::move(aPart));
         },
         this->budget);
     CURL* easy = transfer->Handle();
--- a/Zincstep/Net/CurlTransfer.cpp
+++ b/Zincstep/Net/CurlTransfer.cpp
@@ -160,7 +160,9 @@
     return;
   }
   if (this->call.streamed && this->onPart) {
-    this->onPart(std::string(aPart));
+    if (!this->onPart(std::string(aPart))) {
+      this->result.fault = "a part of the response was rejected";
+    }
     return;
   }
   const std::size_t size = this->body.Text().size() + aPart.size();
--- a/Zincstep/Net/CurlTransfer.h
+++ b/Zincstep/Net/CurlTransfer.h
@@ -19,8 +19,8 @@
 /// of two different lengths, and ignores a length that it cannot represent.
 class CurlTransfer final : private HttpParserListener {
  public:
-  /// Receives the parts of a streamed body.
-  using PartCallback = std::function<void(std::string)>;
+  /// Receives the parts of a streamed body; returns false to reject one.
+  using PartCallback = std::function<bool(std::string)>;
 
   /// Buffers a body that is not streamed within `aBudget`.
   CurlTransfer(HttpCall aCall, PartCallback aOnPart,
--- a/Zincstep/Net/HttpClient.h
+++ b/Zincstep/Net/HttpClient.h
@@ -69,7 +69,10 @@
   virtual ~HttpCallListener() = default;
 
   /// Called with a part of a streamed body.
-  virtual void OnCallData(CallId aCall, std::string aPart) = 0;
+  ///
+  /// Returns false to reject it: the call then fails at once, and its
+  /// connection is closed.
+  virtual bool OnCallData(CallId aCall, std::string aPart) = 0;
 
   /// Called once when the call has ended; its last event.
   virtual void OnCallEnd(CallId aCall, HttpCallResult aResult) = 0;
