The load tool ends an answer whose line exceeds 1 MiB

What was seen: a daemon whose stream has a line without end filled the load tool's memory until its time-out of 120 s, and each part searched the whole line again.

Cause: LoadRun kept the bytes after the last line feed without a bound.

Change: a line of more than 1 MiB, the engine client's bound, rejects the part; the call ends and the answer counts as broken. Only the new part is searched.

--- a/LoadTool/LoadRun.cpp
+++ b/LoadTool/LoadRun.cpp
@@ -11,6 +11,9 @@
 using Json = nlohmann::json;
 
 constexpr Micros kCallTimeout = 120s;
+/// Maximum size of a line of an answer, in bytes: that of the engine client. An
+/// answer with a longer one counts as broken.
+constexpr std::size_t kMaxLineBytes = 1 << 20;
 constexpr std::uint64_t kFirstDirectRequestId = std::uint64_t{1} << 40;
 
 /// Parses stages from `address/first/last,address/first/last`.
@@ -147,9 +150,10 @@
   const Instant now = this->clock.Now();
   const std::lock_guard<std::mutex> lock(this->mutex);
   OpenRequest& request = this->openRequests.at(aCall);
+  const std::size_t searched = request.partial.size();
   request.partial += aPart;
   std::size_t start = 0;
-  std::size_t end = request.partial.find('\n');
+  std::size_t end = request.partial.find('\n', searched);
   while (end != std::string::npos) {
     const std::string_view buffered = request.partial;
     this->OnLine(request, buffered.substr(start, end - start), now);
@@ -157,7 +161,7 @@
     end = request.partial.find('\n', start);
   }
   request.partial.erase(0, start);
-  return true;
+  return request.partial.size() <= kMaxLineBytes;
 }
 
 void LoadRun::OnCallEnd(CallId aCall, HttpCallResult aResult) {
