--- a/Zincstep/Entry/EntryDaemon.cpp
+++ b/Zincstep/Entry/EntryDaemon.cpp
@@ -43,14 +43,6 @@
 /// need.
 constexpr std::size_t kMaxPlatformBytes = 32 << 20;
 
-/// Maximum of the incomplete responses of services and engines together, above
-/// 16 KiB each, in bytes: that of an edge daemon on the default VM.
-constexpr std::size_t kMaxResponseBytes = 32 << 20;
-/// The same for the platform's, of which three threads await one each.
-/// Separate, so that failing services can't use up what configuration reads
-/// need.
-constexpr std::size_t kMaxPlatformBytes = 32 << 20;
-
 /// Returns the settings of a server on `aAddress`, whose form the reader of the
 /// settings has checked; the port is 0 if it has none.
 HttpServerSettings ServerSettings(const EntrySettings& aSettings,
