Tests: upstreams that refuse connections keep their port

Cause, by the log of the run: the tests closed a listener and used its port as one that refuses connections; the next listener got the same port.

RefusingPort binds a port and does not listen on it. The checks are as before.

--- a/UnitTests/CutRelayTest.cpp
+++ b/UnitTests/CutRelayTest.cpp
@@ -2,6 +2,7 @@
 // a caller of an edge daemon as a complete response.
 
 #include "UnitTests/CutUpstream.h"
+#include "UnitTests/RefusingPort.h"
 #include "UnitTests/RelayFixture.h"
 
 namespace zincstep {
@@ -62,11 +63,8 @@
       return;
     }
     // Upstreams that refuse connections, so that requests are forwarded.
-    ScriptedUpstream closed(loop, clock, [](const auto&, const auto&) {});
-    const std::string address = closed.Address();
-    closed.Close();
-    this->List("plain", address);
-    this->List("model", address);
+    this->List("plain", refusing.Address());
+    this->List("model", refusing.Address());
     forwards.SetPeers({{"peer", cut.Address(), ""}});
   }
 
@@ -83,6 +81,7 @@
   }
 
   CutUpstream cut{loop};
+  const RefusingPort refusing{loop};
 };
 
 /// Whether the caller received a response that is framed as complete and is not
--- a/UnitTests/ForwardedArrivalTest.cpp
+++ b/UnitTests/ForwardedArrivalTest.cpp
@@ -1,4 +1,5 @@
 #include "RelayFixture.h"
+#include "UnitTests/RefusingPort.h"
 
 namespace zincstep {
 
@@ -45,10 +46,8 @@
 
  public:
   void Forwarded_NoUpstreamReached_IsNotForwardedAgain() {
-    ScriptedUpstream closed(loop, clock, [](const auto&, const auto&) {});
-    const std::string address = closed.Address();
-    closed.Close();
-    this->List("plain", address);
+    const RefusingPort refusing(loop);
+    this->List("plain", refusing.Address());
     ScriptedUpstream peer(loop, clock, [](const auto&, const auto&) {});
     forwards.SetPeers({{"peer", peer.Address(), ""}});
     const auto answer = this->AskForwarded(this->Request("/unsafe/x"));
--- a/UnitTests/ForwardedRequestTest.cpp
+++ b/UnitTests/ForwardedRequestTest.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "RelayFixture.h"
+#include "UnitTests/RefusingPort.h"
 
 namespace zincstep {
 
@@ -46,13 +47,11 @@
 
   std::vector<ForwardPeer> known;
   std::vector<std::unique_ptr<ScriptedUpstream>> peers;
+  const RefusingPort refusing{loop};
 
   /// Lists an upstream that refuses connections.
   void ListUnreachable(const std::string& aService) {
-    ScriptedUpstream closed(loop, clock, [](const auto&, const auto&) {});
-    const std::string address = closed.Address();
-    closed.Close();
-    this->List(aService, address);
+    this->List(aService, refusing.Address());
   }
 
   /// Adds another daemon that handles forwarded requests as scripted.
