--- a/Zincstep/Relay/StopPolicy.h
+++ b/Zincstep/Relay/StopPolicy.h
@@ -72,11 +72,11 @@
   void Begin(Instant aNow) { this->begunAt = aNow; }
   bool IsStopping() const { return this->begunAt.has_value(); }
   /// Whether to accept a new request. One that is not repeatable must end in
-  /// any case, and so must a stream once the load balancer sends no more new
-  /// connections. Until then most of a route's streams have to end, as their
-  /// callers may have no other daemon; those that don't can be resumed.
-  /// Repeatable requests to a plain service get a complete response whenever
-  /// they are ended, so that most of them, later nearly all, have to end.
+  /// any case, and so must a stream after `balancerRemovalDelay`. Until then
+  /// most of a route's streams have to end, as their callers may have no other
+  /// daemon; those that don't can be resumed. Repeatable requests to a plain
+  /// service get a complete response whenever they are ended, so that most of
+  /// them, later nearly all, have to end.
   StopDecision Decide(const ExpectedDuration& aExpected, Instant aNow) const;
   bool Accepts(const ExpectedDuration& aExpected, Instant aNow) const {
     return this->Decide(aExpected, aNow).isAccepted;
