Logs: how long a configuration takes, held loops, connections closed as idle, silent streams

The hypotheses on a request that gets no response beside a change could not be told apart by the logs: a connection that the idle timeout closes left no line, the time of decoding a configuration was not known, a held loop was logged from 1 s on only, and a truncated stream's line did not say how long it had been silent.

configuration_in_force has bytes and took_ms, loop_delayed is logged from 0.1 s on (at most ten a second), idle_timeout counts closed connections and those with unread bytes, request_ended has silent_ms. No decision has changed.

--- a/Zincstep/Cluster/ConfigurationState.cpp
+++ b/Zincstep/Cluster/ConfigurationState.cpp
@@ -34,6 +34,7 @@
     this->activatedInEra = aItem.revision.era;
     return false;
   }
+  const Instant decodingSince = this->clock.Now();
   auto decoded = this->decoder.DecodeConfiguration(aItem.value);
   if (!decoded) {
     this->rejectedRevision = aItem.revision;
@@ -51,13 +52,15 @@
                                        {"kept_version", this->Version()}});
     return false;
   }
-  this->Activate(aItem.value, std::move(*decoded), aItem.revision);
+  this->Activate(aItem.value, std::move(*decoded), aItem.revision,
+                 decodingSince);
   return true;
 }
 
 void ConfigurationState::Activate(std::string aText,
                                   RouteConfiguration aConfiguration,
-                                  StoreRevision aStoredAt) {
+                                  StoreRevision aStoredAt,
+                                  Instant aDecodingSince) {
   this->text = std::move(aText);
   this->activatedInEra = aStoredAt.era;
   this->table = std::make_shared<const RouteTable>(std::move(aConfiguration));
@@ -65,15 +68,18 @@
           {{"revision", aStoredAt.number},
            {"era", aStoredAt.era},
            {"version", this->table->Configuration().version},
-           {"routes", this->table->Configuration().routes.size()}});
+           {"routes", this->table->Configuration().routes.size()},
+           {"bytes", this->text.size()},
+           {"took_ms", (this->clock.Now() - aDecodingSince) / 1ms}});
 }
 
 bool ConfigurationState::OnPeerConfiguration(const std::string& aText) {
+  const Instant decodingSince = this->clock.Now();
   auto decoded = this->decoder.DecodeConfiguration(aText);
   if (!decoded || decoded->version <= this->Version()) {
     return false;
   }
-  this->Activate(aText, std::move(*decoded), {});
+  this->Activate(aText, std::move(*decoded), {}, decodingSince);
   return true;
 }
 
--- a/Zincstep/Cluster/ConfigurationState.h
+++ b/Zincstep/Cluster/ConfigurationState.h
@@ -66,7 +66,7 @@
   /// Whether a configuration of that version replaces the active one.
   bool IsNewer(std::uint64_t aVersion, StoreRevision aStoredAt) const;
   void Activate(std::string aText, RouteConfiguration aConfiguration,
-                StoreRevision aStoredAt);
+                StoreRevision aStoredAt, Instant aDecodingSince);
 
   const ClusterDecoder& decoder;
   const Clock& clock;
--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -15,6 +15,9 @@
 /// A tick that is this late is logged: the VM was suspended or the process did
 /// not run. That tick also ends everything that has timed out meanwhile.
 constexpr Micros kMinLoggedGap = 1s;
+/// Delay of a tick from which on it is logged: the loop was held, and requests
+/// that had arrived waited for as long.
+constexpr Micros kMinLoggedDelay = 100ms;
 /// Interval of all periodic work other than time limits of requests, such as
 /// placement and gossip.
 constexpr Micros kPeriodicTick = 250ms;
@@ -27,6 +30,15 @@
 /// know.
 constexpr Micros kPeerTimeout = 600ms;
 
+void LogIdleTimeouts(const char* aPeers, const ClosedConnections& aClosed) {
+  if (aClosed.idle > 0) {
+    LogInfo("idle_timeout", {{"peers", aPeers},
+                             {"connections", aClosed.idle},
+                             {"unused", aClosed.unused},
+                             {"unread", aClosed.unread}});
+  }
+}
+
 }  // namespace
 
 Result<void> EdgeProcess::Listen() {
@@ -130,7 +142,7 @@
   this->callers.DisableKeepAlive();
 }
 
-void EdgeProcess::DetectSuspension() {
+void EdgeProcess::DetectSuspension(Micros aInterval) {
   const Instant now = this->clock.Now();
   const Micros gap = now - this->lastTickAt;
   if (this->lastTickAt != Instant{} && gap >= kMinLoggedGap) {
@@ -139,13 +151,18 @@
                                       {"active", this->relay.Active()},
                                       {"proof_age_ms", age ? *age / 1ms : -1}});
     this->connections.Clear();
+  } else if (this->lastTickAt != Instant{} &&
+             gap >= aInterval + kMinLoggedDelay) {
+    LogInfo("loop_delayed", {{"delay_ms", (gap - aInterval) / 1ms},
+                             {"active", this->relay.Active()}});
   }
   this->lastTickAt = now;
 }
 
 void EdgeProcess::OnFastTick() {
+  const Micros interval = this->tickInterval;
   this->ScheduleFastTick();
-  this->DetectSuspension();
+  this->DetectSuspension(interval);
   // A stop ends the process even if the requests' work fails each time.
   this->Run([this] {
     this->relay.Tick();
@@ -170,7 +187,8 @@
 
 void EdgeProcess::ScheduleFastTick() {
   const bool isBusy = this->relay.Active() > 0 || this->stop.IsStopping();
-  this->fastTimer.expires_after(isBusy ? kBusyTick : kIdleTick);
+  this->tickInterval = isBusy ? kBusyTick : kIdleTick;
+  this->fastTimer.expires_after(this->tickInterval);
   this->fastTimer.async_wait([this](const asio::error_code& aError) {
     if (!aError) {
       this->OnFastTick();
@@ -192,8 +210,8 @@
   if (this->stop.ShouldCloseIdle(this->clock.Now())) {
     this->CloseIdleConnections();
   }
-  this->callers.Tick();
-  this->forwarded.Tick();
+  LogIdleTimeouts("callers", this->callers.Tick());
+  LogIdleTimeouts("daemons", this->forwarded.Tick());
   this->admins.Tick();
   this->view.Tick();
   this->store.Tick();
--- a/Zincstep/Edge/EdgeProcess.h
+++ b/Zincstep/Edge/EdgeProcess.h
@@ -180,8 +180,9 @@
   void CloseListenersAndExit();
   /// Closes callers' connections without a request, and counts them in the log.
   void CloseIdleConnections();
-  /// Detects by the time since the last tick that this VM was suspended.
-  void DetectSuspension();
+  /// Detects by the time since the last tick, which was due after `aInterval`,
+  /// that this VM was suspended or the loop was held.
+  void DetectSuspension(Micros aInterval);
   void OnFastTick();
   void ScheduleFastTick();
   void OnPeriodicTick();
@@ -225,6 +226,8 @@
   /// `retryParticipant`.
   std::uint64_t lastMemberChanges = 0;
   Instant lastTickAt{};
+  /// Interval after which the next tick is due.
+  Micros tickInterval{0};
   /// When unlisted requests are reported again.
   Instant nextUnlistedReport{};
   LoadSurvey survey;
--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -304,9 +304,12 @@
   }
   const bool isNew = !this->hasReadRequest &&
                      this->clock.Now() - this->openedAt < kFirstRequestTime;
+  return isNew || this->parser.HasBegun() || this->HasUnreadBytes();
+}
+
+bool CallerConnection::HasUnreadBytes() const {
   asio::error_code error;
-  return isNew || this->parser.HasBegun() ||
-         (this->socket.available(error) > 0 && !error);
+  return !this->isClosed && this->socket.available(error) > 0 && !error;
 }
 
 void CallerConnection::CheckTimeouts(Instant aNow) {
@@ -394,12 +397,21 @@
   }
 }
 
-void CallerListener::Tick() {
+ClosedConnections CallerListener::Tick() {
   const Instant now = this->clock.Now();
-  std::erase_if(this->connections, [now](const auto& aConnection) {
+  ClosedConnections closed;
+  std::erase_if(this->connections, [&](const auto& aConnection) {
+    const bool wasOpen = !aConnection->IsClosed();
+    const bool hasUnread = wasOpen && aConnection->HasUnreadBytes();
     aConnection->CheckTimeouts(now);
+    if (wasOpen && aConnection->IsClosed()) {
+      closed.idle += 1;
+      closed.unused += aConnection->HasReadRequest() ? 0 : 1;
+      closed.unread += hasUnread ? 1 : 0;
+    }
     return aConnection->IsClosed();
   });
+  return closed;
 }
 
 std::size_t CallerListener::Busy() const {
--- a/Zincstep/Net/CallerConnection.h
+++ b/Zincstep/Net/CallerConnection.h
@@ -70,6 +70,8 @@
   /// Enforces the timeouts: responds 408 to an incomplete request, or closes an
   /// idle connection.
   void CheckTimeouts(Instant aNow);
+  /// Whether bytes have arrived that are not read yet.
+  bool HasUnreadBytes() const;
 
   /// Response bytes that are not written to the socket yet.
   std::size_t PendingBytes() const;
@@ -135,6 +137,8 @@
   std::size_t idle = 0;
   /// Those of them that never carried a request.
   std::size_t unused = 0;
+  /// Those of them on which bytes had arrived that were not read.
+  std::size_t unread = 0;
 };
 
 /// Accepts callers' connections on one address and owns them.
@@ -163,7 +167,8 @@
   /// `Connection: close`.
   void DisableKeepAlive();
   /// Enforces the timeouts; call periodically, several times per second.
-  void Tick();
+  /// Returns the connections that were closed as idle.
+  ClosedConnections Tick();
   /// Number of requests in progress.
   std::size_t Busy() const;
   /// Response bytes that are not written to the callers' sockets yet.
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -151,6 +151,7 @@
            {"first_event_ms", this->firstEventDelay / 1ms},
            {"expected_first_event_ms", this->expectedFirstEvent / 1ms},
            {"longest_pause_ms", this->maxEventGap / 1ms},
+           {"silent_ms", this->Silence(this->Now()) / 1ms},
            {"since_stop_ms", sinceStop ? *sinceStop / 1ms : -1},
            {"taken_ms", taken / 1ms}});
 }
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -87,6 +87,8 @@
   virtual void ObserveMembers(Instant) {}
   /// Receives an upstream's report of its stalled requests.
   virtual void OnReport(const UpstreamPtr&, const Result<UpstreamReport>&) {}
+  /// Time since the last event of a stream that has begun; 0 for others.
+  virtual Micros Silence(Instant) const { return Micros{0}; }
   /// Tokens of a stream that has begun and waits for a chain; 0 for others.
   virtual double TokensAwaitingChain() const { return 0; }
   /// Returns the upstream whose report this exchange needs, or null.
--- a/Zincstep/Relay/ForwardExchange.h
+++ b/Zincstep/Relay/ForwardExchange.h
@@ -22,6 +22,9 @@
                   const ExchangeProgress& aProgress);
 
   void Start() override { this->TryPeer(); }
+  Micros Silence(Instant aNow) const override {
+    return this->headSent ? aNow - this->lastForwardedAt : Micros{0};
+  }
   void OnTick(Instant aNow) override;
   void OnCallerDisconnected() override;
 
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -20,6 +20,9 @@
   ~StreamExchange() override;
 
   void Start() override;
+  Micros Silence(Instant aNow) const override {
+    return this->headSent ? aNow - this->lastForwardedAt : Micros{0};
+  }
   void OnTick(Instant aNow) override;
   void OnCallerDisconnected() override;
   StreamProgress ProgressAt(Instant aNow) const override;
