Test: the record's stream is accepted by the former decision and refused by the present one

Read 3.022 s after the signal, with a deadline of 20 s and 4.478 s left: the shares of recent durations (StopDesigns) accept it for each expected duration that was logged in late-streams, StopPolicy refuses it by its deadline.

--- a/UnitTests/LateAcceptanceTest.cpp
+++ b/UnitTests/LateAcceptanceTest.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <numbers>
 
-#include "Zincstep/Relay/StopPolicy.h"
+#include "UnitTests/StopDesigns.h"
 
 namespace zincstep {
 namespace {
@@ -25,6 +25,7 @@
   CPPUNIT_TEST_SUITE(LateAcceptanceTest);
   CPPUNIT_TEST(Accepts_StreamReadLate_EndsBeforeExit);
   CPPUNIT_TEST(Accepts_StreamReadLate_ShortDeadline_IsServed);
+  CPPUNIT_TEST(Accepts_LongDeadlineThreeSecondsAfterSignal_IsRefused);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr const char* kRoute = "route";
@@ -121,6 +122,24 @@
     CPPUNIT_ASSERT(policy.Accepts(brief, signal + 6s));
     CPPUNIT_ASSERT(!policy.Accepts(brief, signal + 6100ms));
   }
+
+  // Guards against accepting a stream by recent durations that was read 3.022 s
+  // after the signal and truncated 4.5 s later, with 14 s of its time left.
+  void Accepts_LongDeadlineThreeSecondsAfterSignal_IsRefused() {
+    StopPolicy policy{this->settings};
+    const Instant signal{Micros{100s}};
+    policy.Begin(signal);
+    for (const Micros usual : {Micros{1s}, Micros{3638ms}, Micros{4365ms}}) {
+      const ExpectedDuration expected{20s, UsualDurations{usual, usual}, true,
+                                      true};
+      const StopQuestion question{policy, expected, std::nullopt,
+                                  signal + 3022ms};
+      CPPUNIT_ASSERT(AcceptsByShares(question));
+      const StopDecision decision = policy.Decide(expected, question.now);
+      CPPUNIT_ASSERT(!decision.isAccepted);
+      CPPUNIT_ASSERT(decision.basis == StopBasis::Deadline);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LateAcceptanceTest);
