--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -48,13 +48,23 @@
                                    const Clock& aClock)
     : socket(std::move(aSocket)),
       handler(aHandler),
-      limits(aLimits),
+      currentLimits(aLimits),
       clock(aClock),
       parser(HttpSide::Request, *this),
       openedAt(aClock.Now()),
       lastActive(openedAt) {
   SetSocketOptions(this->socket, kUnacknowledgedTimeout);
-  this->parser.SetMaxHeadBytes(aLimits.maxHeaderBytes);
+  this->UseCurrentLimits();
+}
+
+void CallerConnection::UseCurrentLimits() {
+  this->limits = this->currentLimits;
+  this->parser.SetMaxHeadBytes(this->limits.maxHeaderBytes);
+}
+
+void CallerConnection::OnLimitsChanged() {
+  this->limits = Widest(this->limits, this->currentLimits);
+  this->parser.SetMaxHeadBytes(this->limits.maxHeaderBytes);
 }
 
 void CallerConnection::Start() { this->Read(); }
@@ -115,6 +125,7 @@
   }
   if (!this->parser.HasBegun()) {
     this->begunAt = this->clock.Now();
+    this->UseCurrentLimits();
   }
   const auto consumed = this->parser.Feed(this->unparsed);
   if (!consumed) {
@@ -232,6 +243,7 @@
   this->isBusy = false;
   this->lastActive = this->clock.Now();
   this->parser.Reset();
+  this->UseCurrentLimits();
   if (this->closesAfterResponse) {
     this->hasLastResponse = true;
     this->unparsed.clear();
@@ -323,7 +335,7 @@
   // connection for ever by one byte now and then.
   const bool isInHead = isMidRequest && !this->parser.HasHead();
   const Instant since = isInHead ? this->begunAt : this->lastActive;
-  if (aNow - since <= timeout) {
+  if (aNow - since <= timeout || this->HasUnreadBytes()) {
     return;
   }
   if (isMidRequest) {
@@ -363,6 +375,13 @@
   connection->Start();
 }
 
+void CallerListener::SetLimits(const CallerLimits& aLimits) {
+  this->limits = aLimits;
+  for (const auto& connection : this->connections) {
+    connection->OnLimitsChanged();
+  }
+}
+
 ClosedConnections CallerListener::CloseIdle() {
   ClosedConnections closed;
   for (const auto& connection : this->connections) {
--- a/Zincstep/Net/CallerConnection.h
+++ b/Zincstep/Net/CallerConnection.h
@@ -67,8 +67,13 @@
   void CloseWhenDone();
   /// Closes the connection after the next response.
   void DisableKeepAlive() { this->closesAfterResponse = true; }
+  /// Applies the listener's limits, which have changed. What has begun, a rest
+  /// between two requests included, keeps the former ones where they are wider:
+  /// callers may still rely on them.
+  void OnLimitsChanged();
   /// Enforces the timeouts: responds 408 to an incomplete request, or closes an
-  /// idle connection.
+  /// idle connection. Never closes one on which bytes have arrived: the loop
+  /// may have been held while the time passed.
   void CheckTimeouts(Instant aNow);
   /// Whether bytes have arrived that are not read yet.
   bool HasUnreadBytes() const;
@@ -85,6 +90,8 @@
   bool HasReadRequest() const { return this->hasReadRequest; }
 
  private:
+  /// Applies the listener's limits to what begins now, a request or a rest.
+  void UseCurrentLimits();
   void Read();
   void OnRead(const asio::error_code& aError, std::size_t aSize);
   /// Runs a handler of the loop. One that throws leaves nobody who would
@@ -107,7 +114,10 @@
 
   asio::ip::tcp::socket socket;
   CallerHandler& handler;
-  const CallerLimits& limits;
+  /// Limits of the listener, for what begins from now on.
+  const CallerLimits& currentLimits;
+  /// Limits of the current request, or of the current rest.
+  CallerLimits limits;
   const Clock& clock;
   HttpParser parser;
   CallerMessage message;
@@ -151,8 +161,9 @@
   Result<void> Start(const std::string& aAddress) {
     return this->acceptor.Start(aAddress);
   }
-  /// Sets the limits of all connections, open ones included.
-  void SetLimits(const CallerLimits& aLimits) { this->limits = aLimits; }
+  /// Sets the limits of all connections, open ones included; see
+  /// `CallerConnection::OnLimitsChanged`.
+  void SetLimits(const CallerLimits& aLimits);
   /// Accepts the connections that are established already, and no others.
   void StopAccepting() { this->acceptor.AcceptPendingAndClose(); }
   /// Whether a connection expects a request; see
--- a/Zincstep/Net/CallerLimits.h
+++ b/Zincstep/Net/CallerLimits.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+
 #include "Zincstep/Core/Core.h"
 
 namespace zincstep {
@@ -13,6 +15,15 @@
   Micros headerTimeout = 3s;
   /// Time that a connection may be idle between requests.
   Micros idleTimeout = 15s;
+
+  /// Returns the greater one of each limit.
+  friend CallerLimits Widest(const CallerLimits& aOne,
+                             const CallerLimits& aOther) {
+    return {std::max(aOne.maxHeaderBytes, aOther.maxHeaderBytes),
+            std::max(aOne.maxBodyBytes, aOther.maxBodyBytes),
+            std::max(aOne.headerTimeout, aOther.headerTimeout),
+            std::max(aOne.idleTimeout, aOther.idleTimeout)};
+  }
 };
 
 }  // namespace zincstep
