--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -48,13 +48,23 @@
                                    const Clock& aClock)
     : socket(std::move(aSocket)),
       handler(aHandler),
-      limits(aLimits),
+      currentLimits(aLimits),
       clock(aClock),
       parser(HttpSide::Request, *this),
       openedAt(aClock.Now()),
       lastActive(openedAt) {
   SetSocketOptions(this->socket, kUnacknowledgedTimeout);
-  this->parser.SetMaxHeadBytes(aLimits.maxHeaderBytes);
+  this->UseCurrentLimits();
+}
+
+void CallerConnection::UseCurrentLimits() {
+  this->limits = this->currentLimits;
+  this->parser.SetMaxHeadBytes(this->limits.maxHeaderBytes);
+}
+
+void CallerConnection::OnLimitsChanged() {
+  this->limits = Widest(this->limits, this->currentLimits);
+  this->parser.SetMaxHeadBytes(this->limits.maxHeaderBytes);
 }
 
 void CallerConnection::Start() { this->Read(); }
@@ -115,6 +125,7 @@
   }
   if (!this->parser.HasBegun()) {
     this->begunAt = this->clock.Now();
+    this->UseCurrentLimits();
   }
   const auto consumed = this->parser.Feed(this->unparsed);
   if (!consumed) {
@@ -232,6 +243,7 @@
   this->isBusy = false;
   this->lastActive = this->clock.Now();
   this->parser.Reset();
+  this->UseCurrentLimits();
   if (this->closesAfterResponse) {
     this->hasLastResponse = true;
     this->unparsed.clear();
@@ -304,9 +316,12 @@
   }
   const bool isNew = !this->hasReadRequest &&
                      this->clock.Now() - this->openedAt < kFirstRequestTime;
+  return isNew || this->parser.HasBegun() || this->HasUnreadBytes();
+}
+
+bool CallerConnection::HasUnreadBytes() const {
   asio::error_code error;
-  return isNew || this->parser.HasBegun() ||
-         (this->socket.available(error) > 0 && !error);
+  return !this->isClosed && this->socket.available(error) > 0 && !error;
 }
 
 void CallerConnection::CheckTimeouts(Instant aNow) {
@@ -320,7 +335,7 @@
   // connection for ever by one byte now and then.
   const bool isInHead = isMidRequest && !this->parser.HasHead();
   const Instant since = isInHead ? this->begunAt : this->lastActive;
-  if (aNow - since <= timeout) {
+  if (aNow - since <= timeout || this->HasUnreadBytes()) {
     return;
   }
   if (isMidRequest) {
@@ -360,6 +375,13 @@
   connection->Start();
 }
 
+void CallerListener::SetLimits(const CallerLimits& aLimits) {
+  this->limits = aLimits;
+  for (const auto& connection : this->connections) {
+    connection->OnLimitsChanged();
+  }
+}
+
 ClosedConnections CallerListener::CloseIdle() {
   ClosedConnections closed;
   for (const auto& connection : this->connections) {
@@ -394,12 +416,21 @@
   }
 }
 
-void CallerListener::Tick() {
+ClosedConnections CallerListener::Tick() {
   const Instant now = this->clock.Now();
-  std::erase_if(this->connections, [now](const auto& aConnection) {
+  ClosedConnections closed;
+  std::erase_if(this->connections, [&](const auto& aConnection) {
+    const bool wasOpen = !aConnection->IsClosed();
+    const bool hasUnread = wasOpen && aConnection->HasUnreadBytes();
     aConnection->CheckTimeouts(now);
+    if (wasOpen && aConnection->IsClosed()) {
+      closed.idle += 1;
+      closed.unused += aConnection->HasReadRequest() ? 0 : 1;
+      closed.unread += hasUnread ? 1 : 0;
+    }
     return aConnection->IsClosed();
   });
+  return closed;
 }
 
 std::size_t CallerListener::Busy() const {
