--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -185,7 +185,8 @@
     this->pending += header.value;
     this->pending += "\r\n";
   }
-  if (this->closesAfterResponse) {
+  this->hasAnnouncedClose = this->closesAfterResponse;
+  if (this->hasAnnouncedClose) {
     this->pending += "Connection: close\r\n";
   }
 }
@@ -244,7 +245,8 @@
   this->lastActive = this->clock.Now();
   this->parser.Reset();
   this->UseCurrentLimits();
-  if (this->closesAfterResponse) {
+  // A caller that was not told may have sent its next request already.
+  if (this->hasAnnouncedClose) {
     this->hasLastResponse = true;
     this->unparsed.clear();
   }
@@ -286,8 +288,7 @@
   }
   this->lastActive = this->clock.Now();
   this->Flush();
-  const bool isResponseSent = !this->isBusy && this->closesAfterResponse;
-  if (!this->isWriting && (isResponseSent || this->closesAfterWrite)) {
+  if (!this->isWriting && (this->hasLastResponse || this->closesAfterWrite)) {
     this->Close();
   }
 }
--- a/Zincstep/Net/CallerConnection.h
+++ b/Zincstep/Net/CallerConnection.h
@@ -65,7 +65,7 @@
   void CloseWhenSent();
   /// Closes after the next response, or now if no request is expected.
   void CloseWhenDone();
-  /// Closes the connection after the next response.
+  /// Closes the connection after the next response that can still announce it.
   void DisableKeepAlive() { this->closesAfterResponse = true; }
   /// Applies the listener's limits, which have changed. What has begun, a rest
   /// between two requests included, keeps the former ones where they are wider:
@@ -135,7 +135,10 @@
   bool isBusy = false;
   bool isClosed = false;
   bool hasReadRequest = false;
+  /// The next response whose head is not written yet is the last one.
   bool closesAfterResponse = false;
+  /// The head of the current response says that it is the last one.
+  bool hasAnnouncedClose = false;
   /// The last response is complete; what is received from now on is discarded.
   bool hasLastResponse = false;
   bool closesAfterWrite = false;
@@ -174,8 +177,8 @@
   ClosedConnections CloseIdle();
   /// Open connections that never carried a request.
   std::size_t Unused() const;
-  /// Closes each connection after its next response, which carries
-  /// `Connection: close`.
+  /// Closes each connection after its next response that begins from now on,
+  /// which carries `Connection: close`.
   void DisableKeepAlive();
   /// Enforces the timeouts; call periodically, several times per second.
   /// Returns the connections that were closed as idle.
