A request that arrived under former limits is read under them; idle_timeout counts kept connections

The limits of a rest now hold for the request behind it. The count of closed connections with unread bytes could not be above 0 any longer; kept counts those that the check left open.

--- a/UnitTests/ChangedLimitsTest.cpp
+++ b/UnitTests/ChangedLimitsTest.cpp
@@ -28,7 +28,8 @@
   CPPUNIT_TEST(Tick_RestOfHeadNotRead_IsAnswered);
   CPPUNIT_TEST(Tick_HeadTimeShrinks_StartedHead_KeepsItsTime);
   CPPUNIT_TEST(Limits_BodyBoundShrinks_StartedBody_IsAccepted);
-  CPPUNIT_TEST(Limits_HeadBoundShrinks_NextRequest_IsRefused);
+  CPPUNIT_TEST(Limits_BodyBoundShrinks_RequestNotRead_IsAccepted);
+  CPPUNIT_TEST(Limits_HeadBoundShrinks_LaterRequest_IsRefused);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr const char* kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -174,11 +175,21 @@
     CPPUNIT_ASSERT(this->Received().starts_with("HTTP/1.1 413 "));
   }
 
-  // Guards against limits that hold only for connections opened afterwards.
-  void Limits_HeadBoundShrinks_NextRequest_IsRefused() {
+  // Guards against judging a request that arrived while the loop was held by
+  // limits that its caller could not know.
+  void Limits_BodyBoundShrinks_RequestNotRead_IsAccepted() {
     this->CompleteOneRequest();
+    this->Send("POST / HTTP/1.1\r\nContent-Length: 8\r\n\r\n12345678");
+    limits.maxBodyBytes = 5;
+    listener.SetLimits(limits);
+    CPPUNIT_ASSERT(this->Received().starts_with("HTTP/1.1 200 "));
+  }
+
+  // Guards against limits that hold only for connections opened afterwards.
+  void Limits_HeadBoundShrinks_LaterRequest_IsRefused() {
     limits.maxHeaderBytes = 64;
     listener.SetLimits(limits);
+    this->CompleteOneRequest();
     this->Send("GET / HTTP/1.1\r\nX-Padding: " + std::string(100, 'x') +
                "\r\n\r\n");
     CPPUNIT_ASSERT(this->Received().starts_with("HTTP/1.1 431 "));
--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -31,11 +31,11 @@
 constexpr Micros kPeerTimeout = 600ms;
 
 void LogIdleTimeouts(const char* aPeers, const ClosedConnections& aClosed) {
-  if (aClosed.idle > 0) {
+  if (aClosed.idle > 0 || aClosed.kept > 0) {
     LogInfo("idle_timeout", {{"peers", aPeers},
                              {"connections", aClosed.idle},
                              {"unused", aClosed.unused},
-                             {"unread", aClosed.unread}});
+                             {"kept", aClosed.kept}});
   }
 }
 
--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -125,7 +125,6 @@
   }
   if (!this->parser.HasBegun()) {
     this->begunAt = this->clock.Now();
-    this->UseCurrentLimits();
   }
   const auto consumed = this->parser.Feed(this->unparsed);
   if (!consumed) {
@@ -325,9 +324,9 @@
   return !this->isClosed && this->socket.available(error) > 0 && !error;
 }
 
-void CallerConnection::CheckTimeouts(Instant aNow) {
+bool CallerConnection::CheckTimeouts(Instant aNow) {
   if (this->isClosed || this->isBusy || this->isWriting) {
-    return;
+    return false;
   }
   const bool isMidRequest = this->parser.HasBegun();
   const Micros timeout = isMidRequest ? this->limits.headerTimeout
@@ -336,8 +335,11 @@
   // connection for ever by one byte now and then.
   const bool isInHead = isMidRequest && !this->parser.HasHead();
   const Instant since = isInHead ? this->begunAt : this->lastActive;
-  if (aNow - since <= timeout || this->HasUnreadBytes()) {
-    return;
+  if (aNow - since <= timeout) {
+    return false;
+  }
+  if (this->HasUnreadBytes()) {
+    return true;
   }
   if (isMidRequest) {
     this->isBusy = true;
@@ -346,6 +348,7 @@
   } else {
     this->Close();
   }
+  return false;
 }
 
 std::size_t CallerConnection::PendingBytes() const {
@@ -422,12 +425,10 @@
   ClosedConnections closed;
   std::erase_if(this->connections, [&](const auto& aConnection) {
     const bool wasOpen = !aConnection->IsClosed();
-    const bool hasUnread = wasOpen && aConnection->HasUnreadBytes();
-    aConnection->CheckTimeouts(now);
+    closed.kept += aConnection->CheckTimeouts(now) ? 1 : 0;
     if (wasOpen && aConnection->IsClosed()) {
       closed.idle += 1;
       closed.unused += aConnection->HasReadRequest() ? 0 : 1;
-      closed.unread += hasUnread ? 1 : 0;
     }
     return aConnection->IsClosed();
   });
--- a/Zincstep/Net/CallerConnection.h
+++ b/Zincstep/Net/CallerConnection.h
@@ -72,9 +72,9 @@
   /// callers may still rely on them.
   void OnLimitsChanged();
   /// Enforces the timeouts: responds 408 to an incomplete request, or closes an
-  /// idle connection. Never closes one on which bytes have arrived: the loop
-  /// may have been held while the time passed.
-  void CheckTimeouts(Instant aNow);
+  /// idle connection. Does neither where bytes have arrived that are not read,
+  /// as the loop may have been held meanwhile; returns whether that is so.
+  bool CheckTimeouts(Instant aNow);
   /// Whether bytes have arrived that are not read yet.
   bool HasUnreadBytes() const;
 
@@ -90,7 +90,8 @@
   bool HasReadRequest() const { return this->hasReadRequest; }
 
  private:
-  /// Applies the listener's limits to what begins now, a request or a rest.
+  /// Applies the listener's limits to the rest that begins now, and to the
+  /// request behind it.
   void UseCurrentLimits();
   void Read();
   void OnRead(const asio::error_code& aError, std::size_t aSize);
@@ -116,7 +117,8 @@
   CallerHandler& handler;
   /// Limits of the listener, for what begins from now on.
   const CallerLimits& currentLimits;
-  /// Limits of the current request, or of the current rest.
+  /// Limits of the current rest or request; a request may have arrived during
+  /// the rest.
   CallerLimits limits;
   const Clock& clock;
   HttpParser parser;
@@ -150,8 +152,8 @@
   std::size_t idle = 0;
   /// Those of them that never carried a request.
   std::size_t unused = 0;
-  /// Those of them on which bytes had arrived that were not read.
-  std::size_t unread = 0;
+  /// Connections that were not closed in time as bytes had arrived.
+  std::size_t kept = 0;
 };
 
 /// Accepts callers' connections on one address and owns them.
