A stop counts its grace period from the arrival of the signal

Callers saw: a daemon whose loop was held when SIGTERM arrived, as by a large configuration, ended its requests that much later than planned; from 0.5 s on the kill came first, and requests got no response at all.

Cause: OnStopRequested took the loop's last tick for the begin. After a turn that held the loop the due tick runs before the handler of the signal, so that the last tick is behind the signal and not before it.

Change: StopSignalTime runs in front of asio's handler and stores the clock's value in an atomic, which the loop reads when its turn comes. The signal thus has one time, whatever the loop and its timers do. A second signal changes nothing. The line 'stopping' says how late it was seen.

Ruled out: a late begin by a hold before the signal, which shifted it by one tick interval at most.

Not covered: a process that does not run at all when the signal is sent (SIGSTOP, no processor time) counts from the moment in which it runs again; signals carry no time.

--- a/UnitTests/StopSignalTest.cpp
+++ b/UnitTests/StopSignalTest.cpp
@@ -9,6 +9,7 @@
 
 #include "UnitTests/DaemonChild.h"
 #include "Zincstep/Edge/Edge.h"
+#include "Zincstep/Process/Process.h"
 #include "platform/Platform.h"
 
 namespace zincstep {
@@ -19,6 +20,8 @@
   CPPUNIT_TEST_SUITE(StopSignalTest);
   CPPUNIT_TEST(Stop_LoopHeldAfterSignal_CountsFromSignal);
   CPPUNIT_TEST(Stop_LoopHeldBeforeSignal_CountsFromSignal);
+  CPPUNIT_TEST(ArrivedAt_FirstSignal_IsKeptAndHandled);
+  CPPUNIT_TEST(ArrivedAt_OtherSignal_IsNone);
   CPPUNIT_TEST_SUITE_END();
 
   /// Time that the loop is held; longer than the shortest stop.
@@ -105,6 +108,33 @@
     CPPUNIT_ASSERT_LESSEQUAL((this->clock.Now() - signalledAt) / 1ms,
                              (counted / 1ms));
   }
+
+  // Guards against a second signal that would extend the grace period, and
+  // against a record that keeps the loop from handling the signal.
+  void ArrivedAt_FirstSignal_IsKeptAndHandled() {
+    asio::io_context loop;
+    asio::signal_set signals(loop, SIGTERM, SIGINT);
+    int handled = 0;
+    signals.async_wait(
+        [&](const asio::error_code&, int aSignal) { handled = aSignal; });
+    const StopSignalTime time;
+    CPPUNIT_ASSERT(!time.ArrivedAt());
+    const Instant before = this->clock.Now();
+    ::raise(SIGINT);
+    const Instant after = this->clock.Now();
+    ::raise(SIGTERM);
+    CPPUNIT_ASSERT(time.ArrivedAt() >= before && time.ArrivedAt() <= after);
+    loop.run();
+    CPPUNIT_ASSERT_EQUAL(SIGINT, handled);
+  }
+
+  void ArrivedAt_OtherSignal_IsNone() {
+    asio::io_context loop;
+    asio::signal_set signals(loop, SIGHUP);
+    const StopSignalTime time;
+    ::raise(SIGHUP);
+    CPPUNIT_ASSERT(!time.ArrivedAt());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StopSignalTest);
--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -130,9 +130,12 @@
 }
 
 void EdgeProcess::OnStopRequested() {
-  // The loop may see the signal late, at most since its last tick.
-  this->stop.Begin(this->hasStarted ? this->lastTickAt : this->clock.Now());
-  LogInfo("stopping", {{"active", this->relay.Active()}});
+  const Instant now = this->clock.Now();
+  // The loop may have been held since the signal; the kill does not wait.
+  const Instant signalledAt = this->signalTime->ArrivedAt().value_or(now);
+  this->stop.Begin(signalledAt);
+  LogInfo("stopping", {{"active", this->relay.Active()},
+                       {"seen_after_ms", (now - signalledAt) / 1ms}});
   if (!this->hasStarted) {
     this->loop.stop();
     return;
--- a/Zincstep/Edge/EdgeProcess.h
+++ b/Zincstep/Edge/EdgeProcess.h
@@ -117,6 +117,7 @@
     for (const int signal : kHandledSignals) {
       this->signals.add(signal);
     }
+    this->signalTime.emplace();
     this->WaitForSignal();
   }
 
@@ -257,6 +258,8 @@
   asio::steady_timer fastTimer;
   asio::steady_timer periodicTimer;
   asio::signal_set signals;
+  /// Set once `signals` has installed its handlers.
+  std::optional<StopSignalTime> signalTime;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Process/Process.h
+++ b/Zincstep/Process/Process.h
@@ -7,6 +7,7 @@
 #include <csignal>
 
 #include "Zincstep/Process/RunGuarded.h"
+#include "Zincstep/Process/StopSignalTime.h"
 
 namespace zincstep {
 
