--- a/UnitTests/StopSignalTest.cpp
+++ b/UnitTests/StopSignalTest.cpp
@@ -30,7 +30,6 @@
   static constexpr Micros kHoldDelay = 330ms;
 
   const SystemClock clock;
-  std::unique_ptr<asio::steady_timer> hold;
   std::ostringstream log;
   sigset_t mask{};
 
@@ -55,8 +54,9 @@
         Settings(),
         [&](asio::io_context& aLoop, const EdgeSettings& aSettings,
             StoreEraTracker& aEras) -> Result<EdgeAdapters> {
-          hold = std::make_unique<asio::steady_timer>(aLoop, kHoldDelay);
-          hold->async_wait([aHold](const asio::error_code&) { aHold(); });
+          const auto hold =
+              std::make_shared<asio::steady_timer>(aLoop, kHoldDelay);
+          hold->async_wait([aHold, hold](const asio::error_code&) { aHold(); });
           auto store = platform::MakeStore(aLoop, aSettings.store, aEras);
           CPPUNIT_ASSERT(store.has_value());
           return EdgeAdapters{platform::MakeDialect(), platform::MakeDecoder(),
