--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -121,6 +121,15 @@
   /// Pooled connections that the request may use; empty if the request must
   /// not be sent twice.
   std::optional<PooledConnections> ReusableConnections() const;
+  /// Whether a run may begin now. A stream that has begun is continued in any
+  /// case, as it could only be truncated instead.
+  bool MayBeginRun() const;
+  /// Gives the request its final response if `MayBeginRun` says no; returns
+  /// whether it did. To be asked before each run and while one is waited for,
+  /// without a call in progress.
+  bool EndInsteadOfRun();
+  /// Whether the caller has received the head of the response.
+  virtual bool HasSentHead() const { return false; }
   /// Cancels the current call, if any.
   void CancelCall();
   /// Called once when the exchange ends.
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -20,6 +20,9 @@
 }
 
 void ServiceExchange::TrySend() {
+  if (this->EndInsteadOfRun()) {
+    return;
+  }
   const auto& upstreams =
       this->context.view.Directory().OfService(this->request.service->name);
   const UpstreamPtr chosen = this->context.services.Choose(
--- a/Zincstep/Relay/StopPolicy.cpp
+++ b/Zincstep/Relay/StopPolicy.cpp
@@ -33,6 +33,13 @@
   return decision;
 }
 
+bool StopPolicy::MayBeginRun(const ExpectedDuration& aExpected,
+                             Instant aNow) const {
+  const bool needsBound = aExpected.isStream || !aExpected.isRepeatable;
+  return !needsBound || !this->ShouldCloseIdle(aNow) ||
+         this->CanEnd(aExpected.maximum, aNow);
+}
+
 bool StopPolicy::MustEndRequests(Instant aNow) const {
   return this->begunAt && aNow >= this->EndOfRequests();
 }
--- a/Zincstep/Relay/StopPolicy.h
+++ b/Zincstep/Relay/StopPolicy.h
@@ -81,6 +81,11 @@
   bool Accepts(const ExpectedDuration& aExpected, Instant aNow) const {
     return this->Decide(aExpected, aNow).isAccepted;
   }
+  /// Whether a run of an accepted request may begin, at an upstream or by way
+  /// of another daemon. From `balancerRemovalDelay` on it must end in any case,
+  /// unless it is repeatable and no stream: the durations that a request was
+  /// accepted by are used up, and other daemons can still take it.
+  bool MayBeginRun(const ExpectedDuration& aExpected, Instant aNow) const;
   /// Time since the stop signal; none before it.
   std::optional<Micros> SinceSignal(Instant aNow) const {
     return this->begunAt ? std::optional(aNow - *this->begunAt) : std::nullopt;
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -71,6 +71,9 @@
 }
 
 bool StreamExchange::StartChain(const std::vector<UpstreamPtr>& aUpstreams) {
+  if (this->EndInsteadOfRun()) {
+    return true;
+  }
   const Instant now = this->Now();
   auto chosen = std::exchange(this->nextChain, std::nullopt);
   const bool isEstimatedRerun = this->headSent && this->EstimatesRepairs();
@@ -299,6 +302,9 @@
                  "deadline exceeded");
     return;
   }
+  if ((this->waitingId || this->isWaiting) && this->EndInsteadOfRun()) {
+    return;
+  }
   if (this->waitingId) {
     return;
   }
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -51,6 +51,7 @@
   static constexpr Micros kDepartedTimeout = 400ms;
 
   bool HasResponseBegun() const override { return this->hasRunEvents; }
+  bool HasSentHead() const override { return this->headSent; }
   void Abandon(ErrorKind aNotRun, ErrorKind aMayHaveRun,
                const char* aReason) override;
   void OnFinished() override;
@@ -64,7 +65,8 @@
   void TryChain();
   /// What the choice of a chain has to know besides the size of the request.
   RequestTiming Timing() const;
-  /// Starts a run on a chain of `aUpstreams`. Returns false if there is none.
+  /// Starts a run on a chain of `aUpstreams`, or ends the exchange if none may
+  /// begin. Returns false if there is no chain.
   bool StartChain(const std::vector<UpstreamPtr>& aUpstreams);
   /// Estimates the first event of a request that is sent now to `aFirst`.
   void ExpectFirstEvent(const LiveUpstream& aFirst);
