--- a/Zincstep/Relay/ExchangeHandOver.cpp
+++ b/Zincstep/Relay/ExchangeHandOver.cpp
@@ -34,7 +34,8 @@
   const std::string& service = this->request.service->name;
   const bool mayForward = !this->isDone && !this->request.isForwarded &&
                           (!this->mayHaveRun || this->MayRunAgain()) &&
-                          this->Now() < this->request.deadline;
+                          this->Now() < this->request.deadline &&
+                          this->MayBeginRun();
   if (!mayForward || !this->IsCutOff() || this->IsBlocked() ||
       !this->context.forwards.Choose(service, {})) {
     return false;
--- a/Zincstep/Relay/ForwardExchange.cpp
+++ b/Zincstep/Relay/ForwardExchange.cpp
@@ -51,6 +51,9 @@
 }
 
 void ForwardExchange::TryPeer() {
+  if (this->EndInsteadOfRun()) {
+    return;
+  }
   const std::string& service = this->request.service->name;
   const bool mayAsk =
       this->tried.size() < kMaxPeers && this->roomRefusals < kMaxRoomRefusals;
@@ -292,6 +295,9 @@
   if (this->IsBlocked()) {
     return ErrorKind::RequestBlocked;
   }
+  if (!this->MayBeginRun()) {
+    return ErrorKind::Stopping;
+  }
   return this->roomRefusals > 0 ? ErrorKind::Overloaded
                                 : ErrorKind::UpstreamUnreachable;
 }
--- a/Zincstep/Relay/ForwardExchange.h
+++ b/Zincstep/Relay/ForwardExchange.h
@@ -37,6 +37,7 @@
   bool HasResponseBegun() const override {
     return !this->responseInfo.requestId.empty();
   }
+  bool HasSentHead() const override { return this->headSent; }
   void Abandon(ErrorKind aNotRun, ErrorKind aMayHaveRun,
                const char* aReason) override;
   std::optional<Micros> ScheduledRetryAfter(ErrorKind) override {
