Retries are not taken for runs that may not begin

Cause: TryAcquireRetry took a retry of the window before the run was refused by StopPolicy, and Resume cancelled a silent run that might still have continued for a new one that could not begin.

Change: TryAcquireResend, which both ask, asks MayBeginRun first. A silent run without a head is thus left running until its deadline or the exit, where its caller gets a whole response. What no upstream has run is refused as stopping, not as a lack of room.

--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -326,7 +326,8 @@
 
 bool Exchange::TryAcquireResend() {
   return this->sends < this->context.settings.maxSends &&
-         this->Now() < this->request.deadline && !this->IsBlocked();
+         this->Now() < this->request.deadline && this->MayBeginRun() &&
+         !this->IsBlocked();
 }
 
 bool Exchange::TryAcquireRetry(double aReserved) {
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -188,8 +188,10 @@
     this->TrySend();
     return;
   }
+  const ErrorKind refused =
+      this->MayBeginRun() ? ErrorKind::Overloaded : ErrorKind::Stopping;
   const ErrorKind notRun =
-      this->IsBlocked() ? ErrorKind::RequestBlocked : ErrorKind::Overloaded;
+      this->IsBlocked() ? ErrorKind::RequestBlocked : refused;
   this->Refuse(this->mayHaveRun ? ErrorKind::UpstreamFailed : notRun, aReason);
 }
 
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -181,6 +181,9 @@
   if (this->IsBlocked()) {
     return ErrorKind::RequestBlocked;
   }
+  if (!this->MayBeginRun()) {
+    return ErrorKind::Stopping;
+  }
   if (!this->context.view.KnowsUpstreams()) {
     return ErrorKind::NotReady;
   }
