--- a/UnitTests/StopPolicyTest.cpp
+++ b/UnitTests/StopPolicyTest.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(Accepts_OrderOfLongTimeout_OnlyIfItEndsInAnyCase);
   CPPUNIT_TEST(Accepts_RepeatableRequest_ByUsualDuration);
   CPPUNIT_TEST(ShouldCloseIdle_AfterBalancerRemoval_IsTrue);
+  CPPUNIT_TEST(ShouldCloseIdle_SignalSeenLate_CountsFromNotReady);
   CPPUNIT_TEST(CanExit_ActiveRequests_WaitsForKill);
   CPPUNIT_TEST(CanExit_BeforeBalancerRemoval_IsFalse);
   CPPUNIT_TEST(CanExit_ResponseNotSent_WaitsForKill);
@@ -84,6 +85,20 @@
     CPPUNIT_ASSERT(policy.ShouldCloseIdle(start + 3s));
   }
 
+  // Guards against closing connections that the balancer still uses, as it
+  // counts from the first check that failed, and against accepting late what a
+  // kill that counts from the signal would cut.
+  void ShouldCloseIdle_SignalSeenLate_CountsFromNotReady() {
+    const Micros held = 2s;
+    policy.Begin(start, start + held);
+    CPPUNIT_ASSERT(!policy.ShouldCloseIdle(start + 2600ms));
+    CPPUNIT_ASSERT(!policy.CanExit(0, 0, start + 2600ms));
+    CPPUNIT_ASSERT(policy.ShouldCloseIdle(start + held + 2600ms));
+    CPPUNIT_ASSERT(!policy.Accepts(Stream(), start + 2600ms));
+    CPPUNIT_ASSERT(policy.MustEndRequests(start + 7500ms));
+    CPPUNIT_ASSERT(policy.MustExit(start + 7900ms));
+  }
+
   // Guards against exiting before a request that was just handed over is ended.
   void CanExit_ActiveRequests_WaitsForKill() {
     policy.Begin(start);
--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -133,7 +133,7 @@
   const Instant now = this->clock.Now();
   // The loop may have been held since the signal; the kill does not wait.
   const Instant signalledAt = this->signalTime->ArrivedAt().value_or(now);
-  this->stop.Begin(signalledAt);
+  this->stop.Begin(signalledAt, now);
   LogInfo("stopping", {{"active", this->relay.Active()},
                        {"seen_after_ms", (now - signalledAt) / 1ms}});
   if (!this->hasStarted) {
--- a/Zincstep/Relay/StopPolicy.cpp
+++ b/Zincstep/Relay/StopPolicy.cpp
@@ -17,12 +17,11 @@
   StopDecision decision;
   decision.expected = aExpected.maximum;
   // A stream that has begun can't be given a complete response early.
-  const bool needsBound = aExpected.isStream && this->ShouldCloseIdle(aNow);
+  const bool needsBound = aExpected.isStream && this->IsLate(aNow);
   if (aExpected.isRepeatable && !needsBound) {
     const UsualDurations usual =
         aExpected.usual.value_or(this->InitialDurations(aExpected));
-    const Micros duration =
-        this->ShouldCloseIdle(aNow) ? usual.nearlyAll : usual.most;
+    const Micros duration = this->IsLate(aNow) ? usual.nearlyAll : usual.most;
     if (duration < aExpected.maximum) {
       decision.expected = duration;
       decision.basis = aExpected.usual ? StopBasis::RouteDurations
@@ -36,7 +35,7 @@
 bool StopPolicy::MayBeginRun(const ExpectedDuration& aExpected,
                              Instant aNow) const {
   const bool needsBound = aExpected.isStream || !aExpected.isRepeatable;
-  return !needsBound || !this->ShouldCloseIdle(aNow) ||
+  return !needsBound || !this->IsLate(aNow) ||
          this->CanEnd(aExpected.maximum, aNow);
 }
 
@@ -46,7 +45,7 @@
 
 bool StopPolicy::ShouldCloseIdle(Instant aNow) const {
   return this->begunAt &&
-         aNow - *this->begunAt >= this->settings.balancerRemovalDelay;
+         aNow - this->notReadySince >= this->settings.balancerRemovalDelay;
 }
 
 bool StopPolicy::MustExit(Instant aNow) const {
--- a/Zincstep/Relay/StopPolicy.h
+++ b/Zincstep/Relay/StopPolicy.h
@@ -68,8 +68,13 @@
  public:
   explicit StopPolicy(StopPolicySettings aSettings) : settings(aSettings) {}
 
-  /// Records the time of the stop signal.
-  void Begin(Instant aNow) { this->begunAt = aNow; }
+  /// Records when the stop signal arrived, and since when the daemon is not
+  /// ready: later, if the loop was held.
+  void Begin(Instant aSignalledAt, Instant aNotReadySince) {
+    this->begunAt = aSignalledAt;
+    this->notReadySince = aNotReadySince;
+  }
+  void Begin(Instant aNow) { this->Begin(aNow, aNow); }
   bool IsStopping() const { return this->begunAt.has_value(); }
   /// Whether to accept a new request. One that is not repeatable must end in
   /// any case, and so must a stream after `balancerRemovalDelay`. Until then
@@ -99,7 +104,8 @@
   }
   /// Whether all requests must get their final response now.
   bool MustEndRequests(Instant aNow) const;
-  /// Whether to close connections that have no request.
+  /// Whether to close connections that have no request, as the balancer has
+  /// stopped sending.
   bool ShouldCloseIdle(Instant aNow) const;
   /// Whether the process exits whatever is left, as the kill comes next.
   bool MustExit(Instant aNow) const;
@@ -119,7 +125,15 @@
            this->settings.killMargin;
   }
 
+  /// Whether a request that is read now is late: new connections would have
+  /// ceased if the daemon had not been ready since the signal.
+  bool IsLate(Instant aNow) const {
+    return this->begunAt &&
+           aNow - *this->begunAt >= this->settings.balancerRemovalDelay;
+  }
+
   std::optional<Instant> begunAt;
+  Instant notReadySince{};
 };
 
 }  // namespace zincstep
