--- a/Zincstep/Cluster/ClusterView.cpp
+++ b/Zincstep/Cluster/ClusterView.cpp
@@ -302,9 +302,9 @@
   const auto ofCurrentEra = [this](StoreRevision aRevision) {
     return aRevision.era == this->era ? aRevision : StoreRevision{};
   };
-  return {this->ConfigStoreRevision(), ofCurrentEra(this->entries.QuerySince()),
-          ofCurrentEra(this->daemons.List().QuerySince()),
-          this->ConfigVersion()};
+  return {
+      this->AcceptedConfiguration(), ofCurrentEra(this->entries.QuerySince()),
+      ofCurrentEra(this->daemons.List().QuerySince()), this->ConfigVersion()};
 }
 
 void ClusterView::OnStoreReachable(bool aReachable,
--- a/Zincstep/Cluster/ClusterView.h
+++ b/Zincstep/Cluster/ClusterView.h
@@ -15,7 +15,8 @@
 
 namespace zincstep {
 
-/// Decodes values of the platform's store.
+/// Decodes values of the platform's store. Configurations and entries may be
+/// decoded on two threads at the same time.
 class ClusterDecoder {
  public:
   virtual ~ClusterDecoder() = default;
@@ -86,6 +87,12 @@
   ClusterView(const ClusterDecoder& aDecoder, ClusterListener& aListener,
               const Clock& aClock);
 
+  /// Decodes large configurations by `aBuilder`, which must outlive this,
+  /// instead of on the event loop.
+  void SetConfigurationBuilder(ConfigurationBuilder& aBuilder) {
+    this->config.SetBuilder(aBuilder,
+                            [this] { this->listener.OnConfiguration(); });
+  }
   /// Applies a configuration found in the store, by this daemon or a peer.
   void OnConfiguration(const StoreItem& aItem);
   /// Records that the configuration of `aRevision` was the newest one at
@@ -161,6 +168,11 @@
   /// Store revision at which the newest configuration was last found; none if
   /// unknown in this era.
   StoreRevision ConfigStoreRevision() const { return this->config.StoredAt(); }
+  /// The same of the newest configuration that is active or being built: what
+  /// this daemon need not request again.
+  StoreRevision AcceptedConfiguration() const {
+    return this->config.AcceptedAt();
+  }
   /// Time since the configuration was validated as the newest; none if it never
   /// was.
   std::optional<Micros> ValidationAge() const {
--- a/Zincstep/Cluster/ConfigurationState.cpp
+++ b/Zincstep/Cluster/ConfigurationState.cpp
@@ -1,5 +1,8 @@
 #include "Zincstep/Cluster/ConfigurationState.h"
 
+#include <algorithm>
+#include <vector>
+
 #include "Zincstep/Cluster/ClusterView.h"
 #include "Zincstep/Telemetry/Telemetry.h"
 
@@ -11,8 +14,22 @@
 /// validations stay in effect meanwhile; they expire after five seconds.
 constexpr Micros kRestoreSettleTime = 1500ms;
 
+/// Configurations up to this size are decoded on the event loop, in about half
+/// a millisecond (docs/incidents/configuration-changes.md), so that the first
+/// one at start is not delayed.
+constexpr std::size_t kMaxInlineBytes = 16 << 10;
+
 }  // namespace
 
+Result<std::shared_ptr<const RouteTable>> BuildRouteTable(
+    const ClusterDecoder& aDecoder, std::string_view aText) {
+  return aDecoder.DecodeConfiguration(aText).map(
+      [](RouteConfiguration aConfiguration) {
+        return std::shared_ptr<const RouteTable>(
+            std::make_shared<const RouteTable>(std::move(aConfiguration)));
+      });
+}
+
 bool ConfigurationState::IsNewer(std::uint64_t aVersion,
                                  StoreRevision aStoredAt) const {
   if (!this->table) {
@@ -20,72 +37,222 @@
   }
   // Within one era the store's order decides, whatever the versions. A backup
   // may hold a configuration that has been replaced.
-  const bool isOfOneEra = aStoredAt.era == this->activatedInEra;
-  return isOfOneEra || aVersion >= this->Version();
+  const bool isOfOneEra = aStoredAt.era == this->activatedAt.era;
+  return isOfOneEra ? aStoredAt > this->activatedAt
+                    : aVersion >= this->Version();
+}
+
+bool ConfigurationState::IsBuiltAside(const std::string& aText) const {
+  return this->builder != nullptr && aText.size() > kMaxInlineBytes;
+}
+
+StoreRevision ConfigurationState::AcceptedAt() const {
+  StoreRevision newest = this->storedAt;
+  for (const PendingBuild& build : this->pending) {
+    if (build.IsFromStore() && build.revision.era >= this->era) {
+      newest = std::max(newest, build.revision);
+    }
+  }
+  return newest;
 }
 
 bool ConfigurationState::OnStoreConfiguration(const StoreItem& aItem) {
-  if (aItem.revision <= this->storedAt ||
+  if (aItem.revision <= this->AcceptedAt() ||
       aItem.revision == this->rejectedRevision) {
     return false;
   }
-  if (this->table && aItem.value == this->text) {
+  if (this->table && aItem.value == *this->text) {
     this->storedAt = aItem.revision;
-    this->activatedInEra = aItem.revision.era;
+    this->activatedAt = aItem.revision;
+    this->DropReplaced();
     return false;
   }
-  const Instant decodingSince = this->clock.Now();
-  auto decoded = this->decoder.DecodeConfiguration(aItem.value);
-  if (!decoded) {
-    this->rejectedRevision = aItem.revision;
-    LogWarning("configuration_refused", {{"revision", aItem.revision.number},
-                                         {"era", aItem.revision.era},
+  auto ownText = std::make_shared<const std::string>(aItem.value);
+  if (this->IsBuiltAside(*ownText)) {
+    this->Enqueue(std::move(ownText), aItem.revision);
+    return false;
+  }
+  const Instant receivedAt = this->clock.Now();
+  const bool isActive =
+      this->ApplyStored(ownText, aItem.revision,
+                        BuildRouteTable(this->decoder, *ownText), receivedAt);
+  this->DropReplaced();
+  return isActive;
+}
+
+bool ConfigurationState::ApplyStored(
+    const SharedText& aText, StoreRevision aRevision,
+    Result<std::shared_ptr<const RouteTable>> aTable, Instant aReceivedAt) {
+  if (!aTable) {
+    if (aTable.error().kind == ErrorKind::ConfigInvalid) {
+      this->rejectedRevision = aRevision;
+    }
+    LogWarning("configuration_refused", {{"revision", aRevision.number},
+                                         {"era", aRevision.era},
                                          {"kept_version", this->Version()},
-                                         {"reason", decoded.error().message}});
+                                         {"reason", aTable.error().message}});
     return false;
   }
-  this->storedAt = aItem.revision;
-  if (!this->IsNewer(decoded->version, aItem.revision)) {
-    LogWarning("configuration_older", {{"revision", aItem.revision.number},
-                                       {"era", aItem.revision.era},
-                                       {"version", decoded->version},
+  const std::uint64_t version = (*aTable)->Configuration().version;
+  const StoreRevision storedBefore = this->storedAt;
+  // A revision from before a restore says nothing about the store's state.
+  if (aRevision.era >= this->era) {
+    this->storedAt = std::max(this->storedAt, aRevision);
+  }
+  // It was built while a newer one of its era became active.
+  const bool isReplaced =
+      aRevision <= storedBefore && aRevision.era == storedBefore.era;
+  if (isReplaced || !this->IsNewer(version, aRevision)) {
+    LogWarning("configuration_older", {{"revision", aRevision.number},
+                                       {"era", aRevision.era},
+                                       {"version", version},
                                        {"kept_version", this->Version()}});
     return false;
   }
-  this->Activate(aItem.value, std::move(*decoded), aItem.revision,
-                 decodingSince);
+  this->Activate(aText, std::move(*aTable), aRevision, aReceivedAt);
   return true;
 }
 
-void ConfigurationState::Activate(std::string aText,
-                                  RouteConfiguration aConfiguration,
+void ConfigurationState::Activate(SharedText aText,
+                                  std::shared_ptr<const RouteTable> aTable,
                                   StoreRevision aStoredAt,
-                                  Instant aDecodingSince) {
+                                  Instant aReceivedAt) {
   this->text = std::move(aText);
-  this->activatedInEra = aStoredAt.era;
-  this->table = std::make_shared<const RouteTable>(std::move(aConfiguration));
+  this->activatedAt = aStoredAt;
+  this->table = std::move(aTable);
   LogInfo("configuration_in_force",
           {{"revision", aStoredAt.number},
            {"era", aStoredAt.era},
            {"version", this->table->Configuration().version},
            {"routes", this->table->Configuration().routes.size()},
-           {"bytes", this->text.size()},
-           {"took_ms", (this->clock.Now() - aDecodingSince) / 1ms}});
+           {"bytes", this->text->size()},
+           {"took_ms", (this->clock.Now() - aReceivedAt) / 1ms}});
 }
 
 bool ConfigurationState::OnPeerConfiguration(const std::string& aText) {
-  const Instant decodingSince = this->clock.Now();
-  auto decoded = this->decoder.DecodeConfiguration(aText);
-  if (!decoded || decoded->version <= this->Version()) {
+  for (const PendingBuild& build : this->pending) {
+    // Peers send it again until it is active.
+    if (!build.IsFromStore() || *build.text == aText) {
+      return false;
+    }
+  }
+  auto ownText = std::make_shared<const std::string>(aText);
+  if (this->IsBuiltAside(*ownText)) {
+    this->Enqueue(std::move(ownText), {});
+    return false;
+  }
+  const Instant receivedAt = this->clock.Now();
+  return this->ApplyFromPeer(ownText, BuildRouteTable(this->decoder, *ownText),
+                             receivedAt);
+}
+
+bool ConfigurationState::ApplyFromPeer(
+    const SharedText& aText,
+    const Result<std::shared_ptr<const RouteTable>>& aTable,
+    Instant aReceivedAt) {
+  if (!aTable || (*aTable)->Configuration().version <= this->Version()) {
     return false;
   }
-  this->Activate(aText, std::move(*decoded), {}, decodingSince);
+  this->Activate(aText, *aTable, {}, aReceivedAt);
   return true;
 }
 
+void ConfigurationState::Enqueue(SharedText aText, StoreRevision aRevision) {
+  const std::size_t building = this->isBuilding ? 1 : 0;
+  for (std::size_t i = building; i < this->pending.size(); ++i) {
+    PendingBuild& waiting = this->pending[i];
+    if (!aRevision.IsNone() && waiting.IsFromStore() &&
+        waiting.revision.era == aRevision.era) {
+      waiting.text = std::move(aText);
+      waiting.revision = aRevision;
+      waiting.receivedAt = this->clock.Now();
+      return;
+    }
+  }
+  this->lastBuild += 1;
+  this->pending.push_back({this->lastBuild, std::move(aText), aRevision,
+                           this->clock.Now(), std::nullopt});
+  this->StartNextBuild();
+}
+
+void ConfigurationState::StartNextBuild() {
+  if (this->isBuilding || this->pending.empty()) {
+    return;
+  }
+  this->isBuilding = true;
+  this->builder->Start(
+      this->pending.front().text,
+      [this](Result<std::shared_ptr<const RouteTable>> aTable) {
+        this->OnBuilt(std::move(aTable));
+      });
+}
+
+void ConfigurationState::OnBuilt(
+    Result<std::shared_ptr<const RouteTable>> aTable) {
+  const PendingBuild built = std::move(this->pending.front());
+  this->pending.pop_front();
+  this->isBuilding = false;
+  this->StartNextBuild();
+  const bool isActive =
+      built.IsFromStore()
+          ? this->ApplyStored(built.text, built.revision, std::move(aTable),
+                              built.receivedAt)
+          : this->ApplyFromPeer(built.text, aTable, built.receivedAt);
+  if (built.validation) {
+    this->OnValidated(built.validation->revision, built.validation->startedAt);
+  }
+  this->EndWaitIfBuilt();
+  if (isActive) {
+    this->onActivated();
+  }
+}
+
+void ConfigurationState::DropReplaced() {
+  const std::size_t building = this->isBuilding ? 1 : 0;
+  std::vector<PendingValidation> validations;
+  for (std::size_t i = building; i < this->pending.size();) {
+    const PendingBuild& build = this->pending[i];
+    const bool isReplaced = build.IsFromStore() &&
+                            build.revision.era == this->storedAt.era &&
+                            build.revision <= this->storedAt;
+    if (!isReplaced) {
+      ++i;
+      continue;
+    }
+    if (build.validation) {
+      validations.push_back(*build.validation);
+    }
+    this->pending.erase(this->pending.begin() + static_cast<std::ptrdiff_t>(i));
+  }
+  for (const PendingValidation& validation : validations) {
+    this->OnValidated(validation.revision, validation.startedAt);
+  }
+  this->EndWaitIfBuilt();
+}
+
+bool ConfigurationState::DeferValidation(StoreRevision aRevision,
+                                         Instant aStartedAt) {
+  for (PendingBuild& build : this->pending) {
+    // A peer's configuration may be newer than all that the store holds.
+    const bool isCovered = build.IsFromStore() ? aRevision > this->storedAt &&
+                                                     aRevision <= build.revision
+                                               : aRevision <= this->storedAt;
+    if (isCovered) {
+      if (!build.validation || build.validation->startedAt < aStartedAt) {
+        build.validation = PendingValidation{aRevision, aStartedAt};
+      }
+      return true;
+    }
+  }
+  return false;
+}
+
 void ConfigurationState::OnValidated(StoreRevision aRevision,
                                      Instant aStartedAt) {
-  if (aRevision > this->storedAt || aRevision.IsNone()) {
+  if (aRevision.IsNone() || this->DeferValidation(aRevision, aStartedAt)) {
+    return;
+  }
+  if (aRevision > this->storedAt) {
     return;  // The newer one may revoke what this one grants.
   }
   if (aRevision.era < this->era || aStartedAt < this->rejectValidationsBefore) {
@@ -113,7 +280,28 @@
   if (!this->awaitingPeersUntil) {
     return;
   }
+  if (!this->pending.empty()) {
+    // What the peer sent may be among them.
+    if (!this->respondedBehind) {
+      this->respondedBehind = this->pending.back().number;
+    }
+    return;
+  }
+  this->EndPeerWait();
+}
+
+void ConfigurationState::EndWaitIfBuilt() {
+  const bool isBuilt = this->respondedBehind &&
+                       (this->pending.empty() ||
+                        this->pending.front().number > *this->respondedBehind);
+  if (isBuilt) {
+    this->EndPeerWait();
+  }
+}
+
+void ConfigurationState::EndPeerWait() {
   this->awaitingPeersUntil.reset();
+  this->respondedBehind.reset();
   if (this->pendingValidation) {
     const PendingValidation validation = *this->pendingValidation;
     this->pendingValidation.reset();
--- a/Zincstep/Cluster/ConfigurationState.h
+++ b/Zincstep/Cluster/ConfigurationState.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "Zincstep/Cluster/AsyncStore.h"
+#include "Zincstep/Cluster/ConfigurationBuilder.h"
 #include "Zincstep/Routes/Routes.h"
 
 namespace zincstep {
@@ -17,16 +20,29 @@
 /// was restored from a backup may hold an older one: then the version in its
 /// text orders it and the revision only identifies it. The active configuration
 /// never goes back to a lower version while the daemon runs.
+///
+/// With a builder, a large configuration is decoded beside the event loop: the
+/// active one stays in effect until the new one is built. One is built at a
+/// time and always to its end, since a storm of changes would otherwise keep
+/// each from becoming active; of those that wait, only the newest is built.
+/// Validations of a configuration count only once it is active.
 class ConfigurationState {
  public:
   ConfigurationState(const ClusterDecoder& aDecoder, const Clock& aClock)
       : decoder(aDecoder), clock(aClock) {}
 
+  /// Builds large configurations by `aBuilder`, which must outlive this, from
+  /// now on, and calls `aOnActivated` when one became active.
+  void SetBuilder(ConfigurationBuilder& aBuilder,
+                  std::function<void()> aOnActivated) {
+    this->builder = &aBuilder;
+    this->onActivated = std::move(aOnActivated);
+  }
   /// Applies a configuration found in the store, by this daemon or a peer;
-  /// returns whether another one became active.
+  /// returns whether another one became active at once.
   bool OnStoreConfiguration(const StoreItem& aItem);
   /// Applies a peer's active configuration that the restored store has lost;
-  /// returns whether it became active.
+  /// returns whether it became active at once.
   bool OnPeerConfiguration(const std::string& aText);
   /// Records that the configuration of `aRevision` was the newest one at
   /// `aStartedAt`. This also holds for a configuration that became active
@@ -44,7 +60,7 @@
 
   /// The active configuration, or null before the first one.
   const std::shared_ptr<const RouteTable>& Table() const { return this->table; }
-  const std::string& Text() const { return this->text; }
+  const std::string& Text() const { return *this->text; }
   /// Version of the active configuration; 0: none.
   std::uint64_t Version() const {
     return this->table ? this->table->Configuration().version : 0;
@@ -52,6 +68,9 @@
   /// Store revision at which the newest configuration was last found; none if
   /// unknown in this era.
   StoreRevision StoredAt() const { return this->storedAt; }
+  /// Store revision of the newest configuration that is active or being built;
+  /// none if unknown in this era.
+  StoreRevision AcceptedAt() const;
   /// Time since the configuration was validated as the newest; none if it never
   /// was.
   std::optional<Micros> ValidationAge() const;
@@ -63,17 +82,67 @@
     Instant startedAt;
   };
 
+  using SharedText = std::shared_ptr<const std::string>;
+  /// A configuration that is being built or waits for it.
+  struct PendingBuild {
+    /// Order of arrival, from 1.
+    std::uint64_t number = 0;
+    SharedText text;
+    /// None if a peer sent it because the restored store has lost it.
+    StoreRevision revision;
+    Instant receivedAt;
+    /// The latest validation that may count once this is active.
+    std::optional<PendingValidation> validation;
+
+    bool IsFromStore() const { return !this->revision.IsNone(); }
+  };
+
   /// Whether a configuration of that version replaces the active one.
   bool IsNewer(std::uint64_t aVersion, StoreRevision aStoredAt) const;
-  void Activate(std::string aText, RouteConfiguration aConfiguration,
-                StoreRevision aStoredAt, Instant aDecodingSince);
+  /// Whether a configuration of that size is built beside the event loop.
+  bool IsBuiltAside(const std::string& aText) const;
+  /// Applies a built configuration of the store; returns whether it became
+  /// active.
+  bool ApplyStored(const SharedText& aText, StoreRevision aRevision,
+                   Result<std::shared_ptr<const RouteTable>> aTable,
+                   Instant aReceivedAt);
+  /// Applies a built configuration of a peer; returns whether it became active.
+  bool ApplyFromPeer(const SharedText& aText,
+                     const Result<std::shared_ptr<const RouteTable>>& aTable,
+                     Instant aReceivedAt);
+  void Activate(SharedText aText, std::shared_ptr<const RouteTable> aTable,
+                StoreRevision aStoredAt, Instant aReceivedAt);
+  /// Appends a configuration, or replaces the one of the same era that waits.
+  void Enqueue(SharedText aText, StoreRevision aRevision);
+  void StartNextBuild();
+  void OnBuilt(Result<std::shared_ptr<const RouteTable>> aTable);
+  /// Drops waiting configurations that `storedAt` has replaced.
+  void DropReplaced();
+  /// Ends the wait for peers once all that was pending at the peer's response
+  /// is applied.
+  void EndWaitIfBuilt();
+  void EndPeerWait();
+  /// Keeps a validation that may count only after a pending build; returns
+  /// false if there is none.
+  bool DeferValidation(StoreRevision aRevision, Instant aStartedAt);
 
   const ClusterDecoder& decoder;
   const Clock& clock;
+  /// Null: all configurations are decoded on the event loop.
+  ConfigurationBuilder* builder = nullptr;
+  std::function<void()> onActivated;
+  /// The first one is being built. At most one of the store per era and one of
+  /// a peer wait behind it.
+  std::deque<PendingBuild> pending;
+  bool isBuilding = false;
+  std::uint64_t lastBuild = 0;
+  /// Number of the last configuration that was pending when a peer responded.
+  std::optional<std::uint64_t> respondedBehind;
   std::shared_ptr<const RouteTable> table;
-  /// Text of the active configuration, and the era it was activated in.
-  std::string text;
-  std::uint64_t activatedInEra = 0;
+  /// Text of the active configuration, and the revision it was activated at,
+  /// which a restore does not reset; none if a peer sent it.
+  SharedText text = std::make_shared<const std::string>();
+  StoreRevision activatedAt;
   StoreRevision storedAt;
   /// Revision of a configuration that could not be decoded, so that it is not
   /// decoded again.
--- a/Zincstep/Cluster/StoreFollower.cpp
+++ b/Zincstep/Cluster/StoreFollower.cpp
@@ -340,7 +340,7 @@
   this->isValidating = true;
   StoreChange check;
   check.key = this->settings.keys.configuration;
-  check.expected = this->view.ConfigStoreRevision();
+  check.expected = this->view.AcceptedConfiguration();
   const StoreRevision checked = check.expected;
   const Instant startedAt = this->clock.Now();
   this->store.Commit(std::move(check), [this, checked, startedAt](
@@ -374,7 +374,7 @@
     this->view.OnConfiguration(*aResult->present);
     this->view.OnValidated(aResult->present->revision, aStartedAt);
     this->observed.Add(aResult->present->revision);
-    if (this->view.ConfigStoreRevision() > aChecked) {
+    if (this->view.AcceptedConfiguration() > aChecked) {
       delay = Micros{0};  // This response does not hold the store's revision.
     }
   }
--- a/Zincstep/Edge/EdgeProcess.h
+++ b/Zincstep/Edge/EdgeProcess.h
@@ -3,6 +3,7 @@
 #include "Zincstep/Edge/AdminHandler.h"
 #include "Zincstep/Edge/BlockList.h"
 #include "Zincstep/Edge/BufferedMemory.h"
+#include "Zincstep/Edge/ConfigurationThread.h"
 #include "Zincstep/Edge/DaemonEntry.h"
 #include "Zincstep/Edge/EdgeAdapters.h"
 #include "Zincstep/Edge/EdgeComponents.h"
@@ -33,6 +34,7 @@
                       static_cast<std::uint64_t>(
                           this->clock.Now().time_since_epoch().count()))),
         view(*this->adapters.decoder, *this, this->clock),
+        configurations(aLoop, *this->adapters.decoder),
         store(*this->adapters.store, this->metrics, this->clock),
         follower(aLoop, this->store,
                  MakeFollowerSettings(aSettings, this->adapters.keys),
@@ -117,6 +119,7 @@
     for (const int signal : kHandledSignals) {
       this->signals.add(signal);
     }
+    this->view.SetConfigurationBuilder(this->configurations);
     this->WaitForSignal();
   }
 
@@ -207,6 +210,7 @@
   Metrics metrics;
   std::map<std::string, RetryWindow> retryWindows;
   ClusterView view;
+  ConfigurationThread configurations;
   CountedStore store;
   StoreFollower follower;
   ChainChooser chains;
