--- a/Zincstep/Edge/EdgeProcess.h
+++ b/Zincstep/Edge/EdgeProcess.h
@@ -3,6 +3,7 @@
 #include "Zincstep/Edge/AdminHandler.h"
 #include "Zincstep/Edge/BlockList.h"
 #include "Zincstep/Edge/BufferedMemory.h"
+#include "Zincstep/Edge/ConfigurationThread.h"
 #include "Zincstep/Edge/DaemonEntry.h"
 #include "Zincstep/Edge/EdgeAdapters.h"
 #include "Zincstep/Edge/EdgeComponents.h"
@@ -33,6 +34,7 @@
                       static_cast<std::uint64_t>(
                           this->clock.Now().time_since_epoch().count()))),
         view(*this->adapters.decoder, *this, this->clock),
+        configurations(aLoop, *this->adapters.decoder),
         store(*this->adapters.store, this->metrics, this->clock),
         follower(aLoop, this->store,
                  MakeFollowerSettings(aSettings, this->adapters.keys),
@@ -118,6 +120,7 @@
       this->signals.add(signal);
     }
     this->signalTime.emplace();
+    this->view.SetConfigurationBuilder(this->configurations);
     this->WaitForSignal();
   }
 
@@ -208,6 +211,7 @@
   Metrics metrics;
   std::map<std::string, RetryWindow> retryWindows;
   ClusterView view;
+  ConfigurationThread configurations;
   CountedStore store;
   StoreFollower follower;
   ChainChooser chains;
