Failing: silence of an upstream ends streams before their deadline (LOST)

- Another daemon that is silent for 1 s: the stream is truncated at once if no retry is left, 2.0 s after the last event if no other daemon is, or sent again to the silent one.
- Another daemon that is lost: truncated 50 ms after the last event if no retry is left, 2.0 s after it if no other daemon is.
- A run that is really lost: truncated 2.06 s after the last event, although a chain comes a second later and the deadline is 9 s.
- A stream that waits for a chain is sent although its request was found to crash upstreams meanwhile.

--- /dev/null
+++ b/UnitTests/SilentDaemonTest.cpp
@@ -0,0 +1,246 @@
+// Guards against streams through another daemon that end because it is silent
+// for a while, or because no retry or daemon is left for some seconds.
+
+#include "UnitTests/RefusingPort.h"
+#include "UnitTests/RelayFixture.h"
+
+namespace zincstep {
+namespace {
+
+constexpr const char* kHead = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+constexpr const char* kRest = "id: 3\ndata: c\n\nid: 4\ndata: d\n\n";
+
+class SilentDaemonTest final : public RelayFixture {
+  CPPUNIT_TEST_SUITE(SilentDaemonTest);
+  CPPUNIT_TEST(Daemon_SilentWithoutOther_StreamIsWhole);
+  CPPUNIT_TEST(Daemon_SilentWithoutRetry_StreamIsWhole);
+  CPPUNIT_TEST(Daemon_SilentBesideOther_StreamContinuesThere);
+  CPPUNIT_TEST(Daemon_SilentUntilAnotherArrives_StreamContinuesThere);
+  CPPUNIT_TEST(Daemon_LostWithoutRetry_StreamWaitsForOne);
+  CPPUNIT_TEST(Daemon_LostWithoutOther_StreamWaitsForOne);
+  CPPUNIT_TEST(SilentDaemon_DaemonExits_Ends);
+  CPPUNIT_TEST(SilentDaemon_DeadlineReached_Ends);
+  CPPUNIT_TEST(WaitingStream_DaemonExits_Ends);
+  CPPUNIT_TEST(WaitingStream_DeadlineReached_Ends);
+  CPPUNIT_TEST(WaitingStream_RequestIsBlocked_Ends);
+  CPPUNIT_TEST_SUITE_END();
+
+  std::vector<ForwardPeer> known;
+  std::vector<std::unique_ptr<ScriptedUpstream>> peers;
+  std::vector<std::shared_ptr<asio::steady_timer>> timers;
+  std::optional<Result<HttpResponse>> answer;
+  const RefusingPort refusing{loop};
+  int runs = 0;
+
+  void After(Micros aTime, std::function<void()> aThen) {
+    timers.push_back(std::make_shared<asio::steady_timer>(loop, aTime));
+    timers.back()->async_wait(
+        [then = std::move(aThen)](const asio::error_code& aError) {
+          if (!aError) {
+            then();
+          }
+        });
+  }
+
+  /// Adds a daemon whose first stream pauses in its middle and then goes on
+  /// with `aThen`; further ones are completed.
+  void AddPeer(Micros aPause, std::function<void(const ConnectionPtr&)> aThen) {
+    peers.push_back(std::make_unique<ScriptedUpstream>(
+        loop, clock,
+        [this, aPause, then = std::move(aThen)](const ConnectionPtr& aTo,
+                                                const CallerMessage& aMessage) {
+          this->runs += 1;
+          aTo->BeginChunks(200, SealedHeaders(aMessage));
+          if (this->runs > 1) {
+            aTo->AppendChunk(kRest);
+            aTo->EndChunks();
+            return;
+          }
+          aTo->AppendChunk(kHead);
+          this->After(aPause, [then, aTo] {
+            if (!aTo->IsClosed()) {
+              then(aTo);
+            }
+          });
+        }));
+    known.push_back(
+        {"peer" + std::to_string(peers.size()), peers.back()->Address(), ""});
+    forwards.SetPeers(known);
+  }
+
+  void AddPausing(Micros aPause) {
+    this->AddPeer(aPause, [](const ConnectionPtr& aTo) {
+      aTo->AppendChunk(kRest);
+      aTo->EndChunks();
+    });
+  }
+
+  void AddBreaking() {
+    this->AddPeer(50ms, [](const ConnectionPtr& aTo) { aTo->Abort(); });
+  }
+
+  void SpendRetries() {
+    RetryWindowSettings spent;
+    spent.burst = 0.5;
+    spent.perRequest = 0;
+    retryWindows.emplace("model", spent);
+  }
+
+  /// Starts a stream, which is forwarded, and runs the loop until another
+  /// daemon has it.
+  void Start() {
+    this->List("model", refusing.Address());
+    FetchResponse(
+        loop, {asio::ip::address_v4::loopback(), this->listener->Port()},
+        this->Attempt("/llm/x"), 10s,
+        [this](Result<HttpResponse> aAnswer) { answer = std::move(aAnswer); });
+    this->RunUntil([&] { return runs > 0; });
+  }
+
+  void CheckWhole(int aRuns) {
+    this->RunUntil([&] { return answer.has_value(); });
+    CPPUNIT_ASSERT(answer->has_value());
+    CPPUNIT_ASSERT_EQUAL(200, (*answer)->status);
+    CPPUNIT_ASSERT_EQUAL(std::string(kHead) + kRest, (*answer)->body);
+    CPPUNIT_ASSERT_EQUAL(aRuns, runs);
+    this->RunFor(30ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, relay->Active());
+  }
+
+  void LimitTime(int aTimeoutMs) {
+    std::string config = kRelayConfig;
+    config.replace(config.find("\"configVersion\":1"), 17,
+                   "\"configVersion\":2");
+    config.replace(config.find("\"timeoutMs\":20000"), 17,
+                   "\"timeoutMs\":" + std::to_string(aTimeoutMs));
+    view.OnConfiguration({"", config, 20});
+    view.OnValidated({20}, clock.Now());
+  }
+
+  void EndRequests() {
+    CPPUNIT_ASSERT(!answer.has_value());
+    stop.Begin(clock.Now() - 8s);
+    this->RunUntil([&] { return answer.has_value(); });
+    CPPUNIT_ASSERT(!answer->has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, relay->Active());
+  }
+
+  void CheckEndsAtDeadline() {
+    const Instant begin = clock.Now();
+    this->Start();
+    this->RunUntil([&] { return answer.has_value(); });
+    CPPUNIT_ASSERT(!answer->has_value());
+    CPPUNIT_ASSERT(clock.Now() - begin >= 2900ms);
+    this->RunFor(30ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, relay->Active());
+  }
+
+ public:
+  void tearDown() override { timers.clear(); }
+
+  void Daemon_SilentWithoutOther_StreamIsWhole() {
+    this->AddPausing(3s);
+    this->Start();
+    this->CheckWhole(1);
+  }
+
+  void Daemon_SilentWithoutRetry_StreamIsWhole() {
+    this->SpendRetries();
+    this->AddPausing(2s);
+    this->Start();
+    this->AddPausing(0s);
+    this->CheckWhole(1);
+  }
+
+  // Guards against a silent run that is kept where another is left.
+  void Daemon_SilentBesideOther_StreamContinuesThere() {
+    this->AddPausing(8s);
+    this->Start();
+    this->AddPausing(0s);
+    const Instant begin = clock.Now();
+    this->CheckWhole(2);
+    CPPUNIT_ASSERT(clock.Now() - begin < 4s);
+  }
+
+  void Daemon_SilentUntilAnotherArrives_StreamContinuesThere() {
+    this->AddPausing(8s);
+    this->Start();
+    this->After(4s, [this] { this->AddPausing(0s); });
+    this->CheckWhole(2);
+  }
+
+  void Daemon_LostWithoutRetry_StreamWaitsForOne() {
+    this->SpendRetries();
+    this->AddBreaking();
+    this->AddPausing(0s);
+    this->Start();
+    this->RunFor(3s);
+    CPPUNIT_ASSERT(!answer.has_value());
+    retryWindows.clear();
+    this->CheckWhole(2);
+  }
+
+  void Daemon_LostWithoutOther_StreamWaitsForOne() {
+    this->AddPeer(50ms, [this](const ConnectionPtr& aTo) {
+      known.clear();
+      forwards.SetPeers(known);
+      aTo->Abort();
+    });
+    this->Start();
+    this->RunFor(3s);
+    CPPUNIT_ASSERT(!answer.has_value());
+    this->AddPausing(0s);
+    this->CheckWhole(2);
+  }
+
+  void SilentDaemon_DaemonExits_Ends() {
+    this->AddPausing(60s);
+    this->Start();
+    this->RunFor(2500ms);
+    this->EndRequests();
+  }
+
+  void SilentDaemon_DeadlineReached_Ends() {
+    this->LimitTime(3000);
+    this->AddPausing(60s);
+    this->CheckEndsAtDeadline();
+  }
+
+  void WaitingStream_DaemonExits_Ends() {
+    this->SpendRetries();
+    this->AddBreaking();
+    this->Start();
+    this->RunFor(2500ms);
+    this->EndRequests();
+  }
+
+  void WaitingStream_DeadlineReached_Ends() {
+    this->LimitTime(3000);
+    this->SpendRetries();
+    this->AddBreaking();
+    this->CheckEndsAtDeadline();
+  }
+
+  // Guards against further sends of a request that crashes upstreams.
+  void WaitingStream_RequestIsBlocked_Ends() {
+    this->SpendRetries();
+    this->AddBreaking();
+    this->Start();
+    this->RunFor(200ms);
+    CPPUNIT_ASSERT(!answer.has_value());
+    crashes.SetBlockList(
+        {CandidatesOf({"POST", "h", "/llm/x", "acme", ""}, "model", {})
+             .request},
+        clock.Now());
+    retryWindows.clear();
+    this->AddPausing(0s);
+    this->RunUntil([&] { return answer.has_value(); });
+    CPPUNIT_ASSERT(!answer->has_value());
+    CPPUNIT_ASSERT_EQUAL(1, runs);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SilentDaemonTest);
+
+}  // namespace
+}  // namespace zincstep
