A waiting stream whose request is found to crash upstreams ends (LOST)

Seen: a stream that had lost its run and waited for a chain was sent to the next upstream although its request had been blocked meanwhile.

Cause: OnBlocked ends exchanges that have a call, and TryAcquireRetry asks before a retry is taken; a stream that holds its retry already and waits for a chain asked neither.

Change: the tick of a waiting stream ends it if its request is blocked.

--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -303,6 +303,10 @@
     return;
   }
   if (this->isWaiting) {
+    if (this->IsBlocked()) {
+      this->Fail("the request crashes upstreams");
+      return;
+    }
     this->needsRetry =
         this->needsRetry && !this->TryAcquireRetry(this->ReservedRetries());
     this->needsRetry ? this->WaitForChain() : this->TryChain();
