--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -13,8 +13,9 @@
 /// An upstream with a smaller share of its memory reserved should have had
 /// room; its refusal is recorded.
 constexpr double kLowUsageShare = 0.35;
-/// Callers abandon a stream without events after this time at the earliest.
-constexpr Micros kCallerPatience = 2s;
+/// Time for which a stream looks for a chain in each tick; later once per
+/// repair interval, as each search reads all upstreams.
+constexpr Micros kFrequentSearchTime = 2s;
 
 }  // namespace
 
@@ -149,15 +150,25 @@
   if (!this->needsRetry && this->TryHandOver()) {
     return;
   }
-  // A request that has not begun completes sooner by a retry of its caller:
-  // waiting here for even a fifth of the objective cost 0.02 of score.
-  if (!this->headSent || now - this->waitingSince >= kCallerPatience) {
+  // A stream that has begun waits until its deadline: its upstreams may only be
+  // silent, and its caller closes the connection when it gives up. A request
+  // that has not begun completes sooner by a retry of its caller: waiting here
+  // for even a fifth of the objective cost 0.02 of score.
+  if (!this->headSent) {
     this->Fail(this->IsCutOff()
                    ? "no upstream can be reached"
                    : "no chain covers all layers with room for the request");
   }
 }
 
+bool StreamExchange::MaySearch(Instant aSince, Instant aNow) {
+  if (aNow - aSince >= kFrequentSearchTime && aNow < this->nextSearch) {
+    return false;
+  }
+  this->nextSearch = aNow + this->context.settings.repairInterval;
+  return true;
+}
+
 void StreamExchange::Fail(const char* aReason) {
   this->Abandon(this->NotRunKind(), ErrorKind::UpstreamFailed, aReason);
 }
@@ -307,6 +318,9 @@
       this->Fail("the request crashes upstreams");
       return;
     }
+    if (!this->MaySearch(this->waitingSince, aNow)) {
+      return;
+    }
     this->needsRetry =
         this->needsRetry && !this->TryAcquireRetry(this->ReservedRetries());
     this->needsRetry ? this->WaitForChain() : this->TryChain();
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -69,6 +69,9 @@
   /// Estimates the first event of a request that is sent now to `aFirst`.
   void ExpectFirstEvent(const LiveUpstream& aFirst);
   void WaitForChain();
+  /// Whether a stream that has been without a usable chain since `aSince` looks
+  /// for one now; if so, schedules the next search.
+  bool MaySearch(Instant aSince, Instant aNow);
   /// Waits for a retry; for streams that have begun.
   void WaitForRetry();
   /// Share of the retry burst that this exchange may not use.
@@ -192,6 +195,8 @@
   /// Chain of the next run, if it is chosen already.
   std::optional<PoolChain> nextChain;
   Instant waitingSince;
+  /// Earliest time of the next search for a chain, after some time of waiting.
+  Instant nextSearch{};
   Instant lastProgress;
   /// Time at which events were last forwarded.
   Instant lastForwardedAt;
