A silent run is kept until another chain is found (LOST)

Callers saw: a stream whose upstream was silent for 1 s paused for 2.1 s and used up a run, and one whose upstream could not be queried was truncated, although both upstreams went on.

Cause: Resume cancelled the run before a chain for the next one was chosen. Without one, the sound run was gone: the new run was sent to the same upstream when its suspicion expired, or never.

Change: for a stream that has begun, Resume chooses the chain first, as TryNewRun does, with the work of the silent run not counted, and keeps the run if there is none and no other daemon may take the stream. A run whose upstream is known to have ended is cancelled as before. While a run is kept, its upstream is checked for a crash as that of a cancelled one is, the stream's tokens count as awaiting a chain, and a suspect upstream is probed instead of queried every 150 ms.

Not changed: a stream that has not begun gets its 502, as its caller's retry completes sooner.

--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -233,6 +233,10 @@
                        {"parts", this->request.info.promptParts},
                        {"has_events", this->HasResponseBegun()},
                        {"ran_ms", (this->Now() - this->sentAt) / 1ms}});
+  this->SuspectCrash();
+}
+
+void Exchange::SuspectCrash() {
   this->context.crashDetector.OnRunLost(this->Candidates(), this->upstream,
                                         this->HasResponseBegun()
                                             ? CrashEvidence::ResponseBegun
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -142,6 +142,8 @@
                        const char* aReason) = 0;
   /// Records that the current run ended without a complete response.
   void OnRunLost(const char* aReason);
+  /// Has it checked whether the upstream of the current run has crashed.
+  void SuspectCrash();
   /// Records that the upstream refused the request. Marks the upstream as ended
   /// if another incarnation responded at its address.
   void OnRefused(const ResponseInfo& aInfo, int aStatus);
@@ -174,6 +176,9 @@
   bool IsCutOff() const;
   /// Whether a request is forwarded before any upstream is tried.
   bool SkipsUpstreams() const;
+  /// Whether this daemon is cut off from the service, and another daemon may
+  /// serve the request.
+  bool MayHandOver();
   /// Hands the request over to be forwarded to another daemon, if this one is
   /// cut off from the service and the request may be sent again. Returns
   /// whether that ended this exchange; there must be no call in progress.
--- a/Zincstep/Relay/ExchangeHandOver.cpp
+++ b/Zincstep/Relay/ExchangeHandOver.cpp
@@ -30,15 +30,20 @@
                               this->request.service->name, reach.listed);
 }
 
-bool Exchange::TryHandOver() {
-  const std::string& service = this->request.service->name;
+bool Exchange::MayHandOver() {
   const bool mayForward = !this->isDone && !this->request.isForwarded &&
                           (!this->mayHaveRun || this->MayRunAgain()) &&
                           this->Now() < this->request.deadline;
-  if (!mayForward || !this->IsCutOff() || this->IsBlocked() ||
-      !this->context.forwards.Choose(service, {})) {
+  return mayForward && this->IsCutOff() && !this->IsBlocked() &&
+         this->context.forwards.Choose(this->request.service->name, {})
+             .has_value();
+}
+
+bool Exchange::TryHandOver() {
+  if (!this->MayHandOver()) {
     return false;
   }
+  const std::string& service = this->request.service->name;
   ZINCSTEP_ASSERT(!this->call);
   const ExchangeProgress progress = this->TakeProgress();
   this->isDone = true;
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -74,14 +74,8 @@
 bool StreamExchange::StartChain(const std::vector<UpstreamPtr>& aUpstreams) {
   const Instant now = this->Now();
   auto chosen = std::exchange(this->nextChain, std::nullopt);
-  const bool isEstimatedRerun = this->headSent && this->EstimatesRepairs();
-  if (!chosen && isEstimatedRerun) {
-    chosen = this->ChooseForRerun(now, "");
-  } else if (!chosen) {
-    chosen = this->context.chains.Choose(
-        *this->request.service->model, aUpstreams,
-        this->context.settings.failureDomain, this->tokens, now,
-        this->context.random, this->Timing());
+  if (!chosen) {
+    chosen = this->ChooseChain(aUpstreams, now);
   }
   if (!chosen) {
     this->Release();
@@ -89,7 +83,8 @@
     return false;
   }
   this->isWaiting = false;
-  if (isEstimatedRerun) {
+  this->silentSince.reset();
+  if (this->IsEstimatedRerun()) {
     this->chain.clear();
     this->RecordReads(*chosen, now);
   }
@@ -118,6 +113,17 @@
   return true;
 }
 
+std::optional<PoolChain> StreamExchange::ChooseChain(
+    const std::vector<UpstreamPtr>& aUpstreams, Instant aNow) {
+  if (this->IsEstimatedRerun()) {
+    return this->ChooseForRerun(aNow, "");
+  }
+  return this->context.chains.Choose(*this->request.service->model, aUpstreams,
+                                     this->context.settings.failureDomain,
+                                     this->tokens, aNow, this->context.random,
+                                     this->Timing());
+}
+
 void StreamExchange::ExpectFirstEvent(const LiveUpstream& aFirst) {
   if (this->headSent) {
     return;
@@ -266,11 +272,48 @@
          this->runs + (this->call ? 1 : 0) < this->request.route->maxAttempts;
 }
 
+bool StreamExchange::KeepsSilentRun() {
+  if (!this->call || !this->headSent || this->upstream->HasEnded() ||
+      this->nextChain) {
+    return false;
+  }
+  const Instant now = this->Now();
+  if (this->silentSince && !this->MaySearch(*this->silentSince, now)) {
+    return true;
+  }
+  // The members of the silent run have room for it again once it is cancelled.
+  for (const auto& [holder, amount] : this->reserved) {
+    holder->localWork -= amount;
+  }
+  this->nextChain = this->ChooseChain(
+      this->context.view.Directory().OfService(this->request.service->name),
+      now);
+  for (const auto& [holder, amount] : this->reserved) {
+    holder->localWork += amount;
+  }
+  if (this->nextChain || this->MayHandOver()) {
+    return false;
+  }
+  if (!this->silentSince) {
+    this->silentSince = now;
+    // Whether it has crashed is checked although the run is not given up.
+    this->SuspectCrash();
+  }
+  return true;
+}
+
 void StreamExchange::Resume(const char* aReason) {
   const bool mayResume = this->CanResume();
+  if (mayResume && this->KeepsSilentRun()) {
+    return;
+  }
   const bool hasRetry =
       mayResume && this->TryAcquireRetry(this->ReservedRetries());
   if (this->call && !hasRetry) {
+    this->nextChain.reset();
+    if (mayResume && !this->silentSince) {
+      this->silentSince = this->Now();
+    }
     return;  // A stalled stream may continue by itself.
   }
   if (this->call) {
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -31,7 +31,8 @@
                 const Result<UpstreamReport>& aReport) override;
   UpstreamPtr UpstreamToQuery(Instant aNow) override;
   double TokensAwaitingChain() const override {
-    return this->isWaiting && this->headSent ? this->tokens : 0;
+    const bool awaitsChain = this->isWaiting || this->silentSince;
+    return awaitsChain && this->headSent ? this->tokens : 0;
   }
 
   WaiterStart OnRoom(const std::vector<UpstreamPtr>& aUpstreams) override;
@@ -66,6 +67,12 @@
   RequestTiming Timing() const;
   /// Starts a run on a chain of `aUpstreams`. Returns false if there is none.
   bool StartChain(const std::vector<UpstreamPtr>& aUpstreams);
+  /// Whether the chain is chosen by the time in which it reads the tokens.
+  bool IsEstimatedRerun() const {
+    return this->headSent && this->EstimatesRepairs();
+  }
+  std::optional<PoolChain> ChooseChain(
+      const std::vector<UpstreamPtr>& aUpstreams, Instant aNow);
   /// Estimates the first event of a request that is sent now to `aFirst`.
   void ExpectFirstEvent(const LiveUpstream& aFirst);
   void WaitForChain();
@@ -89,8 +96,13 @@
   void OnLost(const char* aReason);
   /// Whether another upstream may continue the stream.
   bool CanResume() const;
+  /// Whether the open call of a stream that has begun is kept, as there is
+  /// nowhere else to continue it: its upstream may only be silent. Otherwise
+  /// `nextChain` may be set.
+  bool KeepsSilentRun();
   /// Continues the stream with a new run, or ends the exchange. If no new run
-  /// is permitted, a call that is still open is left running.
+  /// is permitted or no chain is found for one, a call that is still open is
+  /// left running, unless its upstream is known to have ended.
   void Resume(const char* aReason);
   void Fail(const char* aReason);
   /// Error kind for a request that has not run; determines its Retry-After.
@@ -195,6 +207,8 @@
   /// Chain of the next run, if it is chosen already.
   std::optional<PoolChain> nextChain;
   Instant waitingSince;
+  /// Since when a chain for a new run is sought beside a silent run.
+  std::optional<Instant> silentSince;
   /// Earliest time of the next search for a chain, after some time of waiting.
   Instant nextSearch{};
   Instant lastProgress;
--- a/Zincstep/Relay/StreamMembers.cpp
+++ b/Zincstep/Relay/StreamMembers.cpp
@@ -141,8 +141,9 @@
     }
     this->upstream->loss.OnLoss(this->upstream->Work(), aNow);
     this->ExcludeFromRepairs(this->upstream, aNow);
+    const int runsBefore = this->runs;
     this->Resume("the first upstream is likely lost");
-    return true;
+    return this->runs > runsBefore;
   }
   for (const std::size_t member : lost) {
     const UpstreamPtr& upstream = this->chain[member].upstream;
@@ -176,6 +177,10 @@
       this->isRepairing || this->isReadingPaused) {
     return nullptr;
   }
+  // Each query is charged for; a suspect upstream is probed, less often.
+  if (this->silentSince && this->upstream->IsSuspect(aNow)) {
+    return nullptr;
+  }
   const Micros limit = this->headSent
                            ? this->context.settings.eventTimeout
                            : this->context.settings.firstEventTimeout;
--- a/Zincstep/Relay/StreamResponse.cpp
+++ b/Zincstep/Relay/StreamResponse.cpp
@@ -92,6 +92,7 @@
   this->pendingEvents.clear();
   this->lastForwardedAt = now;
   this->lastProgress = now;
+  this->silentSince.reset();
   if (connection.PendingBytes() > this->context.settings.maxPendingBytes) {
     this->isReadingPaused = true;
     this->call->SetReading(false);
@@ -101,6 +102,7 @@
 void StreamExchange::OnCallEnd(SingleCallEnd aEnd) {
   const Instant now = this->Now();
   this->call.reset();
+  this->silentSince.reset();
   if (aEnd == SingleCallEnd::NotConnected) {
     this->OnNotConnected();
     if (this->TryHandOver()) {
