--- a/Zincstep/Relay/ForwardExchange.cpp
+++ b/Zincstep/Relay/ForwardExchange.cpp
@@ -17,8 +17,9 @@
 /// Daemons that have no room, after which the request is refused: others of
 /// their failure domain know of the same room.
 constexpr int kMaxRoomRefusals = 2;
-/// Callers abandon a stream without events after this time at the earliest.
-constexpr Micros kCallerPatience = 2s;
+/// Time for which a stream looks for a daemon in each tick; later once per
+/// repair interval.
+constexpr Micros kFrequentSearchTime = 2s;
 
 /// Whether a daemon that refuses for this reason says nothing of the room at
 /// upstreams.
@@ -50,13 +51,16 @@
   this->maxEventGap = aProgress.maxEventGap;
 }
 
-void ForwardExchange::TryPeer() {
-  const std::string& service = this->request.service->name;
+std::optional<ForwardPeer> ForwardExchange::ChoosePeer() {
   const bool mayAsk =
       this->tried.size() < kMaxPeers && this->roomRefusals < kMaxRoomRefusals;
-  const auto chosen = mayAsk
-                          ? this->context.forwards.Choose(service, this->tried)
-                          : std::nullopt;
+  return mayAsk ? this->context.forwards.Choose(this->request.service->name,
+                                                this->tried)
+                : std::nullopt;
+}
+
+void ForwardExchange::TryPeer() {
+  const auto chosen = this->ChoosePeer();
   chosen ? this->SendTo(*chosen) : this->OnNoPeer();
 }
 
@@ -231,9 +235,8 @@
 }
 
 void ForwardExchange::TryNextPeer() {
-  const double reserved =
-      this->headSent ? 0 : this->context.settings.reservedForStreams;
-  this->needsRetry = this->needsRetry && !this->TryAcquireRetry(reserved);
+  this->needsRetry =
+      this->needsRetry && !this->TryAcquireRetry(this->ReservedRetries());
   this->needsRetry ? this->OnNoPeer() : this->TryPeer();
 }
 
@@ -265,14 +268,58 @@
   this->sends += 1;
   this->runs += 1;
   this->pendingEvents.clear();
-  const double reserved =
-      this->headSent ? 0 : this->context.settings.reservedForStreams;
-  if (!this->CanRunAgain() || !this->TryAcquireRetry(reserved)) {
+  if (!this->CanRunAgain()) {
     this->Fail(aReason);
     return;
   }
   this->events.BeginRun();
-  this->TryPeer();
+  if (this->TryAcquireRetry(this->ReservedRetries())) {
+    this->TryPeer();
+  } else if (this->headSent) {
+    this->needsRetry = true;
+    this->OnNoPeer();
+  } else {
+    this->Fail(aReason);
+  }
+}
+
+void ForwardExchange::OnSilence(Instant aNow) {
+  this->context.forwards.OnNoResponse(this->peer.name);
+  if (!this->headSent) {
+    this->OnRunInterrupted("the other daemon is silent");
+    return;
+  }
+  if (!this->MaySearch(aNow)) {
+    return;
+  }
+  // Those that refused earlier may have room by now.
+  this->tried = {this->peer.name};
+  this->roomRefusals = 0;
+  const auto chosen = this->ChoosePeer();
+  if (!chosen || !this->TryAcquireRetry(this->ReservedRetries())) {
+    return;  // The silent run may continue by itself.
+  }
+  this->LeavePeer();
+  this->CancelCall();
+  this->mayHaveRun = true;
+  this->sends += 1;
+  this->runs += 1;
+  this->pendingEvents.clear();
+  this->events.BeginRun();
+  this->SendTo(*chosen);
+}
+
+bool ForwardExchange::MaySearch(Instant aNow) {
+  if (aNow - this->lastForwardedAt >= kFrequentSearchTime &&
+      aNow < this->nextSearch) {
+    return false;
+  }
+  this->nextSearch = aNow + this->context.settings.repairInterval;
+  return true;
+}
+
+double ForwardExchange::ReservedRetries() const {
+  return this->headSent ? 0 : this->context.settings.reservedForStreams;
 }
 
 void ForwardExchange::OnNoPeer() {
@@ -283,9 +330,6 @@
   this->isWaiting = true;
   this->tried.clear();
   this->roomRefusals = 0;
-  if (this->Now() - this->lastForwardedAt >= kCallerPatience) {
-    this->Fail("no daemon can continue the stream");
-  }
 }
 
 ErrorKind ForwardExchange::NotRunKind() {
@@ -341,7 +385,11 @@
     return;
   }
   if (this->isWaiting) {
-    this->TryNextPeer();
+    if (this->IsBlocked()) {
+      this->Fail("the request crashes upstreams");
+    } else if (this->MaySearch(aNow)) {
+      this->TryNextPeer();
+    }
     return;
   }
   if (!this->call) {
@@ -359,8 +407,7 @@
   const bool isSilent = aNow - this->lastProgress >= this->SilenceLimit();
   // The other daemon may be stopped or its link down.
   if (isSilent && this->call->HasSent() && this->CanRunAgain()) {
-    this->context.forwards.OnNoResponse(this->peer.name);
-    this->OnRunInterrupted("the other daemon is silent");
+    this->OnSilence(aNow);
   }
 }
 
--- a/Zincstep/Relay/ForwardExchange.h
+++ b/Zincstep/Relay/ForwardExchange.h
@@ -42,6 +42,7 @@
   std::optional<Micros> ScheduledRetryAfter(ErrorKind) override {
     return this->peerRetryAfter;
   }
+  std::optional<ForwardPeer> ChoosePeer();
   void TryPeer();
   /// Sends the request to another daemon, with a retry if that is needed.
   void TryNextPeer();
@@ -60,11 +61,20 @@
   void OnPeerRefused();
   /// The peer may have run the request, and its response is not complete.
   void OnRunInterrupted(const char* aReason);
+  /// The peer has sent nothing for `SilenceLimit`. Continues a stream that has
+  /// begun at another daemon, with a retry, or leaves the silent run going.
+  void OnSilence(Instant aNow);
+  /// Whether a stream without a daemon that progresses looks for one now; if
+  /// so, schedules the next search.
+  bool MaySearch(Instant aNow);
+  /// Share of the retry burst that this exchange may not use.
+  double ReservedRetries() const;
   void EndStream();
   /// Whether the request may run once more.
   bool CanRunAgain() const;
   bool MayRunAgain() const override { return this->CanRunAgain(); }
-  /// No daemon is left to forward to.
+  /// No daemon is left to forward to, or no retry. A stream that has begun
+  /// waits for one until its deadline.
   void OnNoPeer();
   void Fail(const char* aReason);
   ErrorKind NotRunKind();
@@ -94,6 +104,8 @@
   BodyBuffer body = this->MakeBodyBuffer();
   std::string pendingEvents;
   Instant lastProgress;
+  /// Earliest time of the next search, after some time without events.
+  Instant nextSearch{};
 };
 
 }  // namespace zincstep
