--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -13,8 +13,9 @@
 /// An upstream with a smaller share of its memory reserved should have had
 /// room; its refusal is recorded.
 constexpr double kLowUsageShare = 0.35;
-/// Callers abandon a stream without events after this time at the earliest.
-constexpr Micros kCallerPatience = 2s;
+/// Time for which a stream looks for a chain in each tick; later once per
+/// repair interval, as each search reads all upstreams.
+constexpr Micros kFrequentSearchTime = 2s;
 
 }  // namespace
 
@@ -76,14 +77,8 @@
   }
   const Instant now = this->Now();
   auto chosen = std::exchange(this->nextChain, std::nullopt);
-  const bool isEstimatedRerun = this->headSent && this->EstimatesRepairs();
-  if (!chosen && isEstimatedRerun) {
-    chosen = this->ChooseForRerun(now, "");
-  } else if (!chosen) {
-    chosen = this->context.chains.Choose(
-        *this->request.service->model, aUpstreams,
-        this->context.settings.failureDomain, this->tokens, now,
-        this->context.random, this->Timing());
+  if (!chosen) {
+    chosen = this->ChooseChain(aUpstreams, now);
   }
   if (!chosen) {
     this->Release();
@@ -91,7 +86,8 @@
     return false;
   }
   this->isWaiting = false;
-  if (isEstimatedRerun) {
+  this->silentSince.reset();
+  if (this->IsEstimatedRerun()) {
     this->chain.clear();
     this->RecordReads(*chosen, now);
   }
@@ -120,6 +116,17 @@
   return true;
 }
 
+std::optional<PoolChain> StreamExchange::ChooseChain(
+    const std::vector<UpstreamPtr>& aUpstreams, Instant aNow) {
+  if (this->IsEstimatedRerun()) {
+    return this->ChooseForRerun(aNow, "");
+  }
+  return this->context.chains.Choose(*this->request.service->model, aUpstreams,
+                                     this->context.settings.failureDomain,
+                                     this->tokens, aNow, this->context.random,
+                                     this->Timing());
+}
+
 void StreamExchange::ExpectFirstEvent(const LiveUpstream& aFirst) {
   if (this->headSent) {
     return;
@@ -152,15 +159,25 @@
   if (!this->needsRetry && this->TryHandOver()) {
     return;
   }
-  // A request that has not begun completes sooner by a retry of its caller:
-  // waiting here for even a fifth of the objective cost 0.02 of score.
-  if (!this->headSent || now - this->waitingSince >= kCallerPatience) {
+  // A stream that has begun waits until its deadline: its upstreams may only be
+  // silent, and its caller closes the connection when it gives up. A request
+  // that has not begun completes sooner by a retry of its caller: waiting here
+  // for even a fifth of the objective cost 0.02 of score.
+  if (!this->headSent) {
     this->Fail(this->IsCutOff()
                    ? "no upstream can be reached"
                    : "no chain covers all layers with room for the request");
   }
 }
 
+bool StreamExchange::MaySearch(Instant aSince, Instant aNow) {
+  if (aNow - aSince >= kFrequentSearchTime && aNow < this->nextSearch) {
+    return false;
+  }
+  this->nextSearch = aNow + this->context.settings.repairInterval;
+  return true;
+}
+
 void StreamExchange::Fail(const char* aReason) {
   this->Abandon(this->NotRunKind(), ErrorKind::UpstreamFailed, aReason);
 }
@@ -261,11 +278,48 @@
          this->runs + (this->call ? 1 : 0) < this->request.route->maxAttempts;
 }
 
+bool StreamExchange::KeepsSilentRun() {
+  if (!this->call || !this->headSent || this->upstream->HasEnded() ||
+      this->nextChain) {
+    return false;
+  }
+  const Instant now = this->Now();
+  if (this->silentSince && !this->MaySearch(*this->silentSince, now)) {
+    return true;
+  }
+  // The members of the silent run have room for it again once it is cancelled.
+  for (const auto& [holder, amount] : this->reserved) {
+    holder->localWork -= amount;
+  }
+  this->nextChain = this->ChooseChain(
+      this->context.view.Directory().OfService(this->request.service->name),
+      now);
+  for (const auto& [holder, amount] : this->reserved) {
+    holder->localWork += amount;
+  }
+  if (this->nextChain || this->MayHandOver()) {
+    return false;
+  }
+  if (!this->silentSince) {
+    this->silentSince = now;
+    // Whether it has crashed is checked although the run is not given up.
+    this->SuspectCrash();
+  }
+  return true;
+}
+
 void StreamExchange::Resume(const char* aReason) {
   const bool mayResume = this->CanResume();
+  if (mayResume && this->KeepsSilentRun()) {
+    return;
+  }
   const bool hasRetry =
       mayResume && this->TryAcquireRetry(this->ReservedRetries());
   if (this->call && !hasRetry) {
+    this->nextChain.reset();
+    if (mayResume && !this->silentSince) {
+      this->silentSince = this->Now();
+    }
     return;  // A stalled stream may continue by itself.
   }
   if (this->call) {
@@ -312,6 +366,13 @@
     return;
   }
   if (this->isWaiting) {
+    if (this->IsBlocked()) {
+      this->Fail("the request crashes upstreams");
+      return;
+    }
+    if (!this->MaySearch(this->waitingSince, aNow)) {
+      return;
+    }
     this->needsRetry =
         this->needsRetry && !this->TryAcquireRetry(this->ReservedRetries());
     this->needsRetry ? this->WaitForChain() : this->TryChain();
