Split files by topic: CallerListener, ForwardResponse, ExchangeRuns

No behaviour changes: the listener of callers leaves CallerConnection, the response of another daemon leaves ForwardExchange, runs and their retries leave Exchange.

--- a/SoakTests/SoakStore.h
+++ b/SoakTests/SoakStore.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "Zincstep/Core/Random.h"
-#include "Zincstep/Net/CallerConnection.h"
+#include "Zincstep/Net/CallerListener.h"
 
 namespace zincstep::soak {
 
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -8,6 +8,7 @@
 #include "SoakTests/InvariantChecker.h"
 #include "SoakTests/SoakStore.h"
 #include "Zincstep/Config/Config.h"
+#include "Zincstep/Net/CallerListener.h"
 
 namespace zincstep::soak {
 
--- a/UnitTests/ForwardedArrivalTest.cpp
+++ b/UnitTests/ForwardedArrivalTest.cpp
@@ -1,5 +1,6 @@
 #include "RelayFixture.h"
 #include "UnitTests/RefusingPort.h"
+#include "Zincstep/Net/CallerListener.h"
 
 namespace zincstep {
 
--- a/UnitTests/RelayFixture.h
+++ b/UnitTests/RelayFixture.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 
+#include "Zincstep/Net/CallerListener.h"
 #include "Zincstep/Net/SingleCall.h"
 #include "Zincstep/Relay/Relay.h"
 #include "platform/Platform.h"
--- a/UnitTests/StoppingListenerTest.cpp
+++ b/UnitTests/StoppingListenerTest.cpp
@@ -2,7 +2,7 @@
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 
-#include "Zincstep/Net/CallerConnection.h"
+#include "Zincstep/Net/CallerListener.h"
 #include "Zincstep/Net/TcpSocket.h"
 
 namespace zincstep {
--- a/UnitTests/UnannouncedCloseTest.cpp
+++ b/UnitTests/UnannouncedCloseTest.cpp
@@ -1,6 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "Zincstep/Net/CallerConnection.h"
+#include "Zincstep/Net/CallerListener.h"
 #include "Zincstep/Net/TcpSocket.h"
 
 namespace zincstep {
--- a/Zincstep/Edge/EdgeProcess.h
+++ b/Zincstep/Edge/EdgeProcess.h
@@ -9,6 +9,7 @@
 #include "Zincstep/Edge/EdgeComponents.h"
 #include "Zincstep/Edge/PeerProtocol.h"
 #include "Zincstep/Edge/PlanThread.h"
+#include "Zincstep/Net/CallerListener.h"
 #include "Zincstep/Process/Process.h"
 #include "Zincstep/Relay/DomainRecoveryMonitor.h"
 #include "Zincstep/Relay/ReachProber.h"
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -156,85 +156,6 @@
            {"taken_ms", taken / 1ms}});
 }
 
-void Exchange::Send(const UpstreamPtr& aUpstream, const PoolChain* aChain,
-                    std::optional<std::uint64_t> aLastEventId) {
-  this->upstream = aUpstream;
-  this->sends += 1;
-  this->sentAt = this->Now();
-  this->context.statistics.OnSent(
-      this->counted, aUpstream->Entry().failureDomain, this->sentAt);
-  const auto endpoint = ParseEndpoint(aUpstream->Entry().address);
-  if (!endpoint) {
-    LogWarning("upstream_address", {{"upstream", aUpstream->Entry().id},
-                                    {"reason", endpoint.error().message}});
-    this->Suspect(*aUpstream);
-    return;
-  }
-  const ForwardedRequest forwarded{this->request.message,
-                                   aUpstream->Entry().id,
-                                   this->request.deadline - this->sentAt,
-                                   this->request.organisation,
-                                   aLastEventId,
-                                   this->request.priority,
-                                   aChain};
-  this->context.limits.OnCall(*aUpstream, UpstreamCall::Request);
-  this->call = std::make_shared<SingleCall>(this->context.loop, *this);
-  this->call->Start(*endpoint, this->context.dialect.WriteRequest(forwarded),
-                    this->context.settings.connectTimeout,
-                    this->ReusableConnections());
-}
-
-std::optional<PooledConnections> Exchange::ReusableConnections() const {
-  // If a pooled connection closes during the request, the request may have run
-  // and would have to be sent again. So pooled connections are used only for
-  // requests that may run twice.
-  const Route& route = *this->request.route;
-  const bool mayRunAgain =
-      route.kind == RouteKind::Safe ||
-      (route.kind == RouteKind::Streaming && route.isResumable);
-  // All pooled connections may be dead, and attempts are limited. When every
-  // attempt used one, a stream never completed in 1 of 15 runs with faults.
-  const bool isFirst = this->sends <= 1;
-  return mayRunAgain && isFirst
-             ? std::optional(PooledConnections{
-                   &this->context.connections,
-                   this->upstream->Entry().Incarnation().Text()})
-             : std::nullopt;
-}
-
-bool Exchange::MayBeginRun() const {
-  const Route& route = *this->request.route;
-  const Instant now = this->Now();
-  ExpectedDuration expected;
-  expected.maximum = this->request.deadline - now;
-  expected.isStream = route.kind == RouteKind::Streaming &&
-                      this->request.service->model.has_value();
-  expected.isRepeatable =
-      expected.isStream ? route.isResumable : route.kind == RouteKind::Safe;
-  return this->HasSentHead() ||
-         this->context.stopPolicy.MayBeginRun(expected, now);
-}
-
-bool Exchange::EndInsteadOfRun() {
-  ZINCSTEP_ASSERT(!this->call);
-  if (this->MayBeginRun()) {
-    return false;
-  }
-  this->Abandon(ErrorKind::Stopping, ErrorKind::StoppedDuringRun,
-                "a run might not end before the exit");
-  return true;
-}
-
-void Exchange::CancelCall() {
-  if (this->call) {
-    if (this->call->HasSent()) {
-      this->mayHaveRun = true;
-    }
-    this->call->Cancel();
-    this->call.reset();
-  }
-}
-
 const CrashCandidates& Exchange::Candidates() {
   if (!this->candidates) {
     this->candidates = this->request.Candidates();
@@ -328,33 +249,6 @@
   }
 }
 
-bool Exchange::TryAcquireResend() {
-  return this->sends < this->context.settings.maxSends &&
-         this->Now() < this->request.deadline && this->MayBeginRun() &&
-         !this->IsBlocked();
-}
-
-bool Exchange::TryAcquireRetry(double aReserved) {
-  if (!this->TryAcquireResend()) {
-    return false;
-  }
-  const Instant now = this->Now();
-  RetryWindow& retries = this->context.RetriesOf(this->request.service->name);
-  const bool isAccepted = retries.TryAcquireRetry(now, aReserved);
-  if (isAccepted) {
-    this->context.metrics.Count("zincstep_retries_total",
-                                {{"service", this->request.service->name}});
-  }
-  if (!isAccepted && !this->isRetryDenialLogged) {
-    this->isRetryDenialLogged = true;
-    this->context.metrics.Count("zincstep_retries_denied_total");
-    LogInfo("retry_denied", {{"request", this->request.info.id},
-                             {"left", retries.Available(now)},
-                             {"burst", this->context.settings.retries.burst}});
-  }
-  return isAccepted;
-}
-
 bool Exchange::UpdateCallWait(bool aIsFirstOfChain) {
   const Instant now = this->Now();
   bool isCallLimited = false;
