Soak: changes of the configuration in storms beside stops, SIGHUP and silent upstreams (--changes)

--changes writes versions 0.25 s apart, later 3.5 s apart, with other idle times, head time-outs, body bounds, time-outs of routes, a route and a key of an organisation, and 350 or 1,400 further routes, while upstreams fall silent, daemons get SIGHUP, and one, then two of them are stopped with a grace period of 8 s. Judged: a request that was sent whole gets a response unless the checks that exist say why not, and no stream of a daemon that is not stopping is truncated.

Outcomes are counted by the time from the last change as those beside stops are by the time from the signal.

--- a/SoakTests/InvariantChecker.cpp
+++ b/SoakTests/InvariantChecker.cpp
@@ -202,7 +202,7 @@
 }
 
 void InvariantChecker::CheckTruncated(const std::string& aCause) {
-  for (const auto& [id, at] : this->truncated) {
+  for (const auto& [id, at, sinceSignal] : this->truncated) {
     if (this->requests.at(id).runs > 0) {
       this->AddViolation("request " + id + " ran and was truncated " + aCause);
     }
@@ -240,6 +240,22 @@
   }
 }
 
+void InvariantChecker::CheckStreams(Micros aAge, Micros aEnd,
+                                    const std::string& aCause) {
+  for (const Truncated& one : this->truncated) {
+    const Record& request = this->requests.at(one.id);
+    const bool isEarly = !request.sinceSignal || *request.sinceSignal <= aAge;
+    const bool hasOutlasted = one.sinceSignal && *one.sinceSignal >= aEnd;
+    if (request.kind == RequestKind::Stream && !(isEarly && hasOutlasted)) {
+      this->CheckAnswered(
+          one, aCause + (one.sinceSignal
+                             ? ", " + std::to_string(*one.sinceSignal / 1ms) +
+                                   " ms after the stop signal"
+                             : ", by a daemon that was not stopping"));
+    }
+  }
+}
+
 void InvariantChecker::ClearCrashes() {
   this->crashes.clear();
   this->crashingSends.clear();
--- a/SoakTests/InvariantChecker.h
+++ b/SoakTests/InvariantChecker.h
@@ -67,9 +67,10 @@
   /// Records the outcome that the caller received.
   void OnRequestEnd(const std::string& aId, ReportedOutcome aReported);
   /// Records that the caller's connection broke before the response was
-  /// complete.
-  void OnResponseTruncated(const std::string& aId, Instant aAt) {
-    this->truncated.push_back({aId, aAt});
+  /// complete, and for how long its daemon had been stopping by then.
+  void OnResponseTruncated(const std::string& aId, Instant aAt,
+                           std::optional<Micros> aSinceSignal = std::nullopt) {
+    this->truncated.push_back({aId, aAt, aSinceSignal});
   }
   void ClearTruncated() { this->truncated.clear(); }
   /// Checks that no request that ran was truncated since `ClearTruncated`;
@@ -81,6 +82,10 @@
   /// The same for streams that were sent later than `aAge` after the stop
   /// signal of their daemon.
   void CheckLateStreams(Micros aAge);
+  /// The same for all streams, unless one was sent before `aAge` after the stop
+  /// signal of its daemon and outlasted the grace period, which ends requests
+  /// at `aEnd` after the signal.
+  void CheckStreams(Micros aAge, Micros aEnd, const std::string& aCause);
   /// Record that the crashing request has reached an upstream, and that it has
   /// crashed one.
   void OnCrashingRequestSent(Instant aAt) {
@@ -136,6 +141,7 @@
   struct Truncated {
     std::string id;
     Instant at;
+    std::optional<Micros> sinceSignal;
   };
 
   /// Requests to one service, and arrivals beyond their first, in the order of
--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -40,6 +40,9 @@
     "  --stream-stops S  the same beside streams of mixed lengths, with a "
     "grace\n"
     "                  period of S seconds for all daemons\n"
+    "  --changes       at the end, storms of changes of the configuration "
+    "beside\n"
+    "                  stops (grace period 8 s), SIGHUP and silent upstreams\n"
     "  --failures      at the end, upstreams that fail most requests beside\n"
     "                  faults of daemons\n"
     "  --stopped-upstreams  at the end, upstreams are stopped for 16 s\n"
@@ -80,6 +83,7 @@
       {"stops", no_argument, nullptr, 'o'},
       {"stream-stops", required_argument, nullptr, 'v'},
       {"process-faults", no_argument, nullptr, 'z'},
+      {"changes", no_argument, nullptr, 'C'},
       {nullptr, 0, nullptr, 0}};
   for (int flag = 0;
        (flag = getopt_long(aCount, aArguments, "", options, nullptr)) != -1;) {
@@ -168,6 +172,10 @@
         settings.hasStreamStops = true;
         settings.stopGrace = zincstep::FromSeconds(std::atof(optarg));
         break;
+      case 'C':
+        settings.hasChanges = true;
+        settings.stopGrace = std::chrono::seconds(8);
+        break;
       default:
         std::fputs(kUsage, stderr);
         return 2;
@@ -196,6 +204,9 @@
     if (!outcome.stops.empty()) {
       std::printf("  stops: %s\n", outcome.stops.c_str());
     }
+    if (!outcome.changes.empty()) {
+      std::printf("  changes: %s\n", outcome.changes.c_str());
+    }
     for (const std::string& line : outcome.violations) {
       std::printf("  broken: %s\n", line.c_str());
     }
--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -31,6 +31,27 @@
   std::string parts;
   /// Number of events of its stream; 0: as its id gives it.
   int events = 0;
+  /// Bytes of its body beside the usual ones.
+  std::size_t bodyBytes = 0;
+  /// Whether it has the key of the organisation that versions of the
+  /// configuration add and remove.
+  bool isGuest = false;
+  /// Name under which its connection rests, if it is one that does.
+  std::string connection;
+  /// Called when it has ended, with whether its connection was reused.
+  std::function<void(bool)> done;
+};
+
+/// A caller's connection that rests between requests.
+struct RestingConnection {
+  std::size_t daemon = 0;
+  std::string name;
+  /// Part of the permitted time for which it rests.
+  double share = 0;
+  Instant restsSince{};
+  /// Connections opened in its place.
+  int opened = 0;
+  bool isBusy = false;
 };
 
 /// Faults of the daemons while upstreams fail.
@@ -121,6 +142,19 @@
   /// whose deadline is after the grace period; checks that none that was sent
   /// late in it is truncated.
   void CheckStopsBesideStreams();
+  /// Changes the configuration in storms and slowly, beside one stop, two
+  /// overlapping ones, SIGHUP and upstreams that fall silent; checks that each
+  /// request that was sent has an answer.
+  void CheckChanges();
+  void TickChanges(Instant aNow);
+  /// Writes a version with other limits, time-outs, routes and keys.
+  void ChangeConfiguration(Instant aNow);
+  /// Silences an upstream that sends a stream.
+  void SilenceUpstream(Instant aNow);
+  /// Sends requests on connections that have rested for long enough, and on new
+  /// ones in place of those that no version permits any more.
+  void SendOnResting(Instant aNow);
+  void SendOn(RestingConnection& aConnection);
   /// Sends a stream to the daemon, and a long one in a few of a hundred cases.
   void SendMixedStream(Daemon& aDaemon);
   /// Sends requests at the rate of a deployment while upstreams fail most of
@@ -245,10 +279,14 @@
   Random processRandom;
   /// The same for lengths of streams beside stops.
   Random streamRandom;
+  /// The same for changes of the configuration and what goes on beside them.
+  Random changeRandom;
   SoakStore store;
   SoakCaller callers;
+  SoakCaller restingCallers;
   InvariantChecker checker;
-  StopOutcomes stopOutcomes;
+  StopOutcomes stopOutcomes = StopOutcomes::BySignal();
+  StopOutcomes changeOutcomes = StopOutcomes::ByChange();
   UpstreamsByAddress byAddress;
   std::vector<std::unique_ptr<SoakUpstream>> upstreams;
   std::vector<std::unique_ptr<Daemon>> daemons;
@@ -266,6 +304,20 @@
   bool isInjecting = false;
   /// Whether callers repeat at once what fails.
   bool repeatsFailed = false;
+  /// Whether the configuration changes, and how often.
+  bool isChanging = false;
+  Micros changeInterval{0};
+  Instant nextChange{};
+  Instant nextSilence{};
+  Instant nextHangup{};
+  Instant lastChangeAt{};
+  Instant lastTickAt{};
+  /// Idle times of the newest version and of the one before it.
+  Micros idleTime = 15s;
+  Micros formerIdleTime = 15s;
+  std::vector<RestingConnection> resting;
+  /// Requests on connections that had rested for some seconds.
+  int longRests = 0;
   int version = 1;
   /// Whether the key of organisation `other` has been revoked.
   bool isRevoked = false;
--- a/SoakTests/SoakCaller.cpp
+++ b/SoakTests/SoakCaller.cpp
@@ -74,9 +74,9 @@
   bool hasResponse = false;
 };
 
-ConnectionPoolSettings PoolSettings() {
+ConnectionPoolSettings PoolSettings(Micros aMaxIdleTime) {
   ConnectionPoolSettings settings;
-  settings.maxIdleTime = kMaxIdleTime;
+  settings.maxIdleTime = aMaxIdleTime;
   settings.keepAliveShare = kMaxIdleShare;
   settings.quarantineTime = 0s;
   return settings;
@@ -85,16 +85,22 @@
 }  // namespace
 
 SoakCaller::SoakCaller(asio::io_context& aLoop, const Clock& aClock)
-    : loop(aLoop), pool(PoolSettings(), aClock) {}
+    : loop(aLoop), clock(aClock) {
+  this->SetMaxIdleTime(kMaxIdleTime);
+}
+
+void SoakCaller::SetMaxIdleTime(Micros aMaxIdleTime) {
+  this->pool.emplace(PoolSettings(aMaxIdleTime), this->clock);
+}
 
 void SoakCaller::Send(const TcpEndpoint& aDaemon, std::string aRequest,
-                      bool aReusesConnection, Micros aTimeout, Done aDone) {
-  const std::string name = aDaemon.address().to_string();
+                      std::optional<std::string> aConnection, Micros aTimeout,
+                      Done aDone) {
   std::make_shared<Call>(this->loop, std::move(aDone))
       ->Start(aDaemon, std::move(aRequest),
-              aReusesConnection
-                  ? std::optional(PooledConnections{&this->pool, name})
-                  : std::nullopt,
+              aConnection ? std::optional(PooledConnections{
+                                &*this->pool, std::move(*aConnection)})
+                          : std::nullopt,
               aTimeout);
 }
 
--- a/SoakTests/SoakCaller.h
+++ b/SoakTests/SoakCaller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "Zincstep/Net/SingleCall.h"
@@ -27,14 +28,20 @@
 
   SoakCaller(asio::io_context& aLoop, const Clock& aClock);
 
-  /// With `aReusesConnection` the request uses a pooled connection and returns
-  /// it to the pool after the response.
+  /// Closes the pooled connections; later ones rest for at most `aMaxIdleTime`.
+  void SetMaxIdleTime(Micros aMaxIdleTime);
+  /// The request uses a connection that is pooled under the name
+  /// `aConnection`, if there is one, and returns it to the pool after the
+  /// response; without a name, a connection of its own.
   void Send(const TcpEndpoint& aDaemon, std::string aRequest,
-            bool aReusesConnection, Micros aTimeout, Done aDone);
+            std::optional<std::string> aConnection, Micros aTimeout,
+            Done aDone);
 
  private:
   asio::io_context& loop;
-  ConnectionPool pool;
+  const Clock& clock;
+  /// Replaced in place, as calls that run hold its address.
+  std::optional<ConnectionPool> pool;
 };
 
 }  // namespace zincstep::soak
--- a/SoakTests/SoakRequests.cpp
+++ b/SoakTests/SoakRequests.cpp
@@ -14,6 +14,12 @@
 /// more daemons it shrinks to a minimum that the upstreams can sustain.
 constexpr Micros kRequestInterval = 25ms;
 constexpr Micros kMinRequestInterval = 5ms;
+/// Beside changes of the configuration, time that callers wait beyond their
+/// deadline, by which the daemon has responded; generous, as the machine may be
+/// busy.
+constexpr Micros kExtraWait = 2s;
+/// Deadline of streams then, so that silent upstreams do not exhaust it.
+constexpr Micros kStreamTimeout = 20s;
 constexpr int kOk = 200;
 
 /// Whether the status means that the request has not run and never will.
@@ -74,6 +80,9 @@
 
 std::string Soak::Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther,
                        Micros aTimeout, const RequestExtras& aExtras) {
+  if (this->isChanging && aKind == RequestKind::Stream) {
+    aTimeout = std::max(aTimeout, kStreamTimeout);
+  }
   constexpr std::array kPaths{"/safe/x", "/unsafe/x", "/llm/x"};
   const std::string path = aExtras.path != nullptr
                                ? aExtras.path
@@ -85,16 +94,28 @@
   }
   // Half of the requests use connections that stay open until the process
   // exits.
-  const bool reusesConnection = this->lastRequest % 2 == 0;
-  this->checker.OnRequestSent(id, aKind, aIsOther ? "other" : "acme",
-                              this->clock.Now());
+  const bool rests = !aExtras.connection.empty();
+  const auto connection =
+      rests ? std::optional(aExtras.connection)
+      : this->lastRequest % 2 == 0
+          ? std::optional(aDaemon.address.address().to_string())
+          : std::nullopt;
+  const bool isJudged = this->isChanging;
+  const Instant sentAt = this->clock.Now();
+  this->checker.OnRequestSent(id, aKind,
+                              aExtras.isGuest ? "guest"
+                              : aIsOther      ? "other"
+                                              : "acme",
+                              sentAt);
   this->checker.SetTimeout(id, aTimeout);
   std::optional<Micros> age;
   if (aDaemon.signalledAt) {
     age = this->clock.Now() - *aDaemon.signalledAt;
     this->checker.SetSinceSignal(id, *age);
   }
-  const std::string body = aExtras.parts.empty() ? "{}" : id;
+  const std::string body = aExtras.parts.empty()
+                               ? "{" + std::string(aExtras.bodyBytes, ' ') + "}"
+                               : id;
   const std::string prompt =
       aExtras.parts.empty()
           ? ""
@@ -102,19 +123,35 @@
   const std::string text =
       "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id +
       "\r\nX-Deadline-Ms: " + std::to_string(aTimeout / 1ms) +
-      "\r\nAuthorization: Bearer " + (aIsOther ? "key2" : "key1") +
+      "\r\nAuthorization: Bearer " +
+      (aExtras.isGuest ? "key3"
+       : aIsOther      ? "key2"
+                       : "key1") +
       "\r\nX-Token-Usage: 10,60\r\n" +
-      (reusesConnection ? "" : "Connection: close\r\n") + prompt +
+      (connection ? "" : "Connection: close\r\n") + prompt +
       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  this->callers.Send(
-      aDaemon.address, text, reusesConnection, aTimeout,
-      [this, id, aKind, age, &aDaemon](const Result<HttpResponse>& aResponse,
-                                       const CallProgress& aProgress) {
-        if (age) {
-          this->stopOutcomes.Count(*age, StopOutcomeOf(aResponse, aProgress));
-        }
-        this->OnResponse(id, aKind, aDaemon, aResponse);
-      });
+  (rests ? this->restingCallers : this->callers)
+      .Send(aDaemon.address, text, connection,
+            aTimeout + (isJudged ? kExtraWait : Micros{0}),
+            [this, id, aKind, age, sentAt, isJudged, done = aExtras.done,
+             &aDaemon](const Result<HttpResponse>& aResponse,
+                       const CallProgress& aProgress) {
+              const StopOutcome outcome = StopOutcomeOf(aResponse, aProgress);
+              if (age) {
+                this->stopOutcomes.Count(*age, outcome);
+              } else if (isJudged) {
+                this->changeOutcomes.Count(sentAt - this->lastChangeAt,
+                                           outcome);
+              }
+              if (isJudged && outcome == StopOutcome::TimedOut) {
+                this->checker.AddViolation("request " + id +
+                                           " got no response by its deadline");
+              }
+              this->OnResponse(id, aKind, aDaemon, aResponse);
+              if (done) {
+                done(aProgress.isReused);
+              }
+            });
   return id;
 }
 
@@ -123,7 +160,11 @@
   this->RepeatFailed(aKind, aResponse);
   if (!aResponse) {
     if (aResponse.error().kind == ErrorKind::ResponseIncomplete) {
-      this->checker.OnResponseTruncated(aId, this->clock.Now());
+      const Instant now = this->clock.Now();
+      this->checker.OnResponseTruncated(
+          aId, now,
+          aDaemon.signalledAt ? std::optional(now - *aDaemon.signalledAt)
+                              : std::nullopt);
     }
     return;  // Truncated or late: the outcome is unknown.
   }
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -97,8 +97,10 @@
       partitionRandom(Hash64("partition", aSettings.seed)),
       processRandom(Hash64("process", aSettings.seed)),
       streamRandom(Hash64("stream", aSettings.seed)),
+      changeRandom(Hash64("change", aSettings.seed)),
       store(this->loop, this->clock),
       callers(this->loop, this->clock),
+      restingCallers(this->loop, this->clock),
       timer(this->loop) {
   this->checker.OpenEventLog(aSettings.logs + "/soak.log");
   this->store.Put("op/config", Configuration(this->version, true));
@@ -218,6 +220,9 @@
   if (this->settings.hasStreamStops) {
     this->CheckStopsBesideStreams();
   }
+  if (this->settings.hasChanges) {
+    this->CheckChanges();
+  }
   if (this->settings.hasCrashingRequest) {
     this->CheckCrashingRequest();
   }
@@ -245,9 +250,14 @@
   }
   this->outcome.violations = this->checker.Close();
   this->outcome.retries = this->checker.RetrySummary();
-  if (this->settings.hasStreamStops) {
+  if (this->settings.hasStreamStops || this->settings.hasChanges) {
     this->outcome.stops = this->stopOutcomes.Table();
   }
+  if (this->settings.hasChanges) {
+    this->outcome.changes = this->changeOutcomes.Table() +
+                            "; on connections that had rested for 2.5 s: " +
+                            std::to_string(this->longRests);
+  }
   this->outcome.requests = this->checker.Requests();
   this->outcome.completedRequests = this->checker.CompletedRequests();
   return std::move(this->outcome);
@@ -299,6 +309,9 @@
     this->TickProcessFaults(now);
   }
   this->SendDue(now);
+  if (this->isChanging) {
+    this->TickChanges(now);
+  }
   if (this->isInjecting && now >= this->nextFault) {
     this->nextFault = now + this->Draw(kMinFaultInterval, kFaultIntervalSpread);
     this->Inject();
--- a/SoakTests/SoakRun.h
+++ b/SoakTests/SoakRun.h
@@ -83,6 +83,9 @@
   bool hasStops = false;
   /// Whether daemons are stopped at the end beside streams of mixed lengths.
   bool hasStreamStops = false;
+  /// Whether the configuration changes in storms at the end, beside stops,
+  /// SIGHUP and upstreams that fall silent.
+  bool hasChanges = false;
   /// Grace period of the daemons' stops.
   Micros stopGrace = 3s;
   /// Whether upstreams fail most of what they run at the end, while daemons are
@@ -108,6 +111,9 @@
   std::string retries;
   /// Outcomes of the requests to stopping daemons; empty without these stops.
   std::string stops;
+  /// Outcomes of the requests beside changes of the configuration, except those
+  /// to stopping daemons; empty without such changes.
+  std::string changes;
 };
 
 /// Runs daemon processes against stand-ins of the store and the upstreams,
--- a/SoakTests/SoakStops.cpp
+++ b/SoakTests/SoakStops.cpp
@@ -44,7 +44,7 @@
   for (std::size_t i = 0; i < aCount; ++i) {
     this->Send(*this->daemons[i],
                static_cast<RequestKind>(this->random.Below(3)), false);
-    if (this->settings.hasStreamStops) {
+    if (this->settings.hasStreamStops || this->isChanging) {
       this->SendMixedStream(*this->daemons[i]);
     }
   }
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -315,6 +315,9 @@
     this->loading.reset();
     this->WriteEntry();
   }
+  if (now < this->pausedUntil) {
+    return;
+  }
   // A connection that closes here removes its stream from `streams`.
   std::vector<Stream> all;
   all.swap(this->streams);
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -112,6 +112,9 @@
   /// sent on them is read once it continues.
   void Stop();
   void Continue();
+  /// Until then it sends no event of its streams; it goes on with the next one.
+  void PauseStreams(Instant aUntil) { this->pausedUntil = aUntil; }
+  bool HasStreams() const { return !this->streams.empty(); }
   /// From now on it fails this share of the requests that arrive.
   void SetFailure(UpstreamFailure aFailure, double aShare) {
     this->failure = aFailure;
@@ -130,6 +133,7 @@
   void Tick();
   bool IsAlive() const { return this->isAlive; }
   bool IsOfModel() const { return this->service == "model"; }
+  const std::string& Name() const { return this->name; }
 
   void OnRequest(const std::shared_ptr<CallerConnection>& aConnection,
                  CallerMessage aMessage) override;
@@ -193,6 +197,7 @@
   /// Links of single daemons to `proxy`, by the daemon's host.
   std::map<std::string, std::unique_ptr<FaultProxy>> daemonLinks;
   std::vector<Stream> streams;
+  Instant pausedUntil{};
   std::vector<DelayedResponse> delayed;
   Micros responseDelay{0};
   /// Until then requests may arrive that were sent while it was stopped.
--- a/SoakTests/StopOutcomes.cpp
+++ b/SoakTests/StopOutcomes.cpp
@@ -4,27 +4,33 @@
 
 namespace zincstep::soak {
 
-namespace {
-
-/// Ends of the ranges but the last: new connections cease after 2.6 s, requests
-/// sent after 3 s are judged, and requests end after 7.5 s.
-constexpr std::array<Micros, 5> kRangeEnds{1s, 2600ms, 3s, 5s, 7500ms};
-constexpr std::array kRangeNames{"0-1 s", "1-2.6 s", "2.6-3 s",
-                                 "3-5 s", "5-7.5 s", "later"};
+StopOutcomes StopOutcomes::BySignal() {
+  // New connections cease after 2.6 s, requests sent after 3 s are judged, and
+  // requests end after 7.5 s.
+  return StopOutcomes({{"0-1 s", 1s},
+                       {"1-2.6 s", 2600ms},
+                       {"2.6-3 s", 3s},
+                       {"3-5 s", 5s},
+                       {"5-7.5 s", 7500ms},
+                       {"later"}});
+}
 
-}  // namespace
+StopOutcomes StopOutcomes::ByChange() {
+  return StopOutcomes({{"within 3 s of a change", 3s}, {"elsewhere"}});
+}
 
 void StopOutcomes::Count(Micros aAge, StopOutcome aOutcome) {
-  const auto range =
-      std::upper_bound(kRangeEnds.begin(), kRangeEnds.end(), aAge);
-  this->counts[static_cast<std::size_t>(range - kRangeEnds.begin())]
+  const auto range = std::find_if(
+      this->ranges.begin(), this->ranges.end() - 1,
+      [aAge](const AgeRange& aRange) { return aAge < aRange.end; });
+  this->counts[static_cast<std::size_t>(range - this->ranges.begin())]
               [static_cast<std::size_t>(aOutcome)] += 1;
 }
 
 std::string StopOutcomes::Table() const {
   std::string text;
-  for (std::size_t i = 0; i < kRanges; ++i) {
-    text += std::string(i > 0 ? "; " : "") + kRangeNames[i] + ":";
+  for (std::size_t i = 0; i < this->ranges.size(); ++i) {
+    text += std::string(i > 0 ? "; " : "") + this->ranges[i].name + ":";
     for (const auto& [outcome, name] : kStopOutcomeNames) {
       text +=
           " " + std::string(name) + " " +
--- a/SoakTests/StopOutcomes.h
+++ b/SoakTests/StopOutcomes.h
@@ -2,13 +2,14 @@
 
 #include <array>
 #include <string>
+#include <vector>
 
 #include "Zincstep/Core/NameTable.h"
 #include "Zincstep/Core/Time.h"
 
 namespace zincstep::soak {
 
-/// What became of a request to a stopping daemon.
+/// What became of a request to a stopping daemon, or beside changes.
 enum class StopOutcome {
   Served,
   /// Rejected as not run.
@@ -37,18 +38,32 @@
     {StopOutcome::TimedOut, "timed_out"},
 }};
 
-/// Counts the outcomes of requests to stopping daemons, by the time from the
-/// stop signal to their sending.
+/// A range of ages: its name, and its end unless it is the last one.
+struct AgeRange {
+  const char* name;
+  Micros end{0};
+};
+
+/// Counts the outcomes of requests by the time from an event, such as the stop
+/// signal of their daemon, to their sending.
 class StopOutcomes {
  public:
+  explicit StopOutcomes(std::vector<AgeRange> aRanges)
+      : ranges(std::move(aRanges)), counts(this->ranges.size()) {}
+
+  /// By the time from the stop signal.
+  static StopOutcomes BySignal();
+  /// By the time from the last change of the configuration; it is negative for
+  /// a change while the request ran.
+  static StopOutcomes ByChange();
+
   void Count(Micros aAge, StopOutcome aOutcome);
   /// Returns one line: the counts of each range of ages in seconds.
   std::string Table() const;
 
  private:
-  static constexpr std::size_t kRanges = 6;
-
-  std::array<std::array<int, kStopOutcomeNames.size()>, kRanges> counts{};
+  std::vector<AgeRange> ranges;
+  std::vector<std::array<int, kStopOutcomeNames.size()>> counts;
 };
 
 }  // namespace zincstep::soak
