--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -46,8 +46,8 @@
 struct RestingConnection {
   std::size_t daemon = 0;
   std::string name;
-  /// Part of the permitted time for which it rests.
-  double share = 0;
+  /// Time for which it rests at least.
+  Micros minRest{0};
   Instant restsSince{};
   /// Connections opened in its place.
   int opened = 0;
--- a/SoakTests/SoakChanges.cpp
+++ b/SoakTests/SoakChanges.cpp
@@ -35,15 +35,15 @@
 constexpr double kMaxRestShare = 0.8;
 constexpr std::size_t kResting = 96;
 constexpr std::size_t kMinRestingPerDaemon = 4;
-/// Part of their first rest, so that they open within 2 s.
-constexpr double kFirstShare = 0.15;
-/// One in so many resting connections is used within `kBurstTime` of a change;
-/// daemons have it in force 0.7 s after it was written.
-constexpr std::size_t kRestingPerBurst = 2;
-constexpr Micros kBurstTime = 800ms;
+/// They open within this time.
+constexpr Micros kOpeningTime = 2s;
 /// Rests from which on a connection counts as rested: longer than a daemon
 /// keeps it under the shortest idle time, with its slack of 1.5 s.
 constexpr Micros kLongRest = 2500ms;
+/// One in so many rested connections is used within `kBurstTime` of a version
+/// with a shorter idle time, which daemons have in force within 0.7 s.
+constexpr std::size_t kRestedPerBurst = 3;
+constexpr Micros kBurstTime = 800ms;
 
 constexpr std::array kMaxBodyBytes{64 << 10, 1 << 20, 4 << 20};
 /// Below the smallest bound.
@@ -81,6 +81,11 @@
 
 constexpr const char* kCause = "beside changes of the configuration";
 
+/// Returns how long connections may rest under an idle time.
+Micros MaxRest(Micros aIdleTime) {
+  return FromSeconds(kMaxRestShare * ToSeconds(aIdleTime));
+}
+
 }  // namespace
 
 void Soak::ChangeConfiguration(Instant aNow) {
@@ -138,10 +143,14 @@
                     " s, " + std::to_string(further) + " further routes");
   this->store.Put("op/config", configuration.dump());
   this->lastChangeAt = aNow;
+  if (this->idleTime > this->formerIdleTime) {
+    return;
+  }
   for (RestingConnection& one : this->resting) {
-    if (draw.Below(kRestingPerBurst) == 0) {
-      this->heals.push_back({aNow + DrawFrom(draw, Micros{0}, kBurstTime),
-                             [&one] { one.share = 0; }});
+    const bool isRested = aNow - one.restsSince > kLongRest;
+    if (!one.isBusy && isRested && draw.Below(kRestedPerBurst) == 0) {
+      one.minRest =
+          aNow + DrawFrom(draw, Micros{0}, kBurstTime) - one.restsSince;
     }
   }
 }
@@ -189,24 +198,21 @@
     this->longRests += isLong && aIsReused ? 1 : 0;
     aConnection.isBusy = false;
     aConnection.restsSince = this->clock.Now();
-    aConnection.share = this->changeRandom.Unit();
+    aConnection.minRest =
+        DrawFrom(this->changeRandom, Micros{0}, MaxRest(kIdleTimes.front()));
   };
   this->Send(*this->daemons[aConnection.daemon], kind, false, kCallerTimeout,
              extras);
 }
 
 void Soak::SendOnResting(Instant aNow) {
-  const auto maxRestUnder = [](Micros aIdleTime) {
-    return FromSeconds(kMaxRestShare * ToSeconds(aIdleTime));
-  };
-  const Micros maxRest = maxRestUnder(this->formerIdleTime);
+  const Micros maxRest = MaxRest(this->formerIdleTime);
   for (RestingConnection& one : this->resting) {
     const Micros rest = aNow - one.restsSince;
     // A connection that has rested for too long may be used after a version
     // with a longer idle time, unless it is too old for all versions.
-    const bool isTooOld = rest > maxRestUnder(kIdleTimes.front());
-    const bool isDue =
-        rest >= FromSeconds(one.share * ToSeconds(maxRest)) && rest <= maxRest;
+    const bool isTooOld = rest > MaxRest(kIdleTimes.front());
+    const bool isDue = rest >= one.minRest && rest <= maxRest;
     if (!one.isBusy && (isDue || isTooOld)) {
       one.opened += isTooOld ? 1 : 0;
       this->SendOn(one);
@@ -247,15 +253,15 @@
     upstream->SetResponseDelay(kResponseDelay);
   }
   // The other kept connections rest for less than any version permits.
-  this->callers.SetMaxIdleTime(
-      FromSeconds(kMaxRestShare * ToSeconds(kIdleTimes.back())));
+  this->callers.SetMaxIdleTime(MaxRest(kIdleTimes.back()));
   this->resting.clear();
   const std::size_t count =
       std::max(kResting, kMinRestingPerDaemon * this->daemons.size());
   for (std::size_t i = 0; i < count; ++i) {
     this->resting.push_back(
         {i % this->daemons.size(), "resting-" + std::to_string(i),
-         kFirstShare * this->changeRandom.Unit(), this->clock.Now()});
+         DrawFrom(this->changeRandom, Micros{0}, kOpeningTime),
+         this->clock.Now()});
   }
   this->checker.ClearTruncated();
   this->nextChange = this->clock.Now() + kRestTime;
