Soak: closes of connections with unread requests are judged by the daemons' logs

A request that was under way when its connection was closed as idle is excused for 0.2 s, and callers cannot tell it from one that had arrived.

--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -147,6 +147,10 @@
   /// request that was sent has an answer.
   void CheckChanges();
   void TickChanges(Instant aNow);
+  /// Checks by the daemons' logs that they closed no connection as idle on
+  /// which a request had arrived. Callers cannot tell these from requests that
+  /// were under way at the close, which are excused for 0.2 s.
+  void CheckIdleCloses();
   /// Writes a version with other limits, time-outs, routes and keys.
   void ChangeConfiguration(Instant aNow);
   /// Silences an upstream that sends a stream.
--- a/SoakTests/SoakChanges.cpp
+++ b/SoakTests/SoakChanges.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <fstream>
 #include <nlohmann/json.hpp>
 
 #include "SoakTests/Soak.h"
@@ -93,6 +94,25 @@
 
 }  // namespace
 
+void Soak::CheckIdleCloses() {
+  std::size_t unread = 0;
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    std::ifstream log(this->settings.logs + "/d" + std::to_string(i) + ".log");
+    for (std::string line; std::getline(log, line);) {
+      if (line.find("\"idle_timeout\"") == std::string::npos) {
+        continue;
+      }
+      const auto event = nlohmann::json::parse(line, nullptr, false);
+      unread += event.is_object() ? event.value("unread", std::size_t{0}) : 0;
+    }
+  }
+  if (unread > 0) {
+    this->checker.AddViolation(
+        std::to_string(unread) +
+        " connections on which a request had arrived were closed as idle");
+  }
+}
+
 void Soak::ChangeConfiguration(Instant aNow) {
   Random& draw = this->changeRandom;
   this->version += 1;
@@ -290,6 +310,7 @@
   }
   this->loop.run_for(kLastResponseTime);
   this->checker.CheckAnswered(kCause);
+  this->CheckIdleCloses();
   const int closed = this->changeOutcomes.Total(StopOutcome::ClosedKept);
   if (closed > kToleratedCloses) {
     this->checker.AddViolation(std::to_string(closed) +
