--- a/UnitTests/StopPolicyTest.cpp
+++ b/UnitTests/StopPolicyTest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(Accepts_ServiceRequestThatCanComplete_IsTrue);
   CPPUNIT_TEST(Accepts_OrderOfLongTimeout_OnlyIfItEndsInAnyCase);
   CPPUNIT_TEST(Accepts_RepeatableRequest_ByUsualDuration);
+  CPPUNIT_TEST(MayBeginRun_LateStreamOrOrder_OnlyIfItEndsInAnyCase);
   CPPUNIT_TEST(ShouldCloseIdle_AfterBalancerRemoval_IsTrue);
   CPPUNIT_TEST(CanExit_ActiveRequests_WaitsForKill);
   CPPUNIT_TEST(CanExit_BeforeBalancerRemoval_IsFalse);
@@ -77,6 +78,20 @@
         policy.Accepts(Request(UsualDurations{60s, 90s}), start + 1s));
   }
 
+  // Guards against a run that was begun by a decision taken at the admission,
+  // seconds before, and was truncated at the exit.
+  void MayBeginRun_LateStreamOrOrder_OnlyIfItEndsInAnyCase() {
+    CPPUNIT_ASSERT(policy.MayBeginRun(Stream(), start));
+    policy.Begin(start);
+    for (const ExpectedDuration& bound : {Stream(), Order(20s)}) {
+      CPPUNIT_ASSERT(policy.MayBeginRun(bound, start + 2500ms));
+      CPPUNIT_ASSERT(!policy.MayBeginRun(bound, start + 2600ms));
+    }
+    CPPUNIT_ASSERT(policy.MayBeginRun(Order(1s), start + 6500ms));
+    CPPUNIT_ASSERT(!policy.MayBeginRun(Order(1s), start + 6501ms));
+    CPPUNIT_ASSERT(policy.MayBeginRun(Request({}), start + 7400ms));
+  }
+
   void ShouldCloseIdle_AfterBalancerRemoval_IsTrue() {
     CPPUNIT_ASSERT(!policy.ShouldCloseIdle(start));
     policy.Begin(start);
