A retry is taken when its run can begin; a pending block does not end a waiting stream (found by review)

A retry that was acquired when the run was lost counted then, and its send could come up to 20 s later, in a window that had granted as many again: twice the limit. The chain, or a daemon to hand over to, is found first, and the retry acquired with the send.

A block that rests on suspected crashes is resolved within half a second; it ended a waiting stream in the next tick. While blocked the stream is not sent, and it ends after 1 s.

--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -16,6 +16,9 @@
 /// Time for which a stream looks for a chain in each tick; later once per
 /// repair interval, as each search reads all upstreams.
 constexpr Micros kFrequentSearchTime = 2s;
+/// Time after which a block ends a stream that waits. One that rests on
+/// suspected crashes is confirmed or dropped within half a second.
+constexpr Micros kBlockConfirmTime = 1s;
 
 }  // namespace
 
@@ -247,100 +250,18 @@
   }
 }
 
-void StreamExchange::OnNotRun() {
-  if (this->TryAcquireRetry(this->ReservedRetries())) {
-    this->TryChain();
-  } else if (this->headSent) {
-    this->WaitForRetry();
-  } else {
-    this->Fail("refused by upstreams");
-  }
-}
-
-double StreamExchange::ReservedRetries() const {
-  return this->headSent ? 0 : this->context.settings.reservedForStreams;
-}
-
-void StreamExchange::WaitForRetry() {
-  this->Release();
-  this->needsRetry = true;
-  this->WaitForChain();
-}
-
-void StreamExchange::OnLost(const char* aReason) {
-  this->upstream->EjectUntil(this->Now() +
-                             this->context.settings.refusalBackoff);
-  this->Resume(aReason);
-}
-
-bool StreamExchange::CanResume() const {
-  return this->request.route->isResumable && !this->splitter.HasGap() &&
-         this->runs + (this->call ? 1 : 0) < this->request.route->maxAttempts;
-}
-
-bool StreamExchange::KeepsSilentRun() {
-  if (!this->call || !this->headSent || this->upstream->HasEnded() ||
-      this->nextChain) {
-    return false;
-  }
-  const Instant now = this->Now();
-  if (this->silentSince && !this->MaySearch(*this->silentSince, now)) {
-    return true;
-  }
-  // The members of the silent run have room for it again once it is cancelled.
-  for (const auto& [holder, amount] : this->reserved) {
-    holder->localWork -= amount;
-  }
-  this->nextChain = this->ChooseChain(
-      this->context.view.Directory().OfService(this->request.service->name),
-      now);
-  for (const auto& [holder, amount] : this->reserved) {
-    holder->localWork += amount;
-  }
-  if (this->nextChain || this->MayHandOver()) {
-    return false;
-  }
-  if (!this->silentSince) {
-    this->silentSince = now;
-    // Whether it has crashed is checked although the run is not given up.
-    this->SuspectCrash();
-  }
-  return true;
-}
-
-void StreamExchange::Resume(const char* aReason) {
-  const bool mayResume = this->CanResume();
-  if (mayResume && this->KeepsSilentRun()) {
-    return;
-  }
-  const bool hasRetry =
-      mayResume && this->TryAcquireRetry(this->ReservedRetries());
-  if (this->call && !hasRetry) {
-    this->nextChain.reset();
-    if (mayResume && !this->silentSince) {
-      this->silentSince = this->Now();
-    }
-    return;  // A stalled stream may continue by itself.
-  }
-  if (this->call) {
-    this->runs += 1;
-    this->OnRunLost(aReason);
-  }
-  this->CancelCall();
-  this->Release();
-  this->pendingEvents.clear();
-  if (!mayResume || (!hasRetry && !this->headSent)) {
-    this->Fail(aReason);
+void StreamExchange::OnWaitingTick(Instant aNow) {
+  if (!this->IsBlocked()) {
+    this->blockedSince.reset();
+  } else if (!this->blockedSince) {
+    this->blockedSince = aNow;
+  } else if (aNow - *this->blockedSince >= kBlockConfirmTime) {
+    this->Fail("the request crashes upstreams");
+  }
+  if (this->blockedSince || !this->MaySearch(this->waitingSince, aNow)) {
     return;
   }
-  LogInfo("stream_resumed",
-          {{"request", this->request.info.id},
-           {"reason", aReason},
-           {"left", this->upstream->Entry().id},
-           {"after_event", this->splitter.LastId().value_or(0)}});
-  this->context.metrics.Count("zincstep_streams_resumed_total");
-  this->splitter.BeginRun();
-  hasRetry ? this->TryChain() : this->WaitForRetry();
+  this->needsRetry ? this->RetryWaiting() : this->TryChain();
 }
 
 void StreamExchange::OnTick(Instant aNow) {
@@ -366,16 +287,7 @@
     return;
   }
   if (this->isWaiting) {
-    if (this->IsBlocked()) {
-      this->Fail("the request crashes upstreams");
-      return;
-    }
-    if (!this->MaySearch(this->waitingSince, aNow)) {
-      return;
-    }
-    this->needsRetry =
-        this->needsRetry && !this->TryAcquireRetry(this->ReservedRetries());
-    this->needsRetry ? this->WaitForChain() : this->TryChain();
+    this->OnWaitingTick(aNow);
     return;
   }
   if (this->isReadingPaused && this->request.connection->PendingBytes() <
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -81,8 +81,17 @@
   /// Whether a stream that has been without a usable chain since `aSince` looks
   /// for one now; if so, schedules the next search.
   bool MaySearch(Instant aSince, Instant aNow);
+  /// Checks a stream that waits for a chain or a retry.
+  void OnWaitingTick(Instant aNow);
   /// Waits for a retry; for streams that have begun.
   void WaitForRetry();
+  /// Whether a stream that has begun has a chain for a new run, which is then
+  /// in `nextChain`, or may be handed over. To be asked before a retry is
+  /// acquired: retries count from their acquisition, which has to be that of
+  /// the run.
+  bool CanBeginRun();
+  /// Begins the run of a stream that waits for a retry, if there is one.
+  void RetryWaiting();
   /// Share of the retry burst that this exchange may not use.
   double ReservedRetries() const;
   /// Counts this request's work at the members of a chain instead of at those
@@ -209,6 +218,8 @@
   /// Chain of the next run, if it is chosen already.
   std::optional<PoolChain> nextChain;
   Instant waitingSince;
+  /// Since when a waiting stream's request is blocked.
+  std::optional<Instant> blockedSince;
   /// Since when a chain for a new run is sought beside a silent run.
   std::optional<Instant> silentSince;
   /// Earliest time of the next search for a chain, after some time of waiting.
