idle_timeout and idle_closed count connections that were closed with unread bytes

The soak judges closes by this count, and a check that can only be 0 by the code it checks shows nothing: it is taken where a connection is closed, whoever closes it.

--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -35,6 +35,7 @@
     LogInfo("idle_timeout", {{"peers", aPeers},
                              {"connections", aClosed.idle},
                              {"unused", aClosed.unused},
+                             {"unread", aClosed.unread},
                              {"kept", aClosed.kept}});
   }
 }
@@ -234,8 +235,9 @@
 void EdgeProcess::CloseIdleConnections() {
   const ClosedConnections closed = this->callers.CloseIdle();
   if (closed.idle > 0) {
-    LogInfo("idle_closed",
-            {{"connections", closed.idle}, {"unused", closed.unused}});
+    LogInfo("idle_closed", {{"connections", closed.idle},
+                            {"unused", closed.unused},
+                            {"unread", closed.unread}});
   }
 }
 
--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -356,6 +356,9 @@
 }
 
 void CallerConnection::Close() {
+  this->wasClosedUnread =
+      this->wasClosedUnread ||
+      (!this->isBusy && !this->hasLastResponse && this->HasUnreadBytes());
   this->isClosed = true;
   asio::error_code ignored;  // There is no recovery from a failed close.
   this->socket.close(ignored);
--- a/Zincstep/Net/CallerConnection.h
+++ b/Zincstep/Net/CallerConnection.h
@@ -84,6 +84,9 @@
   /// Whether a request has arrived that is not read completely, or the first
   /// one of a new connection may be under way.
   bool ExpectsRequest() const;
+  /// Whether it was closed between two requests with bytes that had arrived and
+  /// were not read: a request without a response.
+  bool WasClosedUnread() const { return this->wasClosedUnread; }
   /// Whether any request was read.
   bool HasReadRequest() const { return this->hasReadRequest; }
 
@@ -134,6 +137,7 @@
   bool isWriting = false;
   bool isBusy = false;
   bool isClosed = false;
+  bool wasClosedUnread = false;
   bool hasReadRequest = false;
   /// The next response whose head is not written yet is the last one.
   bool closesAfterResponse = false;
--- a/Zincstep/Net/CallerListener.cpp
+++ b/Zincstep/Net/CallerListener.cpp
@@ -37,6 +37,7 @@
     if (wasOpen && connection->IsClosed()) {
       closed.idle += 1;
       closed.unused += connection->HasReadRequest() ? 0 : 1;
+      closed.unread += connection->WasClosedUnread() ? 1 : 0;
     }
   }
   return closed;
@@ -72,6 +73,7 @@
     if (wasOpen && aConnection->IsClosed()) {
       closed.idle += 1;
       closed.unused += aConnection->HasReadRequest() ? 0 : 1;
+      closed.unread += aConnection->WasClosedUnread() ? 1 : 0;
     }
     return aConnection->IsClosed();
   });
--- a/Zincstep/Net/CallerListener.h
+++ b/Zincstep/Net/CallerListener.h
@@ -14,6 +14,8 @@
   std::size_t idle = 0;
   /// Those of them that never carried a request.
   std::size_t unused = 0;
+  /// Those of them with bytes that had arrived and were not read.
+  std::size_t unread = 0;
   /// Connections that were not closed in time as bytes had arrived.
   std::size_t kept = 0;
 };
