--- a/Zincstep/Relay/StreamResponse.cpp
+++ b/Zincstep/Relay/StreamResponse.cpp
@@ -139,8 +139,10 @@
 }
 
 void StreamExchange::EndStream() {
-  if (this->splitter.HasGap() || this->splitter.HasPartial() ||
-      !this->splitter.HasForwarded()) {
+  // A run that resumes behind the last event has nothing to send but its end.
+  const bool hasEvents =
+      this->splitter.HasForwarded() || this->request.info.lastEventId;
+  if (this->splitter.HasGap() || this->splitter.HasPartial() || !hasEvents) {
     constexpr const char* kReason =
         "the stream ended early or skipped an event";
     this->OnRunLost(kReason);
@@ -148,6 +150,10 @@
     return;
   }
   this->Release();
+  if (!this->headSent) {
+    this->request.connection->BeginChunks(this->head.status,
+                                          ForwardedHeaders(this->head));
+  }
   this->OnRunCompleted();
   this->context.demand.OnCompleted(this->Now() - this->request.message.readAt);
   this->request.connection->EndChunks();
