--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -32,6 +32,18 @@
   return {"Retry-After", {text.data(), static_cast<std::size_t>(size)}};
 }
 
+ExpectedDuration LongestDurationOf(const AdmittedRequest& aRequest,
+                                   Instant aNow) {
+  const Route& route = *aRequest.route;
+  ExpectedDuration longest;
+  longest.maximum = aRequest.deadline - aNow;
+  longest.isStream =
+      route.kind == RouteKind::Streaming && aRequest.service->model.has_value();
+  longest.isRepeatable =
+      longest.isStream ? route.isResumable : route.kind == RouteKind::Safe;
+  return longest;
+}
+
 Exchange::Exchange(RelayContext& aContext, AdmittedRequest aRequest)
     : context(aContext), request(std::move(aRequest)) {
   this->runs = this->request.priorRuns;
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -63,6 +63,11 @@
   Instant lastForwardedAt{};
 };
 
+/// Returns how long a request may take from `aNow` on, without what it usually
+/// takes.
+ExpectedDuration LongestDurationOf(const AdmittedRequest& aRequest,
+                                   Instant aNow);
+
 /// Handles one request from its admission to its final response.
 ///
 /// Subclasses send the request to upstreams. `mayHaveRun` records whether any
--- a/Zincstep/Relay/ExchangeRuns.cpp
+++ b/Zincstep/Relay/ExchangeRuns.cpp
@@ -52,16 +52,9 @@
 }
 
 bool Exchange::MayBeginRun() const {
-  const Route& route = *this->request.route;
   const Instant now = this->Now();
-  ExpectedDuration expected;
-  expected.maximum = this->request.deadline - now;
-  expected.isStream = route.kind == RouteKind::Streaming &&
-                      this->request.service->model.has_value();
-  expected.isRepeatable =
-      expected.isStream ? route.isResumable : route.kind == RouteKind::Safe;
-  return this->HasSentHead() ||
-         this->context.stopPolicy.MayBeginRun(expected, now);
+  return this->HasSentHead() || this->context.stopPolicy.MayBeginRun(
+                                    LongestDurationOf(this->request, now), now);
 }
 
 bool Exchange::EndInsteadOfRun() {
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -70,14 +70,8 @@
 
 ExpectedDuration Relay::ExpectedOf(const AdmittedRequest& aRequest,
                                    Instant aNow) const {
-  const Route& route = *aRequest.route;
-  ExpectedDuration expected;
-  expected.maximum = aRequest.deadline - aNow;
-  expected.usual = this->context.durations.Usual(route.name, aNow);
-  expected.isStream =
-      route.kind == RouteKind::Streaming && aRequest.service->model.has_value();
-  expected.isRepeatable =
-      expected.isStream ? route.isResumable : route.kind == RouteKind::Safe;
+  ExpectedDuration expected = LongestDurationOf(aRequest, aNow);
+  expected.usual = this->context.durations.Usual(aRequest.route->name, aNow);
   return expected;
 }
 
