--- a/UnitTests/SilentDaemonTest.cpp
+++ b/UnitTests/SilentDaemonTest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(Daemon_SilentWithoutOther_StreamIsWhole);
   CPPUNIT_TEST(Daemon_SilentWithoutRetry_StreamIsWhole);
   CPPUNIT_TEST(Daemon_SilentBesideOther_StreamContinuesThere);
+  CPPUNIT_TEST(Daemon_SilentWithoutAttempt_StreamStays);
   CPPUNIT_TEST(Daemon_SilentUntilAnotherArrives_StreamContinuesThere);
   CPPUNIT_TEST(Daemon_LostWithoutRetry_StreamWaitsForOne);
   CPPUNIT_TEST(Daemon_LostWithoutOther_StreamWaitsForOne);
@@ -107,12 +108,12 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, relay->Active());
   }
 
-  void LimitTime(int aTimeoutMs) {
+  /// Puts a configuration in force whose route of streams has another field.
+  void ChangeRoute(const std::string& aField, const std::string& aNew) {
     std::string config = kRelayConfig;
     config.replace(config.find("\"configVersion\":1"), 17,
                    "\"configVersion\":2");
-    config.replace(config.find("\"timeoutMs\":20000"), 17,
-                   "\"timeoutMs\":" + std::to_string(aTimeoutMs));
+    config.replace(config.rfind(aField), aField.size(), aNew);
     view.OnConfiguration({"", config, 20});
     view.OnValidated({20}, clock.Now());
   }
@@ -162,6 +163,15 @@
     CPPUNIT_ASSERT(clock.Now() - begin < 4s);
   }
 
+  // Guards against a run beyond those that the route permits.
+  void Daemon_SilentWithoutAttempt_StreamStays() {
+    this->ChangeRoute("\"maxAttempts\":2", "\"maxAttempts\":1");
+    this->AddPausing(3s);
+    this->Start();
+    this->AddPausing(0s);
+    this->CheckWhole(1);
+  }
+
   void Daemon_SilentUntilAnotherArrives_StreamContinuesThere() {
     this->AddPausing(8s);
     this->Start();
@@ -201,7 +211,7 @@
   }
 
   void SilentDaemon_DeadlineReached_Ends() {
-    this->LimitTime(3000);
+    this->ChangeRoute("\"timeoutMs\":20000", "\"timeoutMs\":3000");
     this->AddPausing(60s);
     this->CheckEndsAtDeadline();
   }
@@ -215,7 +225,7 @@
   }
 
   void WaitingStream_DeadlineReached_Ends() {
-    this->LimitTime(3000);
+    this->ChangeRoute("\"timeoutMs\":20000", "\"timeoutMs\":3000");
     this->SpendRetries();
     this->AddBreaking();
     this->CheckEndsAtDeadline();
--- a/Zincstep/Relay/ForwardExchange.cpp
+++ b/Zincstep/Relay/ForwardExchange.cpp
@@ -123,7 +123,9 @@
     this->OnRunInterrupted("the other daemon is silent");
     return;
   }
-  if (!this->MaySearch(aNow)) {
+  // The silent run counts, as it may go on.
+  const bool hasAttempt = this->runs + 1 < this->request.route->maxAttempts;
+  if (!hasAttempt || !this->MaySearch(aNow)) {
     return;
   }
   // Those that refused earlier may have room by now.
