--- a/SoakTests/SoakChanges.cpp
+++ b/SoakTests/SoakChanges.cpp
@@ -34,8 +34,8 @@
 /// Callers reuse connections that have rested for up to this share of the idle
 /// time that the version before the newest one states.
 constexpr double kMaxRestShare = 0.8;
-/// With 96 connections, requests never waited unread beside connections that
-/// were closed as idle; with 1,600 (trial, seed 6401) 7 did.
+/// With 96 connections no request waited unread on one that was closed as idle;
+/// with 1,600, 7 did.
 constexpr std::size_t kResting = 1600;
 constexpr std::size_t kMinRestingPerDaemon = 4;
 /// They open within this time.
