Refusals reach callers that still send; idle closes respond to unread requests

Cause: a refusal (413, 431, 408) was written and its connection closed with unread bytes, so that the kernel reset it and the caller got neither a response nor a refusal. A stop ended the process while the rest of such a request was discarded, with the same effect. zincstep-entry closed an idle connection on which a request waited unread.

Change: the rest of a refused request is discarded until the caller ends its side or a timeout passes, and a stop waits for that; the entry server responds to what it has not read.

--- a/Zincstep/Net/CallerConnection.cpp
+++ b/Zincstep/Net/CallerConnection.cpp
@@ -1,7 +1,6 @@
 #include "Zincstep/Net/CallerConnection.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include "Zincstep/Net/SingleCall.h"
 
@@ -20,25 +19,10 @@
 /// Added to the idle timeout, so that the connection never closes on a request
 /// of a caller that respects the timeout.
 constexpr Micros kIdleSlack = 1500ms;
-/// Upper bound of a response's status line, own header fields and chunk frame.
-constexpr std::size_t kMaxFramingBytes = 512;
-
-/// Returns the size of header fields on the wire.
-std::size_t SizeOf(const HttpHeaders& aHeaders) {
-  constexpr std::size_t kSeparatorBytes = 4;
-  std::size_t size = 0;
-  for (const auto& [name, value] : aHeaders) {
-    size += name.size() + value.size() + kSeparatorBytes;
-  }
-  return size;
-}
-
-void AppendNumber(std::string& aText, std::size_t aValue, int aBase) {
-  char digits[24];
-  const auto written =
-      std::to_chars(digits, digits + sizeof(digits), aValue, aBase);
-  aText.append(digits, written.ptr);
-}
+/// Time for which what a caller sends behind its last response is discarded: a
+/// large body over a usual link, while a caller that never ends keeps a
+/// descriptor no longer.
+constexpr Micros kDiscardTimeout = 2s;
 
 }  // namespace
 
@@ -70,7 +54,7 @@
 void CallerConnection::Start() { this->Read(); }
 
 void CallerConnection::Read() {
-  if (this->isReading || this->isClosed ||
+  if (this->isReading || (this->isClosed && !this->discardTimer) ||
       this->unparsed.size() > kMaxReadAheadBytes) {
     return;
   }
@@ -86,6 +70,10 @@
 
 void CallerConnection::OnRead(const asio::error_code& aError,
                               std::size_t aSize) {
+  if (this->discardTimer) {
+    aError ? this->Close() : this->Read();
+    return;
+  }
   if (this->isClosed) {
     return;
   }
@@ -152,6 +140,7 @@
 void CallerConnection::Reject(const Error& aError) {
   this->isBusy = true;
   this->closesAfterResponse = true;
+  this->isRejectedUnread = true;
   const bool isTooLarge = aError.kind == ErrorKind::RequestTooLarge;
   this->Answer(isTooLarge && !this->isBodyTooLarge
                    ? 431
@@ -172,124 +161,22 @@
   this->message.body.append(aPart);
 }
 
-void CallerConnection::WriteHead(int aStatus, const HttpHeaders& aHeaders) {
-  this->pending += "HTTP/1.1 ";
-  AppendNumber(this->pending, static_cast<std::size_t>(aStatus), 10);
-  this->pending += ' ';
-  this->pending += http_status_str(static_cast<http_status>(aStatus));
-  this->pending += "\r\n";
-  for (const HttpHeader& header : aHeaders) {
-    this->pending += header.name;
-    this->pending += ": ";
-    this->pending += header.value;
-    this->pending += "\r\n";
-  }
-  this->hasAnnouncedClose = this->closesAfterResponse;
-  if (this->hasAnnouncedClose) {
-    this->pending += "Connection: close\r\n";
-  }
-}
-
-void CallerConnection::Reserve(std::size_t aBytes) {
-  this->pending.reserve(this->pending.size() + aBytes + kMaxFramingBytes);
-}
-
-void CallerConnection::Answer(int aStatus, const HttpHeaders& aHeaders,
-                              std::string_view aBody) {
-  if (this->isClosed) {
-    return;
-  }
-  ZINCSTEP_ASSERT(this->isBusy);
-  this->Reserve(SizeOf(aHeaders) + aBody.size());
-  this->WriteHead(aStatus, aHeaders);
-  this->pending += "Content-Length: ";
-  AppendNumber(this->pending, aBody.size(), 10);
-  this->pending += "\r\n\r\n";
-  this->pending += aBody;
-  this->FinishResponse();
-}
-
-void CallerConnection::BeginChunks(int aStatus, const HttpHeaders& aHeaders) {
-  if (this->isClosed) {
-    return;
-  }
-  ZINCSTEP_ASSERT(this->isBusy);
-  this->Reserve(SizeOf(aHeaders));
-  this->WriteHead(aStatus, aHeaders);
-  this->pending += "Transfer-Encoding: chunked\r\n\r\n";
-}
-
-void CallerConnection::AppendChunk(std::string_view aPart) {
-  if (this->isClosed || aPart.empty()) {
-    return;
-  }
-  this->Reserve(aPart.size());
-  AppendNumber(this->pending, aPart.size(), 16);
-  this->pending += "\r\n";
-  this->pending += aPart;
-  this->pending += "\r\n";
-  this->Flush();
-}
-
-void CallerConnection::EndChunks() {
-  if (this->isClosed) {
-    return;
-  }
-  this->pending += "0\r\n\r\n";
-  this->FinishResponse();
-}
-
-void CallerConnection::FinishResponse() {
-  this->isBusy = false;
-  this->lastActive = this->clock.Now();
-  this->parser.Reset();
-  this->UseCurrentLimits();
-  // A caller that was not told may have sent its next request already.
-  if (this->hasAnnouncedClose) {
-    this->hasLastResponse = true;
-    this->unparsed.clear();
-  }
-  this->Flush();
-  if (!this->unparsed.empty()) {
-    // Deferred: the handler is still inside the call that sent the response.
-    asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
-      if (!self->isBusy) {
-        self->CloseOnException([&self] {
-          self->ParseNext();
-          self->Read();
-        });
-      }
-    });
-  }
-}
-
-void CallerConnection::Flush() {
-  if (this->isWriting || this->isClosed || this->pending.empty()) {
-    return;
-  }
-  this->isWriting = true;
-  std::swap(this->writing, this->pending);
-  this->pending.clear();
-  auto self = this->shared_from_this();
-  asio::async_write(this->socket, asio::buffer(this->writing),
-                    [self](const asio::error_code& aError, std::size_t) {
-                      self->isWriting = false;
-                      self->CloseOnException([&] { self->OnWritten(aError); });
-                    });
-}
-
-void CallerConnection::OnWritten(const asio::error_code& aError) {
-  if (this->isClosed) {
-    return;
-  }
-  if (aError) {
-    return;  // The pending read reports the lost connection.
-  }
-  this->lastActive = this->clock.Now();
-  this->Flush();
-  if (!this->isWriting && (this->hasLastResponse || this->closesAfterWrite)) {
+void CallerConnection::DiscardAndClose() {
+  this->isClosed = true;
+  asio::error_code error;
+  this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+  if (error) {
     this->Close();
+    return;
   }
+  this->discardTimer.emplace(this->socket.get_executor(), kDiscardTimeout);
+  this->discardTimer->async_wait(
+      [self = this->shared_from_this()](const asio::error_code& aError) {
+        if (!aError) {
+          self->Close();
+        }
+      });
+  this->Read();
 }
 
 void CallerConnection::Abort() { this->Close(); }
@@ -311,6 +198,10 @@
 }
 
 bool CallerConnection::ExpectsRequest() const {
+  // The exit of the process would reset the connection, as `Close` does.
+  if (this->discardTimer) {
+    return true;
+  }
   if (this->isClosed || this->isBusy || this->hasLastResponse) {
     return false;
   }
@@ -344,6 +235,7 @@
   if (isMidRequest) {
     this->isBusy = true;
     this->closesAfterResponse = true;
+    this->isRejectedUnread = true;
     this->Answer(408, {}, "request not received completely before the timeout");
   } else {
     this->Close();
@@ -360,6 +252,7 @@
       this->wasClosedUnread ||
       (!this->isBusy && !this->hasLastResponse && this->HasUnreadBytes());
   this->isClosed = true;
+  this->discardTimer.reset();
   asio::error_code ignored;  // There is no recovery from a failed close.
   this->socket.close(ignored);
 }
--- a/Zincstep/Net/CallerConnection.h
+++ b/Zincstep/Net/CallerConnection.h
@@ -4,6 +4,7 @@
 #include <asio.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "Zincstep/Net/CallerLimits.h"
@@ -80,9 +81,11 @@
   std::size_t PendingBytes() const;
   /// Whether a request is in progress.
   bool IsBusy() const { return this->isBusy; }
-  bool IsClosed() const { return this->isClosed; }
-  /// Whether a request has arrived that is not read completely, or the first
-  /// one of a new connection may be under way.
+  /// Whether the socket is closed. Not while the rest of a refused request is
+  /// still read, although nothing more is sent then.
+  bool IsClosed() const { return this->isClosed && !this->discardTimer; }
+  /// Whether a request has arrived that is not read completely, refused ones
+  /// included, or the first one of a new connection may be under way.
   bool ExpectsRequest() const;
   /// Whether it was closed between two requests with bytes that had arrived and
   /// were not read: a request without a response.
@@ -109,6 +112,10 @@
   void OnWritten(const asio::error_code& aError);
   void WriteHead(int aStatus, const HttpHeaders& aHeaders);
   void FinishResponse();
+  /// Ends the responses, and closes the connection once the caller has ended
+  /// its side, or after a timeout. A close with unread bytes resets the
+  /// connection: a caller that is still sending would not get the response.
+  void DiscardAndClose();
   void Close();
   void OnHead(HttpHead aHead) override;
   void OnBody(std::string_view aPart) override;
@@ -146,6 +153,10 @@
   /// The last response is complete; what is received from now on is discarded.
   bool hasLastResponse = false;
   bool closesAfterWrite = false;
+  /// The last response refuses a request that has not been read whole.
+  bool isRejectedUnread = false;
+  /// Set while what the caller sends behind its last response is discarded.
+  std::optional<asio::steady_timer> discardTimer;
   bool isBodyTooLarge = false;
 };
 
--- a/Zincstep/Net/CallerLimits.h
+++ b/Zincstep/Net/CallerLimits.h
@@ -16,6 +16,7 @@
   /// Time that a connection may be idle between requests.
   Micros idleTimeout = 15s;
 
+  bool operator==(const CallerLimits&) const = default;
   /// Returns the greater one of each limit.
   friend CallerLimits Widest(const CallerLimits& aOne,
                              const CallerLimits& aOther) {
--- a/Zincstep/Net/RefusingSocket.cpp
+++ b/Zincstep/Net/RefusingSocket.cpp
@@ -14,6 +14,11 @@
 
 /// Returns the error response for the received part of a message.
 HttpResponse ErrorResponseFor(const ConnectionState& aState) {
+  if (aState.unparsedBytes == 0) {
+    return ErrorResponse({ErrorKind::NotReady,
+                          "the request was not read before the timeout",
+                          {}});
+  }
   const auto elapsed = std::chrono::steady_clock::now() - aState.firstByteAt;
   const bool isHeadComplete = aState.head.find("\r\n\r\n") != std::string::npos;
   if (elapsed > kSlowRequestTimeout) {
@@ -72,17 +77,23 @@
   if (connection->pendingRequests > 0 && connection->onClosed) {
     std::exchange(connection->onClosed, nullptr)();
   }
+  asio::error_code unknown;
+  const bool hasUnreadBytes = Base::available(unknown) > 0 && !unknown;
   const bool shouldRespond = !connection->isCallerGone &&
                              connection->pendingRequests == 0 &&
-                             connection->unparsedBytes > 0;
+                             !connection->hasLastResponse &&
+                             (connection->unparsedBytes > 0 || hasUnreadBytes);
+  asio::error_code ignored;
   if (shouldRespond) {
     connection->isCallerGone = true;
-    asio::error_code ignored;
     Base::non_blocking(true, ignored);
     const std::string text = Serialize(ErrorResponseFor(*connection));
     Base::write_some(asio::buffer(text), ignored);
+  }
+  if (shouldRespond || hasUnreadBytes) {
     // Unread bytes would turn the close into a reset, which discards the
     // response before the caller has read it.
+    Base::non_blocking(true, ignored);
     std::string drained(kMaxDrainedBytes, '\0');
     Base::read_some(asio::buffer(drained), ignored);
   }
--- a/Zincstep/Net/RefusingSocket.h
+++ b/Zincstep/Net/RefusingSocket.h
@@ -15,6 +15,8 @@
   int pendingRequests = 0;
   /// The last read failed, so the caller can no longer receive a response.
   bool isCallerGone = false;
+  /// The last response announced the close or was truncated: none may follow.
+  bool hasLastResponse = false;
   std::chrono::steady_clock::time_point firstByteAt;
   /// Start of the current message, from which the error is determined.
   std::string head;
@@ -83,6 +85,8 @@
   }
 
   /// Sends an error response if the current message has none, then shuts down.
+  /// A message may have arrived that is not read: the time limit of RESTinio
+  /// counts the time in which the server's thread was held.
   void shutdown(shutdown_type aType, asio::error_code& aError);
 
  private:
--- a/Zincstep/Net/RestinioServer.cpp
+++ b/Zincstep/Net/RestinioServer.cpp
@@ -269,6 +269,9 @@
   if (this->refusal) {
     // A caller that reused the connection would lose its next request.
     response.connection_close();
+    if (aExchange.connection) {
+      aExchange.connection->hasLastResponse = true;
+    }
   }
   response.done(this->OnWritten());
 }
@@ -349,6 +352,9 @@
   this->OnThread(aExchange, [this, aExchange](Exchange& aOpenExchange) {
     // Without the last chunk the caller's HTTP library reports an incomplete
     // response.
+    if (aOpenExchange.connection) {
+      aOpenExchange.connection->hasLastResponse = true;
+    }
     if (aOpenExchange.stream) {
       aOpenExchange.stream->connection_close();
     }
--- a/Zincstep/Net/SingleCall.cpp
+++ b/Zincstep/Net/SingleCall.cpp
@@ -283,6 +283,11 @@
   }
 }
 
+bool SingleCall::HasUnreadBytes() const {
+  asio::error_code error;
+  return this->socket.is_open() && this->socket.available(error) > 0 && !error;
+}
+
 void SingleCall::SetReading(bool aIsEnabled) {
   this->isReadEnabled = aIsEnabled;
   if (aIsEnabled && this->hasSent) {
--- a/Zincstep/Net/SingleCall.h
+++ b/Zincstep/Net/SingleCall.h
@@ -91,6 +91,8 @@
   /// Stops or resumes reading, for backpressure on the upstream.
   void SetReading(bool aIsEnabled);
 
+  /// Whether bytes have arrived that are not read yet.
+  bool HasUnreadBytes() const;
   /// Whether bytes of the request may have been sent.
   bool HasSent() const { return this->hasSent; }
   /// Whether the call reused a connection.
