A version costs the loop what it changes

Cause: each version was decoded whole, although most of it is the former one's; the store's response was parsed on the loop with the configuration in it; peers sent a configuration that was being built again at each query.

Change: a version is decoded against the former text and table; the store's response is read field by field, and its large values are not parsed on the loop; a version that is being built counts as accepted towards peers. Configurations whose keys or routes were replaced are kept for five seconds, at most four. Store.cpp and PeerProtocol.cpp are split by job.

--- a/SoakTests/SoakDaemon.cpp
+++ b/SoakTests/SoakDaemon.cpp
@@ -23,6 +23,11 @@
       std::string_view aText) const override {
     return this->decoder->DecodeConfiguration(aText);
   }
+  Result<RouteConfiguration> DecodeChange(
+      std::string_view aText,
+      const DecodedConfiguration& aFormer) const override {
+    return this->decoder->DecodeChange(aText, aFormer);
+  }
   Result<UpstreamEntry> DecodeUpstream(std::string_view aId,
                                        std::string_view aText) const override {
     auto entry = this->decoder->DecodeUpstream(aId, aText);
--- a/UnitTests/ConfigurationBench.cpp
+++ b/UnitTests/ConfigurationBench.cpp
@@ -11,9 +11,11 @@
 #include <vector>
 
 #include "PerformanceTests/BenchOutput.h"
+#include "Zincstep/Cluster/Cluster.h"
 #include "Zincstep/Edge/EdgePeerMessage.h"
 #include "platform/Json.h"
 #include "platform/Platform.h"
+#include "platform/StoreBody.h"
 
 /// \file
 /// What a change of the configuration costs an edge daemon, by number of
@@ -122,6 +124,17 @@
 }
 
 /// The steps of `Store::Commit` and `ParseItem` on such a response.
+std::string ReadStoreBody(const std::string& aResponse) {
+  const auto body = platform::StoreBody::Parse(aResponse);
+  std::string value;
+  for (const nlohmann::json& entry :
+       body->Json().value("items", nlohmann::json::array())) {
+    value = *body->DecodeValue(entry);
+  }
+  return value;
+}
+
+/// The same steps before `StoreBody`: all of the response is parsed as JSON.
 std::string ReadStoreResponse(const std::string& aResponse) {
   const auto body = platform::ParseJson(aResponse);
   std::string value;
@@ -132,6 +145,69 @@
   return value;
 }
 
+/// Returns a text in which one route has another time-out and version 2.
+std::string ChangedText(ConfigurationParts aParts) {
+  std::string& route = aParts.routes[aParts.routes.size() / 2];
+  const std::string timeout = R"("timeoutMs":20000)";
+  route.replace(route.find(timeout), timeout.size(), R"("timeoutMs":20001)");
+  std::string text = TextOf(aParts);
+  const std::string version = R"("configVersion":1)";
+  text.replace(text.find(version), version.size(), R"("configVersion":2)");
+  return text;
+}
+
+/// The steps of `RouteTable` that compute its `AdmissionHash`.
+std::uint64_t HashAdmission(const RouteConfiguration& aConfiguration) {
+  const std::hash<std::string> hash;
+  std::uint64_t sum = 0;
+  for (const Route& route : aConfiguration.routes) {
+    sum += hash(route.host + ' ' + route.pathPrefix);
+  }
+  for (const RoutedOrganisation& organisation : aConfiguration.organisations) {
+    for (const std::string& key : organisation.keys) {
+      sum += hash(key);
+    }
+  }
+  return sum;
+}
+
+/// What the configurations that `ClusterView` keeps after changes of keys cost.
+struct FormerCost {
+  std::size_t tables = 0;
+  double bytes = 0;
+  double releaseMillis = 0;
+};
+
+/// Applies six versions of which each removes a key of the one before, and
+/// releases in one tick what is kept of them.
+FormerCost MeasureFormer(const ClusterDecoder& aDecoder,
+                         const ConfigurationParts& aParts) {
+  class NullListener final : public ClusterListener {
+    void OnConfiguration() override {}
+    void OnUpstream(const UpstreamPtr&) override {}
+    void OnDaemonEntries() override {}
+  } listener;
+  FakeClock clock;
+  ClusterView view{aDecoder, listener, clock};
+  constexpr std::uint64_t kVersions = 6;
+  for (std::uint64_t version = 1; version <= kVersions; ++version) {
+    ConfigurationParts parts = aParts;
+    parts.tenants.push_back(R"({"name":"changed","apiKeys":["key-)" +
+                            std::to_string(version) + R"("]})");
+    view.OnConfiguration({"", TextOf(parts), version});
+    view.OnValidated({version}, clock.Now());
+  }
+  FormerCost cost;
+  cost.tables = view.FormerConfigurations().size();
+  clock.Advance(std::chrono::seconds(6));
+  const double bytes = HeapBytes();
+  const double micros = ThreadMicros();
+  view.Tick();
+  cost.releaseMillis = (ThreadMicros() - micros) / kMicrosPerMilli;
+  cost.bytes = bytes - HeapBytes();
+  return cost;
+}
+
 std::string PeerResponse(const std::string& aText) {
   ClusterResponse response;
   response.update.configVersion = 1;
@@ -282,6 +358,7 @@
 
   print("parse_store", MedianMillis([&] { (void)ReadStoreResponse(stored); }),
         "ms");
+  print("read_store", MedianMillis([&] { (void)ReadStoreBody(stored); }), "ms");
   const std::string encoded = platform::EncodeBase64(text);
   print("base64", MedianMillis([&] { (void)platform::DecodeBase64(encoded); }),
         "ms");
@@ -289,6 +366,29 @@
         "ms");
   print("decode",
         MedianMillis([&] { (void)decoder->DecodeConfiguration(text); }), "ms");
+  // Lower bound of a decoder without a document: the parser alone, whose
+  // events go nowhere.
+  print("parse_events",
+        MedianMillis([&] { (void)nlohmann::json::accept(text); }), "ms");
+  const std::string changed = ChangedText(parts);
+  const DecodedConfiguration former{
+      std::make_shared<const std::string>(text),
+      std::make_shared<const RouteTable>(*decoder->DecodeConfiguration(text))};
+  print("decode_change",
+        MedianMillis([&] { (void)decoder->DecodeChange(changed, former); }),
+        "ms");
+  // All routes changed: the most that the comparison can cost.
+  ConfigurationParts others = parts;
+  for (std::string& route : others.routes) {
+    route.insert(1, " ");
+  }
+  for (std::string& tenant : others.tenants) {
+    tenant.insert(1, " ");
+  }
+  const std::string other = TextOf(others);
+  print("decode_other",
+        MedianMillis([&] { (void)decoder->DecodeChange(other, former); }),
+        "ms");
   std::vector<RouteConfiguration> copies(kRuns,
                                          *decoder->DecodeConfiguration(text));
   std::vector<std::shared_ptr<const RouteTable>> tables;
@@ -317,6 +417,13 @@
   const std::string ownText = text;
   print("held_memory", (HeapBytes() - beforeTable) / kBytesPerKb, "KB");
 
+  print("admission_hash",
+        MedianMillis([&] { (void)HashAdmission(one->Configuration()); }), "ms");
+  const FormerCost kept = MeasureFormer(*decoder, parts);
+  print("former_tables", static_cast<double>(kept.tables), "tables");
+  print("former_memory", kept.bytes / kBytesPerKb, "KB");
+  print("former_release", kept.releaseMillis, "ms");
+
   constexpr std::size_t kRoutesPerStep = 50;
   const SteppedDecode steps = DecodeInSteps(*decoder, parts, kRoutesPerStep);
   print("steps_longest", steps.longestMillis, "ms");
--- a/UnitTests/ConfigurationStateTest.cpp
+++ b/UnitTests/ConfigurationStateTest.cpp
@@ -17,9 +17,11 @@
  public:
   explicit HeldBuilder(const ClusterDecoder& aDecoder) : decoder(&aDecoder) {}
 
-  void Start(std::shared_ptr<const std::string> aText, Done aDone) override {
+  void Start(std::shared_ptr<const std::string> aText,
+             DecodedConfiguration aFormer, Done aDone) override {
     this->started += 1;
-    this->builds.push_back({std::move(aText), std::move(aDone)});
+    this->builds.push_back(
+        {std::move(aText), std::move(aFormer), std::move(aDone)});
   }
 
   /// Ends the build that started first.
@@ -27,7 +29,7 @@
     CPPUNIT_ASSERT(!this->builds.empty());
     const Held held = std::move(this->builds.front());
     this->builds.pop_front();
-    held.done(BuildRouteTable(*this->decoder, *held.text));
+    held.done(BuildRouteTable(*this->decoder, *held.text, held.former));
   }
   void EndAll() {
     while (!this->builds.empty()) {
@@ -42,6 +44,7 @@
  private:
   struct Held {
     std::shared_ptr<const std::string> text;
+    DecodedConfiguration former;
     Done done;
   };
 
@@ -78,9 +81,17 @@
   CPPUNIT_TEST(Validation_OfAPendingBuild_CountsOnceItIsActive);
   CPPUNIT_TEST(Validation_OfAReplacedBuild_CountsOnceTheNewerIsActive);
   CPPUNIT_TEST(PeerConfiguration_UntilBuilt_DefersValidations);
+  CPPUNIT_TEST(PeerUpdate_WhileBuilding_IsNotRequestedAgain);
+  CPPUNIT_TEST(PeerUpdate_WaitingBehindAnother_IsNotRequestedAgain);
+  CPPUNIT_TEST(PeerUpdate_BuildFailed_IsRequestedAgain);
+  CPPUNIT_TEST(PeerConfiguration_WhileBuilding_IsNotRequestedAgain);
   CPPUNIT_TEST(PeersResponded_WhileBuilding_EndsTheWaitAfterIt);
   CPPUNIT_TEST(Restored_WhileBuilding_NeverGoesBack);
   CPPUNIT_TEST(RandomChanges_ManySeeds_EndWithTheNewest);
+  CPPUNIT_TEST(Replaced_KeyRemoved_IsKeptForAWhile);
+  CPPUNIT_TEST(Replaced_SameKeysAndRoutes_IsNotKept);
+  CPPUNIT_TEST(Replaced_NeverValidated_IsNotKept);
+  CPPUNIT_TEST(Replaced_Storm_KeepsTheNewestFour);
   CPPUNIT_TEST_SUITE_END();
 
   std::unique_ptr<ClusterDecoder> decoder = platform::MakeDecoder();
@@ -180,7 +191,8 @@
   void Large_BuildFailed_IsAcceptedAgain() {
     class FailingBuilder final : public ConfigurationBuilder {
      public:
-      void Start(std::shared_ptr<const std::string>, Done aDone) override {
+      void Start(std::shared_ptr<const std::string>, DecodedConfiguration,
+                 Done aDone) override {
         this->done = std::move(aDone);
       }
       Done done;
@@ -234,6 +246,79 @@
     CPPUNIT_ASSERT(view->ValidationAge().has_value());
   }
 
+  /// Returns what a peer sends whose active configuration has that version,
+  /// and was found in the store.
+  static ClusterUpdate UpdateOf(std::uint64_t aVersion) {
+    ClusterUpdate update;
+    update.configRevision = {10 * aVersion};
+    update.configVersion = aVersion;
+    update.configText = VersionText(aVersion);
+    return update;
+  }
+
+  /// Whether a peer with that update sends its text again to the next query.
+  bool IsRequestedAgain(const ClusterUpdate& aUpdate) {
+    ClusterListener& listener = *this;
+    ClusterView peer{*decoder, listener, clock};
+    peer.OnUpdate(aUpdate, clock.Now());
+    CPPUNIT_ASSERT_EQUAL(aUpdate.configVersion, peer.ConfigVersion());
+    return peer.LacksConfigText(view->Revisions());
+  }
+
+  // Guards against peers that pack and send a configuration to each query, and
+  // a daemon that unpacks it each time, until it is built: a query reported the
+  // version of the active configuration only.
+  void PeerUpdate_WhileBuilding_IsNotRequestedAgain() {
+    const ClusterUpdate update = UpdateOf(2);
+    view->OnUpdate(update, clock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, view->ConfigVersion());
+    CPPUNIT_ASSERT(!this->IsRequestedAgain(update));
+    CPPUNIT_ASSERT(this->IsRequestedAgain(UpdateOf(3)));
+    builder.End();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, view->ConfigVersion());
+    CPPUNIT_ASSERT(!this->IsRequestedAgain(update));
+  }
+
+  // Guards against the same fault for a configuration whose build has not begun
+  // yet, and for one that has taken the place of another that waited.
+  void PeerUpdate_WaitingBehindAnother_IsNotRequestedAgain() {
+    for (std::uint64_t version = 2; version <= 4; ++version) {
+      view->OnUpdate(UpdateOf(version), clock.Now());
+      CPPUNIT_ASSERT(!this->IsRequestedAgain(UpdateOf(version)));
+    }
+    CPPUNIT_ASSERT_EQUAL(1, builder.started);
+  }
+
+  // Guards against a daemon that never gets a configuration whose build failed
+  // for lack of memory.
+  void PeerUpdate_BuildFailed_IsRequestedAgain() {
+    class FailingBuilder final : public ConfigurationBuilder {
+     public:
+      void Start(std::shared_ptr<const std::string>, DecodedConfiguration,
+                 Done aDone) override {
+        this->done = std::move(aDone);
+      }
+      Done done;
+    } failing;
+    view->SetConfigurationBuilder(failing);
+    const ClusterUpdate update = UpdateOf(2);
+    view->OnUpdate(update, clock.Now());
+    CPPUNIT_ASSERT(!this->IsRequestedAgain(update));
+    failing.done(Fail(ErrorKind::NotReady, "no memory"));
+    CPPUNIT_ASSERT(this->IsRequestedAgain(update));
+  }
+
+  // The same for a configuration that the restored store has lost: it has no
+  // revision by which a peer could tell that it is known here.
+  void PeerConfiguration_WhileBuilding_IsNotRequestedAgain() {
+    this->Begin(2);
+    ClusterUpdate update = UpdateOf(7);
+    update.configRevision = {5, 2};
+    view->OnUpdate(update, clock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, view->ConfigVersion());
+    CPPUNIT_ASSERT(!this->IsRequestedAgain(update));
+  }
+
   void PeersResponded_WhileBuilding_EndsTheWaitAfterIt() {
     this->Begin(2);
     view->AwaitPeers(clock.Now() + 600ms);
@@ -372,6 +457,66 @@
     read();
     CPPUNIT_ASSERT_MESSAGE(context, view->ValidationAge() == Micros{0});
   }
+
+  /// Puts a version in force whose only key is `aKey`.
+  void PutKey(std::uint64_t aVersion, const std::string& aKey) {
+    view->OnConfiguration({"",
+                           R"({"configVersion":)" + std::to_string(aVersion) +
+                               R"(,"services":[],"routes":[],"tenants":[)"
+                               R"({"name":"acme","apiKeys":[")" +
+                               aKey + R"("]}]})",
+                           10 * aVersion});
+    CPPUNIT_ASSERT_EQUAL(aVersion, view->ConfigVersion());
+  }
+
+  // Guards against admitted requests with a removed key that no daemon
+  // finishes, and against use of the key after the time in which it has to be
+  // out of use.
+  void Replaced_KeyRemoved_IsKeptForAWhile() {
+    this->PutKey(2, "removed");
+    view->OnValidated({20}, clock.Now());
+    const Instant validatedAt = clock.Now();
+    clock.Advance(1s);
+    this->PutKey(3, "other");
+    const auto& former = view->FormerConfigurations();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, former.size());
+    CPPUNIT_ASSERT(former[0].validatedAt == validatedAt);
+    CPPUNIT_ASSERT(former[0].table->FindOrganisation("removed") != nullptr);
+    clock.Advance(4s);
+    view->Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, former.size());
+    clock.Advance(1ms);
+    view->Tick();
+    CPPUNIT_ASSERT(former.empty());
+  }
+
+  // Guards against memory that changes without an effect on admission hold.
+  void Replaced_SameKeysAndRoutes_IsNotKept() {
+    this->PutKey(2, "same");
+    view->OnValidated({20}, clock.Now());
+    this->PutKey(3, "same");
+    CPPUNIT_ASSERT(view->FormerConfigurations().empty());
+  }
+
+  void Replaced_NeverValidated_IsNotKept() {
+    this->PutKey(2, "removed");
+    this->PutKey(3, "other");
+    CPPUNIT_ASSERT(view->FormerConfigurations().empty());
+  }
+
+  // Guards against memory that grows with the rate of changes.
+  void Replaced_Storm_KeepsTheNewestFour() {
+    for (std::uint64_t version = 2; version <= 10; ++version) {
+      this->PutKey(version, "key" + std::to_string(version));
+      view->OnValidated({10 * version}, clock.Now());
+    }
+    const auto& former = view->FormerConfigurations();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, former.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9},
+                         former[0].table->Configuration().version);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{6},
+                         former[3].table->Configuration().version);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationStateTest);
--- a/Zincstep/Cluster/ClusterView.cpp
+++ b/Zincstep/Cluster/ClusterView.cpp
@@ -56,9 +56,10 @@
       clock(aClock),
       config(aDecoder, aClock) {}
 
-void ClusterView::OnConfiguration(const StoreItem& aItem) {
+void ClusterView::OnConfiguration(const StoreItem& aItem,
+                                  std::uint64_t aVersion) {
   this->UpdateEra(aItem.revision);
-  if (this->config.OnStoreConfiguration(aItem)) {
+  if (this->config.OnStoreConfiguration(aItem, aVersion)) {
     this->listener.OnConfiguration();
   }
 }
@@ -248,9 +249,11 @@
 
 void ClusterView::OnUpdate(const ClusterUpdate& aUpdate, Instant aQueriedAt) {
   if (!aUpdate.configText.empty()) {
-    this->OnConfiguration({"", aUpdate.configText, aUpdate.configRevision});
+    this->OnConfiguration({"", aUpdate.configText, aUpdate.configRevision},
+                          aUpdate.configVersion);
     const bool isNewerAtPeer = aUpdate.configVersion > this->ConfigVersion();
-    if (isNewerAtPeer && this->config.OnPeerConfiguration(aUpdate.configText)) {
+    if (isNewerAtPeer && this->config.OnPeerConfiguration(
+                             aUpdate.configText, aUpdate.configVersion)) {
       this->listener.OnConfiguration();
     }
   }
@@ -302,9 +305,10 @@
   const auto ofCurrentEra = [this](StoreRevision aRevision) {
     return aRevision.era == this->era ? aRevision : StoreRevision{};
   };
-  return {
-      this->AcceptedConfiguration(), ofCurrentEra(this->entries.QuerySince()),
-      ofCurrentEra(this->daemons.List().QuerySince()), this->ConfigVersion()};
+  return {this->AcceptedConfiguration(),
+          ofCurrentEra(this->entries.QuerySince()),
+          ofCurrentEra(this->daemons.List().QuerySince()),
+          this->AcceptedConfigVersion()};
 }
 
 void ClusterView::OnStoreReachable(bool aReachable,
--- a/Zincstep/Cluster/ClusterView.h
+++ b/Zincstep/Cluster/ClusterView.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -23,6 +24,12 @@
 
   virtual Result<RouteConfiguration> DecodeConfiguration(
       std::string_view aText) const = 0;
+  /// Returns the same as `DecodeConfiguration`; what `aFormer` has too need not
+  /// be decoded again.
+  virtual Result<RouteConfiguration> DecodeChange(
+      std::string_view aText, const DecodedConfiguration& /*aFormer*/) const {
+    return this->DecodeConfiguration(aText);
+  }
   virtual Result<UpstreamEntry> DecodeUpstream(
       std::string_view aId, std::string_view aText) const = 0;
 };
@@ -94,7 +101,8 @@
                             [this] { this->listener.OnConfiguration(); });
   }
   /// Applies a configuration found in the store, by this daemon or a peer.
-  void OnConfiguration(const StoreItem& aItem);
+  /// `aVersion` is the version that a peer announced with it; 0: unknown.
+  void OnConfiguration(const StoreItem& aItem, std::uint64_t aVersion = 0);
   /// Records that the configuration of `aRevision` was the newest one at
   /// `aStartedAt`. This also holds for a configuration that became active
   /// since: what neither of the two contains was changed after `aStartedAt`.
@@ -157,6 +165,11 @@
     return this->config.Table();
   }
   std::uint64_t ConfigVersion() const { return this->config.Version(); }
+  /// Configurations whose keys or routes were replaced lately, the newest
+  /// first.
+  const std::deque<FormerConfiguration>& FormerConfigurations() const {
+    return this->config.Former();
+  }
   /// Text of the active configuration; empty before the first one.
   const std::string& ConfigText() const { return this->config.Text(); }
   /// Whether a peer with those revisions needs the configuration text.
@@ -173,6 +186,10 @@
   StoreRevision AcceptedConfiguration() const {
     return this->config.AcceptedAt();
   }
+  /// The highest version that is active or being built, as far as known.
+  std::uint64_t AcceptedConfigVersion() const {
+    return this->config.AcceptedVersion();
+  }
   /// Time since the configuration was validated as the newest; none if it never
   /// was.
   std::optional<Micros> ValidationAge() const {
--- a/Zincstep/Cluster/ConfigurationBuilder.h
+++ b/Zincstep/Cluster/ConfigurationBuilder.h
@@ -11,10 +11,18 @@
 
 class ClusterDecoder;
 
+/// A configuration and the text that it was decoded from; the table is null
+/// before the first one.
+struct DecodedConfiguration {
+  std::shared_ptr<const std::string> text;
+  std::shared_ptr<const RouteTable> table;
+};
+
 /// Decodes `aText` and indexes it; fails with `ConfigInvalid` if it is no
-/// configuration.
+/// configuration. Most of a new configuration is that of `aFormer`.
 Result<std::shared_ptr<const RouteTable>> BuildRouteTable(
-    const ClusterDecoder& aDecoder, std::string_view aText);
+    const ClusterDecoder& aDecoder, std::string_view aText,
+    const DecodedConfiguration& aFormer);
 
 /// Decodes and indexes configurations beside the event loop.
 class ConfigurationBuilder {
@@ -23,10 +31,11 @@
 
   virtual ~ConfigurationBuilder() = default;
 
-  /// Decodes `aText` and indexes it; calls `aDone` on the event loop, never
-  /// before this returns. Fails with `ConfigInvalid` if the text is no
+  /// Runs `BuildRouteTable`; calls `aDone` on the event loop, never before this
+  /// returns. Fails with `ConfigInvalid` if the text is no
   /// configuration, and otherwise if it may be decoded at another time.
-  virtual void Start(std::shared_ptr<const std::string> aText, Done aDone) = 0;
+  virtual void Start(std::shared_ptr<const std::string> aText,
+                     DecodedConfiguration aFormer, Done aDone) = 0;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Cluster/ConfigurationState.cpp
+++ b/Zincstep/Cluster/ConfigurationState.cpp
@@ -19,12 +19,20 @@
 /// one at start is not delayed.
 constexpr std::size_t kMaxInlineBytes = 16 << 10;
 
+/// Age of the last validation up to which a replaced configuration is kept: the
+/// usual time in which removed keys have to be out of use.
+constexpr Micros kMaxFormerAge = 5s;
+/// A storm of changes may replace twenty configurations within that time, and
+/// each takes up to 9 MB at 10,000 routes.
+constexpr std::size_t kMaxFormer = 4;
+
 }  // namespace
 
 Result<std::shared_ptr<const RouteTable>> BuildRouteTable(
-    const ClusterDecoder& aDecoder, std::string_view aText) {
-  return aDecoder.DecodeConfiguration(aText).map(
-      [](RouteConfiguration aConfiguration) {
+    const ClusterDecoder& aDecoder, std::string_view aText,
+    const DecodedConfiguration& aFormer) {
+  return aDecoder.DecodeChange(aText, aFormer)
+      .map([](RouteConfiguration aConfiguration) {
         return std::shared_ptr<const RouteTable>(
             std::make_shared<const RouteTable>(std::move(aConfiguration)));
       });
@@ -56,7 +64,16 @@
   return newest;
 }
 
-bool ConfigurationState::OnStoreConfiguration(const StoreItem& aItem) {
+std::uint64_t ConfigurationState::AcceptedVersion() const {
+  std::uint64_t highest = this->Version();
+  for (const PendingBuild& build : this->pending) {
+    highest = std::max(highest, build.version);
+  }
+  return highest;
+}
+
+bool ConfigurationState::OnStoreConfiguration(const StoreItem& aItem,
+                                              std::uint64_t aVersion) {
   if (aItem.revision <= this->AcceptedAt() ||
       aItem.revision == this->rejectedRevision) {
     return false;
@@ -69,13 +86,13 @@
   }
   auto ownText = std::make_shared<const std::string>(aItem.value);
   if (this->IsBuiltAside(*ownText)) {
-    this->Enqueue(std::move(ownText), aItem.revision);
+    this->Enqueue(std::move(ownText), aItem.revision, aVersion);
     return false;
   }
   const Instant receivedAt = this->clock.Now();
-  const bool isActive =
-      this->ApplyStored(ownText, aItem.revision,
-                        BuildRouteTable(this->decoder, *ownText), receivedAt);
+  const bool isActive = this->ApplyStored(
+      ownText, aItem.revision,
+      BuildRouteTable(this->decoder, *ownText, this->Active()), receivedAt);
   this->DropReplaced();
   return isActive;
 }
@@ -117,6 +134,12 @@
                                   std::shared_ptr<const RouteTable> aTable,
                                   StoreRevision aStoredAt,
                                   Instant aReceivedAt) {
+  // Most changes remove no key and no route.
+  if (this->table && this->validatedAt &&
+      this->table->AdmissionHash() != aTable->AdmissionHash()) {
+    this->former.push_front({std::move(this->table), *this->validatedAt});
+    this->former.resize(std::min(this->former.size(), kMaxFormer));
+  }
   this->text = std::move(aText);
   this->activatedAt = aStoredAt;
   this->table = std::move(aTable);
@@ -129,7 +152,8 @@
            {"took_ms", (this->clock.Now() - aReceivedAt) / 1ms}});
 }
 
-bool ConfigurationState::OnPeerConfiguration(const std::string& aText) {
+bool ConfigurationState::OnPeerConfiguration(const std::string& aText,
+                                             std::uint64_t aVersion) {
   for (const PendingBuild& build : this->pending) {
     // Peers send it again until it is active.
     if (!build.IsFromStore() || *build.text == aText) {
@@ -138,12 +162,13 @@
   }
   auto ownText = std::make_shared<const std::string>(aText);
   if (this->IsBuiltAside(*ownText)) {
-    this->Enqueue(std::move(ownText), {});
+    this->Enqueue(std::move(ownText), {}, aVersion);
     return false;
   }
   const Instant receivedAt = this->clock.Now();
-  return this->ApplyFromPeer(ownText, BuildRouteTable(this->decoder, *ownText),
-                             receivedAt);
+  return this->ApplyFromPeer(
+      ownText, BuildRouteTable(this->decoder, *ownText, this->Active()),
+      receivedAt);
 }
 
 bool ConfigurationState::ApplyFromPeer(
@@ -157,7 +182,8 @@
   return true;
 }
 
-void ConfigurationState::Enqueue(SharedText aText, StoreRevision aRevision) {
+void ConfigurationState::Enqueue(SharedText aText, StoreRevision aRevision,
+                                 std::uint64_t aVersion) {
   const std::size_t building = this->isBuilding ? 1 : 0;
   for (std::size_t i = building; i < this->pending.size(); ++i) {
     PendingBuild& waiting = this->pending[i];
@@ -165,13 +191,14 @@
         waiting.revision.era == aRevision.era) {
       waiting.text = std::move(aText);
       waiting.revision = aRevision;
+      waiting.version = aVersion;
       waiting.receivedAt = this->clock.Now();
       return;
     }
   }
   this->lastBuild += 1;
   this->pending.push_back({this->lastBuild, std::move(aText), aRevision,
-                           this->clock.Now(), std::nullopt});
+                           aVersion, this->clock.Now(), std::nullopt});
   this->StartNextBuild();
 }
 
@@ -181,7 +208,7 @@
   }
   this->isBuilding = true;
   this->builder->Start(
-      this->pending.front().text,
+      this->pending.front().text, this->Active(),
       [this](Result<std::shared_ptr<const RouteTable>> aTable) {
         this->OnBuilt(std::move(aTable));
       });
@@ -317,8 +344,11 @@
 }
 
 void ConfigurationState::Tick() {
-  if (this->awaitingPeersUntil &&
-      this->clock.Now() >= *this->awaitingPeersUntil) {
+  const Instant now = this->clock.Now();
+  std::erase_if(this->former, [now](const FormerConfiguration& aOne) {
+    return now - aOne.validatedAt > kMaxFormerAge;
+  });
+  if (this->awaitingPeersUntil && now >= *this->awaitingPeersUntil) {
     this->OnPeersResponded();
   }
 }
--- a/Zincstep/Cluster/ConfigurationState.h
+++ b/Zincstep/Cluster/ConfigurationState.h
@@ -14,6 +14,14 @@
 
 class ClusterDecoder;
 
+/// A configuration that was replaced.
+struct FormerConfiguration {
+  std::shared_ptr<const RouteTable> table;
+  /// When it was last known to be the newest one: what the next one lacks was
+  /// removed later.
+  Instant validatedAt;
+};
+
 /// The active configuration and when it was last validated as the newest.
 ///
 /// Within one era of the store, revisions order configurations. A store that
@@ -39,11 +47,13 @@
     this->onActivated = std::move(aOnActivated);
   }
   /// Applies a configuration found in the store, by this daemon or a peer;
-  /// returns whether another one became active at once.
-  bool OnStoreConfiguration(const StoreItem& aItem);
+  /// returns whether another one became active at once. `aVersion` is the
+  /// version that a peer announced with it; 0: unknown.
+  bool OnStoreConfiguration(const StoreItem& aItem, std::uint64_t aVersion = 0);
   /// Applies a peer's active configuration that the restored store has lost;
-  /// returns whether it became active at once.
-  bool OnPeerConfiguration(const std::string& aText);
+  /// returns whether it became active at once. `aVersion` is the version that
+  /// the peer announced.
+  bool OnPeerConfiguration(const std::string& aText, std::uint64_t aVersion);
   /// Records that the configuration of `aRevision` was the newest one at
   /// `aStartedAt`. This also holds for a configuration that became active
   /// since: what neither of the two contains was changed after `aStartedAt`.
@@ -61,6 +71,9 @@
   /// The active configuration, or null before the first one.
   const std::shared_ptr<const RouteTable>& Table() const { return this->table; }
   const std::string& Text() const { return *this->text; }
+  /// Configurations whose keys or routes were replaced within the last five
+  /// seconds, the newest first; at most four.
+  const std::deque<FormerConfiguration>& Former() const { return this->former; }
   /// Version of the active configuration; 0: none.
   std::uint64_t Version() const {
     return this->table ? this->table->Configuration().version : 0;
@@ -71,6 +84,9 @@
   /// Store revision of the newest configuration that is active or being built;
   /// none if unknown in this era.
   StoreRevision AcceptedAt() const;
+  /// The highest version that is active or being built, as far as known: a
+  /// version that is being built is known if a peer announced it.
+  std::uint64_t AcceptedVersion() const;
   /// Time since the configuration was validated as the newest; none if it never
   /// was.
   std::optional<Micros> ValidationAge() const;
@@ -90,6 +106,8 @@
     SharedText text;
     /// None if a peer sent it because the restored store has lost it.
     StoreRevision revision;
+    /// The version that a peer announced; 0: unknown until it is built.
+    std::uint64_t version = 0;
     Instant receivedAt;
     /// The latest validation that may count once this is active.
     std::optional<PendingValidation> validation;
@@ -97,6 +115,7 @@
     bool IsFromStore() const { return !this->revision.IsNone(); }
   };
 
+  DecodedConfiguration Active() const { return {this->text, this->table}; }
   /// Whether a configuration of that version replaces the active one.
   bool IsNewer(std::uint64_t aVersion, StoreRevision aStoredAt) const;
   /// Whether a configuration of that size is built beside the event loop.
@@ -113,7 +132,8 @@
   void Activate(SharedText aText, std::shared_ptr<const RouteTable> aTable,
                 StoreRevision aStoredAt, Instant aReceivedAt);
   /// Appends a configuration, or replaces the one of the same era that waits.
-  void Enqueue(SharedText aText, StoreRevision aRevision);
+  void Enqueue(SharedText aText, StoreRevision aRevision,
+               std::uint64_t aVersion);
   void StartNextBuild();
   void OnBuilt(Result<std::shared_ptr<const RouteTable>> aTable);
   /// Drops waiting configurations that `storedAt` has replaced.
@@ -139,6 +159,7 @@
   /// Number of the last configuration that was pending when a peer responded.
   std::optional<std::uint64_t> respondedBehind;
   std::shared_ptr<const RouteTable> table;
+  std::deque<FormerConfiguration> former;
   /// Text of the active configuration, and the revision it was activated at,
   /// which a restore does not reset; none if a peer sent it.
   SharedText text = std::make_shared<const std::string>();
--- a/Zincstep/Edge/ConfigurationThread.cpp
+++ b/Zincstep/Edge/ConfigurationThread.cpp
@@ -19,8 +19,8 @@
              [this](Work aWork) { this->Run(std::move(aWork)); }) {}
 
 void ConfigurationThread::Start(std::shared_ptr<const std::string> aText,
-                                Done aDone) {
-  if (!this->thread.Push({std::move(aText), aDone})) {
+                                DecodedConfiguration aFormer, Done aDone) {
+  if (!this->thread.Push({std::move(aText), std::move(aFormer), aDone})) {
     asio::post(this->loop, [done = std::move(aDone)] {
       done(Fail(ErrorKind::NotReady, "too many queued builds"));
     });
@@ -32,8 +32,9 @@
   // again.
   Result<std::shared_ptr<const RouteTable>> table =
       Fail(ErrorKind::NotReady, "decoding ended by an exception");
-  RunGuarded("configurations",
-             [&] { table = BuildRouteTable(this->decoder, *aWork.text); });
+  RunGuarded("configurations", [&] {
+    table = BuildRouteTable(this->decoder, *aWork.text, aWork.former);
+  });
   asio::post(this->loop, [done = std::move(aWork.done),
                           result = std::move(table)]() mutable {
     done(std::move(result));
--- a/Zincstep/Edge/ConfigurationThread.h
+++ b/Zincstep/Edge/ConfigurationThread.h
@@ -14,11 +14,13 @@
  public:
   ConfigurationThread(asio::io_context& aLoop, const ClusterDecoder& aDecoder);
 
-  void Start(std::shared_ptr<const std::string> aText, Done aDone) override;
+  void Start(std::shared_ptr<const std::string> aText,
+             DecodedConfiguration aFormer, Done aDone) override;
 
  private:
   struct Work {
     std::shared_ptr<const std::string> text;
+    DecodedConfiguration former;
     Done done;
   };
 
--- a/Zincstep/Edge/PeerProtocol.cpp
+++ b/Zincstep/Edge/PeerProtocol.cpp
@@ -1,6 +1,5 @@
 #include "Zincstep/Edge/PeerProtocol.h"
 
-#include <limits>
 #include <sstream>
 
 #include "Zincstep/Telemetry/Telemetry.h"
@@ -23,44 +22,9 @@
 /// Intervals without a work message after which a daemon counts as stopped or
 /// partitioned.
 constexpr int kMaxMissedIntervals = 4;
-/// Validation age above which peers are queried: two validations are overdue.
-constexpr Micros kMaxOwnValidationAge = 1300ms;
-constexpr Micros kQueryInterval = 400ms;
-/// Interval between queries of a daemon that has just started and has no lists
-/// yet.
-constexpr Micros kStartQueryInterval = 100ms;
-/// Consecutive unanswered queries that a starting daemon allows its sync
-/// source, which may have started with it and has to read the lists first.
-constexpr int kMaxUnansweredAtStart = 10;
-/// Time that a starting daemon waits for the configuration from the store,
-/// which is closer than a peer of another failure domain.
-constexpr Micros kStoreConfigTimeout = 400ms;
-/// Timeout of a query for the full list of upstreams; no other peer is queried
-/// for it until then. A hundred entries take some milliseconds, and an
-/// overloaded peer says so at once.
-constexpr Micros kFullListTimeout = 200ms;
-/// Time for which a starting daemon queries only its own failure domain.
-constexpr Micros kSameDomainPeriod = 200ms;
-/// Requests no configuration, whatever its version.
-constexpr std::uint64_t kNoVersionRequested =
-    std::numeric_limits<std::uint64_t>::max();
-constexpr KnownRevisions kNothingRequested{kNotRequested, kNotRequested,
-                                           kNotRequested, kNoVersionRequested};
-/// Number of peers queried at once.
-constexpr std::size_t kParallelQueries = 2;
 /// Up to this many members, work is sent to all of them; above it, only to the
 /// same failure domain, whose daemons share most of their upstreams.
 constexpr std::size_t kMaxFullGossipMembers = 16;
-/// Interval between queries to the sync source. Together with the interval
-/// between its validations and one lost response, its reports stay below the
-/// maximum staleness.
-constexpr Micros kSyncInterval = 250ms;
-/// Query id of unsolicited messages, which are hints of a newer configuration
-/// without its text.
-constexpr std::uint64_t kUnsolicited = 0;
-/// Minimum interval between hints that are followed up: one configuration may
-/// cause several.
-constexpr Micros kHintInterval = 100ms;
 /// Maximum backoff before a peer is reconnected: half the age at which a
 /// validation through it would be missed.
 constexpr Micros kMaxReconnectBackoff = 800ms;
@@ -69,8 +33,6 @@
 /// messages that are not parsed yet: requests need many times that.
 constexpr double kSendBufferShare = 0.05;
 constexpr double kReceiveBufferShare = 0.05;
-/// Timeout of a pending query.
-constexpr Micros kQueryTimeout = 5s;
 
 /// Returns the seeds' hosts with the port at which daemons listen for each
 /// other.
@@ -177,14 +139,6 @@
   this->nextSyncQuery = {};
 }
 
-PeerFrame PeerProtocol::Hint() const {
-  ClusterResponse hint;
-  hint.era = this->Era();
-  hint.queryId = kUnsolicited;
-  hint.update = this->view.UpdateFor(kNothingRequested);
-  return this->Encode(std::move(hint));
-}
-
 void PeerProtocol::OnGossip(const std::string& aSender,
                             const WorkGossip& aGossip) {
   this->work.Apply(aSender, aGossip, this->clock.Now());
@@ -235,33 +189,6 @@
   });
 }
 
-void PeerProtocol::OnResponse(const ClusterResponse& aResponse) {
-  const auto found = this->pendingQueries.find(aResponse.queryId);
-  if (found == this->pendingQueries.end()) {
-    return;
-  }
-  const PendingQuery pending = found->second;
-  this->pendingQueries.erase(found);
-  if (aResponse.era < this->Era()) {
-    return;  // The next query informs it of the era.
-  }
-  this->members.OnResponse(pending.address, aResponse.update.listsAge);
-  if (pending.requestsMembers) {
-    this->OnMembersNamed(aResponse.members);
-    return;
-  }
-  ClusterUpdate update = aResponse.update;
-  if (!pending.requestsUpstreams) {
-    update.listsAge.reset();
-  }
-  this->CompareVersions(pending.address, update);
-  const bool hadNoMembers = this->members.All().empty();
-  this->view.OnUpdate(update, pending.sentAt);
-  if (hadNoMembers && !this->members.All().empty() && this->IsStarting()) {
-    this->QueryPeers(this->clock.Now());
-  }
-}
-
 void PeerProtocol::OnMembersNamed(std::vector<PeerName> aNames) {
   const bool hadSyncSource = this->members.HasSyncSource();
   for (PeerName& peer : aNames) {
@@ -278,34 +205,6 @@
   this->QuerySyncSources(this->clock.Now());
 }
 
-void PeerProtocol::CompareVersions(const std::string& aAddress,
-                                   const ClusterUpdate& aUpdate) {
-  const std::uint64_t own = this->view.ConfigVersion();
-  const bool lacksText =
-      aUpdate.configVersion > own && aUpdate.configText.empty();
-  if (lacksText) {
-    this->Query(aAddress, this->clock.Now(), QueryScope::Configuration);
-    return;
-  }
-  if (aUpdate.configVersion != 0 && aUpdate.configVersion < own) {
-    // The peer follows a store that has lost the version active here.
-    this->SendFrame(aAddress, PeerMessageKind::Response, this->Hint());
-  }
-  this->view.OnPeersResponded();
-}
-
-void PeerProtocol::OnHint(const std::string& aAddress,
-                          const ClusterUpdate& aUpdate) {
-  const Instant now = this->clock.Now();
-  const bool isNewer =
-      aUpdate.configRevision > this->view.ConfigStoreRevision() ||
-      aUpdate.configVersion > this->view.ConfigVersion();
-  if (isNewer && now >= this->nextHintAt) {
-    this->nextHintAt = now + kHintInterval;
-    this->Query(aAddress, now, QueryScope::Configuration);
-  }
-}
-
 void PeerProtocol::OnDaemonEntries(const std::string& aPlacementLeader) {
   this->placementLeader = aPlacementLeader;
   this->registrar.OnEntries(this->view.Daemons().Items());
@@ -333,38 +232,7 @@
   if (now >= this->nextSyncQuery) {
     this->QuerySyncSources(now);
   }
-  if (now < this->nextQuery) {
-    return;
-  }
-  const auto isOld = [](std::optional<Micros> aAge) {
-    return !aAge || *aAge > kMaxOwnValidationAge;
-  };
-  if (this->IsStarting() && !this->members.HasSyncSource()) {
-    this->nextQuery = now + kStartQueryInterval;
-    this->QuerySeeds(now);
-  } else if (isOld(this->view.ValidationAge()) ||
-             isOld(this->view.ListsAge())) {
-    this->nextQuery = now + kQueryInterval;
-    this->QueryPeers(now);
-  }
-}
-
-void PeerProtocol::QuerySyncSources(Instant aNow) {
-  const bool isStarting = this->IsStarting();
-  this->nextSyncQuery =
-      aNow + (isStarting ? kStartQueryInterval : kSyncInterval);
-  const int maxUnanswered =
-      isStarting ? kMaxUnansweredAtStart : PeerMembers::kMaxUnanswered;
-  for (const std::string& address :
-       this->members.NextSyncSources(maxUnanswered)) {
-    this->Query(address, aNow);
-  }
-}
-
-void PeerProtocol::QuerySeeds(Instant aNow) {
-  for (const std::string& address : this->seeds) {
-    this->Query(address, aNow, QueryScope::Members);
-  }
+  this->QueryIfOutdated(now);
 }
 
 void PeerProtocol::ReportDemand(Instant aNow) {
@@ -462,75 +330,6 @@
   }
 }
 
-void PeerProtocol::Query(const std::string& aAddress, Instant aNow,
-                         QueryScope aScope) {
-  std::erase_if(this->pendingQueries, [aNow](const auto& aPending) {
-    return aNow - aPending.second.sentAt > kQueryTimeout;
-  });
-  const std::uint64_t number = ++this->lastQueryId;
-  PendingQuery& pending = this->pendingQueries[number] = {aAddress, aNow};
-  KnownRevisions known = this->view.Revisions();
-  if (aScope == QueryScope::Members) {
-    pending.requestsMembers = true;
-    known = kNothingRequested;
-  }
-  if (known.config.IsNone() && aScope == QueryScope::Changes &&
-      aNow - this->startedAt < kStoreConfigTimeout) {
-    known.config = kNotRequested;
-  }
-  if (known.upstreams.IsNone()) {
-    pending.requestsUpstreams = this->CanQueryFullList(aAddress, aNow);
-    known.upstreams =
-        pending.requestsUpstreams ? StoreRevision{} : kNotRequested;
-    if (pending.requestsUpstreams) {
-      this->fullListQuery = number;
-    }
-  }
-  ClusterQuery query;
-  query.era = this->Era();
-  query.queryId = number;
-  query.known = known;
-  query.failureDomain = this->settings.failureDomain;
-  query.linkMbps = this->settings.linkMbps;
-  query.needsEntry = this->registrar.NeedsEntry();
-  query.requestsMembers = pending.requestsMembers;
-  this->Send(aAddress, std::move(query));
-}
-
-bool PeerProtocol::CanQueryFullList(const std::string& aAddress,
-                                    Instant aNow) const {
-  const auto fullList = this->pendingQueries.find(this->fullListQuery);
-  if (fullList != this->pendingQueries.end() &&
-      aNow - fullList->second.sentAt < kFullListTimeout) {
-    return false;
-  }
-  const std::vector<std::string> sameDomain =
-      this->members.DomainPeerAddresses();
-  return sameDomain.empty() || !this->QueriesSameDomainOnly(aNow) ||
-         std::find(sameDomain.begin(), sameDomain.end(), aAddress) !=
-             sameDomain.end();
-}
-
-bool PeerProtocol::QueriesSameDomainOnly(Instant aNow) const {
-  // Once this time has passed, members of the own domain may all have just
-  // started too, and any peer is queried.
-  return this->IsStarting() && aNow - this->startedAt < kSameDomainPeriod;
-}
-
-void PeerProtocol::QueryPeers(Instant aNow) {
-  std::vector<std::string> known = this->QueriesSameDomainOnly(aNow)
-                                       ? this->members.DomainPeerAddresses()
-                                       : std::vector<std::string>{};
-  if (known.empty()) {
-    known = this->KnownAddresses();
-  }
-  for (std::size_t i = 0; i < kParallelQueries && !known.empty(); ++i) {
-    const std::size_t pick = this->random.Below(known.size());
-    this->Query(known[pick], aNow);
-    known.erase(known.begin() + static_cast<std::ptrdiff_t>(pick));
-  }
-}
-
 PeerFrame PeerProtocol::Encode(EdgePeerBody aBody) const {
   return WriteEdgePeerMessage(
       {this->settings.name, this->settings.peerListen, std::move(aBody)});
--- a/Zincstep/Edge/PeerProtocol.h
+++ b/Zincstep/Edge/PeerProtocol.h
@@ -70,6 +70,10 @@
   /// Writes this daemon's entries again and discards pending queries, after the
   /// store was restored from a backup.
   void OnRestored();
+  /// Sets what is called with each daemon's report of its work.
+  void SetOnPeerReach(WorkExchange::OnPeerReach aOnReach) {
+    this->work.SetOnPeerReach(std::move(aOnReach));
+  }
   /// Sets what work messages say of demand by priority; none if never called.
   void SetCapacityGossip(CapacityGossip& aCapacity) {
     this->capacity = &aCapacity;
@@ -101,6 +105,10 @@
   bool IsAlone() const { return this->seeds.empty(); }
 
  private:
+  /// Query id of unsolicited messages, which are hints of a newer configuration
+  /// without its text.
+  static constexpr std::uint64_t kUnsolicited = 0;
+
   /// What a query requests: all changes; changes including the configuration,
   /// which a starting daemon otherwise leaves to the store; or the names of
   /// other daemons.
@@ -146,6 +154,8 @@
   std::size_t DomainPeers() const;
   /// Interval between messages with this daemon's work.
   Micros GossipInterval() const;
+  /// Queries peers if this daemon starts or its state is outdated.
+  void QueryIfOutdated(Instant aNow);
   void QueryPeers(Instant aNow);
   /// Queries the seeds for the names of other daemons.
   void QuerySeeds(Instant aNow);
--- a/Zincstep/Edge/WorkExchange.cpp
+++ b/Zincstep/Edge/WorkExchange.cpp
@@ -84,6 +84,7 @@
     return;
   }
   std::vector<PeerShare> shares;
+  std::map<std::string, std::size_t> unreachable;
   shares.reserve(aGossip.works.size() + aGossip.firstStages.size());
   for (const UpstreamWork& report : aGossip.works) {
     const UpstreamPtr upstream = this->directory.FindNumber(report.upstream);
@@ -96,6 +97,9 @@
     if (report.slowdown > 1 && upstream->Slowdown(aNow) <= 1) {
       upstream->SetSlowdown(report.slowdown, aNow, Provenance::Reported);
     }
+    if (report.isSuspect && TakesRequests(*upstream)) {
+      unreachable[upstream->Entry().service] += 1;
+    }
     if (report.isSuspect && !upstream->IsSuspect(aNow)) {
       this->onSuspicion(upstream);
     }
@@ -115,6 +119,9 @@
     }
   }
   this->work.Update(aSender, std::move(shares), aNow);
+  if (this->onReach) {
+    this->onReach(aSender, unreachable);
+  }
 }
 
 }  // namespace zincstep
--- a/Zincstep/Edge/WorkExchange.h
+++ b/Zincstep/Edge/WorkExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -14,10 +15,19 @@
   /// Called with an upstream that a peer suspects and this daemon does not.
   using OnPeerSuspicion = std::function<void(const UpstreamPtr&)>;
 
+  /// Called with the name of a daemon and how many upstreams that take requests
+  /// directly it suspects, by service.
+  using OnPeerReach = std::function<void(
+      const std::string&, const std::map<std::string, std::size_t>&)>;
+
   WorkExchange(const UpstreamDirectory& aDirectory,
                OnPeerSuspicion aOnSuspicion)
       : directory(aDirectory), onSuspicion(std::move(aOnSuspicion)) {}
 
+  void SetOnPeerReach(OnPeerReach aOnReach) {
+    this->onReach = std::move(aOnReach);
+  }
+
   /// This daemon's work.
   struct Outgoing {
     WorkGossip gossip;
@@ -44,6 +54,8 @@
 
   const UpstreamDirectory& directory;
   OnPeerSuspicion onSuspicion;
+  /// None if never set.
+  OnPeerReach onReach;
   PeerWork work;
   bool hasSentWork = false;
 };
--- a/Zincstep/Routes/RouteConfiguration.h
+++ b/Zincstep/Routes/RouteConfiguration.h
@@ -23,6 +23,8 @@
 struct RouteTarget {
   std::string service;
   double weight = 1;
+
+  bool operator==(const RouteTarget&) const = default;
 };
 
 /// Targets and limits of the requests below a path of a host.
@@ -47,6 +49,8 @@
   /// Maximum runs on upstreams per attempt of the caller.
   int maxAttempts = 1;
   std::vector<RouteTarget> targets;
+
+  bool operator==(const Route&) const = default;
 };
 
 /// An accelerator kind among the upstreams of a split model.
@@ -58,6 +62,8 @@
   double stepFactor = 1;
   /// Factor on the time of prompt processing.
   double readFactor = 1;
+
+  bool operator==(const PoolKind&) const = default;
 };
 
 /// A model that is split by layers over the upstreams of a service.
@@ -82,6 +88,8 @@
 
   /// Returns the kind named `aName`, or null.
   const PoolKind* FindKind(std::string_view aName) const;
+
+  bool operator==(const ModelShape&) const = default;
 };
 
 /// A service behind routes.
@@ -92,6 +100,8 @@
   int maxConnections = 0;
   /// Set if its upstreams hold layers of a split model.
   std::optional<ModelShape> model;
+
+  bool operator==(const RoutedService&) const = default;
 };
 
 /// An organisation, identified by its API keys.
@@ -100,6 +110,8 @@
   /// Overrides the priority of the route, if set.
   std::optional<int> priority;
   std::vector<std::string> keys;
+
+  bool operator==(const RoutedOrganisation&) const = default;
 };
 
 /// The complete configuration of routes by the operator.
@@ -110,6 +122,8 @@
   std::vector<RoutedService> services;
   std::vector<RoutedOrganisation> organisations;
   CallerLimits limits;
+
+  bool operator==(const RouteConfiguration&) const = default;
 };
 
 }  // namespace zincstep
--- a/Zincstep/Routes/RouteTable.cpp
+++ b/Zincstep/Routes/RouteTable.cpp
@@ -1,6 +1,7 @@
 #include "Zincstep/Routes/RouteTable.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace zincstep {
 
@@ -15,8 +16,10 @@
 
 RouteTable::RouteTable(RouteConfiguration aConfiguration)
     : configuration(std::move(aConfiguration)) {
+  const std::hash<std::string> hash;
   for (const Route& route : this->configuration.routes) {
     this->byHost[route.host].push_back(&route);
+    this->admissionHash += hash(route.host + ' ' + route.pathPrefix);
   }
   for (auto& [host, routes] : this->byHost) {
     std::stable_sort(routes.begin(), routes.end(),
@@ -29,6 +32,7 @@
        this->configuration.organisations) {
     for (const std::string& key : organisation.keys) {
       this->byKey.emplace(key, &organisation);
+      this->admissionHash += hash(key);
     }
   }
   for (const RoutedService& service : this->configuration.services) {
--- a/Zincstep/Routes/RouteTable.h
+++ b/Zincstep/Routes/RouteTable.h
@@ -33,9 +33,13 @@
   const RouteConfiguration& Configuration() const {
     return this->configuration;
   }
+  /// Hash of the keys and of the routes' hosts and paths, whatever their order:
+  /// a table with another one may admit other requests.
+  std::uint64_t AdmissionHash() const { return this->admissionHash; }
 
  private:
   RouteConfiguration configuration;
+  std::uint64_t admissionHash = 0;
   /// Routes of a host, longest prefix first.
   std::unordered_map<std::string_view, std::vector<const Route*>> byHost;
   std::unordered_map<std::string_view, const RoutedOrganisation*> byKey;
