--- a/UnitTests/ChainChooserTest.cpp
+++ b/UnitTests/ChainChooserTest.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(Repair_NoReplacement_ReturnsNone);
   CPPUNIT_TEST(Repair_LeavingMember_IsReplaced);
   CPPUNIT_TEST(Repair_LeavingMemberWithoutReplacement_ReturnsNone);
+  CPPUNIT_TEST(Repair_ReplacementInOtherDomain_IsUsedInItsScope);
   CPPUNIT_TEST(Repair_MemberAtFault_IsReplaced);
   CPPUNIT_TEST(Repair_ByReadTime_SpreadsInProportionToRates);
   CPPUNIT_TEST(Repair_ByReadTime_AvoidsUpstreamWithReads);
@@ -378,6 +379,29 @@
         !chooser.Repair(model, upstreams, chain, {}, 900, now, random));
   }
 
+  // Guards against streams that stay silent until their callers leave, although
+  // another domain holds the lost layers.
+  void Repair_ReplacementInOtherDomain_IsUsedInItsScope() {
+    this->Add("first", "a", "h100", {0, 30});
+    this->Add("lost", "a", "h100", {30, 50});
+    this->Add("last", "a", "h100", {50, 80});
+    this->Add("remote", "b", "h100", {30, 50});
+    PoolChain chain{{upstreams[0], {0, 30}},
+                    {upstreams[1], {30, 50}},
+                    {upstreams[2], {50, 80}}};
+    upstreams[1]->Suspect(now);
+    CPPUNIT_ASSERT(
+        !chooser.Repair(model, upstreams, chain, {}, 900, now, random));
+    const auto repaired =
+        chooser.Repair(model, upstreams, chain, {}, 900, now, random,
+                       RepairCost::FreeMemory, RepairScope::AllDomains);
+    CPPUNIT_ASSERT(repaired.has_value());
+    this->AssertCovers(*repaired);
+    CPPUNIT_ASSERT(repaired->at(0).upstream == upstreams[0]);
+    CPPUNIT_ASSERT(repaired->at(1).upstream == upstreams[3]);
+    CPPUNIT_ASSERT(repaired->at(2).upstream == upstreams[2]);
+  }
+
   void Repair_MemberAtFault_IsReplaced() {
     this->Add("first", "a", "h100", {0, 40});
     this->Add("blamed", "a", "h100", {40, 80});
--- a/UnitTests/EdgeSettingsTest.cpp
+++ b/UnitTests/EdgeSettingsTest.cpp
@@ -3,7 +3,7 @@
 #include <cstdlib>
 #include <vector>
 
-#include "Zincstep/Edge/EdgeSettings.h"
+#include "Zincstep/Edge/EdgeComponents.h"
 
 namespace zincstep {
 namespace {
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(MaxSyncStaleness_DefaultNotice_LeavesTimeToQueryStore);
   CPPUNIT_TEST(MaxSyncStaleness_ShortNotice_LeavesTimeForResponse);
   CPPUNIT_TEST(Read_LoadFeatures_AreAutoUnlessTurnedOff);
+  CPPUNIT_TEST(LimitsOfForwarded_CallersLimitsShrink_KeepTheirSizes);
   CPPUNIT_TEST_SUITE_END();
 
   EdgeSettings settings;
@@ -68,6 +69,23 @@
     settings.drainNotice = 500ms;
     CPPUNIT_ASSERT(MaxSyncStaleness(settings) >= 1s);
   }
+
+  // Guards against a request that one daemon accepted by a former version and
+  // another one refuses as too large.
+  void LimitsOfForwarded_CallersLimitsShrink_KeepTheirSizes() {
+    const CallerLimits wide{16 << 10, 4 << 20, 3s, 15s};
+    const CallerLimits narrow{8 << 10, 1 << 20, 1s, 2s};
+    const CallerLimits first = LimitsOfForwarded(wide, {0, 0, 0s, 0s});
+    CPPUNIT_ASSERT(first.maxHeaderBytes > wide.maxHeaderBytes);
+    CPPUNIT_ASSERT_EQUAL(wide.maxBodyBytes, first.maxBodyBytes);
+    const CallerLimits second = LimitsOfForwarded(narrow, first);
+    CPPUNIT_ASSERT_EQUAL(first.maxHeaderBytes, second.maxHeaderBytes);
+    CPPUNIT_ASSERT_EQUAL(wide.maxBodyBytes, second.maxBodyBytes);
+    CPPUNIT_ASSERT(narrow.headerTimeout == second.headerTimeout);
+    CPPUNIT_ASSERT(narrow.idleTimeout == second.idleTimeout);
+    const CallerLimits third = LimitsOfForwarded(wide, second);
+    CPPUNIT_ASSERT_EQUAL(first.maxHeaderBytes, third.maxHeaderBytes);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EdgeSettingsTest);
--- a/UnitTests/ForwardChooserTest.cpp
+++ b/UnitTests/ForwardChooserTest.cpp
@@ -18,6 +18,11 @@
   CPPUNIT_TEST(Choice_PeerRefusesAgain_WaitsLonger);
   CPPUNIT_TEST(Choice_PeerDown_LeavesItOutForAllServices);
   CPPUNIT_TEST(Choice_PeerReplaced_ForgetsItsFailures);
+  CPPUNIT_TEST(Choice_PeerCutOff_IsLast);
+  CPPUNIT_TEST(Choice_PeerCutOffFromOneService_ServesAnother);
+  CPPUNIT_TEST(Choice_OwnDomainCutOff_UsesOther);
+  CPPUNIT_TEST(Reach_AllCutOff_IsNone);
+  CPPUNIT_TEST(Reach_ReportOutdatedOrReplaced_IsUnknown);
   CPPUNIT_TEST(Choice_AllTried_IsNone);
   CPPUNIT_TEST(Choice_ManyRequests_SpreadsByThoseInFlight);
   CPPUNIT_TEST(Choice_AllButOneOf87Refuse_FindsTheOne);
@@ -111,6 +116,54 @@
     CPPUNIT_ASSERT(this->Drawn() == Names({"a1"}));
   }
 
+  // It may still reach some upstreams.
+  void Choice_PeerCutOff_IsLast() {
+    chooser.SetPeers({Peer("a1", "a"), Peer("a2", "a")});
+    chooser.OnReach("a1", {{"s", 2}});
+    CPPUNIT_ASSERT(this->Drawn() == Names({"a2"}));
+    chooser.OnRefused("a2", "s");
+    CPPUNIT_ASSERT(this->Drawn() == Names({"a1"}));
+  }
+
+  void Choice_PeerCutOffFromOneService_ServesAnother() {
+    chooser.SetPeers({Peer("a1", "a"), Peer("a2", "a")});
+    chooser.OnReach("a1", {{"s", 2}});
+    CPPUNIT_ASSERT(this->Drawn("other") == Names({"a1", "a2"}));
+  }
+
+  // The path of the whole domain may be lost.
+  void Choice_OwnDomainCutOff_UsesOther() {
+    chooser.SetPeers({Peer("a1", "a"), Peer("a2", "a"), Peer("b1", "b")});
+    chooser.OnReach("a1", {{"s", 2}});
+    chooser.OnReach("a2", {{"s", 2}});
+    CPPUNIT_ASSERT(this->Drawn() == Names({"b1"}));
+    CPPUNIT_ASSERT(chooser.HasReaching("s", 2));
+  }
+
+  void Reach_AllCutOff_IsNone() {
+    chooser.SetPeers({Peer("a1", "a"), Peer("a2", "a")});
+    CPPUNIT_ASSERT(chooser.HasReaching("s", 2));
+    chooser.OnReach("a1", {{"s", 2}});
+    chooser.OnReach("a2", {{"s", 2}});
+    CPPUNIT_ASSERT(!chooser.HasReaching("s", 2));
+    CPPUNIT_ASSERT(chooser.HasReaching("other", 2));
+    // This daemon reaches fewer upstreams than they do.
+    CPPUNIT_ASSERT(chooser.HasReaching("s", 3));
+    CPPUNIT_ASSERT(this->Drawn() == Names({"a1", "a2"}));
+  }
+
+  void Reach_ReportOutdatedOrReplaced_IsUnknown() {
+    chooser.SetPeers({Peer("a1", "a")});
+    chooser.OnReach("a1", {{"s", 2}});
+    clock.Advance(999ms);
+    CPPUNIT_ASSERT(!chooser.HasReaching("s", 2));
+    clock.Advance(1ms);
+    CPPUNIT_ASSERT(chooser.HasReaching("s", 2));
+    chooser.OnReach("a1", {{"s", 2}});
+    chooser.OnReach("a1", {});
+    CPPUNIT_ASSERT(chooser.HasReaching("s", 2));
+  }
+
   void Choice_AllTried_IsNone() {
     chooser.SetPeers({Peer("a1", "a"), Peer("b1", "b")});
     CPPUNIT_ASSERT(chooser.Choose("s", {"a1"})->name == "b1");
--- a/UnitTests/ForwardedRequestTest.cpp
+++ b/UnitTests/ForwardedRequestTest.cpp
@@ -10,7 +10,12 @@
 constexpr int kOk = 200;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
+constexpr int kUnauthenticated = 401;
+constexpr int kRequestTimeout = 408;
+constexpr int kTooLarge = 413;
 constexpr const char* kRuns = "zincstep-runs";
+constexpr const char* kAdmittedVersion = "zincstep-admitted-version";
+constexpr const char* kRefusingVersion = "zincstep-refusing-version";
 
 HttpHeaders OwnHeaders(const CallerMessage& aMessage) {
   return {{"X-Attempt-Id",
@@ -42,6 +47,16 @@
   CPPUNIT_TEST(Stream_UpstreamLostMidway_ContinuesAtPeerAfterLastEvent);
   CPPUNIT_TEST(Stream_PeerLostMidway_ContinuesAtAnother);
   CPPUNIT_TEST(Stream_PeerFallsSilent_ContinuesAtAnother);
+  CPPUNIT_TEST(Stream_PeersNoLongerAdmitIt_EndsAtOnce);
+  CPPUNIT_TEST(Stream_OnlyPeerNoLongerAdmitsIt_EndsAtOnce);
+  CPPUNIT_TEST(Stream_PeersRefuseItsSize_EndsAtOnce);
+  CPPUNIT_TEST(Stream_OnePeerNoLongerAdmitsIt_ContinuesAtAnother);
+  CPPUNIT_TEST(Stream_PeersHaveOlderVersion_WaitsForTheirs);
+  CPPUNIT_TEST(Request_PeersNoLongerAdmitIt_IsRefusedAsByThem);
+  CPPUNIT_TEST(Request_PeersRefuseItsSize_IsRefusedAsByThem);
+  CPPUNIT_TEST(Request_PeersAreSlowToRead_IsSentToAnother);
+  CPPUNIT_TEST(Request_PeerDoesNotAdmitAnother_IsServedThere);
+  CPPUNIT_TEST(Caller_StatesWhatDaemonsState_IsNotPassedOn);
   CPPUNIT_TEST(Caller_DisconnectsDuringForward_EndsItAtPeer);
   CPPUNIT_TEST_SUITE_END();
 
@@ -79,6 +94,55 @@
     });
   }
 
+  /// Adds a daemon whose configuration of that version lacks the key.
+  ScriptedUpstream& AddPeerWithoutKey(int aVersion) {
+    return this->AddPeer([aVersion](const auto& aTo, const auto& aMessage) {
+      HttpHeaders headers = OwnHeaders(aMessage);
+      headers.push_back({kRefusingVersion, std::to_string(aVersion)});
+      aTo->Answer(kUnauthenticated, headers, "unauthenticated");
+    });
+  }
+
+  /// Adds a daemon that refuses before it has read the request.
+  ScriptedUpstream& AddUnreadingPeer(int aStatus) {
+    return this->AddPeer([aStatus](const auto& aTo, const auto& aMessage) {
+      aTo->Answer(aStatus, OwnHeaders(aMessage), "not read");
+    });
+  }
+
+  /// Adds an upstream that is lost in the middle of its first stream.
+  void AddLost() {
+    this->AddUpstream("model", [this](const auto& aTo, const auto& aMessage) {
+      if (aMessage.head.target == "/report") {
+        aTo->Abort();
+        return;
+      }
+      aTo->BeginChunks(kOk, SealedHeaders(aMessage));
+      aTo->AppendChunk("id: 1\ndata: a\n\n");
+      asio::post(loop, [this] { upstreams[0]->Close(); });
+    });
+  }
+
+  /// Adds a daemon that continues streams.
+  void AddContinuingPeer() {
+    this->AddPeer([](const auto& aTo, const auto& aMessage) {
+      aTo->BeginChunks(kOk, SealedHeaders(aMessage));
+      aTo->AppendChunk("id: 2\ndata: b\n\n");
+      aTo->EndChunks();
+    });
+  }
+
+  /// Sends a stream that is handed over, and expects that it is truncated long
+  /// before its deadline.
+  void CheckStreamEndsAtOnce() {
+    this->AddLost();
+    const Instant begin = clock.Now();
+    const auto answer = this->Ask(this->Attempt("/llm/x"));
+    CPPUNIT_ASSERT(!answer.has_value());
+    CPPUNIT_ASSERT(clock.Now() - begin < 4s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->SeenByPeers());
+  }
+
   std::size_t SeenByPeers() const {
     std::size_t seen = 0;
     for (const auto& peer : peers) {
@@ -372,6 +436,123 @@
     this->CheckInterruptedStream();
   }
 
+  // Guards against streams that wait until their deadline while each daemon
+  // refuses them for good.
+  void Stream_PeersNoLongerAdmitIt_EndsAtOnce() {
+    for (int i = 0; i < 4; ++i) {
+      this->AddPeerWithoutKey(2);
+    }
+    this->CheckStreamEndsAtOnce();
+  }
+
+  void Stream_OnlyPeerNoLongerAdmitsIt_EndsAtOnce() {
+    this->AddPeerWithoutKey(2);
+    this->CheckStreamEndsAtOnce();
+  }
+
+  void Stream_PeersRefuseItsSize_EndsAtOnce() {
+    this->AddUnreadingPeer(kTooLarge);
+    this->AddUnreadingPeer(kTooLarge);
+    this->CheckStreamEndsAtOnce();
+  }
+
+  // A daemon that has just started lacks the version by which the request was
+  // admitted.
+  void Stream_OnePeerNoLongerAdmitsIt_ContinuesAtAnother() {
+    this->AddPeerWithoutKey(2);
+    this->AddContinuingPeer();
+    this->AddLost();
+    const auto answer = this->Ask(this->Attempt("/llm/x"));
+    CPPUNIT_ASSERT(answer.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+                         answer->body);
+  }
+
+  // Guards against streams with a new key that end as the other daemons do not
+  // know it yet.
+  void Stream_PeersHaveOlderVersion_WaitsForTheirs() {
+    this->AddPeerWithoutKey(0);
+    this->AddPeerWithoutKey(0);
+    this->AddLost();
+    asio::steady_timer arrival(loop, 1s);
+    arrival.async_wait([this](const auto&) { this->AddContinuingPeer(); });
+    const auto answer = this->Ask(this->Attempt("/llm/x"));
+    CPPUNIT_ASSERT(answer.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+                         answer->body);
+  }
+
+  // Guards against callers that are asked to retry what no daemon admits.
+  void Request_PeersNoLongerAdmitIt_IsRefusedAsByThem() {
+    this->ListUnreachable("plain");
+    for (int i = 0; i < 4; ++i) {
+      this->AddPeerWithoutKey(2);
+    }
+    const auto answer = this->Ask(this->Request("/unsafe/x"));
+    CPPUNIT_ASSERT_EQUAL(kUnauthenticated, answer->status);
+    CPPUNIT_ASSERT_EQUAL(std::string("unauthenticated"), answer->body);
+    CPPUNIT_ASSERT(FindHeader(answer->headers, "Retry-After").empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->SeenByPeers());
+  }
+
+  void Request_PeersRefuseItsSize_IsRefusedAsByThem() {
+    this->ListUnreachable("plain");
+    for (int i = 0; i < 4; ++i) {
+      this->AddUnreadingPeer(kTooLarge);
+    }
+    CPPUNIT_ASSERT_EQUAL(kTooLarge,
+                         this->Ask(this->Request("/unsafe/x"))->status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->SeenByPeers());
+  }
+
+  // Guards against daemons whose loops are held and that count as daemons
+  // without room: the request was refused after two of them.
+  void Request_PeersAreSlowToRead_IsSentToAnother() {
+    this->ListUnreachable("plain");
+    for (int i = 0; i < 4; ++i) {
+      this->AddUnreadingPeer(kRequestTimeout);
+    }
+    this->AddServingPeer();
+    CPPUNIT_ASSERT_EQUAL(kOk, this->Ask(this->Request("/unsafe/x"))->status);
+  }
+
+  // Guards against daemons that get no requests of a service for a while as
+  // they refused the key of one.
+  void Request_PeerDoesNotAdmitAnother_IsServedThere() {
+    this->ListUnreachable("plain");
+    const auto asked = std::make_shared<int>(0);
+    this->AddPeer([asked](const auto& aTo, const auto& aMessage) {
+      *asked += 1;
+      if (*asked > 1) {
+        AnswerWhole(aTo, aMessage, SealedHeaders(aMessage));
+        return;
+      }
+      HttpHeaders headers = OwnHeaders(aMessage);
+      headers.push_back({kRefusingVersion, "2"});
+      aTo->Answer(kUnauthenticated, headers, "unauthenticated");
+    });
+    CPPUNIT_ASSERT_EQUAL(kUnauthenticated,
+                         this->Ask(this->Request("/unsafe/x"))->status);
+    CPPUNIT_ASSERT_EQUAL(kOk, this->Ask(this->Request("/unsafe/x"))->status);
+  }
+
+  void Caller_StatesWhatDaemonsState_IsNotPassedOn() {
+    this->ListUnreachable("plain");
+    const ScriptedUpstream& peer = this->AddServingPeer();
+    std::string request = this->Request("/unsafe/x");
+    request.insert(request.find("\r\n") + 2, std::string(kRuns) + ": 7\r\n" +
+                                                 kAdmittedVersion + ": 7\r\n");
+    this->Ask(request);
+    std::vector<std::string> stated;
+    for (const HttpHeader& header : peer.seen.at(0).headers) {
+      if (SameHeaderName(header.name, kRuns) ||
+          SameHeaderName(header.name, kAdmittedVersion)) {
+        stated.push_back(header.value);
+      }
+    }
+    CPPUNIT_ASSERT(stated == (std::vector<std::string>{"0", "1"}));
+  }
+
   void Caller_DisconnectsDuringForward_EndsItAtPeer() {
     this->ListUnreachable("model");
     ScriptedUpstream& peer =
--- a/UnitTests/PlacementPlannerTest.cpp
+++ b/UnitTests/PlacementPlannerTest.cpp
@@ -45,6 +45,8 @@
   CPPUNIT_TEST(Plan_AnyUpstreamLost_CoversAllLayers);
   CPPUNIT_TEST(Plan_UpstreamLost_OrdersFewMoves);
   CPPUNIT_TEST(Plan_GapBesideBusyUpstream_ChangesLessBusyOne);
+  CPPUNIT_TEST(Plan_GapBesideIdleNeighbour_RetainsRunningRequests);
+  CPPUNIT_TEST(Plan_GapBesideBusySecondHolder_ChangesLessBusyOne);
   CPPUNIT_TEST(Plan_AllUpstreamsBusy_StillClosesGap);
   CPPUNIT_TEST(Plan_OrdersInProgress_OrdersNothing);
   CPPUNIT_TEST(Plan_FewUpstreams_ReservesLessMemory);
@@ -179,6 +181,66 @@
     }
   }
 
+  /// A domain of leaving upstreams, whose layers 28 to 36 are lost.
+  static std::vector<PlacedUpstream> DomainWithGap() {
+    return {
+        {"a1", "a", "a100s", {0, 17}, true}, {"l1", "a", "l4", {0, 10}, true},
+        {"t1", "a", "t4", {10, 16}, true},   {"t2", "a", "t4", {16, 22}, true},
+        {"l2", "a", "l4", {17, 28}, true},   {"t3", "a", "t4", {22, 28}, true},
+        {"l3", "a", "l4", {36, 45}, true},   {"l4", "a", "l4", {45, 54}, true},
+        {"l5", "a", "l4", {54, 63}, true},   {"l6", "a", "l4", {63, 72}, true},
+        {"l7", "a", "l4", {72, 80}, true}};
+  }
+
+  /// Orders for `aDemand` tokens, of which `aTokens` run through each upstream
+  /// but `aLessBusy`, which has a twentieth of them.
+  std::vector<PlacementOrder> OrdersBesideRequests(
+      std::vector<PlacedUpstream>& aUpstreams, double aDemand, double aTokens,
+      const std::string& aLessBusy) {
+    for (PlacedUpstream& one : aUpstreams) {
+      one.runningTokens = one.id == aLessBusy ? aTokens / 20 : aTokens;
+    }
+    return planner.Plan(model, {aUpstreams, ObservedDemand{aDemand, 0}, {}});
+  }
+
+  // Guards against a gap of one layer that is closed by moving the upstream
+  // with the most running requests, although a neighbour only has to grow. The
+  // range of each upstream was chosen without the cost of the change.
+  void Plan_GapBesideIdleNeighbour_RetainsRunningRequests() {
+    for (const double demand : {15'000, 30'000, 60'000}) {
+      auto upstreams = DomainWithGap();
+      upstreams.push_back({"t4", "a", "t4", {28, 35}, false});
+      upstreams.push_back({"a2", "a", "a100s", {36, 69}, true});
+      const auto before = upstreams;
+      const auto orders =
+          this->OrdersBesideRequests(upstreams, demand, 25'000, "");
+      CPPUNIT_ASSERT(!orders.empty());
+      for (const PlacementOrder& order : orders) {
+        for (const PlacedUpstream& one : before) {
+          CPPUNIT_ASSERT(one.id != order.id || order.layers.Covers(one.layers));
+        }
+      }
+      ApplyOrders(upstreams, orders);
+      CPPUNIT_ASSERT_EQUAL(0, Uncovered(upstreams, "a", model.layers));
+    }
+  }
+
+  // Guards against orders that abort the streams of the upstream that runs the
+  // most of them while one that runs few can hold the lost layers as well.
+  void Plan_GapBesideBusySecondHolder_ChangesLessBusyOne() {
+    for (const std::string lessBusy : {"l1", "l2"}) {
+      for (const double demand : {15'000, 30'000, 60'000}) {
+        auto upstreams = DomainWithGap();
+        const auto orders =
+            this->OrdersBesideRequests(upstreams, demand, 25'000, lessBusy);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+        CPPUNIT_ASSERT_EQUAL(lessBusy, orders.front().id);
+        ApplyOrders(upstreams, orders);
+        CPPUNIT_ASSERT_EQUAL(0, Uncovered(upstreams, "a", model.layers));
+      }
+    }
+  }
+
   // Guards against layers that stay unheld since every change interrupts
   // requests: then no request is served in the domain at all.
   void Plan_AllUpstreamsBusy_StillClosesGap() {
--- a/UnitTests/ReachMonitorTest.cpp
+++ b/UnitTests/ReachMonitorTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(Monitor_SuspicionsExpire_StaysCutOff);
   CPPUNIT_TEST(Monitor_OneResponds_IsReachable);
   CPPUNIT_TEST(Monitor_OneServiceCutOff_OtherIsReachable);
+  CPPUNIT_TEST(Peer_SuspectsHalf_IsCutOff);
   CPPUNIT_TEST_SUITE_END();
 
   FakeClock clock;
@@ -103,6 +104,16 @@
     CPPUNIT_ASSERT(!monitor.IsCutOff("plain"));
   }
 
+  void Peer_SuspectsHalf_IsCutOff() {
+    for (const char* id : {"p1", "p2", "p3"}) {
+      this->AddPlain(id);
+    }
+    this->Tick();
+    CPPUNIT_ASSERT(monitor.CutOffFrom({{"plain", 1}}).empty());
+    CPPUNIT_ASSERT(monitor.CutOffFrom({{"plain", 2}, {"unknown", 2}}) ==
+                   (std::map<std::string, std::size_t>{{"plain", 2}}));
+  }
+
   void Monitor_OneServiceCutOff_OtherIsReachable() {
     this->AddPlain("p1")->Suspect(clock.Now());
     this->Add("first", "model", {0, 2}, Availability::Ready);
--- a/UnitTests/SilentUpstreamTest.cpp
+++ b/UnitTests/SilentUpstreamTest.cpp
@@ -18,8 +18,11 @@
   CPPUNIT_TEST(FirstUpstream_SilentWithoutAttempt_StreamIsWhole);
   CPPUNIT_TEST(FirstUpstream_SilentBesideOtherChain_GetsNewRun);
   CPPUNIT_TEST(LaterMember_SilentWithoutOtherChain_StreamIsWhole);
+  CPPUNIT_TEST(FirstUpstream_SilentAndPeersCutOff_StreamIsWhole);
+  CPPUNIT_TEST(FirstUpstream_SilentBesideReachingPeer_IsHandedOver);
   CPPUNIT_TEST(RunLost_NoChainForSeconds_IsResumed);
   CPPUNIT_TEST(RunLost_UpstreamEnded_SilentRunIsNotKept);
+  CPPUNIT_TEST(RunLost_UpstreamEndedWithoutChain_TakesNoRetry);
   CPPUNIT_TEST(SilentRun_DaemonExits_Ends);
   CPPUNIT_TEST(SilentRun_DeadlineReached_Ends);
   CPPUNIT_TEST(WaitingStream_DaemonExits_Ends);
@@ -31,6 +34,7 @@
   /// While set, upstreams respond to nothing, like a stopped process.
   bool isSilent = false;
   int runs = 0;
+  std::vector<ForwardPeer> peers;
   /// Streams that arrived during the silence.
   std::vector<std::pair<ConnectionPtr, CallerMessage>> held;
   std::vector<std::shared_ptr<asio::steady_timer>> timers;
@@ -127,6 +131,27 @@
     });
   }
 
+  /// Adds another daemon, which resumes streams or has no path to upstreams.
+  ScriptedUpstream& AddPeer(bool aReaches) {
+    upstreams.push_back(std::make_unique<ScriptedUpstream>(
+        loop, clock,
+        [this, aReaches](const ConnectionPtr& aTo,
+                         const CallerMessage& aMessage) {
+          if (!aReaches) {
+            aTo->Answer(503, SealedHeaders(aMessage), "");
+            return;
+          }
+          this->Complete(aTo, aMessage);
+        }));
+    const std::string name = "peer" + std::to_string(peers.size());
+    peers.push_back({name, upstreams.back()->Address(), ""});
+    forwards.SetPeers(peers);
+    if (!aReaches) {
+      forwards.OnReach(name, {{"model", 1}});
+    }
+    return *upstreams.back();
+  }
+
   /// Adds an upstream that ends in the middle of its first stream, which is
   /// known.
   void AddBreaking() {
@@ -240,6 +265,25 @@
     CPPUNIT_ASSERT_EQUAL(1, this->runs);
   }
 
+  // The other daemon sees the same silence: the run was cancelled for it, and
+  // the stream waited for a daemon while its upstream would have gone on.
+  void FirstUpstream_SilentAndPeersCutOff_StreamIsWhole() {
+    this->AddPausing(700ms);
+    ScriptedUpstream& peer = this->AddPeer(false);
+    this->CheckWhole(1);
+    CPPUNIT_ASSERT(peer.seen.empty());
+  }
+
+  // This daemon alone is cut off, beside one that is so too.
+  void FirstUpstream_SilentBesideReachingPeer_IsHandedOver() {
+    this->AddPausing(60s);
+    ScriptedUpstream& cutOff = this->AddPeer(false);
+    ScriptedUpstream& reaching = this->AddPeer(true);
+    this->CheckWhole(1);
+    CPPUNIT_ASSERT(cutOff.seen.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reaching.seen.size());
+  }
+
   void FirstUpstream_SilentWithoutRetry_StreamIsWhole() {
     RetryWindowSettings spent;
     spent.burst = 0.5;
@@ -313,6 +357,28 @@
     CPPUNIT_ASSERT_EQUAL(std::string(kHead) + kRest, (*answer)->body);
   }
 
+  // Guards against a retry that counts from before its run: it was acquired
+  // while there was no chain for it.
+  void RunLost_UpstreamEndedWithoutChain_TakesNoRetry() {
+    RetryWindowSettings few;
+    few.burst = 4;
+    few.perRequest = 0;
+    RetryWindow& window = retryWindows.emplace("model", few).first->second;
+    ScriptedUpstream& ended = this->AddPausing(60s);
+    this->Start();
+    this->RunUntil([&] { return isSilent; });
+    this->Listed(0)->SetEnded(clock.Now());
+    this->RunUntil([&] { return ended.disconnects > 0; });
+    this->RunFor(500ms);
+    CPPUNIT_ASSERT(!answer.has_value());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(4, window.Available(clock.Now()), 1e-6);
+    this->AddCompleting();
+    this->RunUntil([&] { return answer.has_value(); });
+    CPPUNIT_ASSERT(answer->has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string(kHead) + kRest, (*answer)->body);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(3, window.Available(clock.Now()), 1e-6);
+  }
+
   void SilentRun_DaemonExits_Ends() {
     this->AddPausing(60s);
     this->Start();
--- a/Zincstep/Edge/EdgeComponents.cpp
+++ b/Zincstep/Edge/EdgeComponents.cpp
@@ -1,5 +1,7 @@
 #include "Zincstep/Edge/EdgeComponents.h"
 
+#include <algorithm>
+
 #include "Zincstep/Edge/DaemonEntry.h"
 
 namespace zincstep {
@@ -16,6 +18,8 @@
 /// grows may hold twice its size, and is copied once it is complete.
 constexpr double kBufferedResponseShare = 0.125;
 constexpr double kBytesPerMb = 1 << 20;
+/// Bytes of header that a forwarding daemon may add to a request.
+constexpr std::size_t kForwardedHeaderBytes = 256;
 
 }  // namespace
 
@@ -89,4 +93,13 @@
   return settings;
 }
 
+CallerLimits LimitsOfForwarded(const CallerLimits& aCallers,
+                               const CallerLimits& aFormer) {
+  CallerLimits limits = aCallers;
+  limits.maxHeaderBytes = std::max(
+      limits.maxHeaderBytes + kForwardedHeaderBytes, aFormer.maxHeaderBytes);
+  limits.maxBodyBytes = std::max(limits.maxBodyBytes, aFormer.maxBodyBytes);
+  return limits;
+}
+
 }  // namespace zincstep
--- a/Zincstep/Edge/EdgeComponents.h
+++ b/Zincstep/Edge/EdgeComponents.h
@@ -22,5 +22,11 @@
 ForwardChooserSettings MakeForwardSettings(const EdgeSettings& aSettings);
 LoadStatisticsSettings MakeStatisticsSettings(const EdgeSettings& aSettings);
 StopPolicySettings MakeStopSettings(const EdgeSettings& aSettings);
+/// Returns the limits of requests that other daemons forward, for callers'
+/// limits of a new configuration and the result for the former one. Sizes never
+/// shrink: the other daemon may have accepted the request by a former version,
+/// and limits what its callers send.
+CallerLimits LimitsOfForwarded(const CallerLimits& aCallers,
+                               const CallerLimits& aFormer);
 
 }  // namespace zincstep
--- a/Zincstep/Edge/EdgeEvents.cpp
+++ b/Zincstep/Edge/EdgeEvents.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Bytes of header that a forwarding daemon may add to a request.
-constexpr std::size_t kForwardedHeaderBytes = 256;
 /// Interval between reports of a blocked request that is not in the store yet:
 /// the placement leader, which writes the list, may have missed it.
 constexpr Micros kUnlistedInterval = 1s;
@@ -190,9 +188,8 @@
 void EdgeProcess::OnConfiguration() {
   const CallerLimits& limits = this->view.Table()->Configuration().limits;
   this->callers.SetLimits(limits);
-  CallerLimits forwardedLimits = limits;
-  forwardedLimits.maxHeaderBytes += kForwardedHeaderBytes;
-  this->forwarded.SetLimits(forwardedLimits);
+  this->forwardedLimits = LimitsOfForwarded(limits, this->forwardedLimits);
+  this->forwarded.SetLimits(this->forwardedLimits);
   this->relay.ScheduleTick();
   this->peers.OnConfiguration();
 }
--- a/Zincstep/Edge/EdgeProcess.cpp
+++ b/Zincstep/Edge/EdgeProcess.cpp
@@ -90,6 +90,11 @@
   });
   this->controller.SetHasPath([this] { return this->HasPathToModels(); });
   this->peers.SetCapacityGossip(this->capacityGossip);
+  this->peers.SetOnPeerReach(
+      [this](const std::string& aDaemon,
+             const std::map<std::string, std::size_t>& aUnreachable) {
+        this->forwards.OnReach(aDaemon, this->reach.CutOffFrom(aUnreachable));
+      });
   this->crashDetector.SetUpstreams([this](const std::string& aService) {
     return this->view.Directory().OfService(aService);
   });
@@ -165,6 +170,7 @@
 
 void EdgeProcess::OnFastTick() {
   const Micros interval = this->tickInterval;
+  this->BeginStopIfSignalled();
   this->ScheduleFastTick();
   this->DetectSuspension(interval);
   // A stop ends the process even if the requests' work fails each time.
--- a/Zincstep/Edge/EdgeProcess.h
+++ b/Zincstep/Edge/EdgeProcess.h
@@ -121,6 +121,7 @@
       this->signals.add(signal);
     }
     this->signalTime.emplace();
+    this->relay.SetOnArrival([this] { this->BeginStopIfSignalled(); });
     this->view.SetConfigurationBuilder(this->configurations);
     this->WaitForSignal();
   }
@@ -179,6 +180,13 @@
   void OnSurveyReport(const UpstreamPtr& aUpstream,
                       const Result<UpstreamReport>& aReport);
   void WaitForSignal();
+  /// Begins a stop whose signal has arrived although the loop has not handled
+  /// it yet: what became ready while the loop was held may run before.
+  void BeginStopIfSignalled() {
+    if (!this->stop.IsStopping() && this->signalTime->ArrivedAt()) {
+      this->OnStopRequested();
+    }
+  }
   void OnStopRequested();
   /// Accepts no more connections, and ends the loop once the open ones expect
   /// no request.
@@ -249,6 +257,7 @@
   CallerListener callers;
   /// Requests that other daemons forward.
   CallerListener forwarded;
+  CallerLimits forwardedLimits{0, 0, Micros{0}, Micros{0}};
   CallerListener admins;
   PlanThread plans;
   PlacementController controller;
--- a/Zincstep/Pool/ChainChooser.cpp
+++ b/Zincstep/Pool/ChainChooser.cpp
@@ -164,14 +164,15 @@
   }
 }
 
-std::optional<PoolChain> ChainChooser::FindInDomain(
-    const std::vector<UpstreamPtr>& aUpstreams, const std::string& aDomain,
+std::optional<PoolChain> ChainChooser::FindChain(
+    const std::vector<UpstreamPtr>& aUpstreams, const std::string* aDomain,
     LayerRange aRange) {
   this->domainItems.clear();
   this->domainUpstreams.clear();
   for (std::size_t i = 0; i < aUpstreams.size(); ++i) {
-    if (this->items[i].usable &&
-        aUpstreams[i]->Entry().failureDomain == aDomain) {
+    const bool isInScope =
+        aDomain == nullptr || aUpstreams[i]->Entry().failureDomain == *aDomain;
+    if (this->items[i].usable && isInScope) {
       this->domainItems.push_back(this->items[i]);
       this->domainUpstreams.push_back(i);
     }
@@ -202,8 +203,8 @@
   }
   for (const RankedDomain& domain : this->RankDomains(
            aModel, aUpstreams, aOwnDomain, aTiming, aNow, aRandom)) {
-    auto chain = this->FindInDomain(aUpstreams, domain.name,
-                                    LayerRange{0, aModel.layers});
+    auto chain =
+        this->FindChain(aUpstreams, &domain.name, LayerRange{0, aModel.layers});
     if (chain) {
       this->lastReason = domain.reason;
       return chain;
@@ -284,7 +285,7 @@
                         *aUpstreams[i], aTokens, aNow, aRandom);
     }
   }
-  return this->FindInDomain(aUpstreams, aDomain, LayerRange{0, aModel.layers});
+  return this->FindChain(aUpstreams, &aDomain, LayerRange{0, aModel.layers});
 }
 
 void ChainChooser::AddCallers(const ModelShape& aModel,
@@ -316,7 +317,8 @@
 std::optional<PoolChain> ChainChooser::Repair(
     const ModelShape& aModel, const std::vector<UpstreamPtr>& aUpstreams,
     const PoolChain& aChain, const std::vector<UpstreamPtr>& aAtFault,
-    double aTokens, Instant aNow, Random& aRandom, RepairCost aCost) {
+    double aTokens, Instant aNow, Random& aRandom, RepairCost aCost,
+    RepairScope aScope) {
   const PoolHop& first = aChain.front();
   this->Prepare(
       aModel, aUpstreams, aTokens, aNow,
@@ -350,8 +352,11 @@
   const LayerRange remainingLayers{first.layers.last, aModel.layers};
   PoolChain chain{first};
   if (remainingLayers.Size() > 0) {
-    auto found = this->FindInDomain(
-        aUpstreams, first.upstream->Entry().failureDomain, remainingLayers);
+    const bool isInFirstDomain = aScope == RepairScope::FirstDomain;
+    auto found = this->FindChain(
+        aUpstreams,
+        isInFirstDomain ? &first.upstream->Entry().failureDomain : nullptr,
+        remainingLayers);
     if (!found) {
       return std::nullopt;
     }
--- a/Zincstep/Pool/ChainChooser.h
+++ b/Zincstep/Pool/ChainChooser.h
@@ -83,6 +83,13 @@
   ReadTime,
 };
 
+/// Where the new members of a repaired chain may be.
+enum class RepairScope {
+  /// In the failure domain of the chain's first member.
+  FirstDomain,
+  AllDomains,
+};
+
 /// Selects the chain of upstreams for a request.
 ///
 /// A shortest path over layer boundaries (`LayeredSearch`). An upstream's cost
@@ -92,7 +99,8 @@
 /// delayed view thus spread over the upstreams, where the cheapest one alone
 /// would be overloaded between two reports. A chain stays inside one failure
 /// domain, since the activations of a prompt saturate the link between two of
-/// them; it need not be the domain of the caller.
+/// them; it need not be the domain of the caller. Only a repair may cross
+/// domains, with `RepairScope::AllDomains`.
 class ChainChooser {
  public:
   explicit ChainChooser(ChainChooserSettings aSettings)
@@ -114,16 +122,16 @@
   DomainReason LastReason() const { return this->lastReason; }
 
   /// Returns a chain that keeps the first hop of `aChain` and all other members
-  /// that remain and are not among `aAtFault`; none if the upstreams of its
-  /// domain cannot cover the remaining layers. A member that is leaving is
+  /// that remain and are not among `aAtFault`; none if the upstreams in
+  /// `aScope` cannot cover the remaining layers. A member that is leaving is
   /// replaced even if it runs the request already, since upstreams reject a
   /// chain that names it.
-  std::optional<PoolChain> Repair(const ModelShape& aModel,
-                                  const std::vector<UpstreamPtr>& aUpstreams,
-                                  const PoolChain& aChain,
-                                  const std::vector<UpstreamPtr>& aAtFault,
-                                  double aTokens, Instant aNow, Random& aRandom,
-                                  RepairCost aCost = RepairCost::FreeMemory);
+  std::optional<PoolChain> Repair(
+      const ModelShape& aModel, const std::vector<UpstreamPtr>& aUpstreams,
+      const PoolChain& aChain, const std::vector<UpstreamPtr>& aAtFault,
+      double aTokens, Instant aNow, Random& aRandom,
+      RepairCost aCost = RepairCost::FreeMemory,
+      RepairScope aScope = RepairScope::FirstDomain);
 
   /// Returns a chain inside `aDomain` whose members are drawn by the expected
   /// time until they have read `aTokens` tokens; for streams that run anew
@@ -171,10 +179,10 @@
                   const std::vector<UpstreamPtr>& aUpstreams,
                   std::vector<DomainState>& aDomains) const;
   /// Returns the cheapest chain inside `aDomain` from the prepared items, or
-  /// none.
-  std::optional<PoolChain> FindInDomain(
-      const std::vector<UpstreamPtr>& aUpstreams, const std::string& aDomain,
-      LayerRange aRange);
+  /// none; null: through all domains.
+  std::optional<PoolChain> FindChain(const std::vector<UpstreamPtr>& aUpstreams,
+                                     const std::string* aDomain,
+                                     LayerRange aRange);
 
   ChainChooserSettings settings;
   DomainChoice domainChoice;
--- a/Zincstep/Pool/DomainPlan.h
+++ b/Zincstep/Pool/DomainPlan.h
@@ -95,8 +95,8 @@
   /// Assigns each empty upstream the range with the best score.
   void PlaceEmpty();
 
-  /// Returns the change that closes most of a gap; among equal ones, the
-  /// cheapest.
+  /// Returns the change that closes most of a gap; among equal ones, the one
+  /// with the best score less its cost.
   Move BestMoveFor(LayerRange aGap);
 
   /// Moves or extends upstreams to cover layers without a holder.
@@ -105,7 +105,8 @@
   /// Cost of changing an upstream, as a share of the demand served over
   /// `paybackSeconds`: until the change is complete the upstream only has the
   /// layers that it retains.
-  double CostOf(std::size_t aIndex, LayerRange aLayers);
+  double CostOf(std::size_t aIndex, LayerRange aLayers,
+                ReleaseMode aReleaseMode);
 
   /// Share of the domain's running requests that pass an upstream.
   double RunningShare(std::size_t aIndex);
@@ -127,7 +128,9 @@
   void ConsiderRanges(Move& aBest, std::size_t aIndex,
                       const std::vector<int>& aEdges, bool aOnlyGrows);
 
-  void Consider(Move& aBest, std::size_t aIndex, LayerRange aRange);
+  /// Replaces `aBest` if the change scores higher less its cost.
+  void Consider(Move& aBest, std::size_t aIndex, LayerRange aRange,
+                ReleaseMode aReleaseMode);
 
   /// Considers moving the boundary between an upstream and the next one: the
   /// growing one is ordered first; shrinking the other pays off afterwards.
--- a/Zincstep/Relay/Exchange.cpp
+++ b/Zincstep/Relay/Exchange.cpp
@@ -55,7 +55,22 @@
                                      this->Now());
 }
 
+void Exchange::RecordWait() {
+  const Instant now = this->Now();
+  if (this->isDone ||
+      this->Silence(now) < this->context.settings.eventTimeout) {
+    return;
+  }
+  this->waitAtEnd = this->WaitState();
+  this->context.metrics.Count(
+      "zincstep_silent_stream_ends_total",
+      {{"cause", std::string(NameIn(kWaitCauseNames, this->waitAtEnd->cause))},
+       {"search", std::string(NameIn(kSearchOutcomeNames,
+                                     this->waitAtEnd->searches.last))}});
+}
+
 void Exchange::OnCallerDisconnected() {
+  this->RecordWait();
   this->CancelCall();
   this->Finish("caller_gone", "the caller disconnected");
 }
@@ -91,7 +106,9 @@
       this->context.dialect.LocalResponseHeaders(this->request.info.id);
   if (answer.outcome == Outcome::NotRun) {
     const Micros after = this->ComputeRetryAfter(aKind);
-    headers.push_back(RetryAfterHeader(after));
+    if (answer.retryAfter > Micros{0}) {
+      headers.push_back(RetryAfterHeader(after));
+    }
     this->OnNotRunRefusal(aKind, after);
   }
   if (aKind == ErrorKind::DeadlineDuringRun) {
@@ -148,6 +165,13 @@
   const std::string domain =
       this->upstream ? this->upstream->Entry().failureDomain : "";
   const auto sinceStop = this->context.stopPolicy.SinceSignal(this->Now());
+  const std::optional<StreamWait>& wait = this->waitAtEnd;
+  const std::string cause(wait ? NameIn(kWaitCauseNames, wait->cause) : "");
+  const std::string search(
+      wait ? NameIn(kSearchOutcomeNames, wait->searches.last) : "");
+  const Micros silence = this->Silence(this->Now());
+  const auto foundAt = wait ? wait->searches.foundAt : std::nullopt;
+  const Micros sinceFound = foundAt ? this->Now() - *foundAt : Micros{0};
   LogInfo("request_ended",
           {{"request", this->request.info.id},
            {"route", this->request.route->name},
@@ -163,7 +187,10 @@
            {"first_event_ms", this->firstEventDelay / 1ms},
            {"expected_first_event_ms", this->expectedFirstEvent / 1ms},
            {"longest_pause_ms", this->maxEventGap / 1ms},
-           {"silent_ms", this->Silence(this->Now()) / 1ms},
+           {"silent_ms", silence / 1ms},
+           {"wait_cause", cause},
+           {"last_search", search},
+           {"chain_found_ms", foundAt ? (silence - sinceFound) / 1ms : -1},
            {"since_stop_ms", sinceStop ? *sinceStop / 1ms : -1},
            {"taken_ms", taken / 1ms}});
 }
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -6,6 +6,7 @@
 #include "Zincstep/Net/SingleCall.h"
 #include "Zincstep/Relay/EventSplitter.h"
 #include "Zincstep/Relay/RelayContext.h"
+#include "Zincstep/Relay/StreamWait.h"
 
 namespace zincstep {
 
@@ -96,6 +97,8 @@
   virtual Micros Silence(Instant) const { return Micros{0}; }
   /// Tokens of a stream that has begun and waits for a chain; 0 for others.
   virtual double TokensAwaitingChain() const { return 0; }
+  /// Returns what a stream that has begun waits for.
+  virtual StreamWait WaitState() const { return {}; }
   /// Returns the upstream whose report this exchange needs, or null.
   virtual UpstreamPtr UpstreamToQuery(Instant) { return nullptr; }
 
@@ -135,6 +138,10 @@
   bool EndInsteadOfRun();
   /// Whether the caller has received the head of the response.
   virtual bool HasSentHead() const { return false; }
+  /// Records what a stream that has begun and is silent waits for, as it is
+  /// about to end before its response is complete. To be called before the call
+  /// is cancelled.
+  void RecordWait();
   /// Cancels the current call, if any.
   void CancelCall();
   /// Called once when the exchange ends.
@@ -175,6 +182,9 @@
   bool IsBlocked();
   /// Marks an upstream as suspect, as it did not respond.
   void Suspect(LiveUpstream& aUpstream);
+  /// Whether a stream that has been without progress since `aSince` looks for a
+  /// chain or a daemon now; if so, schedules the next search.
+  bool MaySearch(Instant aSince, Instant aNow);
   /// Acquires a retry if the send count and the retry window permit it;
   /// `aReserved` is the share of the burst that this retry may not use.
   bool TryAcquireRetry(double aReserved);
@@ -251,13 +261,19 @@
   /// last send before that event; 0: not known.
   Micros expectedFirstEvent{0};
   LoadStatistics::Entry counted;
+  /// Why the last retry since the last event was denied: `Retry` or `Attempt`.
+  std::optional<WaitCause> retryDenial;
 
  private:
+  /// What the stream waited for at its end; none: it was not silent.
+  std::optional<StreamWait> waitAtEnd;
   bool isDone = false;
   /// Computed on first use, as it costs some microseconds.
   std::optional<CrashCandidates> candidates;
   /// A denied retry is logged once per request.
   bool isRetryDenialLogged = false;
+  /// Earliest time of the next search by `MaySearch`.
+  Instant nextSearch{};
 };
 
 }  // namespace zincstep
--- a/Zincstep/Relay/ExchangeHandOver.cpp
+++ b/Zincstep/Relay/ExchangeHandOver.cpp
@@ -35,9 +35,15 @@
                           (!this->mayHaveRun || this->MayRunAgain()) &&
                           this->Now() < this->request.deadline &&
                           this->MayBeginRun();
-  return mayForward && this->IsCutOff() && !this->IsBlocked() &&
-         this->context.forwards.Choose(this->request.service->name, {})
-             .has_value();
+  if (!mayForward || !this->IsCutOff() || this->IsBlocked()) {
+    return false;
+  }
+  // An open run is cancelled for it. Where other daemons reach no more of the
+  // upstreams, these are silent themselves, and the run may go on.
+  const std::string& service = this->request.service->name;
+  return this->call ? this->context.forwards.HasReaching(
+                          service, this->Reach().unreachable)
+                    : this->context.forwards.Choose(service, {}).has_value();
 }
 
 bool Exchange::TryHandOver() {
--- a/Zincstep/Relay/ExchangeRuns.cpp
+++ b/Zincstep/Relay/ExchangeRuns.cpp
@@ -5,6 +5,14 @@
 
 namespace zincstep {
 
+namespace {
+
+/// Time for which a stream looks for a chain or a daemon in each tick; later
+/// once per repair interval, as each search reads all upstreams or daemons.
+constexpr Micros kFrequentSearchTime = 2s;
+
+}  // namespace
+
 void Exchange::Send(const UpstreamPtr& aUpstream, const PoolChain* aChain,
                     std::optional<std::uint64_t> aLastEventId) {
   this->upstream = aUpstream;
@@ -77,6 +85,14 @@
   }
 }
 
+bool Exchange::MaySearch(Instant aSince, Instant aNow) {
+  if (aNow - aSince >= kFrequentSearchTime && aNow < this->nextSearch) {
+    return false;
+  }
+  this->nextSearch = aNow + this->context.settings.repairInterval;
+  return true;
+}
+
 bool Exchange::TryAcquireResend() {
   return this->sends < this->context.settings.maxSends &&
          this->Now() < this->request.deadline && this->MayBeginRun() &&
@@ -85,11 +101,14 @@
 
 bool Exchange::TryAcquireRetry(double aReserved) {
   if (!this->TryAcquireResend()) {
+    this->retryDenial = WaitCause::Attempt;
     return false;
   }
   const Instant now = this->Now();
   RetryWindow& retries = this->context.RetriesOf(this->request.service->name);
   const bool isAccepted = retries.TryAcquireRetry(now, aReserved);
+  this->retryDenial =
+      isAccepted ? std::nullopt : std::optional(WaitCause::Retry);
   if (isAccepted) {
     this->context.metrics.Count("zincstep_retries_total",
                                 {{"service", this->request.service->name}});
--- a/Zincstep/Relay/ForwardChooser.cpp
+++ b/Zincstep/Relay/ForwardChooser.cpp
@@ -1,6 +1,7 @@
 #include "Zincstep/Relay/ForwardChooser.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace zincstep {
 
@@ -29,8 +30,9 @@
   this->peers = std::move(updated);
 }
 
-std::optional<ForwardPeer> ForwardChooser::Choose(
-    const std::string& aService, const std::vector<std::string>& aTried) {
+std::vector<const ForwardChooser::State*> ForwardChooser::Candidates(
+    const std::string& aService, const std::vector<std::string>& aTried,
+    std::size_t aUnreachable) const {
   const Instant now = this->clock.Now();
   std::vector<const State*> usable;
   std::vector<const State*> ownDomain;
@@ -40,7 +42,9 @@
     ownDomainSize += isOwn ? 1 : 0;
     const bool wasTried =
         std::find(aTried.begin(), aTried.end(), name) != aTried.end();
-    if (wasTried || !this->IsUsable(state, aService, now)) {
+    const std::size_t unreachable = this->Unreachable(state, aService, now);
+    const bool isLeftOut = unreachable > 0 && unreachable >= aUnreachable;
+    if (wasTried || isLeftOut || !this->IsUsable(state, aService, now)) {
       continue;
     }
     usable.push_back(&state);
@@ -50,8 +54,21 @@
   }
   // The few that are left of a domain can't carry the requests of all others.
   const bool staysInDomain = 2 * ownDomain.size() >= ownDomainSize;
-  const auto& candidates =
-      !ownDomain.empty() && staysInDomain ? ownDomain : usable;
+  return !ownDomain.empty() && staysInDomain ? ownDomain : usable;
+}
+
+bool ForwardChooser::HasReaching(const std::string& aService,
+                                 std::size_t aUnreachable) const {
+  return !this->Candidates(aService, {}, aUnreachable).empty();
+}
+
+std::optional<ForwardPeer> ForwardChooser::Choose(
+    const std::string& aService, const std::vector<std::string>& aTried) {
+  std::vector<const State*> candidates = this->Candidates(aService, aTried, 0);
+  if (candidates.empty()) {
+    candidates = this->Candidates(aService, aTried,
+                                  std::numeric_limits<std::size_t>::max());
+  }
   if (candidates.empty()) {
     return std::nullopt;
   }
@@ -60,6 +77,15 @@
   return one.active <= other.active ? one.peer : other.peer;
 }
 
+std::size_t ForwardChooser::Unreachable(const State& aState,
+                                        const std::string& aService,
+                                        Instant aNow) const {
+  const auto found = aState.cutOffFrom.find(aService);
+  const bool isKnown = found != aState.cutOffFrom.end() &&
+                       aNow - aState.reportedAt < this->settings.maxReachAge;
+  return isKnown ? found->second : 0;
+}
+
 bool ForwardChooser::IsUsable(const State& aState, const std::string& aService,
                               Instant aNow) const {
   const auto refusals = aState.refusals.find(aService);
@@ -73,6 +99,15 @@
   return found == this->peers.end() ? nullptr : &found->second;
 }
 
+void ForwardChooser::OnReach(
+    const std::string& aPeer,
+    const std::map<std::string, std::size_t>& aCutOffFrom) {
+  if (State* state = this->Find(aPeer)) {
+    state->cutOffFrom = aCutOffFrom;
+    state->reportedAt = this->clock.Now();
+  }
+}
+
 void ForwardChooser::OnStarted(const std::string& aPeer) {
   if (State* state = this->Find(aPeer)) {
     state->active += 1;
--- a/Zincstep/Relay/ForwardChooser.h
+++ b/Zincstep/Relay/ForwardChooser.h
@@ -28,13 +28,18 @@
   /// The same for a daemon that does not respond.
   Micros minFailureBackoff = 1s;
   Micros maxFailureBackoff = 8s;
+  /// Maximum age of a daemon's report that it is cut off: daemons repeat it
+  /// every 400 ms, and a lost message must not hide the end.
+  Micros maxReachAge = 1s;
 };
 
 /// Chooses the daemons that requests are forwarded to.
 ///
-/// Knows of other daemons only how they handled forwarded requests: a daemon
-/// that can't serve one refuses at once, so that asking is as fast as being
-/// told, and never outdated.
+/// Knows of other daemons how they handled forwarded requests: a daemon that
+/// can't serve one refuses at once. A silent run has to be cancelled before
+/// another daemon is asked, so that it also knows which daemons report that
+/// they do not reach the upstreams either. Only daemons that send their work to
+/// this one report that; the reach of others counts as unknown.
 class ForwardChooser {
  public:
   ForwardChooser(ForwardChooserSettings aSettings, const Clock& aClock,
@@ -45,9 +50,18 @@
   void SetPeers(const std::vector<ForwardPeer>& aPeers);
   /// Returns a daemon for a request to `aService` that is not in `aTried`, or
   /// none. Prefers the own failure domain unless most of its daemons can't
-  /// serve; of two random ones the one with fewer requests from here.
+  /// serve; of two random ones the one with fewer requests from here. One that
+  /// is cut off from the service is only returned if all are: it may reach some
+  /// upstreams.
   std::optional<ForwardPeer> Choose(const std::string& aService,
                                     const std::vector<std::string>& aTried);
+  /// Whether a daemon is not known to be cut off from the service, or reaches
+  /// more of its upstreams than this one, which doesn't reach `aUnreachable`.
+  bool HasReaching(const std::string& aService, std::size_t aUnreachable) const;
+  /// Records the services that a daemon reports to be cut off from, and how
+  /// many of their upstreams it doesn't reach. Replaces its previous report.
+  void OnReach(const std::string& aPeer,
+               const std::map<std::string, std::size_t>& aCutOffFrom);
   /// Records that a request was sent to a daemon, and that it has ended there.
   void OnStarted(const std::string& aPeer);
   void OnEnded(const std::string& aPeer);
@@ -72,8 +86,21 @@
     Instant retryAt{};
     /// By service.
     std::map<std::string, Refusals> refusals;
+    /// Upstreams that it doesn't reach of each service that it reported to be
+    /// cut off from, and when.
+    std::map<std::string, std::size_t> cutOffFrom;
+    Instant reportedAt{};
   };
 
+  /// Returns the daemons that may be chosen; of those that are cut off, only
+  /// the ones that don't reach fewer than `aUnreachable` upstreams.
+  std::vector<const State*> Candidates(const std::string& aService,
+                                       const std::vector<std::string>& aTried,
+                                       std::size_t aUnreachable) const;
+  /// Returns how many upstreams a daemon that is cut off doesn't reach; 0 if it
+  /// isn't.
+  std::size_t Unreachable(const State& aState, const std::string& aService,
+                          Instant aNow) const;
   bool IsUsable(const State& aState, const std::string& aService,
                 Instant aNow) const;
   State* Find(const std::string& aPeer);
--- a/Zincstep/Relay/ForwardExchange.cpp
+++ b/Zincstep/Relay/ForwardExchange.cpp
@@ -11,9 +11,10 @@
 /// Daemons that have no room, after which the request is refused: others of
 /// their failure domain know of the same room.
 constexpr int kMaxRoomRefusals = 2;
-/// Time for which a stream looks for a daemon in each tick; later once per
-/// repair interval.
-constexpr Micros kFrequentSearchTime = 2s;
+/// Refusals to admit the request, after which it ends: others have the same
+/// configuration or will have it soon. One alone may come from a daemon that
+/// started after the configuration by which the request was admitted.
+constexpr int kMaxAdmissionRefusals = 2;
 
 }  // namespace
 
@@ -62,18 +63,27 @@
   this->sentAt = this->lastProgress = this->Now();
   this->context.statistics.OnSent(this->counted, aPeer.failureDomain,
                                   this->sentAt);
+  this->call = this->StartCall(aPeer, *this);
+}
+
+std::shared_ptr<SingleCall> ForwardExchange::StartCall(
+    const ForwardPeer& aPeer, SingleCallListener& aListener) {
   this->context.metrics.Count("zincstep_forwards_total");
   this->context.forwards.OnStarted(aPeer.name);
   const auto endpoint = ParseEndpoint(aPeer.address);
   ZINCSTEP_ASSERT(endpoint.has_value());
-  this->call = std::make_shared<SingleCall>(this->context.loop, *this);
-  this->call->Start(*endpoint,
-                    this->context.dialect.WriteDaemonRequest(
-                        {this->request.message,
-                         this->request.deadline - this->sentAt,
-                         this->hasEvents ? this->events.LastId() : std::nullopt,
-                         {{kRunsHeader, std::to_string(this->RunsStated())}}}),
-                    this->context.settings.connectTimeout);
+  auto started = std::make_shared<SingleCall>(this->context.loop, aListener);
+  started->Start(
+      *endpoint,
+      this->context.dialect.WriteDaemonRequest(
+          {this->request.message,
+           this->request.deadline - this->Now(),
+           this->hasEvents ? this->events.LastId() : std::nullopt,
+           {{kRunsHeader, std::to_string(this->RunsStated())},
+            {kAdmittedVersionHeader,
+             std::to_string(this->request.table->Configuration().version)}}}),
+      this->context.settings.connectTimeout);
+  return started;
 }
 
 int ForwardExchange::RunsStated() const {
@@ -96,6 +106,10 @@
 }
 
 void ForwardExchange::OnRunInterrupted(const char* aReason) {
+  if (this->candidate && !this->events.HasGap()) {
+    this->AdoptCandidate();
+    return;
+  }
   this->LeavePeer();
   this->CancelCall();
   this->mayHaveRun = true;
@@ -107,7 +121,7 @@
     return;
   }
   this->events.BeginRun();
-  if (this->TryAcquireRetry(this->ReservedRetries())) {
+  if (this->TakeRetry()) {
     this->TryPeer();
   } else if (this->headSent) {
     this->needsRetry = true;
@@ -123,41 +137,42 @@
     this->OnRunInterrupted("the other daemon is silent");
     return;
   }
-  // The silent run counts, as it may go on.
-  const bool hasAttempt = this->runs + 1 < this->request.route->maxAttempts;
-  if (!hasAttempt || !this->MaySearch(aNow)) {
+  if (this->candidate && this->IsBlocked()) {
+    this->DropCandidate();
+    return;
+  }
+  // Where bytes of the candidate wait unread, this daemon's loop was held.
+  const bool isAsking =
+      this->candidate &&
+      (aNow - this->candidate->sentAt < this->SilenceLimit() ||
+       !this->candidate->call->HasSent() ||
+       this->candidate->call->HasUnreadBytes());
+  // The silent runs count, as they may go on.
+  const int silentRuns = this->candidate ? 2 : 1;
+  const bool hasAttempt =
+      this->runs + silentRuns < this->request.route->maxAttempts;
+  if (isAsking || !hasAttempt || this->IsNoLongerAdmitted() ||
+      !this->MaySearch(this->lastForwardedAt, aNow)) {
     return;
   }
   // Those that refused earlier may have room by now.
   this->tried = {this->peer.name};
   this->roomRefusals = 0;
-  const auto chosen = this->ChoosePeer();
-  if (!chosen || !this->TryAcquireRetry(this->ReservedRetries())) {
-    return;  // The silent run may continue by itself.
+  if (this->candidate) {
+    this->tried.push_back(this->candidate->peer.name);
+    this->context.forwards.OnNoResponse(this->candidate->peer.name);
   }
-  this->LeavePeer();
-  this->CancelCall();
-  this->mayHaveRun = true;
-  this->sends += 1;
-  this->runs += 1;
-  this->pendingEvents.clear();
-  this->events.BeginRun();
-  this->SendTo(*chosen);
-}
-
-bool ForwardExchange::MaySearch(Instant aNow) {
-  if (aNow - this->lastForwardedAt >= kFrequentSearchTime &&
-      aNow < this->nextSearch) {
-    return false;
-  }
-  this->nextSearch = aNow + this->context.settings.repairInterval;
-  return true;
+  this->TryCandidate();
 }
 
 double ForwardExchange::ReservedRetries() const {
   return this->headSent ? 0 : this->context.settings.reservedForStreams;
 }
 
+bool ForwardExchange::IsNoLongerAdmitted() const {
+  return this->admissionRefusals >= kMaxAdmissionRefusals;
+}
+
 void ForwardExchange::OnNoPeer() {
   if (!this->headSent) {
     this->Fail("no daemon reaches an upstream with room");
@@ -175,6 +190,9 @@
   if (!this->MayBeginRun()) {
     return ErrorKind::Stopping;
   }
+  if (this->notAdmittedAs) {
+    return *this->notAdmittedAs;
+  }
   return this->roomRefusals > 0 ? ErrorKind::Overloaded
                                 : ErrorKind::UpstreamUnreachable;
 }
@@ -185,6 +203,7 @@
 
 void ForwardExchange::Abandon(ErrorKind aNotRun, ErrorKind aMayHaveRun,
                               const char* aReason) {
+  this->RecordWait();
   this->LeavePeer();
   this->CancelCall();
   if (this->headSent) {
@@ -200,6 +219,16 @@
   Exchange::OnCallerDisconnected();
 }
 
+StreamWait ForwardExchange::WaitState() const {
+  if (this->isReadingPaused) {
+    return {WaitCause::Caller, {}};
+  }
+  if (this->candidate || !this->retryDenial) {
+    return {this->isWaiting ? WaitCause::NoDaemon : WaitCause::Daemon, {}};
+  }
+  return {*this->retryDenial, {}};
+}
+
 Micros ForwardExchange::SilenceLimit() const {
   const Micros limit = this->context.settings.silentConnectionTimeout;
   return this->headSent
@@ -226,7 +255,7 @@
   if (this->isWaiting) {
     if (this->IsBlocked()) {
       this->Fail("the request crashes upstreams");
-    } else if (this->MaySearch(aNow)) {
+    } else if (this->MaySearch(this->lastForwardedAt, aNow)) {
       this->TryNextPeer();
     }
     return;
@@ -244,8 +273,10 @@
     return;
   }
   const bool isSilent = aNow - this->lastProgress >= this->SilenceLimit();
-  // The other daemon may be stopped or its link down.
-  if (isSilent && this->call->HasSent() && this->CanRunAgain()) {
+  // The other daemon may be stopped or its link down. Where bytes wait unread,
+  // it was this daemon's loop that was held.
+  if (isSilent && this->call->HasSent() && this->CanRunAgain() &&
+      !this->call->HasUnreadBytes()) {
     this->OnSilence(aNow);
   }
 }
--- a/Zincstep/Relay/ForwardResponse.cpp
+++ b/Zincstep/Relay/ForwardResponse.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 
 #include "Zincstep/Relay/ForwardExchange.h"
 
@@ -15,16 +16,38 @@
 constexpr int kFirstServerError = 500;
 /// Statuses by which a daemon promises that it has not run the request.
 constexpr std::array kNotRunStatuses{408, 421, 429, 503};
+/// Statuses by which a daemon refuses a request that it has not read whole. It
+/// may not know the request's id then, so that its response has none.
+constexpr std::array kUnreadStatuses{408, 413, 431};
+
+constexpr int kRequestTimeout = 408;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
+/// Reasons that hold for the daemon that refuses, and say nothing of the room
+/// at upstreams.
+constexpr std::array kPeerReasons{ErrorKind::UpstreamUnreachable,
+                                  ErrorKind::Stopping, ErrorKind::NotReady};
+/// Reasons of a daemon whose configuration lacks the key or the route.
+constexpr std::array kAdmissionReasons{ErrorKind::UnknownRoute,
+                                       ErrorKind::Unauthenticated};
+
+/// Returns the one of `aKinds` that has this name, or none.
+template <std::size_t kCount>
+std::optional<ErrorKind> KindIn(const std::array<ErrorKind, kCount>& aKinds,
+                                std::string_view aName) {
+  const auto found = std::find_if(
+      aKinds.begin(), aKinds.end(),
+      [&](ErrorKind aOne) { return ErrorInfoFor(aOne).name == aName; });
+  return found == aKinds.end() ? std::nullopt : std::optional(*found);
+}
+
+bool IsRejection(int aStatus) {
+  return aStatus >= kFirstClientError && aStatus < kFirstServerError;
+}
 
-/// Whether a daemon that refuses for this reason says nothing of the room at
-/// upstreams.
-bool IsOwnReason(std::string_view aKind) {
-  constexpr std::array kOwnReasons{
-      ErrorKind::UpstreamUnreachable, ErrorKind::Stopping, ErrorKind::NotReady,
-      ErrorKind::UnknownRoute, ErrorKind::Unauthenticated};
-  return std::any_of(
-      kOwnReasons.begin(), kOwnReasons.end(),
-      [&](ErrorKind aOne) { return ErrorInfoFor(aOne).name == aKind; });
+bool IsNotRun(int aStatus) {
+  return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), aStatus) !=
+         kNotRunStatuses.end();
 }
 
 }  // namespace
@@ -33,10 +56,19 @@
   return this->hasEvents && this->head.status == kOk;
 }
 
+bool ForwardExchange::IsRefusedUnread(const HttpHead& aHead) const {
+  const ResponseInfo info = this->context.dialect.ReadResponse(aHead);
+  return info.requestId.empty() && !info.isSealed && !info.isEncoded &&
+         std::find(kUnreadStatuses.begin(), kUnreadStatuses.end(),
+                   aHead.status) != kUnreadStatuses.end();
+}
+
 void ForwardExchange::OnResponseHead(HttpHead aHead) {
   this->responseInfo = this->context.dialect.ReadResponse(aHead);
-  this->isInvalidResponse = this->IsInvalidResponse(aHead, this->responseInfo);
   this->head = std::move(aHead);
+  this->isInvalidResponse =
+      !this->IsRefusedUnread(this->head) &&
+      this->IsInvalidResponse(this->head, this->responseInfo);
 }
 
 bool ForwardExchange::OnResponseBody(std::string_view aPart) {
@@ -56,6 +88,8 @@
   if (this->pendingEvents.empty()) {
     return;
   }
+  // The silent run goes on by itself.
+  this->DropCandidate();
   CallerConnection& connection = *this->request.connection;
   if (this->headSent) {
     const Micros gap = now - this->lastForwardedAt;
@@ -74,6 +108,7 @@
   connection.AppendChunk(this->pendingEvents);
   this->pendingEvents.clear();
   this->lastForwardedAt = now;
+  this->retryDenial.reset();
   if (connection.PendingBytes() > this->context.settings.maxPendingBytes) {
     this->isReadingPaused = true;
     this->call->SetReading(false);
@@ -100,7 +135,7 @@
             : "the response of the other daemon was truncated");
     return;
   }
-  if (this->IsRefusal()) {
+  if (this->IsRefusal(this->head)) {
     this->OnPeerRefused();
     return;
   }
@@ -130,41 +165,71 @@
   this->ForwardResponse(this->head, this->body.Text());
 }
 
-bool ForwardExchange::IsRefusal() const {
-  if (this->responseInfo.isSealed) {
-    return false;
+bool ForwardExchange::IsRefusal(const HttpHead& aHead) const {
+  return !this->context.dialect.ReadResponse(aHead).isSealed &&
+         (IsRejection(aHead.status) || IsNotRun(aHead.status));
+}
+
+ForwardExchange::RefusalCause ForwardExchange::CauseOfRefusal(
+    const HttpHead& aHead, std::string_view aKind) const {
+  if (KindIn(kPeerReasons, aKind) || aHead.status == kRequestTimeout) {
+    return RefusalCause::Peer;
+  }
+  if (KindIn(kAdmissionReasons, aKind)) {
+    const std::string stated(FindHeader(aHead.headers, kRefusingVersionHeader));
+    // Daemons of older builds state none: they may lack a key that was added.
+    const bool isOlder = std::strtoull(stated.c_str(), nullptr, 10) <
+                         this->request.table->Configuration().version;
+    return isOlder ? RefusalCause::Peer : RefusalCause::NotAdmitted;
   }
-  const int status = this->head.status;
-  // The other daemon may not know of the latest route or key yet.
-  const bool isRejection =
-      status >= kFirstClientError && status < kFirstServerError;
-  return isRejection ||
-         std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) !=
-             kNotRunStatuses.end();
+  // Such as a body above the limit of a newer configuration.
+  return IsRejection(aHead.status) && !IsNotRun(aHead.status)
+             ? RefusalCause::NotAdmitted
+             : RefusalCause::NoRoom;
 }
 
-void ForwardExchange::OnPeerRefused() {
+void ForwardExchange::OnRefusalBy(const std::string& aPeer,
+                                  const HttpHead& aHead,
+                                  const std::string& aKind) {
   this->context.metrics.Count("zincstep_forwards_refused_total");
   LogInfo("forward_refused", {{"request", this->request.info.id},
-                              {"daemon", this->peer.name},
-                              {"status", this->head.status},
-                              {"kind", this->body.Text()}});
-  this->context.forwards.OnRefused(this->peer.name,
-                                   this->request.service->name);
-  if (!IsOwnReason(this->body.Text())) {
+                              {"daemon", aPeer},
+                              {"status", aHead.status},
+                              {"kind", aKind}});
+  if (this->IsRefusedUnread(aHead)) {
+    return;  // A limit on requests says nothing of others for the service.
+  }
+  const RefusalCause cause = this->CauseOfRefusal(aHead, aKind);
+  if (cause == RefusalCause::NotAdmitted) {
+    // The daemon may serve other requests to the service.
+    this->admissionRefusals += 1;
+    const bool isTooLarge =
+        aHead.status == kBodyTooLarge || aHead.status == kHeadTooLarge;
+    this->notAdmittedAs = isTooLarge ? ErrorKind::RequestTooLarge
+                                     : KindIn(kAdmissionReasons, aKind);
+    return;
+  }
+  this->context.forwards.OnRefused(aPeer, this->request.service->name);
+  if (cause == RefusalCause::NoRoom) {
     this->roomRefusals += 1;
-    this->peerRetryAfter = this->responseInfo.notice.backoff;
+    this->peerRetryAfter =
+        this->context.dialect.ReadResponse(aHead).notice.backoff;
   }
+}
+
+void ForwardExchange::OnPeerRefused() {
+  this->OnRefusalBy(this->peer.name, this->head, this->body.Text());
   this->LeavePeer();
-  // Only then may upstreams have received the request and refused it.
-  this->needsRetry =
-      this->body.Text() == ErrorInfoFor(ErrorKind::Overloaded).name;
+  if (this->IsNoLongerAdmitted()) {
+    this->Fail("other daemons no longer admit the request");
+    return;
+  }
+  this->needsRetry = IsOfUpstreams(this->body.Text());
   this->TryNextPeer();
 }
 
 void ForwardExchange::TryNextPeer() {
-  this->needsRetry =
-      this->needsRetry && !this->TryAcquireRetry(this->ReservedRetries());
+  this->needsRetry = this->needsRetry && !this->TakeRetry();
   this->needsRetry ? this->OnNoPeer() : this->TryPeer();
 }
 
--- a/Zincstep/Relay/ReachMonitor.cpp
+++ b/Zincstep/Relay/ReachMonitor.cpp
@@ -46,6 +46,19 @@
   }
 }
 
+std::map<std::string, std::size_t> ReachMonitor::CutOffFrom(
+    const std::map<std::string, std::size_t>& aUnreachable) const {
+  std::map<std::string, std::size_t> services;
+  for (const auto& [service, unreachable] : aUnreachable) {
+    const auto found = this->listed.find(service);
+    if (found != this->listed.end() &&
+        UpstreamReach{found->second, unreachable, {}}.IsCutOff()) {
+      services[service] = unreachable;
+    }
+  }
+  return services;
+}
+
 bool ReachMonitor::HasLostPath(const std::string& aService) const {
   const auto outage = this->outages.find(aService);
   return outage != this->outages.end() &&
@@ -56,9 +69,11 @@
                         const UpstreamDirectory& aDirectory) {
   const Instant now = this->clock.Now();
   std::map<std::string, Outage> current;
+  this->listed.clear();
   for (const RoutedService& service : aTable.Configuration().services) {
     const UpstreamReach reach =
         ReachOf(aDirectory.OfService(service.name), now);
+    this->listed[service.name] = reach.listed;
     this->metrics.Set("zincstep_unreachable_upstreams",
                       static_cast<double>(reach.unreachable),
                       {{"service", service.name}});
--- a/Zincstep/Relay/ReachMonitor.h
+++ b/Zincstep/Relay/ReachMonitor.h
@@ -27,6 +27,11 @@
     return this->outages.contains(aService);
   }
 
+  /// Returns those services that a daemon is cut off from which doesn't reach
+  /// these numbers of their upstreams, with the numbers.
+  std::map<std::string, std::size_t> CutOffFrom(
+      const std::map<std::string, std::size_t>& aUnreachable) const;
+
   /// Whether it was, or a connection to one of the service's upstreams has
   /// failed since.
   bool MayBeCutOff(const std::string& aService) const {
@@ -61,6 +66,8 @@
   Metrics& metrics;
   /// By service; only those that this daemon is cut off from.
   std::map<std::string, Outage> outages;
+  /// Upstreams that take requests directly, by service, at the last tick.
+  std::map<std::string, std::size_t> listed;
   /// Upstreams in a row to which no connection was established, by service; at
   /// most `kMinFailures` each.
   std::map<std::string, std::vector<std::uint64_t>> failedConnects;
--- a/Zincstep/Relay/Relay.cpp
+++ b/Zincstep/Relay/Relay.cpp
@@ -11,12 +11,6 @@
 
 namespace {
 
-/// Maximum validation age at which an unknown route or key is refused for good.
-/// With an older one it may have just been added, so the caller is asked to
-/// retry.
-constexpr Micros kMaxRefusalValidationAge = 2s;
-/// Timeout of a request whose caller gives none.
-constexpr Micros kDefaultTimeout = 30s;
 /// Interval between two ticks above which this daemon was slow, so that the
 /// silence of streams says nothing about upstreams: twice the usual interval
 /// and a margin.
@@ -24,117 +18,6 @@
 
 }  // namespace
 
-Result<void> Relay::CheckKey(AdmittedRequest& aRequest) const {
-  const RouteTable& table = *aRequest.table;
-  const auto age = this->context.view.ValidationAge();
-  const bool isCurrent = age && *age <= kMaxRefusalValidationAge;
-  const RoutedOrganisation* organisation =
-      table.FindOrganisation(aRequest.info.apiKey);
-  if (organisation != nullptr) {
-    aRequest.organisation = organisation->name;
-    aRequest.priority = organisation->priority.value_or(aRequest.priority);
-  }
-  if (aRequest.route->isPublic || !table.HasOrganisations()) {
-    return {};
-  }
-  if (organisation == nullptr) {
-    return isCurrent || aRequest.info.apiKey.empty()
-               ? Fail(ErrorKind::Unauthenticated, "unknown key")
-               : Fail(ErrorKind::NotReady,
-                      "unknown key, configuration may be outdated");
-  }
-  const bool isFresh = age && *age <= this->context.settings.maxValidationAge;
-  if (this->context.settings.failsClosed && !isFresh) {
-    return Fail(ErrorKind::NotReady, "the key is not validated");
-  }
-  return {};
-}
-
-Result<void> Relay::CheckCrashes(const AdmittedRequest& aRequest) const {
-  const CrashTracker& crashes = this->context.crashes;
-  if (!crashes.MayBlock()) {
-    return {};
-  }
-  const auto block =
-      crashes.FindBlock(aRequest.Candidates(), this->context.clock.Now());
-  if (!block) {
-    return {};
-  }
-  return tl::unexpected(Error{
-      ErrorKind::RequestBlocked,
-      "upstreams crashed under " +
-          std::string(NameIn(kFingerprintKindNames, KindOf(block->candidate))) +
-          " " + TextOf(block->candidate),
-      block->remaining});
-}
-
-ExpectedDuration Relay::ExpectedOf(const AdmittedRequest& aRequest,
-                                   Instant aNow) const {
-  ExpectedDuration expected = LongestDurationOf(aRequest, aNow);
-  expected.usual = this->context.durations.Usual(aRequest.route->name, aNow);
-  return expected;
-}
-
-Result<AdmittedRequest> Relay::Admit(ArrivedRequest aRequest) const {
-  AdmittedRequest request;
-  request.connection = std::move(aRequest.connection);
-  request.info = this->context.dialect.ReadRequest(aRequest.message.head);
-  request.message = std::move(aRequest.message);
-  request.isForwarded = aRequest.forwardedRuns.has_value();
-  request.priorRuns = aRequest.forwardedRuns.value_or(0);
-  request.table = this->context.view.Table();
-  if (!request.table) {
-    return Fail(ErrorKind::NotReady, "no configuration received yet");
-  }
-  request.route =
-      request.table->FindRoute(request.info.host, request.message.head.target);
-  if (request.route == nullptr) {
-    const auto age = this->context.view.ValidationAge();
-    return age && *age <= kMaxRefusalValidationAge
-               ? Fail(ErrorKind::UnknownRoute, "unknown route")
-               : Fail(ErrorKind::NotReady,
-                      "unknown route, configuration may be outdated");
-  }
-  request.priority = request.route->priority;
-  const Result<void> key = this->CheckKey(request);
-  if (!key) {
-    return tl::unexpected(key.error());
-  }
-  request.service =
-      request.table->Choose(*request.route, this->context.random.Unit());
-  if (request.service == nullptr) {
-    return Fail(ErrorKind::NoCapacity,
-                "the service of the route is not declared");
-  }
-  const Result<void> crashes = this->CheckCrashes(request);
-  if (!crashes) {
-    return tl::unexpected(crashes.error());
-  }
-  const Micros timeout = request.info.timeout.value_or(kDefaultTimeout);
-  request.deadline =
-      request.message.readAt + std::min(timeout, request.route->timeout);
-  if (this->context.stopPolicy.IsStopping() && !this->AcceptsInStop(request)) {
-    return Fail(ErrorKind::Stopping,
-                "the request could not complete before the stop");
-  }
-  return request;
-}
-
-bool Relay::AcceptsInStop(const AdmittedRequest& aRequest) const {
-  const StopPolicy& stop = this->context.stopPolicy;
-  const Instant now = this->context.clock.Now();
-  const StopDecision decision =
-      stop.Decide(this->ExpectedOf(aRequest, now), now);
-  LogInfo("stop_decision", {{"request", aRequest.info.id},
-                            {"route", aRequest.route->name},
-                            {"accepted", decision.isAccepted},
-                            {"basis", NameIn(kStopBasisNames, decision.basis)},
-                            {"since_stop_ms", *stop.SinceSignal(now) / 1ms},
-                            {"left_ms", stop.TimeLeft(now) / 1ms},
-                            {"expected_ms", decision.expected / 1ms}});
-  return decision.isAccepted;
-}
-
 void Relay::OnRequest(const std::shared_ptr<CallerConnection>& aConnection,
                       CallerMessage aMessage) {
   this->OnArrived({aConnection, std::move(aMessage), std::nullopt});
@@ -145,11 +28,14 @@
     CallerMessage aMessage) {
   HttpHeaders& headers = aMessage.head.headers;
   const std::string runs(FindHeader(headers, kRunsHeader));
+  const std::string admitted(FindHeader(headers, kAdmittedVersionHeader));
   std::erase_if(headers, [](const HttpHeader& aHeader) {
-    return SameHeaderName(aHeader.name, kRunsHeader);
+    return SameHeaderName(aHeader.name, kRunsHeader) ||
+           SameHeaderName(aHeader.name, kAdmittedVersionHeader);
   });
-  this->relay.OnArrived(
-      {aConnection, std::move(aMessage), std::max(std::atoi(runs.c_str()), 0)});
+  const ForwardStatement stated{std::max(std::atoi(runs.c_str()), 0),
+                                std::strtoull(admitted.c_str(), nullptr, 10)};
+  this->relay.OnArrived({aConnection, std::move(aMessage), stated});
 }
 
 void Relay::ForwardToDaemon(const AdmittedRequest& aRequest,
@@ -183,6 +69,9 @@
 }
 
 void Relay::OnArrived(ArrivedRequest aRequest) {
+  if (this->onArrival) {
+    this->onArrival();
+  }
   if (this->MayDefer(aRequest, this->context.clock.Now())) {
     this->deferred.push_back(std::move(aRequest));
     return;
@@ -190,9 +79,10 @@
   const std::string id =
       this->context.dialect.ReadRequest(aRequest.message.head).id;
   const std::shared_ptr<CallerConnection> connection = aRequest.connection;
+  const bool isForwarded = aRequest.forward.has_value();
   auto admitted = this->Admit(std::move(aRequest));
   if (!admitted) {
-    this->RefuseUnadmitted(*connection, id, admitted.error());
+    this->RefuseUnadmitted(*connection, id, admitted.error(), isForwarded);
     return;
   }
   std::shared_ptr<Exchange> exchange;
@@ -213,7 +103,8 @@
 }
 
 void Relay::RefuseUnadmitted(CallerConnection& aConnection,
-                             const std::string& aId, const Error& aError) {
+                             const std::string& aId, const Error& aError,
+                             bool aIsForwarded) {
   const ErrorInfo& answer = ErrorInfoFor(aError.kind);
   HttpHeaders headers = this->context.dialect.LocalResponseHeaders(aId);
   const Micros after = aError.retryAfter.value_or(
@@ -221,6 +112,10 @@
   if (after > Micros{0}) {
     headers.push_back(RetryAfterHeader(after));
   }
+  if (aIsForwarded) {
+    headers.push_back({kRefusingVersionHeader,
+                       std::to_string(this->context.view.ConfigVersion())});
+  }
   const auto age = this->context.view.ValidationAge();
   LogInfo("request_refused",
           {{"request", aId},
--- a/Zincstep/Relay/Relay.h
+++ b/Zincstep/Relay/Relay.h
@@ -4,6 +4,7 @@
 /// Public header of the relay library, which forwards callers' requests to
 /// upstreams and their responses back to the callers.
 
+#include <functional>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -27,6 +28,10 @@
       this->ForwardToDaemon(aRequest, aProgress);
     };
   }
+  /// Sets what is called before each request is decided on.
+  void SetOnArrival(std::function<void()> aOnArrival) {
+    this->onArrival = std::move(aOnArrival);
+  }
   Relay(const Relay&) = delete;
   Relay& operator=(const Relay&) = delete;
 
@@ -73,29 +78,47 @@
     Relay& relay;
   };
 
+  /// What another daemon states of a request that it forwards.
+  struct ForwardStatement {
+    /// Runs that may have begun.
+    int runs = 0;
+    /// Version of the configuration that admitted it; 0: not stated.
+    std::uint64_t admittedVersion = 0;
+  };
   /// A request before its admission.
   struct ArrivedRequest {
     std::shared_ptr<CallerConnection> connection;
     CallerMessage message;
-    /// Set if another daemon forwarded it: the runs that may have begun.
-    std::optional<int> forwardedRuns;
+    /// Set if another daemon forwarded it.
+    std::optional<ForwardStatement> forward;
   };
+  using Tables = std::vector<std::shared_ptr<const RouteTable>>;
 
   void OnArrived(ArrivedRequest aRequest);
   /// What is known of the time that the request takes; for a stopping daemon.
   ExpectedDuration ExpectedOf(const AdmittedRequest& aRequest,
                               Instant aNow) const;
   Result<AdmittedRequest> Admit(ArrivedRequest aRequest) const;
+  /// Returns the configurations by which a request may be admitted, the active
+  /// one first; others only for one that a daemon admitted before a key or a
+  /// route was removed, while daemons that have not noticed may use these.
+  /// `aAdmittedVersion`: the version by which that daemon did; 0: none.
+  Tables TablesFor(std::uint64_t aAdmittedVersion) const;
+  /// Whether the active configuration is too old to refuse the request for
+  /// good.
+  bool MayBeOutdated(std::uint64_t aAdmittedVersion) const;
   /// Whether a stopping daemon accepts the request; logs the decision.
   bool AcceptsInStop(const AdmittedRequest& aRequest) const;
   /// Continues a request through another daemon in the next turn of the loop,
   /// as its former exchange is still in use.
   void ForwardToDaemon(const AdmittedRequest& aRequest,
                        const ExchangeProgress& aProgress);
-  Result<void> CheckKey(AdmittedRequest& aRequest) const;
+  Result<void> CheckKey(AdmittedRequest& aRequest, const Tables& aTables,
+                        std::uint64_t aAdmittedVersion) const;
   Result<void> CheckCrashes(const AdmittedRequest& aRequest) const;
+  /// `aIsForwarded`: another daemon forwarded the request.
   void RefuseUnadmitted(CallerConnection& aConnection, const std::string& aId,
-                        const Error& aError);
+                        const Error& aError, bool aIsForwarded);
   /// Counts the silent streams of each upstream, unless this daemon itself may
   /// be the cause.
   void CollectLossEvidence(Instant aNow);
@@ -112,6 +135,7 @@
   void ProcessDeferred();
 
   RelayContext context;
+  std::function<void()> onArrival;
   CapacityScheduler capacity;
   ForwardedHandler forwardedRequests{*this};
   /// Requests that arrived before this daemon's first configuration.
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -13,9 +13,6 @@
 /// An upstream with a smaller share of its memory reserved should have had
 /// room; its refusal is recorded.
 constexpr double kLowUsageShare = 0.35;
-/// Time for which a stream looks for a chain in each tick; later once per
-/// repair interval, as each search reads all upstreams.
-constexpr Micros kFrequentSearchTime = 2s;
 /// Time after which a block ends a stream that waits. One that rests on
 /// suspected crashes is confirmed or dropped within half a second.
 constexpr Micros kBlockConfirmTime = 1s;
@@ -121,13 +118,14 @@
 
 std::optional<PoolChain> StreamExchange::ChooseChain(
     const std::vector<UpstreamPtr>& aUpstreams, Instant aNow) {
-  if (this->IsEstimatedRerun()) {
-    return this->ChooseForRerun(aNow, "");
-  }
-  return this->context.chains.Choose(*this->request.service->model, aUpstreams,
-                                     this->context.settings.failureDomain,
-                                     this->tokens, aNow, this->context.random,
-                                     this->Timing());
+  auto chosen = this->IsEstimatedRerun()
+                    ? this->ChooseForRerun(aNow, "")
+                    : this->context.chains.Choose(
+                          *this->request.service->model, aUpstreams,
+                          this->context.settings.failureDomain, this->tokens,
+                          aNow, this->context.random, this->Timing());
+  this->searches.Record(chosen.has_value(), aNow);
+  return chosen;
 }
 
 void StreamExchange::ExpectFirstEvent(const LiveUpstream& aFirst) {
@@ -173,20 +171,13 @@
   }
 }
 
-bool StreamExchange::MaySearch(Instant aSince, Instant aNow) {
-  if (aNow - aSince >= kFrequentSearchTime && aNow < this->nextSearch) {
-    return false;
-  }
-  this->nextSearch = aNow + this->context.settings.repairInterval;
-  return true;
-}
-
 void StreamExchange::Fail(const char* aReason) {
   this->Abandon(this->NotRunKind(), ErrorKind::UpstreamFailed, aReason);
 }
 
 void StreamExchange::Abandon(ErrorKind aNotRun, ErrorKind aMayHaveRun,
                              const char* aReason) {
+  this->RecordWait();
   this->CancelCall();
   this->Release();
   if (this->headSent) {
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -29,6 +29,7 @@
   void ObserveMembers(Instant aNow) override;
   void OnReport(const UpstreamPtr& aUpstream,
                 const Result<UpstreamReport>& aReport) override;
+  StreamWait WaitState() const override;
   UpstreamPtr UpstreamToQuery(Instant aNow) override;
   double TokensAwaitingChain() const override {
     const bool awaitsChain = this->isWaiting || this->silentSince;
@@ -75,12 +76,10 @@
   }
   std::optional<PoolChain> ChooseChain(
       const std::vector<UpstreamPtr>& aUpstreams, Instant aNow);
+  WaitCause CauseOfWait() const;
   /// Estimates the first event of a request that is sent now to `aFirst`.
   void ExpectFirstEvent(const LiveUpstream& aFirst);
   void WaitForChain();
-  /// Whether a stream that has been without a usable chain since `aSince` looks
-  /// for one now; if so, schedules the next search.
-  bool MaySearch(Instant aSince, Instant aNow);
   /// Checks a stream that waits for a chain or a retry.
   void OnWaitingTick(Instant aNow);
   /// Waits for a retry; for streams that have begun.
@@ -111,9 +110,11 @@
   /// nowhere else to continue it: its upstream may only be silent. Otherwise
   /// `nextChain` may be set.
   bool KeepsSilentRun();
+  /// Gives the current run up, if there is one, and the room that it holds.
+  void LoseRun(const char* aReason);
   /// Continues the stream with a new run, or ends the exchange. If no new run
   /// is permitted or no chain is found for one, a call that is still open is
-  /// left running, unless its upstream is known to have ended.
+  /// left running, unless it can't deliver any more events.
   void Resume(const char* aReason);
   void Fail(const char* aReason);
   /// Error kind for a request that has not run; determines its Retry-After.
@@ -133,6 +134,12 @@
   /// Excludes a member from this and other repairs of this daemon for a while.
   void ExcludeFromRepairs(const UpstreamPtr& aUpstream, Instant aNow);
   bool IsLost(const PoolHop& aHop, Instant aNow) const;
+  /// Whether a member can't continue the run: it has ended, or it has left or
+  /// given up its layers, and no event has arrived for `kDepartedTimeout`.
+  bool HasDeparted(const PoolHop& aHop, Instant aNow) const;
+  /// Whether the open call of a stream that has begun waits for a member that
+  /// has departed: no more events arrive, and the run only holds memory.
+  bool IsStranded() const;
   /// Estimates the times of a reroute and of a new run, and chooses.
   RepairDecision DecideRepair(Instant aNow) const;
   /// Lost members of the chain with their work, and the usable upstreams that
@@ -160,7 +167,8 @@
   /// Returns whether a repair may start now; if so, schedules the next.
   bool TryStartRepair(Instant aNow);
   /// Returns the chain with its lost or leaving members replaced, if possible.
-  std::optional<PoolChain> RepairedChain(Instant aNow);
+  std::optional<PoolChain> RepairedChain(
+      Instant aNow, RepairScope aScope = RepairScope::FirstDomain);
   /// Migrates a running stream off members that leave or release layers.
   void MigrateChain(Instant aNow);
   void Reroute(const PoolChain& aChain);
@@ -208,6 +216,8 @@
   /// Waits for a retry, not only for a chain.
   bool needsRetry = false;
   bool isRepairing = false;
+  /// The last reroute since the last event was rejected.
+  bool isRepairRejected = false;
   bool isReadingPaused = false;
   /// The members read the tokens; cleared by the next event.
   bool isReading = false;
@@ -222,8 +232,8 @@
   std::optional<Instant> blockedSince;
   /// Since when a chain for a new run is sought beside a silent run.
   std::optional<Instant> silentSince;
-  /// Earliest time of the next search for a chain, after some time of waiting.
-  Instant nextSearch{};
+  /// Searches for a chain since the last event.
+  ChainSearches searches;
   Instant lastProgress;
   /// Time at which events were last forwarded.
   Instant lastForwardedAt;
--- a/Zincstep/Relay/StreamMembers.cpp
+++ b/Zincstep/Relay/StreamMembers.cpp
@@ -84,13 +84,16 @@
   }
 }
 
-bool StreamExchange::IsLost(const PoolHop& aHop, Instant aNow) const {
+bool StreamExchange::HasDeparted(const PoolHop& aHop, Instant aNow) const {
   const LiveUpstream& member = *aHop.upstream;
   const bool isOverdue = this->TimeSinceProgress(aNow) >= kDepartedTimeout;
-  const bool hasDeparted =
+  const bool hasLeft =
       member.IsDeregistered() || !member.Entry().layers.Covers(aHop.layers);
-  return member.HasEnded() || member.IsSuspect(aNow) ||
-         (isOverdue && hasDeparted);
+  return member.HasEnded() || (isOverdue && hasLeft);
+}
+
+bool StreamExchange::IsLost(const PoolHop& aHop, Instant aNow) const {
+  return this->HasDeparted(aHop, aNow) || aHop.upstream->IsSuspect(aNow);
 }
 
 StreamProgress StreamExchange::ProgressAt(Instant aNow) const {
--- a/Zincstep/Relay/StreamRepair.cpp
+++ b/Zincstep/Relay/StreamRepair.cpp
@@ -16,6 +16,11 @@
 /// Maximum number of members excluded before the backoff applies. Another chain
 /// is tried at once when the first upstream names the member at fault.
 constexpr std::size_t kMaxExcluded = 4;
+/// Time without events from which on a stream may be rerouted through other
+/// failure domains. It is late by then, and the traffic between domains makes
+/// others late; but callers leave after 2 s without an event, and the new
+/// members may need a second to read its tokens.
+constexpr Micros kRemoteRepairSilence = 900ms;
 
 }  // namespace
 
@@ -54,7 +59,8 @@
   return true;
 }
 
-std::optional<PoolChain> StreamExchange::RepairedChain(Instant aNow) {
+std::optional<PoolChain> StreamExchange::RepairedChain(Instant aNow,
+                                                       RepairScope aScope) {
   std::vector<UpstreamPtr> atFault = this->excluded;
   if (this->EstimatesRepairs()) {
     for (const PoolHop& hop : this->chain) {
@@ -68,7 +74,8 @@
       *this->request.service->model,
       this->context.view.Directory().OfService(this->request.service->name),
       this->chain, atFault, this->tokens, aNow, this->context.random,
-      this->EstimatesRepairs() ? RepairCost::ReadTime : RepairCost::FreeMemory);
+      this->EstimatesRepairs() ? RepairCost::ReadTime : RepairCost::FreeMemory,
+      aScope);
 }
 
 bool StreamExchange::HasNewRun(Instant aNow) const {
@@ -152,6 +159,7 @@
 bool StreamExchange::TryNewRun(const char* aReason, Instant aNow,
                                const std::string& aLastDomain) {
   auto chosen = this->ChooseForRerun(aNow, aLastDomain);
+  this->searches.Record(chosen.has_value(), aNow);
   if (!chosen) {
     return false;
   }
@@ -176,7 +184,11 @@
                       this->upstream->Entry().failureDomain)) {
     return;
   }
-  const auto repaired = this->RepairedChain(aNow);
+  auto repaired = this->RepairedChain(aNow);
+  if (!repaired && this->Silence(aNow) >= kRemoteRepairSilence) {
+    repaired = this->RepairedChain(aNow, RepairScope::AllDomains);
+  }
+  this->searches.Record(repaired.has_value(), aNow);
   if (!repaired) {
     // No other upstream of its domain holds the lost layers; a chain in another
     // domain may.
@@ -236,6 +248,7 @@
   }
   const Instant now = this->Now();
   const bool isAccepted = aOutcome && aOutcome->status == OrderStatus::Accepted;
+  this->isRepairRejected = !isAccepted;
   LogInfo("stream_repaired",
           {{"request", this->request.info.id},
            {"taken", isAccepted},
--- a/Zincstep/Relay/StreamResponse.cpp
+++ b/Zincstep/Relay/StreamResponse.cpp
@@ -93,6 +93,9 @@
   this->lastForwardedAt = now;
   this->lastProgress = now;
   this->silentSince.reset();
+  this->searches = ChainSearches{};
+  this->retryDenial.reset();
+  this->isRepairRejected = false;
   if (connection.PendingBytes() > this->context.settings.maxPendingBytes) {
     this->isReadingPaused = true;
     this->call->SetReading(false);
--- a/Zincstep/Relay/StreamResume.cpp
+++ b/Zincstep/Relay/StreamResume.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// Continuation of a stream by a new run.
 
+#include <algorithm>
+
 #include "Zincstep/Relay/StreamExchange.h"
 
 namespace zincstep {
@@ -87,9 +89,59 @@
   return true;
 }
 
+bool StreamExchange::IsStranded() const {
+  const Instant now = this->Now();
+  return this->call && this->headSent &&
+         std::any_of(
+             this->chain.begin(), this->chain.end(),
+             [&](const PoolHop& aHop) { return this->HasDeparted(aHop, now); });
+}
+
+WaitCause StreamExchange::CauseOfWait() const {
+  if (this->isReadingPaused) {
+    return WaitCause::Caller;
+  }
+  if (this->isRepairing) {
+    return WaitCause::Repair;
+  }
+  if (this->blockedSince) {
+    return WaitCause::Block;
+  }
+  if (this->retryDenial == WaitCause::Attempt) {
+    return WaitCause::Attempt;
+  }
+  if (this->isWaiting || this->silentSince) {
+    const bool isFound = this->searches.last != SearchOutcome::NotFound;
+    return isFound && this->retryDenial ? *this->retryDenial : WaitCause::Chain;
+  }
+  if (this->call && this->isReading) {
+    return WaitCause::Reading;
+  }
+  return this->isRepairRejected ? WaitCause::RepairBackoff : WaitCause::Run;
+}
+
+StreamWait StreamExchange::WaitState() const {
+  return {this->CauseOfWait(), this->searches};
+}
+
+void StreamExchange::LoseRun(const char* aReason) {
+  if (this->call) {
+    this->runs += 1;
+    this->OnRunLost(aReason);
+  }
+  this->CancelCall();
+  this->Release();
+  this->pendingEvents.clear();
+}
+
 void StreamExchange::Resume(const char* aReason) {
   const bool mayResume = this->CanResume();
-  if (mayResume && this->KeepsSilentRun()) {
+  if (!mayResume) {
+    this->retryDenial = WaitCause::Attempt;
+  }
+  if (mayResume && this->IsStranded()) {
+    this->LoseRun(aReason);  // So that its chain counts as free in the search.
+  } else if (mayResume && this->KeepsSilentRun()) {
     return;
   }
   const bool hasRetry = mayResume && (this->call || this->CanBeginRun()) &&
@@ -101,13 +153,7 @@
     }
     return;  // A stalled stream may continue by itself.
   }
-  if (this->call) {
-    this->runs += 1;
-    this->OnRunLost(aReason);
-  }
-  this->CancelCall();
-  this->Release();
-  this->pendingEvents.clear();
+  this->LoseRun(aReason);
   if (!mayResume || (!hasRetry && !this->headSent)) {
     this->Fail(aReason);
     return;
