--- a/UnitTests/PlacementControllerTest.cpp
+++ b/UnitTests/PlacementControllerTest.cpp
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <utility>
 
@@ -64,6 +65,9 @@
                                 private ClusterListener {
   CPPUNIT_TEST_SUITE(PlacementControllerTest);
   CPPUNIT_TEST(Leader_LayerGapPersists_OrdersLayers);
+  CPPUNIT_TEST(Leader_MostUpstreamsFallSilent_WaitsBeforeTakingLayers);
+  CPPUNIT_TEST(Leader_SilentUpstreamsEnd_OrdersLayers);
+  CPPUNIT_TEST(Leader_HoldersAloneFallSilent_OrdersLayers);
   CPPUNIT_TEST(Leader_UpstreamsStillRejoining_OrdersNothing);
   CPPUNIT_TEST(Leader_AcquiredAfterAnOutage_WaitsForExpiredEntries);
   CPPUNIT_TEST(Leader_UpstreamRefusesRequests_StillCountsItsLayers);
@@ -198,6 +202,64 @@
     CPPUNIT_ASSERT_EQUAL(std::string("i1"), control.probed.at(0));
   }
 
+  /// Lists three holders of each half of the layers, of which the first
+  /// `aSilent` fall silent; `i1`, `i3` and `i5` hold the first half.
+  void RunWithSilent(int aSilent) {
+    for (int i = 1; i <= 6; ++i) {
+      const int first = i % 2 == 1 ? 0 : 4;
+      this->Put("i" + std::to_string(i), first, first + 4);
+    }
+    this->Run(500ms);
+    CPPUNIT_ASSERT(controller->IsLeader());
+    control.probed.clear();
+    for (int i = 0; i < aSilent; ++i) {
+      this->Silence(kSilentInOrder.at(static_cast<std::size_t>(i)));
+    }
+    this->Run(250ms);
+  }
+  /// The holders of the second half come first.
+  static constexpr std::array kSilentInOrder{"i2", "i4", "i6",
+                                             "i1", "i3", "i5"};
+
+  void Silence(const std::string& aId) {
+    view.Directory().Find(aId)->Suspect(clock.Now());
+  }
+
+  // Guards against orders that abort running requests to replace upstreams that
+  // respond again a moment later: a held loop makes all of them silent.
+  void Leader_MostUpstreamsFallSilent_WaitsBeforeTakingLayers() {
+    this->RunWithSilent(6);
+    for (const char* id : {"i1", "i3", "i5"}) {
+      view.Directory().Find(id)->ClearSuspicion();
+    }
+    this->Run(2s);
+    CPPUNIT_ASSERT(control.probed.empty());
+    for (const char* id : {"i2", "i4", "i6"}) {
+      this->Silence(id);
+    }
+    this->Run(500ms);
+    CPPUNIT_ASSERT(!control.probed.empty());
+  }
+
+  void Leader_SilentUpstreamsEnd_OrdersLayers() {
+    this->RunWithSilent(6);
+    for (const char* id : {"i1", "i3", "i5"}) {
+      view.Directory().Find(id)->ClearSuspicion();
+    }
+    for (const char* id : {"i2", "i4", "i6"}) {
+      view.Directory().Find(id)->SetEnded(clock.Now());
+    }
+    this->Run(500ms);
+    CPPUNIT_ASSERT(!control.probed.empty());
+  }
+
+  // Upstreams that are silent beside others that respond are taken for lost.
+  void Leader_HoldersAloneFallSilent_OrdersLayers() {
+    this->RunWithSilent(3);
+    this->Run(250ms);
+    CPPUNIT_ASSERT(!control.probed.empty());
+  }
+
   // Guards against orders while upstreams still register again: entries that
   // had expired in an outage of the store returned over three seconds, up to
   // 1.7 s apart.
