A leader waits before it takes layers while most upstreams fall silent

Cause: an upstream that is suspect for 160 ms counts as lost for placement. Where a common cause makes most of them silent, a held loop or a lost path, the leader finds gaps, and orders upstreams that respond again first to hold the layers of the others, with running requests aborted. Streams there whose runs are used up are truncated.

Change: SilenceMonitor notes when more than half of a service's listed upstreams, three at least, are silent at once. While any of these is still silent and listed, for 2.5 s at most, orders that take layers are postponed (log line placement_postponed). Empty upstreams are placed and ranges grow as before, and upstreams that are shown to have ended don't count.

--- a/Zincstep/Cluster/PlacementController.cpp
+++ b/Zincstep/Cluster/PlacementController.cpp
@@ -132,6 +132,8 @@
 void PlacementController::PlanService(const RoutedService& aService,
                                       Instant aNow) {
   this->UpdateRejoins(aService.name, aNow);
+  this->silences[aService.name].Observe(
+      this->view.Directory().OfService(aService.name), aNow);
   if (this->view.MayLackEntries()) {
     return;
   }
@@ -245,7 +247,9 @@
     planned[upstream.id] = &upstream;
   }
   for (const PlacementOrder& order : aOutcome.orders) {
-    if (this->IsAsPlanned(*planned.at(order.id))) {
+    const PlacedUpstream& upstream = *planned.at(order.id);
+    if (this->IsAsPlanned(upstream) &&
+        !this->IsPostponed(aService, upstream, order, now)) {
       this->orders.Send(*aService.model, order);
     }
   }
@@ -261,6 +265,23 @@
          !this->orders.IsPending(aUpstream.id);
 }
 
+bool PlacementController::IsPostponed(const RoutedService& aService,
+                                      const PlacedUpstream& aUpstream,
+                                      const PlacementOrder& aOrder,
+                                      Instant aNow) const {
+  const auto silence = this->silences.find(aService.name);
+  const bool isPostponed =
+      !aOrder.layers.Covers(aUpstream.layers) && aUpstream.layers.Size() > 0 &&
+      silence != this->silences.end() && silence->second.HasCommonCause(aNow);
+  if (isPostponed) {
+    LogInfo("placement_postponed", {{"upstream", aOrder.id},
+                                    {"first_layer", aOrder.layers.first},
+                                    {"last_layer", aOrder.layers.last},
+                                    {"reason", "most upstreams fell silent"}});
+  }
+  return isPostponed;
+}
+
 bool PlacementController::IsSettled(const std::string& aService, Instant aNow) {
   const auto& upstreams = this->view.Directory().OfService(aService);
   Growth& growth = this->growths[aService];
--- a/Zincstep/Cluster/PlacementController.h
+++ b/Zincstep/Cluster/PlacementController.h
@@ -9,6 +9,7 @@
 
 #include "Zincstep/Cluster/PlacementOrders.h"
 #include "Zincstep/Cluster/PlanRunner.h"
+#include "Zincstep/Cluster/SilenceMonitor.h"
 #include "Zincstep/Cluster/StoreFollower.h"
 #include "Zincstep/Control/LeaseGuard.h"
 #include "Zincstep/Pool/Pool.h"
@@ -127,6 +128,11 @@
               const PlanOutcome& aOutcome);
   /// Whether the upstream is still in the state that the plan assumed.
   bool IsAsPlanned(const PlacedUpstream& aUpstream) const;
+  /// Whether an order has to wait as it takes layers from an upstream while
+  /// others, which the plan takes for lost, may be silent for a common cause.
+  bool IsPostponed(const RoutedService& aService,
+                   const PlacedUpstream& aUpstream,
+                   const PlacementOrder& aOrder, Instant aNow) const;
   /// Records that a plan is due while another one is running.
   void OnPlanStillRunning(const std::string& aService, PlanState& aState,
                           Instant aNow);
@@ -198,6 +204,7 @@
   };
   /// By service.
   std::map<std::string, Listing> listings;
+  std::map<std::string, SilenceMonitor> silences;
   /// When an upstream last joined each failure domain with layers that no order
   /// of this daemon placed there.
   std::map<std::string, Instant> rejoinedAt;
