Two refusals by one daemon no longer end a forwarded stream

Cause: refusals to admit a request were counted, not the daemons that refuse. A stream that waits asks all daemons again, so that one daemon which has restarted since the admission, and lacks the former configuration, ended it alone.

Change: a daemon that does not admit the request is asked once; the stream ends when two daemons don't, or when no other daemon is known.

--- a/Zincstep/Relay/ForwardChooser.cpp
+++ b/Zincstep/Relay/ForwardChooser.cpp
@@ -99,6 +99,15 @@
   return found == this->peers.end() ? nullptr : &found->second;
 }
 
+bool ForwardChooser::HasOtherThan(
+    const std::vector<std::string>& aPeers) const {
+  return std::any_of(
+      this->peers.begin(), this->peers.end(), [&](const auto& aKnown) {
+        return std::find(aPeers.begin(), aPeers.end(), aKnown.first) ==
+               aPeers.end();
+      });
+}
+
 void ForwardChooser::OnReach(
     const std::string& aPeer,
     const std::map<std::string, std::size_t>& aCutOffFrom) {
--- a/Zincstep/Relay/ForwardChooser.h
+++ b/Zincstep/Relay/ForwardChooser.h
@@ -58,6 +58,8 @@
   /// Whether a daemon is not known to be cut off from the service, or reaches
   /// more of its upstreams than this one, which doesn't reach `aUnreachable`.
   bool HasReaching(const std::string& aService, std::size_t aUnreachable) const;
+  /// Whether any daemon is known besides `aPeers`, usable or not.
+  bool HasOtherThan(const std::vector<std::string>& aPeers) const;
   /// Records the services that a daemon reports to be cut off from, and how
   /// many of their upstreams it doesn't reach. Replaces its previous report.
   void OnReach(const std::string& aPeer,
--- a/Zincstep/Relay/ForwardExchange.cpp
+++ b/Zincstep/Relay/ForwardExchange.cpp
@@ -11,10 +11,10 @@
 /// Daemons that have no room, after which the request is refused: others of
 /// their failure domain know of the same room.
 constexpr int kMaxRoomRefusals = 2;
-/// Refusals to admit the request, after which it ends: others have the same
-/// configuration or will have it soon. One alone may come from a daemon that
-/// started after the configuration by which the request was admitted.
-constexpr int kMaxAdmissionRefusals = 2;
+/// Daemons that do not admit the request, after which it ends: others have the
+/// same configuration or will have it soon. One alone may have started after
+/// the configuration by which the request was admitted.
+constexpr std::size_t kMaxNotAdmitting = 2;
 
 }  // namespace
 
@@ -156,7 +156,8 @@
     return;
   }
   // Those that refused earlier may have room by now.
-  this->tried = {this->peer.name};
+  this->tried = this->notAdmitting;
+  this->tried.push_back(this->peer.name);
   this->roomRefusals = 0;
   if (this->candidate) {
     this->tried.push_back(this->candidate->peer.name);
@@ -170,7 +171,9 @@
 }
 
 bool ForwardExchange::IsNoLongerAdmitted() const {
-  return this->admissionRefusals >= kMaxAdmissionRefusals;
+  return this->notAdmitting.size() >= kMaxNotAdmitting ||
+         (!this->notAdmitting.empty() &&
+          !this->context.forwards.HasOtherThan(this->notAdmitting));
 }
 
 void ForwardExchange::OnNoPeer() {
@@ -179,7 +182,7 @@
     return;
   }
   this->isWaiting = true;
-  this->tried.clear();
+  this->tried = this->notAdmitting;
   this->roomRefusals = 0;
 }
 
--- a/Zincstep/Relay/ForwardExchange.h
+++ b/Zincstep/Relay/ForwardExchange.h
@@ -183,8 +183,8 @@
   std::vector<std::string> tried;
   /// Daemons that reach the upstreams and lack room.
   int roomRefusals = 0;
-  /// Refusals by daemons that do not admit the request.
-  int admissionRefusals = 0;
+  /// Daemons that do not admit the request; they are not asked again.
+  std::vector<std::string> notAdmitting;
   /// Their reason, if it is one that callers are told.
   std::optional<ErrorKind> notAdmittedAs;
   std::optional<Micros> peerRetryAfter;
--- a/Zincstep/Relay/ForwardResponse.cpp
+++ b/Zincstep/Relay/ForwardResponse.cpp
@@ -202,7 +202,10 @@
   const RefusalCause cause = this->CauseOfRefusal(aHead, aKind);
   if (cause == RefusalCause::NotAdmitted) {
     // The daemon may serve other requests to the service.
-    this->admissionRefusals += 1;
+    if (std::find(this->notAdmitting.begin(), this->notAdmitting.end(),
+                  aPeer) == this->notAdmitting.end()) {
+      this->notAdmitting.push_back(aPeer);
+    }
     const bool isTooLarge =
         aHead.status == kBodyTooLarge || aHead.status == kHeadTooLarge;
     this->notAdmittedAs = isTooLarge ? ErrorKind::RequestTooLarge
