placement_ordered says whether requests are aborted, and how many run

Cause: whether an order that ends streams waits for them or aborts them could not be told from the leader's log, so that a stand-in that ignored the difference was not noticed.

Change: fields `release` (drain, abort) and `running`, as the upstream reports it.

--- a/Zincstep/Cluster/PlacementOrders.cpp
+++ b/Zincstep/Cluster/PlacementOrders.cpp
@@ -91,12 +91,16 @@
     this->OnCallEnded();
     return;
   }
-  LogInfo("placement_ordered", {{"upstream", id},
-                                {"first_layer", layers.first},
-                                {"last_layer", layers.last},
-                                {"memory_used", aReport->memoryUsed},
-                                {"memory_total", aReport->memoryTotal},
-                                {"expected_sequence", aReport->sequence}});
+  LogInfo("placement_ordered",
+          {{"upstream", id},
+           {"first_layer", layers.first},
+           {"last_layer", layers.last},
+           {"release",
+            std::string(NameIn(kReleaseModeNames, aQueued.order.releaseMode))},
+           {"running", aReport->running},
+           {"memory_used", aReport->memoryUsed},
+           {"memory_total", aReport->memoryTotal},
+           {"expected_sequence", aReport->sequence}});
   this->Expect(*upstream, layers, aQueued.loadTime + this->settings.loadSlack,
                ExpiryAction::Check);
   this->control.Place(upstream->Entry(), layers, aReport->sequence,
--- a/Zincstep/Pool/Placement.h
+++ b/Zincstep/Pool/Placement.h
@@ -20,6 +20,11 @@
   AbortRequests,
 };
 
+inline constexpr NameTable<ReleaseMode, 2> kReleaseModeNames{{
+    {ReleaseMode::DrainRequests, "drain"},
+    {ReleaseMode::AbortRequests, "abort"},
+}};
+
 /// State of an upstream as input of the placement.
 struct PlacedUpstream {
   std::string id;
