Soak: upstreams carry out orders as the protocol states; held callers count as held

The stand-in ignored `how`: an order to wait for running requests aborted them, and an order that only grows a range stalled all of them for the load time. It now keeps the layers that remain, and with `wait` loads once nothing runs through those that it gives up, which accept nothing new meanwhile. Orders to cut act as before.

Requests without a run count as unanswered if their connection breaks more than 200 ms after they were sent. Delays of the loop, which the soak logs, are subtracted now. All bounds stay; where the loop is not held the check is the same.

--- a/SoakTests/InvariantChecker.cpp
+++ b/SoakTests/InvariantChecker.cpp
@@ -209,11 +209,21 @@
   }
 }
 
+Micros InvariantChecker::MinAge(const Truncated& aTruncated) const {
+  const Instant sentAt = this->requests.at(aTruncated.id).sentAt;
+  Micros age = aTruncated.at - sentAt;
+  for (const auto& [from, to] : this->delays) {
+    age -= std::max(Micros{0},
+                    std::min(to, aTruncated.at) - std::max(from, sentAt));
+  }
+  return age;
+}
+
 void InvariantChecker::CheckAnswered(const Truncated& aTruncated,
                                      const std::string& aCause) {
   const Record& request = this->requests.at(aTruncated.id);
   const Micros waited = aTruncated.at - request.sentAt;
-  if (request.runs > 0 || waited > kMaxReadTime) {
+  if (request.runs > 0 || this->MinAge(aTruncated) > kMaxReadTime) {
     this->AddViolation("request " + aTruncated.id + " got no answer " + aCause +
                        ", after " + std::to_string(waited / 1ms) + " ms and " +
                        std::to_string(request.runs) + " runs");
--- a/SoakTests/InvariantChecker.h
+++ b/SoakTests/InvariantChecker.h
@@ -73,6 +73,11 @@
     this->truncated.push_back({aId, aAt, aSinceSignal});
   }
   void ClearTruncated() { this->truncated.clear(); }
+  /// Records that the soak's own loop, and with it all callers and upstreams,
+  /// was held until `aEnd`.
+  void OnLoopDelayed(Instant aEnd, Micros aDelay) {
+    this->delays.emplace_back(aEnd - aDelay, aEnd);
+  }
   /// Checks that no request that ran was truncated since `ClearTruncated`;
   /// `aCause` names, for the message, what must not truncate responses.
   void CheckTruncated(const std::string& aCause);
@@ -151,6 +156,9 @@
     std::vector<Instant> repeated;
   };
 
+  /// Returns for how long a request had been sent when its connection broke,
+  /// as far as shown: callers see a close late by the time that they were held.
+  Micros MinAge(const Truncated& aTruncated) const;
   /// Adds a violation if the request ran or must have been read.
   void CheckAnswered(const Truncated& aTruncated, const std::string& aCause);
   static std::string ServiceOf(RequestKind aKind) {
@@ -184,6 +192,8 @@
   std::ofstream events;
   std::map<std::string, Record> requests;
   std::vector<Truncated> truncated;
+  /// Start and end of delays of the soak's own loop.
+  std::vector<std::pair<Instant, Instant>> delays;
   std::map<std::string, Instant> revoked;
   std::vector<std::string> violations;
   std::vector<Instant> crashingSends;
--- a/SoakTests/SoakChanges.cpp
+++ b/SoakTests/SoakChanges.cpp
@@ -251,6 +251,7 @@
   const Micros delay = aNow - this->lastTickAt - kTickInterval;
   if (this->lastTickAt != Instant{} && delay >= kMinRecordedDelay) {
     this->checker.WriteEvent("loop_delayed", {{"delay_ms", delay / 1ms}});
+    this->checker.OnLoopDelayed(aNow, delay);
   }
   this->lastTickAt = aNow;
   if (aNow >= this->nextChange) {
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -31,11 +31,7 @@
   return {{"X-Attempt-Id", aId}, {"X-Response-Seal", "seal-" + aId}};
 }
 
-/// One part of a path: ADDRESS=FIRST-LAST.
-struct PathPart {
-  std::string address;
-  LayerRange layers;
-};
+}  // namespace
 
 std::vector<PathPart> ParsePath(const std::string& aPath) {
   std::vector<PathPart> parts;
@@ -51,8 +47,6 @@
   return parts;
 }
 
-}  // namespace
-
 std::string BodyFor(const std::string& aId) { return "answer to " + aId; }
 
 int EventsFor(const std::string& aId) {
@@ -127,24 +121,9 @@
   }
 }
 
-bool SoakUpstream::HoldsLayers(LayerRange aLayers) const {
-  return this->isAlive && !this->loading && this->layers.Covers(aLayers);
-}
-
-std::string SoakUpstream::FindMissingMember(const std::string& aPath) const {
-  for (const PathPart& part : ParsePath(aPath)) {
-    const auto found = this->peers.find(part.address);
-    if (found == this->peers.end() ||
-        !found->second->HoldsLayers(part.layers)) {
-      return part.address;
-    }
-  }
-  return "";
-}
-
 bool SoakUpstream::AcceptsRequests() const {
   return this->isAlive && !this->isDraining &&
-         (!this->IsOfModel() || this->HoldsLayers({0, 1}));
+         (!this->IsOfModel() || this->AcceptsLayers({0, 1}));
 }
 
 std::size_t SoakUpstream::MaxCalls(Instant aSince, Micros aWindow) const {
@@ -231,7 +210,7 @@
     return;
   }
   const std::string path = GetHeader(aMessage, "Path");
-  const std::string missing = this->FindMissingMember(path);
+  const std::string rejecting = this->FindRejectingMember(path);
   if (this->retryAfter) {
     aConnection->Answer(kUnavailable,
                         {{"X-Attempt-Id", request},
@@ -240,11 +219,11 @@
                         "");
     return;
   }
-  if (!missing.empty()) {
+  if (!rejecting.empty()) {
     aConnection->Answer(kUnavailable,
                         this->AddLimitHeader({{"X-Attempt-Id", request},
                                               {"X-Not-Executed", "1"},
-                                              {"At-Server", missing}}),
+                                              {"At-Server", rejecting}}),
                         "");
     return;
   }
@@ -310,11 +289,7 @@
   this->CrashOrRestart(now);
   this->RemoveLapsedEntries(now);
   this->SendDelayed(now);
-  if (this->isAlive && this->loading && now >= this->loadedAt) {
-    this->layers = *this->loading;
-    this->loading.reset();
-    this->WriteEntry();
-  }
+  this->CarryOutOrder(now);
   if (now < this->pausedUntil) {
     return;
   }
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -14,6 +14,17 @@
 
 class SoakUpstream;
 
+/// One part of a request's path, ADDRESS=FIRST-LAST: a member of its chain.
+struct PathPart {
+  std::string address;
+  LayerRange layers;
+
+  bool operator==(const PathPart&) const = default;
+};
+
+/// Returns the parts of a path, which are separated by commas.
+std::vector<PathPart> ParsePath(const std::string& aPath);
+
 /// How an upstream fails a request.
 enum class UpstreamFailure {
   None,
@@ -180,10 +191,28 @@
            const CallerMessage& aMessage);
   /// Whether the response to a request that ran here is dropped.
   bool DropsResponseTo(const std::string& aRequest) const;
-  /// Returns the address of the first member of a path that does not hold its
-  /// layers; empty if all do.
+  /// Returns the address of the first member of a running request's path that
+  /// does not hold its layers; empty if all do.
   std::string FindMissingMember(const std::string& aPath) const;
+  /// Returns the address of the first member of a path that a request is about
+  /// to take and that does not accept it; empty if all do. Members of its
+  /// `aPresentPath` keep it.
+  std::string FindRejectingMember(const std::string& aPath,
+                                  const std::string& aPresentPath = "") const;
+  /// Whether a running request may use the layers.
   bool HoldsLayers(LayerRange aLayers) const;
+  /// Whether a request may begin to use the layers.
+  bool AcceptsLayers(LayerRange aLayers) const;
+  /// The layers that it keeps during an order; without one, all of them.
+  LayerRange KeptLayers() const;
+  /// Whether a request runs through layers that an order takes from this
+  /// upstream.
+  bool UsesReleased(const Stream& aStream) const;
+  /// Whether any request does.
+  bool IsReleasedInUse() const;
+  /// Begins to load the ordered layers once nothing runs through those that it
+  /// gives up, and takes them over when they are loaded.
+  void CarryOutOrder(Instant aNow);
 
   asio::io_context& loop;
   const Clock& clock;
@@ -216,9 +245,11 @@
   int incarnation = 0;
   int sequence = 0;
   LayerRange layers;
-  /// The layers being loaded, and when loading completes.
-  std::optional<LayerRange> loading;
-  Instant loadedAt;
+  /// The layers that it is ordered to hold.
+  std::optional<LayerRange> ordered;
+  /// When these are loaded; none while requests that may complete first still
+  /// run through layers that it gives up.
+  std::optional<Instant> loadedAt;
   std::optional<double> limit;
   std::optional<Micros> retryAfter;
   std::vector<Instant> calls;
--- a/SoakTests/SoakUpstreamLife.cpp
+++ b/SoakTests/SoakUpstreamLife.cpp
@@ -66,7 +66,7 @@
   this->limit.reset();
   this->retryAfter.reset();
   this->layers = {};
-  this->loading.reset();
+  this->ordered.reset();
   this->isAlive = true;
   this->isDraining = false;
   this->isNoticePeriodOver = false;
