A stream that has begun asks all daemons before it ends as not admitted

Cause: two daemons that don't admit a forwarded request ended it. In a series of restarts and changes two may have started since the admission, while a third one still admits it and lacks room for a moment.

Stream_TwoPeersDoNotAdmitIt_WaitsForAnother failed before.

Stream_PeersNoLongerAdmitIt_EndsAtOnce expects each of its four daemons to be asked once, and still ends within the same time.

--- a/UnitTests/ForwardedRequestTest.cpp
+++ b/UnitTests/ForwardedRequestTest.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(Stream_OnlyPeerNoLongerAdmitsIt_EndsAtOnce);
   CPPUNIT_TEST(Stream_PeersRefuseItsSize_EndsAtOnce);
   CPPUNIT_TEST(Stream_OnePeerDoesNotAdmitItTwice_WaitsForAnother);
+  CPPUNIT_TEST(Stream_TwoPeersDoNotAdmitIt_WaitsForAnother);
   CPPUNIT_TEST(Stream_OnePeerNoLongerAdmitsIt_ContinuesAtAnother);
   CPPUNIT_TEST(Stream_PeersHaveOlderVersion_WaitsForTheirs);
   CPPUNIT_TEST(Request_PeersNoLongerAdmitIt_IsRefusedAsByThem);
@@ -443,7 +444,7 @@
     for (int i = 0; i < 4; ++i) {
       this->AddPeerWithoutKey(2);
     }
-    this->CheckStreamEndsAtOnce();
+    this->CheckStreamEndsAtOnce(4);
   }
 
   void Stream_OnlyPeerNoLongerAdmitsIt_EndsAtOnce() {
@@ -483,6 +484,21 @@
                          answer->body);
   }
 
+  // Guards against streams that end as two daemons have restarted since the
+  // admission, while a third one that admits them lacks room.
+  void Stream_TwoPeersDoNotAdmitIt_WaitsForAnother() {
+    this->AddPeerWithoutKey(2);
+    this->AddPeerWithoutKey(2);
+    this->AddRefusingPeer("no_capacity");
+    this->AddLost();
+    asio::steady_timer arrival(loop, 1s);
+    arrival.async_wait([this](const auto&) { this->AddContinuingPeer(); });
+    const auto answer = this->Ask(this->Attempt("/llm/x"));
+    CPPUNIT_ASSERT(answer.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+                         answer->body);
+  }
+
   // Guards against streams with a new key that end as the other daemons do not
   // know it yet.
   void Stream_PeersHaveOlderVersion_WaitsForTheirs() {
--- a/Zincstep/Relay/ForwardExchange.cpp
+++ b/Zincstep/Relay/ForwardExchange.cpp
@@ -11,9 +11,9 @@
 /// Daemons that have no room, after which the request is refused: others of
 /// their failure domain know of the same room.
 constexpr int kMaxRoomRefusals = 2;
-/// Daemons that do not admit the request, after which it ends: others have the
-/// same configuration or will have it soon. One alone may have started after
-/// the configuration by which the request was admitted.
+/// Daemons that do not admit a request without a response, after which it ends:
+/// others have the same configuration or will have it soon. One alone may have
+/// started after the configuration by which the request was admitted.
 constexpr std::size_t kMaxNotAdmitting = 2;
 
 }  // namespace
@@ -171,7 +171,10 @@
 }
 
 bool ForwardExchange::IsNoLongerAdmitted() const {
-  return this->notAdmitting.size() >= kMaxNotAdmitting ||
+  // The caller of a stream that has begun can't send it again, and any daemon
+  // that still admits it may have room later.
+  const std::size_t limit = this->headSent ? kMaxPeers : kMaxNotAdmitting;
+  return this->notAdmitting.size() >= limit ||
          (!this->notAdmitting.empty() &&
           !this->context.forwards.HasOtherThan(this->notAdmitting));
 }
