Review: bounds of a common silence, and streams that no daemon is left to admit

Causes: (1) a forwarded stream that waits was only ended as not admitted at the next refusal; with each daemon asked once, it waited until its deadline where the last daemon that might admit it left. (2) One upstream that stayed suspect from a former common silence kept its start, so that a later one did not count. (3) Upstreams without layers counted, so that ten silent holders beside twelve empty upstreams were no majority.

Change: the waiting branch asks too; the time of a silence starts whenever most holders become suspect; only holders count.

--- a/UnitTests/ForwardedRequestTest.cpp
+++ b/UnitTests/ForwardedRequestTest.cpp
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(Stream_PeersRefuseItsSize_EndsAtOnce);
   CPPUNIT_TEST(Stream_OnePeerDoesNotAdmitItTwice_WaitsForAnother);
   CPPUNIT_TEST(Stream_TwoPeersDoNotAdmitIt_WaitsForAnother);
+  CPPUNIT_TEST(Stream_LastPeerThatMayAdmitItLeaves_EndsAtOnce);
   CPPUNIT_TEST(Stream_OnePeerNoLongerAdmitsIt_ContinuesAtAnother);
   CPPUNIT_TEST(Stream_PeersHaveOlderVersion_WaitsForTheirs);
   CPPUNIT_TEST(Request_PeersNoLongerAdmitIt_IsRefusedAsByThem);
@@ -499,6 +500,22 @@
                          answer->body);
   }
 
+  // Guards against streams that wait until their deadline although no daemon is
+  // left that may admit them.
+  void Stream_LastPeerThatMayAdmitItLeaves_EndsAtOnce() {
+    this->AddPeerWithoutKey(2);
+    this->AddRefusingPeer("no_capacity");
+    asio::steady_timer departure(loop, 1s);
+    departure.async_wait([this](const auto&) {
+      known.pop_back();
+      forwards.SetPeers(known);
+    });
+    this->AddLost();
+    const Instant begin = clock.Now();
+    CPPUNIT_ASSERT(!this->Ask(this->Attempt("/llm/x")).has_value());
+    CPPUNIT_ASSERT(clock.Now() - begin < 4s);
+  }
+
   // Guards against streams with a new key that end as the other daemons do not
   // know it yet.
   void Stream_PeersHaveOlderVersion_WaitsForTheirs() {
--- a/Zincstep/Cluster/SilenceMonitor.cpp
+++ b/Zincstep/Cluster/SilenceMonitor.cpp
@@ -7,42 +7,49 @@
 namespace {
 
 /// Two upstreams may crash at the same time.
-constexpr std::size_t kMinSilent = 3;
-/// Silence of several upstreams that is taken for a common cause at most. A
-/// first suspicion ends after 2 s, and the entry of an ended upstream is
-/// removed by then.
+constexpr std::size_t kMinSuspects = 3;
+/// Time after most became suspect for which a common cause is assumed. A first
+/// suspicion ends after 2 s, and the entry of an ended upstream is removed by
+/// then.
 constexpr Micros kMaxCommonSilence = 2500ms;
 
-/// Whether an upstream is listed as ready.
-bool IsListed(const LiveUpstream& aUpstream) {
-  return !aUpstream.IsDeregistered() && !aUpstream.IsDraining();
+/// Whether an upstream is listed as ready and holds layers.
+bool IsHolder(const LiveUpstream& aUpstream) {
+  return !aUpstream.IsDeregistered() && !aUpstream.IsDraining() &&
+         aUpstream.Entry().layers.Size() > 0;
 }
 
 }  // namespace
 
 void SilenceMonitor::Observe(const std::vector<UpstreamPtr>& aUpstreams,
                              Instant aNow) {
-  std::erase_if(this->silent, [aNow](const UpstreamPtr& aOne) {
-    return !IsListed(*aOne) || !aOne->IsSuspect(aNow);
-  });
-  std::size_t listed = 0;
-  std::vector<UpstreamPtr> suspect;
+  std::size_t holders = 0;
+  std::vector<UpstreamPtr> current;
   for (const UpstreamPtr& upstream : aUpstreams) {
-    if (IsListed(*upstream)) {
-      listed += 1;
+    if (IsHolder(*upstream)) {
+      holders += 1;
       if (upstream->IsSuspect(aNow)) {
-        suspect.push_back(upstream);
+        current.push_back(upstream);
       }
     }
   }
-  if (suspect.size() >= kMinSilent && 2 * suspect.size() > listed) {
-    this->since = this->silent.empty() ? aNow : this->since;
-    this->silent = std::move(suspect);
+  const bool wereMostSuspect = this->areMostSuspect;
+  this->areMostSuspect =
+      current.size() >= kMinSuspects && 2 * current.size() > holders;
+  if (!this->areMostSuspect) {
+    std::erase_if(this->suspects, [aNow](const UpstreamPtr& aOne) {
+      return !IsHolder(*aOne) || !aOne->IsSuspect(aNow);
+    });
+    return;
   }
+  if (!wereMostSuspect) {
+    this->since = aNow;
+  }
+  this->suspects = std::move(current);
 }
 
 bool SilenceMonitor::HasCommonCause(Instant aNow) const {
-  return !this->silent.empty() && aNow - this->since < kMaxCommonSilence;
+  return !this->suspects.empty() && aNow - this->since < kMaxCommonSilence;
 }
 
 }  // namespace zincstep
--- a/Zincstep/Cluster/SilenceMonitor.h
+++ b/Zincstep/Cluster/SilenceMonitor.h
@@ -1,26 +1,27 @@
 #pragma once
 
-#include <optional>
 #include <vector>
 
 #include "Zincstep/Pool/Pool.h"
 
 namespace zincstep {
 
-/// Tells upstreams that are lost from ones that are silent for a common cause,
-/// such as a held event loop or a lost path of this daemon.
+/// Tells when most upstreams of a service are suspect at once, so that a held
+/// event loop or a lost path of this daemon is likelier than their loss.
 class SilenceMonitor {
  public:
-  /// Records which upstreams of a service are silent; call periodically.
+  /// Records which upstreams of a service are suspect; call periodically. Only
+  /// those that hold layers count.
   void Observe(const std::vector<UpstreamPtr>& aUpstreams, Instant aNow);
-  /// Whether upstreams are silent that fell silent together with most of the
-  /// service. False once they have been silent for so long that they are likely
-  /// lost.
+  /// Whether an upstream is still suspect that was while most were. False from
+  /// some time after most became suspect on, as they are likely lost then.
   bool HasCommonCause(Instant aNow) const;
 
  private:
-  /// Silent ones of those that fell silent together.
-  std::vector<UpstreamPtr> silent;
+  /// Those that were suspect while most were and still are.
+  std::vector<UpstreamPtr> suspects;
+  bool areMostSuspect = false;
+  /// When most became suspect last.
   Instant since{};
 };
 
--- a/Zincstep/Relay/ForwardExchange.cpp
+++ b/Zincstep/Relay/ForwardExchange.cpp
@@ -7,13 +7,14 @@
 namespace {
 
 /// Daemons asked for one request, in sequence; most refuse within a round trip.
+/// Also those that don't admit a stream that has begun, after which it ends.
 constexpr std::size_t kMaxPeers = 16;
 /// Daemons that have no room, after which the request is refused: others of
 /// their failure domain know of the same room.
 constexpr int kMaxRoomRefusals = 2;
-/// Daemons that do not admit a request without a response, after which it ends:
-/// others have the same configuration or will have it soon. One alone may have
-/// started after the configuration by which the request was admitted.
+/// Daemons that do not admit a request, after which it ends unless its response
+/// has begun: others have the same configuration or will have it soon. One
+/// alone may have started after the version by which it was admitted.
 constexpr std::size_t kMaxNotAdmitting = 2;
 
 }  // namespace
@@ -261,6 +262,9 @@
   if (this->isWaiting) {
     if (this->IsBlocked()) {
       this->Fail("the request crashes upstreams");
+    } else if (this->IsNoLongerAdmitted()) {
+      // The last daemon that might have admitted it has left.
+      this->Fail("other daemons no longer admit the request");
     } else if (this->MaySearch(this->lastForwardedAt, aNow)) {
       this->TryNextPeer();
     }
