All daemons observe a common silence, as the next leader may come during it

Cause: only the leader observed it.

Change: each tick of every daemon observes; one pass over the upstreams.

Evidence: Leader_ElectedDuringSilence_WaitsBeforeTakingLayers failed before (590 of 591), EdgeTests 591 of 591 now.

--- a/UnitTests/PlacementControllerTest.cpp
+++ b/UnitTests/PlacementControllerTest.cpp
@@ -66,6 +66,7 @@
   CPPUNIT_TEST_SUITE(PlacementControllerTest);
   CPPUNIT_TEST(Leader_LayerGapPersists_OrdersLayers);
   CPPUNIT_TEST(Leader_MostUpstreamsFallSilent_WaitsBeforeTakingLayers);
+  CPPUNIT_TEST(Leader_ElectedDuringSilence_WaitsBeforeTakingLayers);
   CPPUNIT_TEST(Leader_SilentUpstreamsEnd_OrdersLayers);
   CPPUNIT_TEST(Leader_HoldersAloneFallSilent_OrdersLayers);
   CPPUNIT_TEST(Leader_UpstreamsStillRejoining_OrdersNothing);
@@ -241,6 +242,25 @@
     CPPUNIT_ASSERT(!control.probed.empty());
   }
 
+  // Guards against a leader that stops during a silence, and whose successor
+  // takes the upstreams that are still silent for lost.
+  void Leader_ElectedDuringSilence_WaitsBeforeTakingLayers() {
+    controller->OnLeaderChanged("d2");
+    for (int i = 1; i <= 6; ++i) {
+      const int first = i % 2 == 1 ? 0 : 4;
+      this->Put("i" + std::to_string(i), first, first + 4);
+      this->Silence("i" + std::to_string(i));
+    }
+    this->Run(250ms);
+    for (const char* id : {"i1", "i3", "i5"}) {
+      view.Directory().Find(id)->ClearSuspicion();
+    }
+    controller->OnLeaderChanged("");
+    this->Run(1500ms);
+    CPPUNIT_ASSERT(controller->IsLeader());
+    CPPUNIT_ASSERT(control.probed.empty());
+  }
+
   void Leader_SilentUpstreamsEnd_OrdersLayers() {
     this->RunWithSilent(6);
     for (const char* id : {"i1", "i3", "i5"}) {
--- a/Zincstep/Cluster/PlacementController.cpp
+++ b/Zincstep/Cluster/PlacementController.cpp
@@ -23,8 +23,22 @@
              [this] { return this->guard.MayIssueOrders(this->clock.Now()); }) {
 }
 
+void PlacementController::ObserveSilences(Instant aNow) {
+  const auto table = this->view.Table();
+  if (!table) {
+    return;
+  }
+  for (const RoutedService& service : table->Configuration().services) {
+    if (service.model) {
+      this->silences[service.name].Observe(
+          this->view.Directory().OfService(service.name), aNow);
+    }
+  }
+}
+
 void PlacementController::Tick() {
   const Instant now = this->clock.Now();
+  this->ObserveSilences(now);
   if (this->isStopping) {
     return;
   }
@@ -132,8 +146,6 @@
 void PlacementController::PlanService(const RoutedService& aService,
                                       Instant aNow) {
   this->UpdateRejoins(aService.name, aNow);
-  this->silences[aService.name].Observe(
-      this->view.Directory().OfService(aService.name), aNow);
   if (this->view.MayLackEntries()) {
     return;
   }
--- a/Zincstep/Cluster/PlacementController.h
+++ b/Zincstep/Cluster/PlacementController.h
@@ -114,6 +114,8 @@
     StoreRevision fence;
   };
 
+  /// Done by all daemons: the next leader may be elected during a silence.
+  void ObserveSilences(Instant aNow);
   void PlanServices(Instant aNow);
   void PlanService(const RoutedService& aService, Instant aNow);
   PlacementInput Observe(const RoutedService& aService, Instant aNow);
@@ -204,6 +206,7 @@
   };
   /// By service.
   std::map<std::string, Listing> listings;
+  /// By service.
   std::map<std::string, SilenceMonitor> silences;
   /// When an upstream last joined each failure domain with layers that no order
   /// of this daemon placed there.
