--- a/review/standins2.py
+++ b/review/standins2.py
@@ -425,10 +425,11 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run_case(main, folder, limit=110):
+def run_case(main, folder, limit=110, name="record.txt"):
     """Runs `main(record, temporary folder)`; it returns whether the rule held,
     or None where the case could not run. Exits as the issue asks."""
-    record = Record(os.path.join(folder, "record.txt"))
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    record = Record(os.path.join(folder, name))
     record.add(f"TROUBLE={'1' if trouble() else '0'}")
     started = []
     verdict = None
