A caller's Last-Event-Id is passed on until the daemon has forwarded events

Cause: the dialect left the caller's field out of every request and wrote what the sender stated. ServiceExchange stated nothing, nor did ForwardExchange for a request without events; safe and unsafe requests lost the field as well.

Change: the field is passed on like any other, and replaced only by the id of an event that this daemon has forwarded. Exchange::ForwardedEventId answers that for all senders; its default keeps the caller's field. An id that is no whole number counts as none for the daemon and is passed on as it is.

--- a/UnitTests/ResumedRequestTest.cpp
+++ b/UnitTests/ResumedRequestTest.cpp
@@ -193,6 +193,7 @@
         }
         isComplete = caller.IsComplete();
         clock.Advance(1s);  // So that upstreams are called again.
+        view.OnValidated({10}, clock.Now());
       }
       CPPUNIT_ASSERT(isComplete);
       CPPUNIT_ASSERT_EQUAL(std::size_t{kLastEvent}, events.size());
--- a/Zincstep/Relay/EventSplitter.h
+++ b/Zincstep/Relay/EventSplitter.h
@@ -27,8 +27,12 @@
   bool IsPartialTooLong() const {
     return this->partial.size() > kMaxEventBytes;
   }
-  /// Id of the last forwarded event.
+  /// Id of the last event that the caller has.
   std::optional<std::uint64_t> LastId() const { return this->lastId; }
+  /// The same once an event was forwarded; none before.
+  std::optional<std::uint64_t> ForwardedId() const {
+    return this->hasForwarded ? this->lastId : std::nullopt;
+  }
   /// Whether the new run skipped an event, so that the stream must not go on.
   bool HasGap() const { return this->hasGap; }
   /// Whether any event was forwarded.
--- a/Zincstep/Relay/Exchange.h
+++ b/Zincstep/Relay/Exchange.h
@@ -124,8 +124,12 @@
   void Finish(const char* aOutcome, const char* aReason);
   /// Sends the request to `aUpstream`. Sets `call`, unless the address is
   /// invalid.
-  void Send(const UpstreamPtr& aUpstream, const PoolChain* aChain,
-            std::optional<std::uint64_t> aLastEventId);
+  void Send(const UpstreamPtr& aUpstream, const PoolChain* aChain);
+  /// Id of the last event that was forwarded to the caller; none if there was
+  /// none, or its id is no number.
+  virtual std::optional<std::uint64_t> ForwardedEventId() const {
+    return std::nullopt;
+  }
   /// Pooled connections that the request may use; empty if the request must
   /// not be sent twice.
   std::optional<PooledConnections> ReusableConnections() const;
--- a/Zincstep/Relay/ExchangeRuns.cpp
+++ b/Zincstep/Relay/ExchangeRuns.cpp
@@ -13,8 +13,7 @@
 
 }  // namespace
 
-void Exchange::Send(const UpstreamPtr& aUpstream, const PoolChain* aChain,
-                    std::optional<std::uint64_t> aLastEventId) {
+void Exchange::Send(const UpstreamPtr& aUpstream, const PoolChain* aChain) {
   this->upstream = aUpstream;
   this->sends += 1;
   this->sentAt = this->Now();
@@ -31,7 +30,7 @@
                                    aUpstream->Entry().id,
                                    this->request.deadline - this->sentAt,
                                    this->request.organisation,
-                                   aLastEventId,
+                                   this->ForwardedEventId(),
                                    this->request.priority,
                                    aChain};
   this->context.limits.OnCall(*aUpstream, UpstreamCall::Request);
--- a/Zincstep/Relay/ForwardExchange.cpp
+++ b/Zincstep/Relay/ForwardExchange.cpp
@@ -79,7 +79,7 @@
       this->context.dialect.WriteDaemonRequest(
           {this->request.message,
            this->request.deadline - this->Now(),
-           this->hasEvents ? this->events.LastId() : std::nullopt,
+           this->ForwardedEventId(),
            {{kRunsHeader, std::to_string(this->RunsStated())},
             {kAdmittedVersionHeader,
              std::to_string(this->request.table->Configuration().version)}}}),
--- a/Zincstep/Relay/ForwardExchange.h
+++ b/Zincstep/Relay/ForwardExchange.h
@@ -50,6 +50,9 @@
     return !this->responseInfo.requestId.empty();
   }
   bool HasSentHead() const override { return this->headSent; }
+  std::optional<std::uint64_t> ForwardedEventId() const override {
+    return this->events.ForwardedId();
+  }
   void Abandon(ErrorKind aNotRun, ErrorKind aMayHaveRun,
                const char* aReason) override;
   void OnFinished() override { this->DropCandidate(); }
--- a/Zincstep/Relay/RelayDialect.h
+++ b/Zincstep/Relay/RelayDialect.h
@@ -29,7 +29,8 @@
   std::string apiKey;
   /// Time that the caller waits, counted from the reading of the request.
   std::optional<Micros> timeout;
-  /// Last event that the caller has received, if it resumes a stream.
+  /// Last event that the caller has received, if it resumes a stream and the
+  /// event's id is a number.
   std::optional<std::uint64_t> lastEventId;
   TokenUse tokens;
   /// Ids of the parts of the prompt that other requests may share, in order;
@@ -49,7 +50,9 @@
   Micros timeout{};
   /// Organisation of the caller's key; empty if there is none.
   std::string organisation;
-  std::optional<std::uint64_t> lastEventId;
+  /// Last event that this daemon has forwarded to the caller; none: the event
+  /// that the caller names, if any, is passed on.
+  std::optional<std::uint64_t> forwardedEventId;
   /// 0 is the most urgent.
   int priority = 0;
   /// The chain through a split model; null for plain services.
@@ -61,7 +64,8 @@
   const CallerMessage& message;
   /// Time left until the caller's deadline.
   Micros timeout{};
-  std::optional<std::uint64_t> lastEventId;
+  /// As in `ForwardedRequest`.
+  std::optional<std::uint64_t> forwardedEventId;
   /// Headers added for the other daemon.
   HttpHeaders added;
 };
--- a/Zincstep/Relay/ServiceExchange.cpp
+++ b/Zincstep/Relay/ServiceExchange.cpp
@@ -46,7 +46,7 @@
   this->responseInfo = ResponseInfo{};
   this->body.Clear();
   chosen->localWork += 1;
-  this->Send(chosen, nullptr, std::nullopt);
+  this->Send(chosen, nullptr);
   if (!this->call) {
     this->EndCall();
     this->OnNotRun("the address is invalid");
--- a/Zincstep/Relay/StreamExchange.cpp
+++ b/Zincstep/Relay/StreamExchange.cpp
@@ -108,8 +108,7 @@
   this->isReading = true;
   this->readingSince = Instant{};
   this->lastProgress = now;
-  this->Send(this->chain.front().upstream, &this->chain,
-             this->splitter.LastId());
+  this->Send(this->chain.front().upstream, &this->chain);
   if (!this->call) {
     this->WaitForChain();
   }
--- a/Zincstep/Relay/StreamExchange.h
+++ b/Zincstep/Relay/StreamExchange.h
@@ -54,6 +54,9 @@
 
   bool HasResponseBegun() const override { return this->hasRunEvents; }
   bool HasSentHead() const override { return this->headSent; }
+  std::optional<std::uint64_t> ForwardedEventId() const override {
+    return this->splitter.ForwardedId();
+  }
   void Abandon(ErrorKind aNotRun, ErrorKind aMayHaveRun,
                const char* aReason) override;
   void OnFinished() override;
