A forwarded stream that is resumed behind its last event is complete

What callers saw: a stream whose end alone was missing, resumed at a daemon that reaches no upstream, ended as a lost run although the other daemon had completed it.

Change: both ask EventSplitter::IsComplete, and the head is sent where no event was.

Design ruled out: to repeat the condition in ForwardExchange, as the copy is the cause.

--- a/Zincstep/Relay/EventSplitter.h
+++ b/Zincstep/Relay/EventSplitter.h
@@ -35,8 +35,13 @@
   }
   /// Whether the new run skipped an event, so that the stream must not go on.
   bool HasGap() const { return this->hasGap; }
-  /// Whether any event was forwarded.
-  bool HasForwarded() const { return this->hasForwarded; }
+  /// Whether the stream may end here: not within an event, behind a gap, or
+  /// before its first event. A run that resumes behind the last event has
+  /// nothing to send but its end.
+  bool IsComplete() const {
+    return !this->hasGap && !this->HasPartial() &&
+           (this->hasForwarded || this->lastId);
+  }
 
  private:
   static constexpr std::size_t kMaxEventBytes = 1 << 20;
--- a/Zincstep/Relay/ForwardResponse.cpp
+++ b/Zincstep/Relay/ForwardResponse.cpp
@@ -237,13 +237,16 @@
 }
 
 void ForwardExchange::EndStream() {
-  if (this->events.HasGap() || this->events.HasPartial() ||
-      !this->events.HasForwarded()) {
+  if (!this->events.IsComplete()) {
     this->OnRunInterrupted("the stream ended early or skipped an event");
     return;
   }
   this->LeavePeer();
   this->runs += 1;
+  if (!this->headSent) {
+    this->request.connection->BeginChunks(this->head.status,
+                                          ForwardedHeaders(this->head));
+  }
   this->OnRunCompleted();
   this->request.connection->EndChunks();
   this->Finish("answered", "success");
--- a/Zincstep/Relay/StreamResponse.cpp
+++ b/Zincstep/Relay/StreamResponse.cpp
@@ -142,10 +142,7 @@
 }
 
 void StreamExchange::EndStream() {
-  // A run that resumes behind the last event has nothing to send but its end.
-  const bool hasEvents =
-      this->splitter.HasForwarded() || this->request.info.lastEventId;
-  if (this->splitter.HasGap() || this->splitter.HasPartial() || !hasEvents) {
+  if (!this->splitter.IsComplete()) {
     constexpr const char* kReason =
         "the stream ended early or skipped an event";
     this->OnRunLost(kReason);
