An empty list of tenants admits no key; a missing one needs none

Cause: "no organisation is configured" was read as "keys are not used", and the decoder made the same empty list of a missing field, null, an object and [].

Change: the list of organisations is optional; absent means that requests need no key. CheckKey, which all paths use, admits without an organisation only where a version by which the request may be admitted requires no keys and the request states none. The hash that keeps former versions covers it.

--- a/UnitTests/ConfigurationBench.cpp
+++ b/UnitTests/ConfigurationBench.cpp
@@ -163,7 +163,8 @@
   for (const Route& route : aConfiguration.routes) {
     sum += hash(route.host + ' ' + route.pathPrefix);
   }
-  for (const RoutedOrganisation& organisation : aConfiguration.organisations) {
+  for (const RoutedOrganisation& organisation :
+       aConfiguration.organisations.value()) {
     for (const std::string& key : organisation.keys) {
       sum += hash(key);
     }
--- a/UnitTests/ConfigurationChangeTest.cpp
+++ b/UnitTests/ConfigurationChangeTest.cpp
@@ -161,7 +161,7 @@
     RouteConfiguration marked = *decoder->DecodeConfiguration(text);
     // What is copied from the former configuration shows by its mark.
     marked.services[0].healthPath = "copied";
-    marked.organisations[0].keys = {"copied"};
+    marked.organisations->at(0).keys = {"copied"};
     for (Route& each : marked.routes) {
       each.host = "copied";
     }
@@ -175,7 +175,7 @@
     CPPUNIT_ASSERT(change);
     CPPUNIT_ASSERT_EQUAL(std::string("copied"), change->services[0].healthPath);
     CPPUNIT_ASSERT_EQUAL(std::string("copied"),
-                         change->organisations[0].keys[0]);
+                         change->organisations->at(0).keys[0]);
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, change->routes.size());
     for (const auto& [index, name, host] :
          {std::tuple{0, "c", "copied"}, std::tuple{1, "new", "h"},
--- a/Zincstep/Cluster/ConfigurationState.cpp
+++ b/Zincstep/Cluster/ConfigurationState.cpp
@@ -148,6 +148,7 @@
            {"era", aStoredAt.era},
            {"version", this->table->Configuration().version},
            {"routes", this->table->Configuration().routes.size()},
+           {"requires_keys", this->table->RequiresKeys()},
            {"bytes", this->text->size()},
            {"took_ms", (this->clock.Now() - aReceivedAt) / 1ms}});
 }
--- a/Zincstep/Relay/RelayAdmission.cpp
+++ b/Zincstep/Relay/RelayAdmission.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// Admission of requests: route, key, blocked requests, and a planned stop.
 
+#include <algorithm>
+
 #include "Zincstep/Relay/Relay.h"
 
 namespace zincstep {
@@ -62,10 +64,20 @@
     aRequest.organisation = organisation->name;
     aRequest.priority = organisation->priority.value_or(aRequest.priority);
   }
-  if (aRequest.route->isPublic || !aTables.front()->HasOrganisations()) {
+  if (aRequest.route->isPublic) {
     return {};
   }
   if (organisation == nullptr) {
+    // A key that was removed or never existed admits nobody, even where a
+    // request without one is admitted.
+    const bool needsKey =
+        !aRequest.info.apiKey.empty() ||
+        std::all_of(aTables.begin(), aTables.end(), [](const auto& aTable) {
+          return aTable->RequiresKeys();
+        });
+    if (!needsKey) {
+      return {};
+    }
     return isCurrent || aRequest.info.apiKey.empty()
                ? Fail(ErrorKind::Unauthenticated, "unknown key")
                : Fail(ErrorKind::NotReady,
--- a/Zincstep/Routes/RouteConfiguration.h
+++ b/Zincstep/Routes/RouteConfiguration.h
@@ -120,7 +120,9 @@
   std::uint64_t version = 0;
   std::vector<Route> routes;
   std::vector<RoutedService> services;
-  std::vector<RoutedOrganisation> organisations;
+  /// Organisations whose keys admit requests; an empty list admits none. Absent
+  /// where the deployment has no organisations, so that requests need no key.
+  std::optional<std::vector<RoutedOrganisation>> organisations;
   CallerLimits limits;
 
   bool operator==(const RouteConfiguration&) const = default;
--- a/Zincstep/Routes/RouteTable.cpp
+++ b/Zincstep/Routes/RouteTable.cpp
@@ -28,16 +28,27 @@
                               aRight->pathPrefix.size();
                      });
   }
+  this->IndexOrganisations();
+  for (const RoutedService& service : this->configuration.services) {
+    this->byName.emplace(service.name, &service);
+  }
+}
+
+void RouteTable::IndexOrganisations() {
+  if (!this->configuration.organisations) {
+    return;
+  }
+  const std::hash<std::string> hash;
+  this->admissionHash += hash("keys are required");
   for (const RoutedOrganisation& organisation :
-       this->configuration.organisations) {
+       *this->configuration.organisations) {
     for (const std::string& key : organisation.keys) {
-      this->byKey.emplace(key, &organisation);
-      this->admissionHash += hash(key);
+      if (!key.empty()) {
+        this->byKey.emplace(key, &organisation);
+        this->admissionHash += hash(key);
+      }
     }
   }
-  for (const RoutedService& service : this->configuration.services) {
-    this->byName.emplace(service.name, &service);
-  }
 }
 
 const Route* RouteTable::FindRoute(std::string_view aHost,
--- a/Zincstep/Routes/RouteTable.h
+++ b/Zincstep/Routes/RouteTable.h
@@ -20,24 +20,30 @@
   /// Ignores a port in `aHost` and a query in `aTarget`.
   const Route* FindRoute(std::string_view aHost,
                          std::string_view aTarget) const;
-  /// Returns the organisation that owns the API key, or null.
+  /// Returns the organisation that owns the API key, or null; null for an empty
+  /// key, which stands for none.
   const RoutedOrganisation* FindOrganisation(std::string_view aKey) const;
   /// Returns the service named `aName`, or null.
   const RoutedService* FindService(std::string_view aName) const;
   /// Chooses a service of the route by weight; `aDraw` is random in [0, 1).
   const RoutedService* Choose(const Route& aRoute, double aDraw) const;
-  /// Whether any organisation is configured; only then do routes need API keys.
-  bool HasOrganisations() const {
-    return !this->configuration.organisations.empty();
+  /// Whether requests of routes that are not public need the key of an
+  /// organisation.
+  bool RequiresKeys() const {
+    return this->configuration.organisations.has_value();
   }
   const RouteConfiguration& Configuration() const {
     return this->configuration;
   }
-  /// Hash of the keys and of the routes' hosts and paths, whatever their order:
-  /// a table with another one may admit other requests.
+  /// Hash of the keys, whether they are required, and of the routes' hosts and
+  /// paths, whatever their order: a table with another one may admit other
+  /// requests.
   std::uint64_t AdmissionHash() const { return this->admissionHash; }
 
  private:
+  /// Adds the keys to the index and to the hash.
+  void IndexOrganisations();
+
   RouteConfiguration configuration;
   std::uint64_t admissionHash = 0;
   /// Routes of a host, longest prefix first.
