A response without a length ends with its connection only if the request was written

Cause: the kernel reports a reset once. The write that waits takes it, and its error was ignored; the read then sees an orderly end. libcurl gives CURLE_OK when it stops an upload as the stream ended.

Change: SingleCall completes such a response once the stream has ended in order and the request was written in full; a failed write makes it broken, whoever was told first. CurlTransfer accepts it only if libcurl has sent the whole body.

The tests draw one more way to end, and use uploads that no buffers hold.

--- a/UnitTests/ResetUploadTest.cpp
+++ b/UnitTests/ResetUploadTest.cpp
@@ -12,8 +12,10 @@
 
 constexpr int kOk = 200;
 constexpr int kBadGateway = 502;
-/// More than the buffers of two sockets hold, as the upstream's is small.
+/// Body of a request, within the limit of callers.
 constexpr std::size_t kUploadBytes = 3 << 20;
+/// More than the buffers of two sockets hold.
+constexpr std::size_t kLongUploadBytes = 8 << 20;
 constexpr int kSmallBuffer = 8 << 10;
 
 /// How an upstream goes on after its response.
@@ -22,6 +24,9 @@
   Reset,
   /// Closes with unread bytes of the upload, which resets the connection too.
   CloseUnread,
+  /// Ends its direction and resets the connection a moment later, as a process
+  /// that exits with all bytes read while more arrive.
+  EndThenReset,
   /// Ends its direction, and reads the upload to its end.
   EndAndDrain,
 };
@@ -56,8 +61,9 @@
  private:
   struct Connection {
     explicit Connection(asio::ip::tcp::socket aSocket)
-        : socket(std::move(aSocket)) {}
+        : socket(std::move(aSocket)), timer(this->socket.get_executor()) {}
     asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
     std::string received;
     std::array<char, 4096> buffer{};
   };
@@ -117,9 +123,13 @@
     asio::error_code ignored;  // The caller may have closed.
     switch (this->after) {
       case AfterResponse::Reset:
-        aConnection->socket.set_option(asio::socket_base::linger(true, 0),
-                                       ignored);
-        aConnection->socket.close(ignored);
+        Reset(*aConnection);
+        break;
+      case AfterResponse::EndThenReset:
+        aConnection->socket.shutdown(asio::socket_base::shutdown_send, ignored);
+        aConnection->timer.expires_after(20ms);
+        aConnection->timer.async_wait(
+            [aConnection](const asio::error_code&) { Reset(*aConnection); });
         break;
       case AfterResponse::CloseUnread:
         aConnection->socket.close(ignored);
@@ -131,6 +141,12 @@
     }
   }
 
+  static void Reset(Connection& aConnection) {
+    asio::error_code ignored;  // The caller may have closed.
+    aConnection.socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    aConnection.socket.close(ignored);
+  }
+
   void Drain(const std::shared_ptr<Connection>& aConnection) {
     aConnection->socket.async_read_some(
         asio::buffer(aConnection->buffer),
@@ -179,8 +195,8 @@
     std::optional<Result<HttpResponse>> answer;
     FetchResponse(
         loop, aUpstream.Endpoint(),
-        "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(kUploadBytes) +
-            "\r\n\r\n" + std::string(kUploadBytes, 'u'),
+        "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(kLongUploadBytes) +
+            "\r\n\r\n" + std::string(kLongUploadBytes, 'u'),
         10s, [&](Result<HttpResponse> aOne) { answer = std::move(aOne); });
     this->RunUntil([&] { return answer.has_value(); });
     return *answer;
@@ -232,7 +248,7 @@
     constexpr std::size_t kMaxPart = 40'000;
     Random draws(9);
     for (int i = 0; i < kCalls; ++i) {
-      const auto after = static_cast<AfterResponse>(draws.Below(3));
+      const auto after = static_cast<AfterResponse>(draws.Below(4));
       const std::string part(draws.Below(kMaxPart), 'p');
       const EarlyUpstream upstream(loop, after, part,
                                    draws.Below(kUploadBytes / 2));
@@ -246,6 +262,7 @@
   void CurlClient_ResetDuringUpload_IsNotAnswered() {
     const std::unique_ptr<HttpClient> http = MakeHttpClient();
     for (const auto after : {AfterResponse::Reset, AfterResponse::CloseUnread,
+                             AfterResponse::EndThenReset,
                              AfterResponse::EndAndDrain}) {
       const EarlyUpstream upstream(loop, after, "part");
       for (const bool isStreamed : {false, true}) {
@@ -259,7 +276,10 @@
         http->Start(std::move(call), listener);
         this->RunUntil([&] { return listener.end.load().has_value(); });
         const bool isAnswered = *listener.end.load() == CallEnd::Answered;
-        CPPUNIT_ASSERT(!isAnswered || after == AfterResponse::EndAndDrain);
+        CPPUNIT_ASSERT_MESSAGE(
+            std::to_string(static_cast<int>(after)) +
+                (isStreamed ? ", streamed" : ", buffered"),
+            !isAnswered || after == AfterResponse::EndAndDrain);
       }
     }
   }
--- a/Zincstep/Net/CurlTransfer.cpp
+++ b/Zincstep/Net/CurlTransfer.cpp
@@ -175,8 +175,17 @@
   }
 }
 
+bool CurlTransfer::HasSentBody() const {
+  curl_off_t sent = 0;
+  curl_easy_getinfo(this->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+  return static_cast<std::size_t>(sent) >= this->call.body.size();
+}
+
 bool CurlTransfer::HasResponse(CURLcode aCode) {
-  if (aCode == CURLE_OK && this->result.fault.empty() &&
+  // libcurl stops an upload when the server ends the connection, whether in
+  // order or not, so that this is the end of no response without a length.
+  const bool isEnded = this->parser.IsComplete() || this->HasSentBody();
+  if (aCode == CURLE_OK && this->result.fault.empty() && isEnded &&
       this->parser.FeedEnd()) {
     return true;
   }
--- a/Zincstep/Net/CurlTransfer.h
+++ b/Zincstep/Net/CurlTransfer.h
@@ -48,6 +48,7 @@
   bool Parse(std::string_view aBytes);
   /// Returns whether the response is complete; records the reason if not.
   bool HasResponse(CURLcode aCode);
+  bool HasSentBody() const;
   void OnHead(HttpHead aHead) override;
   void OnBody(std::string_view aPart) override;
   void OnMessageEnd() override {}
--- a/Zincstep/Net/SingleCall.cpp
+++ b/Zincstep/Net/SingleCall.cpp
@@ -204,12 +204,19 @@
   auto self = this->shared_from_this();
   asio::async_write(this->socket, asio::buffer(this->request),
                     [self](const asio::error_code& aError, std::size_t) {
-                      // The read reports a lost connection; a response may
-                      // still be readable.
-                      self->isRequestWritten = !aError;
+                      self->OnWritten(aError);
                     });
 }
 
+void SingleCall::OnWritten(const asio::error_code& aError) {
+  this->isRequestWritten = !aError;
+  this->isWriteFailed = static_cast<bool>(aError);
+  if (this->awaitsWrite) {
+    this->End(aError ? SingleCallEnd::Broken : SingleCallEnd::Complete);
+  }
+  // Otherwise the read ends the call; a response may still be readable.
+}
+
 void SingleCall::Read() {
   if (this->isReading || !this->isReadEnabled || this->listener == nullptr) {
     return;
@@ -228,10 +235,12 @@
   if (this->listener == nullptr) {
     return;
   }
+  if (aError == asio::error::eof) {
+    this->OnStreamEnd();
+    return;
+  }
   if (aError) {
-    const bool isComplete =
-        aError == asio::error::eof && this->parser.FeedEnd();
-    this->End(isComplete ? SingleCallEnd::Complete : SingleCallEnd::Broken);
+    this->End(SingleCallEnd::Broken);
     return;
   }
   if (this->IsReusedAndUnanswered()) {
@@ -259,6 +268,18 @@
   }
 }
 
+void SingleCall::OnStreamEnd() {
+  // The kernel reports a reset or a timeout once: where a write took the error,
+  // the read sees an orderly end. So the request must be written in full too.
+  if (this->isWriteFailed || !this->parser.FeedEnd()) {
+    this->End(SingleCallEnd::Broken);
+  } else if (this->isRequestWritten) {
+    this->End(SingleCallEnd::Complete);
+  } else {
+    this->awaitsWrite = true;
+  }
+}
+
 void SingleCall::ReturnConnection(bool aHasSurplus) {
   // An upstream may respond before it has read the whole request. The rest is
   // not sent any more, so that another request must not follow.
--- a/Zincstep/Net/SingleCall.h
+++ b/Zincstep/Net/SingleCall.h
@@ -109,8 +109,12 @@
   /// and the response had no surplus bytes.
   void ReturnConnection(bool aHasSurplus);
   void Write();
+  void OnWritten(const asio::error_code& aError);
   void Read();
   void OnRead(const asio::error_code& aError, std::size_t aSize);
+  /// Ends the call where the upstream has ended the stream in order, which may
+  /// be the end of a response without a length.
+  void OnStreamEnd();
   void End(SingleCallEnd aEnd);
   void OnHead(HttpHead aHead) override;
   void OnBody(std::string_view aPart) override;
@@ -128,6 +132,10 @@
   bool isReused = false;
   bool hasSent = false;
   bool isRequestWritten = false;
+  bool isWriteFailed = false;
+  /// Whether a response without a length has ended with its stream, while the
+  /// request was still being written.
+  bool awaitsWrite = false;
   bool isRejected = false;
   bool isReading = false;
   bool isReadEnabled = true;
