Heads are checked against the grammar of HTTP/1.1

What callers saw: the bytes behind a head with status 000, or behind an interim head with a length, joined with the body of the next response; fields with blanks in their names, passed on; raw chunks as a body where a blank hid the coding; a gzip-coded body without its coding (MIXED). Upstreams got fields such as "X-Tenant : other" and "Content-Length : 5" of callers.

Cause: http_parser, as Debian builds it, is lenient, and what it accepts was taken for HTTP.

Change: HeadGrammar checks the lines of each head, in HttpParser, through which all clients and the callers' side read: names are tokens, statuses three digits from 100 to 599 without 101, line ends CR LF, no control bytes. HttpParser rejects other versions, codings other than one chunked, more than one Host, and CONNECT; interim responses have no body. response_malformed has address, reason and line.

Bytes changed at random are accepted only by an independent grammar. Folded lines and bare line feeds, which the first form of the tests accepted, are rejected as well: they mean two things to two readers.

--- a/UnitTests/MalformedHeadTest.cpp
+++ b/UnitTests/MalformedHeadTest.cpp
@@ -42,8 +42,9 @@
 const std::string kWhole =
     "HTTP/1.1 200 OK\r\nServer: s\r\nContent-Length: 2\r\n\r\nok";
 
-const std::vector<std::string> kStatuses = {"000", "001", "020", "099", "20",
-                                            "2",   "101", "600", "999"};
+const std::vector<std::string> kStatuses = {
+    "000", "001", "020", "099",  "20",  "2",    "101", "600",
+    "999", "-20", "2x0", "0200", "200x", " 200", "\t200"};
 
 /// Field lines that are none: their name is no token.
 std::vector<std::string> InvalidFields() {
@@ -58,6 +59,14 @@
       "Content-Length : 2",
       "Transfer-Encoding : chunked",
       "X-Response-Seal : a",
+      "X: a\r\n b",
+      "X: a\r\n\tb",
+      "X: a\nY: b",
+      "X: a\rY: b",
+      "X: a\r\r\nY: b",
+      std::string("X: a\0b", 7),
+      "X: a\x7f",
+      "X: a\x1b[0m",
   };
   const std::string token =
       "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
@@ -77,9 +86,8 @@
 /// An independent reading of the grammar of a response's head.
 bool IsResponse(const std::string& aBytes) {
   static const std::regex message(
-      "^HTTP/1\\.[01] [1-5][0-9][0-9]( [^\\r\\n]*)?\\r?\\n"
-      "([!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\\r\\n]*\\r?\\n"
-      "([ \\t][^\\r\\n]*\\r?\\n)*)*\\r?\\n[\\s\\S]*$");
+      "^HTTP/1\\.[01] [1-5][0-9][0-9]( [^\\r\\n]*)?\\r\\n"
+      "([!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\\r\\n]*\\r\\n)*\\r\\n[\\s\\S]*$");
   return std::regex_match(aBytes, message);
 }
 
@@ -94,6 +102,7 @@
   CPPUNIT_TEST(Response_RandomBytesChanged_IsAcceptedOnlyByGrammar);
   CPPUNIT_TEST(Request_InvalidFieldName_IsRejected);
   CPPUNIT_TEST(Request_InvalidCoding_IsRejected);
+  CPPUNIT_TEST(Request_AmbiguousHead_IsRejected);
   CPPUNIT_TEST(Messages_UnusualButValid_AreAccepted);
   CPPUNIT_TEST(Calls_MalformedHead_AreNotAnswered);
   CPPUNIT_TEST_SUITE_END();
@@ -160,7 +169,8 @@
   }
 
   void Response_InvalidVersion_IsRejected() {
-    for (const char* version : {"HTTP/0.9", "HTTP/2.0", "HTTP/9.9", "ICY"}) {
+    for (const char* version : {"HTTP/0.9", "HTTP/2.0", "HTTP/9.9", "HTTP/1.2",
+                                "HTTP/1.10", "http/1.1", "HTTP/1", "ICY", ""}) {
       CPPUNIT_ASSERT_MESSAGE(
           version, !Parse(HttpSide::Response,
                           version + std::string(
@@ -207,11 +217,29 @@
     }
   }
 
+  // Guards against a request that its upstream takes for another one.
+  void Request_AmbiguousHead_IsRejected() {
+    for (const char* head :
+         {"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+          "CONNECT a:1 HTTP/1.1\r\nContent-Length: 2\r\n\r\n",
+          "GET /a\tb HTTP/1.1\r\n\r\n", "GET / HTTP/2.0\r\n\r\n",
+          "GET / HTTP/1.1\nHost: a\n\n",
+          "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n"
+          "\r\nx",
+          "POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"}) {
+      CPPUNIT_ASSERT_MESSAGE(head, !Parse(HttpSide::Request, head));
+    }
+    CPPUNIT_ASSERT(
+        Parse(HttpSide::Request, "\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n"));
+  }
+
   // Guards against checks above that reject everything.
   void Messages_UnusualButValid_AreAccepted() {
     for (const char* field :
-         {"X:1", "X: ", "X:\t1 ", "X: a\r\n b", "!#$%&'*+-.^_`|~: 1",
-          "X: \x80\xff", "Transfer-Encoding: Chunked",
+         {"X:1", "X: ", "X:\t1 ", "!#$%&'*+-.^_`|~: 1", "X: \x80\xff",
+          "Transfer-Encoding: Chunked",
           "Transfer-Encoding: chunked "}) {
       CPPUNIT_ASSERT_MESSAGE(field,
                              Parse(HttpSide::Response, ResponseWith(field)));
--- a/Zincstep/Net/HttpParser.cpp
+++ b/Zincstep/Net/HttpParser.cpp
@@ -10,13 +10,14 @@
 constexpr int kNotModified = 304;
 /// Maximum number of interim responses to one request.
 constexpr int kMaxInterimResponses = 16;
-/// Result of `on_headers_complete` after which http_parser expects no body.
+/// Results of `on_headers_complete`: http_parser expects no body, or fails.
 constexpr int kSkipBody = 1;
+constexpr int kFailed = -1;
 
 }  // namespace
 
 HttpParser::HttpParser(HttpSide aSide, HttpParserListener& aListener)
-    : listener(aListener), side(aSide) {
+    : listener(aListener), side(aSide), grammar(aSide) {
   this->Reset();
 }
 
@@ -25,6 +26,8 @@
                                       ? HTTP_REQUEST
                                       : HTTP_RESPONSE);
   this->parser.data = this;
+  this->grammar.Reset();
+  this->fault = nullptr;
   this->head = HttpHead{};
   this->headBytes = 0;
   this->interimResponses = 0;
@@ -97,7 +100,38 @@
   return this->CountHeadBytes(aPart.size()) ? 0 : 1;
 }
 
+const char* HttpParser::CheckFraming() const {
+  if (this->parser.http_major != 1 || this->parser.http_minor > 1) {
+    return "no version of HTTP/1";
+  }
+  const bool isRequest = this->side == HttpSide::Request;
+  if (isRequest && this->parser.method == HTTP_CONNECT) {
+    return "CONNECT is not supported";
+  }
+  int hosts = 0;
+  int codings = 0;
+  for (const HttpHeader& header : this->head.headers) {
+    hosts += SameHeaderName(header.name, "Host") ? 1 : 0;
+    if (!SameHeaderName(header.name, "Transfer-Encoding")) {
+      continue;
+    }
+    codings += 1;
+    const std::string_view coding =
+        std::string_view(header.value)
+            .substr(0, header.value.find_last_not_of(" \t") + 1);
+    if (!SameHeaderName(coding, "chunked") || codings > 1 ||
+        this->parser.http_minor == 0) {
+      return "a transfer coding that is not supported";
+    }
+  }
+  return isRequest && hosts > 1 ? "more than one host" : nullptr;
+}
+
 int HttpParser::OnHeadersComplete() {
+  this->fault = this->CheckFraming();
+  if (this->fault != nullptr) {
+    return kFailed;
+  }
   this->hasHead = true;
   this->head.keepsAlive = http_should_keep_alive(&this->parser) != 0;
   if (this->side == HttpSide::Request) {
@@ -106,7 +140,7 @@
   } else {
     this->head.status = static_cast<int>(this->parser.status_code);
     if (this->head.status < kFirstFinalStatus) {
-      return 0;
+      return kSkipBody;  // Also where it states a length.
     }
   }
   // Such a response may state the length of a body that does not follow.
@@ -137,6 +171,9 @@
     return std::size_t{0};
   }
   this->hasBegun = true;
+  if (const char* fault = this->grammar.Check(aBytes)) {
+    return Fail(ErrorKind::BadRequest, fault);
+  }
   const std::size_t consumed = http_parser_execute(
       &this->parser, &Callbacks(), aBytes.data(), aBytes.size());
   const auto error = HTTP_PARSER_ERRNO(&this->parser);
@@ -146,6 +183,9 @@
   if (this->headBytes > this->maxHeadBytes || error == HPE_HEADER_OVERFLOW) {
     return Fail(ErrorKind::RequestTooLarge, "message head exceeds the limit");
   }
+  if (this->fault != nullptr) {
+    return Fail(ErrorKind::BadRequest, this->fault);
+  }
   return Fail(ErrorKind::BadRequest, http_errno_description(error));
 }
 
--- a/Zincstep/Net/HttpParser.h
+++ b/Zincstep/Net/HttpParser.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "Zincstep/Core/Core.h"
+#include "Zincstep/Net/HeadGrammar.h"
 #include "Zincstep/Net/HttpMessage.h"
 
 namespace zincstep {
@@ -37,14 +38,13 @@
   virtual void OnMessageEnd() = 0;
 };
 
-/// Kind of messages that a parser reads.
-enum class HttpSide { Request, Response };
-
 /// Parses HTTP/1.1 messages from a byte stream, one at a time.
 ///
 /// Stops after each message; bytes that follow belong to the next message, or
 /// are surplus. Based on the `http_parser` library, which rejects messages with
-/// both a content length and a chunked coding.
+/// both a content length and a chunked coding; `HeadGrammar` checks the lines of
+/// heads. Codings other than chunked are rejected, as is `CONNECT`, which has no
+/// body that could be framed.
 class HttpParser {
  public:
   HttpParser(HttpSide aSide, HttpParserListener& aListener);
@@ -73,6 +73,9 @@
   bool HasBegun() const { return this->hasBegun; }
   /// Whether the head of the current message is complete.
   bool HasHead() const { return this->hasHead; }
+  /// The begin of the line with which `Feed` failed, if a line of the head was
+  /// the cause.
+  const std::string& FaultyLine() const { return this->grammar.Line(); }
 
  private:
   static HttpParser& Of(http_parser* aParser);
@@ -82,13 +85,18 @@
   int OnHeadersComplete();
   int OnMessageComplete();
   bool CountHeadBytes(std::size_t aBytes);
+  /// Returns what is wrong with the fields that frame the message, or null.
+  const char* CheckFraming() const;
 
   HttpParserListener& listener;
   HttpSide side;
+  HeadGrammar grammar;
   http_parser parser{};
   HttpHead head;
   std::size_t maxHeadBytes = 64 << 10;
   std::size_t headBytes = 0;
+  /// What `CheckFraming` found; null: nothing.
+  const char* fault = nullptr;
   int interimResponses = 0;
   bool hasNoBody = false;
   bool lastWasValue = true;
--- a/Zincstep/Net/SingleCall.cpp
+++ b/Zincstep/Net/SingleCall.cpp
@@ -259,6 +259,7 @@
     return;
   }
   if (!consumed) {
+    this->LogMalformed(consumed.error());
     this->End(SingleCallEnd::BadResponse);
   } else if (this->parser.IsComplete()) {
     this->ReturnConnection(*consumed < aSize);
@@ -280,6 +281,15 @@
   }
 }
 
+void SingleCall::LogMalformed(const Error& aError) const {
+  asio::error_code ignored;  // An unknown peer has port 0.
+  const auto peer = this->socket.remote_endpoint(ignored);
+  LogWarning("response_malformed", {{"address", peer.address().to_string()},
+                                    {"port", peer.port()},
+                                    {"reason", aError.message},
+                                    {"line", this->parser.FaultyLine()}});
+}
+
 void SingleCall::ReturnConnection(bool aHasSurplus) {
   // An upstream may respond before it has read the whole request. The rest is
   // not sent any more, so that another request must not follow.
--- a/Zincstep/Net/SingleCall.h
+++ b/Zincstep/Net/SingleCall.h
@@ -115,6 +115,7 @@
   /// Ends the call where the upstream has ended the stream in order, which may
   /// be the end of a response without a length.
   void OnStreamEnd();
+  void LogMalformed(const Error& aError) const;
   void End(SingleCallEnd aEnd);
   void OnHead(HttpHead aHead) override;
   void OnBody(std::string_view aPart) override;
