--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -36,6 +36,8 @@
     "  --restores      the store is restored from backups meanwhile\n"
     "  --process-faults  signals, ports in use, odd store entries, and starts\n"
     "                  with unread output or few descriptors meanwhile\n"
+    "  --resumes       a part of the callers resumes streams, over a route to\n"
+    "                  services with layers and without\n"
     "  --stops         at the end, overlapping stops of daemons\n"
     "  --stream-stops S  the same beside streams of mixed lengths, with a "
     "grace\n"
@@ -84,6 +86,7 @@
       {"stream-stops", required_argument, nullptr, 'v'},
       {"process-faults", no_argument, nullptr, 'z'},
       {"changes", no_argument, nullptr, 'C'},
+      {"resumes", no_argument, nullptr, 'R'},
       {nullptr, 0, nullptr, 0}};
   for (int flag = 0;
        (flag = getopt_long(aCount, aArguments, "", options, nullptr)) != -1;) {
@@ -172,6 +175,9 @@
         settings.hasStreamStops = true;
         settings.stopGrace = zincstep::FromSeconds(std::atof(optarg));
         break;
+      case 'R':
+        settings.hasResumes = true;
+        break;
       case 'C':
         settings.hasChanges = true;
         settings.stopGrace = std::chrono::seconds(8);
--- a/SoakTests/Soak.h
+++ b/SoakTests/Soak.h
@@ -22,7 +22,8 @@
 /// Returns the operators' configuration: two plain routes, one to a service of
 /// few upstreams, and a split model of four layers, two of which fit on one
 /// upstream.
-std::string Configuration(int aVersion, bool aHasOther);
+/// `aHasBoth`: with the route of `kBothPath`.
+std::string Configuration(int aVersion, bool aHasOther, bool aHasBoth);
 
 /// What distinguishes a request from the usual ones of its kind.
 struct RequestExtras {
@@ -31,6 +32,8 @@
   std::string parts;
   /// Number of events of its stream; 0: as its id gives it.
   int events = 0;
+  /// The last event that its caller has of its stream; 0: none.
+  int after = 0;
   /// Bytes of its body beside the usual ones.
   std::size_t bodyBytes = 0;
   /// Whether it has the key of the organisation that versions of the
@@ -113,8 +116,12 @@
   std::string Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther,
                    Micros aTimeout = kCallerTimeout,
                    const RequestExtras& aExtras = {});
-  void OnResponse(const std::string& aId, RequestKind aKind, Daemon& aDaemon,
-                  const Result<HttpResponse>& aResponse);
+  /// Sends a stream to either kind of service, of which its caller has the
+  /// first events.
+  void SendResumed(Daemon& aDaemon);
+  /// `aAfter`: the last event that the caller of a stream had before.
+  void OnResponse(const std::string& aId, RequestKind aKind, int aAfter,
+                  Daemon& aDaemon, const Result<HttpResponse>& aResponse);
   void Inject();
   void InjectAtDaemon(Daemon& aDaemon);
   void InjectAtUpstream(SoakUpstream& aUpstream);
@@ -285,6 +292,7 @@
   Random streamRandom;
   /// The same for changes of the configuration and what goes on beside them.
   Random changeRandom;
+  Random resumeRandom;
   SoakStore store;
   SoakCaller callers;
   SoakCaller restingCallers;
--- a/SoakTests/SoakChanges.cpp
+++ b/SoakTests/SoakChanges.cpp
@@ -116,8 +116,8 @@
 void Soak::ChangeConfiguration(Instant aNow) {
   Random& draw = this->changeRandom;
   this->version += 1;
-  nlohmann::json configuration =
-      nlohmann::json::parse(Configuration(this->version, !this->isRevoked));
+  nlohmann::json configuration = nlohmann::json::parse(Configuration(
+      this->version, !this->isRevoked, this->settings.hasResumes));
   const auto drawMillis = [&draw](Micros aMin, Micros aSpread) {
     return DrawFrom(draw, aMin, aSpread) / 1ms;
   };
@@ -305,7 +305,8 @@
   }
   this->isChanging = false;
   this->version += 1;
-  this->store.Put("op/config", Configuration(this->version, !this->isRevoked));
+  this->store.Put("op/config", Configuration(this->version, !this->isRevoked,
+                                             this->settings.hasResumes));
   for (const auto& upstream : this->upstreams) {
     upstream->SetResponseDelay(Micros{0});
   }
--- a/SoakTests/SoakFaults.cpp
+++ b/SoakTests/SoakFaults.cpp
@@ -191,8 +191,8 @@
     if (revokesNow) {
       this->PartitionAllFromStore();
     }
-    this->store.Put("op/config",
-                    Configuration(this->version, !this->isRevoked));
+    this->store.Put("op/config", Configuration(this->version, !this->isRevoked,
+                                               this->settings.hasResumes));
     if (revokesNow) {
       this->checker.OnKeyRevoked("other", this->clock.Now() + kKeyRevocation);
     }
--- a/SoakTests/SoakRequests.cpp
+++ b/SoakTests/SoakRequests.cpp
@@ -71,6 +71,12 @@
   const std::size_t pick = this->random.Below(this->daemons.size());
   const auto kind = static_cast<RequestKind>(this->random.Below(3));
   Daemon& daemon = *this->daemons[pick];
+  constexpr int kStreamsPerResumed = 2;
+  if (this->settings.hasResumes && kind == RequestKind::Stream &&
+      this->resumeRandom.Below(kStreamsPerResumed) == 0) {
+    this->SendResumed(daemon);
+    return;
+  }
   const std::string id =
       this->Send(daemon, kind, this->random.Below(kRequestsPerOther) == 0);
   if (this->firstAttempts) {
@@ -78,6 +84,16 @@
   }
 }
 
+void Soak::SendResumed(Daemon& aDaemon) {
+  constexpr int kMaxEvents = 30;
+  RequestExtras extras;
+  extras.path = kBothPath;
+  extras.events = 1 + static_cast<int>(this->resumeRandom.Below(kMaxEvents));
+  extras.after = static_cast<int>(
+      this->resumeRandom.Below(static_cast<std::uint64_t>(extras.events) + 1));
+  this->Send(aDaemon, RequestKind::Stream, false, kCallerTimeout, extras);
+}
+
 std::string Soak::Send(Daemon& aDaemon, RequestKind aKind, bool aIsOther,
                        Micros aTimeout, const RequestExtras& aExtras) {
   if (this->isChanging && aKind == RequestKind::Stream) {
@@ -120,6 +136,10 @@
       aExtras.parts.empty()
           ? ""
           : "X-Prompt-Prefix: " + aExtras.parts + "," + id + ":10\r\n";
+  const std::string resumed =
+      aExtras.after > 0
+          ? "Last-Event-Id: " + std::to_string(aExtras.after) + "\r\n"
+          : "";
   const std::string text =
       "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id +
       "\r\nX-Deadline-Ms: " + std::to_string(aTimeout / 1ms) +
@@ -128,12 +148,13 @@
        : aIsOther      ? "key2"
                        : "key1") +
       "\r\nX-Token-Usage: 10,60\r\n" +
-      (connection ? "" : "Connection: close\r\n") + prompt +
+      (connection ? "" : "Connection: close\r\n") + prompt + resumed +
       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   (rests ? this->restingCallers : this->callers)
       .Send(aDaemon.address, text, connection,
             aTimeout + (isJudged ? kExtraWait : Micros{0}),
             [this, id, aKind, age, sentAt, isJudged, done = aExtras.done,
+             after = aExtras.after,
              &aDaemon](const Result<HttpResponse>& aResponse,
                        const CallProgress& aProgress) {
               const StopOutcome outcome = StopOutcomeOf(aResponse, aProgress);
@@ -147,7 +168,7 @@
                 this->checker.AddViolation("request " + id +
                                            " got no response by its deadline");
               }
-              this->OnResponse(id, aKind, aDaemon, aResponse);
+              this->OnResponse(id, aKind, after, aDaemon, aResponse);
               if (done) {
                 done(aProgress.isReused);
               }
@@ -155,7 +176,7 @@
   return id;
 }
 
-void Soak::OnResponse(const std::string& aId, RequestKind aKind,
+void Soak::OnResponse(const std::string& aId, RequestKind aKind, int aAfter,
                       Daemon& aDaemon, const Result<HttpResponse>& aResponse) {
   this->RepeatFailed(aKind, aResponse);
   if (!aResponse) {
@@ -177,10 +198,7 @@
   }
   std::string expected = BodyFor(aId);
   if (aKind == RequestKind::Stream) {
-    expected.clear();
-    for (int event = 1; event <= EventsFor(aId); ++event) {
-      expected += EventFor(aId, event);
-    }
+    expected = EventsAfter(aId, aAfter);
   }
   if (aResponse->body != expected ||
       FindHeader(aResponse->headers, "X-Response-Seal") != "seal-" + aId) {
--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -68,10 +68,17 @@
 
 }  // namespace
 
-std::string Configuration(int aVersion, bool aHasOther) {
+std::string Configuration(int aVersion, bool aHasOther, bool aHasBoth) {
+  const std::string both = aHasBoth ? R"(
+ {"name":"b","hostname":"h","pathPrefix":"/both/","routeType":"streaming",
+  "timeoutMs":20000,"maxAttempts":3,"resumable":true,
+  "trafficSplit":[{"backend":"model","weight":1},
+                  {"backend":"plain","weight":1}]},)"
+                                    : "";
   const std::string other =
       aHasOther ? R"(,{"name":"other","apiKeys":["key2"]})" : "";
-  return R"({"configVersion":)" + std::to_string(aVersion) + R"(,"routes":[
+  return R"({"configVersion":)" + std::to_string(aVersion) + R"(,"routes":[)" +
+         both + R"(
  {"name":"s","hostname":"h","pathPrefix":"/safe/","routeType":"safe",
   "timeoutMs":3000,"maxAttempts":2,"backend":"plain"},
  {"name":"u","hostname":"h","pathPrefix":"/unsafe/","routeType":"unsafe",
@@ -98,12 +105,14 @@
       processRandom(Hash64("process", aSettings.seed)),
       streamRandom(Hash64("stream", aSettings.seed)),
       changeRandom(Hash64("change", aSettings.seed)),
+      resumeRandom(Hash64("resume", aSettings.seed)),
       store(this->loop, this->clock),
       callers(this->loop, this->clock),
       restingCallers(this->loop, this->clock),
       timer(this->loop) {
   this->checker.OpenEventLog(aSettings.logs + "/soak.log");
-  this->store.Put("op/config", Configuration(this->version, true));
+  this->store.Put("op/config", Configuration(this->version, true,
+                                             this->settings.hasResumes));
   for (const char* domain : {"a", "b"}) {
     for (int i = 0; i < kPlainUpstreams; ++i) {
       this->AddUpstream("plain", domain, i);
--- a/SoakTests/SoakRun.h
+++ b/SoakTests/SoakRun.h
@@ -86,6 +86,9 @@
   /// Whether the configuration changes in storms at the end, beside stops,
   /// SIGHUP and upstreams that fall silent.
   bool hasChanges = false;
+  /// Whether callers resume streams behind an event, on a route that is split
+  /// over a service with layers and one without.
+  bool hasResumes = false;
   /// Grace period of the daemons' stops.
   Micros stopGrace = 3s;
   /// Whether upstreams fail most of what they run at the end, while daemons are
--- a/SoakTests/SoakUpstream.cpp
+++ b/SoakTests/SoakUpstream.cpp
@@ -27,6 +27,11 @@
   return std::string(FindHeader(aMessage.head.headers, aName));
 }
 
+/// Number of the last event that the request names; 0: none.
+int LastEvent(const CallerMessage& aMessage) {
+  return std::atoi(GetHeader(aMessage, "Last-Event-Id").c_str());
+}
+
 HttpHeaders SealedHeaders(const std::string& aId) {
   return {{"X-Attempt-Id", aId}, {"X-Response-Seal", "seal-" + aId}};
 }
@@ -59,6 +64,14 @@
   return kMinEvents + static_cast<int>(Hash64(aId) % kEventSpread);
 }
 
+std::string EventsAfter(const std::string& aId, int aNumber) {
+  std::string events;
+  for (int event = aNumber + 1; event <= EventsFor(aId); ++event) {
+    events += EventFor(aId, event);
+  }
+  return events;
+}
+
 std::string EventFor(const std::string& aId, int aNumber) {
   return "id: " + std::to_string(aNumber) + "\ndata: " + aId + "-" +
          std::to_string(aNumber) + "\n\n";
@@ -236,8 +249,11 @@
     return;
   }
   if (this->service != "model") {
-    this->delayed.push_back(
-        {this->clock.Now() + this->responseDelay, aConnection, request});
+    this->delayed.push_back({this->clock.Now() + this->responseDelay,
+                             aConnection, request,
+                             aMessage.head.target == kBothPath
+                                 ? EventsAfter(request, LastEvent(aMessage))
+                                 : BodyFor(request)});
     if (this->responseDelay == Micros{0}) {
       this->SendDelayed(this->clock.Now());
     }
@@ -251,21 +267,19 @@
     }
     next = part.layers.last;
   }
-  const std::string last = GetHeader(aMessage, "Last-Event-Id");
   auto headers = this->AddLimitHeader(SealedHeaders(request));
   headers.push_back({"Content-Type", "text/event-stream"});
   aConnection->BeginChunks(kOk, headers);
-  this->streams.push_back({aConnection, request, path,
-                           last.empty() ? 1 : std::stoi(last) + 1,
-                           this->clock.Now()});
+  this->streams.push_back(
+      {aConnection, request, path, LastEvent(aMessage) + 1, this->clock.Now()});
 }
 
-void SoakUpstream::Respond(CallerConnection& aConnection,
-                           const std::string& aRequest) {
-  this->DropsResponseTo(aRequest)
-      ? aConnection.Abort()
-      : aConnection.Answer(kOk, this->AddLimitHeader(SealedHeaders(aRequest)),
-                           BodyFor(aRequest));
+void SoakUpstream::Respond(const DelayedResponse& aResponse) {
+  this->DropsResponseTo(aResponse.request)
+      ? aResponse.connection->Abort()
+      : aResponse.connection->Answer(
+            kOk, this->AddLimitHeader(SealedHeaders(aResponse.request)),
+            aResponse.body);
 }
 
 void SoakUpstream::SendDelayed(Instant aNow) {
@@ -279,7 +293,7 @@
   });
   for (const DelayedResponse& one : due) {
     if (!one.connection->IsClosed()) {
-      this->Respond(*one.connection, one.request);
+      this->Respond(one);
     }
   }
 }
--- a/SoakTests/SoakUpstream.h
+++ b/SoakTests/SoakUpstream.h
@@ -56,6 +56,8 @@
 /// it.
 inline constexpr const char* kCrashingPath = "/llm/crash";
 inline constexpr const char* kCrashingServicePath = "/few/crash";
+/// Streams of services with layers and without.
+inline constexpr const char* kBothPath = "/both/x";
 /// So does one with this part before the last one of its prompt.
 inline constexpr const char* kCrashingPart = "bad:20";
 
@@ -68,6 +70,8 @@
 /// events: the one in its id, or else one drawn by its id.
 std::string EventFor(const std::string& aId, int aNumber);
 int EventsFor(const std::string& aId);
+/// Returns the events behind the one with that number, joined.
+std::string EventsAfter(const std::string& aId, int aNumber);
 
 /// Stand-in for an upstream: a plain service, or a member of a split model that
 /// holds layers, accepts orders and streams events as the first of a chain.
@@ -165,6 +169,7 @@
     Instant at;
     std::shared_ptr<CallerConnection> connection;
     std::string request;
+    std::string body;
   };
 
   /// How it fails the request.
@@ -172,7 +177,7 @@
   /// Fails the request; returns false if it is to be served.
   bool FailRequest(const std::shared_ptr<CallerConnection>& aConnection,
                    const CallerMessage& aMessage, const std::string& aRequest);
-  void Respond(CallerConnection& aConnection, const std::string& aRequest);
+  void Respond(const DelayedResponse& aResponse);
   void SendDelayed(Instant aNow);
   /// Adds the limit header, if a limit is set.
   HttpHeaders AddLimitHeader(HttpHeaders aHeaders) const;
--- a/UnitTests/MalformedHeadTest.cpp
+++ b/UnitTests/MalformedHeadTest.cpp
@@ -43,7 +43,7 @@
     "HTTP/1.1 200 OK\r\nServer: s\r\nContent-Length: 2\r\n\r\nok";
 
 const std::vector<std::string> kStatuses = {
-    "000", "001", "020", "099",  "20",  "2",    "101", "600",
+    "000", "001", "020", "099",  "20",   "2",    "101",  "600",
     "999", "-20", "2x0", "0200", "200x", " 200", "\t200"};
 
 /// Field lines that are none: their name is no token.
@@ -122,8 +122,7 @@
     for (const std::string& status : kStatuses) {
       const std::string head = "HTTP/1.1 " + status + " X\r\n";
       for (const char* rest : {"Content-Length: 2\r\n\r\nok", "\r\nok"}) {
-        CPPUNIT_ASSERT_MESSAGE(status,
-                               !Parse(HttpSide::Response, head + rest));
+        CPPUNIT_ASSERT_MESSAGE(status, !Parse(HttpSide::Response, head + rest));
       }
     }
   }
@@ -133,8 +132,8 @@
     for (const std::string& status : kStatuses) {
       for (const char* rest : {"Content-Length: 2\r\n\r\nhi", "\r\n"}) {
         CPPUNIT_ASSERT_MESSAGE(
-            status, !Parse(HttpSide::Response, "HTTP/1.1 " + status + " X\r\n" +
-                                                   rest + kWhole));
+            status, !Parse(HttpSide::Response,
+                           "HTTP/1.1 " + status + " X\r\n" + rest + kWhole));
       }
     }
   }
@@ -163,19 +162,19 @@
           coding, !Parse(HttpSide::Response,
                          ResponseWith("Transfer-Encoding: " + coding)));
     }
-    CPPUNIT_ASSERT(!Parse(HttpSide::Response,
-                          ResponseWith("Transfer-Encoding: chunked\r\n"
-                                       "Transfer-Encoding: chunked")));
+    CPPUNIT_ASSERT(
+        !Parse(HttpSide::Response, ResponseWith("Transfer-Encoding: chunked\r\n"
+                                                "Transfer-Encoding: chunked")));
   }
 
   void Response_InvalidVersion_IsRejected() {
     for (const char* version : {"HTTP/0.9", "HTTP/2.0", "HTTP/9.9", "HTTP/1.2",
                                 "HTTP/1.10", "http/1.1", "HTTP/1", "ICY", ""}) {
       CPPUNIT_ASSERT_MESSAGE(
-          version, !Parse(HttpSide::Response,
-                          version + std::string(
-                                        " 200 OK\r\nContent-Length: 2\r\n\r\n"
-                                        "ok")));
+          version,
+          !Parse(HttpSide::Response,
+                 version + std::string(" 200 OK\r\nContent-Length: 2\r\n\r\n"
+                                       "ok")));
     }
   }
 
@@ -239,21 +238,21 @@
   void Messages_UnusualButValid_AreAccepted() {
     for (const char* field :
          {"X:1", "X: ", "X:\t1 ", "!#$%&'*+-.^_`|~: 1", "X: \x80\xff",
-          "Transfer-Encoding: Chunked",
-          "Transfer-Encoding: chunked "}) {
+          "Transfer-Encoding: Chunked", "Transfer-Encoding: chunked "}) {
       CPPUNIT_ASSERT_MESSAGE(field,
                              Parse(HttpSide::Response, ResponseWith(field)));
       CPPUNIT_ASSERT_MESSAGE(
-          field, Parse(HttpSide::Request,
-                       std::string("GET / HTTP/1.1\r\n") + field + "\r\n\r\n" +
-                           (std::string(field).find("unked") == std::string::npos
-                                ? ""
-                                : "0\r\n\r\n")));
+          field,
+          Parse(HttpSide::Request,
+                std::string("GET / HTTP/1.1\r\n") + field + "\r\n\r\n" +
+                    (std::string(field).find("unked") == std::string::npos
+                         ? ""
+                         : "0\r\n\r\n")));
     }
     for (const char* status : {"200", "200 ", "404 Not Found", "599 X"}) {
       CPPUNIT_ASSERT_MESSAGE(
-          status, Parse(HttpSide::Response, std::string("HTTP/1.0 ") + status +
-                                                "\r\n\r\nok"));
+          status, Parse(HttpSide::Response,
+                        std::string("HTTP/1.0 ") + status + "\r\n\r\nok"));
     }
   }
 
@@ -268,9 +267,8 @@
     for (const char* field : {"X Y: 1", "X : 1", "Content-Length : 2"}) {
       responses.push_back(ResponseWith(field));
     }
-    std::thread other([&loop, work = asio::make_work_guard(loop)] {
-      loop.run();
-    });
+    std::thread other(
+        [&loop, work = asio::make_work_guard(loop)] { loop.run(); });
     std::string answered;
     for (const std::string& response : responses) {
       std::promise<bool> single;
@@ -287,8 +285,7 @@
       call.url = "http://" + upstream.Address() + "/";
       call.timeout = 60s;
       const HttpCallResult result = FetchBlocking(call);
-      answered +=
-          result.end == CallEnd::Answered ? "\nentry: " + response : "";
+      answered += result.end == CallEnd::Answered ? "\nentry: " + response : "";
     }
     loop.stop();
     other.join();
@@ -309,8 +306,7 @@
  public:
   void Unsafe_MalformedHead_IsBadGateway() {
     constexpr int kBadGateway = 502;
-    const std::string sealed =
-        "X-Attempt-Id: r1\r\nX-Response-Seal: seal\r\n";
+    const std::string sealed = "X-Attempt-Id: r1\r\nX-Response-Seal: seal\r\n";
     this->List("plain", cut.Address());
     for (const std::string& response :
          {"HTTP/1.1 000 X\r\n" + sealed + "Content-Length: 2\r\n\r\nhi",
@@ -346,8 +342,8 @@
   void Request_BlankInFieldName_IsBadRequest() {
     constexpr int kBadRequest = 400;
     this->AddSound("plain");
-    for (const char* field :
-         {"X-Tenant : other", "Content-Length : 5", "Transfer-Encoding : chunked"}) {
+    for (const char* field : {"X-Tenant : other", "Content-Length : 5",
+                              "Transfer-Encoding : chunked"}) {
       std::string request = this->Request("/unsafe/x");
       request.insert(request.find("X-Attempt-Id"), std::string(field) + "\r\n");
       CPPUNIT_ASSERT_EQUAL_MESSAGE(field, kBadRequest,
--- a/UnitTests/RequiredKeyTest.cpp
+++ b/UnitTests/RequiredKeyTest.cpp
@@ -111,8 +111,8 @@
 
   void Request_TenantsWithoutKeys_IsUnauthenticated() {
     for (const char* keys : {"", R"(,"apiKeys":[])", R"(,"apiKeys":null)"}) {
-      CPPUNIT_ASSERT(
-          this->Put(std::string(R"(,"tenants":[{"name":"acme")") + keys + "}]"));
+      CPPUNIT_ASSERT(this->Put(std::string(R"(,"tenants":[{"name":"acme")") +
+                               keys + "}]"));
       this->CheckNoKeyIsAccepted();
     }
   }
@@ -186,8 +186,7 @@
       const bool hasField = draws.Below(kLacksField) > 0;
       CPPUNIT_ASSERT(this->Put(hasField ? DrawTenants(draws, keys) : ""));
       // Changes are decoded from the former version, the first from nothing.
-      const auto whole =
-          decoder->DecodeConfiguration(view.ConfigText());
+      const auto whole = decoder->DecodeConfiguration(view.ConfigText());
       CPPUNIT_ASSERT(whole.has_value());
       CPPUNIT_ASSERT(*whole == view.Table()->Configuration());
       for (const char* key : {"key0", "key1", "key2", "key3", "never", ""}) {
--- a/UnitTests/ResetUploadTest.cpp
+++ b/UnitTests/ResetUploadTest.cpp
@@ -193,11 +193,12 @@
 
   Result<HttpResponse> Upload(const EarlyUpstream& aUpstream) {
     std::optional<Result<HttpResponse>> answer;
-    FetchResponse(
-        loop, aUpstream.Endpoint(),
-        "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(kLongUploadBytes) +
-            "\r\n\r\n" + std::string(kLongUploadBytes, 'u'),
-        10s, [&](Result<HttpResponse> aOne) { answer = std::move(aOne); });
+    FetchResponse(loop, aUpstream.Endpoint(),
+                  "POST / HTTP/1.1\r\nContent-Length: " +
+                      std::to_string(kLongUploadBytes) + "\r\n\r\n" +
+                      std::string(kLongUploadBytes, 'u'),
+                  10s,
+                  [&](Result<HttpResponse> aOne) { answer = std::move(aOne); });
     this->RunUntil([&] { return answer.has_value(); });
     return *answer;
   }
@@ -261,9 +262,9 @@
 
   void CurlClient_ResetDuringUpload_IsNotAnswered() {
     const std::unique_ptr<HttpClient> http = MakeHttpClient();
-    for (const auto after : {AfterResponse::Reset, AfterResponse::CloseUnread,
-                             AfterResponse::EndThenReset,
-                             AfterResponse::EndAndDrain}) {
+    for (const auto after :
+         {AfterResponse::Reset, AfterResponse::CloseUnread,
+          AfterResponse::EndThenReset, AfterResponse::EndAndDrain}) {
       const EarlyUpstream upstream(loop, after, "part");
       for (const bool isStreamed : {false, true}) {
         CurlCall listener;
--- a/UnitTests/ResumedRequestTest.cpp
+++ b/UnitTests/ResumedRequestTest.cpp
@@ -218,12 +218,11 @@
   void Stream_RefusedByFirstUpstream_ContinuesBehindLastEvent() {
     const auto asked = std::make_shared<int>(0);
     for (int i = 0; i < 2; ++i) {
-      this->AddUpstream("plain",
-                        [asked](const auto& aTo, const auto& aMessage) {
-                          *asked += 1;
-                          *asked == 1 ? RefuseAsNotRun(aTo, aMessage)
-                                      : Serve(aTo, aMessage);
-                        });
+      this->AddUpstream(
+          "plain", [asked](const auto& aTo, const auto& aMessage) {
+            *asked += 1;
+            *asked == 1 ? RefuseAsNotRun(aTo, aMessage) : Serve(aTo, aMessage);
+          });
     }
     const EventCaller caller =
         this->AskAt(listener->Port(), this->ResumedAttempt("/events/x", "4"));
--- a/Zincstep/Net/HeadGrammar.cpp
+++ b/Zincstep/Net/HeadGrammar.cpp
@@ -65,7 +65,8 @@
   if (aByte == '\r') {
     if (this->isStartLine) {
       // Empty lines may precede a request.
-      const bool isEmpty = this->line.empty() && this->side == HttpSide::Request;
+      const bool isEmpty =
+          this->line.empty() && this->side == HttpSide::Request;
       if (const char* fault = isEmpty ? nullptr : this->CheckStart()) {
         return fault;
       }
@@ -108,16 +109,16 @@
   constexpr std::size_t kLength = kVersionBytes + kStatusBytes;
   const std::string_view status =
       std::string_view(this->line).substr(0, kLength);
-  const bool isVersion = status.starts_with("HTTP/1.1 ") ||
-                         status.starts_with("HTTP/1.0 ");
+  const bool isVersion =
+      status.starts_with("HTTP/1.1 ") || status.starts_with("HTTP/1.0 ");
   if (!isVersion) {
     return "no version of HTTP/1";
   }
   const bool hasDigits =
       status.size() == kLength &&
       std::all_of(status.begin() + kVersionBytes, status.end(), IsDigit);
-  const bool hasEnd = hasDigits && (this->line.size() == kLength ||
-                                    this->line[kLength] == ' ');
+  const bool hasEnd =
+      hasDigits && (this->line.size() == kLength || this->line[kLength] == ' ');
   const char first = hasDigits ? status[kVersionBytes] : '0';
   if (!hasEnd || first < '1' || first > '5') {
     return "the status is not one of 100 to 599";
--- a/Zincstep/Net/HttpParser.h
+++ b/Zincstep/Net/HttpParser.h
@@ -42,9 +42,9 @@
 ///
 /// Stops after each message; bytes that follow belong to the next message, or
 /// are surplus. Based on the `http_parser` library, which rejects messages with
-/// both a content length and a chunked coding; `HeadGrammar` checks the lines of
-/// heads. Codings other than chunked are rejected, as is `CONNECT`, which has no
-/// body that could be framed.
+/// both a content length and a chunked coding; `HeadGrammar` checks the lines
+/// of heads. Codings other than chunked are rejected, as is `CONNECT`, which
+/// has no body that could be framed.
 class HttpParser {
  public:
   HttpParser(HttpSide aSide, HttpParserListener& aListener);
--- a/Zincstep/Relay/RelayAdmission.cpp
+++ b/Zincstep/Relay/RelayAdmission.cpp
@@ -72,9 +72,8 @@
     // request without one is admitted.
     const bool needsKey =
         !aRequest.info.apiKey.empty() ||
-        std::all_of(aTables.begin(), aTables.end(), [](const auto& aTable) {
-          return aTable->RequiresKeys();
-        });
+        std::all_of(aTables.begin(), aTables.end(),
+                    [](const auto& aTable) { return aTable->RequiresKeys(); });
     if (!needsKey) {
       return {};
     }
