--- a/Zincstep/Net/HeadGrammar.cpp
+++ b/Zincstep/Net/HeadGrammar.cpp
@@ -20,8 +20,6 @@
   return bytes;
 }();
 
-bool IsTokenByte(unsigned char aByte) { return kTokenBytes[aByte]; }
-
 bool IsDigit(char aByte) { return aByte >= '0' && aByte <= '9'; }
 
 /// Whether the byte may be part of a field's value or of a reason phrase.
@@ -35,14 +33,10 @@
 
 }  // namespace
 
-bool IsToken(std::string_view aText) {
-  return !aText.empty() && std::all_of(aText.begin(), aText.end(), IsTokenByte);
-}
-
 void HeadGrammar::Reset() {
   this->part = Part::Start;
   this->line.clear();
-  this->isStartLine = true;
+  this->awaitsLineFeed = false;
   this->isInterim = false;
 }
 
@@ -59,39 +53,30 @@
 }
 
 const char* HeadGrammar::CheckByte(unsigned char aByte) {
-  if (this->part == Part::LineEnd) {
-    return aByte == '\n' ? this->EndLine() : "a line does not end in CR LF";
-  }
-  if (aByte == '\r') {
-    if (this->isStartLine) {
-      // Empty lines may precede a request.
-      const bool isEmpty =
-          this->line.empty() && this->side == HttpSide::Request;
-      if (const char* fault = isEmpty ? nullptr : this->CheckStart()) {
-        return fault;
-      }
-    } else if (this->part == Part::Name && !this->line.empty()) {
-      return "a field without a colon";
+  if (this->awaitsLineFeed) {
+    if (aByte != '\n') {
+      return "a line does not end in CR LF";
     }
-    this->part = Part::LineEnd;
+    this->EndLine();
     return nullptr;
   }
+  if (aByte == '\r') {
+    this->awaitsLineFeed = true;
+    return this->CheckLine();
+  }
   if (this->line.size() < kMaxExcerptBytes) {
     this->line += static_cast<char>(aByte);
   }
-  if (this->isStartLine) {
-    return this->CheckStartByte(aByte);
-  }
   if (this->part == Part::Name) {
     return this->CheckNameByte(aByte);
   }
-  return IsTextByte(aByte) ? nullptr : "a control byte in a field's value";
-}
-
-const char* HeadGrammar::CheckStartByte(unsigned char aByte) {
-  const bool isBlank = aByte == '\t' && this->side == HttpSide::Request;
-  return IsTextByte(aByte) && !isBlank ? nullptr
-                                       : "a control byte in the start line";
+  if (!IsTextByte(aByte)) {
+    return "a control byte";
+  }
+  // Some servers take a tab for the blank between the parts of a request line.
+  const bool isTab = aByte == '\t' && this->side == HttpSide::Request;
+  return this->part == Part::Start && isTab ? "a tab in the request line"
+                                            : nullptr;
 }
 
 const char* HeadGrammar::CheckNameByte(unsigned char aByte) {
@@ -99,49 +84,50 @@
     this->part = Part::Value;
     return nullptr;
   }
-  return IsTokenByte(aByte) ? nullptr : "the name of a field is no token";
+  return kTokenBytes[aByte] ? nullptr : "the name of a field is no token";
 }
 
-const char* HeadGrammar::CheckStart() {
-  if (this->side == HttpSide::Request) {
-    return nullptr;  // The parser checks its method, target and version.
+const char* HeadGrammar::CheckLine() {
+  if (this->part == Part::Start && this->side == HttpSide::Response) {
+    return this->CheckStatusLine();
   }
+  const bool isName = this->part == Part::Name && !this->line.empty();
+  return isName ? "a field without a colon" : nullptr;
+}
+
+const char* HeadGrammar::CheckStatusLine() {
   constexpr std::size_t kLength = kVersionBytes + kStatusBytes;
-  const std::string_view status =
+  const std::string_view begin =
       std::string_view(this->line).substr(0, kLength);
-  const bool isVersion =
-      status.starts_with("HTTP/1.1 ") || status.starts_with("HTTP/1.0 ");
-  if (!isVersion) {
+  if (!begin.starts_with("HTTP/1.1 ") && !begin.starts_with("HTTP/1.0 ")) {
     return "no version of HTTP/1";
   }
-  const bool hasDigits =
-      status.size() == kLength &&
-      std::all_of(status.begin() + kVersionBytes, status.end(), IsDigit);
-  const bool hasEnd =
-      hasDigits && (this->line.size() == kLength || this->line[kLength] == ' ');
-  const char first = hasDigits ? status[kVersionBytes] : '0';
-  if (!hasEnd || first < '1' || first > '5') {
+  const std::string_view status = begin.substr(kVersionBytes);
+  const bool isNumber = status.size() == kStatusBytes &&
+                        std::all_of(status.begin(), status.end(), IsDigit);
+  const bool isEnded =
+      this->line.size() <= kLength || this->line[kLength] == ' ';
+  if (!isNumber || !isEnded || status.front() < '1' || status.front() > '5') {
     return "the status is not one of 100 to 599";
   }
-  this->isInterim = first == '1';
-  return status.ends_with("101") ? "a switch to another protocol" : nullptr;
+  this->isInterim = status.front() == '1';
+  return status == "101" ? "a switch to another protocol" : nullptr;
 }
 
-const char* HeadGrammar::EndLine() {
-  const bool isHeadEnd = !this->isStartLine && this->line.empty();
-  const bool wasEmptyStart = this->isStartLine && this->line.empty();
+void HeadGrammar::EndLine() {
+  const bool isEmpty = this->line.empty();
   this->line.clear();
-  if (isHeadEnd && this->isInterim) {
-    this->Reset();
-    return nullptr;
+  this->awaitsLineFeed = false;
+  if (this->part == Part::Start && isEmpty) {
+    return;  // Empty lines may precede a request.
   }
-  if (isHeadEnd) {
+  if (this->part != Part::Name || !isEmpty) {
+    this->part = Part::Name;
+  } else if (this->isInterim) {
+    this->Reset();  // The head of the next response follows.
+  } else {
     this->part = Part::Body;
-    return nullptr;
   }
-  this->isStartLine = wasEmptyStart;
-  this->part = wasEmptyStart ? Part::Start : Part::Name;
-  return nullptr;
 }
 
 }  // namespace zincstep
--- a/Zincstep/Net/HeadGrammar.h
+++ b/Zincstep/Net/HeadGrammar.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <cstdint>
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -9,9 +9,6 @@
 /// Kind of messages that are read.
 enum class HttpSide { Request, Response };
 
-/// Returns whether the text is a token (RFC 9110, 5.6.2), such as a field name.
-bool IsToken(std::string_view aText);
-
 /// Checks the lines of message heads against the grammar of HTTP/1.1 (RFC 9112)
 /// where `http_parser` is lenient.
 ///
@@ -35,20 +32,21 @@
   static constexpr std::size_t kMaxExcerptBytes = 80;
 
  private:
-  enum class Part { Start, Name, Value, LineEnd, Body };
+  enum class Part { Start, Name, Value, Body };
 
   const char* CheckByte(unsigned char aByte);
-  const char* CheckStartByte(unsigned char aByte);
   const char* CheckNameByte(unsigned char aByte);
-  /// Checks the start line that has been read.
-  const char* CheckStart();
-  const char* EndLine();
+  /// Checks the line whose bytes were read.
+  const char* CheckLine();
+  const char* CheckStatusLine();
+  void EndLine();
 
   HttpSide side;
   Part part = Part::Start;
   /// Begin of the current line.
   std::string line;
-  bool isStartLine = true;
+  /// Whether the line feed that ends the current line is due.
+  bool awaitsLineFeed = false;
   bool isInterim = false;
 };
 
