--- a/SoakTests/SoakRun.cpp
+++ b/SoakTests/SoakRun.cpp
@@ -69,16 +69,16 @@
 }  // namespace
 
 std::string Configuration(int aVersion, bool aHasOther, bool aHasBoth) {
-  const std::string both = aHasBoth ? R"(
+  // Not the first one, which is the model of further routes.
+  const std::string both = aHasBoth ? R"(,
  {"name":"b","hostname":"h","pathPrefix":"/both/","routeType":"streaming",
   "timeoutMs":20000,"maxAttempts":3,"resumable":true,
   "trafficSplit":[{"backend":"model","weight":1},
-                  {"backend":"plain","weight":1}]},)"
+                  {"backend":"plain","weight":1}]})"
                                     : "";
   const std::string other =
       aHasOther ? R"(,{"name":"other","apiKeys":["key2"]})" : "";
-  return R"({"configVersion":)" + std::to_string(aVersion) + R"(,"routes":[)" +
-         both + R"(
+  return R"({"configVersion":)" + std::to_string(aVersion) + R"(,"routes":[
  {"name":"s","hostname":"h","pathPrefix":"/safe/","routeType":"safe",
   "timeoutMs":3000,"maxAttempts":2,"backend":"plain"},
  {"name":"u","hostname":"h","pathPrefix":"/unsafe/","routeType":"unsafe",
@@ -86,7 +86,8 @@
  {"name":"f","hostname":"h","pathPrefix":"/few/","routeType":"safe",
   "timeoutMs":3000,"maxAttempts":2,"backend":"few"},
  {"name":"l","hostname":"h","pathPrefix":"/llm/","routeType":"streaming",
-  "timeoutMs":20000,"maxAttempts":3,"backend":"model","resumable":true}],
+  "timeoutMs":20000,"maxAttempts":3,"backend":"model","resumable":true})" +
+         both + R"(],
  "services":[{"name":"plain"},{"name":"few"},{"name":"model","engine":{"layers":4,
   "layer_mb":1,"kvTokenBytes":4,"step_ms":1,"usual":{"prompt":10,"answer":20},
   "models":[{"name":"m","load_s":0.2}],
